Lay out the workspace: packages by concern, the shared vocabulary and the check

The words that the packages share (versions, patches, endpoints, verdicts, frames, the clock) come first, so that the packages can be written side by side. The check runs formatter, linter and all tests.

--- /dev/null
+++ b/crates/call/src/lib.rs
@@ -0,0 +1,10 @@
+//! What became of a call: verdicts, call identities and the table of calls.
+//!
+//! A call that must not be repeated is tried again only after
+//! [`Verdict::NotRun`], which is said only when it is known.
+
+mod id;
+mod verdict;
+
+pub use id::Id;
+pub use verdict::Verdict;
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+
+fn main() {}
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,19 @@
+//! Numbered mesh configurations: patches, validation, digests and closed views.
+//!
+//! Operators write a [`Patch`] against the [`Version`] they last saw. Applying
+//! it to that version's [`Mesh`] gives the next one, or an [`Error`] that names
+//! the change at fault; a mesh is never changed in part.
+
+mod digest;
+mod endpoint;
+mod error;
+mod mesh;
+mod patch;
+mod version;
+
+pub use digest::Digest;
+pub use endpoint::{Endpoint, State};
+pub use error::Error;
+pub use mesh::{Class, Mesh, Objective, Repeat, Retry, Route, Service, Target};
+pub use patch::{Change, Patch};
+pub use version::Version;
--- /dev/null
+++ b/crates/config/src/version.rs
@@ -0,0 +1,28 @@
+//! The number of a configuration; it only grows.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// The number of an accepted configuration. Zero is the empty one.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Version(pub u64);
+
+impl Version {
+    /// The empty configuration, before any patch.
+    pub const ZERO: Self = Self(0);
+
+    /// Gives the number after this one.
+    #[must_use]
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+impl fmt::Display for Version {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/wire/src/call.rs
@@ -0,0 +1,110 @@
+//! Frames of calls between an outbound and an inbound proxy.
+
+use bytes::Bytes;
+use call::{Id, Verdict};
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+/// A header as it came.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Header {
+    /// Name, in lower case.
+    pub name: SmolStr,
+    /// Value.
+    pub value: Bytes,
+}
+
+/// The head of a request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Request {
+    /// Names this try of the call.
+    pub id: Id,
+    /// Service that the call is for.
+    pub service: SmolStr,
+    /// HTTP method.
+    pub method: SmolStr,
+    /// Path and query.
+    pub path: SmolStr,
+    /// Headers, without those of one connection only.
+    pub headers: Vec<Header>,
+    /// Time left when sent, in milliseconds.
+    pub timeout_ms: u32,
+    /// What the call is worth.
+    pub class: config::Class,
+    /// Caller on whose behalf it runs, for fair shares.
+    pub caller: SmolStr,
+    /// Whether no body follows.
+    pub end: bool,
+}
+
+/// The head of an answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    /// The try that is answered.
+    pub id: Id,
+    /// HTTP status.
+    pub status: u16,
+    /// Headers, without those of one connection only.
+    pub headers: Vec<Header>,
+    /// Whether no body follows.
+    pub end: bool,
+}
+
+/// Why an inbound proxy gave no answer of the backend server's.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reason {
+    /// It is leaving.
+    Leaving,
+    /// It is full, or the wait would not fit the deadline.
+    Full,
+    /// The deadline passed.
+    Deadline,
+    /// The backend server can't be reached, or broke off.
+    Backend,
+    /// It has no backend server of that service.
+    NoService,
+    /// The caller went away.
+    Cancelled,
+}
+
+/// A try that ended without an answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refusal {
+    /// The try that is refused.
+    pub id: Id,
+    /// Whether it may have run.
+    pub verdict: Verdict,
+    /// Why.
+    pub reason: Reason,
+    /// When to come back, in milliseconds.
+    pub retry_after_ms: u32,
+}
+
+/// Part of a call.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Frame {
+    /// Outbound to inbound: a request starts.
+    Request(Request),
+    /// Either way: a part of a body; `end` ends it.
+    Body {
+        /// The try.
+        id: Id,
+        /// The bytes.
+        bytes: Bytes,
+        /// Whether it was the last part.
+        end: bool,
+    },
+    /// Inbound to outbound: an answer starts.
+    Answer(Answer),
+    /// Inbound to outbound: there will be no (more) answer.
+    Refusal(Refusal),
+    /// Outbound to inbound: nobody waits for the answer any more.
+    Cancel(Id),
+    /// Either way: the receiver of a body has room for that many more bytes.
+    Credit {
+        /// The try.
+        id: Id,
+        /// Further bytes that may be sent.
+        bytes: u32,
+    },
+}
--- /dev/null
+++ b/crates/wire/src/hello.rs
@@ -0,0 +1,31 @@
+//! The first frame of each side of a link.
+
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+/// Version of the protocol; peers of another version are refused.
+pub const PROTOCOL: u16 = 1;
+
+/// What a link is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Link {
+    /// Calls from an outbound to an inbound proxy.
+    Call,
+    /// Configuration, endpoints and status.
+    Control,
+}
+
+/// Who is at the other end of a link.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hello {
+    /// Version of the protocol that the sender speaks.
+    pub protocol: u16,
+    /// Name of the sender's node.
+    pub node: SmolStr,
+    /// Random number of the sender's process.
+    pub incarnation: u64,
+    /// Availability zone of the sender.
+    pub zone: SmolStr,
+    /// What the link is for.
+    pub link: Link,
+}
