--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -10,6 +10,7 @@
 mod mesh;
 mod patch;
 mod version;
+mod view;
 
 pub use digest::Digest;
 pub use endpoint::{Endpoint, State};
@@ -17,3 +18,4 @@
 pub use mesh::{Class, Mesh, Objective, Repeat, Retry, Route, Service, Target};
 pub use patch::{Change, Patch};
 pub use version::Version;
+pub use view::{EndpointKey, RouteEntry, RouteKey, ServiceEntry, ServiceKey, View};
--- /dev/null
+++ b/crates/node/src/shared.rs
@@ -0,0 +1,59 @@
+//! What the parts of a node share.
+
+use arc_swap::ArcSwap;
+use clock::Clock;
+use config::View;
+use settings::node::Settings;
+use std::sync::Arc;
+use tokio::sync::watch;
+
+/// What the node's own backend server has announced.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Backend {
+    /// Service that it belongs to.
+    pub service: smol_str::SmolStr,
+    /// Where it takes calls, on loopback.
+    pub address: std::net::SocketAddr,
+    /// Calls that it says it runs at once.
+    pub slots: u16,
+    /// Whether it has asked to leave.
+    pub leaving: bool,
+}
+
+/// What the parts of a node share.
+#[derive(Debug)]
+pub struct Shared<C>
+where
+    C: Clock,
+{
+    /// The node's settings.
+    pub settings: Settings,
+    /// Random number of this process.
+    pub incarnation: u64,
+    /// Source of time.
+    pub clock: C,
+    /// What calls are served by; swapped whole.
+    pub view: ArcSwap<View>,
+    /// The node's own backend server, once announced.
+    pub backend: watch::Sender<Option<Backend>>,
+    /// Whether the node itself is leaving.
+    pub leaving: watch::Sender<bool>,
+}
+
+impl<C> Shared<C>
+where
+    C: Clock,
+{
+    /// Makes the shared state of a node that holds nothing yet.
+    #[must_use]
+    pub fn new(settings: Settings, incarnation: u64, clock: C) -> Arc<Self> {
+        Arc::new(Self {
+            settings,
+            incarnation,
+            clock,
+            view: ArcSwap::default(),
+            backend: watch::Sender::new(None),
+            leaving: watch::Sender::new(false),
+        })
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! INI settings of the programs, checked whole before start.
+
+pub mod node;
