--- /dev/null
+++ b/crates/settings/src/document.rs
@@ -0,0 +1,176 @@
+//! An INI text as entries that know their lines, with the faults found so far.
+
+use crate::error::Fault;
+use crate::table::Key;
+use crate::value::{Rejection, Value};
+use ini::{Ini, ParseOption};
+
+/// A `key = value` line.
+#[derive(Debug)]
+struct Entry {
+    line: usize,
+    section: String,
+    key: String,
+    value: String,
+}
+
+/// An INI text, with the faults found in it so far.
+#[derive(Debug)]
+pub struct Document {
+    entries: Vec<Entry>,
+    headers: Vec<(String, usize)>,
+    faults: Vec<Fault>,
+    last_line: usize,
+}
+
+impl Document {
+    /// Reads `text` against the keys of a program.
+    #[must_use]
+    pub fn new(text: &str, keys: &[Key]) -> Self {
+        let mut document = Self {
+            entries: Vec::new(),
+            headers: Vec::new(),
+            faults: Vec::new(),
+            last_line: text.lines().count().max(1),
+        };
+        for (index, line) in text.lines().enumerate() {
+            document.add_line(index + 1, line.trim(), keys);
+        }
+        document
+    }
+
+    /// Takes one line; each goes through the INI library alone, which keeps no line numbers.
+    fn add_line(&mut self, line: usize, text: &str, keys: &[Key]) {
+        let option = ParseOption {
+            enabled_quote: false,
+            enabled_escape: false,
+            ..ParseOption::default()
+        };
+        let Ok(parsed) = Ini::load_from_str_opt(text, option) else {
+            let message = "neither a [section], a key = value nor a # comment on its own line";
+            self.add_fault(line, message.to_owned());
+            return;
+        };
+        for (section, properties) in &parsed {
+            if let Some(name) = section {
+                self.add_section(line, name, keys);
+            }
+            for (key, value) in properties {
+                self.add_entry(line, key, value.trim(), keys);
+            }
+        }
+    }
+
+    fn add_section(&mut self, line: usize, name: &str, keys: &[Key]) {
+        self.headers.push((name.to_owned(), line));
+        if !keys.iter().any(|key| key.section == name) {
+            let known = list_unique(keys.iter().map(|key| key.section));
+            self.add_fault(line, format!("[{name}]: unknown section; known: {known}"));
+        }
+    }
+
+    fn add_entry(&mut self, line: usize, key: &str, value: &str, keys: &[Key]) {
+        let Some((section, _)) = self.headers.last().cloned() else {
+            self.add_fault(line, format!("{key}: stands before the first [section]"));
+            return;
+        };
+        if !keys.iter().any(|known| known.section == section) {
+            return;
+        }
+        if !keys.iter().any(|known| known.is(&section, key)) {
+            let of_section = keys.iter().filter(|known| known.section == section);
+            let known = list_unique(of_section.map(|known| known.name));
+            let message = format!("[{section}] {key}: unknown key; known here: {known}");
+            self.add_fault(line, message);
+            return;
+        }
+        let first = self.find(&section, key).map(|entry| entry.line);
+        if let Some(first) = first {
+            let message = format!("[{section}] {key}: already set on line {first}; keep one");
+            self.add_fault(line, message);
+            return;
+        }
+        self.entries.push(Entry {
+            line,
+            section,
+            key: key.to_owned(),
+            value: value.to_owned(),
+        });
+    }
+
+    /// Reads the value of a key, or its default; a fault is noted and gives `None`.
+    pub fn read<T>(&mut self, key: &Key) -> Option<T>
+    where
+        T: Value,
+    {
+        let label = format!("[{}] {}", key.section, key.name);
+        let Some(entry) = self.find(key.section, key.name) else {
+            let Some(default) = key.default else {
+                let message = format!("{label}: missing; add {} = {}", key.name, T::FORM);
+                self.add_fault(self.line_of_section(key.section), message);
+                return None;
+            };
+            return T::read(default).ok();
+        };
+        let (line, value) = (entry.line, &entry.value);
+        let problem = match T::read(value) {
+            Ok(value) => return Some(value),
+            Err(Rejection::Form) if key.secret => format!("{label}: want {}", T::FORM),
+            Err(Rejection::Form) => format!("{label}: \"{value}\" is not {}", T::FORM),
+            Err(Rejection::Zero) => {
+                format!(
+                    "{label}: \"{value}\" is zero, which would stop all work; want {}",
+                    T::FORM
+                )
+            }
+        };
+        self.add_fault(line, problem);
+        None
+    }
+
+    /// Gives the line of a key, or of its section when it is not set.
+    #[must_use]
+    pub fn line_of(&self, section: &str, key: &str) -> usize {
+        self.find(section, key)
+            .map_or_else(|| self.line_of_section(section), |entry| entry.line)
+    }
+
+    /// Notes a fault.
+    pub fn add_fault(&mut self, line: usize, message: String) {
+        self.faults.push(Fault { line, message });
+    }
+
+    /// Gives the faults, by line.
+    #[must_use]
+    pub fn into_faults(mut self) -> Vec<Fault> {
+        self.faults.sort_by_key(|fault| fault.line);
+        self.faults
+    }
+
+    fn find(&self, section: &str, key: &str) -> Option<&Entry> {
+        self.entries
+            .iter()
+            .find(|entry| entry.section == section && entry.key == key)
+    }
+
+    fn line_of_section(&self, section: &str) -> usize {
+        self.headers
+            .iter()
+            .find(|(name, _)| name == section)
+            .map_or(self.last_line, |(_, line)| *line)
+    }
+}
+
+/// Lists names in their first order, each once.
+fn list_unique<'a, I>(names: I) -> String
+where
+    I: Iterator<Item = &'a str>,
+{
+    let mut unique = Vec::new();
+    for name in names {
+        if !unique.contains(&name) {
+            unique.push(name);
+        }
+    }
+    unique.join(", ")
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,3 +1,22 @@
 //! INI settings of the programs, checked whole before start.
+//!
+//! A program's settings are one [`table!`]: each key stands there once, with
+//! its section, type, default and doc line. Reading a file lists every fault
+//! at once, each with its line and what would be right.
+//!
+//! ```
+//! let error = settings::node::Settings::parse("[node]\nname = a b\n", "node.ini").unwrap_err();
+//! assert!(error.to_string().contains("node.ini:2: [node] name: \"a b\" is not a name"));
+//! ```
 
 pub mod node;
+
+mod document;
+mod error;
+mod table;
+mod value;
+
+pub use document::Document;
+pub use error::{Error, Fault};
+pub use table::{Key, find_default};
+pub use value::{Rejection, Token, Value};
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -1,42 +1,123 @@
 //! Settings of `bluebellpick-node`.
 
+pub use crate::value::Token;
+
+use crate::document::Document;
+use crate::error::Error;
 use smol_str::SmolStr;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::time::Duration;
 
-/// Settings of a node.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Settings {
-    /// Name of the node, unique in the fleet.
-    pub name: SmolStr,
-    /// Availability zone of the VM.
-    pub zone: SmolStr,
-    /// Region of the availability zone.
-    pub region: SmolStr,
-    /// Where callers connect.
-    pub callers: SocketAddr,
-    /// Where the backend server on the same VM announces itself.
-    pub backend: SocketAddr,
-    /// Where other nodes connect.
-    pub nodes: SocketAddr,
-    /// Where operators connect.
-    pub operators: SocketAddr,
-    /// Addresses of the platform's object API.
-    pub platform: SocketAddr,
-    /// Other nodes to ask when the platform does not answer.
-    pub seeds: Vec<SocketAddr>,
-    /// Longest wait for calls in flight at a graceful stop.
-    pub drain_timeout: Duration,
-    /// Token that operators' writes must carry.
-    pub token: Token,
+crate::table! {
+    /// Settings of a node.
+    pub struct Settings {
+        /// Name of the node, unique in the fleet.
+        [node] name: SmolStr;
+        /// Availability zone of the VM.
+        [node] zone: SmolStr;
+        /// Region of the availability zone.
+        [node] region: SmolStr;
+        /// Where callers connect.
+        [listen] callers: SocketAddr;
+        /// Where the backend server on the same VM announces itself, on loopback.
+        [listen] backend: SocketAddr;
+        /// Where other nodes connect; they are told this address, so it can't be 0.0.0.0.
+        [listen] nodes: SocketAddr;
+        /// Where operators connect.
+        [listen] operators: SocketAddr;
+        /// Address of the platform's object API.
+        [fleet] platform: SocketAddr;
+        /// Other nodes to ask when the platform does not answer.
+        [fleet] seeds: Vec<SocketAddr> = "";
+        /// Longest wait for calls in flight at a graceful stop.
+        [limits] drain_timeout: Duration = "30 s";
+        /// Token that operators' writes must carry.
+        [operators] token: Token, secret;
+    }
 }
 
-/// A secret that is never shown.
-#[derive(Clone, PartialEq, Eq)]
-pub struct Token(pub String);
+impl Settings {
+    /// Reads the settings file at `path`.
+    ///
+    /// # Errors
+    ///
+    /// Lists everything that is wrong with the file, by line.
+    pub fn open<P>(path: P) -> Result<Self, Error>
+    where
+        P: AsRef<Path>,
+    {
+        let file = path.as_ref().display().to_string();
+        match std::fs::read_to_string(path) {
+            Ok(text) => Self::parse(&text, &file),
+            Err(source) => Err(Error::Unreadable(file, source)),
+        }
+    }
+
+    /// Reads settings from `text`; `file` names it in errors.
+    ///
+    /// # Errors
+    ///
+    /// Lists everything that is wrong with the text, by line.
+    pub fn parse(text: &str, file: &str) -> Result<Self, Error> {
+        let mut document = Document::new(text, Self::KEYS);
+        let settings = Self::read(&mut document);
+        if let Some(settings) = &settings {
+            settings.check_listeners(&mut document);
+        }
+        let faults = document.into_faults();
+        match settings {
+            Some(settings) if faults.is_empty() => Ok(settings),
+            _ => Err(Error::Faulty(file.to_owned(), faults)),
+        }
+    }
 
-impl std::fmt::Debug for Token {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("Token(..)")
+    /// Gives the four listeners by the names of their keys.
+    #[must_use]
+    pub fn listeners(&self) -> [(&'static str, SocketAddr); 4] {
+        [
+            ("callers", self.callers),
+            ("backend", self.backend),
+            ("nodes", self.nodes),
+            ("operators", self.operators),
+        ]
     }
+
+    fn check_listeners(&self, document: &mut Document) {
+        let listeners = self.listeners();
+        for (index, (name, address)) in listeners.iter().enumerate() {
+            for (other, taken) in &listeners[..index] {
+                if is_shared(*address, *taken) {
+                    let line = document.line_of("listen", name);
+                    let message = format!(
+                        "[listen] {name}: {address} is also the address of {other}; give each listener its own port"
+                    );
+                    document.add_fault(line, message);
+                }
+            }
+        }
+        if !self.backend.ip().is_loopback() {
+            let line = document.line_of("listen", "backend");
+            let message = format!(
+                "[listen] backend: {} is not on loopback; want one such as 127.0.0.1:7002",
+                self.backend
+            );
+            document.add_fault(line, message);
+        }
+        if self.nodes.ip().is_unspecified() {
+            let line = document.line_of("listen", "nodes");
+            let message = format!(
+                "[listen] nodes: other nodes can't connect to {}; want the VM's own IP address",
+                self.nodes
+            );
+            document.add_fault(line, message);
+        }
+    }
+}
+
+/// Tells whether two listeners would take each other's connections.
+fn is_shared(one: SocketAddr, other: SocketAddr) -> bool {
+    let overlap =
+        one.ip() == other.ip() || one.ip().is_unspecified() || other.ip().is_unspecified();
+    one.port() == other.port() && overlap
 }
--- /dev/null
+++ b/crates/settings/src/value.rs
@@ -0,0 +1,165 @@
+//! Types that a setting can have, and their text forms.
+
+use smol_str::SmolStr;
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Longest name of a node, availability zone or region: that of a DNS label.
+const MAX_NAME: usize = 63;
+
+/// Shortest token: 16 characters of hexadecimal digits are 64 bits.
+const MIN_TOKEN: usize = 16;
+
+/// Units of time, longest suffix first, so that `ms` is not taken for `s`.
+const UNITS: [(&str, u64); 4] = [("ms", 1), ("min", 60_000), ("s", 1_000), ("h", 3_600_000)];
+
+/// Why a text is not a value.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Rejection {
+    /// The text has another form.
+    Form,
+    /// The value is a limit of zero, which would stop all work.
+    Zero,
+}
+
+/// A type that a setting can have.
+pub trait Value: Sized {
+    /// What a right text looks like, with an example.
+    const FORM: &str;
+
+    /// Reads a value.
+    ///
+    /// # Errors
+    ///
+    /// Says in which way the text is not a value.
+    fn read(text: &str) -> Result<Self, Rejection>;
+}
+
+/// A secret that is never shown.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Token(pub String);
+
+impl fmt::Debug for Token {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Token(..)")
+    }
+}
+
+impl Value for SmolStr {
+    const FORM: &str = "a name of 1 to 63 letters, digits, '-', '_' or '.', such as records-1";
+
+    fn read(text: &str) -> Result<Self, Rejection> {
+        let is_plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+        let fits = (1..=MAX_NAME).contains(&text.len()) && text.chars().all(is_plain);
+        if fits {
+            Ok(text.into())
+        } else {
+            Err(Rejection::Form)
+        }
+    }
+}
+
+impl Value for SocketAddr {
+    const FORM: &str =
+        "an IP address with a port, such as 127.0.0.1:7001 (names are not looked up)";
+
+    fn read(text: &str) -> Result<Self, Rejection> {
+        let address = text.parse::<Self>().ok().ok_or(Rejection::Form)?;
+        if address.port() == 0 {
+            return Err(Rejection::Zero);
+        }
+        Ok(address)
+    }
+}
+
+impl Value for Vec<SocketAddr> {
+    const FORM: &str =
+        "IP addresses with ports, parted by commas, such as 127.0.0.1:7001, 127.0.0.1:7002";
+
+    fn read(text: &str) -> Result<Self, Rejection> {
+        if text.is_empty() {
+            return Ok(Self::new());
+        }
+        text.split(',')
+            .map(|part| SocketAddr::read(part.trim()))
+            .collect()
+    }
+}
+
+impl Value for Duration {
+    const FORM: &str = "a whole number above zero with a unit (ms, s, min or h), such as 30 s";
+
+    fn read(text: &str) -> Result<Self, Rejection> {
+        let (digits, factor) = UNITS
+            .iter()
+            .find_map(|(unit, factor)| Some((text.strip_suffix(unit)?.trim_end(), factor)))
+            .ok_or(Rejection::Form)?;
+        let count = read_count(digits)?;
+        let millis = count.checked_mul(*factor).ok_or(Rejection::Form)?;
+        Ok(Self::from_millis(millis))
+    }
+}
+
+impl Value for Token {
+    const FORM: &str = "a secret of at least 16 characters without spaces";
+
+    fn read(text: &str) -> Result<Self, Rejection> {
+        let fits = text.len() >= MIN_TOKEN && text.chars().all(|c| c.is_ascii_graphic());
+        if fits {
+            Ok(Self(text.to_owned()))
+        } else {
+            Err(Rejection::Form)
+        }
+    }
+}
+
+impl Value for u64 {
+    const FORM: &str = "a whole number above zero, such as 64";
+
+    fn read(text: &str) -> Result<Self, Rejection> {
+        read_count(text)
+    }
+}
+
+impl Value for u32 {
+    const FORM: &str = u64::FORM;
+
+    fn read(text: &str) -> Result<Self, Rejection> {
+        Self::try_from(read_count(text)?)
+            .ok()
+            .ok_or(Rejection::Form)
+    }
+}
+
+impl Value for u16 {
+    const FORM: &str = "a whole number from 1 to 65535, such as 64";
+
+    fn read(text: &str) -> Result<Self, Rejection> {
+        Self::try_from(read_count(text)?)
+            .ok()
+            .ok_or(Rejection::Form)
+    }
+}
+
+impl Value for usize {
+    const FORM: &str = u64::FORM;
+
+    fn read(text: &str) -> Result<Self, Rejection> {
+        Self::try_from(read_count(text)?)
+            .ok()
+            .ok_or(Rejection::Form)
+    }
+}
+
+/// Reads a count of digits alone; every count in settings is a limit, so zero is refused.
+fn read_count(text: &str) -> Result<u64, Rejection> {
+    if text.is_empty() || !text.chars().all(|c| c.is_ascii_digit()) {
+        return Err(Rejection::Form);
+    }
+    match text.parse() {
+        Ok(0) => Err(Rejection::Zero),
+        Ok(count) => Ok(count),
+        Err(_) => Err(Rejection::Form),
+    }
+}
