--- /dev/null
+++ b/crates/node/src/announce.rs
@@ -0,0 +1,235 @@
+//! Where the backend server on the same VM announces itself.
+//!
+//! `PUT /v1/announce` says which service it belongs to, where it takes calls
+//! and how many at once; it is repeated as a heartbeat. `DELETE /v1/announce`
+//! says that it is leaving: from that instant it gets no new call. `GET`
+//! tells it how many calls are still in flight, so that it knows when to end.
+//!
+//! Silence is no departure. A backend server that is paused or cut off for a
+//! moment would otherwise lose all its work at once; one that is really gone
+//! refuses connections, which the inbound proxy sees at its next call.
+
+use crate::listener::{self, Answer, Handle, Limits, answer_json, refuse};
+use crate::shared::{Backend, Shared};
+use clock::Clock;
+use http::{Method, Request, StatusCode};
+use hyper::body::Incoming;
+use log::info;
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use tokio::net::TcpListener;
+
+/// Path of the announcements.
+const PATH: &str = "/v1/announce";
+
+/// Longest name of a service: that of a DNS label.
+const MAX_SERVICE: usize = 63;
+
+/// What a backend server says of itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Announcement {
+    /// Service that it belongs to.
+    pub service: SmolStr,
+    /// Where it takes calls, on loopback.
+    pub address: SocketAddr,
+    /// Calls that it runs at once.
+    pub slots: u16,
+    /// Number of its process; a restart gives a new one.
+    #[serde(default)]
+    pub incarnation: Option<u64>,
+}
+
+/// What a backend server is told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Status {
+    /// Calls that it has not answered yet.
+    pub in_flight: usize,
+    /// Whether it is leaving, and gets no new call.
+    pub leaving: bool,
+}
+
+/// Listens for the backend server on `tcp`.
+///
+/// # Errors
+///
+/// Fails when the listener has no address.
+pub fn spawn<C>(tcp: TcpListener, shared: Arc<Shared<C>>) -> io::Result<Handle>
+where
+    C: Clock,
+{
+    spawn_within(tcp, shared, Limits::default())
+}
+
+/// Listens as [`spawn`] does, with other limits.
+///
+/// # Errors
+///
+/// Fails when the listener has no address.
+pub fn spawn_within<C>(
+    tcp: TcpListener,
+    shared: Arc<Shared<C>>,
+    limits: Limits,
+) -> io::Result<Handle>
+where
+    C: Clock,
+{
+    let desk = Arc::new(Desk {
+        shared,
+        limits,
+        known: Mutex::default(),
+    });
+    listener::spawn(tcp, limits, move |request| {
+        let desk = Arc::clone(&desk);
+        async move { answer(request, &desk).await }
+    })
+}
+
+/// What the answers are made from.
+struct Desk<C>
+where
+    C: Clock,
+{
+    shared: Arc<Shared<C>>,
+    limits: Limits,
+    known: Mutex<Known>,
+}
+
+/// The backend server's process that announced itself last.
+#[derive(Default)]
+struct Known {
+    incarnation: Option<u64>,
+    left: bool,
+}
+
+async fn answer<C>(request: Request<Incoming>, desk: &Desk<C>) -> Answer
+where
+    C: Clock,
+{
+    let shared = &*desk.shared;
+    if request.uri().path() != PATH {
+        return refuse(StatusCode::NOT_FOUND, "only /v1/announce is here");
+    }
+    match *request.method() {
+        Method::GET => answer_json(StatusCode::OK, &read_status(shared)),
+        Method::DELETE => {
+            leave(desk);
+            answer_json(StatusCode::OK, &read_status(shared))
+        }
+        Method::PUT => match take_announcement(request, desk.limits).await {
+            Ok(announcement) if enter(desk, &announcement) => {
+                answer_json(StatusCode::OK, &read_status(shared))
+            }
+            Ok(_) => refuse(
+                StatusCode::CONFLICT,
+                "this incarnation has said that it leaves",
+            ),
+            Err(refusal) => refusal,
+        },
+        _ => refuse(StatusCode::METHOD_NOT_ALLOWED, "want GET, PUT or DELETE"),
+    }
+}
+
+async fn take_announcement(
+    request: Request<Incoming>,
+    limits: Limits,
+) -> Result<Announcement, Answer> {
+    let body = listener::read_body(request.into_body(), limits).await?;
+    let announcement = serde_json::from_slice::<Announcement>(&body)
+        .map_err(|error| refuse(StatusCode::BAD_REQUEST, &error.to_string()))?;
+    match find_fault(&announcement) {
+        Some(fault) => Err(refuse(StatusCode::BAD_REQUEST, fault)),
+        None => Ok(announcement),
+    }
+}
+
+fn find_fault(announcement: &Announcement) -> Option<&'static str> {
+    if announcement.service.is_empty() || announcement.service.len() > MAX_SERVICE {
+        return Some("service: want a name of 1 to 63 bytes");
+    }
+    if !announcement.address.ip().is_loopback() || announcement.address.port() == 0 {
+        return Some("address: want a loopback address with a port, such as 127.0.0.1:9000");
+    }
+    if announcement.slots == 0 {
+        return Some("slots: want at least 1");
+    }
+    None
+}
+
+/// Takes an announcement, or gives false for one of a process that has left.
+///
+/// Guards against a heartbeat that overtakes or trails the departure on another
+/// connection: it would send new work to a process that is about to end. A
+/// process that names its incarnation can't come back once it has left.
+fn enter<C>(desk: &Desk<C>, announcement: &Announcement) -> bool
+where
+    C: Clock,
+{
+    let mut known = desk.known.lock();
+    let is_same =
+        announcement.incarnation.is_some() && announcement.incarnation == known.incarnation;
+    if is_same && known.left {
+        return false;
+    }
+    *known = Known {
+        incarnation: announcement.incarnation,
+        left: false,
+    };
+    let backend = Backend {
+        service: announcement.service.clone(),
+        address: announcement.address,
+        slots: announcement.slots,
+        leaving: false,
+    };
+    let changed = desk.shared.backend.send_if_modified(|held| {
+        let changed = held.as_ref() != Some(&backend);
+        *held = Some(backend.clone());
+        changed
+    });
+    if changed {
+        info!(
+            event = "backend_announced",
+            service = backend.service.as_str(),
+            address:% = backend.address,
+            slots = backend.slots;
+            "backend server announced itself"
+        );
+    }
+    true
+}
+
+fn leave<C>(desk: &Desk<C>)
+where
+    C: Clock,
+{
+    desk.known.lock().left = true;
+    let changed = desk.shared.backend.send_if_modified(|held| match held {
+        Some(backend) if !backend.leaving => {
+            backend.leaving = true;
+            true
+        }
+        _ => false,
+    });
+    if changed {
+        info!(event = "backend_leaving"; "backend server leaves");
+    }
+}
+
+fn read_status<C>(shared: &Shared<C>) -> Status
+where
+    C: Clock,
+{
+    Status {
+        in_flight: shared.in_flight.load(Ordering::Relaxed),
+        leaving: shared
+            .backend
+            .borrow()
+            .as_ref()
+            .is_some_and(|backend| backend.leaving),
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,4 +4,6 @@
 //! the same VM, for other nodes and for operators. All of them share one
 //! [`shared::Shared`].
 
+pub mod announce;
+pub mod listener;
 pub mod shared;
--- /dev/null
+++ b/crates/node/src/listener.rs
@@ -0,0 +1,233 @@
+//! Small HTTP listeners that bad input can't hold up or fill.
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::GracefulShutdown;
+use serde::Serialize;
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot};
+use tokio::task::JoinHandle;
+
+/// Answer of a small listener.
+pub type Answer = Response<Full<Bytes>>;
+
+/// Wait after a failed accept: running out of file descriptors would spin otherwise.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// What one connection and all of them may take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// Connections at once; more wait in the system's accept queue.
+    pub connections: usize,
+    /// Longest wait for a whole request head, and for the next request.
+    pub head_timeout: Duration,
+    /// Longest wait for a whole request body.
+    pub body_timeout: Duration,
+    /// Largest request head, in bytes.
+    pub head_bytes: usize,
+    /// Largest request body, in bytes.
+    pub body_bytes: usize,
+}
+
+impl Default for Limits {
+    /// A node has one backend server and few operators, who send a few hundred bytes:
+    /// 64 connections of 16 kB each keep this under 2 MB of the 32 MB at the worst.
+    fn default() -> Self {
+        Self {
+            connections: 64,
+            head_timeout: Duration::from_secs(5),
+            body_timeout: Duration::from_secs(5),
+            head_bytes: 16 << 10,
+            body_bytes: 16 << 10,
+        }
+    }
+}
+
+/// A running listener; dropping it ends it and its connections at once.
+#[derive(Debug)]
+pub struct Handle {
+    address: SocketAddr,
+    stop: Option<oneshot::Sender<()>>,
+    task: JoinHandle<()>,
+}
+
+impl Handle {
+    /// Gives the address that it listens on.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Ends the listener once the requests in flight are answered.
+    pub async fn stop(mut self) {
+        drop(self.stop.take());
+        // The task ends by itself; a panic in it has already been reported.
+        let _ended = (&mut self.task).await;
+    }
+}
+
+impl Drop for Handle {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Serves HTTP on `tcp` with `answer` until the handle is stopped.
+///
+/// # Errors
+///
+/// Fails when the listener has no address.
+pub fn spawn<H, F>(tcp: TcpListener, limits: Limits, answer: H) -> io::Result<Handle>
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Answer> + Send + 'static,
+{
+    let address = tcp.local_addr()?;
+    let (stop, stopped) = oneshot::channel();
+    let task = tokio::spawn(accept_all(tcp, limits, answer, stopped));
+    Ok(Handle {
+        address,
+        stop: Some(stop),
+        task,
+    })
+}
+
+async fn accept_all<H, F>(
+    tcp: TcpListener,
+    limits: Limits,
+    answer: H,
+    mut stopped: oneshot::Receiver<()>,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Answer> + Send + 'static,
+{
+    let connections = Arc::new(Semaphore::new(limits.connections));
+    let graceful = GracefulShutdown::new();
+    // Owns the connections, so that an aborted listener leaves none behind.
+    let mut served = tokio::task::JoinSet::new();
+    loop {
+        while served.try_join_next().is_some() {}
+        let accepted = tokio::select! {
+            _ = &mut stopped => break,
+            accepted = accept_one(&tcp, &connections) => accepted,
+        };
+        match accepted {
+            Ok((stream, permit)) => {
+                let watcher = graceful.watcher();
+                let answer = answer.clone();
+                let service = service_fn(move |request| {
+                    let answer = answer(request);
+                    async move { Ok::<_, Infallible>(answer.await) }
+                });
+                let connection =
+                    build_server(limits).serve_connection(TokioIo::new(stream), service);
+                served.spawn(async move {
+                    // Errors are the peer's: hyper has closed the connection by then.
+                    let _ended = watcher.watch(connection).await;
+                    drop(permit);
+                });
+            }
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+    drop(tcp);
+    graceful.shutdown().await;
+}
+
+async fn accept_one(
+    tcp: &TcpListener,
+    connections: &Arc<Semaphore>,
+) -> io::Result<(TcpStream, OwnedSemaphorePermit)> {
+    let permit = Arc::clone(connections)
+        .acquire_owned()
+        .await
+        .map_err(io::Error::other)?;
+    let (stream, _) = tcp.accept().await?;
+    stream.set_nodelay(true)?;
+    Ok((stream, permit))
+}
+
+/// Builds the server of one connection.
+///
+/// Guards against peers that never end their headers: each would hold a
+/// connection and its buffer for ever. The timeout closes it, and the buffer
+/// limit answers 431, whatever else the peer sends.
+fn build_server(limits: Limits) -> http1::Builder {
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.head_timeout)
+        .max_buf_size(limits.head_bytes);
+    builder
+}
+
+/// Reads a whole body within its limits, or gives the answer that refuses it.
+///
+/// # Errors
+///
+/// Gives 413 for a body over the limit, 408 for one that stops half way, 400 for one cut off.
+pub async fn read_body(body: Incoming, limits: Limits) -> Result<Bytes, Answer> {
+    let whole = Limited::new(body, limits.body_bytes).collect();
+    match tokio::time::timeout(limits.body_timeout, whole).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            let message = format!("body is over {} bytes", limits.body_bytes);
+            Err(refuse(StatusCode::PAYLOAD_TOO_LARGE, &message))
+        }
+        Ok(Err(_)) => Err(refuse(StatusCode::BAD_REQUEST, "body was cut off")),
+        Err(_) => Err(refuse(
+            StatusCode::REQUEST_TIMEOUT,
+            "body did not end in time",
+        )),
+    }
+}
+
+/// Why a request is refused, as JSON.
+#[derive(Debug, Serialize)]
+struct Refusal<'a> {
+    error: &'a str,
+}
+
+/// Answers with an error and its message as JSON.
+#[must_use]
+pub fn refuse(status: StatusCode, message: &str) -> Answer {
+    answer_json(status, &Refusal { error: message })
+}
+
+/// Answers with a JSON value.
+///
+/// # Panics
+///
+/// Panics on a value without a JSON form, which is a bug of the caller.
+#[must_use]
+pub fn answer_json<T>(status: StatusCode, value: &T) -> Answer
+where
+    T: Serialize,
+{
+    let mut json = serde_json::to_vec(value).expect("answers have a JSON form");
+    json.push(b'\n');
+    answer_with(status, "application/json", json)
+}
+
+/// Answers with a body of a media type.
+#[must_use]
+pub fn answer_with<B>(status: StatusCode, media_type: &'static str, body: B) -> Answer
+where
+    B: Into<Bytes>,
+{
+    let mut answer = Response::new(Full::new(body.into()));
+    *answer.status_mut() = status;
+    let value = header::HeaderValue::from_static(media_type);
+    answer.headers_mut().insert(header::CONTENT_TYPE, value);
+    answer
+}
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -5,6 +5,7 @@
 use config::View;
 use settings::node::Settings;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
 use tokio::sync::watch;
 
 /// What the node's own backend server has announced.
@@ -38,6 +39,8 @@
     pub backend: watch::Sender<Option<Backend>>,
     /// Whether the node itself is leaving.
     pub leaving: watch::Sender<bool>,
+    /// Calls that the own backend server runs right now.
+    pub in_flight: AtomicUsize,
 }
 
 impl<C> Shared<C>
@@ -54,6 +57,7 @@
             view: ArcSwap::default(),
             backend: watch::Sender::new(None),
             leaving: watch::Sender::new(false),
+            in_flight: AtomicUsize::new(0),
         })
     }
 }
