--- a/crates/config/src/endpoint.rs
+++ b/crates/config/src/endpoint.rs
@@ -3,9 +3,10 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// Whether an endpoint takes new work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum State {
     /// Takes new work.
@@ -40,3 +41,21 @@
     /// Whether it takes new work.
     pub state: State,
 }
+
+impl Endpoint {
+    /// Gives what orders two announcements of one node: the higher one is newer.
+    ///
+    /// A restart beats all that the former process said. Of two announcements
+    /// with one sequence the farther departed wins, so that a departure which
+    /// others declared stands until the node itself speaks again.
+    #[must_use]
+    pub fn rank(&self) -> (u64, u64, u64, State) {
+        (self.started_ms, self.incarnation, self.sequence, self.state)
+    }
+}
+
+impl From<&Endpoint> for Arc<Endpoint> {
+    fn from(endpoint: &Endpoint) -> Self {
+        Self::new(endpoint.clone())
+    }
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -4,17 +4,22 @@
 //! it to that version's [`Mesh`] gives the next one, or an [`Error`] that names
 //! the change at fault; a mesh is never changed in part.
 
+mod diff;
 mod digest;
 mod endpoint;
 mod error;
+mod held;
 mod mesh;
 mod patch;
+pub mod validate;
 mod version;
 mod view;
 
+pub use diff::diff;
 pub use digest::Digest;
 pub use endpoint::{Endpoint, State};
-pub use error::Error;
+pub use error::{Error, Fault};
+pub use held::Held;
 pub use mesh::{Class, Mesh, Objective, Repeat, Retry, Route, Service, Target};
 pub use patch::{Change, Patch};
 pub use version::Version;
--- a/crates/config/src/patch.rs
+++ b/crates/config/src/patch.rs
@@ -1,7 +1,8 @@
 //! Typed changes from one version to the next.
 
-use crate::error::Error;
+use crate::error::{Error, Fault};
 use crate::mesh::{Mesh, Retry, Route, Service};
+use crate::validate;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -48,11 +49,31 @@
 }
 
 /// The changes that lead from one version to the next, all of them or none.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Patch {
     /// The changes, in order.
     pub changes: Vec<Change>,
+    /// Line of each change in the file that it was read from; not sent on.
+    #[serde(skip)]
+    lines: Vec<usize>,
+}
+
+impl PartialEq for Patch {
+    fn eq(&self, other: &Self) -> bool {
+        self.changes == other.changes
+    }
+}
+
+impl Eq for Patch {}
+
+impl From<Vec<Change>> for Patch {
+    fn from(changes: Vec<Change>) -> Self {
+        Self {
+            changes,
+            lines: Vec::new(),
+        }
+    }
 }
 
 impl Patch {
@@ -62,52 +83,127 @@
     ///
     /// Names the first line that is not a change.
     pub fn parse(text: &str) -> Result<Self, Error> {
-        let mut changes = Vec::new();
-        for (index, line) in text.lines().enumerate() {
+        let mut patch = Self::default();
+        for (number, line) in (1..).zip(text.lines()) {
             let line = line.trim();
             if line.is_empty() || line.starts_with('#') {
                 continue;
             }
             let change =
-                serde_json::from_str(line).map_err(|source| Error::Syntax(index + 1, source))?;
-            changes.push(change);
+                serde_json::from_str(line).map_err(|source| Error::Syntax(number, source))?;
+            patch.changes.push(change);
+            patch.lines.push(number);
         }
-        Ok(Self { changes })
+        Ok(patch)
     }
 
     /// Gives the configuration after this patch; `mesh` itself stays as it is.
     ///
+    /// Order within the patch doesn't matter for references: they must hold
+    /// after the last change.
+    ///
     /// # Errors
     ///
-    /// Names the change that can't be applied.
+    /// Names the line of the change that can't be applied. A patch that was
+    /// not read from a file counts its changes as lines.
     pub fn apply(&self, mesh: &Mesh) -> Result<Mesh, Error> {
+        validate::check_size("changes", self.changes.len(), validate::MAX_CHANGES)
+            .map_err(Error::Mesh)?;
         let mut next = mesh.clone();
-        for change in &self.changes {
-            apply_change(&mut next, change.clone());
+        for (index, change) in self.changes.iter().enumerate() {
+            check_change(change)
+                .and_then(|()| apply_change(&mut next, change))
+                .map_err(|fault| Error::Change(self.line(index), fault))?;
+        }
+        match validate::check_mesh(&next) {
+            Ok(()) => Ok(next),
+            Err(fault) => Err(self.blame(fault)),
+        }
+    }
+
+    fn line(&self, index: usize) -> usize {
+        self.lines.get(index).copied().unwrap_or(index + 1)
+    }
+
+    /// Finds the last change that touched what `fault` is about.
+    fn blame(&self, fault: Fault) -> Error {
+        let found = self
+            .changes
+            .iter()
+            .rposition(|change| is_cause(change, &fault));
+        match found {
+            Some(index) => Error::Change(self.line(index), fault),
+            None => Error::Mesh(fault),
         }
-        Ok(next)
     }
 }
 
-fn apply_change(mesh: &mut Mesh, change: Change) {
+/// Checks what a change says for itself.
+fn check_change(change: &Change) -> Result<(), Fault> {
     match change {
         Change::PutService { name, service } => {
-            mesh.services.insert(name, service);
+            validate::check_name(name)?;
+            let objective = service.objective.as_ref();
+            objective.map_or(Ok(()), validate::check_objective)
         }
-        Change::RemoveService { name } => {
-            mesh.services.remove(&name);
+        Change::PutRoute { prefix, route } => {
+            validate::check_prefix(prefix)?;
+            validate::check_targets(prefix, route)
+        }
+        Change::PutRetry { name, retry } => {
+            validate::check_name(name)?;
+            validate::check_retry(retry)
+        }
+        Change::RemoveService { .. } | Change::RemoveRoute { .. } | Change::RemoveRetry { .. } => {
+            Ok(())
+        }
+    }
+}
+
+fn apply_change(mesh: &mut Mesh, change: &Change) -> Result<(), Fault> {
+    match change {
+        Change::PutService { name, service } => {
+            mesh.services.insert(name.clone(), service.clone());
         }
         Change::PutRoute { prefix, route } => {
-            mesh.routes.insert(prefix, route);
+            mesh.routes.insert(prefix.clone(), route.clone());
+        }
+        Change::PutRetry { name, retry } => {
+            mesh.retries.insert(name.clone(), retry.clone());
+        }
+        Change::RemoveService { name } => {
+            let removed = mesh.services.remove(name);
+            removed.ok_or_else(|| Fault::NoSuchService(name.clone()))?;
         }
         Change::RemoveRoute { prefix } => {
-            mesh.routes.remove(&prefix);
+            let removed = mesh.routes.remove(prefix);
+            removed.ok_or_else(|| Fault::NoSuchRoute(prefix.clone()))?;
         }
-        Change::PutRetry { name, retry } => {
-            mesh.retries.insert(name, retry);
+        Change::RemoveRetry { name } => {
+            let removed = mesh.retries.remove(name);
+            removed.ok_or_else(|| Fault::NoSuchRetry(name.clone()))?;
+        }
+    }
+    validate::check_sizes(mesh)
+}
+
+/// Tells whether `change` brought about `fault`, which only shows in the whole.
+fn is_cause(change: &Change, fault: &Fault) -> bool {
+    match change {
+        Change::RemoveService { name } => {
+            matches!(fault, Fault::MissingService(_, gone) if gone == name)
         }
         Change::RemoveRetry { name } => {
-            mesh.retries.remove(&name);
+            matches!(fault, Fault::MissingRetry(_, gone) if gone == name)
+        }
+        Change::PutRetry { name, .. } => {
+            matches!(fault, Fault::Repeats(_, retry) if retry == name)
         }
+        Change::PutRoute { prefix, .. } => matches!(
+            fault,
+            Fault::MissingService(at, _) | Fault::MissingRetry(at, _) | Fault::Repeats(at, _)
+                if at == prefix
+        ),
+        Change::PutService { .. } | Change::RemoveRoute { .. } => false,
     }
 }
--- /dev/null
+++ b/crates/config/src/validate.rs
@@ -0,0 +1,150 @@
+//! The rules that every configuration keeps.
+//!
+//! A mesh is checked before it is proposed and again before a node takes it,
+//! so that no view can hold a reference to what isn't there.
+
+use crate::error::Fault;
+use crate::mesh::{Mesh, Objective, Repeat, Retry, Route};
+use smol_str::SmolStr;
+use std::collections::BTreeSet;
+
+/// Longest name, in bytes: that of a DNS label, which names end up in.
+pub const MAX_NAME: usize = 63;
+
+/// Longest path prefix, in bytes.
+pub const MAX_PREFIX: usize = 256;
+
+/// Most services: ten times the 410 that are planned for.
+pub const MAX_SERVICES: usize = 4_096;
+
+/// Most routes: four a service.
+pub const MAX_ROUTES: usize = 16_384;
+
+/// Most retry rules: one a service.
+pub const MAX_RETRIES: usize = 4_096;
+
+/// Most services that a route may split its calls over.
+pub const MAX_TARGETS: usize = 16;
+
+/// Most changes in a patch: enough to replace a whole configuration.
+pub const MAX_CHANGES: usize = 2 * (MAX_SERVICES + MAX_ROUTES + MAX_RETRIES);
+
+/// Most tries of one call: each layer of a deep call multiplies.
+pub const MAX_ATTEMPTS: u32 = 10;
+
+/// Longest time for a call, in milliseconds: ten minutes.
+pub const MAX_TIMEOUT_MS: u32 = 600_000;
+
+const PPM: u32 = 1_000_000;
+const PERCENT: u32 = 100;
+
+/// Checks a whole configuration.
+pub(crate) fn check_mesh(mesh: &Mesh) -> Result<(), Fault> {
+    check_sizes(mesh)?;
+    for (name, service) in &mesh.services {
+        check_name(name)?;
+        service.objective.as_ref().map_or(Ok(()), check_objective)?;
+    }
+    for (name, retry) in &mesh.retries {
+        check_name(name)?;
+        check_retry(retry)?;
+    }
+    for (prefix, route) in &mesh.routes {
+        check_prefix(prefix)?;
+        check_route(mesh, prefix, route)?;
+    }
+    Ok(())
+}
+
+/// Checks that no part of a configuration outgrows its limit.
+pub(crate) fn check_sizes(mesh: &Mesh) -> Result<(), Fault> {
+    check_size("services", mesh.services.len(), MAX_SERVICES)?;
+    check_size("routes", mesh.routes.len(), MAX_ROUTES)?;
+    check_size("retry rules", mesh.retries.len(), MAX_RETRIES)
+}
+
+pub(crate) fn check_size(what: &'static str, size: usize, limit: usize) -> Result<(), Fault> {
+    if size > limit {
+        return Err(Fault::TooMany(what, limit));
+    }
+    Ok(())
+}
+
+pub(crate) fn check_name(name: &SmolStr) -> Result<(), Fault> {
+    let is_fit = !name.is_empty()
+        && name.len() <= MAX_NAME
+        && name
+            .bytes()
+            .all(|byte| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.'));
+    if !is_fit {
+        return Err(Fault::Name(name.clone()));
+    }
+    Ok(())
+}
+
+pub(crate) fn check_prefix(prefix: &SmolStr) -> Result<(), Fault> {
+    let is_fit = prefix.starts_with('/')
+        && prefix.len() <= MAX_PREFIX
+        && (prefix.len() == 1 || !prefix.ends_with('/'))
+        && !prefix.contains("//")
+        && prefix
+            .bytes()
+            .all(|byte| byte.is_ascii_graphic() && !matches!(byte, b'?' | b'#'));
+    if !is_fit {
+        return Err(Fault::Prefix(prefix.clone()));
+    }
+    Ok(())
+}
+
+pub(crate) fn check_objective(objective: &Objective) -> Result<(), Fault> {
+    check_range("availability_ppm", objective.availability_ppm, 1, PPM)?;
+    check_range("latency_ppm", objective.latency_ppm, 1, PPM)?;
+    check_range("latency_ms", objective.latency_ms, 1, MAX_TIMEOUT_MS)
+}
+
+pub(crate) fn check_retry(retry: &Retry) -> Result<(), Fault> {
+    check_range("attempts", retry.attempts.into(), 1, MAX_ATTEMPTS)?;
+    check_range("budget_percent", retry.budget_percent.into(), 0, PERCENT)
+}
+
+/// Checks what a route needs no other part of the configuration for.
+pub(crate) fn check_targets(prefix: &SmolStr, route: &Route) -> Result<(), Fault> {
+    let services: BTreeSet<_> = route.targets.iter().map(|target| &target.service).collect();
+    let count = route.targets.len();
+    if count == 0 || count > MAX_TARGETS || services.len() != count {
+        return Err(Fault::Targets(prefix.clone()));
+    }
+    let sum = route.targets.iter().map(|target| u32::from(target.percent));
+    let sum = sum.sum();
+    if sum != PERCENT || route.targets.iter().any(|target| target.percent == 0) {
+        return Err(Fault::Shares(prefix.clone(), sum));
+    }
+    check_range("timeout_ms", route.timeout_ms, 1, MAX_TIMEOUT_MS)
+}
+
+fn check_route(mesh: &Mesh, prefix: &SmolStr, route: &Route) -> Result<(), Fault> {
+    check_targets(prefix, route)?;
+    for target in &route.targets {
+        if !mesh.services.contains_key(&target.service) {
+            let service = target.service.clone();
+            return Err(Fault::MissingService(prefix.clone(), service));
+        }
+    }
+    let Some(name) = &route.retry else {
+        return Ok(());
+    };
+    let Some(retry) = mesh.retries.get(name) else {
+        return Err(Fault::MissingRetry(prefix.clone(), name.clone()));
+    };
+    if route.repeat == Repeat::Never && (retry.repeat_may_have_run || retry.hedge) {
+        return Err(Fault::Repeats(prefix.clone(), name.clone()));
+    }
+    Ok(())
+}
+
+fn check_range(what: &'static str, value: u32, low: u32, high: u32) -> Result<(), Fault> {
+    if !(low..=high).contains(&value) {
+        return Err(Fault::Range(what, low, high));
+    }
+    Ok(())
+}
--- a/crates/config/src/view.rs
+++ b/crates/config/src/view.rs
@@ -3,8 +3,10 @@
 //! A view is built aside and swapped in whole, so that no call ever sees a
 //! route whose service is not there.
 
-use crate::{Class, Endpoint, Mesh, Repeat, Retry, Service, State, Version};
+use crate::{Class, Digest, Endpoint, Held, Mesh, Repeat, Retry, Route, Service, State, Version};
 use smol_str::SmolStr;
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
 
 /// Names a service of one view.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -47,57 +49,94 @@
 }
 
 /// A configuration joined with the endpoints that the node knows.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct View {
     version: Version,
-    endpoints: Vec<Endpoint>,
+    digest: Digest,
+    endpoints: Vec<Arc<Endpoint>>,
     services: Vec<ServiceEntry>,
     routes: Vec<RouteEntry>,
-    withheld: Vec<SmolStr>,
+    /// Routes by prefix without its last slash.
+    index: HashMap<SmolStr, Slot>,
+}
+
+/// What stands at a prefix.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Slot {
+    Route(RouteKey),
+    Withheld,
+}
+
+impl Default for View {
+    /// Holds the empty configuration and no endpoint.
+    fn default() -> Self {
+        Self::join(&Held::default(), std::iter::empty::<Arc<Endpoint>>())
+    }
 }
 
 impl View {
     /// Joins a configuration with endpoints; routes to services without any endpoint are withheld.
     #[must_use]
-    pub fn build<'a, I>(version: Version, mesh: &Mesh, endpoints: I) -> Self
+    pub fn build<I>(version: Version, mesh: &Mesh, endpoints: I) -> Self
+    where
+        I: IntoIterator,
+        I::Item: Into<Arc<Endpoint>>,
+    {
+        Self::assemble(version, Digest::of(mesh), mesh, endpoints)
+    }
+
+    /// Joins the configuration that a node holds with endpoints, as [`View::build`] does.
+    ///
+    /// Endpoints are shared with the caller, so that a new view of 14,000
+    /// costs a pointer each.
+    #[must_use]
+    pub fn join<I>(held: &Held, endpoints: I) -> Self
     where
-        I: IntoIterator<Item = &'a Endpoint>,
+        I: IntoIterator,
+        I::Item: Into<Arc<Endpoint>>,
     {
+        Self::assemble(held.version(), held.digest(), held.mesh(), endpoints)
+    }
+
+    fn assemble<I>(version: Version, digest: Digest, mesh: &Mesh, endpoints: I) -> Self
+    where
+        I: IntoIterator,
+        I::Item: Into<Arc<Endpoint>>,
+    {
+        let endpoints = endpoints.into_iter().map(Into::into);
         let mut view = Self {
             version,
-            ..Self::default()
+            digest,
+            endpoints: endpoints
+                .filter(|known| known.state != State::Gone)
+                .collect(),
+            services: Vec::new(),
+            routes: Vec::new(),
+            index: HashMap::with_capacity(mesh.routes.len()),
         };
-        for endpoint in endpoints {
-            if endpoint.state != State::Gone {
-                view.endpoints.push(endpoint.clone());
-            }
-        }
-        for (name, service) in &mesh.services {
-            view.add_service(name, service);
-        }
+        view.add_services(mesh);
         view.attach_endpoints();
-        view.services
-            .iter()
-            .for_each(|entry| debug_assert!(mesh.services.contains_key(&entry.name)));
         for (prefix, route) in &mesh.routes {
-            match view.resolve_route(prefix, route) {
-                Some(entry) => view.routes.push(entry),
-                None => view.withheld.push(prefix.clone()),
-            }
+            view.add_route(mesh, prefix, route);
         }
-        // Longest prefix first, so that the first match is the best one.
-        view.routes
-            .sort_by_key(|entry| std::cmp::Reverse(entry.prefix.len()));
+        view.assert_closed();
         view
     }
 
-    fn add_service(&mut self, name: &SmolStr, service: &Service) {
-        if self.endpoints.iter().any(|known| known.service == *name) {
-            self.services.push(ServiceEntry {
-                name: name.clone(),
-                service: service.clone(),
-                endpoints: Vec::new(),
-            });
+    fn add_services(&mut self, mesh: &Mesh) {
+        let present: BTreeSet<&str> = self
+            .endpoints
+            .iter()
+            .map(|known| known.service.as_str())
+            .collect();
+        for (name, service) in &mesh.services {
+            if present.contains(name.as_str()) {
+                self.services.push(ServiceEntry {
+                    name: name.clone(),
+                    service: service.clone(),
+                    endpoints: Vec::new(),
+                });
+            }
         }
     }
 
@@ -114,28 +153,63 @@
         }
     }
 
-    fn resolve_route(&self, prefix: &SmolStr, route: &crate::Route) -> Option<RouteEntry> {
+    fn add_route(&mut self, mesh: &Mesh, prefix: &SmolStr, route: &Route) {
+        let slot = match self.resolve_route(mesh, prefix, route) {
+            Some(entry) => {
+                let key = u32::try_from(self.routes.len()).expect("routes are limited");
+                self.routes.push(entry);
+                Slot::Route(RouteKey(key))
+            }
+            None => Slot::Withheld,
+        };
+        self.index.insert(prefix.trim_end_matches('/').into(), slot);
+    }
+
+    fn resolve_route(&self, mesh: &Mesh, prefix: &SmolStr, route: &Route) -> Option<RouteEntry> {
         let targets = route
             .targets
             .iter()
             .map(|target| Some((self.find_service(&target.service)?, target.percent)))
             .collect::<Option<Vec<_>>>()?;
+        let retry = match &route.retry {
+            Some(name) => Some(mesh.retries.get(name)?.clone()),
+            None => None,
+        };
         Some(RouteEntry {
             prefix: prefix.clone(),
             targets,
             class: route.class,
             repeat: route.repeat,
-            retry: None,
+            retry,
             timeout_ms: route.timeout_ms,
         })
     }
 
+    /// Checks that no route points at a service that the view lacks.
+    ///
+    /// Such a route would send a caller nowhere. It can't come about while
+    /// views are only made here; the check stays on to keep that so.
+    fn assert_closed(&self) {
+        for (service, _) in self.routes.iter().flat_map(|route| &route.targets) {
+            assert!(
+                (service.0 as usize) < self.services.len(),
+                "a view holds no route without its services"
+            );
+        }
+    }
+
     /// Gives the version of the configuration.
     #[must_use]
     pub fn version(&self) -> Version {
         self.version
     }
 
+    /// Gives the digest of the configuration.
+    #[must_use]
+    pub fn digest(&self) -> Digest {
+        self.digest
+    }
+
     /// Finds a service by name.
     #[must_use]
     pub fn find_service(&self, name: &str) -> Option<ServiceKey> {
@@ -146,20 +220,33 @@
         u32::try_from(index).ok().map(ServiceKey)
     }
 
-    /// Finds the route with the longest prefix of `path`.
+    /// Finds the route with the longest prefix of `path`; none when just that one is withheld.
+    ///
+    /// A shorter prefix doesn't step in for a withheld one: it belongs to
+    /// another service, which must not get these calls.
     #[must_use]
     pub fn find_route(&self, path: &str) -> Option<RouteKey> {
-        let index = self
-            .routes
-            .iter()
-            .position(|entry| is_under(path, &entry.prefix))?;
-        u32::try_from(index).ok().map(RouteKey)
+        match self.look_up(path)? {
+            Slot::Route(key) => Some(key),
+            Slot::Withheld => None,
+        }
     }
 
     /// Tells whether `path` has a route that is withheld until its services are there.
     #[must_use]
     pub fn is_withheld(&self, path: &str) -> bool {
-        self.withheld.iter().any(|prefix| is_under(path, prefix))
+        self.look_up(path) == Some(Slot::Withheld)
+    }
+
+    /// Looks `path` up part by part, from the whole of it to the empty prefix.
+    fn look_up(&self, path: &str) -> Option<Slot> {
+        let mut rest = path.split(['?', '#']).next().unwrap_or_default();
+        loop {
+            if let Some(found) = self.index.get(rest) {
+                return Some(*found);
+            }
+            rest = &rest[..rest.rfind('/')?];
+        }
     }
 
     /// Gives a service.
@@ -180,7 +267,7 @@
         &self.routes[key.0 as usize]
     }
 
-    /// Gives all services.
+    /// Gives all services that have endpoints.
     #[must_use]
     pub fn services(&self) -> &[ServiceEntry] {
         &self.services
@@ -188,19 +275,13 @@
 
     /// Gives all endpoints that are not gone.
     #[must_use]
-    pub fn endpoints(&self) -> &[Endpoint] {
+    pub fn endpoints(&self) -> &[Arc<Endpoint>] {
         &self.endpoints
     }
 
-    /// Gives all routes, longest prefix first.
+    /// Gives all routes that are not withheld.
     #[must_use]
     pub fn routes(&self) -> &[RouteEntry] {
         &self.routes
     }
 }
-
-/// Tells whether `path` is `prefix` or lies below it.
-fn is_under(path: &str, prefix: &str) -> bool {
-    path.strip_prefix(prefix.trim_end_matches('/'))
-        .is_some_and(|rest| rest.is_empty() || rest.starts_with(['/', '?']))
-}
--- /dev/null
+++ b/crates/config/tests/view.rs
@@ -0,0 +1,88 @@
+//! Closed views: no route without its services, at any moment.
+
+use config::{Endpoint, Mesh, Patch, State, Version, View};
+use yare::parameterized;
+
+const MESH: &str = r#"
+{"put_service": {"name": "records", "service": {}}}
+{"put_service": {"name": "claims", "service": {}}}
+{"put_retry": {"name": "twice", "retry": {"attempts": 2, "budget_percent": 10}}}
+{"put_route": {"prefix": "/", "route": {"targets": [{"service": "records", "percent": 100}], "retry": "twice"}}}
+{"put_route": {"prefix": "/records/parts", "route": {"targets": [{"service": "records", "percent": 100}]}}}
+{"put_route": {"prefix": "/claims", "route": {"targets": [{"service": "claims", "percent": 60}, {"service": "records", "percent": 40}]}}}
+"#;
+
+fn mesh() -> Mesh {
+    Patch::parse(MESH)
+        .and_then(|patch| patch.apply(&Mesh::default()))
+        .expect("valid")
+}
+
+fn endpoint(service: &str, state: State) -> Endpoint {
+    Endpoint {
+        node: format!("vm-{service}").into(),
+        incarnation: 1,
+        started_ms: 1,
+        sequence: 1,
+        service: service.into(),
+        zone: "a".into(),
+        region: "r".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        slots: 6,
+        state,
+    }
+}
+
+#[parameterized(
+    root = { "/", Some("/") },
+    other = { "/recordsparts", Some("/") },
+    query = { "/records/parts?x=/claims", Some("/records/parts") },
+    below = { "/records/parts/7/teeth", Some("/records/parts") },
+    above = { "/records", Some("/") },
+    slash = { "/claims/", Some("/claims") },
+    no_path = { "*", None },
+)]
+fn longest_prefix(path: &str, prefix: Option<&str>) {
+    let endpoints = [
+        endpoint("records", State::Serving),
+        endpoint("claims", State::Serving),
+    ];
+    let view = View::build(Version(1), &mesh(), &endpoints);
+    let found = view.find_route(path).map(|key| &view.route(key).prefix);
+    assert_eq!(found.map(smol_str::SmolStr::as_str), prefix);
+}
+
+// A clerk releases a claim while no endpoint of `claims` is known yet. The
+// release must not land at `records`, whose route `/` also fits. Cause: the
+// longer route is withheld and the shorter one would step in.
+#[test]
+fn withheld_route() {
+    for state in [State::Gone, State::Leaving, State::Serving] {
+        let endpoints = [
+            endpoint("records", State::Serving),
+            endpoint("claims", state),
+        ];
+        let view = View::build(Version(1), &mesh(), &endpoints);
+        let is_there = state != State::Gone;
+        assert_eq!(view.find_route("/claims/7").is_some(), is_there);
+        assert_eq!(view.is_withheld("/claims/7"), !is_there);
+        let taking = view
+            .find_service("claims")
+            .map(|key| view.service(key).endpoints.len());
+        assert_eq!(
+            taking,
+            is_there.then_some(usize::from(state == State::Serving))
+        );
+    }
+}
+
+#[test]
+fn retry_resolved() {
+    let view = View::build(Version(1), &mesh(), &[endpoint("records", State::Serving)]);
+    let key = view.find_route("/x").expect("routed");
+    assert_eq!(
+        view.route(key).retry.as_ref().map(|rule| rule.attempts),
+        Some(2)
+    );
+    assert_eq!(view.digest(), config::Digest::of(&mesh()));
+}
