--- /dev/null
+++ b/crates/bench/src/deployment.rs
@@ -0,0 +1,435 @@
+//! A fleet of real processes on loopback addresses, one address a VM.
+
+use crate::caller::{Answer, Call, Caller};
+use crate::error::Error;
+use crate::process::Process;
+use config::{Change, Class, Repeat, Route, Service, Target};
+use http::Method;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+use tempfile::TempDir;
+
+/// Port of a node's listener for callers.
+const CALLERS: u16 = 7001;
+/// Port of a node's listener for its backend server.
+const BACKEND: u16 = 7002;
+/// Port of a node's listener for nodes.
+const NODES: u16 = 7003;
+/// Port of a node's listener for operators.
+const OPERATORS: u16 = 7004;
+/// Port of a backend server.
+const SERVER: u16 = 7005;
+/// Port of the platform.
+const PLATFORM: u16 = 7000;
+
+/// VMs of one deployment in a block of 256 addresses.
+const VMS_A_BLOCK: usize = 200;
+
+/// Longest wait for a call to a listener of the deployment.
+const CALL_LIMIT: Duration = Duration::from_secs(5);
+
+/// Time between two looks at something that is to come about.
+const POLL: Duration = Duration::from_millis(20);
+
+/// Time for a call of a route, in milliseconds.
+const ROUTE_TIMEOUT_MS: u32 = 5_000;
+
+/// Token of the deployment's operators.
+pub const TOKEN: &str = "bench-operators-token";
+
+/// One VM to start.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Plan {
+    /// Name of its node.
+    pub name: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Region.
+    pub region: String,
+    /// Service of its backend server; without one the node runs alone.
+    pub service: Option<String>,
+    /// Further arguments of the backend server's stand-in.
+    pub backend_arguments: Vec<String>,
+    /// Further lines of the node's settings, by section.
+    pub settings: Vec<(String, String)>,
+}
+
+impl Plan {
+    /// Plans a VM of one region.
+    #[must_use]
+    pub fn new(name: &str, zone: &str, service: Option<&str>) -> Self {
+        Self {
+            name: name.to_owned(),
+            zone: zone.to_owned(),
+            region: "region-1".to_owned(),
+            service: service.map(str::to_owned),
+            backend_arguments: Vec::new(),
+            settings: Vec::new(),
+        }
+    }
+}
+
+/// Plans `services` in three availability zones, with `per_zone` VMs each.
+#[must_use]
+pub fn plan_services(services: &[&str], per_zone: usize) -> Vec<Plan> {
+    let mut plans = Vec::new();
+    for zone in ["zone-1", "zone-2", "zone-3"] {
+        for service in services {
+            for index in 1..=per_zone {
+                let name = format!("{zone}-{service}-{index}");
+                plans.push(Plan::new(&name, zone, Some(service)));
+            }
+        }
+    }
+    plans
+}
+
+/// A VM with its processes.
+#[derive(Debug)]
+pub struct Vm {
+    /// What it was started from.
+    pub plan: Plan,
+    /// Its address.
+    pub ip: IpAddr,
+    /// The node.
+    pub node: Process,
+    /// The backend server.
+    pub backend: Option<Process>,
+    settings: PathBuf,
+}
+
+impl Vm {
+    /// Where callers connect.
+    #[must_use]
+    pub fn callers(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, CALLERS)
+    }
+
+    /// Where other nodes connect.
+    #[must_use]
+    pub fn nodes(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, NODES)
+    }
+
+    /// Where operators connect.
+    #[must_use]
+    pub fn operators(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, OPERATORS)
+    }
+
+    /// Where the backend server takes calls.
+    #[must_use]
+    pub fn server(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, SERVER)
+    }
+
+    /// Starts the node again, after its process has ended.
+    ///
+    /// # Errors
+    ///
+    /// When the program can't be started.
+    pub fn restart_node(&mut self) -> Result<(), Error> {
+        self.node = spawn_node(&self.settings, &self.node.log)?;
+        Ok(())
+    }
+
+    /// Starts the backend server again, after its process has ended.
+    ///
+    /// # Errors
+    ///
+    /// When the program can't be started.
+    pub fn restart_backend(&mut self) -> Result<(), Error> {
+        if let Some(service) = &self.plan.service {
+            let log = self.settings.with_extension("backend.log");
+            self.backend = Some(spawn_backend(self.ip, service, &self.plan, &log)?);
+        }
+        Ok(())
+    }
+}
+
+/// A running fleet; its processes end with it.
+#[derive(Debug)]
+pub struct Deployment {
+    folder: TempDir,
+    /// The platform's stand-in.
+    pub platform: Process,
+    /// Where the platform listens.
+    pub platform_address: SocketAddr,
+    /// The VMs, in the order of their plans.
+    pub vms: Vec<Vm>,
+    base: [u8; 2],
+}
+
+impl Deployment {
+    /// Starts a platform stand-in and then every planned VM.
+    ///
+    /// # Errors
+    ///
+    /// When a program can't be started.
+    pub async fn spawn(plans: Vec<Plan>, platform_arguments: &[&str]) -> Result<Self, Error> {
+        let folder = tempfile::Builder::new().prefix("bluebellpick-").tempdir()?;
+        // Deployments that run side by side each take their own block of loopback addresses.
+        let base = [rand::random_range(1..=254), rand::random_range(0..=250)];
+        let address = SocketAddr::new(ip_of(base, 0), PLATFORM);
+        let platform = spawn_platform(address, platform_arguments, folder.path())?;
+        let mut deployment = Self {
+            folder,
+            platform,
+            platform_address: address,
+            vms: Vec::new(),
+            base,
+        };
+        deployment.wait_platform().await?;
+        for plan in plans {
+            deployment.add(plan)?;
+        }
+        Ok(deployment)
+    }
+
+    /// Starts one more VM.
+    ///
+    /// # Errors
+    ///
+    /// When a program can't be started.
+    pub fn add(&mut self, plan: Plan) -> Result<(), Error> {
+        let ip = ip_of(self.base, self.vms.len() + 1);
+        let settings = self.folder.path().join(format!("{}.ini", plan.name));
+        let seeds = self.vms.iter().take(3).map(Vm::nodes).collect::<Vec<_>>();
+        std::fs::write(
+            &settings,
+            write_settings(&plan, ip, self.platform_address, &seeds),
+        )?;
+        let node = spawn_node(&settings, &settings.with_extension("node.log"))?;
+        let backend = match &plan.service {
+            Some(service) => Some(spawn_backend(
+                ip,
+                service,
+                &plan,
+                &settings.with_extension("backend.log"),
+            )?),
+            None => None,
+        };
+        self.vms.push(Vm {
+            plan,
+            ip,
+            node,
+            backend,
+            settings,
+        });
+        Ok(())
+    }
+
+    /// Where settings and logs are, as long as the deployment runs.
+    #[must_use]
+    pub fn folder(&self) -> &Path {
+        self.folder.path()
+    }
+
+    /// Runs the operators' program with the deployment's platform and gives its exit code and output.
+    ///
+    /// # Errors
+    ///
+    /// When it can't be started, or doesn't end within `limit`.
+    pub fn operate(&self, arguments: &[&str], limit: Duration) -> Result<(i32, String), Error> {
+        let log = self
+            .folder
+            .path()
+            .join(format!("operate-{:016x}.log", rand::random::<u64>()));
+        let mut process = Process::spawn("bluebellpick", arguments, &log)?;
+        let status = process.wait(limit)?;
+        let output = std::fs::read_to_string(&log)?;
+        Ok((status.code().unwrap_or(-1), output))
+    }
+
+    /// Proposes changes with the operators' program.
+    ///
+    /// # Errors
+    ///
+    /// When they are not accepted.
+    pub fn propose(&self, changes: &[Change], base: u64) -> Result<String, Error> {
+        let name = format!("patch-{:016x}.jsonl", rand::random::<u64>());
+        let file = self.folder.path().join(name);
+        std::fs::write(&file, write_patch(changes)?)?;
+        let (base, platform) = (base.to_string(), self.platform_address.to_string());
+        let file = file.display().to_string();
+        let arguments = ["propose", &file, "--base", &base, "--platform", &platform];
+        let (code, output) = self.operate(&arguments, Duration::from_secs(20))?;
+        if code == 0 {
+            Ok(output)
+        } else {
+            Err(Error::Unexpected(format!("propose ended {code}: {output}")))
+        }
+    }
+
+    /// Gives the platform stand-in a fault, or takes it back.
+    ///
+    /// # Errors
+    ///
+    /// When the stand-in refuses it.
+    pub async fn set_platform_fault(&self, fault: &str) -> Result<Answer, Error> {
+        send_fault(self.platform_address, fault).await
+    }
+
+    /// Waits until `path` is answered with success at every node.
+    ///
+    /// # Errors
+    ///
+    /// When one of them doesn't within `limit`; its last answer is told.
+    pub async fn wait_served(&self, path: &str, limit: Duration) -> Result<(), Error> {
+        let start = Instant::now();
+        for vm in &self.vms {
+            let caller = Caller::new(vm.callers());
+            loop {
+                let answer = caller.send_within(&Call::get(path), CALL_LIMIT).await;
+                if answer
+                    .as_ref()
+                    .is_ok_and(|answer| answer.status.is_success())
+                {
+                    break;
+                }
+                if start.elapsed() > limit {
+                    let what = format!("{path} at {}: {answer:?}", vm.plan.name);
+                    return Err(Error::Timeout(what));
+                }
+                tokio::time::sleep(POLL).await;
+            }
+        }
+        Ok(())
+    }
+
+    async fn wait_platform(&self) -> Result<(), Error> {
+        let caller = Caller::new(self.platform_address);
+        let start = Instant::now();
+        while start.elapsed() < CALL_LIMIT {
+            if caller.send(&Call::get("/counts")).await.is_ok() {
+                return Ok(());
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        Err(Error::Timeout("the platform's stand-in".to_owned()))
+    }
+}
+
+/// Gives a stand-in a fault by its control path.
+///
+/// # Errors
+///
+/// When the stand-in refuses it.
+pub async fn send_fault(address: SocketAddr, fault: &str) -> Result<Answer, Error> {
+    let call = Call::new(Method::POST, "/fault").body(fault.to_owned().into());
+    let answer = Caller::new(address).send_within(&call, CALL_LIMIT).await?;
+    if answer.status.is_success() {
+        Ok(answer)
+    } else {
+        Err(Error::Unexpected(format!("fault refused: {answer:?}")))
+    }
+}
+
+/// Writes a patch file: a change a line.
+///
+/// # Errors
+///
+/// When a change has no JSON form.
+pub fn write_patch(changes: &[Change]) -> Result<String, Error> {
+    let mut text = String::new();
+    for change in changes {
+        let line = serde_json::to_string(change);
+        text += &line.map_err(|error| Error::Unexpected(error.to_string()))?;
+        text.push('\n');
+    }
+    Ok(text)
+}
+
+/// Gives the change that adds a service without objectives.
+#[must_use]
+pub fn put_service(name: &str) -> Change {
+    Change::PutService {
+        name: name.into(),
+        service: Service::default(),
+    }
+}
+
+/// Gives the change that routes all calls under `prefix` to one service.
+#[must_use]
+pub fn put_route(prefix: &str, service: &str, class: Class, repeat: Repeat) -> Change {
+    let targets = vec![Target {
+        service: service.into(),
+        percent: 100,
+    }];
+    Change::PutRoute {
+        prefix: prefix.into(),
+        route: Route {
+            targets,
+            class,
+            repeat,
+            retry: None,
+            timeout_ms: ROUTE_TIMEOUT_MS,
+        },
+    }
+}
+
+fn ip_of(base: [u8; 2], index: usize) -> IpAddr {
+    let block = u8::try_from(index / VMS_A_BLOCK).unwrap_or(u8::MAX);
+    let last = u8::try_from(index % VMS_A_BLOCK + 1).unwrap_or(u8::MAX);
+    Ipv4Addr::new(127, base[0], base[1].saturating_add(block), last).into()
+}
+
+fn write_settings(plan: &Plan, ip: IpAddr, platform: SocketAddr, seeds: &[SocketAddr]) -> String {
+    let seeds = seeds
+        .iter()
+        .map(ToString::to_string)
+        .collect::<Vec<_>>()
+        .join(", ");
+    let sections = [
+        (
+            "node",
+            format!(
+                "name = {}\nzone = {}\nregion = {}",
+                plan.name, plan.zone, plan.region
+            ),
+        ),
+        (
+            "listen",
+            format!(
+                "callers = {ip}:{CALLERS}\nbackend = {ip}:{BACKEND}\nnodes = {ip}:{NODES}\noperators = {ip}:{OPERATORS}"
+            ),
+        ),
+        ("fleet", format!("platform = {platform}\nseeds = {seeds}")),
+        ("limits", String::new()),
+        ("operators", format!("token = {TOKEN}")),
+    ];
+    let mut text = String::new();
+    for (section, lines) in sections {
+        text += &format!("[{section}]\n{lines}\n");
+        for (_, line) in plan.settings.iter().filter(|(name, _)| name == section) {
+            text += &format!("{line}\n");
+        }
+    }
+    text
+}
+
+fn spawn_platform(
+    address: SocketAddr,
+    arguments: &[&str],
+    folder: &Path,
+) -> Result<Process, Error> {
+    let listen = address.to_string();
+    let mut all = vec!["platform", "--listen", &listen];
+    all.extend(arguments);
+    Process::spawn("bluebellpick-standin", all, &folder.join("platform.log"))
+}
+
+fn spawn_node(settings: &Path, log: &Path) -> Result<Process, Error> {
+    let settings = settings.display().to_string();
+    Process::spawn("bluebellpick-node", ["--settings", &settings], log)
+}
+
+fn spawn_backend(ip: IpAddr, service: &str, plan: &Plan, log: &Path) -> Result<Process, Error> {
+    let listen = SocketAddr::new(ip, SERVER).to_string();
+    let announce = SocketAddr::new(ip, BACKEND).to_string();
+    let mut arguments = vec!["backend", "--listen", &listen, "--announce", &announce];
+    arguments.extend(["--service", service]);
+    arguments.extend(plan.backend_arguments.iter().map(String::as_str));
+    Process::spawn("bluebellpick-standin", arguments, log)
+}
--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -109,7 +109,7 @@
                 answer,
             };
             // The receiver lives until every outcome is in.
-            sender.send(outcome).ok();
+            let _received = sender.send(outcome);
         });
     }
     drop(sender);
--- /dev/null
+++ b/crates/bench/src/path.rs
@@ -0,0 +1,154 @@
+//! What both proxies add to a call, beside direct calls in the same run.
+//!
+//! Three series run interleaved: direct calls to a backend server, calls that
+//! enter at the node on its own VM, and calls that enter at the node of
+//! another VM. Whatever the machine does meanwhile, it does to all three.
+
+use crate::caller::{Call, Caller};
+use crate::deployment::{Deployment, Plan, put_route, put_service};
+use crate::error::Error;
+use crate::load::{Planned, Series, send_planned};
+use config::{Change, Class, Repeat};
+use serde::Serialize;
+use std::time::Duration;
+
+/// What to measure.
+#[derive(Debug, Clone, Copy)]
+pub struct Plot {
+    /// Calls a second of each series and VM.
+    pub rate: u32,
+    /// How long.
+    pub duration: Duration,
+    /// VMs with a backend server each.
+    pub vms: usize,
+}
+
+/// What was measured.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+pub struct Report {
+    /// Direct calls, median in milliseconds.
+    pub direct_p50_ms: f64,
+    /// Direct calls, 99th percentile in milliseconds.
+    pub direct_p99_ms: f64,
+    /// Calls by the backend server's own node, median.
+    pub local_p50_ms: f64,
+    /// Calls by the backend server's own node, 99th percentile.
+    pub local_p99_ms: f64,
+    /// Calls by another VM's node, median.
+    pub remote_p50_ms: f64,
+    /// Calls by another VM's node, 99th percentile.
+    pub remote_p99_ms: f64,
+    /// What the own node adds at the 99th percentile.
+    pub added_local_p99_ms: f64,
+    /// What both nodes add at the 99th percentile.
+    pub added_remote_p99_ms: f64,
+    /// Calls answered.
+    pub calls: u64,
+    /// Calls without a good answer.
+    pub errors: u64,
+}
+
+/// Calls that open connections and warm caches before the measured ones, a second.
+const WARM_UP: Duration = Duration::from_secs(2);
+
+/// Longest wait for an answer.
+const CALL_LIMIT: Duration = Duration::from_secs(5);
+
+/// Longest wait for the fleet to serve.
+const START_LIMIT: Duration = Duration::from_secs(30);
+
+const DIRECT: usize = 0;
+const LOCAL: usize = 1;
+const REMOTE: usize = 2;
+
+/// Starts the fleet, sends the three series and gives what they took.
+///
+/// # Errors
+///
+/// When a program can't be started, or the fleet doesn't come to serve.
+pub async fn run(plot: Plot) -> Result<Report, Error> {
+    let plans = (0..plot.vms).map(plan_vm).collect();
+    let deployment = Deployment::spawn(plans, &[]).await?;
+    deployment.propose(&plan_changes(plot.vms), 0)?;
+    for index in 0..plot.vms {
+        deployment
+            .wait_served(&format!("/service-{index}/ready"), START_LIMIT)
+            .await?;
+    }
+    send_planned(plan_calls(&deployment, plot, WARM_UP), CALL_LIMIT).await;
+    let outcomes = send_planned(plan_calls(&deployment, plot, plot.duration), CALL_LIMIT).await;
+    let mut series = [Series::new(), Series::new(), Series::new()];
+    for outcome in outcomes {
+        match outcome.answer {
+            Ok(answer) if answer.status.is_success() => {
+                series[outcome.series].record(outcome.latency);
+            }
+            _ => series[outcome.series].errors += 1,
+        }
+    }
+    Ok(report(&series))
+}
+
+fn plan_vm(index: usize) -> Plan {
+    let service = format!("service-{index}");
+    let mut plan = Plan::new(&format!("vm-{index}"), "zone-1", Some(&service));
+    plan.backend_arguments = vec!["--work-ms".to_owned(), "0".to_owned()];
+    plan
+}
+
+/// A service and a route for each VM, so that each call has one place to go.
+fn plan_changes(vms: usize) -> Vec<Change> {
+    let mut changes = Vec::new();
+    for index in 0..vms {
+        let name = format!("service-{index}");
+        changes.push(put_service(&name));
+        let prefix = format!("/{name}");
+        changes.push(put_route(&prefix, &name, Class::Lookup, Repeat::ByMethod));
+    }
+    changes
+}
+
+fn plan_calls(deployment: &Deployment, plot: Plot, duration: Duration) -> Vec<Planned> {
+    let period = Duration::from_secs(1) / plot.rate;
+    let mut planned = Vec::new();
+    for (index, vm) in deployment.vms.iter().enumerate() {
+        let other = &deployment.vms[(index + 1) % deployment.vms.len()];
+        let entries = [vm.server(), vm.callers(), other.callers()];
+        for (series, address) in entries.into_iter().enumerate() {
+            let caller = Caller::new(address);
+            let call = Call::get(&format!("/service-{index}/item"));
+            // Spread over the period, so that the series don't wait for each other.
+            let slot = index * entries.len() + series;
+            let offset = period * u32::try_from(slot).unwrap_or(0)
+                / u32::try_from(deployment.vms.len() * entries.len()).unwrap_or(1);
+            let mut at = offset;
+            while at < duration {
+                planned.push(Planned {
+                    at,
+                    series,
+                    caller: caller.clone(),
+                    call: call.clone(),
+                });
+                at += period;
+            }
+        }
+    }
+    planned
+}
+
+fn report(series: &[Series; 3]) -> Report {
+    let p50 = |index: usize| series[index].quantile_ms(0.5);
+    let p99 = |index: usize| series[index].quantile_ms(0.99);
+    Report {
+        direct_p50_ms: p50(DIRECT),
+        direct_p99_ms: p99(DIRECT),
+        local_p50_ms: p50(LOCAL),
+        local_p99_ms: p99(LOCAL),
+        remote_p50_ms: p50(REMOTE),
+        remote_p99_ms: p99(REMOTE),
+        added_local_p99_ms: p99(LOCAL) - p99(DIRECT),
+        added_remote_p99_ms: p99(REMOTE) - p99(DIRECT),
+        calls: series.iter().map(Series::answers).sum(),
+        errors: series.iter().map(|one| one.errors).sum(),
+    }
+}
