Stand in for a backend server: slots, shedding, cold start, drain, cancellation, lying reports

Each run is recorded when its work starts and ends, also to a file that outlives a kill, so that a checker can count runs per key. Answers tell of their request.

--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -2,9 +2,16 @@
 
 use bpaf::{Parser, construct, long};
 use platform::Memory;
+use smol_str::SmolStr;
+use standin::announce::{Announcement, Node};
+use standin::backend::{Backend, Plan};
 use standin::platform::Rates;
+use standin::record::Record;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
+use tokio::signal::unix::{SignalKind, signal};
 
 /// What to stand in for.
 #[derive(Debug, Clone)]
@@ -14,6 +21,15 @@
         rates: Rates,
         seed: u64,
     },
+    Backend {
+        listen: SocketAddr,
+        announce: Option<SocketAddr>,
+        service: SmolStr,
+        plan: Plan,
+        record: Option<PathBuf>,
+        drain_timeout: Duration,
+        seed: u64,
+    },
 }
 
 fn parse_listen() -> impl Parser<SocketAddr> {
@@ -23,6 +39,21 @@
         .fallback(SocketAddr::from(([127, 0, 0, 1], 0)))
 }
 
+fn parse_seed() -> impl Parser<u64> {
+    long("seed")
+        .help("Seed of all that is drawn")
+        .argument("SEED")
+        .fallback(0)
+}
+
+fn parse_ms(name: &'static str, help: &'static str, fallback: u64) -> impl Parser<Duration> {
+    long(name)
+        .help(help)
+        .argument("MS")
+        .fallback(fallback)
+        .map(Duration::from_millis)
+}
+
 fn parse_platform() -> impl Parser<Command> {
     let listen = parse_listen();
     let writes = long("writes")
@@ -34,10 +65,7 @@
         .argument("RATE")
         .fallback(Rates::default().reads);
     let rates = construct!(Rates { writes, reads });
-    let seed = long("seed")
-        .help("Seed of the faults that are drawn")
-        .argument("SEED")
-        .fallback(0);
+    let seed = parse_seed();
     construct!(Command::Platform {
         listen,
         rates,
@@ -45,11 +73,71 @@
     })
 }
 
+fn parse_plan() -> impl Parser<Plan> {
+    let slots = long("slots")
+        .help("Calls that run at once")
+        .argument("N")
+        .fallback(6);
+    let queue = long("queue")
+        .help("Calls that may wait for a slot before others are shed")
+        .argument("N")
+        .fallback(6);
+    let work = parse_ms("work-ms", "Mean work of a call", 2);
+    let long_percent = long("long-percent")
+        .help("Share of long calls, in per cent")
+        .argument("PERCENT")
+        .fallback(0);
+    let long_work = parse_ms("long-ms", "Work of a long call", 200);
+    let cold = parse_ms("cold-ms", "Time after the start in which work is slow", 0);
+    construct!(Plan {
+        slots,
+        queue,
+        work,
+        long_percent,
+        long_work,
+        cold
+    })
+}
+
+fn parse_backend() -> impl Parser<Command> {
+    let listen = parse_listen();
+    let announce = long("announce")
+        .help("Where the node on the same VM takes announcements")
+        .argument("ADDRESS")
+        .optional();
+    let service = long("service")
+        .help("Service to announce")
+        .argument::<String>("NAME")
+        .map(SmolStr::from)
+        .fallback("records".into());
+    let plan = parse_plan();
+    let record = long("record")
+        .help("File for a line at each start and end of a run")
+        .argument("FILE")
+        .optional();
+    let drain_timeout = parse_ms("drain-ms", "Longest drain after SIGTERM", 30_000);
+    let seed = parse_seed();
+    construct!(Command::Backend {
+        listen,
+        announce,
+        service,
+        plan,
+        record,
+        drain_timeout,
+        seed
+    })
+}
+
 fn parse_command() -> impl Parser<Command> {
-    parse_platform()
+    let platform = parse_platform()
         .to_options()
         .descr("The platform's object API, with faults by command")
-        .command("platform")
+        .command("platform");
+    let backend = parse_backend()
+        .to_options()
+        .descr("A backend server that announces itself to its node")
+        .command("backend");
+    construct!([platform, backend])
 }
 
 #[tokio::main]
@@ -74,7 +162,59 @@
         } => {
             let listener = standin::http::bind(listen).await?;
             standin::platform::serve(listener, Memory::seeded(seed), rates).await;
-            Ok(())
         }
+        Command::Backend {
+            listen,
+            announce,
+            service,
+            plan,
+            record,
+            drain_timeout,
+            seed,
+        } => {
+            let mut stop = signal(SignalKind::terminate())?;
+            let record = Record::open(record.as_deref())?;
+            let listener = standin::http::bind(listen).await?;
+            let announcement = Announcement {
+                service,
+                address: listener.local_addr()?,
+                slots: plan.slots,
+            };
+            let backend = Backend::spawn(listener, plan, record, seed);
+            serve_backend(&backend, announce, announcement, &mut stop, drain_timeout).await;
+        }
+    }
+    Ok(())
+}
+
+/// Serves until SIGTERM, then until nothing is in flight here or at the node.
+async fn serve_backend(
+    backend: &Backend,
+    announce: Option<SocketAddr>,
+    announcement: Announcement,
+    stop: &mut tokio::signal::unix::Signal,
+    drain_timeout: Duration,
+) {
+    let node = announce.map(Node::open);
+    let heartbeat = async {
+        match &node {
+            Some(node) => node.announce(announcement).await,
+            None => std::future::pending().await,
+        }
+    };
+    tokio::select! {
+        () = heartbeat => {}
+        _ = stop.recv() => {}
+    }
+    if let Some(node) = &node {
+        node.leave(drain_timeout).await;
+    }
+    let drained = async {
+        while backend.in_flight() > 0 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    if tokio::time::timeout(drain_timeout, drained).await.is_err() {
+        log::warn!(in_flight = backend.in_flight(); "drain_timeout");
     }
 }
--- /dev/null
+++ b/crates/standin/tests/backend_server.rs
@@ -0,0 +1,147 @@
+//! The backend server's stand-in, as a caller sees it.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, StatusCode};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde_json::{Value, json};
+use standin::backend::{Backend, Plan, fingerprint};
+use standin::record::{Outcome, Record};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+type Caller = Client<HttpConnector, Full<Bytes>>;
+
+const PLAN: Plan = Plan {
+    slots: 1,
+    queue: 1,
+    work: Duration::from_millis(1),
+    long_percent: 0,
+    long_work: Duration::ZERO,
+    cold: Duration::ZERO,
+};
+
+async fn open() -> (SocketAddr, Record, Backend, Caller) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let record = Record::open(None).unwrap();
+    let backend = Backend::spawn(listener, PLAN, record.clone(), 1);
+    let caller = Client::builder(TokioExecutor::new()).build_http();
+    (address, record, backend, caller)
+}
+
+async fn post(
+    caller: &Caller,
+    address: SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> (StatusCode, Bytes) {
+    let mut request = Request::post(format!("http://{address}{path}"));
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request
+        .body(Full::new(Bytes::from(body.to_owned())))
+        .unwrap();
+    let response = caller.request(request).await.unwrap();
+    let status = response.status();
+    (
+        status,
+        response.into_body().collect().await.unwrap().to_bytes(),
+    )
+}
+
+/// Waits for a state that other tasks bring about.
+async fn wait_until<F>(reached: F)
+where
+    F: Fn() -> bool,
+{
+    let poll = async {
+        while !reached() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(5), poll)
+        .await
+        .unwrap();
+}
+
+#[tokio::test]
+async fn answer_tells_request() {
+    let (address, record, _, caller) = open().await;
+    let headers = [
+        ("x-request", "r1"),
+        ("idempotency-key", "k1"),
+        ("x-answer-bytes", "5000"),
+    ];
+    let (status, body) = post(&caller, address, "/claims/1?x=2", &headers, "pay").await;
+    assert_eq!((status, body.len()), (StatusCode::OK, 5000));
+    let told: Value = serde_json::from_slice(&body).unwrap();
+    assert_eq!(told["path"], "/claims/1?x=2");
+    assert_eq!(told["request"], "r1");
+    assert_eq!(told["body_fingerprint"], json!(fingerprint(b"pay")));
+    let entries = record.entries();
+    assert_eq!(
+        (entries[0].key.as_str(), entries[0].outcome),
+        ("k1", Outcome::Completed)
+    );
+}
+
+#[tokio::test]
+async fn sheds_over_queue() {
+    let (address, record, backend, caller) = open().await;
+    let slow = [("x-work-ms", "60000")];
+    for _ in 0..2 {
+        let caller = caller.clone();
+        tokio::spawn(async move { post(&caller, address, "/jobs", &slow, "").await });
+    }
+    wait_until(|| backend.in_flight() == 2).await;
+    let (status, _) = post(&caller, address, "/jobs", &[], "").await;
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    wait_until(|| record.entries().len() == 1).await;
+}
+
+#[tokio::test]
+async fn stops_when_cancelled() {
+    let (address, record, backend, _) = open().await;
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let request = b"GET /jobs HTTP/1.1\r\nhost: x\r\nx-work-ms: 60000\r\n\r\n";
+    stream.write_all(request).await.unwrap();
+    wait_until(|| record.entries().len() == 1).await;
+    drop(stream);
+    wait_until(|| backend.in_flight() == 0).await;
+    assert_eq!(record.entries()[0].outcome, Outcome::Cancelled);
+}
+
+#[tokio::test]
+async fn keeps_deadline() {
+    let (address, record, _, caller) = open().await;
+    let headers = [("x-work-ms", "60000"), ("bluebellpick-timeout-ms", "5")];
+    let (status, _) = post(&caller, address, "/jobs", &headers, "").await;
+    assert_eq!(status, StatusCode::GATEWAY_TIMEOUT);
+    assert_eq!(record.entries()[0].outcome, Outcome::Expired);
+}
+
+#[tokio::test]
+async fn reports_lie() {
+    let (address, _, backend, caller) = open().await;
+    let faults = r#"{"load": 0, "health": true, "fail_percent": 100}"#;
+    let (status, _) = post(&caller, address, "/fault", &[], faults).await;
+    assert_eq!(status, StatusCode::OK);
+    let (status, _) = post(&caller, address, "/jobs", &[], "").await;
+    assert_eq!(status, StatusCode::INTERNAL_SERVER_ERROR);
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream
+        .write_all(b"GET /health HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n")
+        .await
+        .unwrap();
+    let mut text = String::new();
+    stream.read_to_string(&mut text).await.unwrap();
+    assert!(text.starts_with("HTTP/1.1 200"), "{text}");
+    assert_eq!(backend.in_flight(), 0);
+}
