--- a/crates/bench/src/deployment.rs
+++ b/crates/bench/src/deployment.rs
@@ -399,14 +399,14 @@
         ("limits", String::new()),
         ("operators", format!("token = {TOKEN}")),
     ];
-    let mut text = String::new();
+    let mut text = Vec::new();
     for (section, lines) in sections {
-        text += &format!("[{section}]\n{lines}\n");
-        for (_, line) in plan.settings.iter().filter(|(name, _)| name == section) {
-            text += &format!("{line}\n");
-        }
+        text.push(format!("[{section}]"));
+        text.push(lines);
+        let further = plan.settings.iter().filter(|(name, _)| name == section);
+        text.extend(further.map(|(_, line)| line.clone()));
     }
-    text
+    text.join("\n")
 }
 
 fn spawn_platform(
