--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -20,12 +20,22 @@
 
 pub mod api;
 pub mod client;
+pub mod follow;
+pub mod journal;
+pub mod lease;
 pub mod memory;
+pub mod propose;
+pub mod retain;
+pub mod version;
 
+mod chunk;
 mod error;
 mod store;
 
 pub use client::Client;
 pub use error::Error;
+pub use follow::Follower;
+pub use journal::Journal;
+pub use lease::Lease;
 pub use memory::Memory;
 pub use store::{Event, List, Object, Revision, Store, Watch};
--- /dev/null
+++ b/crates/platform/tests/append.rs
@@ -0,0 +1,158 @@
+//! Appending to a journal, reading it, and removing what is old.
+
+use clock::Manual;
+use platform::journal::{Append, FREE_TIMEOUT};
+use platform::memory::Faults;
+use platform::retain::{RETENTION, Retention};
+use platform::{Error, Journal, Memory, Store};
+use serde_json::{Value, json};
+use yare::parameterized;
+
+type Numbers = Journal<Memory, Manual>;
+
+fn open() -> (Memory, Manual, Numbers) {
+    let memory = Memory::new();
+    let clock = Manual::new();
+    let journal = Journal::open(memory.clone(), clock.clone(), "numbers");
+    (memory, clock, journal)
+}
+
+async fn append(journal: &Numbers, number: u64, nonce: &str) -> Result<Append, Error> {
+    let free = journal.moment();
+    journal.append(number, nonce, &json!(nonce), free).await
+}
+
+fn is_taken_by(outcome: &Result<Append, Error>, nonce: &str) -> bool {
+    matches!(outcome, Ok(Append::Taken(record)) if record.nonce == nonce)
+}
+
+fn losing(lose_next: u32) -> Faults {
+    Faults {
+        lose_next,
+        ..Faults::default()
+    }
+}
+
+// An answer is lost after the record came to stand. The writer must neither
+// think that it failed, nor write again, nor take the record for another's.
+#[parameterized(
+    none_lost = { 0, true },
+    one_lost = { 1, true },
+    two_lost = { 2, true },
+    all_lost = { 3, false },
+)]
+#[test_macro(tokio::test(start_paused = true))]
+async fn answer_lost(lost: u32, written: bool) {
+    let (memory, _, journal) = open();
+    memory.set_faults(losing(lost));
+    let outcome = append(&journal, 1, "a").await;
+    assert_eq!(outcome == Ok(Append::Written), written);
+    assert_eq!(append(&journal, 1, "a").await, Ok(Append::Written));
+    assert!(is_taken_by(&append(&journal, 1, "b").await, "a"));
+    let tail = journal.read(0).await.unwrap().unwrap();
+    assert_eq!(tail.records.len(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn outage_is_certain() {
+    let (memory, _, journal) = open();
+    memory.set_faults(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    let outcome = append(&journal, 1, "a").await;
+    assert!(outcome.is_err_and(|error| !error.may_have_taken_effect()));
+}
+
+// Every try is lost on the way and one arrives an hour later. Whoever took the
+// number in between must keep it.
+#[tokio::test(start_paused = true)]
+async fn late_write() {
+    let (memory, _, journal) = open();
+    memory.set_faults(Faults {
+        late_next: 3,
+        ..Faults::default()
+    });
+    let outcome = append(&journal, 1, "a").await;
+    assert!(outcome.is_err_and(|error| error.may_have_taken_effect()));
+    assert_eq!(append(&journal, 1, "b").await, Ok(Append::Written));
+    memory.deliver();
+    assert!(is_taken_by(&append(&journal, 1, "a").await, "b"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn large_value() {
+    let (memory, _, journal) = open();
+    memory.set_faults(losing(1));
+    let value = Value::String("\"é\"".repeat(700_000));
+    let free = journal.moment();
+    let outcome = journal.append(1, "a", &value, free).await;
+    assert_eq!(outcome, Ok(Append::Written));
+    let tail = journal.read(0).await.unwrap().unwrap();
+    assert_eq!(tail.records[0].value, value);
+    let names = memory.list("", "", 100).await.unwrap().items;
+    assert!(names.len() > 4, "{}", names.len());
+}
+
+/// Writes twelve records with snapshots at 5 and 10, and removes what has aged.
+async fn fill_and_remove(clock: &Manual, journal: &Numbers) {
+    let mut retention = Retention::default();
+    for number in 1..=12 {
+        append(journal, number, &format!("n{number}"))
+            .await
+            .unwrap();
+        if number % 5 == 0 {
+            journal
+                .write_snapshot(number, "s", &json!(number))
+                .await
+                .unwrap();
+            journal.remove_old(&mut retention, 0).await.unwrap();
+            clock.advance(RETENTION.mul_f64(0.9));
+        }
+    }
+    while journal.remove_old(&mut retention, 0).await.unwrap() {}
+}
+
+#[tokio::test]
+async fn removal_keeps_readers_whole() {
+    let (memory, clock, journal) = open();
+    fill_and_remove(&clock, &journal).await;
+    let left = memory.list("numbers/log/", "", 100).await.unwrap().items;
+    assert_eq!(left.len(), 7, "the snapshot at 10 is too young");
+    let loaded = journal.load().await.unwrap();
+    assert_eq!((loaded.number, loaded.last()), (10, 12));
+    assert_eq!(loaded.snapshot, Some(json!(10)));
+    assert_eq!(journal.read(4).await.unwrap(), None);
+    let numbers = journal.read(5).await.unwrap().unwrap().records;
+    assert!(numbers.iter().map(|record| record.number).eq(6..=12));
+    assert_eq!(journal.get(3).await, Ok(None));
+}
+
+// A proposer is paused between reading that its number is free and writing,
+// and wakes after the record that won has been removed. It must not tell its
+// operator "accepted", and no reader may take its record for a version.
+#[tokio::test(start_paused = true)]
+async fn paused_past_removal() {
+    let (_, clock, journal) = open();
+    let free = journal.moment();
+    fill_and_remove(&clock, &journal).await;
+    assert!(free.elapsed(&clock) > FREE_TIMEOUT);
+    let outcome = journal.append(2, "paused", &json!("paused"), free).await;
+    assert_eq!(outcome, Err(Error::Gone));
+    assert_eq!(journal.get(2).await, Err(Error::Gone));
+    assert_eq!(journal.read(1).await, Ok(None));
+    assert_eq!(journal.load().await.unwrap().last(), 12);
+}
+
+#[tokio::test]
+async fn removal_waits_after_restart() {
+    let (_, clock, journal) = open();
+    append(&journal, 1, "a").await.unwrap();
+    journal.write_snapshot(1, "s", &json!(1)).await.unwrap();
+    clock.advance(RETENTION * 2);
+    journal
+        .remove_old(&mut Retention::default(), 0)
+        .await
+        .unwrap();
+    assert_eq!(journal.read(0).await.unwrap().unwrap().records.len(), 1);
+}
--- /dev/null
+++ b/crates/platform/tests/history.rs
@@ -0,0 +1,231 @@
+//! Histories of concurrent proposals are those of one list of versions.
+
+use clock::System;
+use config::{Patch, Version};
+use platform::memory::Faults;
+use platform::propose::{Outcome, Proposal, Refusal, propose, settle};
+use platform::version::{Id, JOURNAL, load};
+use platform::{Journal, Memory};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::BTreeSet;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use todc_utils::{Action, History, Specification, WGLChecker};
+use yare::parameterized;
+
+type Versions = Journal<Memory, System>;
+
+/// Who holds a version's number.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Holder {
+    id: String,
+    void: bool,
+}
+
+/// What an operator did, with what came of it once it is known.
+#[derive(Debug, Clone)]
+enum Operation {
+    Begun,
+    Accepted(Id),
+    NeverApplied(Id),
+    Crossed(Id, Holder),
+    NoSuchBase(Id),
+    Read(u64, BTreeSet<String>),
+}
+
+/// The versions, one after the other.
+struct List;
+
+impl Specification for List {
+    type State = Vec<Holder>;
+    type Operation = Operation;
+
+    fn init() -> Self::State {
+        Vec::new()
+    }
+
+    fn apply(op: &Operation, state: &Self::State) -> (bool, Self::State) {
+        let unchanged = |valid| (valid, state.clone());
+        match op {
+            Operation::Begun => unchanged(false),
+            Operation::Accepted(id) => hold(state, id, false),
+            Operation::NeverApplied(id) => hold(state, id, true),
+            Operation::Crossed(id, holder) => {
+                let stands = state.get(index(id)) == Some(holder);
+                unchanged(stands && holder.id != id.to_string())
+            }
+            Operation::NoSuchBase(id) => unchanged(index(id) > state.len()),
+            Operation::Read(version, services) => {
+                let accepted = state.iter().filter(|holder| !holder.void);
+                let names = accepted.map(|holder| service_name(&holder.id)).collect();
+                unchanged(*version == state.len() as u64 && *services == names)
+            }
+        }
+    }
+}
+
+fn index(id: &Id) -> usize {
+    usize::try_from(id.base.0).unwrap()
+}
+
+/// The number is the proposal's now, or was so before; a second try finds it so.
+fn hold(state: &[Holder], id: &Id, void: bool) -> (bool, Vec<Holder>) {
+    let holder = Holder {
+        id: id.to_string(),
+        void,
+    };
+    let mut state = state.to_vec();
+    if state.len() == index(id) {
+        state.push(holder);
+        return (true, state);
+    }
+    (state.get(index(id)) == Some(&holder), state)
+}
+
+fn service_name(id: &str) -> String {
+    format!("s{id}")
+}
+
+fn draw_proposal(rng: &mut SmallRng, base: Version) -> Proposal {
+    let id = Id {
+        base,
+        nonce: format!("{:08x}", rng.random::<u32>()).into(),
+    };
+    let name = service_name(&id.to_string());
+    let line = format!("{{\"put_service\":{{\"name\":\"{name}\",\"service\":{{}}}}}}");
+    Proposal {
+        id,
+        author: "ann".into(),
+        patch: Patch::parse(&line).unwrap(),
+    }
+}
+
+/// Proposes, and asks until it is known what came of it; tries again like a nervous operator.
+async fn drive(journal: &Versions, proposal: &Proposal, rng: &mut SmallRng) -> Operation {
+    let id = proposal.id.clone();
+    let mut outcome = propose(journal, proposal).await;
+    loop {
+        match outcome {
+            Outcome::Accepted(version) => {
+                assert_eq!(version, id.base.next());
+                return Operation::Accepted(id);
+            }
+            Outcome::NeverApplied => return Operation::NeverApplied(id),
+            Outcome::Refused(Refusal::Crossed(step)) => {
+                let holder = Holder {
+                    id: step.entry.proposal.to_string(),
+                    void: step.entry.void,
+                };
+                return Operation::Crossed(id, holder);
+            }
+            Outcome::Refused(Refusal::NoSuchBase(_)) => return Operation::NoSuchBase(id),
+            Outcome::Refused(other) => panic!("{other:?}"),
+            Outcome::NotSent(_) | Outcome::Unknown(_) => {}
+        }
+        pause(rng).await;
+        outcome = if rng.random_bool(0.3) {
+            propose(journal, proposal).await
+        } else {
+            settle(journal, &id, "ann").await
+        };
+    }
+}
+
+async fn pause(rng: &mut SmallRng) {
+    let ms = rng.random_range(0..40);
+    tokio::time::sleep(Duration::from_millis(ms)).await;
+}
+
+type Actions = Arc<Mutex<Vec<(usize, Action<Operation>)>>>;
+
+async fn operate(process: usize, journal: Versions, actions: Actions, mut rng: SmallRng) {
+    for _ in 0..6 {
+        pause(&mut rng).await;
+        let Ok(seen) = load(&journal).await else {
+            continue;
+        };
+        actions
+            .lock()
+            .unwrap()
+            .push((process, Action::Call(Operation::Begun)));
+        let operation = if rng.random_bool(0.2) {
+            match load(&journal).await {
+                Ok(state) => {
+                    let names = state.mesh.services.keys().map(ToString::to_string);
+                    Operation::Read(state.version.0, names.collect())
+                }
+                Err(error) => panic!("only writes fail here: {error}"),
+            }
+        } else {
+            let proposal = draw_proposal(&mut rng, seen.version);
+            drive(&journal, &proposal, &mut rng).await
+        };
+        actions
+            .lock()
+            .unwrap()
+            .push((process, Action::Response(operation)));
+    }
+}
+
+/// Lets writes arrive late, while others go on.
+async fn disturb(memory: Memory, mut rng: SmallRng) {
+    loop {
+        let faults = Faults {
+            slow_ms: 3,
+            lose_percent: 30,
+            late_next: rng.random_range(0..4),
+            ..Faults::default()
+        };
+        memory.set_faults(faults);
+        pause(&mut rng).await;
+        memory.deliver();
+    }
+}
+
+async fn record(seed: u64) -> Vec<(usize, Action<Operation>)> {
+    let memory = Memory::seeded(seed);
+    let journal = Journal::open(memory.clone(), System, JOURNAL);
+    let actions = Actions::default();
+    let chaos = tokio::spawn(disturb(memory.clone(), SmallRng::seed_from_u64(seed)));
+    let operators = (0..4).map(|process| {
+        let rng = SmallRng::seed_from_u64(seed * 10 + process as u64);
+        tokio::spawn(operate(process, journal.clone(), Arc::clone(&actions), rng))
+    });
+    for operator in operators.collect::<Vec<_>>() {
+        operator.await.unwrap();
+    }
+    chaos.abort();
+    actions.lock().unwrap().clone()
+}
+
+#[parameterized(one = { 1 }, two = { 2 }, three = { 3 }, four = { 4 }, five = { 5 }, six = { 6 })]
+#[test_macro(tokio::test(start_paused = true))]
+async fn linearizable(seed: u64) {
+    let actions = record(seed).await;
+    let accepted = actions
+        .iter()
+        .filter(|(_, action)| matches!(action, Action::Response(Operation::Accepted(_))));
+    assert!(accepted.count() > 3, "{actions:#?}");
+    let history = History::from_actions(actions.clone());
+    assert!(WGLChecker::<List>::is_linearizable(history), "{actions:#?}");
+}
+
+// The check itself must bite: here an operator is told "never applied" and
+// another reads the patch afterwards.
+#[test]
+fn false_never_applied() {
+    let id = Id {
+        base: Version::ZERO,
+        nonce: "a".into(),
+    };
+    let names = BTreeSet::from([service_name(&id.to_string())]);
+    let actions = vec![
+        (0, Action::Call(Operation::Begun)),
+        (0, Action::Response(Operation::NeverApplied(id))),
+        (1, Action::Call(Operation::Begun)),
+        (1, Action::Response(Operation::Read(1, names))),
+    ];
+    let history = History::from_actions(actions);
+    assert!(!WGLChecker::<List>::is_linearizable(history));
+}
