--- /dev/null
+++ b/crates/burn/src/history.rs
@@ -0,0 +1,105 @@
+//! Counts of the last three days in bounded memory.
+
+use crate::counts::{Counts, Outcome, Tally, Window};
+use std::time::Duration;
+
+/// Width of the buckets behind the windows up to an hour: a fifth of the shortest window.
+const FINE: Duration = Duration::from_mins(1);
+
+/// Width of the buckets behind the windows of hours: a twelfth of six hours.
+const COARSE: Duration = Duration::from_mins(30);
+
+/// Counts of one stretch of time.
+#[derive(Debug, Clone, Copy, Default)]
+struct Bucket {
+    /// Number of the stretch since the start; tells a stale bucket from the current one.
+    slot: u64,
+    counts: Counts,
+}
+
+/// Buckets of one width, used in turn.
+#[derive(Debug)]
+struct Ring {
+    width: Duration,
+    buckets: Vec<Bucket>,
+}
+
+impl Ring {
+    fn new(width: Duration, span: Window) -> Self {
+        let length = span.length().as_secs() / width.as_secs();
+        Self {
+            width,
+            buckets: vec![Bucket::default(); usize::try_from(length).unwrap_or(1)],
+        }
+    }
+
+    fn slot(&self, now: Duration) -> u64 {
+        now.as_secs() / self.width.as_secs()
+    }
+
+    fn record(&mut self, now: Duration, outcome: Outcome) {
+        let slot = self.slot(now);
+        let index = usize::try_from(slot).unwrap_or(0) % self.buckets.len();
+        let bucket = &mut self.buckets[index];
+        if bucket.slot != slot {
+            *bucket = Bucket {
+                slot,
+                counts: Counts::default(),
+            };
+        }
+        bucket.counts.record(outcome);
+    }
+
+    /// Adds the buckets of the window up; the current one is part full, so the sum spans
+    /// up to one bucket less than the window.
+    fn sum(&self, now: Duration, window: Window) -> Counts {
+        let slot = self.slot(now);
+        let first = (slot + 1).saturating_sub(window.length().as_secs() / self.width.as_secs());
+        let mut sum = Counts::default();
+        for bucket in &self.buckets {
+            if (first..=slot).contains(&bucket.slot) {
+                sum += bucket.counts;
+            }
+        }
+        sum
+    }
+}
+
+/// What the callers of one service received in the last three days: about 6 kB.
+#[derive(Debug)]
+pub struct History {
+    fine: Ring,
+    coarse: Ring,
+}
+
+impl Default for History {
+    fn default() -> Self {
+        Self {
+            fine: Ring::new(FINE, Window::Hour),
+            coarse: Ring::new(COARSE, Window::ThreeDays),
+        }
+    }
+}
+
+impl History {
+    /// Counts a call that ended at `now`, given as the time since any fixed start.
+    pub fn record(&mut self, now: Duration, outcome: Outcome) {
+        self.fine.record(now, outcome);
+        self.coarse.record(now, outcome);
+    }
+
+    /// Gives the counts of all windows that end at `now`.
+    #[must_use]
+    pub fn tally(&self, now: Duration) -> Tally {
+        let mut tally = Tally::default();
+        for window in Window::ALL {
+            let ring = if window <= Window::Hour {
+                &self.fine
+            } else {
+                &self.coarse
+            };
+            tally.add(window, ring.sum(now, window));
+        }
+        tally
+    }
+}
--- /dev/null
+++ b/crates/burn/tests/burn.rs
@@ -0,0 +1,149 @@
+//! Burn of error budgets on known sequences of counts.
+
+use burn::{Alert, Counts, History, Node, Outcome, Service, Window, judge, merge};
+use config::{Objective, Version};
+use std::collections::BTreeMap;
+use std::time::Duration;
+use yare::parameterized;
+
+const OBJECTIVE: Objective = Objective {
+    availability_ppm: 999_000,
+    latency_ms: 100,
+    latency_ppm: 990_000,
+};
+
+const MINUTE: Duration = Duration::from_secs(60);
+const SERVED: Outcome = Outcome::Served { slow: false };
+
+/// Records each minute of `minutes`: 1,000 calls, of which so many fail.
+fn record_minutes(history: &mut History, minutes: std::ops::Range<u32>, failed: u32) {
+    for minute in minutes {
+        for call in 0..1_000 {
+            let outcome = if call < failed {
+                Outcome::Failed
+            } else {
+                SERVED
+            };
+            history.record(MINUTE * minute, outcome);
+        }
+    }
+}
+
+fn judge_at(history: &History, minute: u32) -> burn::Report {
+    let service = Service {
+        objective: Some(OBJECTIVE),
+        windows: history.tally(MINUTE * minute),
+    };
+    judge(&"records".into(), &service)
+}
+
+#[test]
+fn known_sequence() {
+    let mut history = History::default();
+    record_minutes(&mut history, 0..55, 0);
+    record_minutes(&mut history, 55..60, 144);
+    let level = judge_at(&history, 59).availability.unwrap();
+    // 5 minutes: 144 in 1,000 failed of 1 in 1,000 allowed. An hour: a twelfth of it.
+    let close = |window: Window, expected: f64| (level.burn[&window] - expected).abs() < 1e-9;
+    assert!(close(Window::FiveMinutes, 144.0), "{level:?}");
+    assert!(close(Window::Hour, 12.0), "{level:?}");
+    assert!((level.budget_left + 11.0).abs() < 1e-9, "{level:?}");
+    // The hour stands below 14.4, half an hour (24) and six hours (12) above 6.
+    assert_eq!(level.alert, Alert::Page);
+}
+
+#[parameterized(
+    nothing = { 0, Alert::None },
+    just_allowed = { 1, Alert::Ticket },
+    slow_burn = { 5, Alert::Ticket },
+    fast_burn = { 6, Alert::Page },
+)]
+fn steady(failed: u32, alert: Alert) {
+    let mut history = History::default();
+    record_minutes(&mut history, 0..4 * 24 * 60, failed);
+    let report = judge_at(&history, 4 * 24 * 60 - 1);
+    let level = report.availability.unwrap();
+    assert!((level.burn[&Window::ThreeDays] - f64::from(failed)).abs() < 1e-9);
+    assert_eq!(level.alert, alert);
+    assert_eq!(report.latency.unwrap().alert, Alert::None);
+}
+
+#[test]
+fn trouble_over() {
+    let mut history = History::default();
+    record_minutes(&mut history, 0..60, 500);
+    assert_eq!(
+        judge_at(&history, 59).availability.unwrap().alert,
+        Alert::Page
+    );
+    record_minutes(&mut history, 60..90, 0);
+    let level = judge_at(&history, 89).availability.unwrap();
+    assert!(level.burn[&Window::FiveMinutes] == 0.0 && level.burn[&Window::Hour] > 14.4);
+    assert_eq!(level.alert, Alert::Ticket);
+}
+
+#[test]
+fn quiet_service() {
+    let mut history = History::default();
+    record_minutes(&mut history, 0..1, 1_000);
+    let tally = history.tally(MINUTE * (3 * 24 * 60 + 30));
+    for window in Window::ALL {
+        assert_eq!(tally.counts(window), Counts::default(), "{}", window.name());
+    }
+}
+
+#[test]
+fn slow_answers() {
+    let mut history = History::default();
+    for call in 0..100 {
+        let slow = call < 30;
+        history.record(MINUTE, Outcome::Served { slow });
+    }
+    history.record(MINUTE, Outcome::Failed);
+    let level = judge_at(&history, 1).latency.unwrap();
+    assert!(
+        (level.burn[&Window::FiveMinutes] - 30.0).abs() < 1e-9,
+        "{level:?}"
+    );
+}
+
+#[parameterized(
+    fine = { 200, Outcome::Served { slow: true } },
+    redirect = { 304, Outcome::Served { slow: true } },
+    callers_mistake = { 404, Outcome::CallerFault },
+    callers_cancel = { 499, Outcome::CallerFault },
+    no_room = { 429, Outcome::Failed },
+    broken = { 500, Outcome::Failed },
+    refused = { 503, Outcome::Failed },
+)]
+fn by_status(status: u16, outcome: Outcome) {
+    assert_eq!(Outcome::of_status(status, true), outcome);
+}
+
+#[test]
+fn two_nodes() {
+    let node = |version, objective, calls| {
+        let mut service = Service {
+            objective,
+            ..Service::default()
+        };
+        let counts = Counts {
+            calls,
+            failed: 1,
+            slow: 0,
+        };
+        service.windows.add(Window::Hour, counts);
+        Node {
+            node: "a".into(),
+            version: Version(version),
+            counted_s: 60,
+            services: BTreeMap::from([("records".into(), service)]),
+        }
+    };
+    let nodes = [node(3, Some(OBJECTIVE), 10), node(2, None, 5)];
+    let json = serde_json::to_string(&nodes).unwrap();
+    let nodes = serde_json::from_str::<Vec<Node>>(&json).unwrap();
+    let merged = &merge(&nodes)["records"];
+    assert_eq!(merged.objective, Some(OBJECTIVE));
+    assert_eq!(merged.windows.counts(Window::Hour).calls, 15);
+}
