--- a/crates/burn/tests/burn.rs
+++ b/crates/burn/tests/burn.rs
@@ -12,7 +12,7 @@
     latency_ppm: 990_000,
 };
 
-const MINUTE: Duration = Duration::from_secs(60);
+const MINUTE: Duration = Duration::from_mins(1);
 const SERVED: Outcome = Outcome::Served { slow: false };
 
 /// Records each minute of `minutes`: 1,000 calls, of which so many fail.
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -23,4 +23,4 @@
 pub use mesh::{Class, Mesh, Objective, Repeat, Retry, Route, Service, Target};
 pub use patch::{Change, Patch};
 pub use version::Version;
-pub use view::{EndpointKey, RouteEntry, RouteKey, ServiceEntry, ServiceKey, View};
+pub use view::{EndpointKey, RouteEntry, RouteKey, ServiceEntry, ServiceKey, View, WithheldEntry};
--- a/crates/config/src/view.rs
+++ b/crates/config/src/view.rs
@@ -3,7 +3,9 @@
 //! A view is built aside and swapped in whole, so that no call ever sees a
 //! route whose service is not there.
 
-use crate::{Class, Digest, Endpoint, Held, Mesh, Repeat, Retry, Route, Service, State, Version};
+use crate::{
+    Class, Digest, Endpoint, Held, Mesh, Objective, Repeat, Retry, Route, Service, State, Version,
+};
 use smol_str::SmolStr;
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
@@ -48,6 +50,17 @@
     pub timeout_ms: u32,
 }
 
+/// A route that is withheld until its services are there.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WithheldEntry {
+    /// Path prefix.
+    pub prefix: SmolStr,
+    /// The route's first service, whose promise its refused calls break.
+    pub service: SmolStr,
+    /// What that service promises, if anything.
+    pub objective: Option<Objective>,
+}
+
 /// A configuration joined with the endpoints that the node knows.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct View {
@@ -56,6 +69,7 @@
     endpoints: Vec<Arc<Endpoint>>,
     services: Vec<ServiceEntry>,
     routes: Vec<RouteEntry>,
+    withheld: Vec<WithheldEntry>,
     /// Routes by prefix without its last slash.
     index: HashMap<SmolStr, Slot>,
 }
@@ -64,7 +78,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Slot {
     Route(RouteKey),
-    Withheld,
+    Withheld(usize),
 }
 
 impl Default for View {
@@ -112,6 +126,7 @@
                 .collect(),
             services: Vec::new(),
             routes: Vec::new(),
+            withheld: Vec::new(),
             index: HashMap::with_capacity(mesh.routes.len()),
         };
         view.add_services(mesh);
@@ -160,11 +175,26 @@
                 self.routes.push(entry);
                 Slot::Route(RouteKey(key))
             }
-            None => Slot::Withheld,
+            None => self.withhold(mesh, prefix, route),
         };
         self.index.insert(prefix.trim_end_matches('/').into(), slot);
     }
 
+    fn withhold(&mut self, mesh: &Mesh, prefix: &SmolStr, route: &Route) -> Slot {
+        let service = route.targets.first().map(|target| target.service.clone());
+        let service = service.unwrap_or_default();
+        let objective = mesh
+            .services
+            .get(&service)
+            .and_then(|known| known.objective);
+        self.withheld.push(WithheldEntry {
+            prefix: prefix.clone(),
+            service,
+            objective,
+        });
+        Slot::Withheld(self.withheld.len() - 1)
+    }
+
     fn resolve_route(&self, mesh: &Mesh, prefix: &SmolStr, route: &Route) -> Option<RouteEntry> {
         let targets = route
             .targets
@@ -228,14 +258,23 @@
     pub fn find_route(&self, path: &str) -> Option<RouteKey> {
         match self.look_up(path)? {
             Slot::Route(key) => Some(key),
-            Slot::Withheld => None,
+            Slot::Withheld(_) => None,
         }
     }
 
     /// Tells whether `path` has a route that is withheld until its services are there.
     #[must_use]
     pub fn is_withheld(&self, path: &str) -> bool {
-        self.look_up(path) == Some(Slot::Withheld)
+        self.find_withheld(path).is_some()
+    }
+
+    /// Finds the route of `path` when it is withheld until its services are there.
+    #[must_use]
+    pub fn find_withheld(&self, path: &str) -> Option<&WithheldEntry> {
+        match self.look_up(path)? {
+            Slot::Route(_) => None,
+            Slot::Withheld(index) => self.withheld.get(index),
+        }
     }
 
     /// Looks `path` up part by part, from the whole of it to the empty prefix.
@@ -249,6 +288,12 @@
         }
     }
 
+    /// Gives the routes that are withheld until their services are there.
+    #[must_use]
+    pub fn withheld(&self) -> &[WithheldEntry] {
+        &self.withheld
+    }
+
     /// Gives a service.
     #[must_use]
     pub fn service(&self, key: ServiceKey) -> &ServiceEntry {
--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -27,6 +27,9 @@
 /// Path of the announcements.
 const PATH: &str = "/v1/announce";
 
+/// Name of this listener in settings, metrics and logs.
+const LISTENER: &str = "backend";
+
 /// Longest name of a service: that of a DNS label.
 const MAX_SERVICE: usize = 63;
 
@@ -79,12 +82,13 @@
 where
     C: Clock,
 {
+    let bad_requests = shared.metrics.bad_requests(LISTENER);
     let desk = Arc::new(Desk {
         shared,
         limits,
         known: Mutex::default(),
     });
-    listener::spawn(tcp, limits, move |request| {
+    listener::spawn(tcp, limits, bad_requests, move |request| {
         let desk = Arc::clone(&desk);
         async move { answer(request, &desk).await }
     })
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,4 +6,10 @@
 
 pub mod announce;
 pub mod listener;
+pub mod logs;
+pub mod metrics;
+pub mod operate;
+pub mod process;
 pub mod shared;
+
+mod metrics_service;
--- a/crates/node/src/listener.rs
+++ b/crates/node/src/listener.rs
@@ -8,6 +8,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
+use prometheus_client::metrics::counter::Counter;
 use serde::Serialize;
 use std::convert::Infallible;
 use std::io;
@@ -82,19 +83,25 @@
     }
 }
 
-/// Serves HTTP on `tcp` with `answer` until the handle is stopped.
+/// Serves HTTP on `tcp` with `answer` until the handle is stopped; counts the connections
+/// that failed in `bad_requests`.
 ///
 /// # Errors
 ///
 /// Fails when the listener has no address.
-pub fn spawn<H, F>(tcp: TcpListener, limits: Limits, answer: H) -> io::Result<Handle>
+pub fn spawn<H, F>(
+    tcp: TcpListener,
+    limits: Limits,
+    bad_requests: Counter,
+    answer: H,
+) -> io::Result<Handle>
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Answer> + Send + 'static,
 {
     let address = tcp.local_addr()?;
     let (stop, stopped) = oneshot::channel();
-    let task = tokio::spawn(accept_all(tcp, limits, answer, stopped));
+    let task = tokio::spawn(accept_all(tcp, limits, bad_requests, answer, stopped));
     Ok(Handle {
         address,
         stop: Some(stop),
@@ -105,6 +112,7 @@
 async fn accept_all<H, F>(
     tcp: TcpListener,
     limits: Limits,
+    bad_requests: Counter,
     answer: H,
     mut stopped: oneshot::Receiver<()>,
 ) where
@@ -131,9 +139,12 @@
                 });
                 let connection =
                     build_server(limits).serve_connection(TokioIo::new(stream), service);
+                let bad_requests = bad_requests.clone();
                 served.spawn(async move {
                     // Errors are the peer's: hyper has closed the connection by then.
-                    let _ended = watcher.watch(connection).await;
+                    if watcher.watch(connection).await.is_err() {
+                        bad_requests.inc();
+                    }
                     drop(permit);
                 });
             }
--- /dev/null
+++ b/crates/node/src/metrics.rs
@@ -0,0 +1,283 @@
+//! What a node counts, for Prometheus and for the report on burn.
+//!
+//! The path of a call takes a [`Service`] handle once per view and service,
+//! and then only touches atomics and one short lock. Label values come from
+//! the configuration alone; beyond [`MAX_SERVICES`] they share one.
+
+pub use crate::metrics_service::{Ending, Service};
+
+use crate::metrics_service::SLOT_LABELS;
+use parking_lot::RwLock;
+use prometheus_client::encoding::{EncodeLabelSet, text};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::{Registry, Unit};
+use smol_str::SmolStr;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::time::{Duration, Instant};
+
+/// Services with labels of their own: twice the 410 that the fleet is designed for.
+pub const MAX_SERVICES: usize = 820;
+
+/// Label of all services beyond the bound.
+pub const OTHER: &str = "other";
+
+/// Upper bounds of the durations, in seconds: finest around the 0.36 ms that
+/// both proxies together may add, and up to the default timeout of 5 s.
+const DURATION_BOUNDS: [f64; 14] = [
+    0.000_25, 0.000_5, 0.001, 0.002_5, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0,
+];
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ServiceLabel {
+    service: String,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CallLabel {
+    service: String,
+    ending: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ListenerLabel {
+    listener: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct DirectionLabel {
+    direction: &'static str,
+}
+
+/// What is read from the node's state when somebody asks.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Reading {
+    /// Version of the configuration that calls are served by.
+    pub version: u64,
+    /// Endpoints known.
+    pub endpoints: usize,
+    /// Routes in force.
+    pub routes: usize,
+    /// Routes withheld until their services are there.
+    pub withheld_routes: usize,
+    /// Calls that the own backend server runs.
+    pub in_flight: usize,
+    /// Whether the node is ready.
+    pub ready: bool,
+    /// Whether the node or its backend server leaves.
+    pub leaving: bool,
+    /// What the process has taken.
+    pub process: crate::process::Usage,
+}
+
+#[derive(Debug, Default)]
+struct Gauges {
+    version: Gauge,
+    endpoints: Gauge,
+    routes: Gauge,
+    withheld_routes: Gauge,
+    in_flight: Gauge,
+    ready: Gauge,
+    leaving: Gauge,
+    resident: Gauge,
+    cpu: Gauge<f64, AtomicU64>,
+}
+
+/// All that a node counts.
+#[derive(Debug)]
+pub struct Metrics {
+    start: Instant,
+    registry: Registry,
+    calls: Family<CallLabel, Counter>,
+    durations: Family<ServiceLabel, Histogram, fn() -> Histogram>,
+    bad_requests: Family<ListenerLabel, Counter>,
+    control_bytes: Family<DirectionLabel, Counter>,
+    gauges: Gauges,
+    services: RwLock<BTreeMap<SmolStr, Arc<Service>>>,
+}
+
+impl Metrics {
+    /// Makes the metrics of a node that starts at `start`.
+    #[must_use]
+    pub fn new(start: Instant) -> Self {
+        let new_histogram: fn() -> Histogram = || Histogram::new(DURATION_BOUNDS);
+        let mut metrics = Self {
+            start,
+            registry: Registry::with_prefix("bluebellpick"),
+            calls: Family::default(),
+            durations: Family::new_with_constructor(new_histogram),
+            bad_requests: Family::default(),
+            control_bytes: Family::default(),
+            gauges: Gauges::default(),
+            services: RwLock::default(),
+        };
+        metrics.register_counters();
+        metrics.register_gauges();
+        metrics
+    }
+
+    fn register_counters(&mut self) {
+        let registry = &mut self.registry;
+        let help = "Calls of this node's callers, by service and how they ended";
+        registry.register("calls", help, self.calls.clone());
+        let help = "Time from a call's arrival at this node to its end";
+        let durations = self.durations.clone();
+        registry.register_with_unit("call_duration", help, Unit::Seconds, durations);
+        let help = "Connections closed because of what their peer sent, by listener";
+        registry.register("bad_requests", help, self.bad_requests.clone());
+        let help = "Bytes of configuration, endpoints and status between nodes, by direction";
+        let bytes = self.control_bytes.clone();
+        registry.register_with_unit("control", help, Unit::Bytes, bytes);
+    }
+
+    fn register_gauges(&mut self) {
+        let gauges = &self.gauges;
+        let plain = [
+            (
+                "config_version",
+                "Version of the configuration that calls are served by",
+                &gauges.version,
+            ),
+            (
+                "endpoints",
+                "Endpoints known to this node",
+                &gauges.endpoints,
+            ),
+            ("routes", "Routes in force", &gauges.routes),
+            (
+                "withheld_routes",
+                "Routes withheld until their services are there",
+                &gauges.withheld_routes,
+            ),
+            (
+                "in_flight_calls",
+                "Calls that the own backend server runs",
+                &gauges.in_flight,
+            ),
+            (
+                "ready",
+                "Whether the node takes calls, 0 or 1",
+                &gauges.ready,
+            ),
+            (
+                "leaving",
+                "Whether the node or its backend server leaves, 0 or 1",
+                &gauges.leaving,
+            ),
+        ];
+        for (name, help, gauge) in plain {
+            self.registry.register(name, help, gauge.clone());
+        }
+        let help = "Memory of the process that is in RAM";
+        let resident = gauges.resident.clone();
+        self.registry
+            .register_with_unit("resident_memory", help, Unit::Bytes, resident);
+        let help = "Processor time of the process, user and system";
+        let cpu = gauges.cpu.clone();
+        self.registry
+            .register_with_unit("cpu", help, Unit::Seconds, cpu);
+    }
+
+    /// Gives the counters of a service; they are the same ones each time.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Arc<Service> {
+        if let Some(known) = self.services.read().get(name) {
+            return Arc::clone(known);
+        }
+        let mut services = self.services.write();
+        let name = if services.len() < MAX_SERVICES {
+            name
+        } else {
+            OTHER
+        };
+        let service = services
+            .entry(name.into())
+            .or_insert_with(|| Arc::new(self.make_service(name)));
+        Arc::clone(service)
+    }
+
+    fn make_service(&self, name: &str) -> Service {
+        let service = name.to_owned();
+        let endings = SLOT_LABELS.map(|ending| {
+            let service = service.clone();
+            self.calls
+                .get_or_create_owned(&CallLabel { service, ending })
+        });
+        let durations = self
+            .durations
+            .get_or_create_owned(&ServiceLabel { service });
+        Service::new(self.start, endings, durations)
+    }
+
+    /// Gives the counter of a listener's bad requests.
+    #[must_use]
+    pub fn bad_requests(&self, listener: &'static str) -> Counter {
+        self.bad_requests
+            .get_or_create_owned(&ListenerLabel { listener })
+    }
+
+    /// Gives the counter of control bytes sent to other nodes.
+    #[must_use]
+    pub fn control_sent(&self) -> Counter {
+        let direction = "sent";
+        self.control_bytes
+            .get_or_create_owned(&DirectionLabel { direction })
+    }
+
+    /// Gives the counter of control bytes received from other nodes.
+    #[must_use]
+    pub fn control_received(&self) -> Counter {
+        let direction = "received";
+        self.control_bytes
+            .get_or_create_owned(&DirectionLabel { direction })
+    }
+
+    /// Gives the counts of each service that this node's callers called.
+    #[must_use]
+    pub fn tallies(&self, now: Instant) -> BTreeMap<SmolStr, burn::Service> {
+        let services = self.services.read();
+        services
+            .iter()
+            .map(|(name, service)| (name.clone(), service.tally(now)))
+            .collect()
+    }
+
+    /// Gives how long the node has counted.
+    #[must_use]
+    pub fn counted(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.start)
+    }
+
+    /// Writes everything in the text format of `OpenMetrics`.
+    ///
+    /// # Panics
+    ///
+    /// Never: a string takes any text.
+    #[must_use]
+    pub fn render(&self, reading: &Reading) -> String {
+        let gauges = &self.gauges;
+        gauges.version.set(clamp(reading.version));
+        gauges.endpoints.set(clamp(reading.endpoints));
+        gauges.routes.set(clamp(reading.routes));
+        gauges.withheld_routes.set(clamp(reading.withheld_routes));
+        gauges.in_flight.set(clamp(reading.in_flight));
+        gauges.ready.set(i64::from(reading.ready));
+        gauges.leaving.set(i64::from(reading.leaving));
+        gauges.resident.set(clamp(reading.process.resident_bytes));
+        gauges.cpu.set(reading.process.cpu.as_secs_f64());
+        let mut text = String::new();
+        text::encode(&mut text, &self.registry).expect("a string takes any text");
+        text
+    }
+}
+
+fn clamp<N>(count: N) -> i64
+where
+    i64: TryFrom<N>,
+{
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
--- /dev/null
+++ b/crates/node/src/operate.rs
@@ -0,0 +1,277 @@
+//! Where operators connect.
+//!
+//! `GET /metrics`, `/healthz`, `/readyz`, `/v1/status` and `/v1/burn` are open
+//! to whoever reaches the listener; `POST /v1/drain` changes something and
+//! wants the token.
+
+use crate::listener::{self, Answer, Handle, Limits, answer_json, answer_with, refuse};
+use crate::metrics::Reading;
+use crate::process::read_usage;
+use crate::shared::Shared;
+use clock::Clock;
+use config::Version;
+use http::{Method, Request, StatusCode, header};
+use hyper::body::Incoming;
+use log::{info, warn};
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use subtle::ConstantTimeEq;
+use tokio::net::TcpListener;
+
+/// Media type of the text format of `OpenMetrics`.
+const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// Name of this listener in settings, metrics and logs.
+const LISTENER: &str = "operators";
+
+/// The own backend server, as operators see it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Backend {
+    /// Service that it belongs to.
+    pub service: SmolStr,
+    /// Where it takes calls.
+    pub address: SocketAddr,
+    /// Calls that it says it runs at once.
+    pub slots: u16,
+    /// Whether it leaves.
+    pub leaving: bool,
+}
+
+/// How a node stands.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Status {
+    /// Name of the node.
+    pub node: SmolStr,
+    /// Availability zone of the node.
+    pub zone: SmolStr,
+    /// Region of the node.
+    pub region: SmolStr,
+    /// Random number of its process.
+    pub incarnation: u64,
+    /// How long it has run, in seconds.
+    pub uptime_s: u64,
+    /// Version of the configuration that calls are served by.
+    pub version: Version,
+    /// Why it does not take calls; empty when it does.
+    pub not_ready: Vec<String>,
+    /// Whether the node leaves.
+    pub leaving: bool,
+    /// Calls that the own backend server runs.
+    pub in_flight: usize,
+    /// The own backend server, once announced.
+    pub backend: Option<Backend>,
+    /// Endpoints that take new work, by service.
+    pub endpoints: BTreeMap<SmolStr, usize>,
+    /// Routes withheld until their services are there.
+    pub withheld_routes: Vec<SmolStr>,
+}
+
+/// Listens for operators on `tcp`.
+///
+/// # Errors
+///
+/// Fails when the listener has no address.
+pub fn spawn<C>(tcp: TcpListener, shared: Arc<Shared<C>>) -> io::Result<Handle>
+where
+    C: Clock,
+{
+    spawn_within(tcp, shared, Limits::default())
+}
+
+/// Listens as [`spawn`] does, with other limits.
+///
+/// # Errors
+///
+/// Fails when the listener has no address.
+pub fn spawn_within<C>(
+    tcp: TcpListener,
+    shared: Arc<Shared<C>>,
+    limits: Limits,
+) -> io::Result<Handle>
+where
+    C: Clock,
+{
+    let bad_requests = shared.metrics.bad_requests(LISTENER);
+    listener::spawn(tcp, limits, bad_requests, move |request| {
+        let shared = Arc::clone(&shared);
+        async move { answer(&request, &shared) }
+    })
+}
+
+fn answer<C>(request: &Request<Incoming>, shared: &Shared<C>) -> Answer
+where
+    C: Clock,
+{
+    let path = request.uri().path();
+    let wanted = if path == "/v1/drain" {
+        Method::POST
+    } else {
+        Method::GET
+    };
+    let known = matches!(
+        path,
+        "/metrics" | "/healthz" | "/readyz" | "/v1/status" | "/v1/burn" | "/v1/drain"
+    );
+    if known && *request.method() != wanted {
+        let message = format!("want {wanted}");
+        return refuse(StatusCode::METHOD_NOT_ALLOWED, &message);
+    }
+    match path {
+        "/metrics" => {
+            let text = shared.metrics.render(&read(shared));
+            answer_with(StatusCode::OK, METRICS_TYPE, text)
+        }
+        "/healthz" => answer_with(StatusCode::OK, "text/plain", "alive\n"),
+        "/readyz" => answer_ready(shared),
+        "/v1/status" => answer_json(StatusCode::OK, &read_status(shared)),
+        "/v1/burn" => answer_json(StatusCode::OK, &read_burn(shared)),
+        "/v1/drain" => drain(request, shared),
+        _ => refuse(StatusCode::NOT_FOUND, "no such path"),
+    }
+}
+
+fn answer_ready<C>(shared: &Shared<C>) -> Answer
+where
+    C: Clock,
+{
+    let reasons = find_obstacles(shared);
+    if reasons.is_empty() {
+        return answer_with(StatusCode::OK, "text/plain", "ready\n");
+    }
+    let text = format!("{}\n", reasons.join("\n"));
+    answer_with(StatusCode::SERVICE_UNAVAILABLE, "text/plain", text)
+}
+
+/// Gives the reasons why the node takes no calls.
+fn find_obstacles<C>(shared: &Shared<C>) -> Vec<String>
+where
+    C: Clock,
+{
+    let obstacles = [
+        (
+            shared.view.load().version() == Version::ZERO,
+            "holds no configuration yet",
+        ),
+        (
+            !shared.listening.load(Ordering::Acquire),
+            "listeners do not run yet",
+        ),
+        (*shared.leaving.borrow(), "is leaving"),
+    ];
+    obstacles
+        .into_iter()
+        .filter(|(stands, _)| *stands)
+        .map(|(_, reason)| reason.to_owned())
+        .collect()
+}
+
+fn read<C>(shared: &Shared<C>) -> Reading
+where
+    C: Clock,
+{
+    let view = shared.view.load();
+    let backend_leaves = shared
+        .backend
+        .borrow()
+        .as_ref()
+        .is_some_and(|backend| backend.leaving);
+    Reading {
+        version: view.version().0,
+        endpoints: view.endpoints().len(),
+        routes: view.routes().len(),
+        withheld_routes: view.withheld().len(),
+        in_flight: shared.in_flight.load(Ordering::Relaxed),
+        ready: find_obstacles(shared).is_empty(),
+        leaving: backend_leaves || *shared.leaving.borrow(),
+        process: read_usage(),
+    }
+}
+
+fn read_status<C>(shared: &Shared<C>) -> Status
+where
+    C: Clock,
+{
+    let view = shared.view.load();
+    let settings = &shared.settings;
+    let backend = shared.backend.borrow().as_ref().map(|backend| Backend {
+        service: backend.service.clone(),
+        address: backend.address,
+        slots: backend.slots,
+        leaving: backend.leaving,
+    });
+    let endpoints = view
+        .services()
+        .iter()
+        .map(|entry| (entry.name.clone(), entry.endpoints.len()))
+        .collect();
+    Status {
+        node: settings.name.clone(),
+        zone: settings.zone.clone(),
+        region: settings.region.clone(),
+        incarnation: shared.incarnation,
+        uptime_s: shared.metrics.counted(shared.clock.now()).as_secs(),
+        version: view.version(),
+        not_ready: find_obstacles(shared),
+        leaving: *shared.leaving.borrow(),
+        in_flight: shared.in_flight.load(Ordering::Relaxed),
+        backend,
+        endpoints,
+        withheld_routes: view
+            .withheld()
+            .iter()
+            .map(|entry| entry.prefix.clone())
+            .collect(),
+    }
+}
+
+fn read_burn<C>(shared: &Shared<C>) -> burn::Node
+where
+    C: Clock,
+{
+    let now = shared.clock.now();
+    let view = shared.view.load();
+    let mut services = shared.metrics.tallies(now);
+    for (name, service) in &mut services {
+        if let Some(key) = view.find_service(name) {
+            service.objective = view.service(key).service.objective;
+        }
+    }
+    burn::Node {
+        node: shared.settings.name.clone(),
+        version: view.version(),
+        counted_s: shared.metrics.counted(now).as_secs(),
+        services,
+    }
+}
+
+fn drain<C>(request: &Request<Incoming>, shared: &Shared<C>) -> Answer
+where
+    C: Clock,
+{
+    if !is_authorized(request, &shared.settings.token.0) {
+        warn!(event = "drain_unauthorized"; "drain without the right token");
+        return refuse(StatusCode::UNAUTHORIZED, "want Authorization: Bearer TOKEN");
+    }
+    let changed = !shared.leaving.send_replace(true);
+    if changed {
+        info!(event = "drain"; "an operator drains this VM");
+    }
+    answer_json(StatusCode::OK, &read_status(shared))
+}
+
+/// Tells whether a request carries the token.
+///
+/// The time of the comparison tells nothing of how many bytes were right;
+/// else a token could be guessed byte by byte.
+fn is_authorized(request: &Request<Incoming>, token: &str) -> bool {
+    let given = request
+        .headers()
+        .get(header::AUTHORIZATION)
+        .and_then(|value| value.as_bytes().strip_prefix(b"Bearer "));
+    given.is_some_and(|given| given.ct_eq(token.as_bytes()).into())
+}
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -1,11 +1,12 @@
 //! What the parts of a node share.
 
+use crate::metrics::Metrics;
 use arc_swap::ArcSwap;
 use clock::Clock;
 use config::View;
 use settings::node::Settings;
 use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::{AtomicBool, AtomicUsize};
 use tokio::sync::watch;
 
 /// What the node's own backend server has announced.
@@ -41,6 +42,10 @@
     pub leaving: watch::Sender<bool>,
     /// Calls that the own backend server runs right now.
     pub in_flight: AtomicUsize,
+    /// Whether all listeners run.
+    pub listening: AtomicBool,
+    /// What the node counts.
+    pub metrics: Metrics,
 }
 
 impl<C> Shared<C>
@@ -50,6 +55,7 @@
     /// Makes the shared state of a node that holds nothing yet.
     #[must_use]
     pub fn new(settings: Settings, incarnation: u64, clock: C) -> Arc<Self> {
+        let metrics = Metrics::new(clock.now());
         Arc::new(Self {
             settings,
             incarnation,
@@ -58,6 +64,8 @@
             backend: watch::Sender::new(None),
             leaving: watch::Sender::new(false),
             in_flight: AtomicUsize::new(0),
+            listening: AtomicBool::new(false),
+            metrics,
         })
     }
 }
