--- /dev/null
+++ b/crates/node/tests/bad_input.rs
@@ -0,0 +1,156 @@
+//! Bad input on the HTTP listeners of a node: a clear error or a closed
+//! connection, and others are served all the while.
+
+mod support;
+
+use node::listener::{Handle, Limits};
+use node::shared::Shared;
+use node::{announce, operate};
+use std::sync::Arc;
+use std::time::Duration;
+use support::{bind, exchange, make_shared, request, split_answer};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use yare::parameterized;
+
+/// Short, so that a test of a timeout is over soon.
+const LIMITS: Limits = Limits {
+    connections: 4,
+    head_timeout: Duration::from_millis(150),
+    body_timeout: Duration::from_millis(150),
+    head_bytes: 8 << 10,
+    body_bytes: 1 << 10,
+};
+
+async fn spawn_both(shared: &Arc<Shared<clock::System>>) -> [Handle; 2] {
+    [
+        announce::spawn_within(bind().await, Arc::clone(shared), LIMITS).unwrap(),
+        operate::spawn_within(bind().await, Arc::clone(shared), LIMITS).unwrap(),
+    ]
+}
+
+/// Bytes that look random and are the same each time: a linear congruential generator.
+fn make_noise(length: usize) -> Vec<u8> {
+    let mut state = 2_026_u32;
+    let mut next = || {
+        state = state.wrapping_mul(1_664_525).wrapping_add(1_013_904_223);
+        state.to_le_bytes()[3]
+    };
+    (0..length).map(|_| next()).collect()
+}
+
+fn make_oversized_head() -> Vec<u8> {
+    let filler = "x".repeat(64 << 10);
+    format!("GET /metrics HTTP/1.1\r\nhost: node\r\nfiller: {filler}\r\n\r\n").into_bytes()
+}
+
+fn make_many_headers() -> Vec<u8> {
+    let filler = "a: b\r\n".repeat(1_000);
+    format!("GET /metrics HTTP/1.1\r\n{filler}\r\n").into_bytes()
+}
+
+#[parameterized(
+    noise = { make_noise(4 << 10) },
+    much_noise = { make_noise(1 << 20) },
+    oversized_head = { make_oversized_head() },
+    many_headers = { make_many_headers() },
+    truncated_head = { b"GET /metrics HT".to_vec() },
+    truncated_line = { b"GET /metrics HTTP/1.1\r\nhost".to_vec() },
+    nothing = { Vec::new() },
+    other_protocol = { b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n".to_vec() },
+    two_lengths = { b"PUT /v1/announce HTTP/1.1\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\nxx".to_vec() },
+    bad_chunk = { b"PUT /v1/announce HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n".to_vec() },
+)]
+#[test_macro(tokio::test)]
+async fn refused_or_closed(bytes: Vec<u8>) {
+    let shared = make_shared();
+    for handle in spawn_both(&shared).await {
+        // Ends only when the listener closes the connection.
+        let answer = exchange(handle.address(), &bytes).await;
+        let (status, _) = split_answer(&answer);
+        assert!(
+            answer.is_empty() || (400..500).contains(&status),
+            "{answer}"
+        );
+        let (status, _) = request(handle.address(), "GET /nowhere", "").await;
+        assert_eq!(status, 404);
+    }
+    assert!(shared.backend.borrow().is_none());
+}
+
+// An operator can't reach a node any more, though it serves calls. Cause:
+// somebody opened all the connections that the listener takes, and sends a
+// header byte now and then but never the end of the headers.
+#[tokio::test]
+async fn endless_headers() {
+    let shared = make_shared();
+    for handle in spawn_both(&shared).await {
+        let mut slow = Vec::new();
+        for _ in 0..LIMITS.connections {
+            let mut stream = TcpStream::connect(handle.address()).await.unwrap();
+            stream.write_all(b"GET / HTTP/1.1\r\n").await.unwrap();
+            slow.push(tokio::spawn(drip(stream)));
+        }
+        let (status, _) = request(handle.address(), "GET /nowhere", "").await;
+        assert_eq!(status, 404);
+        for task in slow {
+            task.await.unwrap();
+        }
+    }
+    let text = shared.metrics.render(&node::metrics::Reading::default());
+    assert!(
+        text.contains("bluebellpick_bad_requests_total{listener=\"operators\"} 4"),
+        "{text}"
+    );
+}
+
+/// Sends a header byte every few milliseconds until the peer closes the connection.
+async fn drip(mut stream: TcpStream) {
+    let pause = Duration::from_millis(10);
+    while stream.write_all(b"x").await.is_ok() {
+        let mut answer = [0; 512];
+        let read = tokio::time::timeout(pause, stream.read(&mut answer)).await;
+        if matches!(read, Ok(Ok(0) | Err(_))) {
+            return;
+        }
+    }
+}
+
+#[parameterized(
+    half_way = { "content-length: 100", r#"{"service":"#, 408, "did not end in time" },
+    oversized = { "content-length: 2000", "", 413, "over 1024 bytes" },
+    oversized_chunks = { "transfer-encoding: chunked", "7d0\r\n", 413, "over 1024 bytes" },
+)]
+#[test_macro(tokio::test)]
+async fn bad_body(header: &str, body: &str, expected: u16, message: &str) {
+    let shared = make_shared();
+    let handle = announce::spawn_within(bind().await, Arc::clone(&shared), LIMITS).unwrap();
+    let filler = if expected == 413 {
+        "x".repeat(2_000)
+    } else {
+        String::new()
+    };
+    let text = format!("PUT /v1/announce HTTP/1.1\r\nhost: node\r\n{header}\r\n\r\n{body}{filler}");
+    let answer = exchange(handle.address(), text.as_bytes()).await;
+    let (status, text) = split_answer(&answer);
+    assert_eq!(status, expected, "{answer}");
+    assert!(text.contains(message), "{text}");
+    assert!(shared.backend.borrow().is_none());
+}
+
+#[tokio::test]
+async fn cut_body() {
+    let shared = make_shared();
+    let handle = announce::spawn_within(bind().await, Arc::clone(&shared), LIMITS).unwrap();
+    let mut stream = TcpStream::connect(handle.address()).await.unwrap();
+    let head = b"PUT /v1/announce HTTP/1.1\r\nhost: node\r\ncontent-length: 100\r\n\r\n{";
+    stream.write_all(head).await.unwrap();
+    stream.shutdown().await.unwrap();
+    let mut answer = String::new();
+    let _closed = stream.read_to_string(&mut answer).await;
+    assert!(
+        answer.is_empty() || split_answer(&answer).0 == 400,
+        "{answer}"
+    );
+    assert!(shared.backend.borrow().is_none());
+}
--- /dev/null
+++ b/crates/node/tests/listener.rs
@@ -0,0 +1,46 @@
+//! The life of a small HTTP listener.
+
+use http::StatusCode;
+use node::listener::{self, Limits, answer_with};
+use prometheus_client::metrics::counter::Counter;
+use std::sync::Arc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+
+// A planned stop of a node comes while a request's body is still on its way;
+// the sender gets its answer, and whoever comes later is not let in.
+#[tokio::test]
+async fn graceful_stop() {
+    let limits = Limits::default();
+    let entered = Arc::new(Notify::new());
+    let signal = Arc::clone(&entered);
+    let answer = move |request: http::Request<hyper::body::Incoming>| {
+        signal.notify_one();
+        async move {
+            match listener::read_body(request.into_body(), limits).await {
+                Ok(body) => answer_with(StatusCode::OK, "text/plain", body),
+                Err(refusal) => refusal,
+            }
+        }
+    };
+    let tcp = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let handle = listener::spawn(tcp, limits, Counter::default(), answer).unwrap();
+    let address = handle.address();
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let head = b"PUT / HTTP/1.1\r\nhost: node\r\ncontent-length: 4\r\n\r\nab";
+    stream.write_all(head).await.unwrap();
+    entered.notified().await;
+    let stopping = tokio::spawn(handle.stop());
+    while TcpStream::connect(address).await.is_ok() {
+        tokio::task::yield_now().await;
+    }
+    stream.write_all(b"cd").await.unwrap();
+    let mut text = String::new();
+    stream.read_to_string(&mut text).await.unwrap();
+    assert!(
+        text.starts_with("HTTP/1.1 200 ") && text.ends_with("abcd"),
+        "{text}"
+    );
+    stopping.await.unwrap();
+}
--- a/crates/node/tests/operate.rs
+++ b/crates/node/tests/operate.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use call::Verdict;
-use config::{Endpoint, Mesh, Objective, Patch, State, Version, View};
+use config::{Endpoint, Mesh, Patch, State, Version, View};
 use node::metrics::{Ending, MAX_SERVICES, Metrics, Reading};
 use node::operate::{self, Status};
 use std::sync::Arc;
