--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -1,9 +1,10 @@
 //! An INI text as entries that know their lines, with the faults found so far.
 
-use crate::error::Fault;
+use crate::error::{Error, Fault};
 use crate::table::Key;
 use crate::value::{Rejection, Value};
 use ini::{Ini, ParseOption};
+use std::path::Path;
 
 /// A `key = value` line.
 #[derive(Debug)]
@@ -140,11 +141,17 @@
         self.faults.push(Fault { line, message });
     }
 
-    /// Gives the faults, by line.
-    #[must_use]
-    pub fn into_faults(mut self) -> Vec<Fault> {
+    /// Gives the settings when nothing is wrong with them; `file` names the text in errors.
+    ///
+    /// # Errors
+    ///
+    /// Lists all faults, by line.
+    pub fn finish<T>(mut self, settings: Option<T>, file: &str) -> Result<T, Error> {
         self.faults.sort_by_key(|fault| fault.line);
-        self.faults
+        match settings {
+            Some(settings) if self.faults.is_empty() => Ok(settings),
+            _ => Err(Error::Faulty(file.to_owned(), self.faults)),
+        }
     }
 
     fn find(&self, section: &str, key: &str) -> Option<&Entry> {
@@ -174,3 +181,12 @@
     }
     unique.join(", ")
 }
+
+/// Reads a file's text, and its name for errors.
+pub(crate) fn read_file(path: &Path) -> Result<(String, String), Error> {
+    let file = path.display().to_string();
+    match std::fs::read_to_string(path) {
+        Ok(text) => Ok((text, file)),
+        Err(source) => Err(Error::Unreadable(file, source)),
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -10,6 +10,7 @@
 //! ```
 
 pub mod node;
+pub mod operator;
 
 mod document;
 mod error;
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -2,7 +2,7 @@
 
 pub use crate::value::Token;
 
-use crate::document::Document;
+use crate::document::{Document, read_file};
 use crate::error::Error;
 use smol_str::SmolStr;
 use std::net::SocketAddr;
@@ -47,11 +47,8 @@
     where
         P: AsRef<Path>,
     {
-        let file = path.as_ref().display().to_string();
-        match std::fs::read_to_string(path) {
-            Ok(text) => Self::parse(&text, &file),
-            Err(source) => Err(Error::Unreadable(file, source)),
-        }
+        let (text, file) = read_file(path.as_ref())?;
+        Self::parse(&text, &file)
     }
 
     /// Reads settings from `text`; `file` names it in errors.
@@ -65,11 +62,7 @@
         if let Some(settings) = &settings {
             settings.check_listeners(&mut document);
         }
-        let faults = document.into_faults();
-        match settings {
-            Some(settings) if faults.is_empty() => Ok(settings),
-            _ => Err(Error::Faulty(file.to_owned(), faults)),
-        }
+        document.finish(settings, file)
     }
 
     /// Gives the four listeners by the names of their keys.
--- a/crates/settings/src/value.rs
+++ b/crates/settings/src/value.rs
@@ -3,6 +3,7 @@
 use smol_str::SmolStr;
 use std::fmt;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 
 /// Longest name of a node, availability zone or region: that of a DNS label.
@@ -87,6 +88,32 @@
     }
 }
 
+impl<T> Value for Option<T>
+where
+    T: Value,
+{
+    const FORM: &str = T::FORM;
+
+    fn read(text: &str) -> Result<Self, Rejection> {
+        if text.is_empty() {
+            return Ok(None);
+        }
+        T::read(text).map(Some)
+    }
+}
+
+impl Value for PathBuf {
+    const FORM: &str = "the path of a file, such as /run/secrets/token";
+
+    fn read(text: &str) -> Result<Self, Rejection> {
+        if text.is_empty() {
+            Err(Rejection::Form)
+        } else {
+            Ok(text.into())
+        }
+    }
+}
+
 impl Value for Duration {
     const FORM: &str = "a whole number above zero with a unit (ms, s, min or h), such as 30 s";
 
