--- /dev/null
+++ b/crates/wire/tests/codec.rs
@@ -0,0 +1,235 @@
+//! The codec: what is written is read back, and no bytes make it panic or hoard memory.
+
+use bytes::Bytes;
+use call::{Id, Verdict};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use tokio::io::AsyncReadExt;
+use wire::call::{Frame as CallFrame, Header, Reason, Refusal, Request};
+use wire::codec::{MAX_FRAME, PREFIX, decode, encode, read};
+use wire::{Error, Frame, Hello, Link, PROTOCOL};
+
+/// Inputs a property is tried on.
+const CASES: u32 = 500;
+
+fn run<S, F>(strategy: &S, test: F)
+where
+    S: Strategy,
+    F: Fn(S::Value) -> Result<(), TestCaseError>,
+{
+    let config = Config {
+        cases: CASES,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    TestRunner::new_with_rng(config, rng)
+        .run(strategy, test)
+        .unwrap();
+}
+
+fn draw_id() -> impl Strategy<Value = Id> {
+    any::<(u64, u64)>().prop_map(|(origin, sequence)| Id { origin, sequence })
+}
+
+fn draw_bytes(longest: usize) -> impl Strategy<Value = Bytes> {
+    proptest::collection::vec(any::<u8>(), 0..longest).prop_map(Bytes::from)
+}
+
+fn draw_request() -> impl Strategy<Value = Request> {
+    let header = ("[a-z-]{1,20}", draw_bytes(40)).prop_map(|(name, value)| Header {
+        name: name.into(),
+        value,
+    });
+    let headers = proptest::collection::vec(header, 0..20);
+    let texts = ("[a-z-]{1,20}", "[A-Z]{1,7}", "/[ -~]{0,60}", "\\PC{0,20}");
+    (draw_id(), texts, headers, any::<(u32, bool)>()).prop_map(
+        |(id, (service, method, path, caller), headers, (timeout_ms, end))| Request {
+            id,
+            service: service.into(),
+            method: method.into(),
+            path: path.into(),
+            headers,
+            timeout_ms,
+            class: config::Class::Commit,
+            caller: caller.into(),
+            end,
+        },
+    )
+}
+
+fn draw_frame() -> impl Strategy<Value = Frame> {
+    let body = (draw_id(), draw_bytes(400), any::<bool>())
+        .prop_map(|(id, bytes, end)| CallFrame::Body { id, bytes, end });
+    let refusal = (draw_id(), any::<u32>()).prop_map(|(id, retry_after_ms)| {
+        CallFrame::Refusal(Refusal {
+            id,
+            verdict: Verdict::NotRun,
+            reason: Reason::Full,
+            retry_after_ms,
+        })
+    });
+    let credit = (draw_id(), any::<u32>()).prop_map(|(id, bytes)| CallFrame::Credit { id, bytes });
+    prop_oneof![
+        draw_request().prop_map(CallFrame::Request),
+        body,
+        refusal,
+        credit,
+        draw_id().prop_map(CallFrame::Cancel),
+    ]
+    .prop_map(Frame::Call)
+}
+
+fn encode_all(frames: &[Frame]) -> Vec<u8> {
+    let mut buffer = Vec::new();
+    for frame in frames {
+        encode(frame, &mut buffer).unwrap();
+    }
+    buffer
+}
+
+#[test]
+fn round_trip() {
+    run(&proptest::collection::vec(draw_frame(), 0..5), |frames| {
+        let buffer = encode_all(&frames);
+        let mut rest = &*buffer;
+        for frame in &frames {
+            let (found, used) = decode::<Frame>(rest).unwrap().unwrap();
+            prop_assert_eq!(&found, frame);
+            rest = &rest[used..];
+        }
+        prop_assert!(rest.is_empty());
+        Ok(())
+    });
+}
+
+#[test]
+fn cut_short() {
+    run(
+        &(draw_frame(), any::<prop::sample::Index>()),
+        |(frame, cut)| {
+            let buffer = encode_all(&[frame]);
+            let part = &buffer[..cut.index(buffer.len())];
+            prop_assert!(decode::<Frame>(part).unwrap().is_none());
+            Ok(())
+        },
+    );
+}
+
+#[test]
+fn any_bytes() {
+    run(
+        &proptest::collection::vec(any::<u8>(), 0..600),
+        |mut bytes| {
+            // As they come, and as the body of a frame whose length is right.
+            if let Ok(Some((_, used))) = decode::<Frame>(&bytes) {
+                prop_assert!(used <= bytes.len());
+            }
+            let length = u32::try_from(bytes.len()).unwrap().to_le_bytes();
+            bytes.splice(0..0, length);
+            if let Ok(Some((_, used))) = decode::<Frame>(&bytes) {
+                prop_assert_eq!(used, bytes.len());
+            }
+            Ok(())
+        },
+    );
+}
+
+#[test]
+fn flipped_bit() {
+    let strategy = (draw_frame(), any::<prop::sample::Index>(), 0_u32..8);
+    run(&strategy, |(frame, index, bit)| {
+        let mut buffer = encode_all(&[frame]);
+        let index = PREFIX + index.index(buffer.len() - PREFIX);
+        buffer[index] ^= 1 << bit;
+        // An error or another frame; never a panic.
+        if let Ok(Some((_, used))) = decode::<Frame>(&buffer) {
+            prop_assert_eq!(used, buffer.len());
+        }
+        Ok(())
+    });
+}
+
+// A node's memory grows until it is killed, and with it go its callers' calls.
+// Cause: a peer, mad or of another protocol, announces a frame of 4 GB, and
+// room for it is set aside before a byte of it has come.
+#[tokio::test]
+async fn announced_too_long() {
+    let mut bytes = u32::MAX.to_le_bytes().to_vec();
+    bytes.extend([0; 100]);
+    assert!(matches!(decode::<Frame>(&bytes), Err(Error::TooLong(_))));
+    let mut scratch = Vec::new();
+    let result = read::<_, Frame>(&mut &*bytes, &mut scratch).await;
+    assert!(matches!(result, Err(Error::TooLong(_))));
+    assert_eq!(scratch.capacity(), 0);
+}
+
+#[tokio::test]
+async fn stopped_half_way() {
+    let length = u32::try_from(MAX_FRAME).unwrap().to_le_bytes();
+    let mut reader = length.as_slice().chain(&[0; 64][..]);
+    let mut scratch = Vec::new();
+    let result = read::<_, Frame>(&mut reader, &mut scratch).await;
+    assert!(matches!(result, Err(Error::Io(_))));
+    assert!(scratch.capacity() < 4_096, "{}", scratch.capacity());
+}
+
+// As above, but the frame is short and a list in it claims four thousand
+// million headers.
+#[test]
+fn long_list_claimed() {
+    let mut bytes = vec![0, 0, 1, 1, 1, b'a', 1, b'b', 1, b'c'];
+    bytes.extend([0xff, 0xff, 0xff, 0xff, 0x0f]);
+    let length = u32::try_from(bytes.len()).unwrap().to_le_bytes();
+    bytes.splice(0..0, length);
+    assert!(matches!(decode::<Frame>(&bytes), Err(Error::Malformed(_))));
+}
+
+#[test]
+fn oversized_frame() {
+    let frame = Frame::Call(CallFrame::Body {
+        id: Id {
+            origin: 1,
+            sequence: 2,
+        },
+        bytes: vec![0; MAX_FRAME].into(),
+        end: true,
+    });
+    let mut buffer = b"before".to_vec();
+    assert!(matches!(
+        encode(&frame, &mut buffer),
+        Err(Error::TooLong(_))
+    ));
+    assert_eq!(buffer, b"before");
+}
+
+#[test]
+fn future_frame() {
+    for body in [&[0, 120][..], &[1, 120], &[9, 0]] {
+        let length = u32::try_from(body.len()).unwrap().to_le_bytes();
+        let bytes = [&length, body].concat();
+        assert!(matches!(decode::<Frame>(&bytes), Err(Error::Malformed(_))));
+    }
+}
+
+#[test]
+fn future_hello() {
+    let hello = Hello {
+        protocol: PROTOCOL + 1,
+        node: "records-1".into(),
+        incarnation: 7,
+        zone: "kl-a".into(),
+        link: Link::Call,
+    };
+    let mut buffer = Vec::new();
+    encode(&hello, &mut buffer).unwrap();
+    // Whatever a later version adds comes after what this one knows, so that
+    // the number can still be read and told.
+    buffer.extend([1, 2, 3]);
+    let length = u32::try_from(buffer.len() - PREFIX).unwrap();
+    buffer[..PREFIX].copy_from_slice(&length.to_le_bytes());
+    let (found, _) = decode::<Hello>(&buffer).unwrap().unwrap();
+    assert_eq!(found.protocol, PROTOCOL + 1);
+    let error = Error::Protocol(found.protocol).to_string();
+    assert_eq!(error, "peer speaks protocol 2, this node speaks 1");
+}
