--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -4,7 +4,9 @@
 //! [`Verdict::NotRun`], which is said only when it is known.
 
 mod id;
+mod table;
 mod verdict;
 
 pub use id::Id;
+pub use table::{Arrival, MAX_OUTCOMES, OUTCOME_RETENTION, Outcome, PEER_RETENTION, Table};
 pub use verdict::Verdict;
--- /dev/null
+++ b/crates/node/src/backend.rs
@@ -0,0 +1,244 @@
+//! Connections to the node's own backend server, on loopback.
+//!
+//! Each is driven by the task of the call that uses it, so that a call waits
+//! for no other task, and dropping a call closes its connection: that is how
+//! the backend server learns that nobody waits any more.
+
+use crate::upload::Upload;
+use bytes::Bytes;
+use clock::Clock;
+use http::{Request, Response};
+use http_body::Body as _;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use quick_error::quick_error;
+use std::future::poll_fn;
+use std::net::SocketAddr;
+use std::pin::{Pin, pin};
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+
+/// How long a connection may lie idle before it is closed.
+///
+/// Servers close idle connections too (Node.js after 5 s, the shortest of the
+/// common ones), and a request that crosses such a close may have run.
+const IDLE_LIMIT: Duration = Duration::from_secs(4);
+
+/// Idle connections that are kept: over twice a backend server's usual 6 slots, and far below its 110 connections.
+const MAX_IDLE: usize = 16;
+
+/// Longest wait for a connection on loopback, which takes about 1 ms.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+quick_error! {
+    /// Why a backend server gave no answer.
+    #[derive(Debug)]
+    pub enum Error {
+        /// No connection, so the request was not sent.
+        Connect {
+            display("the backend server can't be reached")
+        }
+        /// The connection broke after some of the request may have been sent.
+        Broken {
+            display("the backend server broke off")
+        }
+    }
+}
+
+/// Connections to one backend server.
+#[derive(Debug)]
+pub(crate) struct Pool<C> {
+    clock: C,
+    #[expect(
+        clippy::vec_box,
+        reason = "moved between pool and calls, most of a kilobyte each"
+    )]
+    idle: Mutex<Vec<Box<Connection>>>,
+}
+
+#[derive(Debug)]
+struct Connection {
+    address: SocketAddr,
+    sender: http1::SendRequest<Upload>,
+    driver: http1::Connection<TokioIo<TcpStream>, Upload>,
+    idle_since: Instant,
+}
+
+/// The body of a backend server's answer.
+#[derive(Debug)]
+pub(crate) struct Reply<C>
+where
+    C: Clock,
+{
+    incoming: Incoming,
+    connection: Option<Box<Connection>>,
+    pool: Arc<Pool<C>>,
+}
+
+impl<C> Pool<C>
+where
+    C: Clock,
+{
+    pub(crate) fn new(clock: C) -> Arc<Self> {
+        Arc::new(Self {
+            clock,
+            idle: Mutex::default(),
+        })
+    }
+
+    /// Takes the connection that was used last, so that the others may age.
+    fn take_idle(&self, address: SocketAddr) -> Option<Box<Connection>> {
+        let now = self.clock.now();
+        let mut idle = self.idle.lock();
+        idle.retain(|one| {
+            one.address == address && now.saturating_duration_since(one.idle_since) < IDLE_LIMIT
+        });
+        idle.pop()
+    }
+
+    fn put_idle(&self, mut connection: Box<Connection>) {
+        connection.idle_since = self.clock.now();
+        let mut idle = self.idle.lock();
+        if idle.len() < MAX_IDLE {
+            idle.push(connection);
+        }
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    pub(crate) async fn exchange(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        mut request: Request<Upload>,
+    ) -> Result<Response<Reply<C>>, Error> {
+        loop {
+            let kept = self.take_idle(address);
+            let fresh = kept.is_none();
+            let mut connection = match kept {
+                Some(connection) => connection,
+                None => self.connect(address).await?,
+            };
+            if connection.has_ended().await {
+                continue;
+            }
+            match connection.exchange(request).await {
+                Ok(response) => return Ok(self.wrap(response, connection)),
+                // The connection closed before any of the request was sent.
+                Err(Some(unsent)) if !fresh => request = unsent,
+                Err(Some(_)) => return Err(Error::Connect),
+                Err(None) => return Err(Error::Broken),
+            }
+        }
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<Box<Connection>, Error> {
+        let connecting = async {
+            let stream = TcpStream::connect(address).await.ok()?;
+            stream.set_nodelay(true).ok()?;
+            http1::handshake(TokioIo::new(stream)).await.ok()
+        };
+        let made = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
+        let (sender, driver) = made.ok().flatten().ok_or(Error::Connect)?;
+        Ok(Box::new(Connection {
+            address,
+            sender,
+            driver,
+            idle_since: self.clock.now(),
+        }))
+    }
+
+    fn wrap(
+        self: &Arc<Self>,
+        response: Response<Incoming>,
+        connection: Box<Connection>,
+    ) -> Response<Reply<C>> {
+        response.map(|incoming| Reply {
+            incoming,
+            connection: Some(connection),
+            pool: Arc::clone(self),
+        })
+    }
+}
+
+impl Connection {
+    /// Looks once at the connection, and tells whether it has ended.
+    async fn has_ended(&mut self) -> bool {
+        poll_fn(|cx| Poll::Ready(Pin::new(&mut self.driver).poll(cx).is_ready())).await
+    }
+
+    /// Sends a request; the error gives it back when none of it was sent.
+    async fn exchange(
+        &mut self,
+        request: Request<Upload>,
+    ) -> Result<Response<Incoming>, Option<Request<Upload>>> {
+        let mut answer = pin!(self.sender.try_send_request(request));
+        let driver = &mut self.driver;
+        let mut driving = true;
+        poll_fn(|cx| {
+            if driving {
+                driving = Pin::new(&mut *driver).poll(cx).is_pending();
+            }
+            answer.as_mut().poll(cx)
+        })
+        .await
+        .map_err(|mut error| error.take_message())
+    }
+
+    /// Drives the connection past the end of an answer, and tells whether it takes another request.
+    fn is_reusable(&mut self, cx: &mut Context<'_>) -> bool {
+        Pin::new(&mut self.driver).poll(cx).is_pending() && self.sender.is_ready()
+    }
+}
+
+impl<C> Reply<C>
+where
+    C: Clock,
+{
+    /// Waits for the next part of the body; `None` ends it.
+    pub(crate) fn poll_part(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Error>>> {
+        loop {
+            let mut next = Pin::new(&mut self.incoming).poll_frame(cx);
+            if next.is_pending()
+                && let Some(connection) = &mut self.connection
+            {
+                if Pin::new(&mut connection.driver).poll(cx).is_ready() {
+                    self.connection = None;
+                }
+                next = Pin::new(&mut self.incoming).poll_frame(cx);
+            }
+            match next {
+                Poll::Pending if self.connection.is_none() => {
+                    return Poll::Ready(Some(Err(Error::Broken)));
+                }
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(None) => {
+                    self.release(cx);
+                    return Poll::Ready(None);
+                }
+                Poll::Ready(Some(Err(_))) => return Poll::Ready(Some(Err(Error::Broken))),
+                Poll::Ready(Some(Ok(frame))) => {
+                    if let Ok(bytes) = frame.into_data() {
+                        return Poll::Ready(Some(Ok(bytes)));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Tells whether no part follows.
+    pub(crate) fn is_end(&self) -> bool {
+        self.incoming.is_end_stream()
+    }
+
+    /// Gives the connection back for another call.
+    pub(crate) fn release(&mut self, cx: &mut Context<'_>) {
+        if let Some(mut connection) = self.connection.take()
+            && connection.is_reusable(cx)
+        {
+            self.pool.put_idle(connection);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/inbound_run.rs
@@ -0,0 +1,234 @@
+//! How one call is run on the node's own backend server.
+
+use crate::backend::{Error, Reply};
+use crate::header::{put_headers, take_end_to_end};
+use crate::inbound::{Active, Inner};
+use crate::inbound_call::{Call, PART};
+use crate::upload::{Rest, Upload};
+use bytes::Bytes;
+use call::Verdict;
+use clock::Clock;
+use http::{HeaderName, HeaderValue, Method, Response, Uri};
+use std::future::poll_fn;
+use std::sync::Arc;
+use std::task::Poll;
+use std::time::{Duration, Instant};
+use tokio::sync::OwnedSemaphorePermit;
+use wire::call::{Answer, Reason, Request};
+
+/// Header with the time that a call has left, in milliseconds; from callers, and to backend servers.
+pub const TIMEOUT_HEADER: HeaderName = HeaderName::from_static("bluebellpick-timeout-ms");
+
+/// What a caller that was refused for want of a slot is told to wait, in milliseconds.
+const RETRY_AFTER_MS: u32 = 200;
+
+/// Why a call got no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Refused {
+    pub(crate) verdict: Verdict,
+    pub(crate) reason: Reason,
+    pub(crate) retry_after_ms: u32,
+}
+
+/// A backend server's answer, with what it holds until its body ends.
+#[derive(Debug)]
+pub(crate) struct Running<C>
+where
+    C: Clock,
+{
+    pub(crate) reply: Reply<C>,
+    _permit: OwnedSemaphorePermit,
+    _active: Active<C>,
+}
+
+impl Refused {
+    fn not_run(reason: Reason, retry_after_ms: u32) -> Self {
+        Self {
+            verdict: Verdict::NotRun,
+            reason,
+            retry_after_ms,
+        }
+    }
+
+    fn may_have_run(reason: Reason) -> Self {
+        Self {
+            verdict: Verdict::MayHaveRun,
+            reason,
+            retry_after_ms: 0,
+        }
+    }
+}
+
+/// Runs a call that came over a link.
+pub(crate) fn spawn<C>(inner: Arc<Inner<C>>, call: Arc<Call>, request: Request)
+where
+    C: Clock,
+{
+    tokio::spawn(async move {
+        let id = call.id;
+        let deadline = deadline_of(&inner, request.timeout_ms);
+        tokio::select! {
+            biased;
+            () = call.cancelled() => end_early(&inner, &call, Reason::Cancelled),
+            () = sleep_until(&inner, deadline) => end_early(&inner, &call, Reason::Deadline),
+            () = serve(&inner, &call, request, deadline) => {}
+        }
+        inner.finish(id);
+    });
+}
+
+/// Refuses a call that nobody waits for any more; dropping its exchange has told the backend server.
+fn end_early<C>(inner: &Inner<C>, call: &Call, reason: Reason)
+where
+    C: Clock,
+{
+    let verdict = if inner
+        .table(call.id.origin)
+        .lock()
+        .withdraw(call.id, inner.shared.clock.now())
+    {
+        Verdict::NotRun
+    } else {
+        Verdict::MayHaveRun
+    };
+    call.refuse(verdict, reason, 0);
+}
+
+async fn serve<C>(inner: &Arc<Inner<C>>, call: &Arc<Call>, request: Request, deadline: Instant)
+where
+    C: Clock,
+{
+    let upload = match call.take_whole() {
+        Some(upload) => upload,
+        None => Upload {
+            ready: None,
+            rest: Rest::Link(Arc::clone(call)),
+        },
+    };
+    let start = || inner.table(call.id.origin).lock().start(call.id);
+    match run(inner, request, upload, deadline, start).await {
+        Ok(response) => send_answer(call, response).await,
+        Err(refused) => call.refuse(refused.verdict, refused.reason, refused.retry_after_ms),
+    }
+}
+
+/// Waits for a slot and gives a request to the backend server.
+///
+/// `start` is asked right before: it is false for a call that was withdrawn
+/// while it waited.
+pub(crate) async fn run<C, S>(
+    inner: &Arc<Inner<C>>,
+    request: Request,
+    upload: Upload,
+    deadline: Instant,
+    start: S,
+) -> Result<Response<Running<C>>, Refused>
+where
+    C: Clock,
+    S: FnOnce() -> bool,
+{
+    let find = || {
+        inner
+            .find_backend(&request.service)
+            .map_err(|reason| Refused::not_run(reason, 0))
+    };
+    let active = inner.count_in();
+    let slots = inner.slots(find()?.slots);
+    let permit = slots.acquire_owned().await;
+    let permit = permit.map_err(|_closed| Refused::not_run(Reason::Full, RETRY_AFTER_MS))?;
+    // Looked at again: a server that began to leave meanwhile gets no new work.
+    let backend = find()?;
+    let request = make_request(request, upload, left(inner, deadline))
+        .ok_or(Refused::not_run(Reason::Backend, 0))?;
+    if !start() {
+        return Err(Refused::not_run(Reason::Cancelled, 0));
+    }
+    match inner.pool.exchange(backend.address, request).await {
+        Ok(response) => Ok(response.map(|reply| Running {
+            reply,
+            _permit: permit,
+            _active: active,
+        })),
+        Err(Error::Connect) => Err(Refused::not_run(Reason::Backend, 0)),
+        Err(Error::Broken) => Err(Refused::may_have_run(Reason::Backend)),
+    }
+}
+
+fn make_request(request: Request, upload: Upload, left: Duration) -> Option<http::Request<Upload>> {
+    let mut made = http::Request::new(upload);
+    *made.method_mut() = Method::from_bytes(request.method.as_bytes()).ok()?;
+    *made.uri_mut() = Uri::try_from(request.path.as_str()).ok()?;
+    put_headers(request.headers, made.headers_mut());
+    let left = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+    made.headers_mut()
+        .insert(TIMEOUT_HEADER, HeaderValue::from(left));
+    Some(made)
+}
+
+async fn send_answer<C>(call: &Call, response: Response<Running<C>>)
+where
+    C: Clock,
+{
+    let (parts, mut running) = response.into_parts();
+    let reply = &mut running.reply;
+    // What is there already of the body goes with the head, in one write.
+    let mut next = take_ready(reply).await;
+    let mut first = None;
+    if let Poll::Ready(Some(Ok(bytes))) = &next
+        && bytes.len() <= PART
+    {
+        first = Some(bytes.clone());
+        next = take_ready(reply).await;
+    }
+    let end = matches!(next, Poll::Ready(None));
+    let head = Answer {
+        id: call.id,
+        status: parts.status.as_u16(),
+        headers: take_end_to_end(&parts.headers),
+        end: end && first.is_none(),
+    };
+    call.send_head(head, first, end);
+    if end {
+        return;
+    }
+    loop {
+        let part = match std::mem::replace(&mut next, Poll::Pending) {
+            Poll::Ready(part) => part,
+            Poll::Pending => poll_fn(|cx| reply.poll_part(cx)).await,
+        };
+        match part {
+            Some(Ok(bytes)) => call.send_part(bytes).await,
+            Some(Err(_)) => return call.refuse(Verdict::Ran, Reason::Backend, 0),
+            None => return call.send_end(),
+        }
+    }
+}
+
+/// Gives the next part of a body if it is there now.
+async fn take_ready<C>(reply: &mut Reply<C>) -> Poll<Option<Result<Bytes, Error>>>
+where
+    C: Clock,
+{
+    poll_fn(|cx| Poll::Ready(reply.poll_part(cx))).await
+}
+
+pub(crate) fn deadline_of<C>(inner: &Inner<C>, timeout_ms: u32) -> Instant
+where
+    C: Clock,
+{
+    inner.shared.clock.now() + Duration::from_millis(timeout_ms.into())
+}
+
+fn left<C>(inner: &Inner<C>, deadline: Instant) -> Duration
+where
+    C: Clock,
+{
+    deadline.saturating_duration_since(inner.shared.clock.now())
+}
+
+pub(crate) async fn sleep_until<C>(inner: &Inner<C>, deadline: Instant)
+where
+    C: Clock,
+{
+    tokio::time::sleep(left(inner, deadline)).await;
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,20 @@
 //! the same VM, for other nodes and for operators. All of them share one
 //! [`shared::Shared`].
 
+mod backend;
+mod header;
+mod inbound_call;
+mod inbound_run;
+mod outbound_answer;
+mod outbound_call;
+mod outbound_link;
+mod outbound_sent;
+mod outbound_try;
+mod upload;
+
 pub mod announce;
+pub mod inbound;
+pub mod link;
 pub mod listener;
+pub mod outbound;
 pub mod shared;
--- /dev/null
+++ b/crates/node/src/link.rs
@@ -0,0 +1,377 @@
+//! A link to another node: frames of many calls over one TCP connection.
+//!
+//! Frames are encoded into one buffer and written at once by whoever sends
+//! them, so that a call waits for no other task; what the socket does not take
+//! is coalesced and written by the link's writer task.
+
+use bytes::{Buf, BytesMut};
+use parking_lot::Mutex;
+use quick_error::quick_error;
+use std::io;
+use std::ops::ControlFlow;
+use std::sync::Arc;
+use std::task::Waker;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::Notify;
+use tokio::time::MissedTickBehavior;
+use wire::call::Frame;
+use wire::codec;
+
+/// Bytes that may wait for the socket before new requests are refused.
+///
+/// Bodies are bounded by their calls' windows; this bounds heads. At 1 MB the
+/// wait behind it is 10 ms at 1 Gbit/s, longer than any queue that pays.
+const MAX_QUEUED: usize = 1 << 20;
+
+/// Bytes that a reader takes from the socket at once.
+const READ_CHUNK: usize = 16 << 10;
+
+/// Time between two looks at a link's progress.
+///
+/// With [`SILENT_TICKS`] a silent link is found within a second; a ping and its
+/// answer cost some 60 bytes, and are sent only where nothing else came.
+const TICK: Duration = Duration::from_millis(250);
+
+/// Ticks in a row without a byte from the peer after which a link is dead.
+///
+/// They are counted rather than timed: a process that was stopped for long and
+/// goes on finds one tick gone by, not many, and reads first what has come.
+const SILENT_TICKS: u32 = 3;
+
+/// Ticks in a row without a byte after which a link that nothing is due on is closed: a minute.
+const IDLE_TICKS: u32 = 240;
+
+/// What a link's reader may expect of its peer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Watch {
+    /// Answers are due: the peer is pinged, and given up when it stays silent.
+    Due,
+    /// Nothing is due; the link is closed when nothing has come for long.
+    Idle,
+}
+
+quick_error! {
+    /// Why frames could not be sent.
+    #[derive(Debug)]
+    pub enum Error {
+        /// The link is closed.
+        Closed {
+            display("the link is closed")
+        }
+        /// Too much waits for the socket already.
+        Full {
+            display("too much waits for the link")
+        }
+        /// A frame can't be encoded.
+        Frame(source: wire::Error) {
+            from()
+            display("{}", source)
+            source(source)
+        }
+    }
+}
+
+/// Wakes the task that waits, if one does.
+pub(crate) fn wake(waker: &mut Option<Waker>) {
+    if let Some(waker) = waker.take() {
+        waker.wake();
+    }
+}
+
+/// The sending side of a link.
+#[derive(Debug)]
+pub struct Sender {
+    socket: OwnedWriteHalf,
+    outbox: Mutex<Outbox>,
+    blocked: Notify,
+    closed: Notify,
+}
+
+#[derive(Debug, Default)]
+struct Outbox {
+    buffer: Vec<u8>,
+    /// Bytes of `buffer` that the socket has taken.
+    taken: usize,
+    /// Bytes that the socket has taken since the link opened.
+    written: u64,
+    /// Whether the writer task waits for the socket.
+    blocked: bool,
+    closed: bool,
+}
+
+impl Outbox {
+    fn queued(&self) -> usize {
+        self.buffer.len() - self.taken
+    }
+
+    /// Writes what the socket takes now.
+    fn flush(&mut self, socket: &OwnedWriteHalf) -> io::Result<()> {
+        while self.taken < self.buffer.len() {
+            match socket.try_write(&self.buffer[self.taken..]) {
+                Ok(count) => {
+                    self.taken += count;
+                    self.written += count as u64;
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    self.blocked = true;
+                    return Ok(());
+                }
+                Err(error) => return Err(error),
+            }
+        }
+        self.buffer.clear();
+        self.buffer.shrink_to(READ_CHUNK);
+        self.taken = 0;
+        self.blocked = false;
+        Ok(())
+    }
+}
+
+impl Sender {
+    /// Sends frames in one write and gives the link's length up to their end.
+    ///
+    /// # Errors
+    ///
+    /// When the link is closed, or a frame can't be encoded; nothing is sent then.
+    pub fn send<I>(&self, frames: I) -> Result<u64, Error>
+    where
+        I: IntoIterator<Item = Frame>,
+    {
+        let mut outbox = self.outbox.lock();
+        self.push(&mut outbox, frames)
+    }
+
+    /// Sends the frames of a new request, which `make` builds once its place on the link is certain.
+    ///
+    /// # Errors
+    ///
+    /// As [`Sender::send`], and when too much waits for the socket already.
+    pub fn send_request<F, I>(&self, make: F) -> Result<u64, Error>
+    where
+        F: FnOnce() -> I,
+        I: IntoIterator<Item = Frame>,
+    {
+        let mut outbox = self.outbox.lock();
+        if outbox.queued() > MAX_QUEUED {
+            return Err(Error::Full);
+        }
+        if outbox.closed {
+            return Err(Error::Closed);
+        }
+        self.push(&mut outbox, make())
+    }
+
+    fn push<I>(&self, outbox: &mut Outbox, frames: I) -> Result<u64, Error>
+    where
+        I: IntoIterator<Item = Frame>,
+    {
+        if outbox.closed {
+            return Err(Error::Closed);
+        }
+        let start = outbox.buffer.len();
+        for frame in frames {
+            if let Err(error) = codec::encode(&wire::Frame::Call(frame), &mut outbox.buffer) {
+                outbox.buffer.truncate(start);
+                return Err(error.into());
+            }
+        }
+        let end = outbox.written + outbox.queued() as u64;
+        if !outbox.blocked {
+            match outbox.flush(&self.socket) {
+                Ok(()) if outbox.blocked => self.blocked.notify_one(),
+                Ok(()) => {}
+                Err(_) => self.close_locked(outbox),
+            }
+        }
+        Ok(end)
+    }
+
+    /// Closes the link: its reader ends and nothing more is sent.
+    pub fn close(&self) {
+        self.close_locked(&mut self.outbox.lock());
+    }
+
+    fn close_locked(&self, outbox: &mut Outbox) {
+        if !outbox.closed {
+            outbox.closed = true;
+            self.closed.notify_one();
+            self.blocked.notify_one();
+        }
+    }
+
+    /// Tells whether the link is closed.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.outbox.lock().closed
+    }
+
+    /// Waits until the socket has taken all that was sent, or the link is closed.
+    pub async fn flushed(&self) {
+        loop {
+            {
+                let outbox = self.outbox.lock();
+                if outbox.closed || outbox.queued() == 0 {
+                    return;
+                }
+            }
+            if self.socket.writable().await.is_err() {
+                return;
+            }
+            tokio::task::yield_now().await;
+        }
+    }
+
+    /// Gives the bytes that the socket has taken; none follow once the link is closed.
+    #[must_use]
+    pub fn written(&self) -> u64 {
+        self.outbox.lock().written
+    }
+}
+
+/// Writes what the socket did not take at once, until the link closes.
+async fn write_blocked(sender: Arc<Sender>) {
+    loop {
+        sender.blocked.notified().await;
+        while sender.outbox.lock().blocked {
+            tokio::select! {
+                _ = sender.socket.writable() => {}
+                () = sender.blocked.notified() => {}
+            }
+            let mut outbox = sender.outbox.lock();
+            if outbox.closed {
+                return;
+            }
+            if outbox.flush(&sender.socket).is_err() {
+                sender.close_locked(&mut outbox);
+            }
+        }
+        if sender.is_closed() {
+            return;
+        }
+    }
+}
+
+/// The receiving side of a link.
+#[derive(Debug)]
+pub struct Receiver {
+    socket: OwnedReadHalf,
+    sender: Arc<Sender>,
+}
+
+/// Takes over a connection whose hellos are done.
+///
+/// # Errors
+///
+/// When the socket's options can't be set.
+pub fn open(stream: TcpStream) -> io::Result<(Arc<Sender>, Receiver)> {
+    stream.set_nodelay(true)?;
+    let (read, write) = stream.into_split();
+    let sender = Arc::new(Sender {
+        socket: write,
+        outbox: Mutex::default(),
+        blocked: Notify::new(),
+        closed: Notify::new(),
+    });
+    tokio::spawn(write_blocked(Arc::clone(&sender)));
+    let receiver = Receiver {
+        socket: read,
+        sender: Arc::clone(&sender),
+    };
+    Ok((sender, receiver))
+}
+
+impl Receiver {
+    /// Hands each frame to `take` until the link closes, fails, falls silent or `take` breaks off.
+    pub async fn run<T, W>(mut self, mut take: T, watch: W)
+    where
+        T: FnMut(Frame) -> ControlFlow<()>,
+        W: Fn() -> Watch,
+    {
+        let mut buffer = BytesMut::with_capacity(READ_CHUNK);
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut silent = 0;
+        loop {
+            tokio::select! {
+                biased;
+                () = self.sender.closed.notified() => break,
+                ready = self.socket.readable() => {
+                    match self.read(&mut buffer, &mut take) {
+                        ControlFlow::Continue(true) => silent = 0,
+                        ControlFlow::Continue(false) if ready.is_ok() => {}
+                        _ => break,
+                    }
+                }
+                _ = ticks.tick() => {
+                    silent += 1;
+                    if self.check_progress(silent, watch()).is_break() {
+                        break;
+                    }
+                }
+            }
+        }
+        self.sender.close();
+    }
+
+    /// Gives the link up when it has been silent for too long.
+    ///
+    /// A connection that something on the way has lost track of takes writes
+    /// for minutes and never fails; only the missing answers show it.
+    fn check_progress(&self, silent: u32, watch: Watch) -> ControlFlow<()> {
+        match watch {
+            Watch::Due if silent > SILENT_TICKS => {
+                log::warn!(event = "link_silent"; "a link brought nothing for too long");
+                ControlFlow::Break(())
+            }
+            Watch::Due if silent > 1 && self.sender.send([Frame::Ping]).is_err() => {
+                ControlFlow::Break(())
+            }
+            Watch::Idle if silent > IDLE_TICKS => ControlFlow::Break(()),
+            Watch::Due | Watch::Idle => ControlFlow::Continue(()),
+        }
+    }
+
+    /// Reads what has come, hands on its whole frames and tells whether anything came.
+    fn read<T>(&mut self, buffer: &mut BytesMut, take: &mut T) -> ControlFlow<(), bool>
+    where
+        T: FnMut(Frame) -> ControlFlow<()>,
+    {
+        buffer.reserve(READ_CHUNK);
+        match self.socket.try_read_buf(buffer) {
+            Ok(0) => return ControlFlow::Break(()),
+            Ok(_) => {}
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                return ControlFlow::Continue(false);
+            }
+            Err(_) => return ControlFlow::Break(()),
+        }
+        loop {
+            match codec::decode(buffer) {
+                Ok(Some((wire::Frame::Call(frame), used))) => {
+                    buffer.advance(used);
+                    if self.take(frame, take).is_break() {
+                        return ControlFlow::Break(());
+                    }
+                }
+                Ok(None) => return ControlFlow::Continue(true),
+                Ok(Some((wire::Frame::Control(_), _))) | Err(_) => {
+                    log::warn!(event = "link_malformed"; "a link brought bytes that are no frame of a call");
+                    return ControlFlow::Break(());
+                }
+            }
+        }
+    }
+
+    fn take<T>(&self, frame: Frame, take: &mut T) -> ControlFlow<()>
+    where
+        T: FnMut(Frame) -> ControlFlow<()>,
+    {
+        match frame {
+            Frame::Ping if self.sender.send([Frame::Pong]).is_err() => ControlFlow::Break(()),
+            Frame::Ping | Frame::Pong => ControlFlow::Continue(()),
+            frame => take(frame),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/outbound.rs
@@ -0,0 +1,250 @@
+//! The outbound proxy: takes calls of callers over HTTP and sends them where they run.
+
+use crate::inbound;
+use crate::outbound_answer::Body;
+use crate::outbound_call;
+use crate::outbound_link::Links;
+use crate::shared::Shared;
+use clock::Clock;
+use config::{Endpoint, ServiceKey, View};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use rand::Rng;
+use std::convert::Infallible;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, watch};
+use wire::{Hello, Link, PROTOCOL};
+
+/// Connections of callers at once; more wait in the system's accept queue.
+///
+/// A connection costs some 20 kB at rest, so that they stay under 80 MB.
+const MAX_CONNECTIONS: usize = 4_096;
+
+/// Longest wait for a request's head, against callers that never end their headers.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Largest head of a request, in bytes, as with most servers.
+const MAX_HEAD: usize = 64 << 10;
+
+/// How long a leaving node goes on taking calls on the connections that it has.
+///
+/// A connection that is closed while idle may cross a request, and its caller
+/// then can't tell whether that ran. Callers in steady use send within this
+/// time, and are told in the answer that the connection ends.
+const LAME_DUCK: Duration = Duration::from_secs(1);
+
+/// Pause after a failed accept, so that running out of sockets does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// The outbound proxy.
+#[derive(Debug)]
+pub struct Handle<C>
+where
+    C: Clock,
+{
+    inner: Arc<Inner<C>>,
+    address: SocketAddr,
+}
+
+#[derive(Debug)]
+pub(crate) struct Inner<C>
+where
+    C: Clock,
+{
+    pub(crate) shared: Arc<Shared<C>>,
+    pub(crate) inbound: inbound::Handle<C>,
+    pub(crate) links: Arc<Links>,
+    connections: Arc<Semaphore>,
+    stage: watch::Sender<Stage>,
+}
+
+/// How far the proxy has come in leaving.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Stage {
+    Serving,
+    /// Answers end their connections.
+    LameDuck,
+    /// Nothing new is taken.
+    Closing,
+}
+
+/// Starts to serve callers on `listener`.
+///
+/// # Errors
+///
+/// When the listener has no address.
+pub fn spawn<C>(
+    listener: TcpListener,
+    shared: Arc<Shared<C>>,
+    inbound: inbound::Handle<C>,
+) -> std::io::Result<Handle<C>>
+where
+    C: Clock,
+{
+    let address = listener.local_addr()?;
+    let hello = Hello {
+        protocol: PROTOCOL,
+        node: shared.settings.name.clone(),
+        incarnation: shared.incarnation,
+        zone: shared.settings.zone.clone(),
+        link: Link::Call,
+    };
+    let inner = Arc::new(Inner {
+        shared,
+        inbound,
+        links: Links::spawn(hello),
+        connections: Arc::new(Semaphore::new(MAX_CONNECTIONS)),
+        stage: watch::Sender::new(Stage::Serving),
+    });
+    tokio::spawn(accept(listener, Arc::clone(&inner)));
+    Ok(Handle { inner, address })
+}
+
+impl<C> Handle<C>
+where
+    C: Clock,
+{
+    /// Gives the address that callers connect to.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Ends the connections of callers as their answers end, and gives how many are left at `timeout`.
+    pub async fn drain(&self, timeout: Duration) -> usize {
+        self.inner.stage.send_replace(Stage::LameDuck);
+        let all = u32::try_from(MAX_CONNECTIONS).unwrap_or(u32::MAX);
+        let ended = async {
+            tokio::time::sleep(LAME_DUCK.min(timeout / 2)).await;
+            self.inner.stage.send_replace(Stage::Closing);
+            drop(self.inner.connections.acquire_many(all).await);
+        };
+        match tokio::time::timeout(timeout, ended).await {
+            Ok(()) => 0,
+            Err(_) => MAX_CONNECTIONS - self.inner.connections.available_permits(),
+        }
+    }
+}
+
+async fn accept<C>(listener: TcpListener, inner: Arc<Inner<C>>)
+where
+    C: Clock,
+{
+    let mut stage = inner.stage.subscribe();
+    loop {
+        let Ok(permit) = Arc::clone(&inner.connections).acquire_owned().await else {
+            return;
+        };
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stage.wait_for(|stage| *stage == Stage::Closing) => return,
+        };
+        match accepted {
+            Ok((stream, peer)) => {
+                let inner = Arc::clone(&inner);
+                tokio::spawn(async move {
+                    serve_connection(stream, peer.ip(), inner).await;
+                    drop(permit);
+                });
+            }
+            Err(error) => {
+                log::warn!(event = "accept_failed", error:%; "no connection could be accepted");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection<C>(stream: TcpStream, peer: IpAddr, inner: Arc<Inner<C>>)
+where
+    C: Clock,
+{
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let mut stage = inner.stage.subscribe();
+    let service = service_fn(move |request| {
+        let inner = Arc::clone(&inner);
+        async move {
+            let mut response = outbound_call::serve(&inner, request, peer).await;
+            if *inner.stage.borrow() >= Stage::LameDuck {
+                end_connection(&mut response);
+            }
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(MAX_HEAD)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    tokio::select! {
+        // The error is the caller's own: it has gone, or sent no HTTP.
+        _ = connection.as_mut() => return,
+        _ = stage.wait_for(|stage| *stage == Stage::Closing) => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    drop(connection.await);
+}
+
+fn end_connection<C>(response: &mut http::Response<Body<C>>)
+where
+    C: Clock,
+{
+    let close = http::HeaderValue::from_static("close");
+    response
+        .headers_mut()
+        .insert(http::header::CONNECTION, close);
+}
+
+impl<C> Inner<C>
+where
+    C: Clock,
+{
+    /// Picks an endpoint that has not been tried: the own one, one of the own zone, then any.
+    pub(crate) fn pick_endpoint<'a>(
+        &self,
+        view: &'a View,
+        service: &str,
+        tried: &[SocketAddr],
+    ) -> Option<&'a Endpoint> {
+        let keys = &view.service(view.find_service(service)?).endpoints;
+        let fresh: Vec<_> = keys
+            .iter()
+            .map(|key| view.endpoint(*key))
+            .filter(|endpoint| !tried.contains(&endpoint.address))
+            .collect();
+        let settings = &self.shared.settings;
+        if let Some(own) = fresh.iter().find(|endpoint| endpoint.node == settings.name) {
+            return Some(own);
+        }
+        let near: Vec<_> = fresh
+            .iter()
+            .filter(|endpoint| endpoint.zone == settings.zone)
+            .copied()
+            .collect();
+        let from = if near.is_empty() { &fresh } else { &near };
+        (!from.is_empty()).then(|| from[rand::rng().random_range(0..from.len())])
+    }
+}
+
+/// Picks a route's service by its shares.
+pub(crate) fn pick_target(targets: &[(ServiceKey, u8)]) -> ServiceKey {
+    let mut draw = if targets.len() > 1 {
+        rand::rng().random_range(0..100)
+    } else {
+        0
+    };
+    for (service, percent) in targets {
+        if draw < *percent {
+            return *service;
+        }
+        draw -= percent;
+    }
+    targets[0].0
+}
--- /dev/null
+++ b/crates/node/src/outbound_link.rs
@@ -0,0 +1,380 @@
+//! Links from the outbound proxy to the nodes of other backend servers.
+
+use crate::link::{self, Receiver, Sender, Watch};
+use crate::outbound_try::Try;
+use call::{Id, Verdict};
+use parking_lot::{Mutex, RwLock};
+use smol_str::SmolStr;
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::ops::ControlFlow;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Weak};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use wire::call::{Frame, Reason, Request};
+use wire::{Hello, PROTOCOL, codec};
+
+/// Longest wait for a connection and the peer's hello.
+///
+/// Within a region a connection takes about 1 ms; a lost first packet is sent
+/// again after a second, which is as long as a caller should wait here.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// First pause before another try to reach a peer that owes outcomes; doubles.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+
+/// Longest pause between tries to reach a peer that owes outcomes.
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+
+/// Parts of a link's table of tries, each under its own lock.
+const SHARDS: usize = 8;
+
+/// Makes the links of one outbound proxy.
+#[derive(Debug)]
+pub(crate) struct Links {
+    hello: Hello,
+    sequence: AtomicU64,
+    number: AtomicU64,
+    peers: RwLock<HashMap<SocketAddr, Arc<Peer>>>,
+    ended: mpsc::UnboundedSender<Ended>,
+}
+
+/// A link that ended, with the tries whose outcome must be asked for.
+#[derive(Debug)]
+struct Ended {
+    peer: Arc<Peer>,
+    incarnation: u64,
+    open: Vec<Arc<Try>>,
+}
+
+/// A node that calls are sent to.
+#[derive(Debug)]
+pub(crate) struct Peer {
+    address: SocketAddr,
+    current: Mutex<Option<Arc<Link>>>,
+    /// Held while connecting, so that one connection is made for all who wait.
+    connecting: tokio::sync::Mutex<()>,
+}
+
+/// A link that is up.
+#[derive(Debug)]
+pub(crate) struct Link {
+    number: u64,
+    incarnation: u64,
+    pub(crate) node: SmolStr,
+    sender: Arc<Sender>,
+    tries: [Mutex<HashMap<u64, Arc<Try>>>; SHARDS],
+    leaving: AtomicBool,
+}
+
+impl Link {
+    fn shard(&self, id: Id) -> &Mutex<HashMap<u64, Arc<Try>>> {
+        #[expect(
+            clippy::cast_possible_truncation,
+            reason = "only the low bits choose the shard"
+        )]
+        &self.tries[id.sequence as usize % SHARDS]
+    }
+
+    fn is_idle(&self) -> bool {
+        self.tries.iter().all(|shard| shard.lock().is_empty())
+    }
+
+    /// Tells whether the peer has said that it refuses new work.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// Forgets a try.
+    pub(crate) fn forget(&self, id: Id) {
+        self.shard(id).lock().remove(&id.sequence);
+    }
+
+    fn take_all(&self) -> Vec<Arc<Try>> {
+        let shards = self.tries.iter();
+        shards
+            .flat_map(|shard| std::mem::take(&mut *shard.lock()).into_values())
+            .collect()
+    }
+
+    /// Hands a frame to its try; one that no try waits for is dropped.
+    ///
+    /// Tries are named by a number that is never used twice, so a late or
+    /// doubled frame finds nothing here and reaches no other caller.
+    fn take(&self, frame: Frame) -> ControlFlow<()> {
+        let id = match &frame {
+            Frame::Leaving => {
+                self.leaving.store(true, Ordering::Relaxed);
+                return ControlFlow::Continue(());
+            }
+            Frame::Answer(answer) => answer.id,
+            Frame::Refusal(refusal) => refusal.id,
+            Frame::Body { id, .. } | Frame::Credit { id, .. } => *id,
+            _ => return ControlFlow::Break(()),
+        };
+        let Some(found) = self.shard(id).lock().get(&id.sequence).map(Arc::clone) else {
+            return ControlFlow::Continue(());
+        };
+        if !found.take(frame) {
+            return ControlFlow::Break(());
+        }
+        if found.is_over() {
+            self.forget(id);
+        }
+        ControlFlow::Continue(())
+    }
+}
+
+impl Links {
+    pub(crate) fn spawn(hello: Hello) -> Arc<Self> {
+        let (ended, receiver) = mpsc::unbounded_channel();
+        let links = Arc::new(Self {
+            hello,
+            sequence: AtomicU64::new(1),
+            number: AtomicU64::new(1),
+            peers: RwLock::default(),
+            ended,
+        });
+        tokio::spawn(settle_all(Arc::downgrade(&links), receiver));
+        links
+    }
+
+    /// Gives a number for another try.
+    pub(crate) fn next_id(&self) -> Id {
+        Id {
+            origin: self.hello.incarnation,
+            sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
+        }
+    }
+
+    fn peer(&self, address: SocketAddr) -> Arc<Peer> {
+        if let Some(peer) = self.peers.read().get(&address) {
+            return Arc::clone(peer);
+        }
+        let mut peers = self.peers.write();
+        let made = peers.entry(address).or_insert_with(|| {
+            Arc::new(Peer {
+                address,
+                current: Mutex::default(),
+                connecting: tokio::sync::Mutex::default(),
+            })
+        });
+        Arc::clone(made)
+    }
+
+    /// Gives the link to a node, made anew when there is none.
+    ///
+    /// # Errors
+    ///
+    /// When the node can't be reached; nothing has been sent then.
+    pub(crate) async fn link(
+        self: &Arc<Self>,
+        address: SocketAddr,
+    ) -> Result<Arc<Link>, wire::Error> {
+        let peer = self.peer(address);
+        if let Some(link) = peer.live() {
+            return Ok(link);
+        }
+        self.connect(&peer).await
+    }
+
+    async fn connect(self: &Arc<Self>, peer: &Arc<Peer>) -> Result<Arc<Link>, wire::Error> {
+        let _single = peer.connecting.lock().await;
+        if let Some(link) = peer.live() {
+            return Ok(link);
+        }
+        let opened = tokio::time::timeout(CONNECT_TIMEOUT, self.open(peer.address)).await;
+        let (link, receiver) =
+            opened.map_err(|_elapsed| io::Error::from(io::ErrorKind::TimedOut))??;
+        *peer.current.lock() = Some(Arc::clone(&link));
+        let ended = self.ended.clone();
+        tokio::spawn(run_link(
+            Arc::clone(peer),
+            Arc::clone(&link),
+            receiver,
+            ended,
+        ));
+        Ok(link)
+    }
+
+    async fn open(&self, address: SocketAddr) -> Result<(Arc<Link>, Receiver), wire::Error> {
+        let mut stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        codec::write(&mut stream, &self.hello).await?;
+        let hello: Hello = codec::read(&mut stream, &mut Vec::new()).await?;
+        if hello.protocol != PROTOCOL {
+            return Err(wire::Error::Protocol(hello.protocol));
+        }
+        let (sender, receiver) = link::open(stream)?;
+        let number = self.number.fetch_add(1, Ordering::Relaxed);
+        let opening = Frame::Open { link: number };
+        sender
+            .send([opening])
+            .map_err(|_closed| io::Error::from(io::ErrorKind::BrokenPipe))?;
+        let link = Link {
+            number,
+            incarnation: hello.incarnation,
+            node: hello.node,
+            sender,
+            tries: Default::default(),
+            leaving: AtomicBool::new(false),
+        };
+        Ok((Arc::new(link), receiver))
+    }
+
+    /// Sends a request over a link; `make` builds it from its identity.
+    ///
+    /// # Errors
+    ///
+    /// When the link takes no request; it has surely not run then.
+    pub(crate) fn send<F>(
+        &self,
+        link: &Link,
+        repeatable: bool,
+        make: F,
+    ) -> Result<Arc<Try>, link::Error>
+    where
+        F: FnOnce(Id) -> (Request, Option<Frame>),
+    {
+        let mut kept = None;
+        let result = link.sender.send_request(|| {
+            // Numbered while the link is held: a link's requests go out in the
+            // order of their numbers, by which the inbound proxy can tell
+            // those that it never got from those that it has forgotten.
+            let id = self.next_id();
+            let one = Try::new(id, repeatable, link.number, Arc::clone(&link.sender));
+            link.shard(id).lock().insert(id.sequence, Arc::clone(&one));
+            kept = Some(one);
+            let (request, body) = make(id);
+            std::iter::once(Frame::Request(request)).chain(body)
+        });
+        match (result, kept) {
+            (Ok(end), Some(one)) => {
+                one.set_end(end);
+                Ok(one)
+            }
+            (Err(error), kept) => {
+                if let Some(one) = kept {
+                    link.forget(one.id);
+                }
+                Err(error)
+            }
+            (Ok(_), None) => Err(link::Error::Closed),
+        }
+    }
+}
+
+impl Peer {
+    fn live(&self) -> Option<Arc<Link>> {
+        let current = self.current.lock();
+        let link = current.as_ref()?;
+        (!link.sender.is_closed()).then(|| Arc::clone(link))
+    }
+}
+
+/// Reads a link until it ends, then has the tries settled that it leaves open.
+async fn run_link(
+    peer: Arc<Peer>,
+    link: Arc<Link>,
+    receiver: Receiver,
+    ended: mpsc::UnboundedSender<Ended>,
+) {
+    let watch = || {
+        if link.is_idle() {
+            Watch::Idle
+        } else {
+            Watch::Due
+        }
+    };
+    receiver.run(|frame| link.take(frame), watch).await;
+    let open = sort_out(link.take_all());
+    if !open.is_empty() {
+        let incarnation = link.incarnation;
+        // When the proxy is gone, so are those who wait.
+        drop(ended.send(Ended {
+            peer,
+            incarnation,
+            open,
+        }));
+    }
+}
+
+async fn settle_all(links: Weak<Links>, mut ended: mpsc::UnboundedReceiver<Ended>) {
+    while let Some(one) = ended.recv().await {
+        let Some(links) = links.upgrade() else {
+            return;
+        };
+        tokio::spawn(settle(links, one));
+    }
+}
+
+/// Ends the tries whose outcome needs no asking and gives the others.
+fn sort_out(tries: Vec<Arc<Try>>) -> Vec<Arc<Try>> {
+    let mut open = Vec::new();
+    for one in tries {
+        if !one.was_written() {
+            one.fail(Verdict::NotRun, Reason::Backend);
+        } else if one.repeatable {
+            one.fail(Verdict::MayHaveRun, Reason::Backend);
+        } else {
+            open.push(one);
+        }
+    }
+    open
+}
+
+/// Asks the peer, over a new link, what became of the tries of one that ended.
+///
+/// A link that goes silent may have delivered its requests or lost them. The
+/// peer's table of calls knows, but only in the process that got them: after
+/// a restart nobody can say that a call has not run.
+async fn settle(links: Arc<Links>, ended: Ended) {
+    let Ended {
+        peer,
+        incarnation,
+        mut open,
+    } = ended;
+    let mut pause = FIRST_PAUSE;
+    loop {
+        open.retain(|one| !one.is_abandoned());
+        if open.is_empty() {
+            return;
+        }
+        match links.connect(&peer).await {
+            Ok(link) if link.incarnation == incarnation => {
+                ask(&link, open);
+                return;
+            }
+            Err(wire::Error::Io(error)) if error.kind() == io::ErrorKind::TimedOut => {}
+            // The process that got them is gone, and its table of calls with it.
+            Ok(_) | Err(_) => break,
+        }
+        tokio::time::sleep(pause).await;
+        pause = (pause * 2).min(LONGEST_PAUSE);
+    }
+    for one in open {
+        one.fail(Verdict::MayHaveRun, Reason::Backend);
+    }
+}
+
+fn ask(link: &Link, open: Vec<Arc<Try>>) {
+    for one in open {
+        let id = one.id;
+        link.shard(id).lock().insert(id.sequence, Arc::clone(&one));
+        let progress = one.move_to(Arc::clone(&link.sender));
+        let question = Frame::Ask {
+            id,
+            link: one.sent_over,
+            head: progress.head,
+            received: progress.received,
+            room: u32::try_from(progress.room).unwrap_or(u32::MAX),
+        };
+        if link.sender.send([question]).is_err() {
+            link.forget(id);
+            one.fail(Verdict::MayHaveRun, Reason::Backend);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/outbound_sent.rs
@@ -0,0 +1,114 @@
+//! A try that was sent, and the caller's body that follows it.
+
+use crate::inbound_call::PART;
+use crate::outbound_link::Link;
+use crate::outbound_try::Try;
+use bytes::Bytes;
+use call::Verdict;
+use http_body::Body as _;
+use hyper::body::Incoming;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use wire::call::{Answer, Reason, Refusal};
+
+/// A try that was sent; dropping it tells the inbound proxy that nobody waits any more.
+#[derive(Debug)]
+pub(crate) struct Sent {
+    one: Arc<Try>,
+    link: Arc<Link>,
+    /// What is left of the caller's body.
+    pub(crate) body: Body,
+    /// Whether some of the body's rest is used up, so that it can't be sent again.
+    pub(crate) used: bool,
+}
+
+/// A request's body, of which the start is held so that another try can send it again.
+#[derive(Debug, Default)]
+pub(crate) struct Body {
+    /// The start.
+    pub(crate) ready: Bytes,
+    /// Where the rest comes from, if there is any.
+    pub(crate) rest: Option<Incoming>,
+}
+
+impl Sent {
+    /// Follows a try whose request went out with the first `gone` bytes of `body.ready`.
+    pub(crate) fn new(one: Arc<Try>, link: Arc<Link>, mut body: Body, gone: usize) -> Self {
+        body.ready = body.ready.split_off(gone);
+        one.use_credit(gone);
+        Self {
+            one,
+            link,
+            body,
+            used: false,
+        }
+    }
+
+    /// Waits for the head of the answer, and sends on the body meanwhile.
+    pub(crate) fn poll_head(&mut self, cx: &mut Context<'_>) -> Poll<Result<Answer, Refusal>> {
+        self.send_on(cx);
+        self.one.poll_head(cx)
+    }
+
+    /// Waits for the next part of the answer's body, and sends on the request's meanwhile.
+    pub(crate) fn poll_part(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Refusal>>> {
+        self.send_on(cx);
+        self.one.poll_part(cx)
+    }
+
+    /// Tells whether the answer has ended.
+    pub(crate) fn is_end(&self) -> bool {
+        self.one.is_spent()
+    }
+
+    fn send_on(&mut self, cx: &mut Context<'_>) {
+        while self.body.rest.is_some() || !self.body.ready.is_empty() {
+            if self.body.ready.is_empty() && !self.poll_rest(cx) {
+                return;
+            }
+            let Poll::Ready(credit) = self.one.poll_credit(cx) else {
+                return;
+            };
+            let Some(credit) = credit else {
+                self.body = Body::default();
+                return;
+            };
+            let length = self.body.ready.len().min(credit).min(PART);
+            let part = self.body.ready.split_to(length);
+            let end = self.body.ready.is_empty() && self.body.rest.is_none();
+            self.one.send_part(part, end);
+        }
+    }
+
+    /// Takes more of the caller's body, if there is any now.
+    fn poll_rest(&mut self, cx: &mut Context<'_>) -> bool {
+        let Some(rest) = &mut self.body.rest else {
+            return false;
+        };
+        let Poll::Ready(next) = Pin::new(rest).poll_frame(cx) else {
+            return false;
+        };
+        self.used = true;
+        match next {
+            Some(Ok(frame)) => self.body.ready = frame.into_data().unwrap_or_default(),
+            Some(Err(_)) => {
+                self.body.rest = None;
+                self.one.fail(Verdict::MayHaveRun, Reason::Cancelled);
+                self.one.abandon();
+            }
+            None => self.body.rest = None,
+        }
+        true
+    }
+}
+
+impl Drop for Sent {
+    fn drop(&mut self) {
+        self.one.abandon();
+        self.link.forget(self.one.id);
+    }
+}
--- /dev/null
+++ b/crates/node/src/upload.rs
@@ -0,0 +1,84 @@
+//! The body of a request on its way to a backend server.
+
+use crate::inbound_call::Call;
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+use hyper::body::Incoming;
+use quick_error::quick_error;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+
+quick_error! {
+    /// Why a body broke off.
+    #[derive(Debug)]
+    pub enum Error {
+        /// Its sender's connection failed.
+        Connection(source: hyper::Error) {
+            from()
+            display("body broke off: {}", source)
+            source(source)
+        }
+        /// The call ended before it.
+        Ended {
+            display("the call ended before its body")
+        }
+    }
+}
+
+/// The body of a request on its way to a backend server.
+#[derive(Debug)]
+pub(crate) struct Upload {
+    /// The part that has come already.
+    pub(crate) ready: Option<Bytes>,
+    /// Where the rest comes from.
+    pub(crate) rest: Rest,
+}
+
+/// Where the rest of a request's body comes from.
+#[derive(Debug)]
+pub(crate) enum Rest {
+    /// Nothing follows.
+    Done,
+    /// A caller's connection to this node.
+    Caller(Incoming),
+    /// A link from the outbound proxy of another node.
+    Link(Arc<Call>),
+}
+
+impl Body for Upload {
+    type Data = Bytes;
+    type Error = Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
+        if let Some(bytes) = self.ready.take() {
+            return Poll::Ready(Some(Ok(Frame::data(bytes))));
+        }
+        match &mut self.rest {
+            Rest::Done => Poll::Ready(None),
+            Rest::Caller(body) => {
+                let frame = ready!(Pin::new(body).poll_frame(cx));
+                Poll::Ready(frame.map(|got| got.map_err(Error::from)))
+            }
+            Rest::Link(call) => {
+                let part = ready!(call.poll_upload(cx));
+                Poll::Ready(part.map(|got| got.map(Frame::data)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.ready.is_none() && matches!(self.rest, Rest::Done)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let ready = self.ready.as_ref().map_or(0, Bytes::len) as u64;
+        match &self.rest {
+            Rest::Done => SizeHint::with_exact(ready),
+            Rest::Caller(_) | Rest::Link(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/tests/mesh/mod.rs
@@ -0,0 +1,171 @@
+//! Nodes in one process, backend servers to answer them and a forwarder that loses track of connections.
+
+use bytes::Bytes;
+use clock::System;
+use config::{Class, Endpoint, Mesh, Repeat, Route, Service, State, Target, Version, View};
+use http::{HeaderMap, Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use node::shared::{Backend, Shared};
+use node::{inbound, outbound};
+use settings::node::Settings;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::net::{TcpListener, TcpStream};
+use wire::{Hello, Link, PROTOCOL, codec};
+
+/// A node in this process.
+#[derive(Debug)]
+pub struct Node {
+    pub shared: Arc<Shared<System>>,
+    pub inbound: inbound::Handle<System>,
+    pub outbound: outbound::Handle<System>,
+    pub nodes: SocketAddr,
+}
+
+/// Binds a free port on loopback.
+pub async fn bind() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    (listener, address)
+}
+
+/// Starts a node named `name`, in a zone of its own.
+pub async fn spawn_node(name: &str) -> Node {
+    let (listener, nodes) = bind().await;
+    let text = format!(
+        "[node]\nname = {name}\nzone = zone-{name}\nregion = kl\n\
+         [listen]\ncallers = 127.0.0.1:1\nbackend = 127.0.0.1:2\nnodes = {nodes}\noperators = 127.0.0.1:4\n\
+         [fleet]\nplatform = 127.0.0.1:5\n[operators]\ntoken = 0123456789abcdef\n"
+    );
+    let settings = Settings::parse(&text, "test").unwrap();
+    let incarnation = u64::from(nodes.port());
+    let shared = Shared::new(settings, incarnation, System);
+    let inbound = inbound::spawn(Arc::clone(&shared));
+    tokio::spawn(accept(listener, Arc::clone(&shared), inbound.clone()));
+    let (callers, _) = bind().await;
+    let outbound = outbound::spawn(callers, Arc::clone(&shared), inbound.clone()).unwrap();
+    Node {
+        shared,
+        inbound,
+        outbound,
+        nodes,
+    }
+}
+
+async fn accept(
+    listener: TcpListener,
+    shared: Arc<Shared<System>>,
+    inbound: inbound::Handle<System>,
+) {
+    while let Ok((mut stream, _)) = listener.accept().await {
+        let own = Hello {
+            protocol: PROTOCOL,
+            node: shared.settings.name.clone(),
+            incarnation: shared.incarnation,
+            zone: shared.settings.zone.clone(),
+            link: Link::Call,
+        };
+        let theirs: Result<Hello, _> = codec::read(&mut stream, &mut Vec::new()).await;
+        if let Ok(theirs) = theirs
+            && codec::write(&mut stream, &own).await.is_ok()
+        {
+            inbound.accept(stream, &theirs).unwrap();
+        }
+    }
+}
+
+impl Node {
+    /// Announces a backend server of `service` at `address`.
+    pub fn announce(&self, service: &str, address: SocketAddr, slots: u16) {
+        self.shared.backend.send_replace(Some(Backend {
+            service: service.into(),
+            address,
+            slots,
+            leaving: false,
+        }));
+    }
+
+    /// Gives the endpoint that other nodes see, reached at `address`.
+    pub fn endpoint(&self, service: &str, address: SocketAddr) -> Endpoint {
+        Endpoint {
+            node: self.shared.settings.name.clone(),
+            incarnation: self.shared.incarnation,
+            started_ms: 1,
+            sequence: 1,
+            service: service.into(),
+            zone: self.shared.settings.zone.clone(),
+            region: "kl".into(),
+            address,
+            slots: 6,
+            state: State::Serving,
+        }
+    }
+
+    /// Serves by one route, to the service of the same name.
+    pub fn serve_by(&self, service: &str, repeat: Repeat, endpoints: &[Endpoint]) {
+        let mut mesh = Mesh::default();
+        mesh.services.insert(service.into(), Service::default());
+        let route = Route {
+            targets: vec![Target {
+                service: service.into(),
+                percent: 100,
+            }],
+            class: Class::Lookup,
+            repeat,
+            retry: None,
+            timeout_ms: 5_000,
+        };
+        mesh.routes.insert(format!("/{service}").into(), route);
+        let view = View::build(Version(1), &mesh, endpoints);
+        self.shared.view.store(Arc::new(view));
+    }
+}
+
+/// What a caller received.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+impl Answer {
+    /// Gives the verdict header.
+    pub fn verdict(&self) -> &str {
+        let value = self.headers.get(call::Verdict::HEADER);
+        value.map_or("", |value| value.to_str().unwrap())
+    }
+}
+
+/// Calls a node as a caller would, over a connection of its own.
+pub async fn call(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    headers: &[(&'static str, &str)],
+    body: Bytes,
+) -> Result<Answer, hyper::Error> {
+    let stream = TcpStream::connect(address).await.unwrap();
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let driver = tokio::spawn(connection);
+    let mut request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", "mesh");
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let answer = sender
+        .send_request(request.body(Full::new(body)).unwrap())
+        .await?;
+    let (head, body) = answer.into_parts();
+    let body = body.collect().await?.to_bytes();
+    driver.abort();
+    Ok(Answer {
+        status: head.status,
+        headers: head.headers,
+        body,
+    })
+}
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -107,4 +107,34 @@
         /// Further bytes that may be sent.
         bytes: u32,
     },
+    /// Outbound to inbound, first on a link: voids whatever the sender's lower-numbered links still bring.
+    Open {
+        /// Number of this link; each of one incarnation's links to a peer has a higher one.
+        link: u64,
+    },
+    /// Outbound to inbound: what became of a try that was sent over an earlier link?
+    Ask {
+        /// The try.
+        id: Id,
+        /// The link that it was sent over.
+        link: u64,
+        /// Whether the head of the answer has come.
+        head: bool,
+        /// Bytes of the answer's body that have come.
+        received: u64,
+        /// Further bytes of it that may be sent.
+        room: u32,
+    },
+    /// Either way: the receiver answers with [`Frame::Pong`].
+    Ping,
+    /// Either way: answers [`Frame::Ping`].
+    Pong,
+    /// Inbound to outbound: new work will be refused from here on.
+    Leaving,
 }
+
+/// Bytes of a body that its sender may send before the first [`Frame::Credit`].
+///
+/// One trip and back within a region is about 1 ms, so that a body still moves
+/// at 64 MB a second, and a thousand calls that nobody reads hold 64 MB at most.
+pub const WINDOW: usize = 64 << 10;
