Decide in pure modules whom to serve, who waits, who is refused and where work goes

Admission by class, caller and key in front of a backend server; a short queue in stride order with refusal at once; an adaptive concurrency limit; two-choice balancing with slow start, spill-over and ejection; retry budgets and hedges.

--- /dev/null
+++ b/crates/policy/src/admission.rs
@@ -0,0 +1,382 @@
+//! Whom a backend server serves now, who waits, and who is refused at once.
+//!
+//! *Load pattern:* a burst or a lasting overload of commits, look-ups and
+//! refreshes from many callers, a few of them hot, long jobs among short
+//! calls. *Without it* calls pile up in front of the backend server until all
+//! of them are answered after their deadlines: it is busy, and nobody is
+//! served. *Grounds:* the wait is predicted from the work that waits and the
+//! drain rate that is measured; what can't fit its deadline or the class's
+//! bound is refused before it waits, so a refusal costs no waiting. The bound
+//! shrinks when a queue stands (`CoDel`, Nichols and Jacobson 2012, as
+//! Facebook's "Fail at Scale", 2015, has it for requests): a queue is there
+//! for bursts. Figures: `cargo test -p bluebellpick-policy`.
+
+use crate::backoff;
+use crate::drain::{Promise, Rate};
+use crate::duration;
+use crate::limit::{Limit, Outcome};
+use crate::queue::{self, CLASSES, Entry, Queue};
+use crate::share::{self, Bucket};
+use config::Class;
+use rand::Rng;
+use std::time::{Duration, Instant};
+
+/// A call that asks to be served.
+#[derive(Debug, Clone, Copy)]
+pub struct Request {
+    /// What it is worth.
+    pub class: Class,
+    /// On whose behalf it runs, as a [`crate::hash`].
+    pub caller: u64,
+    /// What it is about (its path), as a [`crate::hash`].
+    pub key: u64,
+    /// Its route, as a [`crate::hash`]: calls of one route take about as long.
+    pub route: u64,
+    /// When nobody waits for its answer any more.
+    pub deadline: Instant,
+}
+
+/// The right to run one call; handed back to [`Admission::finish`].
+#[derive(Debug)]
+#[must_use]
+pub struct Ticket {
+    class: Class,
+    bucket: Bucket,
+    key: Bucket,
+    route: u64,
+    long: bool,
+    cost: f64,
+    started: Instant,
+    running: u32,
+}
+
+/// Why a call is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reason {
+    /// Too much waits already.
+    Full,
+    /// It could not be served before its deadline.
+    Deadline,
+}
+
+/// A call that has not run and will not.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why.
+    pub reason: Reason,
+    /// When there will be room again.
+    pub retry_after: Duration,
+}
+
+/// What becomes of a call that asks to be served.
+#[derive(Debug)]
+#[must_use]
+pub enum Decision {
+    /// It runs now.
+    Run(Ticket),
+    /// It waits; [`Admission::next`] will name it.
+    Wait(queue::Key),
+    /// It is refused.
+    Refuse(Refusal),
+}
+
+/// What becomes of a call that has waited.
+#[derive(Debug)]
+#[must_use]
+pub enum Next {
+    /// It runs now.
+    Run(queue::Key, Ticket),
+    /// It is given up on, and gets its final answer now.
+    Refuse(queue::Key, Refusal),
+}
+
+/// Wait up to which a class's queue is in order, in durations of the call itself.
+///
+/// A commit rather waits than is refused, a board will be read again soon.
+const TARGETS: [f64; 3] = [8.0, 2.0, 1.0];
+
+/// Least target, so that very short calls may wait for a scheduling hiccup.
+const LEAST_TARGET: f64 = 0.005;
+
+/// Times its target that a queue may grow to in a burst.
+const BURST: f64 = 4.0;
+
+/// Time after which a queue that never fell under its target counts as standing;
+/// `CoDel`'s own interval.
+const INTERVAL: Duration = Duration::from_millis(100);
+
+/// Times its bound after which a waiting call is given up, though its deadline
+/// is far: the prediction was wrong, for instance as the backend server hangs.
+const PATIENCE: f64 = 4.0;
+
+/// Times its expected duration that must be left when a call starts: with
+/// durations that vary as much as their mean, 86% then end in time.
+const MARGIN: f64 = 2.0;
+
+/// Slots that long jobs may not take, while the limit is at least
+/// [`RESERVE_FROM`]. Measured in `tests/long_jobs.rs`.
+const RESERVE: f64 = 1.0;
+
+/// Least limit at which slots are held back from long jobs.
+const RESERVE_FROM: f64 = 3.0;
+
+/// Admission in front of one backend server.
+#[derive(Debug)]
+pub struct Admission {
+    limit: Limit,
+    durations: duration::Table,
+    queue: Queue,
+    /// What each caller has had, by class.
+    callers: [share::Table; 3],
+    /// What calls about each key have had, by class.
+    keys: [share::Table; 3],
+    /// When each class's wait was last within its target.
+    in_order_at: [Instant; 3],
+    promises: [Promise; 3],
+    drain: Rate,
+    running: u32,
+    running_long: u32,
+}
+
+impl Admission {
+    /// Makes the admission of a backend server that says it has `slots`.
+    #[must_use]
+    pub fn new(now: Instant, slots: u16, seed: u64) -> Self {
+        let limit = Limit::new(now, slots);
+        Self {
+            drain: Rate::new(now, limit.slots()),
+            limit,
+            durations: duration::Table::new(),
+            queue: Queue::new(),
+            callers: [1, 2, 3].map(|salt| share::Table::new(now, seed.wrapping_add(salt))),
+            keys: [4, 5, 6].map(|salt| share::Table::new(now, seed.wrapping_add(salt))),
+            in_order_at: [now; 3],
+            promises: [Promise::new(now); 3],
+            running: 0,
+            running_long: 0,
+        }
+    }
+
+    /// Takes in how many slots the backend server says it has.
+    pub fn tell_slots(&mut self, slots: u16) {
+        self.limit.tell(slots);
+    }
+
+    /// Gives how many calls run.
+    #[must_use]
+    pub fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Gives how many calls wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Gives how many calls may run at once.
+    #[must_use]
+    pub fn slots(&self) -> f64 {
+        self.limit.slots()
+    }
+
+    /// Gives the load as calls running and waiting over slots: a hint for the outbound proxies.
+    #[must_use]
+    pub fn load(&self) -> f64 {
+        let waiting = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
+        (f64::from(self.running) + f64::from(waiting)) / self.limit.slots()
+    }
+
+    /// Decides on a call that asks to be served.
+    pub fn offer<R>(&mut self, now: Instant, request: &Request, rng: &mut R) -> Decision
+    where
+        R: Rng,
+    {
+        let cost = self.durations.expect(request.route);
+        let long = self.durations.is_long(request.route);
+        let rank = rank_of(request.class);
+        let bucket = self.callers[rank].ask(now, request.caller);
+        let key = self.keys[rank].ask(now, request.key);
+        let entry = Entry {
+            class: request.class,
+            bucket,
+            key,
+            route: request.route,
+            long,
+            cost,
+            give_up_at: request.deadline,
+        };
+        let left = request
+            .deadline
+            .saturating_duration_since(now)
+            .as_secs_f64();
+        if left < cost {
+            return Decision::Refuse(self.refuse(now, &entry, Reason::Deadline, rng));
+        }
+        if self.has_room(long) && !self.queue.has(long) {
+            self.in_order_at[rank] = now;
+            return Decision::Run(self.start(now, &entry));
+        }
+        let wait = self.predict_wait(now, &entry);
+        let bound = self.bound(now, &entry, wait);
+        if wait > bound {
+            return Decision::Refuse(self.refuse(now, &entry, Reason::Full, rng));
+        }
+        if wait + MARGIN * cost > left {
+            return Decision::Refuse(self.refuse(now, &entry, Reason::Deadline, rng));
+        }
+        let patience = (left - MARGIN * cost).min(PATIENCE * bound);
+        Decision::Wait(self.queue.push(Entry {
+            give_up_at: now + seconds(patience),
+            ..entry
+        }))
+    }
+
+    /// Takes in the end of a call.
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "a ticket is used up, so that no call can end twice"
+    )]
+    pub fn finish(&mut self, now: Instant, ticket: Ticket, outcome: Outcome) {
+        let Ticket {
+            class,
+            bucket,
+            key,
+            route,
+            long,
+            cost,
+            started,
+            running,
+        } = ticket;
+        self.running -= 1;
+        self.running_long -= u32::from(long);
+        let took = now.saturating_duration_since(started);
+        let stretch = match outcome {
+            Outcome::Done => {
+                let light = self.limit.is_light(running);
+                self.durations.learn(route, took, light)
+            }
+            Outcome::Shed | Outcome::Failed => None,
+        };
+        self.limit.finish(now, running, outcome, stretch);
+        self.drain.add(now, cost);
+        // The guess that was charged at the start is made good.
+        self.charge(now, class, bucket, key, took.as_secs_f64() - cost);
+    }
+
+    /// Gives what has become of the waiting calls, one at a time: to be called
+    /// until it gives none, after each [`Admission::finish`] and at
+    /// [`Admission::wake_at`].
+    pub fn next<R>(&mut self, now: Instant, rng: &mut R) -> Option<Next>
+    where
+        R: Rng,
+    {
+        if let Some((key, entry)) = self.queue.expire(now) {
+            let refusal = self.refuse(now, &entry, Reason::Deadline, rng);
+            return Some(Next::Refuse(key, refusal));
+        }
+        if !self.has_room(false) {
+            return None;
+        }
+        let (key, entry) = self.queue.pop(self.has_room(true))?;
+        Some(Next::Run(key, self.start(now, &entry)))
+    }
+
+    /// Gives when a waiting call has next to be given up on.
+    #[must_use]
+    pub fn wake_at(&self) -> Option<Instant> {
+        self.queue.wake_at()
+    }
+
+    /// Takes out a waiting call that nobody waits for any more; tells whether it did wait.
+    pub fn withdraw(&mut self, key: queue::Key) -> bool {
+        self.queue.remove(key).is_some()
+    }
+
+    fn has_room(&self, long: bool) -> bool {
+        let slots = self.limit.slots();
+        let open = f64::from(self.running) < slots;
+        if !long || slots < RESERVE_FROM {
+            return open;
+        }
+        open && f64::from(self.running_long) < slots - RESERVE
+    }
+
+    fn start(&mut self, now: Instant, entry: &Entry) -> Ticket {
+        self.running += 1;
+        self.running_long += u32::from(entry.long);
+        // The drain rate is only seen while all slots are busy.
+        if f64::from(self.running) < self.limit.slots() {
+            self.drain.reset(now, self.limit.slots());
+        }
+        self.charge(now, entry.class, entry.bucket, entry.key, entry.cost);
+        Ticket {
+            class: entry.class,
+            bucket: entry.bucket,
+            key: entry.key,
+            route: entry.route,
+            long: entry.long,
+            cost: entry.cost,
+            started: now,
+            running: self.running,
+        }
+    }
+
+    fn predict_wait(&self, now: Instant, entry: &Entry) -> f64 {
+        let before = self.queue.work_before(entry.class, entry.long);
+        // The slot that gets free next belongs to a call that is half through.
+        (before + self.durations.mean() / 2.0) / self.drain_rate(now)
+    }
+
+    fn drain_rate(&self, now: Instant) -> f64 {
+        self.drain.get(now).max(self.limit.slots() * Rate::LEAST)
+    }
+
+    /// Gives the longest wait that a call may begin with.
+    fn bound(&mut self, now: Instant, entry: &Entry, wait: f64) -> f64 {
+        let rank = rank_of(entry.class);
+        let target = (TARGETS[rank] * entry.cost).max(LEAST_TARGET);
+        if wait <= target {
+            self.in_order_at[rank] = now;
+        }
+        let standing = now.saturating_duration_since(self.in_order_at[rank]) > INTERVAL;
+        let bound = if standing { target } else { target * BURST };
+        let caller = self.callers[rank].factor(now, entry.bucket);
+        let key = self.keys[rank].factor(now, entry.key);
+        bound * caller.min(key)
+    }
+
+    fn charge(&mut self, now: Instant, class: Class, caller: Bucket, key: Bucket, work: f64) {
+        self.callers[rank_of(class)].charge(now, caller, work);
+        self.keys[rank_of(class)].charge(now, key, work);
+    }
+
+    /// Refuses, with a Retry-After from the measured drain rate.
+    ///
+    /// Everybody refused is assumed to come back, so each is sent to the end of
+    /// a virtual queue of those refused before. Told only how long the real,
+    /// short queue takes, all of them would be back in some milliseconds.
+    fn refuse<R>(&mut self, now: Instant, entry: &Entry, reason: Reason, rng: &mut R) -> Refusal
+    where
+        R: Rng,
+    {
+        let rate = self.drain_rate(now) * self.queue.share_of(entry.class, entry.long);
+        let promise = &mut self.promises[rank_of(entry.class)];
+        let wait = promise.add(now, entry.cost, rate);
+        Refusal {
+            reason,
+            retry_after: backoff::spread(seconds(wait), rng),
+        }
+    }
+}
+
+fn rank_of(class: Class) -> usize {
+    CLASSES
+        .iter()
+        .position(|known| *known == class)
+        .unwrap_or(CLASSES.len() - 1)
+}
+
+fn seconds(seconds: f64) -> Duration {
+    Duration::try_from_secs_f64(seconds).unwrap_or(Duration::ZERO)
+}
--- /dev/null
+++ b/crates/policy/src/balance.rs
@@ -0,0 +1,442 @@
+//! Which backend server of a service a call goes to.
+//!
+//! *Load pattern:* many outbound proxies that see the same figures, backend
+//! servers that are slow, cold, full or lie, some in the own availability zone
+//! and some elsewhere. *Without it*: round robin gives the slow one as much as
+//! the fast; the least loaded of all by reports that lag sends everybody to
+//! the same one, then to the next. *Grounds:* two choices at random (Mitzenmacher,
+//! "The Power of Two Choices in Randomized Load Balancing", 2001) come within
+//! a constant of the best, and stay good when figures are old ("How Useful Is
+//! Old Information?", 2000). Scores come from calls in flight, from what the
+//! inbound proxies say of their queues, and from durations seen; health
+//! reported by backend servers is not used at all. There is no affinity by
+//! key, so a hot key spreads over all. Measured in `tests/slow_server.rs`,
+//! `tests/zone_return.rs` and `tests/same_figures.rs`.
+
+use crate::duration;
+use crate::outlier::{self, Others, Phase, Sample};
+use crate::server::Server;
+use rand::Rng;
+use smol_str::SmolStr;
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+/// One process of one node: a restart is another one.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Identity {
+    /// Name of the node.
+    pub node: SmolStr,
+    /// Random number of its process.
+    pub incarnation: u64,
+}
+
+/// How far away a backend server is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Distance {
+    /// In the same availability zone.
+    Zone,
+    /// In another availability zone of the region.
+    Region,
+    /// In another region.
+    Far,
+}
+
+/// A backend server as the view names it.
+#[derive(Debug, Clone)]
+pub struct Candidate {
+    /// Which one.
+    pub identity: Identity,
+    /// How far away.
+    pub distance: Distance,
+    /// Calls that it says it runs at once.
+    pub slots: u16,
+}
+
+/// Names a backend server within one [`Balance`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Key {
+    index: u32,
+    generation: u32,
+}
+
+/// What a call came to.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Outcome {
+    /// It was answered; the inbound proxy's [`load`](crate::admission::Admission::load), if told.
+    Answered(Option<f64>),
+    /// It failed, or its link did.
+    Failed,
+    /// It was refused as there is too much load.
+    Full,
+    /// It was refused as the backend server leaves.
+    Leaving,
+    /// Its caller went away; nothing is learnt.
+    Cancelled,
+}
+
+/// Load that a refusal stands for.
+const FULL: f64 = 1.5;
+
+/// Load of the own zone's choice from which other zones are looked at; from
+/// here to a full load ever more calls look. As the look is a matter of
+/// chance that grows steadily, no threshold makes the flow flap.
+const SPILL_FROM: f64 = 0.7;
+
+/// Times the score that a backend server elsewhere must stay under.
+const SPILL_COST: f64 = 1.5;
+
+/// Draws before one that is cold or already tried is taken as it is.
+const DRAWS: usize = 8;
+
+/// The backend servers of one service, as one outbound proxy sees them.
+#[derive(Debug)]
+pub struct Balance {
+    servers: Vec<Server>,
+    free: Vec<u32>,
+    known: HashMap<Identity, u32>,
+    /// In the choice, nearest first.
+    tiers: [Vec<u32>; 3],
+    durations: duration::Table,
+    probe_due: Option<Instant>,
+}
+
+impl Balance {
+    /// Makes a balance that knows no backend server.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            servers: Vec::new(),
+            free: Vec::new(),
+            known: HashMap::new(),
+            tiers: Default::default(),
+            durations: duration::Table::new(),
+            probe_due: None,
+        }
+    }
+
+    /// Takes in the backend servers of a new view; what is known of those that stay is kept.
+    pub fn sync<I>(&mut self, now: Instant, candidates: I)
+    where
+        I: IntoIterator<Item = Candidate>,
+    {
+        let first = self.known.is_empty();
+        for server in &mut self.servers {
+            server.present = false;
+        }
+        for candidate in candidates {
+            let index = match self.known.get(&candidate.identity) {
+                Some(index) => *index,
+                None => self.add(now, &candidate, first),
+            };
+            let server = &mut self.servers[index as usize];
+            server.present = true;
+            server.distance = candidate.distance;
+            server.slots = f64::from(candidate.slots.max(1));
+        }
+        self.rebuild();
+    }
+
+    /// Gives how many backend servers may be chosen from.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.tiers.iter().map(Vec::len).sum()
+    }
+
+    /// Tells whether there is none to choose from.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Gives the seconds that a call of `route` is expected to take.
+    #[must_use]
+    pub fn expect(&self, route: u64) -> Duration {
+        Duration::try_from_secs_f64(self.durations.expect(route)).unwrap_or(Duration::ZERO)
+    }
+
+    /// Gives the identity behind a key, while it is known.
+    #[must_use]
+    pub fn identity(&self, key: Key) -> Option<&Identity> {
+        self.get(key).map(|server| &server.identity)
+    }
+
+    /// Chooses a backend server, and counts a call to it; `tried` are those that refused it.
+    ///
+    /// Only a `repeatable` call is used to probe one that was ejected: a
+    /// commit that a sick backend server swallows is a clerk on the telephone.
+    pub fn pick<R>(
+        &mut self,
+        now: Instant,
+        tried: &[Key],
+        repeatable: bool,
+        rng: &mut R,
+    ) -> Option<Key>
+    where
+        R: Rng,
+    {
+        let probe = repeatable.then(|| self.find_probe(now, tried)).flatten();
+        let index = probe.or_else(|| self.choose(now, tried, rng))?;
+        self.servers[index as usize].in_flight += 1;
+        Some(self.key(index))
+    }
+
+    /// Takes in what a call of [`Balance::pick`] came to.
+    pub fn finish<R>(
+        &mut self,
+        now: Instant,
+        key: Key,
+        route: u64,
+        took: Duration,
+        outcome: Outcome,
+        rng: &mut R,
+    ) where
+        R: Rng,
+    {
+        let Some(server) = self.get_mut(key) else {
+            return;
+        };
+        server.in_flight = server.in_flight.saturating_sub(1);
+        match outcome {
+            Outcome::Answered(load) => {
+                if let Some(load) = load {
+                    server.tell_load(now, load);
+                }
+                let usual = self.durations.expect(route);
+                self.durations.learn(route, took, false);
+                let stretch = took.as_secs_f64() / usual.max(1e-6);
+                self.servers[key.index as usize].see(now, stretch);
+                self.weigh(now, key.index, Sample::Answered(stretch), rng);
+            }
+            Outcome::Failed => self.weigh(now, key.index, Sample::Failed, rng),
+            Outcome::Full => server.tell_load(now, FULL),
+            Outcome::Leaving => {
+                server.leaving = true;
+                self.rebuild();
+            }
+            Outcome::Cancelled => {}
+        }
+        self.forget(key.index);
+    }
+
+    fn add(&mut self, now: Instant, candidate: &Candidate, first: bool) -> u32 {
+        let mut server = Server::new(now, candidate, first);
+        let index = if let Some(index) = self.free.pop() {
+            let place = &mut self.servers[index as usize];
+            server.generation = place.generation;
+            *place = server;
+            index
+        } else {
+            self.servers.push(server);
+            u32::try_from(self.servers.len() - 1).unwrap_or(u32::MAX)
+        };
+        self.known.insert(candidate.identity.clone(), index);
+        index
+    }
+
+    fn rebuild(&mut self) {
+        self.tiers.iter_mut().for_each(Vec::clear);
+        for (index, server) in (0..).zip(&self.servers) {
+            if server.present && !server.leaving {
+                self.tiers[server.distance as usize].push(index);
+            }
+        }
+        for index in 0..u32::try_from(self.servers.len()).unwrap_or(u32::MAX) {
+            self.forget(index);
+        }
+    }
+
+    /// Frees the place of one that is gone, once its last call has ended.
+    fn forget(&mut self, index: u32) {
+        let server = &mut self.servers[index as usize];
+        if !server.present && server.in_flight == 0 && self.known.remove(&server.identity).is_some()
+        {
+            server.generation = server.generation.wrapping_add(1);
+            self.free.push(index);
+        }
+    }
+
+    fn find_probe(&mut self, now: Instant, tried: &[Key]) -> Option<u32> {
+        if self.probe_due.is_none_or(|due| now < due) {
+            return None;
+        }
+        let found = self.present().find(|index| {
+            let server = &self.servers[*index as usize];
+            server.in_flight == 0
+                && server.health.phase(now) == Phase::Probe
+                && !tried.contains(&self.key(*index))
+        });
+        if found.is_none() {
+            self.probe_due = self.next_probe();
+        }
+        found
+    }
+
+    fn next_probe(&self) -> Option<Instant> {
+        self.present()
+            .filter_map(|index| self.servers[index as usize].health.out_until())
+            .min()
+    }
+
+    fn choose<R>(&self, now: Instant, tried: &[Key], rng: &mut R) -> Option<u32>
+    where
+        R: Rng,
+    {
+        let mut best = None;
+        for tier in &self.tiers {
+            let Some(found) = self.choose_of(tier, now, tried, rng) else {
+                continue;
+            };
+            let Some(near) = best else {
+                best = Some(found);
+                continue;
+            };
+            best = Some(self.choose_nearer(near, found, now, rng));
+        }
+        best
+    }
+
+    /// Decides between the nearer and the further of two.
+    fn choose_nearer<R>(&self, near: u32, far: u32, now: Instant, rng: &mut R) -> u32
+    where
+        R: Rng,
+    {
+        let load = self.servers[near as usize].load(now);
+        let look = ((load - SPILL_FROM) / (1.0 - SPILL_FROM)).clamp(0.0, 1.0);
+        if !rng.random_bool(look) {
+            return near;
+        }
+        if self.servers[far as usize].score(now) * SPILL_COST
+            < self.servers[near as usize].score(now)
+        {
+            far
+        } else {
+            near
+        }
+    }
+
+    fn choose_of<R>(&self, tier: &[u32], now: Instant, tried: &[Key], rng: &mut R) -> Option<u32>
+    where
+        R: Rng,
+    {
+        let one = self.draw(tier, now, tried, None, rng)?;
+        let Some(two) = self.draw(tier, now, tried, Some(one), rng) else {
+            return Some(one);
+        };
+        let better = self.servers[two as usize].score(now) < self.servers[one as usize].score(now);
+        Some(if better { two } else { one })
+    }
+
+    /// Draws one that is in the choice, a cold one less often.
+    fn draw<R>(
+        &self,
+        tier: &[u32],
+        now: Instant,
+        tried: &[Key],
+        except: Option<u32>,
+        rng: &mut R,
+    ) -> Option<u32>
+    where
+        R: Rng,
+    {
+        let usable = |index: u32| {
+            Some(index) != except
+                && !tried.contains(&self.key(index))
+                && self.servers[index as usize].health.phase(now) == Phase::In
+        };
+        let mut cold = None;
+        for _ in 0..DRAWS {
+            let index = *tier.get(rng.random_range(0..tier.len().max(1)))?;
+            if !usable(index) {
+                continue;
+            }
+            if rng.random_bool(self.servers[index as usize].warmth(now)) {
+                return Some(index);
+            }
+            cold = Some(index);
+        }
+        // Luck failed; a first choice has to be found if there is any.
+        cold.or_else(|| {
+            let found = tier.iter().copied().find(|index| usable(*index));
+            found.filter(|_| except.is_none())
+        })
+    }
+
+    fn weigh<R>(&mut self, now: Instant, index: u32, sample: Sample, rng: &mut R)
+    where
+        R: Rng,
+    {
+        let others = self.others(index, now);
+        let server = &mut self.servers[index as usize];
+        if server.health.take(now, sample, &others, rng) {
+            server.restart(now);
+        }
+        let server = &self.servers[index as usize];
+        if server.health.phase(now) != Phase::In || !server.health.is_outlier(&others) {
+            return;
+        }
+        let out = self
+            .present()
+            .filter(|other| self.servers[*other as usize].health.phase(now) != Phase::In)
+            .count();
+        if outlier::leaves_enough(self.len(), out) {
+            self.servers[index as usize].health.eject(now, rng);
+            self.probe_due = self.next_probe();
+        }
+    }
+
+    /// Averages over the others in the choice.
+    fn others(&self, index: u32, now: Instant) -> Others {
+        let mut count = 0.0;
+        let mut sum = Others {
+            failures: 0.0,
+            stretch: 0.0,
+        };
+        for other in self.present().filter(|other| *other != index) {
+            let health = &self.servers[other as usize].health;
+            if health.phase(now) == Phase::In {
+                count += 1.0;
+                sum.failures += health.failures();
+                sum.stretch += health.stretch();
+            }
+        }
+        if count < 1.0 {
+            return Others {
+                failures: 1.0,
+                stretch: f64::INFINITY,
+            };
+        }
+        Others {
+            failures: sum.failures / count,
+            stretch: sum.stretch / count,
+        }
+    }
+
+    fn present(&self) -> impl Iterator<Item = u32> {
+        self.tiers.iter().flatten().copied()
+    }
+
+    fn key(&self, index: u32) -> Key {
+        Key {
+            index,
+            generation: self.servers[index as usize].generation,
+        }
+    }
+
+    fn get(&self, key: Key) -> Option<&Server> {
+        self.servers
+            .get(key.index as usize)
+            .filter(|server| server.generation == key.generation)
+    }
+
+    fn get_mut(&mut self, key: Key) -> Option<&mut Server> {
+        self.servers
+            .get_mut(key.index as usize)
+            .filter(|server| server.generation == key.generation)
+    }
+}
+
+impl Default for Balance {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/policy/src/duration.rs
@@ -0,0 +1,150 @@
+//! How long calls take, learnt per route.
+//!
+//! *Load pattern:* calls of a few milliseconds and jobs of seconds share one
+//! backend server. *Without it* every wait is predicted from one mean, which is
+//! wrong for both. *Grounds:* the table is of fixed size, as the number of
+//! routes is the operators' and the memory is the VM's; 256 rows of 40 bytes
+//! hold all routes of one service many times over.
+
+use std::time::Duration;
+
+/// Rows of a table.
+const ROWS: usize = 256;
+
+/// Samples after which a mean follows as an exponential one: it then forgets a
+/// former speed within about 16 calls, a tenth of a second at 6 slots of 4 ms.
+const MEMORY: u32 = 16;
+
+/// What an unknown route is taken for while nothing at all is known.
+const FIRST_GUESS: f64 = 0.010;
+
+/// Times the typical (geometric mean) call from which a call counts as long.
+///
+/// With fewer, ordinary variance between look-ups would count; a job worth
+/// keeping apart blocks a slot for the time of several short calls.
+const LONG: f64 = 4.0;
+
+/// Durations learnt per route.
+#[derive(Debug, Clone)]
+pub struct Table {
+    rows: Box<[Row]>,
+    all: Mean,
+    log: Mean,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Row {
+    route: u64,
+    hold: u32,
+    took: Mean,
+    light: Mean,
+}
+
+impl Table {
+    /// Makes an empty table.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            rows: vec![Row::default(); ROWS].into_boxed_slice(),
+            all: Mean::default(),
+            log: Mean::default(),
+        }
+    }
+
+    /// Gives the seconds that a call of `route` is expected to take.
+    #[must_use]
+    pub fn expect(&self, route: u64) -> f64 {
+        self.find(route)
+            .and_then(|row| row.took.get())
+            .unwrap_or_else(|| self.mean())
+    }
+
+    /// Gives the seconds that a call of any route takes, on average.
+    #[must_use]
+    pub fn mean(&self) -> f64 {
+        self.all.get().unwrap_or(FIRST_GUESS)
+    }
+
+    /// Tells whether calls of `route` take many times as long as the typical call.
+    #[must_use]
+    pub fn is_long(&self, route: u64) -> bool {
+        match (
+            self.find(route).and_then(|row| row.took.get()),
+            self.log.get(),
+        ) {
+            (Some(took), Some(log)) => took > LONG * log.exp(),
+            _ => false,
+        }
+    }
+
+    /// Takes in how long a call took; `light` when the backend server had little else to do.
+    ///
+    /// Gives how many times as long it took as calls of its route do under
+    /// light load, once that is known.
+    pub fn learn(&mut self, route: u64, took: Duration, light: bool) -> Option<f64> {
+        let seconds = took.as_secs_f64().max(1e-6);
+        self.all.add(seconds);
+        self.log.add(seconds.ln());
+        let row = self.claim(route)?;
+        row.took.add(seconds);
+        let stretch = row.light.get().map(|usual| seconds / usual);
+        if light {
+            row.light.add(seconds);
+        }
+        stretch
+    }
+
+    fn find(&self, route: u64) -> Option<&Row> {
+        let row = &self.rows[index_of(route)];
+        (row.hold > 0 && row.route == route).then_some(row)
+    }
+
+    /// Gives the row of `route`. One that another route holds is given up only
+    /// after it was asked for as often as it was used: a scan of one-off
+    /// routes would otherwise wash out the ones in use.
+    fn claim(&mut self, route: u64) -> Option<&mut Row> {
+        let row = &mut self.rows[index_of(route)];
+        if row.hold > 0 && row.route != route {
+            row.hold -= 1;
+            if row.hold > 0 {
+                return None;
+            }
+        }
+        if row.hold == 0 {
+            *row = Row {
+                route,
+                ..Row::default()
+            };
+        }
+        row.hold = (row.hold + 1).min(MEMORY);
+        Some(row)
+    }
+}
+
+impl Default for Table {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn index_of(route: u64) -> usize {
+    usize::try_from(route % ROWS as u64).unwrap_or(0)
+}
+
+/// A plain mean of the first samples, an exponential one from then on.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Mean {
+    value: f64,
+    count: u32,
+}
+
+impl Mean {
+    pub(crate) fn add(&mut self, sample: f64) {
+        self.count = (self.count + 1).min(MEMORY);
+        self.value += (sample - self.value) / f64::from(self.count);
+    }
+
+    pub(crate) fn get(self) -> Option<f64> {
+        (self.count > 0).then_some(self.value)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/hedge.rs
@@ -0,0 +1,97 @@
+//! Which calls get a second copy while the first is late.
+//!
+//! *Load pattern:* a backend server stalls now and then. *Without it* the call
+//! that met the stall waits it out, and so does every layer above. *Grounds:*
+//! Dean and Barroso, "The Tail at Scale", 2013, send the second copy at the
+//! 95th percentile; only calls that may be repeated are copied, each copy is
+//! paid for by the retry budget, and copies stop while they don't win or while
+//! there is too much load, as they are load themselves.
+
+use std::time::{Duration, Instant};
+
+/// Quantile of latencies at which a second copy is sent.
+const LATE: f64 = 0.95;
+
+/// Step of the quantile's estimate, as a share of it.
+const STEP: f64 = 0.05;
+
+/// Share of hedges that have to win for hedging to go on.
+const PAYS: f64 = 0.25;
+
+/// Weight of a hedge's result in the share of those that won: about 20 hedges.
+const WEIGHT: f64 = 0.05;
+
+/// While hedging does not pay, one in so many is sent to see whether it does again.
+const LOOK: u32 = 20;
+
+/// Time without hedges after a refusal for load: copies are load.
+const PAUSE: Duration = Duration::from_secs(1);
+
+/// Latencies seen before the quantile is worth acting on.
+const ENOUGH: u32 = 50;
+
+/// Second copies of calls that may be repeated, while they pay.
+#[derive(Debug, Clone, Copy)]
+pub struct Hedge {
+    late: f64,
+    seen: u32,
+    won: f64,
+    skipped: u32,
+    quiet_until: Instant,
+}
+
+impl Hedge {
+    /// Starts without an idea of the latencies.
+    #[must_use]
+    pub fn new(now: Instant) -> Self {
+        Self {
+            late: 0.0,
+            seen: 0,
+            won: 1.0,
+            skipped: 0,
+            quiet_until: now,
+        }
+    }
+
+    /// Takes in how long a first copy took, or that it was overtaken after so long.
+    pub fn see(&mut self, took: Duration) {
+        let took = took.as_secs_f64();
+        self.seen = self.seen.saturating_add(1);
+        if self.seen == 1 {
+            self.late = took;
+        }
+        let step = STEP * self.late.max(1e-6);
+        self.late += if took > self.late {
+            step * LATE
+        } else {
+            -step * (1.0 - LATE)
+        };
+    }
+
+    /// Takes in that a call was refused for load.
+    pub fn refused(&mut self, now: Instant) {
+        self.quiet_until = now + PAUSE;
+    }
+
+    /// Gives the wait after which a second copy of a `repeatable` call is due,
+    /// if one is to be sent; that copy is to be paid for by [`Budget::spend`](crate::retry::Budget::spend).
+    pub fn wait(&mut self, now: Instant, repeatable: bool) -> Option<Duration> {
+        if !repeatable || self.seen < ENOUGH || now < self.quiet_until {
+            return None;
+        }
+        if self.won < PAYS {
+            self.skipped += 1;
+            if self.skipped < LOOK {
+                return None;
+            }
+            self.skipped = 0;
+        }
+        Duration::try_from_secs_f64(self.late).ok()
+    }
+
+    /// Takes in whether a second copy was answered before the first.
+    pub fn settle(&mut self, won: bool) {
+        let won = if won { 1.0 } else { 0.0 };
+        self.won += WEIGHT * (won - self.won);
+    }
+}
--- /dev/null
+++ b/crates/policy/src/retry.rs
@@ -0,0 +1,181 @@
+//! Which calls are tried again, and when.
+//!
+//! *Load pattern:* a backend server fails or is full, and every caller tries
+//! three times, at each of 26 layers. *Without it* the load is multiplied just
+//! when there is too much already, and stays so after the cause is gone.
+//! *Grounds:* retries are a share of successes (Google's SRE book, "Handling
+//! Overload": 10% a server; Finagle's retry budget: 20%), so that in a failure
+//! of all there are next to none. Only this hop's own failures are tried
+//! again: an answer of the backend server's, error or not, is passed up. So
+//! when a call fails deep down, just the layer next to the failure tries
+//! again. Measured in `tests/retry_storm.rs`.
+
+use crate::backoff;
+use call::Verdict;
+use rand::Rng;
+use std::time::{Duration, Instant};
+
+/// Name of the request header by which a layer above says that this try is
+/// itself a retry; a backend server that passes it on keeps the layers below
+/// from multiplying it.
+pub const HEADER: &str = "bluebellpick-retry";
+
+/// Why a try came to nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cause {
+    /// The backend server leaves: another one will take it.
+    Leaving,
+    /// There was too much load.
+    Full,
+    /// The try failed.
+    Failed,
+}
+
+/// A try that came to nothing.
+#[derive(Debug, Clone, Copy)]
+pub struct Try {
+    /// Whether it may have run.
+    pub verdict: Verdict,
+    /// Why it came to nothing.
+    pub cause: Cause,
+    /// Whether the call may be repeated, whatever became of it.
+    pub repeatable: bool,
+    /// Tries so far, this one included.
+    pub tries: u8,
+    /// Tries allowed by the retry rule.
+    pub attempts: u8,
+    /// Whether a layer above marked the call as a retry ([`HEADER`]).
+    pub retried_above: bool,
+    /// Whether there are backend servers that have not refused the call.
+    pub untried: bool,
+    /// When nobody waits for the answer any more.
+    pub deadline: Instant,
+    /// How long a try is expected to take.
+    pub expected: Duration,
+}
+
+/// What follows a try that came to nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Decision {
+    /// It is tried again after a wait.
+    Again(Duration),
+    /// The caller gets its final answer now.
+    Stop(Stop),
+}
+
+/// Why there is no further try.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stop {
+    /// It may have run, and may not be repeated.
+    Unsafe,
+    /// All tries are used, or no backend server is left.
+    Exhausted,
+    /// A layer above tries again already.
+    Layer,
+    /// A further try would end after the deadline.
+    Late,
+    /// The budget is used up.
+    Budget,
+}
+
+/// Tokens that a budget starts with and can hold: a quiet service may try
+/// again too, and saved-up successes allow no storm.
+const MOST: f64 = 10.0;
+
+/// Tokens a second that come without successes, for services with a call now and then.
+const TRICKLE: f64 = 0.2;
+
+/// Ceilings of the wait before a try of a call that failed.
+const WAIT: (Duration, Duration) = (Duration::from_millis(5), Duration::from_millis(200));
+
+/// Retries of one service as a share of its successes.
+#[derive(Debug, Clone, Copy)]
+pub struct Budget {
+    tokens: f64,
+    share: f64,
+    at: Instant,
+}
+
+impl Budget {
+    /// Makes a budget of retries in per cent of successes.
+    #[must_use]
+    pub fn new(now: Instant, percent: u8) -> Self {
+        Self {
+            tokens: if percent == 0 { 0.0 } else { MOST },
+            share: f64::from(percent) / 100.0,
+            at: now,
+        }
+    }
+
+    /// Takes in the share that a new configuration names.
+    pub fn set_percent(&mut self, percent: u8) {
+        self.share = f64::from(percent) / 100.0;
+    }
+
+    /// Takes in a success of a first try.
+    pub fn succeed(&mut self) {
+        self.tokens = (self.tokens + self.share).min(MOST);
+    }
+
+    /// Decides what follows a try that came to nothing.
+    pub fn decide<R>(&mut self, now: Instant, tried: &Try, rng: &mut R) -> Decision
+    where
+        R: Rng,
+    {
+        if let Some(stop) = find_stop(tried) {
+            return Decision::Stop(stop);
+        }
+        let wait = match tried.cause {
+            Cause::Leaving | Cause::Full => Duration::ZERO,
+            Cause::Failed => draw_wait(tried.tries, rng),
+        };
+        if now + wait + tried.expected > tried.deadline {
+            return Decision::Stop(Stop::Late);
+        }
+        // One that leaves has refused at the door: sending the call elsewhere
+        // adds no work, and a rolling restart must not use up the budget.
+        if tried.cause == Cause::Leaving || self.spend(now) {
+            Decision::Again(wait)
+        } else {
+            Decision::Stop(Stop::Budget)
+        }
+    }
+
+    /// Takes a token, if there is one.
+    pub fn spend(&mut self, now: Instant) -> bool {
+        let age = now.saturating_duration_since(self.at).as_secs_f64();
+        let trickle = if self.share > 0.0 { TRICKLE } else { 0.0 };
+        self.tokens = (self.tokens + age * trickle).min(MOST);
+        self.at = now;
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+}
+
+fn find_stop(tried: &Try) -> Option<Stop> {
+    let harmless = match tried.verdict {
+        Verdict::NotRun => true,
+        Verdict::MayHaveRun => tried.repeatable,
+        // It was answered; whatever the answer, it is the caller's.
+        Verdict::Ran => false,
+    };
+    if !harmless {
+        return Some(Stop::Unsafe);
+    }
+    if tried.cause != Cause::Leaving && tried.tries >= tried.attempts || !tried.untried {
+        return Some(Stop::Exhausted);
+    }
+    (tried.retried_above && tried.cause != Cause::Leaving).then_some(Stop::Layer)
+}
+
+fn draw_wait<R>(tries: u8, rng: &mut R) -> Duration
+where
+    R: Rng,
+{
+    let doublings = u32::from(tries.saturating_sub(1).min(16));
+    let ceiling = WAIT.0.saturating_mul(1 << doublings).min(WAIT.1);
+    backoff::Backoff::new(ceiling, ceiling).next(rng)
+}
