--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`shared::Shared`].
 
 mod backend;
+mod control_watch;
 mod header;
 mod inbound_call;
 mod inbound_run;
--- /dev/null
+++ b/crates/node/src/node.rs
@@ -0,0 +1,96 @@
+//! A whole node: its listeners and parts, from start to graceful stop.
+
+use crate::shared::Shared;
+use crate::{announce, control, inbound, listener, nodes, operate, outbound};
+use clock::Clock;
+use log::{info, warn};
+use platform::Client;
+use settings::node::Settings;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::net::TcpListener;
+
+/// A running node.
+#[derive(Debug)]
+pub struct Handle<C>
+where
+    C: Clock,
+{
+    shared: Arc<Shared<C>>,
+    inbound: inbound::Handle<C>,
+    outbound: outbound::Handle<C>,
+    control: control::Handle<C>,
+    nodes: nodes::Handle,
+    announce: listener::Handle,
+    operate: listener::Handle,
+}
+
+/// Binds all listeners, then starts every part.
+///
+/// # Errors
+///
+/// When an address can't be bound; nothing runs then.
+pub async fn spawn<C>(settings: Settings, clock: C) -> io::Result<Handle<C>>
+where
+    C: Clock,
+{
+    let callers = bind(settings.callers).await?;
+    let backend = bind(settings.backend).await?;
+    let peers = bind(settings.nodes).await?;
+    let operators = bind(settings.operators).await?;
+    let store = Client::open(settings.platform, platform::client::Limits::default());
+    let shared = Shared::new(settings, rand::random(), clock);
+    let inbound = inbound::spawn(Arc::clone(&shared));
+    let control = control::spawn(Arc::clone(&shared), store);
+    let nodes = nodes::spawn(peers, Arc::clone(&shared), inbound.clone(), control.clone());
+    let announce = announce::spawn(backend, Arc::clone(&shared))?;
+    let operate = operate::spawn(operators, Arc::clone(&shared))?;
+    let outbound = outbound::spawn(callers, Arc::clone(&shared), inbound.clone())?;
+    info!(node = shared.settings.name.as_str(), zone = shared.settings.zone.as_str(); "started");
+    Ok(Handle {
+        shared,
+        inbound,
+        outbound,
+        control,
+        nodes,
+        announce,
+        operate,
+    })
+}
+
+impl<C> Handle<C>
+where
+    C: Clock,
+{
+    /// Gives what the parts share.
+    #[must_use]
+    pub fn shared(&self) -> &Arc<Shared<C>> {
+        &self.shared
+    }
+
+    /// Stops gracefully: no new work from this instant on, and what is in flight ends first.
+    ///
+    /// The drain timeout of the settings bounds the wait; what it cuts off is logged.
+    pub async fn stop(self) {
+        let limit = self.shared.settings.drain_timeout;
+        self.shared.leaving.send_replace(true);
+        info!(drain_timeout_s = limit.as_secs_f64(); "leaving");
+        let (callers, calls) = tokio::join!(self.outbound.drain(limit), self.inbound.drain(limit));
+        if callers + calls > 0 {
+            warn!(callers, calls; "cut_off");
+        }
+        self.control.leave().await;
+        drop(self.nodes);
+        self.announce.stop().await;
+        self.operate.stop().await;
+        info!("stopped");
+    }
+}
+
+async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    match TcpListener::bind(address).await {
+        Ok(listener) => Ok(listener),
+        Err(error) => Err(io::Error::new(error.kind(), format!("{address}: {error}"))),
+    }
+}
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -1,6 +1,6 @@
 //! Frames to bytes and back, with a bound on what a peer may announce.
 
-use crate::Error;
+use crate::{Error, Hello, PROTOCOL};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
@@ -64,6 +64,14 @@
 ///
 /// As [`decode`], and when the link fails or ends.
 pub async fn read<R, T>(reader: &mut R, scratch: &mut Vec<u8>) -> Result<T, Error>
+where
+    R: AsyncRead + Unpin,
+    T: DeserializeOwned,
+{
+    read_bounded(reader, scratch, MAX_FRAME).await
+}
+
+async fn read_bounded<R, T>(reader: &mut R, scratch: &mut Vec<u8>, limit: usize) -> Result<T, Error>
 where
     R: AsyncRead + Unpin,
     T: DeserializeOwned,
@@ -71,7 +79,7 @@
     let mut prefix = [0; PREFIX];
     reader.read_exact(&mut prefix).await?;
     let length = u32::from_le_bytes(prefix) as usize;
-    if length > MAX_FRAME {
+    if length > limit {
         return Err(Error::TooLong(length));
     }
     scratch.clear();
@@ -97,3 +105,24 @@
     writer.write_all(&buffer).await?;
     Ok(())
 }
+
+/// Longest hello, in bytes: names of at most 255 bytes and a few numbers.
+pub const MAX_HELLO: usize = 1 << 10;
+
+/// Reads the first frame of a link, from a peer about which nothing is known yet.
+///
+/// # Errors
+///
+/// As [`read`], with the bound of [`MAX_HELLO`], and for a peer of another protocol.
+pub async fn read_hello<R>(reader: &mut R) -> Result<Hello, Error>
+where
+    R: AsyncRead + Unpin,
+{
+    let mut scratch = Vec::new();
+    let hello: Hello = read_bounded(reader, &mut scratch, MAX_HELLO).await?;
+    if hello.protocol == PROTOCOL {
+        Ok(hello)
+    } else {
+        Err(Error::Protocol(hello.protocol))
+    }
+}
