Serve only once the highest version heard of is held, and take no new process's word

Twice it gave up after 10 s on a version that it had heard of; twice its only source was another new process, which itself held nothing. Ruled out: steps applied out of order (held never fell). Now there is no time limit, and only a node that serves is a source.

--- a/crates/fleet/src/beat.rs
+++ b/crates/fleet/src/beat.rs
@@ -24,6 +24,7 @@
             return;
         };
         let (version, endpoints, room) = (self.version(), self.table.sum(), self.room());
+        let is_ready = self.is_ready();
         let Some(link) = self.links.get_mut(&key) else {
             return;
         };
@@ -36,6 +37,7 @@
             count,
             echo,
             version,
+            is_ready,
             endpoints,
             room,
             status: is_new.then_some(status),
@@ -63,6 +65,7 @@
         if is_due {
             self.send_sums(key, false);
         }
+        self.hear_source(now, key, beat.version, beat.is_ready);
         self.hear_version(now, key, beat.version);
     }
 
--- a/crates/fleet/src/bootstrap.rs
+++ b/crates/fleet/src/bootstrap.rs
@@ -5,6 +5,8 @@
 //! VM would go back: a caller sees yesterday's routes after today's. So a
 //! process serves only once it holds the highest version that it heard of,
 //! and has heard of versions from two sources, or one when no other answers.
+//! There is no time limit on the first: a version that was heard of is in the
+//! platform for good, so the wait ends with the cut that keeps it away.
 
 use config::Version;
 use smol_str::SmolStr;
@@ -17,9 +19,6 @@
 /// Longest wait for a second source.
 const SECOND: Duration = Duration::from_secs(2);
 
-/// Longest wait for a version that was heard of but that nobody gives.
-const FETCH: Duration = Duration::from_secs(10);
-
 /// Most sources remembered.
 const MAX_SOURCES: usize = 8;
 
@@ -53,9 +52,12 @@
         }
     }
 
-    /// Notes a version heard from a source.
-    pub fn hear(&mut self, source: &SmolStr, version: Version, now: Instant) {
-        if self.is_open {
+    /// Notes a version heard from a source; only one that serves itself is a witness.
+    ///
+    /// Else two new processes would take each other's empty hands for the
+    /// newest configuration.
+    pub fn hear(&mut self, source: &SmolStr, version: Version, is_ready: bool, now: Instant) {
+        if self.is_open || !is_ready {
             return;
         }
         self.first.get_or_insert(now);
@@ -67,7 +69,7 @@
 
     /// Notes a version heard from the platform, which needs no second source.
     pub fn hear_platform(&mut self, version: Version, now: Instant) {
-        self.hear(&PLATFORM, version, now);
+        self.hear(&PLATFORM, version, true, now);
         self.is_sure = true;
     }
 
@@ -87,8 +89,7 @@
         };
         let highest = self.heard.values().max().copied().unwrap_or_default();
         let is_heard = self.is_sure || self.heard.len() >= SOURCES || now >= first + SECOND;
-        let has_highest = held >= highest || now >= first + FETCH;
-        self.is_open = is_heard && has_highest;
+        self.is_open = is_heard && held >= highest;
         self.is_open
     }
 
@@ -104,9 +105,7 @@
         if self.is_open {
             return None;
         }
-        let first = self.first?;
-        [first + SECOND, first + FETCH]
-            .into_iter()
-            .find(|at| *at > now)
+        let second = self.first? + SECOND;
+        (second > now).then_some(second)
     }
 }
--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -65,7 +65,6 @@
 impl Node {
     /// Notes what a peer holds or was sent, and helps whoever is behind.
     pub(crate) fn hear_version(&mut self, now: Instant, key: LinkKey, version: Version) {
-        self.hear_source(now, key, version);
         let held = self.version();
         let Some(link) = self.links.get_mut(&key) else {
             return;
@@ -79,9 +78,15 @@
         }
     }
 
-    pub(crate) fn hear_source(&mut self, now: Instant, key: LinkKey, version: Version) {
+    pub(crate) fn hear_source(
+        &mut self,
+        now: Instant,
+        key: LinkKey,
+        version: Version,
+        is_ready: bool,
+    ) {
         if let Some(name) = self.peer_name(key) {
-            self.gate.hear(&name, version, now);
+            self.gate.hear(&name, version, is_ready, now);
         }
     }
 
--- a/crates/fleet/src/tree.rs
+++ b/crates/fleet/src/tree.rs
@@ -268,6 +268,7 @@
         let frame = Frame::Admit {
             path: self.path.clone(),
             version: self.version(),
+            is_ready: self.is_ready(),
             parents: self.hints(key),
         };
         self.send(key, frame);
@@ -290,6 +291,7 @@
         let frame = Frame::Refuse {
             wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
             version: self.version(),
+            is_ready: self.is_ready(),
             parents: self.hints(key),
         };
         self.send(key, frame);
@@ -336,14 +338,22 @@
                 Frame::Admit {
                     path,
                     version,
+                    is_ready,
                     parents,
                 },
                 Purpose::Join,
             ) => {
+                self.hear_source(now, key, version, is_ready);
                 self.learn_hints(now, parents);
                 self.take_parent(now, key, path, version);
             }
-            (Frame::Admit { version, .. }, Purpose::Meet) if self.lease.is_held() => {
+            (
+                Frame::Admit {
+                    version, is_ready, ..
+                },
+                Purpose::Meet,
+            ) if self.lease.is_held() => {
+                self.hear_source(now, key, version, is_ready);
                 self.settle_link(now, key, Role::Equal, version);
                 self.send_sums(key, false);
             }
@@ -351,11 +361,12 @@
                 Frame::Refuse {
                     wait_ms,
                     version,
+                    is_ready,
                     parents,
                 },
                 _,
             ) => {
-                self.hear_source(now, key, version);
+                self.hear_source(now, key, version, is_ready);
                 self.learn_hints(now, parents);
                 self.on_refused(now, key, Duration::from_millis(wait_ms.into()));
             }
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -630,10 +630,12 @@
     /// Checks what must hold of every view that a VM serves by.
     fn install(&mut self, vm: usize, view: Arc<View>) {
         let now = self.now;
+        let text = self.describe();
         let slot = &mut self.vms[vm];
         assert!(
             view.version() >= slot.served,
-            "{} went back from {} to {}",
+            "{now:?} {text} {:?} {} went back from {} to {}",
+            slot.node.as_ref().map(|n| format!("{n:#?}")),
             slot.own.node,
             slot.served,
             view.version()
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -74,6 +74,8 @@
     pub echo: u32,
     /// Version that the sender holds.
     pub version: Version,
+    /// Whether the sender serves: a new process that doesn't is no witness of the newest version.
+    pub is_ready: bool,
     /// Sum of the sender's table of endpoints.
     pub endpoints: u64,
     /// Children that the sender would still take.
@@ -123,6 +125,8 @@
         path: Vec<SmolStr>,
         /// Version that the sender holds.
         version: Version,
+        /// Whether the sender serves.
+        is_ready: bool,
         /// Other parents, should this one be lost.
         parents: Vec<Peer>,
     },
@@ -132,6 +136,8 @@
         wait_ms: u32,
         /// Version that the sender holds.
         version: Version,
+        /// Whether the sender serves.
+        is_ready: bool,
         /// Others to ask.
         parents: Vec<Peer>,
     },
