--- /dev/null
+++ b/crates/settings/tests/examples.rs
@@ -0,0 +1,20 @@
+//! The example files are right.
+
+use settings::{node, operator};
+use yare::parameterized;
+
+fn open_example(name: &str) -> String {
+    format!("{}/../../examples/{name}", env!("CARGO_MANIFEST_DIR"))
+}
+
+#[parameterized(tenaga = { "tenaga.ini" }, mallae = { "mallae.ini" })]
+fn node_example(name: &str) {
+    let settings = node::Settings::open(open_example(name)).unwrap();
+    assert_eq!(settings.seeds.len(), 2);
+}
+
+#[test]
+fn operator_example() {
+    let settings = operator::Settings::open(open_example("operator.ini")).unwrap();
+    assert!(settings.platform.is_some() && settings.nodes.len() == 3);
+}
