--- /dev/null
+++ b/crates/cli/src/drain.rs
@@ -0,0 +1,49 @@
+//! `drain`: takes a VM out of service.
+
+use crate::error::Error;
+use crate::exit::Exit;
+use crate::fetch::{fetch, make_request};
+use crate::session::{Session, split_replies};
+use http::Method;
+use status::Status;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Time between two looks at the calls in flight.
+const POLL: Duration = Duration::from_millis(100);
+
+pub(crate) async fn drain_vm(session: &Session, vm: &str, wait: Duration) -> Result<Exit, Error> {
+    let address = find_address(session, vm).await?;
+    let token = session.read_token()?;
+    let request = make_request(address, Method::POST, "/v1/drain", Some(&token))?;
+    let mut status = fetch::<Status>(address, request, session.timeout).await?;
+    let deadline = Instant::now() + wait;
+    while status.in_flight > 0 && Instant::now() < deadline {
+        tokio::time::sleep(POLL).await;
+        let request = make_request(address, Method::GET, "/v1/status", None)?;
+        status = fetch(address, request, session.timeout).await?;
+    }
+    if session.json {
+        session.print_json(&status);
+    } else {
+        println!(
+            "{} takes no new calls; {} in flight",
+            status.node, status.in_flight
+        );
+    }
+    let is_late = !wait.is_zero() && status.in_flight > 0;
+    Ok(if is_late { Exit::Failed } else { Exit::Done })
+}
+
+async fn find_address(session: &Session, vm: &str) -> Result<SocketAddr, Error> {
+    if let Ok(address) = vm.parse() {
+        return Ok(address);
+    }
+    let replies = session.ask_nodes::<Status>("/v1/status").await?;
+    let (answers, _) = split_replies(replies);
+    answers
+        .into_iter()
+        .find(|(_, status)| status.node == vm)
+        .map(|(address, _)| address)
+        .ok_or_else(|| Error::NoSuchNode(vm.to_owned()))
+}
--- /dev/null
+++ b/crates/cli/src/error.rs
@@ -0,0 +1,71 @@
+//! Why a verb can't do its work.
+
+use crate::exit::Exit;
+use config::Version;
+use quick_error::quick_error;
+use std::io;
+use std::net::SocketAddr;
+
+quick_error! {
+    /// Why a verb can't do its work.
+    #[derive(Debug)]
+    pub enum Error {
+        /// The settings file is wrong.
+        Settings(source: settings::Error) {
+            from()
+            display("{}", source)
+            source(source)
+        }
+        /// An address is needed that neither flags nor settings give.
+        Missing(what: &'static str) {
+            display("{}", what)
+        }
+        /// A file can't be read.
+        File(name: String, source: io::Error) {
+            display("{}: can't be read: {}", name, source)
+            source(source)
+        }
+        /// A patch breaks a rule.
+        Patch(name: String, source: config::Error) {
+            display("{}: {}", name, source)
+            source(source)
+        }
+        /// The platform did not answer as it should.
+        Platform(source: platform::Error) {
+            from()
+            display("{}", source)
+            source(source)
+        }
+        /// There is no such version yet.
+        NoSuchVersion(version: Version, last: Version) {
+            display("there is no version {} yet; the last one is {}", version, last)
+        }
+        /// The version's record has been removed.
+        Removed(version: Version, oldest: Version) {
+            display("version {} is no longer kept; the oldest that can be shown is {}", version, oldest)
+        }
+        /// No node of that name answered.
+        NoSuchNode(name: String) {
+            display("none of the nodes that answered is named {:?}; name it by the address of its operators' listener, or add that with --node", name)
+        }
+        /// A node did not answer.
+        Node(address: SocketAddr, why: String) {
+            display("node at {}: {}", address, why)
+        }
+    }
+}
+
+impl Error {
+    /// Gives the code that the program ends with.
+    #[must_use]
+    pub fn exit(&self) -> Exit {
+        match self {
+            Self::Settings(_) | Self::Missing(_) | Self::File(..) | Self::Patch(..) => Exit::Usage,
+            Self::Platform(_)
+            | Self::NoSuchVersion(..)
+            | Self::Removed(..)
+            | Self::NoSuchNode(_)
+            | Self::Node(..) => Exit::Failed,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/fetch.rs
@@ -0,0 +1,81 @@
+//! One HTTP call to a node's operators' listener.
+
+use crate::error::Error;
+use bytes::Bytes;
+use http::{Method, Request, StatusCode, header};
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+
+/// Largest answer, in bytes: counts of a few thousand services.
+const MAX_ANSWER: usize = 8 << 20;
+
+/// What a node says when it refuses.
+#[derive(Debug, Deserialize)]
+struct Refusal {
+    error: String,
+}
+
+/// Sends a call, and reads its answer as JSON.
+pub(crate) async fn fetch<T>(
+    address: SocketAddr,
+    request: Request<Empty<Bytes>>,
+    timeout: Duration,
+) -> Result<T, Error>
+where
+    T: DeserializeOwned,
+{
+    let answer = match tokio::time::timeout(timeout, send(address, request)).await {
+        Ok(answer) => answer.map_err(|error| Error::Node(address, error.to_string()))?,
+        Err(_) => return Err(Error::Node(address, "no answer in time".to_owned())),
+    };
+    let (status, body) = answer;
+    if status.is_success() {
+        return serde_json::from_slice(&body)
+            .map_err(|error| Error::Node(address, format!("not understood: {error}")));
+    }
+    let why = match serde_json::from_slice::<Refusal>(&body) {
+        Ok(refusal) => format!("{status}: {}", refusal.error),
+        Err(_) => status.to_string(),
+    };
+    Err(Error::Node(address, why))
+}
+
+async fn send(
+    address: SocketAddr,
+    request: Request<Empty<Bytes>>,
+) -> Result<(StatusCode, Bytes), Box<dyn std::error::Error + Send + Sync>> {
+    let stream = TcpStream::connect(address).await?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    // Ends with the sender; what goes wrong on it, the sender is told.
+    tokio::spawn(connection);
+    let answer = sender.send_request(request).await?;
+    let status = answer.status();
+    let body = Limited::new(answer.into_body(), MAX_ANSWER);
+    Ok((status, body.collect().await?.to_bytes()))
+}
+
+/// Makes a call without a body; `token` goes with calls that write.
+pub(crate) fn make_request(
+    address: SocketAddr,
+    method: Method,
+    path: &'static str,
+    token: Option<&str>,
+) -> Result<Request<Empty<Bytes>>, Error> {
+    let mut request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header(header::HOST, address.to_string())
+        .header(header::CONNECTION, "close");
+    if let Some(token) = token {
+        request = request.header(header::AUTHORIZATION, format!("Bearer {token}"));
+    }
+    request
+        .body(Empty::new())
+        .map_err(|error| Error::Node(address, error.to_string()))
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,12 +4,28 @@
 //! the same VM, for other nodes and for operators. All of them share one
 //! [`shared::Shared`].
 
+mod backend;
+mod header;
+mod inbound_call;
+mod inbound_run;
+mod metrics_service;
+mod outbound_answer;
+mod outbound_call;
+mod outbound_link;
+mod outbound_sent;
+mod outbound_try;
+mod upload;
+
 pub mod announce;
+pub mod control;
+pub mod inbound;
+pub mod link;
 pub mod listener;
 pub mod logs;
 pub mod metrics;
+pub mod node;
+pub mod nodes;
 pub mod operate;
+pub mod outbound;
 pub mod process;
 pub mod shared;
-
-mod metrics_service;
