--- /dev/null
+++ b/crates/cli/src/burn_report.rs
@@ -0,0 +1,100 @@
+//! `burn`: how fast services use up their error budgets.
+
+use crate::error::Error;
+use crate::exit::Exit;
+use crate::session::{Session, Unreachable, report_unreachable, split_replies};
+use crate::table::render_table;
+use burn::{Alert, Level, Node, Window, judge, merge};
+use serde::Serialize;
+
+/// What `burn --json` writes.
+#[derive(Debug, Serialize)]
+struct Report {
+    services: Vec<burn::Report>,
+    /// Nodes whose counts are in the report.
+    nodes: usize,
+    /// How long the node that has counted longest has done so, in seconds.
+    counted_s: u64,
+    unreachable: Vec<Unreachable>,
+}
+
+pub(crate) async fn report_burn(session: &Session) -> Result<Exit, Error> {
+    let replies = session.ask_nodes::<Node>("/v1/burn").await?;
+    let (answers, unreachable) = split_replies(replies);
+    let nodes = answers
+        .into_iter()
+        .map(|(_, node)| node)
+        .collect::<Vec<_>>();
+    let services = merge(&nodes)
+        .iter()
+        .map(|(name, service)| judge(name, service))
+        .collect();
+    let counted_s = nodes.iter().map(|node| node.counted_s).max();
+    let report = Report {
+        services,
+        nodes: nodes.len(),
+        counted_s: counted_s.unwrap_or_default(),
+        unreachable,
+    };
+    if session.json {
+        session.print_json(&report);
+    } else {
+        print_report(&report);
+    }
+    Ok(report_unreachable(&report.unreachable))
+}
+
+fn print_report(report: &Report) {
+    println!(
+        "{} nodes, counting for up to {} s; budgets are of three days",
+        report.nodes, report.counted_s
+    );
+    let heading = [
+        "SERVICE", "PROMISE", "CALLS", "BUDGET LEFT", "5m", "30m", "1h", "6h", "3d", "ALERT",
+    ];
+    let mut rows = vec![heading.map(str::to_owned)];
+    for service in &report.services {
+        let calls = service.calls.to_string();
+        let promises = [
+            ("availability", &service.availability),
+            ("latency", &service.latency),
+        ];
+        let kept = promises
+            .iter()
+            .filter_map(|(name, level)| Some((name, level.as_ref()?)));
+        let mut is_promised = false;
+        for (name, level) in kept {
+            is_promised = true;
+            rows.push(make_row(&service.service, name, &calls, level));
+        }
+        if !is_promised {
+            let mut row = [const { String::new() }; 10];
+            row[0] = service.service.to_string();
+            row[1] = "none".to_owned();
+            row[2] = calls;
+            rows.push(row);
+        }
+    }
+    print!("{}", render_table(&rows));
+}
+
+fn make_row(service: &str, promise: &str, calls: &str, level: &Level) -> [String; 10] {
+    let [m5, m30, h1, h6, d3] = Window::ALL.map(|window| format!("{:.1}", level.burn[&window]));
+    let alert = match level.alert {
+        Alert::None => "-",
+        Alert::Ticket => "ticket",
+        Alert::Page => "PAGE",
+    };
+    [
+        service.to_owned(),
+        promise.to_owned(),
+        calls.to_owned(),
+        format!("{:.1} %", level.budget_left * 100.0),
+        m5,
+        m30,
+        h1,
+        h6,
+        d3,
+        alert.to_owned(),
+    ]
+}
