--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -7,7 +7,13 @@
 //! number and at a bounded rate; the others learn at once when to come back
 //! and whom else to ask, and the tree grows level by level.
 
-use std::time::Duration;
+use crate::link::{LinkKey, Role};
+use crate::node::Node;
+use rand::seq::IndexedRandom;
+use smol_str::SmolStr;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use wire::control::{Frame, Peer};
 
 /// Children of one node: three roots and two levels below make room for
 /// 3 × 24 × 24 = 1,728 nodes, more than a zone of 1,000.
@@ -30,3 +36,112 @@
 
 /// Other parents named in one answer.
 pub const MAX_HINTS: usize = 8;
+
+impl Node {
+    /// Takes the first frame of a peer that connected.
+    pub(crate) fn on_first(&mut self, now: Instant, key: LinkKey, frame: &Frame) {
+        match frame {
+            Frame::Join { address, version } => {
+                self.set_address(key, *address);
+                match self.check_join(key, now) {
+                    Ok(()) => self.admit(now, key, Role::Child, *version),
+                    Err(wait) => self.refuse(key, wait),
+                }
+            }
+            Frame::Meet { address, version } => {
+                self.set_address(key, *address);
+                if self.lease.is_held() && !self.is_leaving {
+                    self.admit(now, key, Role::Equal, *version);
+                } else {
+                    self.refuse(key, WAIT_FULL);
+                }
+            }
+            Frame::Ask => self.refuse(key, Duration::ZERO),
+            _ => {
+                self.close(key);
+            }
+        }
+    }
+
+    fn set_address(&mut self, key: LinkKey, address: SocketAddr) {
+        if let Some(peer) = self.links.get_mut(&key).and_then(|link| link.peer.as_mut()) {
+            peer.address = address;
+        }
+    }
+
+    fn check_join(&mut self, key: LinkKey, now: Instant) -> Result<(), Duration> {
+        let name = self.peer_name(key).unwrap_or_default();
+        if !self.is_rooted() || !self.is_ready() || self.is_leaving || self.path.contains(&name) {
+            return Err(WAIT_UNREADY);
+        }
+        // A child that reconnects takes its own place, not a further one.
+        let is_old = |other: &SmolStr| *other == name;
+        let old = self.find_links(|link| {
+            link.role == Role::Child && link.peer.as_ref().is_some_and(|peer| is_old(&peer.node))
+        });
+        for old in old {
+            self.close(old);
+        }
+        if self.room() == 0 {
+            return Err(WAIT_FULL);
+        }
+        self.door.take(now)
+    }
+
+    /// Counts the children that this node would still take.
+    pub(crate) fn room(&self) -> u8 {
+        let is_able = self.is_rooted() && self.is_ready() && self.path.len() < MAX_DEPTH;
+        if !is_able || self.is_leaving {
+            return 0;
+        }
+        let free = FAN_OUT.saturating_sub(self.count_links(Role::Child));
+        u8::try_from(free).unwrap_or(u8::MAX)
+    }
+
+    fn admit(&mut self, now: Instant, key: LinkKey, role: Role, version: config::Version) {
+        let frame = Frame::Admit {
+            path: self.path.clone(),
+            version: self.version(),
+            is_ready: self.is_ready(),
+            parents: self.hints(key),
+        };
+        self.send(key, frame);
+        self.settle_link(now, key, role, version);
+    }
+
+    fn refuse(&mut self, key: LinkKey, wait: Duration) {
+        let frame = Frame::Refuse {
+            wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+            version: self.version(),
+            is_ready: self.is_ready(),
+            parents: self.hints(key),
+        };
+        self.send(key, frame);
+        self.close(key);
+    }
+
+    /// Names other parents for the peer of `key`: children with room, the own parent, roots of the zone.
+    pub(crate) fn hints(&mut self, key: LinkKey) -> Vec<Peer> {
+        let zone = &self.settings.own.zone;
+        let name = self.peer_name(key).unwrap_or_default();
+        let roomy = self.links.iter().filter(|(other, link)| {
+            **other != key
+                && (link.role == Role::Parent || (link.role == Role::Child && link.room > 0))
+        });
+        let roomy: Vec<_> = roomy.filter_map(|(_, link)| link.peer.clone()).collect();
+        let mut hints: Vec<_> = roomy
+            .choose_multiple(&mut self.rng, MAX_HINTS)
+            .cloned()
+            .collect();
+        let seats = self.lease.seats().iter().filter(|seat| seat.is_live);
+        hints.extend(
+            seats
+                .map(|seat| &seat.holder)
+                .filter(|holder| holder.zone == *zone)
+                .cloned(),
+        );
+        hints.retain(|hint| hint.zone == *zone && hint.node != name);
+        hints.truncate(MAX_HINTS);
+        hints
+    }
+}
--- a/crates/fleet/tests/converge.rs
+++ b/crates/fleet/tests/converge.rs
@@ -7,7 +7,7 @@
 #[test]
 fn quiet_fleet() {
     let mut world = World::new(3, 20, 1);
-    world.run_until(10 * S, "start", |world| world.all_rooted());
+    world.run_until(10 * S, "start", World::all_rooted);
     world.run(10 * S);
     for zone in 0..3 {
         let roots = world.platform.roots(&zone_name(zone), world.now);
--- a/crates/fleet/tests/randomised.rs
+++ b/crates/fleet/tests/randomised.rs
@@ -22,7 +22,9 @@
         3 => world.leave(vm),
         4..=6 => {
             let down = (0..NODES).find(|vm| world.vms[*vm].node.is_none());
-            down.into_iter().for_each(|vm| world.spawn(vm));
+            if let Some(vm) = down {
+                world.spawn(vm);
+            }
         }
         7 => world.freeze(vm),
         8 | 9 => (0..NODES).for_each(|vm| world.thaw(vm)),
@@ -85,7 +87,7 @@
         if world.draw(2) == 0 && !world.platform.is_out {
             world.propose();
         }
-        let pause = world.draw(900) as u32;
+        let pause = u32::try_from(world.draw(900)).unwrap_or_default();
         world.run(pause * MS);
     }
     heal(&mut world);
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -341,7 +341,7 @@
             );
             self.run(10 * MS);
         }
-        self.now - begun
+        self.now.saturating_sub(begun)
     }
 
     /// Tells whether all running processes serve by `version`.
@@ -480,7 +480,7 @@
         let at = next - self.start;
         if at < self.vms[vm].wake_at {
             self.vms[vm].wake_at = at;
-            self.push(vm, at - self.now, Item::Wake);
+            self.push(vm, at.saturating_sub(self.now), Item::Wake);
         }
     }
 
@@ -531,14 +531,19 @@
         }
         let wait = self.latency();
         let at = (self.now + wait).max(self.conns[conn].last[side]);
-        self.push_for(vm, incarnation, at - self.now, Item::Closed { conn });
+        self.push_for(
+            vm,
+            incarnation,
+            at.saturating_sub(self.now),
+            Item::Closed { conn },
+        );
     }
 
     fn run_actions(&mut self, vm: usize, actions: Vec<Action>) {
         for action in actions {
             match action {
                 Action::Connect { link, address } => self.dial(vm, link, address),
-                Action::Send { link, frame } => self.send(vm, link, frame),
+                Action::Send { link, frame } => self.send(vm, link, &frame),
                 Action::Close { link } => {
                     let key = (vm, self.vms[vm].incarnation, link);
                     if let Some(conn) = self.by_key.remove(&key)
@@ -575,7 +580,7 @@
         );
     }
 
-    fn send(&mut self, vm: usize, link: LinkKey, frame: Frame) {
+    fn send(&mut self, vm: usize, link: LinkKey, frame: &Frame) {
         let key = (vm, self.vms[vm].incarnation, link);
         let Some(conn) = self.by_key.get(&key).copied() else {
             return;
@@ -615,7 +620,12 @@
                 at
             };
             let frame = Box::new(frame.clone());
-            self.push_for(to, incarnation, at - self.now, Item::Frame { conn, frame });
+            self.push_for(
+                to,
+                incarnation,
+                at.saturating_sub(self.now),
+                Item::Frame { conn, frame },
+            );
         }
     }
 
@@ -630,12 +640,10 @@
     /// Checks what must hold of every view that a VM serves by.
     fn install(&mut self, vm: usize, view: Arc<View>) {
         let now = self.now;
-        let text = self.describe();
         let slot = &mut self.vms[vm];
         assert!(
             view.version() >= slot.served,
-            "{now:?} {text} {:?} {} went back from {} to {}",
-            slot.node.as_ref().map(|n| format!("{n:#?}")),
+            "{} went back from {} to {}",
             slot.own.node,
             slot.served,
             view.version()
--- a/crates/fleet/tests/world/platform.rs
+++ b/crates/fleet/tests/world/platform.rs
@@ -41,7 +41,10 @@
     pub fn digest(&self, version: Version) -> Option<Digest> {
         match version.0.checked_sub(1) {
             None => Some(Held::default().digest()),
-            Some(index) => self.history.get(index as usize).map(|entry| entry.2),
+            Some(index) => {
+                let index = usize::try_from(index).ok()?;
+                self.history.get(index).map(|entry| entry.2)
+            }
         }
     }
 
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -1,15 +1,30 @@
 //! How a node learns of configuration and endpoints.
+//!
+//! By default it takes its place in its zone's tree of relays
+//! ([`fleet::Node`] decides, `control_tree` carries it out). The settings may
+//! have it watch the platform itself instead, as a baseline for measurements.
 
+use crate::control_tree::{self, Input};
 use crate::control_watch;
 use crate::shared::Shared;
 use clock::Clock;
+use fleet::Peer;
 use platform::Store;
+use settings::node::Distribution;
 use std::io;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinHandle;
 use wire::Hello;
 
+/// Inputs that wait for the state machine; readers of links wait when it is full.
+const INBOX: usize = 1_024;
+
+/// Longest wait for the others to be told that this node leaves.
+const FAREWELL: Duration = Duration::from_secs(1);
+
 /// The running control part of a node; clones share it.
 #[derive(Debug)]
 pub struct Handle<C>
@@ -17,6 +32,7 @@
     C: Clock,
 {
     shared: Arc<Shared<C>>,
+    inbox: Option<mpsc::Sender<Input>>,
     task: Arc<JoinHandle<()>>,
 }
 
@@ -27,6 +43,7 @@
     fn clone(&self) -> Self {
         Self {
             shared: Arc::clone(&self.shared),
+            inbox: self.inbox.clone(),
             task: Arc::clone(&self.task),
         }
     }
@@ -39,9 +56,20 @@
     C: Clock,
     S: Store,
 {
-    let task = tokio::spawn(control_watch::run(Arc::clone(&shared), store));
+    let (inbox, task) = match shared.settings.distribution {
+        Distribution::Watch => {
+            let task = tokio::spawn(control_watch::run(Arc::clone(&shared), store));
+            (None, task)
+        }
+        Distribution::Tree => {
+            let (sender, receiver) = mpsc::channel(INBOX);
+            let run = control_tree::run(Arc::clone(&shared), store, sender.clone(), receiver);
+            (Some(sender), tokio::spawn(run))
+        }
+    };
     Handle {
         shared,
+        inbox,
         task: Arc::new(task),
     }
 }
@@ -54,14 +82,39 @@
     ///
     /// # Errors
     ///
-    /// Always: a node that watches the platform itself has no children.
-    pub fn accept(&self, _stream: TcpStream, _hello: &Hello) -> io::Result<()> {
-        Err(io::ErrorKind::Unsupported.into())
+    /// When the node watches the platform itself, and thus has no children, or
+    /// has no time for a further link now.
+    pub fn accept(&self, stream: TcpStream, hello: &Hello) -> io::Result<()> {
+        let Some(inbox) = &self.inbox else {
+            return Err(io::ErrorKind::Unsupported.into());
+        };
+        let peer = Peer {
+            node: hello.node.clone(),
+            zone: hello.zone.clone(),
+            // Where it listens comes with its first frame.
+            address: stream.peer_addr()?,
+        };
+        match inbox.try_send(Input::Accepted { stream, peer }) {
+            Ok(()) => Ok(()),
+            Err(_) => Err(io::ErrorKind::ResourceBusy.into()),
+        }
     }
 
     /// Ends, once the others have been told that this node has left.
     pub async fn leave(&self) {
-        control_watch::announce_gone(&self.shared).await;
+        match &self.inbox {
+            None => control_watch::announce_gone(&self.shared).await,
+            Some(inbox) => {
+                let (done, told) = oneshot::channel();
+                let farewell = async {
+                    if inbox.send(Input::Leave(done)).await.is_ok() {
+                        // An error means that the task has ended, so all is told.
+                        drop(told.await);
+                    }
+                };
+                drop(tokio::time::timeout(FAREWELL, farewell).await);
+            }
+        }
         self.task.abort();
     }
 }
--- /dev/null
+++ b/crates/node/src/control_platform.rs
@@ -0,0 +1,236 @@
+//! What the state machine asks of the platform, carried out one by one.
+
+use crate::control_tree::Input;
+use crate::shared::Shared;
+use clock::Clock;
+use fleet::{Answer, Peer, Request, Seat};
+use log::warn;
+use platform::follow::News;
+use platform::lease::{self, Standing};
+use platform::version::{self, JOURNAL};
+use platform::{Error, Follower, Journal, Lease, Revision, Store};
+use smol_str::{SmolStr, format_smolstr};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Instant;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+
+/// Prefix of the names of roots' leases.
+const ROOTS: &str = "roots/";
+
+/// Carries out requests until their sender is gone.
+pub(crate) async fn run<C, S>(
+    shared: Arc<Shared<C>>,
+    store: S,
+    mut requests: mpsc::UnboundedReceiver<Request>,
+    inbox: mpsc::Sender<Input>,
+) where
+    C: Clock,
+    S: Store,
+{
+    let mut desk = Desk {
+        shared,
+        store,
+        inbox,
+        leases: BTreeMap::new(),
+        seen: BTreeMap::new(),
+        follower: None,
+    };
+    while let Some(request) = requests.recv().await {
+        if let Some(answer) = desk.carry_out(request).await {
+            drop(desk.inbox.send(Input::Answer(answer)).await);
+        }
+    }
+}
+
+/// A task that ends with its handle.
+#[derive(Debug)]
+struct Task(JoinHandle<()>);
+
+impl Drop for Task {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// A lease as it was last read, and since when it has stood so.
+#[derive(Debug, Clone, Copy)]
+struct Seen {
+    revision: Revision,
+    since: Instant,
+}
+
+#[derive(Debug)]
+struct Desk<C, S>
+where
+    C: Clock,
+    S: Store,
+{
+    shared: Arc<Shared<C>>,
+    store: S,
+    inbox: mpsc::Sender<Input>,
+    leases: BTreeMap<u8, Lease<S, C>>,
+    seen: BTreeMap<SmolStr, Seen>,
+    follower: Option<Task>,
+}
+
+impl<C, S> Desk<C, S>
+where
+    C: Clock,
+    S: Store,
+{
+    async fn carry_out(&mut self, request: Request) -> Option<Answer> {
+        let outcome = match request {
+            Request::Leases => self.read_leases().await,
+            Request::Take { slot, is_forced } => self.take(slot, is_forced).await,
+            Request::Renew { slot } => self.tend(slot).await,
+            Request::Release { slot } => {
+                if let Some(mut lease) = self.leases.remove(&slot) {
+                    // One that can't be given back lapses by itself.
+                    drop(lease.release().await);
+                }
+                return None;
+            }
+            Request::Follow { after } => {
+                self.follow(after);
+                return None;
+            }
+            Request::Unfollow => {
+                self.follower = None;
+                return None;
+            }
+        };
+        Some(outcome.unwrap_or(Answer::Failed(request)))
+    }
+
+    async fn read_leases(&mut self) -> Result<Answer, Error> {
+        let standings = lease::list(&self.store, ROOTS).await?;
+        let now = self.shared.clock.now();
+        let mut seats = Vec::new();
+        for standing in &standings {
+            let since = self.note(standing, now);
+            let is_live = now.duration_since(since) < standing.duration;
+            seats.extend(read_seat(standing, is_live));
+        }
+        Ok(Answer::Leases(seats))
+    }
+
+    /// Gives since when a lease has stood unchanged, as far as this process saw.
+    fn note(&mut self, standing: &Standing, now: Instant) -> Instant {
+        let seen = Seen {
+            revision: standing.revision,
+            since: now,
+        };
+        let known = self.seen.entry(standing.name.clone()).or_insert(seen);
+        if known.revision != standing.revision {
+            *known = seen;
+        }
+        known.since
+    }
+
+    async fn take(&mut self, slot: u8, is_forced: bool) -> Result<Answer, Error> {
+        let name = self.name_lease(slot);
+        let seen = self.seen.get(&name).map(|seen| seen.revision);
+        let lease = self.lease(slot);
+        let is_held = match seen.filter(|_| is_forced) {
+            Some(revision) => lease.seize(revision).await?,
+            None => lease.tend().await?,
+        };
+        Ok(tell_held(slot, is_held))
+    }
+
+    async fn tend(&mut self, slot: u8) -> Result<Answer, Error> {
+        let is_held = self.lease(slot).tend().await?;
+        Ok(tell_held(slot, is_held))
+    }
+
+    fn name_lease(&self, slot: u8) -> SmolStr {
+        format_smolstr!("{ROOTS}{}/{slot}", self.shared.settings.zone)
+    }
+
+    fn lease(&mut self, slot: u8) -> &mut Lease<S, C> {
+        let name = self.name_lease(slot);
+        let settings = &self.shared.settings;
+        let holder = format!("{} {} {}", settings.name, settings.zone, settings.nodes);
+        let (store, clock) = (self.store.clone(), self.shared.clock.clone());
+        self.leases
+            .entry(slot)
+            .or_insert_with(|| Lease::open(store, clock, &name, &holder, fleet::root::TERM))
+    }
+
+    fn follow(&mut self, after: config::Version) {
+        let journal = Journal::open(self.store.clone(), self.shared.clock.clone(), JOURNAL);
+        let position = (after > config::Version::ZERO).then_some(after.0);
+        let follower = Follower::open(journal, position);
+        let inbox = self.inbox.clone();
+        self.follower = Some(Task(tokio::spawn(pass_on(follower, inbox))));
+    }
+}
+
+/// Passes versions on until the follower is dropped.
+async fn pass_on<C, S>(mut follower: Follower<S, C>, inbox: mpsc::Sender<Input>)
+where
+    C: Clock,
+    S: Store,
+{
+    loop {
+        match read_news(follower.next().await) {
+            Ok(answers) => {
+                for answer in answers {
+                    if inbox.send(Input::Answer(answer)).await.is_err() {
+                        return;
+                    }
+                }
+            }
+            Err(error) => warn!(error:%; "version_unreadable"),
+        }
+    }
+}
+
+fn read_news(news: News) -> Result<Vec<Answer>, Error> {
+    match news {
+        News::Record(record) => {
+            let step = version::Step::parse(&record)?;
+            Ok(vec![Answer::Step {
+                version: step.version,
+                patch: Arc::new(step.entry.patch),
+                digest: step.entry.digest,
+            }])
+        }
+        News::Reset(loaded) => {
+            let state = version::State::build(&loaded)?;
+            let digest = config::Digest::of(&state.mesh);
+            let whole = Answer::Whole {
+                version: state.version,
+                mesh: state.mesh,
+                digest,
+            };
+            Ok(vec![Answer::Head(state.version), whole])
+        }
+    }
+}
+
+fn tell_held(slot: u8, is_held: bool) -> Answer {
+    if is_held {
+        Answer::Granted { slot }
+    } else {
+        Answer::Lost { slot }
+    }
+}
+
+/// Reads the lease of a root; its holder is a name, a zone and an address.
+fn read_seat(standing: &Standing, is_live: bool) -> Option<Seat> {
+    let slot = standing.name.rsplit_once('/')?.1.parse().ok()?;
+    let mut words = standing.holder.split(' ');
+    let holder = Peer {
+        node: words.next()?.into(),
+        zone: words.next()?.into(),
+        address: words.next()?.parse().ok()?,
+    };
+    Some(Seat {
+        slot,
+        holder,
+        is_live,
+    })
+}
--- /dev/null
+++ b/crates/node/src/control_tree.rs
@@ -0,0 +1,312 @@
+//! Runs the state machine of distribution: sockets, timers and the platform around it.
+
+use crate::control_link::{self, Sender};
+use crate::control_platform;
+use crate::shared::Shared;
+use clock::Clock;
+use config::{State, View};
+use fleet::{Action, Answer, Event, LinkKey, Node, Peer, Request, Role, Settings};
+use log::{error, info};
+use platform::Store;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant, UNIX_EPOCH};
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, oneshot, watch};
+use wire::control::Frame;
+
+/// Time between looks at what operators are told.
+const TELL: Duration = Duration::from_millis(250);
+
+/// What comes to the state machine from outside.
+#[derive(Debug)]
+pub(crate) enum Input {
+    Accepted {
+        stream: TcpStream,
+        peer: Peer,
+    },
+    Connected {
+        link: LinkKey,
+        stream: TcpStream,
+        peer: Peer,
+    },
+    Closed {
+        link: LinkKey,
+    },
+    Frame {
+        link: LinkKey,
+        frame: Frame,
+    },
+    Answer(Answer),
+    Leave(oneshot::Sender<()>),
+}
+
+/// Runs until the node has left.
+pub(crate) async fn run<C, S>(
+    shared: Arc<Shared<C>>,
+    store: S,
+    sender: mpsc::Sender<Input>,
+    mut inbox: mpsc::Receiver<Input>,
+) where
+    C: Clock,
+    S: Store,
+{
+    let (requests, asked) = mpsc::unbounded_channel();
+    let desk = control_platform::run(Arc::clone(&shared), store, asked, sender.clone());
+    let desk = tokio::spawn(desk);
+    let mut backend = shared.backend.subscribe();
+    let mut leaving = shared.leaving.subscribe();
+    let mut tree = Tree::new(shared, requests, sender);
+    let done = loop {
+        let wait = tree.wait();
+        tokio::select! {
+            input = inbox.recv() => match input {
+                Some(Input::Leave(done)) => break Some(done),
+                Some(input) => tree.take(input),
+                None => break None,
+            },
+            changed = backend.changed() => if changed.is_ok() { tree.announce(&mut backend) },
+            changed = leaving.changed() => if changed.is_ok() {
+                leaving.mark_unchanged();
+                tree.announce(&mut backend);
+            },
+            () = tokio::time::sleep(wait) => tree.handle(Event::Wake),
+        }
+        tree.tell();
+    };
+    tree.leave().await;
+    // The lease is given back before the sender of requests goes.
+    drop(tree);
+    drop(desk.await);
+    if let Some(done) = done {
+        // An error means that nobody waits any more.
+        let _told = done.send(());
+    }
+}
+
+struct Tree<C>
+where
+    C: Clock,
+{
+    shared: Arc<Shared<C>>,
+    node: Node,
+    links: BTreeMap<LinkKey, Sender>,
+    requests: mpsc::UnboundedSender<Request>,
+    inbox: mpsc::Sender<Input>,
+    told_at: Instant,
+    finished: Vec<tokio::task::JoinHandle<()>>,
+}
+
+impl<C> Tree<C>
+where
+    C: Clock,
+{
+    fn new(
+        shared: Arc<Shared<C>>,
+        requests: mpsc::UnboundedSender<Request>,
+        inbox: mpsc::Sender<Input>,
+    ) -> Self {
+        let now = shared.clock.now();
+        let started = shared.clock.wall().duration_since(UNIX_EPOCH);
+        let started = started.unwrap_or_default().as_millis();
+        let own = &shared.settings;
+        let settings = Settings {
+            own: Peer {
+                node: own.name.clone(),
+                zone: own.zone.clone(),
+                address: own.nodes,
+            },
+            region: own.region.clone(),
+            incarnation: shared.incarnation,
+            started_ms: u64::try_from(started).unwrap_or_default(),
+            seeds: own.seeds.clone(),
+        };
+        let node = Node::new(settings, rand::random(), now);
+        Self {
+            shared,
+            node,
+            links: BTreeMap::new(),
+            requests,
+            inbox,
+            told_at: now,
+            finished: Vec::new(),
+        }
+    }
+
+    /// Gives the time until the state machine is to be woken.
+    fn wait(&self) -> Duration {
+        let now = self.shared.clock.now();
+        let next = self.node.next_wake(now).min(self.told_at + TELL);
+        next.saturating_duration_since(now)
+    }
+
+    fn take(&mut self, input: Input) {
+        let event = match input {
+            Input::Accepted { stream, peer } => {
+                let now = self.shared.clock.now();
+                let key = self.node.accept(peer, now);
+                self.open(key, stream);
+                return;
+            }
+            Input::Connected { link, stream, peer } => {
+                self.open(link, stream);
+                Event::Connected { link, peer }
+            }
+            Input::Closed { link } => Event::Closed { link },
+            Input::Frame { link, frame } => Event::Frame { link, frame },
+            Input::Answer(answer) => Event::Platform(answer),
+            Input::Leave(_) => Event::Leave,
+        };
+        self.handle(event);
+    }
+
+    fn open(&mut self, key: LinkKey, stream: TcpStream) {
+        let sender = control_link::spawn(&self.shared, key, stream, self.inbox.clone());
+        self.links.insert(key, sender);
+    }
+
+    fn handle(&mut self, event: Event) {
+        let now = self.shared.clock.now();
+        let closed = match &event {
+            Event::Closed { link } => self.links.remove(link),
+            _ => None,
+        };
+        drop(closed.map(Sender::finish));
+        let actions = self.node.handle(now, event);
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Connect { link, address } => {
+                control_link::dial(&self.shared, link, address, self.inbox.clone());
+            }
+            Action::Send { link, frame } => self.send(link, frame),
+            Action::Close { link } => {
+                if let Some(sender) = self.links.remove(&link) {
+                    self.finished.retain(|task| !task.is_finished());
+                    self.finished.push(sender.finish());
+                }
+            }
+            // The desk ends after this task.
+            Action::Ask(request) => drop(self.requests.send(request)),
+            Action::Install(view) => self.install(view),
+        }
+    }
+
+    /// Sends a frame; a link that takes nothing more is closed.
+    ///
+    /// Guards against a peer that stopped reading: its queue would grow
+    /// without end. It asks anew for what it lacks once it is back.
+    fn send(&mut self, link: LinkKey, frame: Frame) {
+        let Some(sender) = self.links.get(&link) else {
+            return;
+        };
+        if !sender.send(frame) {
+            self.shared.metrics.control.overflows.inc();
+            drop(self.links.remove(&link).map(Sender::finish));
+            let inbox = self.inbox.clone();
+            tokio::spawn(async move {
+                drop(inbox.send(Input::Closed { link }).await);
+            });
+        }
+    }
+
+    /// Serves by a view from now on, whole: one swap.
+    fn install(&self, view: Arc<View>) {
+        let before = self.shared.view.load().version();
+        if view.version() < before {
+            self.shared.metrics.control.reverts.inc();
+            error!(version = view.version().0, held = before.0; "revert_refused");
+            return;
+        }
+        if view.version() > before {
+            info!(version = view.version().0; "version_installed");
+        }
+        self.shared.view.store(view);
+    }
+
+    fn announce(&mut self, backend: &mut watch::Receiver<Option<crate::shared::Backend>>) {
+        let Some(own) = backend.borrow_and_update().clone() else {
+            return;
+        };
+        let is_leaving = own.leaving || *self.shared.leaving.borrow();
+        self.handle(Event::Own(fleet::Backend {
+            service: own.service,
+            slots: own.slots,
+            state: if is_leaving {
+                State::Leaving
+            } else {
+                State::Serving
+            },
+        }));
+    }
+
+    /// Tells operators and metrics how the node stands.
+    fn tell(&mut self) {
+        let now = self.shared.clock.now();
+        if now < self.told_at + TELL {
+            return;
+        }
+        self.told_at = now;
+        let before = self.shared.distribution.load();
+        let next = self.read_distribution();
+        let control = &self.shared.metrics.control;
+        control.versions.inc_by(next.versions - before.versions);
+        control.refusals.inc_by(next.refusals - before.refusals);
+        control.parents.inc_by(next.parents - before.parents);
+        control
+            .departures
+            .inc_by(next.departures - before.departures);
+        control.views.inc_by(next.views - before.views);
+        if next != **before {
+            if next.path.first() != before.path.first() {
+                let root = next.path.first().map_or("", |root| root.as_str());
+                info!(root, depth = next.path.len(); "root_changed");
+            }
+            self.shared.distribution.store(Arc::new(next));
+        }
+    }
+
+    fn read_distribution(&self) -> status::Distribution {
+        let counters = self.node.counters();
+        let fleet = self.node.fleet();
+        let counts = fleet.counts.iter().map(|count| status::Count {
+            version: count.version,
+            nodes: count.nodes,
+        });
+        let refusals = fleet.refusals.iter().map(|refusal| status::Refusal {
+            node: refusal.node.clone(),
+            version: refusal.version,
+            reason: refusal.reason.clone(),
+        });
+        status::Distribution {
+            held: self.node.version(),
+            path: self.node.path().to_vec(),
+            children: self.node.count_links(Role::Child),
+            roots: self.node.count_links(Role::Equal),
+            versions: counters.versions,
+            refusals: counters.refusals,
+            parents: counters.parents,
+            departures: counters.departures,
+            views: counters.views,
+            reverts: self.shared.metrics.control.reverts.get(),
+            fleet: status::Fleet {
+                counts: counts.collect(),
+                laggards: fleet.laggards,
+                refusals: refusals.collect(),
+            },
+        }
+    }
+
+    /// Tells the neighbours, and waits until that is out.
+    async fn leave(&mut self) {
+        self.handle(Event::Leave);
+        for task in std::mem::take(&mut self.finished) {
+            // A writer that broke off has nobody left to tell.
+            drop(task.await);
+        }
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,10 +5,14 @@
 //! [`shared::Shared`].
 
 mod backend;
+mod control_link;
+mod control_platform;
+mod control_tree;
 mod control_watch;
 mod header;
 mod inbound_call;
 mod inbound_run;
+mod metrics_control;
 mod metrics_service;
 mod outbound_answer;
 mod outbound_call;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -4,6 +4,7 @@
 //! and then only touches atomics and one short lock. Label values come from
 //! the configuration alone; beyond [`MAX_SERVICES`] they share one.
 
+pub use crate::metrics_control::Control;
 pub use crate::metrics_service::{Ending, Service};
 
 use crate::metrics_service::SLOT_LABELS;
@@ -96,6 +97,8 @@
     durations: Family<ServiceLabel, Histogram, fn() -> Histogram>,
     bad_requests: Family<ListenerLabel, Counter>,
     control_bytes: Family<DirectionLabel, Counter>,
+    /// What is counted of distribution.
+    pub control: Control,
     gauges: Gauges,
     services: RwLock<BTreeMap<SmolStr, Arc<Service>>>,
 }
@@ -112,6 +115,7 @@
             durations: Family::new_with_constructor(new_histogram),
             bad_requests: Family::default(),
             control_bytes: Family::default(),
+            control: Control::default(),
             gauges: Gauges::default(),
             services: RwLock::default(),
         };
@@ -132,6 +136,7 @@
         let help = "Bytes of configuration, endpoints and status between nodes, by direction";
         let bytes = self.control_bytes.clone();
         registry.register_with_unit("control", help, Unit::Bytes, bytes);
+        self.control.register(&mut self.registry);
     }
 
     fn register_gauges(&mut self) {
--- a/crates/node/src/operate.rs
+++ b/crates/node/src/operate.rs
@@ -181,6 +181,7 @@
             .iter()
             .map(|entry| entry.prefix.clone())
             .collect(),
+        distribution: status::Distribution::clone(&shared.distribution.load()),
     }
 }
 
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -44,6 +44,8 @@
     pub in_flight: AtomicUsize,
     /// Whether all listeners run.
     pub listening: AtomicBool,
+    /// The node's part in distribution.
+    pub distribution: ArcSwap<status::Distribution>,
     /// What the node counts.
     pub metrics: Metrics,
 }
@@ -65,6 +67,7 @@
             leaving: watch::Sender::new(false),
             in_flight: AtomicUsize::new(0),
             listening: AtomicBool::new(false),
+            distribution: ArcSwap::default(),
             metrics,
         })
     }
--- a/crates/platform/src/lease.rs
+++ b/crates/platform/src/lease.rs
@@ -18,6 +18,57 @@
     duration_ms: u64,
 }
 
+/// A lease as it stands in the platform.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Standing {
+    /// Name of the lease.
+    pub name: SmolStr,
+    /// Who holds it, or held it last.
+    pub holder: SmolStr,
+    /// The write that made it so.
+    pub revision: Revision,
+    /// How long it stands without a renewal.
+    pub duration: Duration,
+}
+
+/// Leases read at once.
+const PAGE: usize = 100;
+
+/// Reads all leases whose names start with `prefix`.
+///
+/// # Errors
+///
+/// When the platform can't be read.
+pub async fn list<S>(store: &S, prefix: &str) -> Result<Vec<Standing>, Error>
+where
+    S: Store,
+{
+    let prefix = format!("{FOLDER}{prefix}");
+    let mut all = Vec::new();
+    let mut after = SmolStr::default();
+    loop {
+        let page = store.list(&prefix, &after, PAGE).await?;
+        all.extend(page.items.iter().filter_map(read_standing));
+        match page.items.last() {
+            Some(last) if page.more => after = last.name.clone(),
+            _ => return Ok(all),
+        }
+    }
+}
+
+fn read_standing(object: &Object) -> Option<Standing> {
+    let grant = Grant::deserialize(&object.value).ok()?;
+    Some(Standing {
+        name: object.name.strip_prefix(FOLDER)?.into(),
+        holder: grant.holder,
+        revision: object.revision,
+        duration: Duration::from_millis(grant.duration_ms),
+    })
+}
+
+/// Folder of all leases.
+const FOLDER: &str = "leases/";
+
 /// Another's lease as this process has seen it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Seen {
@@ -50,7 +101,7 @@
         Self {
             store,
             clock,
-            name: format_smolstr!("leases/{name}"),
+            name: format_smolstr!("{FOLDER}{name}"),
             holder: holder.into(),
             duration,
             until: None,
@@ -103,6 +154,22 @@
         Ok(self.is_held())
     }
 
+    /// Takes the lease from a holder that can't be reached, if it still stands at `revision`.
+    ///
+    /// The holder may live and go on: see the module's words on what a lease is for.
+    ///
+    /// # Errors
+    ///
+    /// As [`Lease::tend`].
+    pub async fn seize(&mut self, revision: Revision) -> Result<bool, Error> {
+        self.revision = Some(revision);
+        let outcome = self.tend().await;
+        if !self.is_held() {
+            self.lose();
+        }
+        outcome
+    }
+
     /// Gives the lease up, so that another need not wait for its end.
     ///
     /// # Errors
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -1,6 +1,6 @@
 //! Settings of `bluebellpick-node`.
 
-pub use crate::value::Token;
+pub use crate::value::{Distribution, Token};
 
 use crate::document::{Document, read_file};
 use crate::error::Error;
@@ -30,6 +30,8 @@
         [fleet] platform: SocketAddr;
         /// Other nodes to ask when the platform does not answer.
         [fleet] seeds: Vec<SocketAddr> = "";
+        /// How versions and endpoints come: `tree` through the zone's relays, `watch` from the platform to each node.
+        [fleet] distribution: Distribution = "tree";
         /// Longest wait for calls in flight at a graceful stop.
         [limits] drain_timeout: Duration = "30 s";
         /// Token that operators' writes must carry.
--- a/crates/settings/src/value.rs
+++ b/crates/settings/src/value.rs
@@ -88,6 +88,27 @@
     }
 }
 
+/// How versions and endpoints reach a node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Distribution {
+    /// Through its zone's tree of relays.
+    Tree,
+    /// From the platform, which every node then watches: the baseline of measurements.
+    Watch,
+}
+
+impl Value for Distribution {
+    const FORM: &str = "tree or watch";
+
+    fn read(text: &str) -> Result<Self, Rejection> {
+        match text {
+            "tree" => Ok(Self::Tree),
+            "watch" => Ok(Self::Watch),
+            _ => Err(Rejection::Form),
+        }
+    }
+}
+
 impl<T> Value for Option<T>
 where
     T: Value,
--- a/crates/status/src/lib.rs
+++ b/crates/status/src/lib.rs
@@ -19,6 +19,64 @@
     pub leaving: bool,
 }
 
+/// How many nodes hold a version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Count {
+    /// The version.
+    pub version: Version,
+    /// Nodes that hold it.
+    pub nodes: u32,
+}
+
+/// A version that a node could not apply.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refusal {
+    /// Name of the node.
+    pub node: SmolStr,
+    /// The version.
+    pub version: Version,
+    /// Why.
+    pub reason: SmolStr,
+}
+
+/// What the whole fleet holds, as far as a node was told.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fleet {
+    /// Nodes per version, lowest first.
+    pub counts: Vec<Count>,
+    /// Some of the nodes that are behind.
+    pub laggards: Vec<SmolStr>,
+    /// Some of the versions that could not be applied.
+    pub refusals: Vec<Refusal>,
+}
+
+/// A node's part in distribution.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Distribution {
+    /// Version held, which is served by once the process is ready.
+    pub held: Version,
+    /// Nodes from its root down to it; empty when it is cut off from every root.
+    pub path: Vec<SmolStr>,
+    /// Children that it relays to.
+    pub children: usize,
+    /// Roots that it is linked to, if it is one.
+    pub roots: usize,
+    /// Versions applied since the process started.
+    pub versions: u64,
+    /// Versions that could not be applied.
+    pub refusals: u64,
+    /// Parents taken since the process started.
+    pub parents: u64,
+    /// Nodes that it declared gone.
+    pub departures: u64,
+    /// Views made, for configuration or endpoints.
+    pub views: u64,
+    /// Views that were older than the one before; never above zero.
+    pub reverts: u64,
+    /// What the fleet holds.
+    pub fleet: Fleet,
+}
+
 /// How a node stands.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Status {
@@ -46,4 +104,7 @@
     pub endpoints: BTreeMap<SmolStr, usize>,
     /// Routes withheld until their services are there.
     pub withheld_routes: Vec<SmolStr>,
+    /// Its part in distribution.
+    #[serde(default)]
+    pub distribution: Distribution,
 }
