--- a/crates/cli/src/burn_report.rs
+++ b/crates/cli/src/burn_report.rs
@@ -50,7 +50,16 @@
         report.nodes, report.counted_s
     );
     let heading = [
-        "SERVICE", "PROMISE", "CALLS", "BUDGET LEFT", "5m", "30m", "1h", "6h", "3d", "ALERT",
+        "SERVICE",
+        "PROMISE",
+        "CALLS",
+        "BUDGET LEFT",
+        "5m",
+        "30m",
+        "1h",
+        "6h",
+        "3d",
+        "ALERT",
     ];
     let mut rows = vec![heading.map(str::to_owned)];
     for service in &report.services {
@@ -68,10 +77,11 @@
             rows.push(make_row(&service.service, name, &calls, level));
         }
         if !is_promised {
+            let cells = [service.service.as_str(), "none", calls.as_str()];
             let mut row = [const { String::new() }; 10];
-            row[0] = service.service.to_string();
-            row[1] = "none".to_owned();
-            row[2] = calls;
+            for (cell, text) in row.iter_mut().zip(cells) {
+                text.clone_into(cell);
+            }
             rows.push(row);
         }
     }
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -205,10 +205,20 @@
         .argument("ID")
         .optional();
     let author = parse_author();
-    let wait = parse_seconds("wait", "Longest time of trying while the platform does not answer")
-        .fallback(Duration::from_secs(DEFAULT_WAIT_S));
+    let wait = parse_seconds(
+        "wait",
+        "Longest time of trying while the platform does not answer",
+    )
+    .fallback(Duration::from_secs(DEFAULT_WAIT_S));
     let file = positional("FILE").help("Patch file: one JSON change a line, # for comments");
-    let verb = construct!(Propose { base, id, author, wait, file }).map(Verb::Propose);
+    let verb = construct!(Propose {
+        base,
+        id,
+        author,
+        wait,
+        file
+    })
+    .map(Verb::Propose);
     make_options(verb)
         .to_options()
         .descr("Proposes a patch: accepted, refused, never applied, or not known yet")
@@ -283,9 +293,13 @@
 }
 
 fn parse_drain() -> impl Parser<Options> {
-    let wait = parse_seconds("wait", "Longest wait until its calls in flight have ended; 0 unless set")
-        .fallback(Duration::ZERO);
-    let vm = positional("VM").help("Name of its node, or address of the node's operators' listener");
+    let wait = parse_seconds(
+        "wait",
+        "Longest wait until its calls in flight have ended; 0 unless set",
+    )
+    .fallback(Duration::ZERO);
+    let vm =
+        positional("VM").help("Name of its node, or address of the node's operators' listener");
     let verb = construct!(Verb::Drain { wait, vm });
     make_options(verb)
         .to_options()
--- a/crates/cli/src/propose.rs
+++ b/crates/cli/src/propose.rs
@@ -198,6 +198,9 @@
     }
     if let Some(holder) = &report.holder {
         let count = holder.entry.patch.changes.len();
-        println!("it has {count} changes; see them with: bluebellpick diff {} {}", id.base, holder.version);
+        println!(
+            "it has {count} changes; see them with: bluebellpick diff {} {}",
+            id.base, holder.version
+        );
     }
 }
--- a/crates/cli/src/status_report.rs
+++ b/crates/cli/src/status_report.rs
@@ -63,7 +63,14 @@
         };
         println!("version {version} ({what}) is in force on {count} of {all} nodes that answered");
     }
-    let heading = ["NODE", "ZONE", "VERSION", "STATE", "IN FLIGHT", "BACKEND SERVER"];
+    let heading = [
+        "NODE",
+        "ZONE",
+        "VERSION",
+        "STATE",
+        "IN FLIGHT",
+        "BACKEND SERVER",
+    ];
     let mut rows = vec![heading.map(str::to_owned)];
     for node in &report.nodes {
         rows.push([
