--- a/crates/cli/src/burn_report.rs
+++ b/crates/cli/src/burn_report.rs
@@ -77,9 +77,9 @@
             rows.push(make_row(&service.service, name, &calls, level));
         }
         if !is_promised {
-            let cells = [service.service.as_str(), "none", calls.as_str()];
+            let texts = [service.service.as_str(), "none", calls.as_str()];
             let mut row = [const { String::new() }; 10];
-            for (cell, text) in row.iter_mut().zip(cells) {
+            for (cell, text) in row.iter_mut().zip(texts) {
                 text.clone_into(cell);
             }
             rows.push(row);
