--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -9,6 +9,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use tokio::net::TcpListener;
 
 /// A running node.
@@ -47,6 +48,7 @@
     let announce = announce::spawn(backend, Arc::clone(&shared))?;
     let operate = operate::spawn(operators, Arc::clone(&shared))?;
     let outbound = outbound::spawn(callers, Arc::clone(&shared), inbound.clone())?;
+    shared.listening.store(true, Ordering::Release);
     info!(node = shared.settings.name.as_str(), zone = shared.settings.zone.as_str(); "started");
     Ok(Handle {
         shared,
--- a/crates/node/src/operate.rs
+++ b/crates/node/src/operate.rs
@@ -209,12 +209,12 @@
     C: Clock,
 {
     if !is_authorized(request, &shared.settings.token.0) {
-        warn!(event = "drain_unauthorized"; "drain without the right token");
+        warn!("drain_unauthorized");
         return refuse(StatusCode::UNAUTHORIZED, "want Authorization: Bearer TOKEN");
     }
     let changed = !shared.leaving.send_replace(true);
     if changed {
-        info!(event = "drain"; "an operator drains this VM");
+        info!("drain_asked");
     }
     answer_json(StatusCode::OK, &read_status(shared))
 }
