Bound a node's threads by its settings

A node took as many worker threads as the machine has cores, although its VM's cores are the backend server's; two are enough for the calls of one VM.

--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -5,6 +5,7 @@
 use settings::node::Settings;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use tokio::runtime::Builder;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 #[global_allocator]
@@ -46,7 +47,7 @@
         return ExitCode::SUCCESS;
     }
     node::logs::open();
-    match serve(settings) {
+    match start(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             error!(error:%; "failed");
@@ -55,7 +56,14 @@
     }
 }
 
-#[tokio::main]
+fn start(settings: Settings) -> std::io::Result<()> {
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(settings.threads.into())
+        .enable_all()
+        .build()?;
+    runtime.block_on(serve(settings))
+}
+
 async fn serve(settings: Settings) -> std::io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -32,6 +32,8 @@
         [fleet] seeds: Vec<SocketAddr> = "";
         /// Longest wait for calls in flight at a graceful stop.
         [limits] drain_timeout: Duration = "30 s";
+        /// Threads that serve calls; a VM's node shares its cores with the backend server.
+        [limits] threads: u16 = "2";
         /// Token that operators' writes must carry.
         [operators] token: Token, secret;
     }
@@ -61,6 +63,7 @@
         let settings = Self::read(&mut document);
         if let Some(settings) = &settings {
             settings.check_listeners(&mut document);
+            settings.check_threads(&mut document);
         }
         document.finish(settings, file)
     }
@@ -76,6 +79,17 @@
         ]
     }
 
+    fn check_threads(&self, document: &mut Document) {
+        if self.threads > MAX_THREADS {
+            let line = document.line_of("limits", "threads");
+            let message = format!(
+                "[limits] threads: {} is more than {MAX_THREADS}; want about half the VM's cores",
+                self.threads
+            );
+            document.add_fault(line, message);
+        }
+    }
+
     fn check_listeners(&self, document: &mut Document) {
         let listeners = self.listeners();
         for (index, (name, address)) in listeners.iter().enumerate() {
@@ -108,6 +122,9 @@
     }
 }
 
+/// Most threads of a node: more than the cores of any VM that it is meant for.
+const MAX_THREADS: u16 = 64;
+
 /// Tells whether two listeners would take each other's connections.
 fn is_shared(one: SocketAddr, other: SocketAddr) -> bool {
     let overlap =
--- a/crates/settings/tests/node.rs
+++ b/crates/settings/tests/node.rs
@@ -39,6 +39,7 @@
     missing_address = { "nodes = 127.0.0.1:7003\n", "", 6, "[listen] nodes: missing; add nodes = an IP address" },
     missing_zone = { "zone = kl-a\n", "", 2, "[node] zone: missing" },
     missing_section = { "[operators]\ntoken = 0123456789abcdef\n", "", 12, "[operators] token: missing" },
+    many_threads = { "[fleet]", "[limits]\nthreads = 60000\n[fleet]", 12, "[limits] threads: 60000 is more than 64" },
     zero_limit = { "[fleet]", "[limits]\ndrain_timeout = 0 s\n[fleet]", 12, "\"0 s\" is zero, which would stop all work; want a whole number above zero" },
     negative_limit = { "[fleet]", "[limits]\ndrain_timeout = -1 s\n[fleet]", 12, "\"-1 s\" is not a whole number" },
     limit_without_unit = { "[fleet]", "[limits]\ndrain_timeout = 30\n[fleet]", 12, "with a unit (ms, s, min or h)" },
