--- /dev/null
+++ b/crates/bench/src/converge.rs
@@ -0,0 +1,508 @@
+//! How long an accepted version takes to be in force on every node, and what that costs.
+//!
+//! Real node processes in three availability zones, each with an announced
+//! endpoint. The time counts from before the proposal is sent, so that the
+//! platform's write is in it, and ends with the log line of the last node.
+
+use crate::deployment::{Deployment, Plan, Vm, put_route, put_service};
+use crate::error::Error;
+use crate::node::{self, Installed, Metrics};
+use crate::relay;
+use clock::System;
+use config::{Change, Class, Mesh, Patch, Repeat, Version};
+use hdrhistogram::Histogram;
+use platform::propose::{Outcome, Proposal, propose};
+use platform::version::{Id, JOURNAL};
+use platform::{Client, Journal};
+use rustix::process::Signal;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::str::FromStr;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Availability zones of the fleet.
+const ZONES: usize = 3;
+
+/// Services that the nodes' endpoints belong to; the others have none.
+const SERVED: usize = 12;
+
+/// Changes in one proposal of the first configuration.
+const FIRST_CHANGES: usize = 400;
+
+/// Time between two versions.
+const PERIOD: Duration = Duration::from_millis(400);
+
+/// Time for the tree to settle, and then for the idle figures.
+const SETTLE: Duration = Duration::from_secs(10);
+
+/// Longest wait for the fleet to hold a version.
+const LIMIT: Duration = Duration::from_secs(40);
+
+/// Time between two looks at the fleet.
+const POLL: Duration = Duration::from_millis(100);
+
+/// Rounds of a fault.
+const ROUNDS: usize = 4;
+
+/// What goes wrong.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// The platform answers nobody for a while; the version comes right after.
+    PlatformOutage,
+    /// All roots of a zone are killed right before the version.
+    RootsKilled,
+    /// A zone is cut from the platform, not from the other zones.
+    Partition,
+    /// All nodes of a zone are killed and started again right before the version.
+    HerdRestart,
+}
+
+impl FromStr for Fault {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "platform-outage" => Ok(Self::PlatformOutage),
+            "roots-killed" => Ok(Self::RootsKilled),
+            "partition" => Ok(Self::Partition),
+            "herd-restart" => Ok(Self::HerdRestart),
+            _ => Err("want platform-outage, roots-killed, partition or herd-restart".to_owned()),
+        }
+    }
+}
+
+/// What to measure.
+#[derive(Debug, Clone)]
+pub struct Plot {
+    /// Node processes.
+    pub nodes: usize,
+    /// Versions to propose.
+    pub versions: usize,
+    /// Services and routes of the configuration.
+    pub services: usize,
+    /// How versions come: tree, whole or watch.
+    pub distribution: String,
+    /// What goes wrong, if anything.
+    pub fault: Option<Fault>,
+}
+
+/// What was measured.
+#[derive(Debug, Clone, Default, PartialEq, Serialize)]
+pub struct Report {
+    /// Node processes.
+    pub nodes: usize,
+    /// Versions measured.
+    pub versions: usize,
+    /// From before the proposal to in force, over all nodes and versions, median.
+    pub convergence_p50_ms: f64,
+    /// The same, 99th percentile.
+    pub convergence_p99_ms: f64,
+    /// The same, last node of the slowest version.
+    pub convergence_max_ms: f64,
+    /// How long the proposals took, mean: part of the times above.
+    pub propose_mean_ms: f64,
+    /// A version's patch as JSON.
+    pub patch_bytes: f64,
+    /// Bytes received between nodes, without the idle ones, per node and version.
+    pub control_bytes_per_node_per_version: f64,
+    /// Bytes received between nodes while nothing changes.
+    pub idle_control_bytes_per_node_s: f64,
+    /// Calls to the platform while nothing changes.
+    pub platform_calls_per_s: f64,
+    /// Most memory of a node, in MB.
+    pub node_rss_mb_max: f64,
+    /// Processor time of a node from start to end, mean, in per cent of a core.
+    pub node_cpu_pct_mean: f64,
+    /// Times that a VM served by a lower version after a higher one.
+    pub reverts: usize,
+    /// Nodes whose routes aren't those of the version that they serve by.
+    pub partial: usize,
+    /// Routes in force whose services the node does not know.
+    pub dangling: usize,
+    /// Versions that some node did not come to hold in time.
+    pub not_converged: usize,
+}
+
+/// A running experiment.
+struct Run {
+    plot: Plot,
+    deployment: Deployment,
+    journal: Journal<Client, System>,
+    cut: relay::Handle,
+    mesh: Mesh,
+    version: Version,
+    /// When each measured version was about to be proposed, and how long that took.
+    proposed: BTreeMap<Version, (u64, Duration)>,
+    patch_bytes: usize,
+    not_converged: usize,
+}
+
+/// Starts the fleet, proposes the versions and gives the figures.
+///
+/// # Errors
+///
+/// When a program can't be started or the fleet doesn't come up.
+pub async fn run(plot: Plot) -> Result<Report, Error> {
+    let begun = Instant::now();
+    let mut run = start(plot).await?;
+    run.wait_version().await?;
+    run.wait_endpoints().await?;
+    tokio::time::sleep(SETTLE).await;
+    let (calls, before) = (run.count_calls().await?, run.sum_received().await?);
+    tokio::time::sleep(SETTLE).await;
+    let (calls, idle) = (
+        run.count_calls().await? - calls,
+        run.sum_received().await? - before,
+    );
+    let nodes = to_f64(run.plot.nodes);
+    let mut report = Report {
+        nodes: run.plot.nodes,
+        platform_calls_per_s: calls / SETTLE.as_secs_f64(),
+        idle_control_bytes_per_node_s: idle / SETTLE.as_secs_f64() / nodes,
+        ..Report::default()
+    };
+    let (before, start) = (run.sum_received().await?, Instant::now());
+    match run.plot.fault {
+        None => run.propose_all().await?,
+        Some(fault) => run.suffer(fault).await?,
+    }
+    let spent = run.sum_received().await? - before;
+    let idle = report.idle_control_bytes_per_node_s * nodes * start.elapsed().as_secs_f64();
+    let versions = to_f64(run.proposed.len().max(1));
+    report.control_bytes_per_node_per_version = (spent - idle) / nodes / versions;
+    report.patch_bytes = to_f64(run.patch_bytes) / versions;
+    report.versions = run.proposed.len();
+    run.fill_times(&mut report)?;
+    run.fill_nodes(&mut report, begun.elapsed()).await?;
+    Ok(report)
+}
+
+async fn start(plot: Plot) -> Result<Run, Error> {
+    let mut deployment = Deployment::spawn(Vec::new(), &[]).await?;
+    let cut = relay::bind(deployment.platform_address).await?;
+    for index in 0..plot.nodes {
+        let zone = format!("zone-{}", index % ZONES + 1);
+        let mut plan = Plan::new(&format!("vm-{index}"), &zone, None);
+        let line = format!("distribution = {}", plot.distribution);
+        plan.settings.push(("fleet".to_owned(), line));
+        if index % ZONES == ZONES - 1 {
+            plan.platform = Some(cut.address);
+        }
+        deployment.add(plan)?;
+    }
+    let store = Client::open(
+        deployment.platform_address,
+        platform::client::Limits::default(),
+    );
+    let mut run = Run {
+        journal: Journal::open(store, System, JOURNAL),
+        plot,
+        deployment,
+        cut,
+        mesh: Mesh::default(),
+        version: Version::ZERO,
+        proposed: BTreeMap::new(),
+        patch_bytes: 0,
+        not_converged: 0,
+    };
+    run.propose_first().await?;
+    for vm in 0..run.plot.nodes {
+        run.announce(vm).await?;
+    }
+    Ok(run)
+}
+
+impl Run {
+    async fn announce(&self, index: usize) -> Result<(), Error> {
+        let service = name_service(index % SERVED.min(self.plot.services));
+        let begun = Instant::now();
+        loop {
+            match node::announce(&self.deployment.vms[index], &service).await {
+                Err(error) if begun.elapsed() > LIMIT => return Err(error),
+                Err(_) => tokio::time::sleep(POLL).await,
+                Ok(()) => return Ok(()),
+            }
+        }
+    }
+
+    async fn propose_first(&mut self) -> Result<(), Error> {
+        let mut changes = Vec::new();
+        for index in 0..self.plot.services {
+            let name = name_service(index);
+            changes.push(put_service(&name));
+            let prefix = format!("/{name}");
+            changes.push(put_route(&prefix, &name, Class::Lookup, Repeat::ByMethod));
+        }
+        for part in changes.chunks(FIRST_CHANGES) {
+            self.propose(part.to_vec()).await?;
+        }
+        self.proposed.clear();
+        self.patch_bytes = 0;
+        Ok(())
+    }
+
+    async fn propose(&mut self, changes: Vec<Change>) -> Result<(), Error> {
+        let patch = Patch::from(changes);
+        let json = serde_json::to_vec(&patch);
+        let json = json.map_err(|error| Error::Unexpected(error.to_string()))?;
+        let proposal = Proposal {
+            id: Id::draw(self.version),
+            author: "bench".into(),
+            patch,
+        };
+        let (at_ms, begun) = (wall_ms(), Instant::now());
+        match propose(&self.journal, &proposal).await {
+            Outcome::Accepted(version) => {
+                self.version = version;
+                self.proposed.insert(version, (at_ms, begun.elapsed()));
+                self.patch_bytes += json.len();
+                let next = proposal.patch.apply(&self.mesh);
+                self.mesh = next.map_err(|error| Error::Unexpected(error.to_string()))?;
+                Ok(())
+            }
+            outcome => Err(Error::Unexpected(format!("not accepted: {outcome:?}"))),
+        }
+    }
+
+    /// Proposes a version as an operator would: a share of a route goes elsewhere.
+    async fn propose_next(&mut self) -> Result<(), Error> {
+        let index = self.proposed.len() % self.plot.services;
+        let other = name_service((index + 1 + self.proposed.len()) % self.plot.services);
+        let prefix = format!("/{}", name_service(index));
+        let change = put_route(&prefix, &other, Class::Refresh, Repeat::ByMethod);
+        self.propose(vec![change]).await
+    }
+
+    async fn propose_all(&mut self) -> Result<(), Error> {
+        for _ in 0..self.plot.versions {
+            let begun = Instant::now();
+            self.propose_next().await?;
+            tokio::time::sleep(PERIOD.saturating_sub(begun.elapsed())).await;
+        }
+        self.wait_version().await
+    }
+
+    async fn suffer(&mut self, fault: Fault) -> Result<(), Error> {
+        for round in 0..ROUNDS {
+            let zone = format!("zone-{}", round % ZONES + 1);
+            let mut killed = Vec::new();
+            match fault {
+                Fault::PlatformOutage => {
+                    self.set_down(true).await?;
+                    tokio::time::sleep(SETTLE).await;
+                    self.set_down(false).await?;
+                }
+                Fault::Partition => {
+                    self.cut.set_silent(true);
+                    // Long enough for watches to be given up and leases to lapse.
+                    tokio::time::sleep(SETTLE + SETTLE / 2).await;
+                }
+                Fault::RootsKilled => killed = self.kill(&zone, true).await?,
+                Fault::HerdRestart => {
+                    killed = self.kill(&zone, false).await?;
+                    self.restart(&killed).await?;
+                }
+            }
+            self.propose_next().await?;
+            if let Err(error) = self.wait_version().await {
+                eprintln!("round {round}: {error}");
+                self.not_converged += 1;
+            }
+            if fault == Fault::RootsKilled {
+                self.restart(&killed).await?;
+            }
+            self.cut.set_silent(false);
+            tokio::time::sleep(SETTLE).await;
+        }
+        Ok(())
+    }
+
+    async fn set_down(&self, is_down: bool) -> Result<(), Error> {
+        let fault = format!("{{\"down\": {is_down}}}");
+        self.deployment.set_platform_fault(&fault).await?;
+        Ok(())
+    }
+
+    /// Kills the nodes of a zone, or its roots alone.
+    async fn kill(&mut self, zone: &str, roots: bool) -> Result<Vec<usize>, Error> {
+        let mut killed = Vec::new();
+        for (index, vm) in self.deployment.vms.iter().enumerate() {
+            if vm.plan.zone == zone {
+                let status = node::read_status(vm).await?;
+                if !roots || status.distribution.path.len() == 1 {
+                    killed.push(index);
+                }
+            }
+        }
+        // All signals first, so that they die as one.
+        for index in &killed {
+            self.deployment.vms[*index].node.signal(Signal::KILL)?;
+        }
+        for index in &killed {
+            self.deployment.vms[*index].node.kill()?;
+        }
+        Ok(killed)
+    }
+
+    async fn restart(&mut self, killed: &[usize]) -> Result<(), Error> {
+        for index in killed {
+            self.deployment.vms[*index].restart_node()?;
+        }
+        for index in killed {
+            self.announce(*index).await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until all running nodes serve by the last version.
+    async fn wait_version(&mut self) -> Result<(), Error> {
+        let begun = Instant::now();
+        for vm in &mut self.deployment.vms {
+            while vm.node.is_running() {
+                let installed = node::read_installed(&vm.node.log)?;
+                if installed
+                    .last()
+                    .is_some_and(|last| last.version >= self.version)
+                {
+                    break;
+                }
+                if begun.elapsed() > LIMIT {
+                    let what = format!("version {} at {}", self.version, vm.plan.name);
+                    return Err(Error::Timeout(what));
+                }
+                tokio::time::sleep(POLL).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Waits until all nodes know all endpoints.
+    async fn wait_endpoints(&self) -> Result<(), Error> {
+        let begun = Instant::now();
+        for vm in &self.deployment.vms {
+            loop {
+                let status = node::read_status(vm).await?;
+                if status.endpoints.values().sum::<usize>() == self.plot.nodes {
+                    break;
+                }
+                if begun.elapsed() > LIMIT {
+                    return Err(Error::Timeout(format!("endpoints at {}", vm.plan.name)));
+                }
+                tokio::time::sleep(POLL).await;
+            }
+        }
+        Ok(())
+    }
+
+    async fn count_calls(&self) -> Result<f64, Error> {
+        let counts = node::read_counts(self.deployment.platform_address).await?;
+        let all = counts.reads + counts.watches + counts.writes;
+        Ok(f64::from(u32::try_from(all).unwrap_or(u32::MAX)))
+    }
+
+    async fn sum_received(&mut self) -> Result<f64, Error> {
+        let mut sum = 0.0;
+        for vm in &mut self.deployment.vms {
+            if vm.node.is_running() {
+                sum += node::read_metrics(vm).await?.control_received();
+            }
+        }
+        Ok(sum)
+    }
+
+    fn fill_times(&self, report: &mut Report) -> Result<(), Error> {
+        let logs = self.deployment.vms.iter();
+        let logs = logs.map(|vm| node::read_installed(&vm.node.log));
+        let logs = logs.collect::<Result<Vec<_>, _>>()?;
+        report.reverts = logs.iter().map(|log| count_reverts(log)).sum();
+        let mut times =
+            Histogram::<u64>::new(3).map_err(|error| Error::Unexpected(error.to_string()))?;
+        report.not_converged = self.not_converged;
+        for (version, (at_ms, _)) in &self.proposed {
+            for log in &logs {
+                let first = log
+                    .iter()
+                    .find(|installed| installed.version >= *version && installed.at_ms >= *at_ms);
+                match first {
+                    Some(installed) => times.saturating_record(installed.at_ms - at_ms),
+                    None => report.not_converged += 1,
+                }
+            }
+        }
+        report.convergence_p50_ms = to_ms(times.value_at_quantile(0.5));
+        report.convergence_p99_ms = to_ms(times.value_at_quantile(0.99));
+        report.convergence_max_ms = to_ms(times.max());
+        let propose = self.proposed.values().map(|(_, time)| time.as_secs_f64());
+        report.propose_mean_ms =
+            propose.sum::<f64>() / to_f64(self.proposed.len().max(1)) * 1_000.0;
+        Ok(())
+    }
+
+    async fn fill_nodes(&self, report: &mut Report, elapsed: Duration) -> Result<(), Error> {
+        let mut processor = 0.0;
+        for vm in &self.deployment.vms {
+            let usage = vm.node.usage()?;
+            processor += usage.processor.as_secs_f64();
+            let resident = to_ms(usage.resident) / f64::from(1 << 20);
+            report.node_rss_mb_max = report.node_rss_mb_max.max(resident);
+            let (partial, dangling) = self.check_routes(vm).await?;
+            report.partial += usize::from(partial);
+            report.dangling += dangling;
+        }
+        report.node_cpu_pct_mean =
+            100.0 * processor / elapsed.as_secs_f64() / to_f64(self.plot.nodes);
+        Ok(())
+    }
+
+    /// Sets a node's routes against those of the configuration and the services it knows.
+    async fn check_routes(&self, vm: &Vm) -> Result<(bool, usize), Error> {
+        let status = node::read_status(vm).await?;
+        let metrics: Metrics = node::read_metrics(vm).await?;
+        let is_known = |route: &config::Route| {
+            let mut targets = route.targets.iter();
+            targets.all(|target| status.endpoints.contains_key(&target.service))
+        };
+        let known = self.mesh.routes.values().filter(|route| is_known(route));
+        let known = known.count();
+        let in_force = to_usize(metrics.get("bluebellpick_routes"));
+        let withheld = to_usize(metrics.get("bluebellpick_withheld_routes"));
+        let is_partial = in_force + withheld != self.mesh.routes.len()
+            || status.version != self.version
+            || metrics.get("bluebellpick_config_reverts_total") > 0.0;
+        Ok((is_partial, in_force.saturating_sub(known)))
+    }
+}
+
+/// Counts how often a VM served by a lower version after a higher one.
+fn count_reverts(log: &[Installed]) -> usize {
+    let pairs = log.windows(2);
+    pairs
+        .filter(|pair| pair[1].version < pair[0].version)
+        .count()
+}
+
+fn name_service(index: usize) -> String {
+    format!("service-{index}")
+}
+
+fn wall_ms() -> u64 {
+    let wall = SystemTime::now().duration_since(UNIX_EPOCH);
+    u64::try_from(wall.unwrap_or_default().as_millis()).unwrap_or(u64::MAX)
+}
+
+fn to_f64(count: usize) -> f64 {
+    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
+}
+
+fn to_ms(count: u64) -> f64 {
+    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a count that a node told as a decimal number"
+)]
+fn to_usize(count: f64) -> usize {
+    count as usize
+}
--- a/crates/bench/src/deployment.rs
+++ b/crates/bench/src/deployment.rs
@@ -51,6 +51,8 @@
     pub service: Option<String>,
     /// Further arguments of the backend server's stand-in.
     pub backend_arguments: Vec<String>,
+    /// Address of the platform, if it is another than the deployment's.
+    pub platform: Option<SocketAddr>,
     /// Further lines of the node's settings, by section.
     pub settings: Vec<(String, String)>,
 }
@@ -65,6 +67,7 @@
             region: "region-1".to_owned(),
             service: service.map(str::to_owned),
             backend_arguments: Vec::new(),
+            platform: None,
             settings: Vec::new(),
         }
     }
@@ -112,6 +115,12 @@
         SocketAddr::new(self.ip, NODES)
     }
 
+    /// Where the backend server announces itself.
+    #[must_use]
+    pub fn backend(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, BACKEND)
+    }
+
     /// Where operators connect.
     #[must_use]
     pub fn operators(&self) -> SocketAddr {
@@ -198,7 +207,12 @@
         let seeds = self.vms.iter().take(3).map(Vm::nodes).collect::<Vec<_>>();
         std::fs::write(
             &settings,
-            write_settings(&plan, ip, self.platform_address, &seeds),
+            write_settings(
+                &plan,
+                ip,
+                plan.platform.unwrap_or(self.platform_address),
+                &seeds,
+            ),
         )?;
         let node = spawn_node(&settings, &settings.with_extension("node.log"))?;
         let backend = match &plan.service {
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,8 +5,11 @@
 //! and counts latency from those times, so that a stall is not left out.
 
 pub mod caller;
+pub mod converge;
 pub mod deployment;
 pub mod error;
 pub mod load;
+pub mod node;
 pub mod path;
 pub mod process;
+pub mod relay;
--- /dev/null
+++ b/crates/bench/src/node.rs
@@ -0,0 +1,156 @@
+//! What a node tells of itself: status, metrics and log.
+
+use crate::caller::{Call, Caller};
+use crate::deployment::Vm;
+use crate::error::Error;
+use config::Version;
+use http::Method;
+use platform::memory::Counts;
+use status::Status;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+/// Longest wait for an answer.
+const LIMIT: Duration = Duration::from_secs(5);
+
+/// Reads how a node stands.
+///
+/// # Errors
+///
+/// When it does not answer, or not as a node.
+pub async fn read_status(vm: &Vm) -> Result<Status, Error> {
+    let call = Call::get("/v1/status");
+    let answer = Caller::new(vm.operators())
+        .send_within(&call, LIMIT)
+        .await?;
+    serde_json::from_slice(&answer.body).map_err(|error| Error::Unexpected(error.to_string()))
+}
+
+/// A node's metrics by name with labels.
+#[derive(Debug, Clone, Default)]
+pub struct Metrics(BTreeMap<String, f64>);
+
+impl Metrics {
+    /// Gives a metric, or zero.
+    #[must_use]
+    pub fn get(&self, name: &str) -> f64 {
+        self.0.get(name).copied().unwrap_or_default()
+    }
+
+    /// Gives all control bytes that the node has sent.
+    #[must_use]
+    pub fn control_sent(&self) -> f64 {
+        self.get("bluebellpick_control_bytes_total{direction=\"sent\"}")
+    }
+
+    /// Gives all control bytes that the node has received.
+    #[must_use]
+    pub fn control_received(&self) -> f64 {
+        self.get("bluebellpick_control_bytes_total{direction=\"received\"}")
+    }
+}
+
+/// Reads a node's metrics.
+///
+/// # Errors
+///
+/// When it does not answer.
+pub async fn read_metrics(vm: &Vm) -> Result<Metrics, Error> {
+    let call = Call::get("/metrics");
+    let answer = Caller::new(vm.operators())
+        .send_within(&call, LIMIT)
+        .await?;
+    let text = String::from_utf8_lossy(&answer.body);
+    let lines = text.lines().filter(|line| !line.starts_with('#'));
+    let pairs = lines.filter_map(|line| {
+        let (name, value) = line.rsplit_once(' ')?;
+        Some((name.to_owned(), value.parse().ok()?))
+    });
+    Ok(Metrics(pairs.collect()))
+}
+
+/// Announces a backend server that takes no calls at a node.
+///
+/// # Errors
+///
+/// When the node does not take it.
+pub async fn announce(vm: &Vm, service: &str) -> Result<(), Error> {
+    let body = serde_json::json!({ "service": service, "address": vm.server(), "slots": 6 });
+    let call = Call::new(Method::PUT, "/v1/announce")
+        .header("content-type", "application/json")
+        .body(body.to_string().into());
+    let answer = Caller::new(vm.backend()).send_within(&call, LIMIT).await?;
+    if answer.status.is_success() {
+        Ok(())
+    } else {
+        Err(Error::Unexpected(format!(
+            "announcement refused: {answer:?}"
+        )))
+    }
+}
+
+/// Reads how many calls the platform's stand-in has counted.
+///
+/// # Errors
+///
+/// When it does not answer.
+pub async fn read_counts(platform: SocketAddr) -> Result<Counts, Error> {
+    let call = Call::get("/counts");
+    let answer = Caller::new(platform).send_within(&call, LIMIT).await?;
+    serde_json::from_slice(&answer.body).map_err(|error| Error::Unexpected(error.to_string()))
+}
+
+/// A version that a node began to serve by, and when, in milliseconds of the Unix epoch.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Installed {
+    /// The version.
+    pub version: Version,
+    /// When.
+    pub at_ms: u64,
+}
+
+/// Reads from a node's log what it served by, over all its processes.
+///
+/// # Errors
+///
+/// When the log can't be read.
+pub fn read_installed(log: &Path) -> Result<Vec<Installed>, Error> {
+    let text = std::fs::read_to_string(log)?;
+    Ok(text.lines().filter_map(scan_installed).collect())
+}
+
+fn scan_installed(line: &str) -> Option<Installed> {
+    let rest = line.split_once("version_installed")?.1;
+    let version = rest.split_once("version=")?.1.split_whitespace().next()?;
+    let at_ms = scan_time(line.trim_start_matches('[').split_whitespace().next()?)?;
+    Some(Installed {
+        version: Version(version.parse().ok()?),
+        at_ms,
+    })
+}
+
+/// Reads a time such as `2026-01-31T12:00:00.123Z`.
+fn scan_time(text: &str) -> Option<u64> {
+    let (date, time) = text.strip_suffix('Z')?.split_once('T')?;
+    let mut date = date.split('-').map(str::parse::<u64>);
+    let (year, month, day) = (date.next()?.ok()?, date.next()?.ok()?, date.next()?.ok()?);
+    let (clock, millis) = time.split_once('.')?;
+    let mut clock = clock.split(':').map(str::parse::<u64>);
+    let (hour, minute, second) = (
+        clock.next()?.ok()?,
+        clock.next()?.ok()?,
+        clock.next()?.ok()?,
+    );
+    // Days since the epoch by the count of a year that begins in March.
+    let (year, month) = if month > 2 {
+        (year, month - 3)
+    } else {
+        (year - 1, month + 9)
+    };
+    let days = 365 * year + year / 4 - year / 100 + year / 400 + (153 * month + 2) / 5 + day - 1;
+    let days = days.checked_sub(719_468)?;
+    let seconds = ((days * 24 + hour) * 60 + minute) * 60 + second;
+    Some(seconds * 1_000 + millis.parse::<u64>().ok()?)
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -19,7 +19,7 @@
 //! use wire::control::Peer;
 //!
 //! let own = Peer { node: "vm-1".into(), zone: "a".into(), address: ([127, 0, 0, 1], 7001).into() };
-//! let settings = Settings { own, region: "north".into(), incarnation: 1, started_ms: 1, seeds: Vec::new() };
+//! let settings = Settings { own, region: "north".into(), incarnation: 1, started_ms: 1, seeds: Vec::new(), sends_whole: false };
 //! let start = Instant::now();
 //! let mut node = Node::new(settings, 42, start);
 //! let actions = node.handle(start + Duration::from_secs(1), Event::Wake);
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -35,6 +35,8 @@
     pub started_ms: u64,
     /// Nodes to ask when the platform doesn't answer.
     pub seeds: Vec<SocketAddr>,
+    /// Whether every version is sent whole, which is a baseline to measure patches against.
+    pub sends_whole: bool,
 }
 
 /// Events counted since the process started.
--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -95,6 +95,7 @@
     }
 
     fn send_after(&mut self, key: LinkKey, after: Version, whole: bool) {
+        let whole = whole || self.settings.sends_whole;
         let frames = self.holder.frames_after(after, whole);
         if frames.len() > 1 {
             // The peer then knows how far it goes, and makes one view at the end.
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -175,6 +175,7 @@
             incarnation: slot.incarnation,
             started_ms: u64::try_from(self.now.as_millis()).unwrap(),
             seeds,
+            sends_whole: false,
         };
         slot.node = Some(Node::new(settings, seed, now));
         slot.view = None;
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -61,7 +61,7 @@
             let task = tokio::spawn(control_watch::run(Arc::clone(&shared), store));
             (None, task)
         }
-        Distribution::Tree => {
+        Distribution::Tree | Distribution::Whole => {
             let (sender, receiver) = mpsc::channel(INBOX);
             let run = control_tree::run(Arc::clone(&shared), store, sender.clone(), receiver);
             (Some(sender), tokio::spawn(run))
--- a/crates/node/src/control_tree.rs
+++ b/crates/node/src/control_tree.rs
@@ -8,6 +8,7 @@
 use fleet::{Action, Answer, Event, LinkKey, Node, Peer, Request, Role, Settings};
 use log::{error, info};
 use platform::Store;
+use settings::node::Distribution;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant, UNIX_EPOCH};
@@ -120,6 +121,7 @@
             incarnation: shared.incarnation,
             started_ms: u64::try_from(started).unwrap_or_default(),
             seeds: own.seeds.clone(),
+            sends_whole: own.distribution == Distribution::Whole,
         };
         let node = Node::new(settings, rand::random(), now);
         Self {
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -30,7 +30,7 @@
         [fleet] platform: SocketAddr;
         /// Other nodes to ask when the platform does not answer.
         [fleet] seeds: Vec<SocketAddr> = "";
-        /// How versions and endpoints come: `tree` through the zone's relays, `watch` from the platform to each node.
+        /// How versions and endpoints come: `tree` through the zone's relays; the baselines are `whole`, which sends whole configurations, and `watch`, from the platform to each node.
         [fleet] distribution: Distribution = "tree";
         /// Longest wait for calls in flight at a graceful stop.
         [limits] drain_timeout: Duration = "30 s";
--- a/crates/settings/src/value.rs
+++ b/crates/settings/src/value.rs
@@ -93,16 +93,19 @@
 pub enum Distribution {
     /// Through its zone's tree of relays.
     Tree,
-    /// From the platform, which every node then watches: the baseline of measurements.
+    /// As `Tree`, but every version whole in place of its patch: a baseline of measurements.
+    Whole,
+    /// From the platform, which every node then watches: a baseline of measurements.
     Watch,
 }
 
 impl Value for Distribution {
-    const FORM: &str = "tree or watch";
+    const FORM: &str = "tree, whole or watch";
 
     fn read(text: &str) -> Result<Self, Rejection> {
         match text {
             "tree" => Ok(Self::Tree),
+            "whole" => Ok(Self::Whole),
             "watch" => Ok(Self::Watch),
             _ => Err(Rejection::Form),
         }
