--- a/crates/bench/src/converge.rs
+++ b/crates/bench/src/converge.rs
@@ -4,21 +4,17 @@
 //! endpoint. The time counts from before the proposal is sent, so that the
 //! platform's write is in it, and ends with the log line of the last node.
 
-use crate::deployment::{Deployment, Plan, Vm, put_route, put_service};
+use crate::deployment::{Deployment, Plan, Vm, put_route};
 use crate::error::Error;
 use crate::node::{self, Installed, Metrics};
+use crate::proposer::{Proposer, name_service};
 use crate::relay;
-use clock::System;
-use config::{Change, Class, Mesh, Patch, Repeat, Version};
+use config::{Class, Repeat};
 use hdrhistogram::Histogram;
-use platform::propose::{Outcome, Proposal, propose};
-use platform::version::{Id, JOURNAL};
-use platform::{Client, Journal};
 use rustix::process::Signal;
 use serde::Serialize;
-use std::collections::BTreeMap;
 use std::str::FromStr;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 /// Availability zones of the fleet.
 const ZONES: usize = 3;
@@ -26,9 +22,6 @@
 /// Services that the nodes' endpoints belong to; the others have none.
 const SERVED: usize = 12;
 
-/// Changes in one proposal of the first configuration.
-const FIRST_CHANGES: usize = 400;
-
 /// Time between two versions.
 const PERIOD: Duration = Duration::from_millis(400);
 
@@ -127,13 +120,8 @@
 struct Run {
     plot: Plot,
     deployment: Deployment,
-    journal: Journal<Client, System>,
+    proposer: Proposer,
     cut: relay::Handle,
-    mesh: Mesh,
-    version: Version,
-    /// When each measured version was about to be proposed, and how long that took.
-    proposed: BTreeMap<Version, (u64, Duration)>,
-    patch_bytes: usize,
     not_converged: usize,
 }
 
@@ -168,10 +156,10 @@
     }
     let spent = run.sum_received().await? - before;
     let idle = report.idle_control_bytes_per_node_s * nodes * start.elapsed().as_secs_f64();
-    let versions = to_f64(run.proposed.len().max(1));
+    let versions = to_f64(run.proposer.proposed.len().max(1));
     report.control_bytes_per_node_per_version = (spent - idle) / nodes / versions;
-    report.patch_bytes = to_f64(run.patch_bytes) / versions;
-    report.versions = run.proposed.len();
+    report.patch_bytes = to_f64(run.proposer.patch_bytes) / versions;
+    report.versions = run.proposer.proposed.len();
     run.fill_times(&mut report)?;
     run.fill_nodes(&mut report, begun.elapsed()).await?;
     Ok(report)
@@ -190,22 +178,14 @@
         }
         deployment.add(plan)?;
     }
-    let store = Client::open(
-        deployment.platform_address,
-        platform::client::Limits::default(),
-    );
     let mut run = Run {
-        journal: Journal::open(store, System, JOURNAL),
+        proposer: Proposer::open(deployment.platform_address),
         plot,
         deployment,
         cut,
-        mesh: Mesh::default(),
-        version: Version::ZERO,
-        proposed: BTreeMap::new(),
-        patch_bytes: 0,
         not_converged: 0,
     };
-    run.propose_first().await?;
+    run.proposer.propose_services(run.plot.services).await?;
     for vm in 0..run.plot.nodes {
         run.announce(vm).await?;
     }
@@ -225,52 +205,13 @@
         }
     }
 
-    async fn propose_first(&mut self) -> Result<(), Error> {
-        let mut changes = Vec::new();
-        for index in 0..self.plot.services {
-            let name = name_service(index);
-            changes.push(put_service(&name));
-            let prefix = format!("/{name}");
-            changes.push(put_route(&prefix, &name, Class::Lookup, Repeat::ByMethod));
-        }
-        for part in changes.chunks(FIRST_CHANGES) {
-            self.propose(part.to_vec()).await?;
-        }
-        self.proposed.clear();
-        self.patch_bytes = 0;
-        Ok(())
-    }
-
-    async fn propose(&mut self, changes: Vec<Change>) -> Result<(), Error> {
-        let patch = Patch::from(changes);
-        let json = serde_json::to_vec(&patch);
-        let json = json.map_err(|error| Error::Unexpected(error.to_string()))?;
-        let proposal = Proposal {
-            id: Id::draw(self.version),
-            author: "bench".into(),
-            patch,
-        };
-        let (at_ms, begun) = (wall_ms(), Instant::now());
-        match propose(&self.journal, &proposal).await {
-            Outcome::Accepted(version) => {
-                self.version = version;
-                self.proposed.insert(version, (at_ms, begun.elapsed()));
-                self.patch_bytes += json.len();
-                let next = proposal.patch.apply(&self.mesh);
-                self.mesh = next.map_err(|error| Error::Unexpected(error.to_string()))?;
-                Ok(())
-            }
-            outcome => Err(Error::Unexpected(format!("not accepted: {outcome:?}"))),
-        }
-    }
-
     /// Proposes a version as an operator would: a share of a route goes elsewhere.
     async fn propose_next(&mut self) -> Result<(), Error> {
-        let index = self.proposed.len() % self.plot.services;
-        let other = name_service((index + 1 + self.proposed.len()) % self.plot.services);
+        let index = self.proposer.proposed.len() % self.plot.services;
+        let other = name_service((index + 1 + self.proposer.proposed.len()) % self.plot.services);
         let prefix = format!("/{}", name_service(index));
         let change = put_route(&prefix, &other, Class::Refresh, Repeat::ByMethod);
-        self.propose(vec![change]).await
+        self.proposer.propose(vec![change]).await
     }
 
     async fn propose_all(&mut self) -> Result<(), Error> {
@@ -362,12 +303,12 @@
                 let installed = node::read_installed(&vm.node.log)?;
                 if installed
                     .last()
-                    .is_some_and(|last| last.version >= self.version)
+                    .is_some_and(|last| last.version >= self.proposer.version)
                 {
                     break;
                 }
                 if begun.elapsed() > LIMIT {
-                    let what = format!("version {} at {}", self.version, vm.plan.name);
+                    let what = format!("version {} at {}", self.proposer.version, vm.plan.name);
                     return Err(Error::Timeout(what));
                 }
                 tokio::time::sleep(POLL).await;
@@ -418,7 +359,7 @@
         let mut times =
             Histogram::<u64>::new(3).map_err(|error| Error::Unexpected(error.to_string()))?;
         report.not_converged = self.not_converged;
-        for (version, (at_ms, _)) in &self.proposed {
+        for (version, (at_ms, _)) in &self.proposer.proposed {
             for log in &logs {
                 let first = log
                     .iter()
@@ -432,9 +373,13 @@
         report.convergence_p50_ms = to_ms(times.value_at_quantile(0.5));
         report.convergence_p99_ms = to_ms(times.value_at_quantile(0.99));
         report.convergence_max_ms = to_ms(times.max());
-        let propose = self.proposed.values().map(|(_, time)| time.as_secs_f64());
+        let propose = self
+            .proposer
+            .proposed
+            .values()
+            .map(|(_, time)| time.as_secs_f64());
         report.propose_mean_ms =
-            propose.sum::<f64>() / to_f64(self.proposed.len().max(1)) * 1_000.0;
+            propose.sum::<f64>() / to_f64(self.proposer.proposed.len().max(1)) * 1_000.0;
         Ok(())
     }
 
@@ -462,12 +407,17 @@
             let mut targets = route.targets.iter();
             targets.all(|target| status.endpoints.contains_key(&target.service))
         };
-        let known = self.mesh.routes.values().filter(|route| is_known(route));
+        let known = self
+            .proposer
+            .mesh
+            .routes
+            .values()
+            .filter(|route| is_known(route));
         let known = known.count();
         let in_force = to_usize(metrics.get("bluebellpick_routes"));
         let withheld = to_usize(metrics.get("bluebellpick_withheld_routes"));
-        let is_partial = in_force + withheld != self.mesh.routes.len()
-            || status.version != self.version
+        let is_partial = in_force + withheld != self.proposer.mesh.routes.len()
+            || status.version != self.proposer.version
             || metrics.get("bluebellpick_config_reverts_total") > 0.0;
         Ok((is_partial, in_force.saturating_sub(known)))
     }
@@ -481,15 +431,6 @@
         .count()
 }
 
-fn name_service(index: usize) -> String {
-    format!("service-{index}")
-}
-
-fn wall_ms() -> u64 {
-    let wall = SystemTime::now().duration_since(UNIX_EPOCH);
-    u64::try_from(wall.unwrap_or_default().as_millis()).unwrap_or(u64::MAX)
-}
-
 fn to_f64(count: usize) -> f64 {
     f64::from(u32::try_from(count).unwrap_or(u32::MAX))
 }
--- a/crates/bench/src/error.rs
+++ b/crates/bench/src/error.rs
@@ -30,6 +30,12 @@
             display("request: {}", source)
             source(source)
         }
+        /// A link between nodes failed.
+        Wire(source: wire::Error) {
+            from()
+            display("link: {}", source)
+            source(source)
+        }
         /// Something did not come about in time.
         Timeout(what: String) {
             display("timed out: {}", what)
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -12,4 +12,6 @@
 pub mod node;
 pub mod path;
 pub mod process;
+pub mod proposer;
 pub mod relay;
+pub mod state;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,7 +3,7 @@
 //! Every experiment prints one JSON object with its figures as its last line.
 
 use bench::error::Error;
-use bench::{converge, path};
+use bench::{converge, path, state};
 use bpaf::{Parser, construct, long};
 use std::process::ExitCode;
 use std::time::Duration;
@@ -13,6 +13,7 @@
 enum Command {
     Path(path::Plot),
     Converge(converge::Plot),
+    State(state::Plot),
 }
 
 fn parse_seconds(default: u64) -> impl Parser<Duration> {
@@ -86,6 +87,47 @@
     plot.map(Command::Converge)
 }
 
+fn parse_state() -> impl Parser<Command> {
+    let services = long("services")
+        .help("Services, and routes, of the configuration")
+        .argument::<usize>("COUNT")
+        .guard(
+            |services| (2..=2_000).contains(services),
+            "between 2 and 2000",
+        )
+        .fallback(410)
+        .display_fallback();
+    let endpoints = long("endpoints")
+        .help("Endpoints of the fleet")
+        .argument::<usize>("COUNT")
+        .guard(
+            |endpoints| (1..=50_000).contains(endpoints),
+            "between 1 and 50000",
+        )
+        .fallback(14_000)
+        .display_fallback();
+    let children = long("children")
+        .help("Children that the node relays to")
+        .argument::<usize>("COUNT")
+        .guard(|children| *children < 24, "fewer than 24")
+        .fallback(0)
+        .display_fallback();
+    let speed = long("speed")
+        .help("Times the churn of 14,000 nodes")
+        .argument::<f64>("TIMES")
+        .fallback(1.0)
+        .display_fallback();
+    let duration = parse_seconds(30);
+    let plot = construct!(state::Plot {
+        services,
+        endpoints,
+        children,
+        speed,
+        duration
+    });
+    plot.map(Command::State)
+}
+
 fn parse_command() -> impl Parser<Command> {
     let path = parse_path()
         .to_options()
@@ -95,7 +137,11 @@
         .to_options()
         .descr("Measures how long versions take to all nodes, and what that costs")
         .command("converge");
-    construct!([path, converge])
+    let state = parse_state()
+        .to_options()
+        .descr("Measures what a large fleet's state and churn cost one node")
+        .command("state");
+    construct!([path, converge, state])
 }
 
 // One thread: the pacer must see the sockets of its own calls at once.
@@ -120,6 +166,7 @@
 async fn run(command: Command) -> Result<String, Error> {
     match command {
         Command::Path(plot) => print_json(&path::run(plot).await?),
+        Command::State(plot) => print_json(&state::run(plot).await?),
         Command::Converge(plot) => print_json(&converge::run(plot).await?),
     }
 }
--- a/crates/fleet/src/duty.rs
+++ b/crates/fleet/src/duty.rs
@@ -82,12 +82,13 @@
     /// Hands a free lease of the zone to a child.
     fn nominate(&mut self, now: Instant) {
         let zone = self.settings.own.zone.clone();
-        let Some(slot) = self.lease.vacancy(&zone, now) else {
+        let Some(slot) = self.lease.vacancy(&zone) else {
             return;
         };
         let children = self.find_links(|link| link.role == Role::Child && link.room > 0);
         if let Some(child) = children.get(usize::from(slot) % children.len().max(1)) {
             self.send(*child, Frame::Nominate { slot });
+            self.lease.nominate(now);
         }
     }
 
--- a/crates/fleet/src/root.rs
+++ b/crates/fleet/src/root.rs
@@ -156,7 +156,7 @@
     ///
     /// The zone's lowest root acts at once and the others only when the lease
     /// is still free at their next reading: the lowest may have no child.
-    pub fn vacancy(&mut self, zone: &str, now: Instant) -> Option<u8> {
+    pub fn vacancy(&mut self, zone: &str) -> Option<u8> {
         let own = self.slot()?;
         let is_live = |slot: u8| {
             slot == own
@@ -168,9 +168,12 @@
         let vacancy = (0..SEATS).find(|slot| !is_live(*slot));
         let is_lowest = !(0..own).any(is_live);
         let was_vacant = std::mem::replace(&mut self.was_vacant, vacancy.is_some());
-        let vacancy = vacancy.filter(|_| is_lowest || was_vacant)?;
+        vacancy.filter(|_| is_lowest || was_vacant)
+    }
+
+    /// Notes that a child was nominated: the leases are to be read again soon.
+    pub fn nominate(&mut self, now: Instant) {
         self.read_at = self.read_at.min(now + SETTLE);
-        Some(vacancy)
     }
 
     /// Gives the lease that a node without any root should take.
