--- a/crates/config/src/view.rs
+++ b/crates/config/src/view.rs
@@ -7,7 +7,7 @@
     Class, Digest, Endpoint, Held, Mesh, Objective, Repeat, Retry, Route, Service, State, Version,
 };
 use smol_str::SmolStr;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::sync::Arc;
 
 /// Names a service of one view.
@@ -130,7 +130,6 @@
             index: HashMap::with_capacity(mesh.routes.len()),
         };
         view.add_services(mesh);
-        view.attach_endpoints();
         for (prefix, route) in &mesh.routes {
             view.add_route(mesh, prefix, route);
         }
@@ -138,34 +137,26 @@
         view
     }
 
+    /// Adds the services that have endpoints, in the order of their names.
     fn add_services(&mut self, mesh: &Mesh) {
-        let present: BTreeSet<&str> = self
-            .endpoints
-            .iter()
-            .map(|known| known.service.as_str())
-            .collect();
+        let mut takers: HashMap<&str, Vec<EndpointKey>> = HashMap::new();
+        for (index, endpoint) in (0..).zip(&self.endpoints) {
+            let keys = takers.entry(endpoint.service.as_str()).or_default();
+            if endpoint.state == State::Serving {
+                keys.push(EndpointKey(index));
+            }
+        }
+        let mut services = Vec::with_capacity(takers.len().min(mesh.services.len()));
         for (name, service) in &mesh.services {
-            if present.contains(name.as_str()) {
-                self.services.push(ServiceEntry {
+            if let Some(endpoints) = takers.remove(name.as_str()) {
+                services.push(ServiceEntry {
                     name: name.clone(),
                     service: service.clone(),
-                    endpoints: Vec::new(),
+                    endpoints,
                 });
             }
         }
-    }
-
-    fn attach_endpoints(&mut self) {
-        for (index, endpoint) in (0..).zip(&self.endpoints) {
-            let found = self
-                .services
-                .binary_search_by(|entry| entry.name.cmp(&endpoint.service));
-            if let Ok(service) = found
-                && endpoint.state == State::Serving
-            {
-                self.services[service].endpoints.push(EndpointKey(index));
-            }
-        }
+        self.services = services;
     }
 
     fn add_route(&mut self, mesh: &Mesh, prefix: &SmolStr, route: &Route) {
--- a/crates/fleet/src/endpoints.rs
+++ b/crates/fleet/src/endpoints.rs
@@ -12,16 +12,27 @@
 use wire::control::{BUCKETS, MAX_ENDPOINTS};
 
 /// Time after which a node announces its endpoint again, unchanged: 14,000
-/// nodes then cost each node 2 announcements, some 120 bytes, a second.
-pub const REFRESH: Duration = Duration::from_hours(2);
+/// nodes then cost each link 0.65 announcements, some 50 bytes, a second.
+pub const REFRESH: Duration = Duration::from_hours(6);
 
 /// Time without news after which an endpoint counts as gone: three refreshes,
 /// longer than regions lose each other for.
-pub const EXPIRE: Duration = Duration::from_hours(6);
+pub const EXPIRE: Duration = Duration::from_hours(18);
 
 /// Most endpoints held: four times the 14,000 that are planned for.
 pub const MAX_TABLE: usize = 56_000;
 
+/// What an announcement was.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Merged {
+    /// No news.
+    Known,
+    /// A sign that all is as before.
+    Refreshed,
+    /// News that matter to calls.
+    Changed,
+}
+
 #[derive(Debug)]
 struct Entry {
     endpoint: Arc<Endpoint>,
@@ -45,25 +56,32 @@
 }
 
 impl Table {
-    /// Takes an announcement; tells whether it was news.
+    /// Takes an announcement; tells what it was.
     ///
     /// A departure of a node that was never heard of is none: kept, it would
     /// go round for ever between nodes that dropped it at different times.
-    pub fn merge(&mut self, endpoint: &Arc<Endpoint>, now: Instant) -> bool {
-        let is_news = match self.entries.get(&endpoint.node) {
-            Some(known) => endpoint.rank() > known.endpoint.rank(),
+    pub fn merge(&mut self, endpoint: &Arc<Endpoint>, now: Instant) -> Merged {
+        let known = self.get(&endpoint.node);
+        let is_news = match known {
+            Some(known) => endpoint.rank() > known.rank(),
             None => endpoint.state != State::Gone && self.entries.len() < MAX_TABLE,
         };
-        if is_news {
-            let entry = Entry {
-                endpoint: Arc::clone(endpoint),
-                heard: now,
-            };
-            let old = self.entries.insert(endpoint.node.clone(), entry);
-            let old = old.map_or(0, |old| weigh(&old.endpoint));
-            self.sums[bucket(&endpoint.node)] ^= old ^ weigh(endpoint);
+        if !is_news {
+            return Merged::Known;
+        }
+        let is_refresh = known.is_some_and(|known| is_same(known, endpoint));
+        let old = known.map_or(0, |known| weigh(known));
+        self.sums[bucket(&endpoint.node)] ^= old ^ weigh(endpoint);
+        let entry = Entry {
+            endpoint: Arc::clone(endpoint),
+            heard: now,
+        };
+        self.entries.insert(endpoint.node.clone(), entry);
+        if is_refresh {
+            Merged::Refreshed
+        } else {
+            Merged::Changed
         }
-        is_news
     }
 
     /// Gives what is known of a node.
@@ -139,6 +157,15 @@
     }
 }
 
+/// Tells whether calls would see no difference.
+fn is_same(known: &Endpoint, news: &Endpoint) -> bool {
+    let known = Endpoint {
+        sequence: news.sequence,
+        ..known.clone()
+    };
+    known == *news
+}
+
 /// Gives the bucket that a node's endpoint is summed up in.
 fn bucket(node: &str) -> usize {
     pick(hash(node.as_bytes()), BUCKETS)
--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -5,6 +5,7 @@
 //! after a moment asks. Endpoints go to all neighbours but the one they came
 //! from, gathered for a moment.
 
+use crate::endpoints::Merged;
 use crate::event::{Action, Backend};
 use crate::holder::{Step, Taken};
 use crate::link::{Link, LinkKey, Role};
@@ -207,30 +208,35 @@
                 self.refute(now, endpoint);
                 continue;
             }
-            if self.table.merge(endpoint, now) {
-                if endpoint.state != State::Gone {
-                    self.guard.find(&endpoint.node);
-                }
-                self.spread(now, &endpoint.node, Some(key));
+            let merged = self.table.merge(endpoint, now);
+            if merged != Merged::Known && endpoint.state != State::Gone {
+                self.guard.find(&endpoint.node);
             }
+            self.spread(now, &endpoint.node, merged, Some(key));
         }
     }
 
     /// Notes that a node has news, for all links but the one they came by.
-    fn spread(&mut self, now: Instant, node: &SmolStr, from: Option<LinkKey>) {
+    ///
+    /// A mere refresh makes no new view: at 14,000 endpoints these come all the
+    /// time, and a view of them takes milliseconds to make.
+    fn spread(&mut self, now: Instant, node: &SmolStr, merged: Merged, from: Option<LinkKey>) {
+        if merged == Merged::Known {
+            return;
+        }
         self.news.nodes.insert(node.clone(), from);
         self.news.flush_at.get_or_insert(now + GATHER);
-        self.news.view_at.get_or_insert(now + VIEW);
+        if merged == Merged::Changed {
+            self.news.view_at.get_or_insert(now + VIEW);
+        }
     }
 
     /// Speaks up when others say of this node what it didn't say itself.
     fn refute(&mut self, now: Instant, endpoint: &Endpoint) {
         let Some(own) = &mut self.own else {
             // A former process of this VM; its place is taken once the backend server is here.
-            let is_news = self.table.merge(&Arc::new(endpoint.clone()), now);
-            if is_news {
-                self.spread(now, &endpoint.node, None);
-            }
+            let merged = self.table.merge(&Arc::new(endpoint.clone()), now);
+            self.spread(now, &endpoint.node, merged, None);
             return;
         };
         if endpoint.rank() <= own.rank() {
@@ -270,8 +276,8 @@
         };
         own.sequence += 1;
         let endpoint = Arc::new(own.clone());
-        self.table.merge(&endpoint, now);
-        self.spread(now, &endpoint.node, None);
+        let merged = self.table.merge(&endpoint, now);
+        self.spread(now, &endpoint.node, merged, None);
     }
 
     /// Announces that the own endpoint is gone.
@@ -294,7 +300,7 @@
         for node in self.guard.take_gone(neighbours, self.is_rooted(), now) {
             if self.table.bury(&node, now).is_some() {
                 self.counters.departures += 1;
-                self.spread(now, &node, None);
+                self.spread(now, &node, Merged::Changed, None);
             }
         }
     }
