--- /dev/null
+++ b/crates/fleet/tests/endpoints.rs
@@ -0,0 +1,220 @@
+//! Endpoints: merged in any order, gone when they are, held when much falls silent.
+
+mod world;
+
+use config::{Endpoint, State};
+use fleet::departure::{GRACE, Guard};
+use fleet::endpoints::{EXPIRE, Merged, Table};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use world::{MS, S, World};
+
+fn endpoint(node: usize, started_ms: u64, sequence: u64, state: State) -> Arc<Endpoint> {
+    Arc::new(Endpoint {
+        node: format!("vm-{node}").into(),
+        incarnation: started_ms,
+        started_ms,
+        sequence,
+        service: "claims".into(),
+        zone: "a".into(),
+        region: "r".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        slots: 6,
+        state,
+    })
+}
+
+// Two nodes hear the same announcements by different ways, in another order
+// and partly twice. A caller must find the same endpoints at both, and a
+// backend server that has left must not come back with a late frame.
+#[test]
+fn order_free() {
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[5; 32]);
+    let mut runner = TestRunner::new_with_rng(Config::with_cases(256), rng);
+    let state = prop_oneof![
+        Just(State::Serving),
+        Just(State::Leaving),
+        Just(State::Gone)
+    ];
+    let news = (0..4_usize, 1..3_u64, 1..4_u64, state);
+    let all = prop::collection::vec(news, 1..24);
+    let shuffled = all.prop_flat_map(|all| (Just(all.clone()), Just(all).prop_shuffle()));
+    let verdict = runner.run(&shuffled, |(one, other)| {
+        let now = Instant::now();
+        let fill = |news: &[(usize, u64, u64, State)]| {
+            let mut table = Table::default();
+            // Everybody knows the nodes as such; a tombstone of a stranger is dropped.
+            for node in 0..4 {
+                table.merge(&endpoint(node, 0, 0, State::Serving), now);
+            }
+            for (node, started_ms, sequence, state) in news {
+                table.merge(&endpoint(*node, *started_ms, *sequence, *state), now);
+            }
+            table
+        };
+        let (one, other) = (fill(&one), fill(&other));
+        prop_assert!(one.iter().eq(other.iter()));
+        prop_assert_eq!(one.sum(), other.sum());
+        prop_assert!(one.differing(other.sums()).is_empty());
+        Ok(())
+    });
+    verdict.expect("order and repetition don't matter");
+}
+
+#[test]
+fn late_word() {
+    let now = Instant::now();
+    let mut table = Table::default();
+    assert_eq!(
+        table.merge(&endpoint(1, 1, 1, State::Serving), now),
+        Merged::Changed
+    );
+    assert_eq!(
+        table.merge(&endpoint(1, 1, 2, State::Serving), now),
+        Merged::Refreshed
+    );
+    assert!(table.bury("vm-1", now).is_some());
+    assert_eq!(
+        table.merge(&endpoint(1, 1, 2, State::Serving), now),
+        Merged::Known
+    );
+    // Its own further word, or a new process, speaks louder than others' silence.
+    assert_eq!(
+        table.merge(&endpoint(1, 1, 3, State::Serving), now),
+        Merged::Changed
+    );
+    assert_eq!(
+        table.merge(&endpoint(1, 2, 1, State::Leaving), now),
+        Merged::Changed
+    );
+    assert_eq!(
+        table.merge(&endpoint(1, 1, 9, State::Serving), now),
+        Merged::Known
+    );
+}
+
+#[test]
+fn expires_twice() {
+    let now = Instant::now();
+    let mut table = Table::default();
+    table.merge(&endpoint(1, 1, 1, State::Serving), now);
+    table.expire(now + EXPIRE);
+    assert_eq!(
+        table.get("vm-1").map(|known| known.state),
+        Some(State::Gone)
+    );
+    table.expire(now + EXPIRE + EXPIRE);
+    assert!(table.get("vm-1").is_none(), "tombstones go too");
+    assert_eq!(table.sum(), Table::default().sum());
+}
+
+// A switch fails and a relay loses most of its children at once. They still
+// serve; taking them off the lists would refuse callers for nothing. Silence
+// of one or two is a departure, silence of many is a fault in between.
+#[test]
+fn many_lost() {
+    let now = Instant::now();
+    let later = now + GRACE;
+    let lose = |count: usize, neighbours: usize, is_rooted: bool| {
+        let mut guard = Guard::default();
+        for node in 0..count {
+            guard.lose(&format!("vm-{node}").into(), now);
+        }
+        assert!(guard.take_gone(neighbours, is_rooted, now + MS).is_empty());
+        guard.take_gone(neighbours, is_rooted, later).len()
+    };
+    assert_eq!(lose(1, 20, true), 1);
+    assert_eq!(lose(2, 0, true), 2);
+    assert_eq!(lose(6, 18, true), 6);
+    assert_eq!(lose(7, 17, true), 0);
+    assert_eq!(
+        lose(1, 20, false),
+        0,
+        "a node that is cut off itself judges nobody"
+    );
+}
+
+fn started(seed: u64) -> World {
+    let mut world = World::new(3, 12, seed);
+    world.run(15 * S);
+    let version = world.propose();
+    world.run_until(S, "the first version", |world| world.all_serve(version));
+    assert_eq!(world.serving(0), 36);
+    world
+}
+
+fn leaf(world: &World) -> usize {
+    let is_leaf = |vm: &world::Vm| vm.node.as_ref().is_some_and(|node| !node.is_root());
+    world
+        .vms
+        .iter()
+        .position(is_leaf)
+        .expect("there are leaves")
+}
+
+// A backend server asks to leave. Callers' nodes in all zones must stop
+// sending it work within a few seconds.
+#[test]
+fn leaving_spreads() {
+    let mut world = started(21);
+    let vm = leaf(&world);
+    world.set_backend(vm, State::Leaving);
+    let took = world.run_until(S, "leaving", |world| {
+        (0..36).all(|other| world.serving(other) == 35)
+    });
+    assert!(took <= 300 * MS, "{took:?}");
+}
+
+// A VM dies without a word. Its parent sees the silence, waits for it to show
+// up elsewhere, and then tells the others; a restart under the same name is
+// back at once.
+#[test]
+fn killed_node() {
+    let mut world = started(22);
+    let vm = leaf(&world);
+    world.kill(vm, true);
+    let everybody = |world: &World, count: usize| {
+        (0..36)
+            .filter(|other| *other != vm)
+            .all(|other| world.serving(other) == count)
+    };
+    world.run_until(10 * S, "declared gone", |world| everybody(world, 35));
+    world.spawn(vm);
+    world.run_until(3 * S, "back", |world| everybody(world, 36));
+}
+
+// A node is only slow: its parent gives it up, it finds another. Its backend
+// server serves all the time and must not drop from any list.
+#[test]
+fn changed_parent() {
+    let mut world = started(23);
+    let vm = leaf(&world);
+    world.silence(vm);
+    for _ in 0..200 {
+        world.run(50 * MS);
+        assert!(
+            (0..36).all(|other| world.serving(other) == 36),
+            "{}",
+            world.describe()
+        );
+    }
+    assert!(world.all_rooted());
+}
+
+// The clock of a VM is set back and its process restarts. What the dead
+// process said last looks newer than all that the new one says, for good.
+#[test]
+fn clock_back() {
+    let mut world = started(24);
+    let vm = leaf(&world);
+    world.kill(vm, false);
+    world.skew_back(vm, Duration::from_secs(10));
+    world.spawn(vm);
+    world.run(3 * S);
+    world.set_backend(vm, State::Leaving);
+    world.run_until(3 * S, "the new process is heard", |world| {
+        (0..36).all(|other| world.serving(other) == 35)
+    });
+}
--- /dev/null
+++ b/crates/fleet/tests/joining.rs
@@ -0,0 +1,116 @@
+//! Joining: bounded admission, no cycles, and serving only by the newest version heard.
+
+use config::Version;
+use fleet::backoff::Backoff;
+use fleet::bootstrap::Gate;
+use fleet::bucket::Bucket;
+use fleet::parent::{Candidates, Source};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+const MS: Duration = Duration::from_millis(1);
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+// A thousand nodes ask one root at once. It takes a few, tells the others
+// when to come back, and takes no more than its rate later.
+#[test]
+fn bounded_admission() {
+    let start = Instant::now();
+    let mut door = Bucket::new(200 * MS, 8);
+    let taken = |door: &mut Bucket, at| (0..1_000).filter(|_| door.take(at).is_ok()).count();
+    assert_eq!(taken(&mut door, start), 8);
+    let wait = door.take(start).expect_err("empty");
+    assert!(wait <= 200 * MS);
+    assert_eq!(taken(&mut door, start + wait), 1);
+    assert_eq!(taken(&mut door, start + Duration::from_hours(1)), 8);
+}
+
+#[test]
+fn jittered_waits() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut backoff = Backoff::new(200 * MS, 3_000 * MS);
+    let waits: Vec<_> = (0..200).map(|_| backoff.next(&mut rng)).collect();
+    assert!(waits.iter().all(|wait| *wait <= 3_000 * MS));
+    let early = waits[8..].iter().filter(|wait| **wait < 1_500 * MS).count();
+    assert!(
+        (70..122).contains(&early),
+        "{early} of 192 in the first half"
+    );
+}
+
+// A zone's nodes look for parents among the same names; no name may get much
+// more than its share.
+#[test]
+fn even_choice() {
+    let now = Instant::now();
+    let mut chosen: BTreeMap<SocketAddr, u32> = BTreeMap::new();
+    for node in 0..2_400 {
+        let mut candidates = Candidates::default();
+        for port in 1..=24 {
+            candidates.learn(address(port), Source::Hint, now);
+        }
+        let first = candidates.pick(&format!("vm-{node}"), now).expect("some");
+        *chosen.entry(first).or_default() += 1;
+    }
+    assert!(
+        chosen.values().all(|count| (60..150).contains(count)),
+        "{chosen:?}"
+    );
+}
+
+#[test]
+fn postponed_parent() {
+    let now = Instant::now();
+    let mut candidates = Candidates::default();
+    candidates.learn(address(1), Source::Root, now);
+    candidates.learn(address(2), Source::Seed, now);
+    assert_eq!(candidates.pick("vm", now), Some(address(1)));
+    candidates.postpone(address(1), now + 100 * MS);
+    assert_eq!(candidates.pick("vm", now), Some(address(2)));
+    candidates.miss(address(2), now);
+    assert_eq!(candidates.pick("vm", now), None);
+    assert!(candidates.is_unreached(address(2)) && !candidates.is_unreached(address(1)));
+    assert_eq!(candidates.pick("vm", now + 100 * MS), Some(address(1)));
+}
+
+// A VM served by version 40 when its process was killed. The first peer that
+// the new process hears is a relay that was cut off at 39; the VM must not
+// serve by 39 before a second one was heard.
+#[test]
+fn older_peer() {
+    let start = Instant::now();
+    let mut gate = Gate::new();
+    gate.hear(&"cut-off".into(), Version(39), true, start);
+    assert!(!gate.pass(Version(39), start));
+    gate.hear(&"also-new".into(), Version(0), false, start);
+    assert!(
+        !gate.pass(Version(39), start),
+        "a new process is no witness"
+    );
+    gate.hear(&"up-to-date".into(), Version(40), true, start);
+    assert!(!gate.pass(Version(39), start + Duration::from_hours(1)));
+    assert!(gate.pass(Version(40), start));
+}
+
+#[test]
+fn lone_source() {
+    let start = Instant::now();
+    let mut gate = Gate::new();
+    assert!(
+        !gate.pass(Version(0), start + Duration::from_hours(1)),
+        "nothing heard"
+    );
+    gate.hear(&"only".into(), Version(7), true, start);
+    let deadline = gate.deadline(start).expect("a limit");
+    assert!(!gate.pass(Version(7), start));
+    assert!(gate.pass(Version(7), deadline));
+    let mut gate = Gate::new();
+    gate.hear_platform(Version(7), start);
+    assert!(gate.pass(Version(7), start), "the platform needs no second");
+}
--- /dev/null
+++ b/crates/fleet/tests/refusal.rs
@@ -0,0 +1,176 @@
+//! A version that one node can't apply stops nobody else, and is reported.
+
+use config::{Change, Digest, Held, Patch, Service, Version};
+use fleet::holder::{Holder, Step, Taken};
+use fleet::status;
+use smol_str::SmolStr;
+use std::sync::Arc;
+use wire::control::{Frame, Status};
+
+fn put(name: &str) -> Patch {
+    Patch::from(vec![Change::PutService {
+        name: name.into(),
+        service: Service::default(),
+    }])
+}
+
+/// Steps 1 to `count`, with what is held after all of them.
+fn steps(count: u64) -> (Vec<Step>, Held) {
+    let mut held = Held::default();
+    let steps = (1..=count).map(|number| {
+        let patch = Arc::new(put(&format!("s{number}")));
+        let digest = Digest::of(&patch.apply(held.mesh()).expect("valid"));
+        held.step(Version(number), &patch, digest).expect("next");
+        Step {
+            version: Version(number),
+            patch,
+            digest,
+        }
+    });
+    (steps.collect(), held)
+}
+
+fn take(holder: &mut Holder, frame: Frame) -> Taken {
+    match frame {
+        Frame::Step {
+            version,
+            patch,
+            digest,
+        } => holder.take_step(Step {
+            version,
+            patch,
+            digest,
+        }),
+        Frame::Chunk(chunk) => holder.take_chunk(&chunk),
+        frame => panic!("not a version: {frame:?}"),
+    }
+}
+
+// A frame is damaged on its way, or a node's software can't read a version.
+// The node must hold none of it, say so, and come back by the whole of a
+// later version instead of staying behind for good.
+#[test]
+fn refused_then_whole() {
+    let (all, held) = steps(4);
+    let mut holder = Holder::default();
+    holder.take_step(all[0].clone());
+    let damaged = Step {
+        patch: Arc::new(put("other")),
+        ..all[1].clone()
+    };
+    assert_eq!(holder.take_step(damaged), Taken::Refused);
+    assert_eq!(holder.version(), Version(1));
+    assert_eq!(
+        holder.refused().map(|(version, _)| *version),
+        Some(Version(2))
+    );
+    let mut source = Holder::default();
+    for step in &all {
+        source.take_step(step.clone());
+    }
+    for frame in source.frames_after(Version(1), true) {
+        assert_eq!(take(&mut holder, frame), Taken::Applied);
+    }
+    assert_eq!(holder.held(), &held);
+    assert!(holder.refused().is_none(), "no longer reported");
+}
+
+// A node that was away asks for what it lacks: a few steps when they are
+// still kept, the whole otherwise; never a step that doesn't fit.
+#[test]
+fn ranges_and_wholes() {
+    let (all, held) = steps(80);
+    let mut source = Holder::default();
+    for step in &all {
+        source.take_step(step.clone());
+    }
+    for after in [0, 10, 16, 17, 79, 80] {
+        let mut behind = Holder::default();
+        for step in &all[..after] {
+            behind.take_step(step.clone());
+        }
+        let frames = source.frames_after(Version(after as u64), false);
+        let is_steps = frames
+            .iter()
+            .all(|frame| matches!(frame, Frame::Step { .. }));
+        assert_eq!(is_steps, after >= 16, "64 steps are kept, after {after}");
+        for frame in frames {
+            take(&mut behind, frame);
+        }
+        assert_eq!(behind.held(), &held);
+    }
+}
+
+#[test]
+fn chunks_mixed() {
+    let (all, _) = steps(3);
+    let names = (0..4_000).map(|index| format!("service-with-a-long-name-{index}"));
+    let many: Vec<_> = names.flat_map(|name| put(&name).changes).collect();
+    let mut source = Holder::default();
+    for step in &all {
+        source.take_step(step.clone());
+    }
+    let patch = Arc::new(Patch::from(many));
+    let digest = Digest::of(&patch.apply(source.held().mesh()).expect("valid"));
+    let version = Version(4);
+    assert_eq!(
+        source.take_step(Step {
+            version,
+            patch,
+            digest
+        }),
+        Taken::Applied
+    );
+    let frames = source.frames_after(Version(3), false);
+    assert!(frames.len() > 1, "too long for one frame: {}", frames.len());
+    let mut target = Holder::default();
+    let last = frames.last().expect("some").clone();
+    assert_eq!(
+        take(&mut target, last),
+        Taken::Gap,
+        "the end alone is nothing"
+    );
+    let mut taken = Vec::new();
+    for frame in frames {
+        taken.push(take(&mut target, frame));
+    }
+    assert_eq!(taken.pop(), Some(Taken::Applied));
+    assert!(taken.iter().all(|taken| *taken == Taken::Partial));
+    assert_eq!(target.held(), source.held());
+}
+
+// An operator asks how the fleet stands while one node of 14,000 refuses a
+// version. The answer must name it, and its size must not grow with nodes.
+#[test]
+fn bounded_status() {
+    let name = |index: u64| SmolStr::from(format!("vm-{index}"));
+    let parts: Vec<(SmolStr, Status)> = (0..14_000)
+        .map(|index| {
+            let refusal = (index % 1_000 == 7)
+                .then(|| status::refusal(&name(index), Version(90), &"long ".repeat(500)));
+            let version = Version(if index % 1_000 == 7 {
+                89
+            } else {
+                90 + index % 20
+            });
+            (name(index), status::single(version, refusal))
+        })
+        .collect();
+    let total = status::sum(parts.iter().map(|(name, part)| (name, part)));
+    assert_eq!(status::nodes(&total), 14_000);
+    assert_eq!(
+        total.counts.first().map(|count| count.version),
+        Some(Version(89))
+    );
+    assert_eq!(
+        total.counts.last().map(|count| count.version),
+        Some(Version(109))
+    );
+    assert_eq!(
+        total.refusals.first().map(|refusal| refusal.node.as_str()),
+        Some("vm-10007")
+    );
+    let mut buffer = Vec::new();
+    wire::codec::encode(&total, &mut buffer).expect("fits");
+    assert!(buffer.len() < 2_000, "{} bytes", buffer.len());
+}
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -72,6 +72,8 @@
     pub installed: BTreeMap<Version, Duration>,
     frozen: Option<VecDeque<(u64, Item)>>,
     pub backend: State,
+    /// How far the VM's time of day is behind.
+    skew: Duration,
     wake_at: Duration,
 }
 
@@ -145,6 +147,7 @@
                 installed: BTreeMap::new(),
                 frozen: None,
                 backend: State::Serving,
+                skew: Duration::ZERO,
                 wake_at: Duration::MAX,
             });
         }
@@ -173,7 +176,7 @@
             own: slot.own.clone(),
             region: "north".into(),
             incarnation: slot.incarnation,
-            started_ms: u64::try_from(self.now.as_millis()).unwrap(),
+            started_ms: u64::try_from(self.now.saturating_sub(slot.skew).as_millis()).unwrap(),
             seeds,
             sends_whole: false,
         };
@@ -216,6 +219,11 @@
         self.push(vm, Duration::ZERO, Item::Wake);
     }
 
+    /// Sets a VM's time of day back.
+    pub fn skew_back(&mut self, vm: usize, by: Duration) {
+        self.vms[vm].skew = by;
+    }
+
     /// Makes all links of a VM silent towards it; new ones work.
     pub fn silence(&mut self, vm: usize) {
         for conn in &mut self.conns {
