--- a/crates/fleet/src/tree.rs
+++ b/crates/fleet/src/tree.rs
@@ -360,7 +360,9 @@
     /// Sets the path of the parent, empty for none, and tells the children.
     pub(crate) fn set_path(&mut self, mut path: Vec<SmolStr>) {
         if !path.is_empty() {
-            path.push(self.settings.own.node.clone());
+            let own = &self.settings.own.node;
+            assert!(!path.contains(own), "no node is below itself");
+            path.push(own.clone());
         }
         self.tell_path(path);
     }
--- a/crates/fleet/tests/converge.rs
+++ b/crates/fleet/tests/converge.rs
@@ -180,6 +180,25 @@
     world.run_until(6 * S, "silent links", |world| world.all_serve(version));
 }
 
+// A connection is dead one way only: a child hears its parent's beats, but the
+// parent hears nothing and gives the child up, and the child isn't told. It
+// would go on hearing nothing new until it gave up the parent in turn; the
+// echo in the beats shows it earlier that it isn't heard.
+#[test]
+fn link_mute() {
+    let mut world = started(2, 12, 10);
+    let leaves = (0..24).filter(|vm| {
+        let node = world.vms[*vm].node.as_ref();
+        node.is_some_and(|node| !node.is_root())
+    });
+    for vm in leaves.collect::<Vec<_>>() {
+        world.mute(vm);
+    }
+    world.run(3_700 * MS);
+    let version = world.propose();
+    world.run_until(2 * S, "mute links", |world| world.all_serve(version));
+}
+
 // The platform's answers to renewals are lost after the writes took effect.
 // Roots must not give up leases that they hold, nor others take them.
 #[test]
--- a/crates/fleet/tests/joining.rs
+++ b/crates/fleet/tests/joining.rs
@@ -5,11 +5,14 @@
 use fleet::bootstrap::Gate;
 use fleet::bucket::Bucket;
 use fleet::parent::{Candidates, Source};
+use fleet::{Action, Answer, Event, LinkKey, Node, Peer, Request, Settings};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use smol_str::SmolStr;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
+use wire::control::Frame;
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -114,3 +117,73 @@
     gate.hear_platform(Version(7), start);
     assert!(gate.pass(Version(7), start), "the platform needs no second");
 }
+
+/// A node that has just connected to its seed.
+fn connected(now: Instant) -> (Node, LinkKey) {
+    let peer = |node: &str, port| Peer {
+        node: node.into(),
+        zone: "a".into(),
+        address: address(port),
+    };
+    let settings = Settings {
+        own: peer("vm-1", 1),
+        region: "r".into(),
+        incarnation: 1,
+        started_ms: 1,
+        seeds: vec![address(2)],
+        sends_whole: false,
+    };
+    let mut node = Node::new(settings, 1, now);
+    node.handle(now + Duration::from_secs(1), Event::Wake);
+    let failed = Event::Platform(Answer::Failed(Request::Leases));
+    let later = now + Duration::from_secs(2);
+    let mut actions = node.handle(now + Duration::from_secs(1), failed);
+    actions.extend(node.handle(later, Event::Wake));
+    let dialled = actions.iter().find_map(|action| match action {
+        Action::Connect { link, .. } => Some(*link),
+        _ => None,
+    });
+    let link = dialled.expect("the seed is asked when the platform is out");
+    let event = Event::Connected {
+        link,
+        peer: peer("vm-2", 2),
+    };
+    node.handle(later, event);
+    (node, link)
+}
+
+// A relay loses its parent and, without knowing it, asks one of its own
+// descendants. If it were taken, the two would hold each other up: no version
+// would ever reach them again, and neither would notice.
+#[test]
+fn no_cycle() {
+    let now = Instant::now();
+    let later = now + Duration::from_secs(2);
+    let path =
+        |names: &[&str]| -> Vec<SmolStr> { names.iter().map(|name| (*name).into()).collect() };
+    for (names, is_taken) in [(["vm-9", "vm-2"], true), (["vm-1", "vm-2"], false)] {
+        let (mut node, link) = connected(now);
+        let frame = Frame::Admit {
+            path: path(&names),
+            version: Version(1),
+            is_ready: true,
+            parents: Vec::new(),
+        };
+        node.handle(later, Event::Frame { link, frame });
+        assert_eq!(!node.path().is_empty(), is_taken, "{names:?}");
+    }
+    let (mut node, link) = connected(now);
+    let frame = Frame::Admit {
+        path: path(&["vm-9", "vm-2"]),
+        version: Version(1),
+        is_ready: true,
+        parents: Vec::new(),
+    };
+    node.handle(later, Event::Frame { link, frame });
+    let frame = Frame::Path(path(&["vm-9", "vm-1", "vm-2"]));
+    let actions = node.handle(later, Event::Frame { link, frame });
+    let left = actions
+        .iter()
+        .any(|action| matches!(action, Action::Close { link: closed } if *closed == link));
+    assert!(left && node.path().is_empty(), "{actions:?}");
+}
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -84,6 +84,8 @@
     last: [Duration; 2],
     /// Whether frames towards each end vanish.
     is_silent: [bool; 2],
+    /// Whether neither end learns that the other has closed.
+    loses_close: bool,
     is_open: bool,
 }
 
@@ -235,6 +237,18 @@
         }
     }
 
+    /// Loses all that a VM sends over its links, and the news that they were closed; what comes to it still comes.
+    pub fn mute(&mut self, vm: usize) {
+        for conn in &mut self.conns {
+            for side in 0..2 {
+                if conn.ends[side].0 == vm {
+                    conn.is_silent[1 - side] = true;
+                    conn.loses_close = true;
+                }
+            }
+        }
+    }
+
     /// Makes a VM's backend server leave or come back.
     pub fn set_backend(&mut self, vm: usize, state: State) {
         self.vms[vm].backend = state;
@@ -512,6 +526,7 @@
             ends,
             last: [Duration::ZERO; 2],
             is_silent: [false; 2],
+            loses_close: false,
             is_open: true,
         });
         let wait = self.latency();
@@ -535,7 +550,7 @@
         self.conns[conn].is_open = false;
         let side = usize::from(self.conns[conn].ends[0].0 == by);
         let (vm, incarnation, _) = self.conns[conn].ends[side];
-        if self.conns[conn].is_silent[side] {
+        if self.conns[conn].is_silent[side] || self.conns[conn].loses_close {
             return;
         }
         let wait = self.latency();
