Refuse at once what waits when a backend server begins to leave, and try every early end

A call that waited for a slot was told only when the slot got free, up to its deadline later (test leaving, red before: over 300 ms for calls that could run elsewhere). Cause: only the wait's end looked at the leaving state. Now the wait ends with it.

--- a/crates/node/src/inbound.rs
+++ b/crates/node/src/inbound.rs
@@ -190,6 +190,17 @@
                 .is_some_and(|own| own.leaving)
     }
 
+    /// Waits until new work is refused.
+    pub(crate) async fn left(&self) {
+        let mut node = self.shared.leaving.subscribe();
+        let mut backend = self.shared.backend.subscribe();
+        // The senders live as long as the shared state.
+        tokio::select! {
+            _ = node.wait_for(|leaving| *leaving) => {}
+            _ = backend.wait_for(|own| own.as_ref().is_none_or(|own| own.leaving)) => {}
+        }
+    }
+
     /// Gives the backend server that takes calls of `service` now.
     pub(crate) fn find_backend(&self, service: &str) -> Result<Backend, Reason> {
         if *self.shared.leaving.borrow() {
--- a/crates/node/src/inbound_run.rs
+++ b/crates/node/src/inbound_run.rs
@@ -134,9 +134,13 @@
     };
     let active = inner.count_in();
     let slots = inner.slots(find()?.slots);
-    let permit = slots.acquire_owned().await;
+    // What waits when the server begins to leave is refused at that instant.
+    let permit = tokio::select! {
+        biased;
+        permit = slots.acquire_owned() => permit,
+        () = inner.left() => return Err(Refused::not_run(Reason::Leaving, 0)),
+    };
     let permit = permit.map_err(|_closed| Refused::not_run(Reason::Full, RETRY_AFTER_MS))?;
-    // Looked at again: a server that began to leave meanwhile gets no new work.
     let backend = find()?;
     let request = make_request(request, upload, left(inner, deadline))
         .ok_or(Refused::not_run(Reason::Backend, 0))?;
--- /dev/null
+++ b/crates/node/tests/calls/ending.rs
@@ -0,0 +1,212 @@
+//! How calls end early: cancelled, late, cut off, or refused by one that leaves.
+
+use crate::mesh::{Answer, Node, bind, call, spawn_node, spawn_server, wait_recorded};
+use bytes::Bytes;
+use config::Repeat;
+use http::{Method, StatusCode};
+use standin::record::{Outcome, Record};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// A node for callers, one whose backend server has one slot, and where that one listens.
+async fn spawn_pair() -> (Node, Node, Record) {
+    let (address, record) = spawn_server(1).await;
+    let near = spawn_node("near").await;
+    let far = spawn_node("far").await;
+    far.announce("jobs", address, 1);
+    near.serve_by("jobs", Repeat::Never, &[far.endpoint("jobs", far.nodes)]);
+    far.serve_by("jobs", Repeat::Never, &[far.endpoint("jobs", far.nodes)]);
+    (near, far, record)
+}
+
+async fn post(address: SocketAddr, request: &str, work_ms: &str, timeout_ms: &str) -> Answer {
+    let headers = [
+        ("x-request", request),
+        ("x-work-ms", work_ms),
+        ("bluebellpick-timeout-ms", timeout_ms),
+    ];
+    call(address, Method::POST, "/jobs/1", &headers, Bytes::new())
+        .await
+        .unwrap()
+}
+
+/// Which node a caller uses.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Entry {
+    Near,
+    Far,
+}
+
+fn entry_of(entry: Entry, near: &Node, far: &Node) -> SocketAddr {
+    match entry {
+        Entry::Near => near.outbound.address(),
+        Entry::Far => far.outbound.address(),
+    }
+}
+
+// A clerk closes the page while a job is being booked. The backend server must
+// learn of it and stop, whichever node the clerk's call came in by.
+#[yare::parameterized(remote = { Entry::Near }, local = { Entry::Far })]
+#[test_macro(tokio::test)]
+async fn cancelled(entry: Entry) {
+    let (near, far, record) = spawn_pair().await;
+    let address = entry_of(entry, &near, &far);
+    let mut caller = TcpStream::connect(address).await.unwrap();
+    let head = "POST /jobs/1 HTTP/1.1\r\nhost: m\r\nx-request: r1\r\nx-work-ms: 4000\r\ncontent-length: 0\r\n\r\n";
+    caller.write_all(head.as_bytes()).await.unwrap();
+    wait_recorded(&record, |run| run.request == "r1").await;
+    drop(caller);
+    wait_recorded(&record, |run| run.outcome == Outcome::Cancelled).await;
+    assert_eq!(far.inbound.drain(Duration::from_secs(1)).await, 0);
+}
+
+// A call's time is over while it runs, and that of another while it waits for
+// the slot. Each is told at its deadline, and only the second is "not run".
+#[yare::parameterized(remote = { Entry::Near }, local = { Entry::Far })]
+#[test_macro(tokio::test)]
+async fn deadline(entry: Entry) {
+    let (near, far, record) = spawn_pair().await;
+    let address = entry_of(entry, &near, &far);
+    let started = Instant::now();
+    let running = tokio::spawn(async move { post(address, "r1", "4000", "400").await });
+    wait_recorded(&record, |run| run.request == "r1").await;
+    let waited = post(address, "r2", "0", "200").await;
+    assert_eq!(
+        (waited.status, waited.verdict()),
+        (StatusCode::SERVICE_UNAVAILABLE, "not-run")
+    );
+    assert!(waited.headers.contains_key("retry-after"));
+    let ran = running.await.unwrap();
+    assert!(started.elapsed() < Duration::from_millis(600), "told late");
+    // The backend server's own answer at its deadline, or the inbound proxy's.
+    assert_eq!(ran.status, StatusCode::GATEWAY_TIMEOUT);
+    assert_ne!(ran.verdict(), "not-run");
+    assert!(record.entries().iter().all(|run| run.request != "r2"));
+}
+
+// A backend server announces that it leaves, or its node is stopped, while it
+// runs a job and another waits. New calls and the one that waits are refused
+// at once as "not run" and run elsewhere; the job that runs is not cut off.
+#[yare::parameterized(backend_server = { false }, node = { true })]
+#[test_macro(tokio::test)]
+async fn leaving(node: bool) {
+    let (near, far, record) = spawn_pair().await;
+    let address = near.outbound.address();
+    let running = tokio::spawn(async move { post(address, "r1", "500", "3000").await });
+    wait_recorded(&record, |run| run.request == "r1").await;
+    let (other_address, other_record) = spawn_server(1).await;
+    let other = spawn_node("other").await;
+    other.announce("jobs", other_address, 1);
+    let endpoints = [
+        far.endpoint("jobs", far.nodes),
+        other.endpoint("jobs", other.nodes),
+    ];
+    let waiting = tokio::spawn(async move { post(address, "r2", "0", "3000").await });
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    near.serve_by("jobs", Repeat::Never, &endpoints);
+    if node {
+        far.shared.leaving.send_replace(true);
+    } else {
+        far.shared
+            .backend
+            .send_modify(|own| own.as_mut().unwrap().leaving = true);
+    }
+    let started = Instant::now();
+    for index in 0..8 {
+        let answer = post(address, &format!("new-{index}"), "0", "3000").await;
+        assert_eq!((answer.status, answer.verdict()), (StatusCode::OK, "ran"));
+    }
+    assert_eq!(waiting.await.unwrap().status, StatusCode::OK);
+    assert!(
+        started.elapsed() < Duration::from_millis(300),
+        "waited for the one that leaves"
+    );
+    assert_eq!(far.inbound.drain(Duration::from_secs(2)).await, 0);
+    assert_eq!(running.await.unwrap().status, StatusCode::OK);
+    assert_eq!(record.entries().len(), 1);
+    assert_eq!(other_record.entries().len(), 9);
+}
+
+// The time limit of a graceful stop ends the wait for a job that goes on.
+#[tokio::test]
+async fn drain_limit() {
+    let (near, far, record) = spawn_pair().await;
+    let address = near.outbound.address();
+    let running = tokio::spawn(async move { post(address, "r1", "900", "3000").await });
+    wait_recorded(&record, |run| run.request == "r1").await;
+    assert_eq!(far.inbound.drain(Duration::from_millis(100)).await, 1);
+    assert_eq!(running.await.unwrap().status, StatusCode::OK);
+    assert_eq!(far.inbound.drain(Duration::from_secs(1)).await, 0);
+}
+
+// A node stops while callers keep connections to it. The answer in flight is
+// whole and says that the connection ends; then the connection is closed.
+#[tokio::test]
+async fn callers_told() {
+    let (near, _far, record) = spawn_pair().await;
+    let mut caller = TcpStream::connect(near.outbound.address()).await.unwrap();
+    let head = "POST /jobs/1 HTTP/1.1\r\nhost: m\r\nx-request: r1\r\nx-work-ms: 300\r\ncontent-length: 0\r\n\r\n";
+    caller.write_all(head.as_bytes()).await.unwrap();
+    wait_recorded(&record, |run| run.request == "r1").await;
+    assert_eq!(near.outbound.drain(Duration::from_secs(5)).await, 0);
+    let mut answer = String::new();
+    caller.read_to_string(&mut answer).await.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(answer.contains("connection: close"), "{answer}");
+    assert!(answer.contains("\"request\":\"r1\""), "{answer}");
+}
+
+// A backend server dies half way through an answer. The caller must see that
+// it is cut off, not take the half for the whole.
+#[yare::parameterized(
+    remote_length = { Entry::Near, "content-length: 1000" },
+    remote_chunked = { Entry::Near, "transfer-encoding: chunked" },
+    local_length = { Entry::Far, "content-length: 1000" },
+    local_chunked = { Entry::Far, "transfer-encoding: chunked" },
+)]
+#[test_macro(tokio::test)]
+async fn cut_half_way(entry: Entry, framing: &'static str) {
+    let (near, far, _record) = spawn_pair().await;
+    let (listener, address) = bind().await;
+    far.announce("jobs", address, 1);
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut head = [0; 1024];
+        let _head = stream.read(&mut head).await.unwrap();
+        let half = format!("HTTP/1.1 200 OK\r\n{framing}\r\n\r\n5\r\nhello\r\n");
+        stream.write_all(half.as_bytes()).await.unwrap();
+    });
+    let address = entry_of(entry, &near, &far);
+    let answer = call(address, Method::GET, "/jobs/1", &[], Bytes::new()).await;
+    assert!(answer.is_err(), "{answer:?}");
+}
+
+// A backend server dies before it answers. The call may have run.
+#[yare::parameterized(remote = { Entry::Near }, local = { Entry::Far })]
+#[test_macro(tokio::test)]
+async fn broke_off(entry: Entry) {
+    let (near, far, _record) = spawn_pair().await;
+    let (listener, address) = bind().await;
+    far.announce("jobs", address, 1);
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut head = [0; 1024];
+        let _head = stream.read(&mut head).await.unwrap();
+        drop(stream);
+        drop(listener);
+    });
+    let address = entry_of(entry, &near, &far);
+    let first = post(address, "r1", "0", "1000").await;
+    assert_eq!(
+        (first.status, first.verdict()),
+        (StatusCode::BAD_GATEWAY, "may-have-run")
+    );
+    // Nobody listens there any more: nothing was sent.
+    let second = post(address, "r2", "0", "1000").await;
+    assert_eq!(
+        (second.status, second.verdict()),
+        (StatusCode::SERVICE_UNAVAILABLE, "not-run")
+    );
+}
--- /dev/null
+++ b/crates/node/tests/calls/main.rs
@@ -0,0 +1,7 @@
+//! Calls through nodes in one process: whole answers, silent links, early ends.
+
+mod ending;
+mod forward;
+mod mesh;
+mod silence;
+mod whole;
--- a/crates/node/tests/mesh/mod.rs
+++ b/crates/node/tests/calls/mesh.rs
@@ -10,8 +10,11 @@
 use node::shared::{Backend, Shared};
 use node::{inbound, outbound};
 use settings::node::Settings;
+use standin::backend::{self, Backend as Server};
+use standin::record::{Entry, Record};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use wire::{Hello, Link, PROTOCOL, codec};
 
@@ -123,6 +126,38 @@
     }
 }
 
+/// Starts a backend server with that many slots; its record tells what it ran.
+pub async fn spawn_server(slots: u16) -> (SocketAddr, Record) {
+    let (listener, address) = bind().await;
+    let record = Record::open(None).unwrap();
+    let plan = backend::Plan {
+        slots,
+        queue: 20,
+        work: Duration::ZERO,
+        long_percent: 0,
+        long_work: Duration::ZERO,
+        cold: Duration::ZERO,
+    };
+    // It serves as long as the runtime; only its record is looked at.
+    let _running = Server::spawn(listener, plan, record.clone(), 1);
+    (address, record)
+}
+
+/// Waits until the record shows a run for which `is_it` holds.
+pub async fn wait_recorded<F>(record: &Record, is_it: F)
+where
+    F: Fn(&Entry) -> bool,
+{
+    let seen = async {
+        while !record.entries().iter().any(&is_it) {
+            tokio::task::yield_now().await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(5), seen)
+        .await
+        .expect("it is recorded");
+}
+
 /// What a caller received.
 #[derive(Debug)]
 pub struct Answer {
--- a/crates/node/tests/calls.rs
+++ b/crates/node/tests/calls/whole.rs
@@ -1,30 +1,12 @@
 //! Calls through both proxies: whole answers, to the right caller.
 
-mod mesh;
-
+use crate::mesh::{call, spawn_node, spawn_server};
 use bytes::Bytes;
 use config::Repeat;
 use http::{Method, StatusCode};
-use mesh::{bind, call, spawn_node};
-use standin::backend::{self, Backend};
-use standin::record::Record;
-use std::net::SocketAddr;
+use standin::backend;
 use std::time::Duration;
 
-async fn spawn_backend() -> (SocketAddr, Backend) {
-    let (listener, address) = bind().await;
-    let record = Record::open(None).unwrap();
-    let plan = backend::Plan {
-        slots: 6,
-        queue: 20,
-        work: Duration::ZERO,
-        long_percent: 0,
-        long_work: Duration::ZERO,
-        cold: Duration::ZERO,
-    };
-    (address, Backend::spawn(listener, plan, record, 1))
-}
-
 #[yare::parameterized(
     small = { 0, 0 },
     some = { 3_000, 10_000 },
@@ -33,7 +15,7 @@
 )]
 #[test_macro(tokio::test)]
 async fn remote(upload: usize, answer: usize) {
-    let (address, server) = spawn_backend().await;
+    let (address, record) = spawn_server(6).await;
     let near = spawn_node("near").await;
     let far = spawn_node("far").await;
     far.announce("jobs", address, 6);
@@ -57,12 +39,12 @@
     assert_eq!(told["request"], "r1");
     assert_eq!(told["body_fingerprint"], backend::fingerprint(&body));
     assert_eq!(far.inbound.drain(Duration::from_secs(5)).await, 0);
-    assert_eq!(server.in_flight(), 0);
+    assert_eq!(record.entries().len(), 1);
 }
 
 #[tokio::test]
 async fn local() {
-    let (address, _server) = spawn_backend().await;
+    let (address, _record) = spawn_server(6).await;
     let own = spawn_node("own").await;
     own.announce("jobs", address, 6);
     own.serve_by("jobs", Repeat::Never, &[own.endpoint("jobs", own.nodes)]);
