--- a/crates/node/src/inbound.rs
+++ b/crates/node/src/inbound.rs
@@ -5,6 +5,7 @@
 
 use crate::backend::Pool;
 use crate::inbound_call::Call;
+use crate::inbound_gate::Gate;
 use crate::inbound_run::{self, Refused, Running};
 use crate::link::{self, Receiver, Sender, Watch};
 use crate::shared::{Backend, Shared};
@@ -18,7 +19,7 @@
 use std::sync::{Arc, Weak};
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::watch;
 use wire::Hello;
 use wire::call::{Frame, Reason, Request};
 
@@ -57,7 +58,7 @@
     pub(crate) pool: Arc<Pool<C>>,
     tables: [Mutex<Table<Arc<Call>>>; SHARDS],
     links: Mutex<Vec<Weak<Sender>>>,
-    slots: Mutex<(u16, Arc<Semaphore>)>,
+    pub(crate) gate: Arc<Gate<C>>,
     active: watch::Sender<usize>,
 }
 
@@ -69,10 +70,10 @@
 {
     let inner = Arc::new(Inner {
         pool: Pool::new(shared.clock.clone()),
+        gate: Gate::spawn(shared.clock.clone(), shared.incarnation),
         shared,
         tables: Default::default(),
         links: Mutex::default(),
-        slots: Mutex::new((0, Arc::new(Semaphore::new(0)))),
         active: watch::Sender::new(0),
     });
     tokio::spawn(forget(Arc::downgrade(&inner)));
@@ -214,15 +215,6 @@
         }
     }
 
-    /// Gives the slots of the backend server.
-    pub(crate) fn slots(&self, count: u16) -> Arc<Semaphore> {
-        let mut slots = self.slots.lock();
-        if slots.0 != count {
-            *slots = (count, Arc::new(Semaphore::new(count.max(1).into())));
-        }
-        Arc::clone(&slots.1)
-    }
-
     pub(crate) fn table(&self, origin: u64) -> &Mutex<Table<Arc<Call>>> {
         #[expect(
             clippy::cast_possible_truncation,
--- a/crates/node/src/inbound_run.rs
+++ b/crates/node/src/inbound_run.rs
@@ -4,24 +4,23 @@
 use crate::header::{put_headers, take_end_to_end};
 use crate::inbound::{Active, Inner};
 use crate::inbound_call::{Call, PART};
+use crate::inbound_gate::{Offer, Permit};
 use crate::upload::{Rest, Upload};
 use bytes::Bytes;
 use call::Verdict;
 use clock::Clock;
-use http::{HeaderName, HeaderValue, Method, Response, Uri};
+use http::{HeaderName, HeaderValue, Method, Response, StatusCode, Uri};
+use policy::admission;
+use policy::limit::Outcome;
 use std::future::poll_fn;
 use std::sync::Arc;
-use std::task::Poll;
+use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
-use tokio::sync::OwnedSemaphorePermit;
 use wire::call::{Answer, Reason, Request};
 
 /// Header with the time that a call has left, in milliseconds; from callers, and to backend servers.
 pub const TIMEOUT_HEADER: HeaderName = HeaderName::from_static("bluebellpick-timeout-ms");
 
-/// What a caller that was refused for want of a slot is told to wait, in milliseconds.
-const RETRY_AFTER_MS: u32 = 200;
-
 /// Why a call got no answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Refused {
@@ -36,8 +35,8 @@
 where
     C: Clock,
 {
-    pub(crate) reply: Reply<C>,
-    _permit: OwnedSemaphorePermit,
+    reply: Reply<C>,
+    permit: Permit<C>,
     _active: Active<C>,
 }
 
@@ -133,14 +132,7 @@
             .map_err(|reason| Refused::not_run(reason, 0))
     };
     let active = inner.count_in();
-    let slots = inner.slots(find()?.slots);
-    // What waits when the server begins to leave is refused at that instant.
-    let permit = tokio::select! {
-        biased;
-        permit = slots.acquire_owned() => permit,
-        () = inner.left() => return Err(Refused::not_run(Reason::Leaving, 0)),
-    };
-    let permit = permit.map_err(|_closed| Refused::not_run(Reason::Full, RETRY_AFTER_MS))?;
+    let mut permit = enter(inner, &request, deadline, find()?.slots).await?;
     let backend = find()?;
     let request = make_request(request, upload, left(inner, deadline))
         .ok_or(Refused::not_run(Reason::Backend, 0))?;
@@ -148,16 +140,99 @@
         return Err(Refused::not_run(Reason::Cancelled, 0));
     }
     match inner.pool.exchange(backend.address, request).await {
-        Ok(response) => Ok(response.map(|reply| Running {
-            reply,
-            _permit: permit,
-            _active: active,
-        })),
+        Ok(response) => {
+            permit.outcome = outcome_of(response.status());
+            Ok(response.map(|reply| Running {
+                reply,
+                permit,
+                _active: active,
+            }))
+        }
         Err(Error::Connect) => Err(Refused::not_run(Reason::Backend, 0)),
         Err(Error::Broken) => Err(Refused::may_have_run(Reason::Backend)),
     }
 }
 
+/// Waits at the gate.
+async fn enter<C>(
+    inner: &Arc<Inner<C>>,
+    request: &Request,
+    deadline: Instant,
+    slots: u16,
+) -> Result<Permit<C>, Refused>
+where
+    C: Clock,
+{
+    let path = request.path.split('?').next().unwrap_or_default();
+    let asked = admission::Request {
+        class: request.class,
+        caller: policy::hash(&request.caller),
+        key: policy::hash(path),
+        route: request.route,
+        deadline,
+    };
+    let decided = match inner.gate.offer(slots, &asked) {
+        Offer::Run(permit) => Ok(permit),
+        Offer::Refuse(refusal) => Err(refusal),
+        // What waits when the server begins to leave is refused at that instant.
+        Offer::Wait(waiting) => tokio::select! {
+            biased;
+            decided = waiting.decided() => decided,
+            () = inner.left() => return Err(Refused::not_run(Reason::Leaving, 0)),
+        },
+    };
+    decided.map_err(|refusal| {
+        let reason = match refusal.reason {
+            admission::Reason::Full => Reason::Full,
+            admission::Reason::Deadline => Reason::Deadline,
+        };
+        let wait = u32::try_from(refusal.retry_after.as_millis()).unwrap_or(u32::MAX);
+        Refused::not_run(reason, wait.max(1))
+    })
+}
+
+/// Tells what an answer's status says of the backend server's load.
+fn outcome_of(status: StatusCode) -> Outcome {
+    match status {
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => Outcome::Shed,
+        status if status.is_server_error() => Outcome::Failed,
+        _ => Outcome::Done,
+    }
+}
+
+impl<C> Running<C>
+where
+    C: Clock,
+{
+    /// Waits for the next part of the body; `None` ends it.
+    pub(crate) fn poll_part(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Error>>> {
+        let part = self.reply.poll_part(cx);
+        if matches!(part, Poll::Ready(Some(Err(_)))) {
+            self.permit.outcome = Outcome::Failed;
+        }
+        part
+    }
+
+    /// Tells whether no part follows.
+    pub(crate) fn is_end(&self) -> bool {
+        self.reply.is_end()
+    }
+
+    /// Gives the load of the backend server, in per cent of its slots.
+    pub(crate) fn load_percent(&self) -> u16 {
+        percent_of(self.permit.load())
+    }
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "clamped to what fits"
+)]
+fn percent_of(load: f64) -> u16 {
+    (load * 100.0).clamp(0.0, f64::from(u16::MAX)) as u16
+}
+
 fn make_request(request: Request, upload: Upload, left: Duration) -> Option<http::Request<Upload>> {
     let mut made = http::Request::new(upload);
     *made.method_mut() = Method::from_bytes(request.method.as_bytes()).ok()?;
@@ -174,21 +249,22 @@
     C: Clock,
 {
     let (parts, mut running) = response.into_parts();
-    let reply = &mut running.reply;
+    let load_percent = running.load_percent();
     // What is there already of the body goes with the head, in one write.
-    let mut next = take_ready(reply).await;
+    let mut next = take_ready(&mut running).await;
     let mut first = None;
     if let Poll::Ready(Some(Ok(bytes))) = &next
         && bytes.len() <= PART
     {
         first = Some(bytes.clone());
-        next = take_ready(reply).await;
+        next = take_ready(&mut running).await;
     }
     let end = matches!(next, Poll::Ready(None));
     let head = Answer {
         id: call.id,
         status: parts.status.as_u16(),
         headers: take_end_to_end(&parts.headers),
+        load_percent,
         end: end && first.is_none(),
     };
     call.send_head(head, first, end);
@@ -198,7 +274,7 @@
     loop {
         let part = match std::mem::replace(&mut next, Poll::Pending) {
             Poll::Ready(part) => part,
-            Poll::Pending => poll_fn(|cx| reply.poll_part(cx)).await,
+            Poll::Pending => poll_fn(|cx| running.poll_part(cx)).await,
         };
         match part {
             Some(Ok(bytes)) => call.send_part(bytes).await,
@@ -209,11 +285,11 @@
 }
 
 /// Gives the next part of a body if it is there now.
-async fn take_ready<C>(reply: &mut Reply<C>) -> Poll<Option<Result<Bytes, Error>>>
+async fn take_ready<C>(running: &mut Running<C>) -> Poll<Option<Result<Bytes, Error>>>
 where
     C: Clock,
 {
-    poll_fn(|cx| Poll::Ready(reply.poll_part(cx))).await
+    poll_fn(|cx| Poll::Ready(running.poll_part(cx))).await
 }
 
 pub(crate) fn deadline_of<C>(inner: &Inner<C>, timeout_ms: u32) -> Instant
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,12 +7,14 @@
 mod backend;
 mod header;
 mod inbound_call;
+mod inbound_gate;
 mod inbound_run;
 mod metrics_service;
 mod outbound_answer;
 mod outbound_call;
 mod outbound_link;
 mod outbound_sent;
+mod outbound_service;
 mod outbound_try;
 mod upload;
 
--- a/crates/node/src/outbound.rs
+++ b/crates/node/src/outbound.rs
@@ -4,9 +4,10 @@
 use crate::outbound_answer::Body;
 use crate::outbound_call;
 use crate::outbound_link::Links;
+use crate::outbound_service::{Place, Services};
 use crate::shared::Shared;
 use clock::Clock;
-use config::{Endpoint, ServiceKey, View};
+use config::ServiceKey;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -58,6 +59,8 @@
     pub(crate) shared: Arc<Shared<C>>,
     pub(crate) inbound: inbound::Handle<C>,
     pub(crate) links: Arc<Links>,
+    pub(crate) services: Services,
+    pub(crate) place: Place,
     connections: Arc<Semaphore>,
     stage: watch::Sender<Stage>,
 }
@@ -93,8 +96,14 @@
         zone: shared.settings.zone.clone(),
         link: Link::Call,
     };
+    let place = Place {
+        zone: shared.settings.zone.clone(),
+        region: shared.settings.region.clone(),
+    };
     let inner = Arc::new(Inner {
         shared,
+        services: Services::default(),
+        place,
         inbound,
         links: Links::spawn(hello),
         connections: Arc::new(Semaphore::new(MAX_CONNECTIONS)),
@@ -202,37 +211,6 @@
         .insert(http::header::CONNECTION, close);
 }
 
-impl<C> Inner<C>
-where
-    C: Clock,
-{
-    /// Picks an endpoint that has not been tried: the own one, one of the own zone, then any.
-    pub(crate) fn pick_endpoint<'a>(
-        &self,
-        view: &'a View,
-        service: &str,
-        tried: &[SocketAddr],
-    ) -> Option<&'a Endpoint> {
-        let keys = &view.service(view.find_service(service)?).endpoints;
-        let fresh: Vec<_> = keys
-            .iter()
-            .map(|key| view.endpoint(*key))
-            .filter(|endpoint| !tried.contains(&endpoint.address))
-            .collect();
-        let settings = &self.shared.settings;
-        if let Some(own) = fresh.iter().find(|endpoint| endpoint.node == settings.name) {
-            return Some(own);
-        }
-        let near: Vec<_> = fresh
-            .iter()
-            .filter(|endpoint| endpoint.zone == settings.zone)
-            .copied()
-            .collect();
-        let from = if near.is_empty() { &fresh } else { &near };
-        (!from.is_empty()).then(|| from[rand::rng().random_range(0..from.len())])
-    }
-}
-
 /// Picks a route's service by its shares.
 pub(crate) fn pick_target(targets: &[(ServiceKey, u8)]) -> ServiceKey {
     let mut draw = if targets.len() > 1 {
--- a/crates/node/src/outbound_answer.rs
+++ b/crates/node/src/outbound_answer.rs
@@ -71,7 +71,7 @@
             Self::Remote(Remote(sent)) => sent.poll_part(cx).map(|part| {
                 part.map(|got| got.map(Frame::data).map_err(|_refusal| Error::BrokenOff))
             }),
-            Self::Local(Local(running)) => running.reply.poll_part(cx).map(|part| {
+            Self::Local(Local(running)) => running.poll_part(cx).map(|part| {
                 part.map(|got| match got {
                     Ok(bytes) => Ok(Frame::data(bytes)),
                     Err(backend::Error::Connect | backend::Error::Broken) => Err(Error::BrokenOff),
@@ -84,7 +84,7 @@
         match self {
             Self::Whole(bytes) => bytes.is_none(),
             Self::Remote(Remote(sent)) => sent.is_end(),
-            Self::Local(Local(running)) => running.reply.is_end(),
+            Self::Local(Local(running)) => running.is_end(),
         }
     }
 
--- /dev/null
+++ b/crates/node/src/outbound_service.rs
@@ -0,0 +1,203 @@
+//! What the outbound proxy knows of each service: runs `policy::balance` and `policy::retry`.
+
+use clock::Clock;
+use config::{Endpoint, Retry, ServiceKey, View};
+use parking_lot::{Mutex, RwLock};
+use policy::balance::{Balance, Candidate, Distance, Identity, Key, Outcome};
+use policy::retry::{Budget, Decision, Try};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use smol_str::SmolStr;
+use std::collections::HashMap;
+use std::fmt;
+use std::sync::{Arc, Weak};
+use std::time::{Duration, Instant};
+
+/// Retries of a route without a rule as a share of successes, in per cent, as Finagle has it.
+const DEFAULT_BUDGET_PERCENT: u8 = 20;
+
+/// The services that an outbound proxy sends calls to.
+#[derive(Debug, Default)]
+pub(crate) struct Services {
+    known: RwLock<HashMap<SmolStr, Arc<Service>>>,
+}
+
+/// One service.
+pub(crate) struct Service {
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    balance: Balance,
+    budget: Budget,
+    /// The view that the balance was last told.
+    synced: Weak<View>,
+    rng: SmallRng,
+}
+
+/// Where the node itself is.
+#[derive(Debug, Clone)]
+pub(crate) struct Place {
+    pub(crate) zone: SmolStr,
+    pub(crate) region: SmolStr,
+}
+
+/// An endpoint that was picked; dropping it tells the balance what came of it.
+#[derive(Debug)]
+pub(crate) struct Picked<C>
+where
+    C: Clock,
+{
+    service: Arc<Service>,
+    clock: C,
+    started: Instant,
+    route: u64,
+    pub(crate) key: Key,
+    pub(crate) endpoint: Endpoint,
+    pub(crate) outcome: Outcome,
+}
+
+impl fmt::Debug for Service {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Service").finish_non_exhaustive()
+    }
+}
+
+impl Services {
+    /// Gives what is known of a service.
+    pub(crate) fn get(&self, name: &str, now: Instant) -> Arc<Service> {
+        if let Some(known) = self.known.read().get(name) {
+            return Arc::clone(known);
+        }
+        let mut services = self.known.write();
+        let made = services.entry(name.into()).or_insert_with(|| {
+            Arc::new(Service {
+                state: Mutex::new(State {
+                    balance: Balance::new(),
+                    budget: Budget::new(now, DEFAULT_BUDGET_PERCENT),
+                    synced: Weak::new(),
+                    rng: SmallRng::from_os_rng(),
+                }),
+            })
+        });
+        Arc::clone(made)
+    }
+}
+
+impl State {
+    /// Tells the balance which endpoints `view` has, once a view.
+    fn sync(&mut self, now: Instant, view: &Arc<View>, service: ServiceKey, place: &Place) {
+        if std::ptr::eq(self.synced.as_ptr(), Arc::as_ptr(view)) {
+            return;
+        }
+        self.synced = Arc::downgrade(view);
+        let endpoints = view.service(service).endpoints.iter();
+        let candidates = endpoints.map(|key| {
+            let endpoint = view.endpoint(*key);
+            Candidate {
+                identity: identity_of(endpoint),
+                distance: distance_of(endpoint, place),
+                slots: endpoint.slots,
+            }
+        });
+        self.balance.sync(now, candidates);
+    }
+}
+
+impl Service {
+    /// Picks an endpoint of the service that has not been tried.
+    pub(crate) fn pick<C>(
+        self: &Arc<Self>,
+        clock: &C,
+        view: &Arc<View>,
+        name: &str,
+        ask: &Ask<'_>,
+    ) -> Option<Picked<C>>
+    where
+        C: Clock,
+    {
+        let now = clock.now();
+        let service = view.find_service(name)?;
+        let mut state = self.state.lock();
+        let state = &mut *state;
+        state.sync(now, view, service, ask.place);
+        let key = state
+            .balance
+            .pick(now, ask.tried, ask.repeatable, &mut state.rng)?;
+        let identity = state.balance.identity(key);
+        let endpoints = &view.service(service).endpoints;
+        let mut found = endpoints.iter().map(|key| view.endpoint(*key));
+        let found = found.find(|endpoint| identity == Some(&identity_of(endpoint)))?;
+        Some(Picked {
+            service: Arc::clone(self),
+            clock: clock.clone(),
+            started: now,
+            route: ask.route,
+            key,
+            endpoint: found.clone(),
+            outcome: Outcome::Cancelled,
+        })
+    }
+
+    /// Gives how long a call of `route` is expected to take.
+    pub(crate) fn expect(&self, route: u64) -> Duration {
+        self.state.lock().balance.expect(route)
+    }
+
+    /// Counts a first try that was answered.
+    pub(crate) fn succeed(&self, rule: Option<&Retry>) {
+        let percent = rule.map_or(DEFAULT_BUDGET_PERCENT, |rule| rule.budget_percent);
+        let mut state = self.state.lock();
+        state.budget.set_percent(percent);
+        state.budget.succeed();
+    }
+
+    /// Decides what follows a try that came to nothing.
+    pub(crate) fn decide(&self, now: Instant, tried: &Try) -> Decision {
+        let mut state = self.state.lock();
+        let state = &mut *state;
+        state.budget.decide(now, tried, &mut state.rng)
+    }
+}
+
+/// What a call needs of an endpoint.
+#[derive(Debug)]
+pub(crate) struct Ask<'a> {
+    pub(crate) place: &'a Place,
+    pub(crate) tried: &'a [Key],
+    pub(crate) repeatable: bool,
+    pub(crate) route: u64,
+}
+
+impl<C> Drop for Picked<C>
+where
+    C: Clock,
+{
+    fn drop(&mut self) {
+        let now = self.clock.now();
+        let took = now.saturating_duration_since(self.started);
+        let mut state = self.service.state.lock();
+        let state = &mut *state;
+        state
+            .balance
+            .finish(now, self.key, self.route, took, self.outcome, &mut state.rng);
+    }
+}
+
+fn identity_of(endpoint: &Endpoint) -> Identity {
+    Identity {
+        node: endpoint.node.clone(),
+        incarnation: endpoint.incarnation,
+    }
+}
+
+fn distance_of(endpoint: &Endpoint, place: &Place) -> Distance {
+    if endpoint.region != place.region {
+        Distance::Far
+    } else if endpoint.zone == place.zone {
+        Distance::Zone
+    } else {
+        Distance::Region
+    }
+}
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -33,6 +33,8 @@
     pub class: config::Class,
     /// Caller on whose behalf it runs, for fair shares.
     pub caller: SmolStr,
+    /// Hash of its route and method: calls of one take about as long.
+    pub route: u64,
     /// Whether no body follows.
     pub end: bool,
 }
@@ -46,6 +48,8 @@
     pub status: u16,
     /// Headers, without those of one connection only.
     pub headers: Vec<Header>,
+    /// Calls that run and wait at the inbound proxy, in per cent of its slots.
+    pub load_percent: u16,
     /// Whether no body follows.
     pub end: bool,
 }
