--- /dev/null
+++ b/crates/cli/src/history.rs
@@ -0,0 +1,143 @@
+//! `show`, `log` and `diff`: what versions say.
+
+use crate::error::Error;
+use crate::exit::Exit;
+use crate::session::{Session, Versions, to_json};
+use crate::table::render_table;
+use config::{Digest, Mesh, Patch, Version};
+use platform::journal::Loaded;
+use platform::version::{State, Step};
+use serde::Serialize;
+
+/// What `show --json` writes.
+#[derive(Debug, Serialize)]
+struct Shown {
+    version: Version,
+    digest: Digest,
+    mesh: Mesh,
+}
+
+pub(crate) async fn show_version(
+    session: &Session,
+    version: Option<Version>,
+) -> Result<Exit, Error> {
+    let state = find_state(&session.versions()?, version).await?;
+    let digest = Digest::of(&state.mesh);
+    if session.json {
+        session.print_json(&Shown {
+            version: state.version,
+            digest,
+            mesh: state.mesh,
+        });
+        return Ok(Exit::Done);
+    }
+    println!("# version {}, digest {digest}", state.version);
+    print_patch(&config::diff(&Mesh::default(), &state.mesh));
+    Ok(Exit::Done)
+}
+
+pub(crate) async fn show_difference(
+    session: &Session,
+    old: Version,
+    new: Version,
+) -> Result<Exit, Error> {
+    let versions = session.versions()?;
+    let old = find_mesh(&versions, old).await?;
+    let new = find_mesh(&versions, new).await?;
+    let patch = config::diff(&old, &new);
+    if session.json {
+        session.print_json(&patch);
+    } else {
+        print_patch(&patch);
+    }
+    Ok(Exit::Done)
+}
+
+pub(crate) async fn list_versions(session: &Session, limit: u64) -> Result<Exit, Error> {
+    let mut steps = read_steps(&session.versions()?, limit).await?;
+    steps.reverse();
+    if session.json {
+        session.print_json(&steps);
+        return Ok(Exit::Done);
+    }
+    let heading = ["VERSION", "TIME", "PROPOSAL", "AUTHOR", "CHANGES"];
+    let mut rows = vec![heading.map(str::to_owned)];
+    for step in &steps {
+        let entry = &step.entry;
+        let changes = if entry.void {
+            "none: takes the number of a proposal that was never applied".to_owned()
+        } else {
+            entry.patch.changes.len().to_string()
+        };
+        rows.push([
+            step.version.to_string(),
+            format_time(entry.at_ms),
+            entry.proposal.to_string(),
+            entry.author.to_string(),
+            changes,
+        ]);
+    }
+    print!("{}", render_table(&rows));
+    Ok(Exit::Done)
+}
+
+/// Reads the last `limit` steps, or as many as are kept.
+async fn read_steps(versions: &Versions, limit: u64) -> Result<Vec<Step>, Error> {
+    let loaded = versions.load().await?;
+    let before = loaded.last().saturating_sub(limit);
+    let tail = versions.read(before).await?;
+    let records = tail.map_or(loaded.tail.records, |tail| tail.records);
+    let steps = records
+        .iter()
+        .filter(|record| record.number > before)
+        .map(Step::parse)
+        .collect::<Result<Vec<_>, _>>()?;
+    Ok(steps)
+}
+
+/// Reads the configuration of a version.
+pub(crate) async fn find_mesh(versions: &Versions, version: Version) -> Result<Mesh, Error> {
+    if version == Version::ZERO {
+        return Ok(Mesh::default());
+    }
+    Ok(find_state(versions, Some(version)).await?.mesh)
+}
+
+/// Reads the state at a version, or the last one.
+///
+/// A version before the last snapshot needs all records from the first one.
+async fn find_state(versions: &Versions, version: Option<Version>) -> Result<State, Error> {
+    let mut loaded = versions.load().await?;
+    let last = Version(loaded.last());
+    let version = version.unwrap_or(last);
+    if version > last {
+        return Err(Error::NoSuchVersion(version, last));
+    }
+    if version.0 < loaded.number {
+        let oldest = Version(loaded.number);
+        let whole = versions.read(0).await?;
+        let tail = whole.ok_or(Error::Removed(version, oldest))?;
+        loaded = Loaded {
+            tail,
+            ..Loaded::default()
+        };
+    }
+    let records = &mut loaded.tail.records;
+    records.retain(|record| record.number <= version.0);
+    Ok(State::build(&loaded)?)
+}
+
+/// Writes a patch as a patch file holds it.
+fn print_patch(patch: &Patch) {
+    for change in &patch.changes {
+        println!("{}", to_json(change));
+    }
+}
+
+/// Writes a time of day in UTC, as RFC 3339 does.
+fn format_time(at_ms: u64) -> String {
+    i64::try_from(at_ms)
+        .ok()
+        .and_then(|millis| jiff::Timestamp::from_millisecond(millis).ok())
+        .map_or_else(|| format!("{at_ms} ms"), |time| time.to_string())
+}
--- /dev/null
+++ b/crates/cli/src/options.rs
@@ -0,0 +1,325 @@
+//! The command line's verbs and flags, with their help.
+
+use bpaf::{OptionParser, Parser, construct, long, positional};
+use config::Version;
+use platform::version::Id;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// What is asked for.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// The verb with its own flags.
+    pub verb: Verb,
+    /// Where to ask.
+    pub target: Target,
+    /// Whether to write JSON.
+    pub json: bool,
+}
+
+/// A verb with its own flags.
+#[derive(Debug, Clone)]
+pub enum Verb {
+    /// Proposes a patch.
+    Propose(Propose),
+    /// Settles what became of a proposal.
+    Outcome {
+        /// Who asks.
+        author: String,
+        /// Name of the proposal.
+        id: Id,
+    },
+    /// Tells how nodes stand.
+    Status,
+    /// Shows a configuration.
+    Show {
+        /// Its version; the last one when none is given.
+        version: Option<Version>,
+    },
+    /// Lists versions.
+    Log {
+        /// How many.
+        limit: u64,
+    },
+    /// Shows what changed between two versions.
+    Diff {
+        /// The version before.
+        old: Version,
+        /// The version after.
+        new: Version,
+    },
+    /// Takes a VM out of service.
+    Drain {
+        /// Longest wait for its calls in flight.
+        wait: Duration,
+        /// Name of its node, or address of the node's operators' listener.
+        vm: String,
+    },
+    /// Checks a patch file.
+    Check {
+        /// The version that the patch is against.
+        base: Option<Version>,
+        /// The patch file.
+        file: PathBuf,
+    },
+    /// Reports the burn of error budgets.
+    Burn,
+}
+
+/// Flags of `propose`.
+#[derive(Debug, Clone)]
+pub struct Propose {
+    /// The version that the patch is against.
+    pub base: Version,
+    /// Random part of the proposal's name, to try one again.
+    pub id: Option<Id>,
+    /// Who proposes.
+    pub author: String,
+    /// Longest time of trying while the platform does not answer.
+    pub wait: Duration,
+    /// The patch file.
+    pub file: PathBuf,
+}
+
+/// Where to ask; flags that go before the settings file.
+#[derive(Debug, Clone)]
+pub struct Target {
+    /// Settings file.
+    pub settings: Option<PathBuf>,
+    /// Address of the platform.
+    pub platform: Option<SocketAddr>,
+    /// Operators' listeners of nodes.
+    pub nodes: Vec<SocketAddr>,
+    /// File that holds the token.
+    pub token_file: Option<PathBuf>,
+    /// Longest wait for one answer.
+    pub timeout: Option<Duration>,
+}
+
+/// The codes that the program ends with, for the help.
+const CODES: &str = "Exit codes: 0 done, or accepted; 1 the platform or a node failed; \
+    2 wrong command line, settings or patch; 3 refused; 4 never applied; 5 not known yet.";
+
+/// Longest time of trying a proposal, in seconds: an answer is due within some seconds,
+/// and an operator who waits longer is better told "not known yet".
+const DEFAULT_WAIT_S: u64 = 10;
+
+/// Versions that `log` lists.
+const DEFAULT_LIMIT: u64 = 20;
+
+/// Gives the parser of the whole command line.
+#[must_use]
+pub fn parse_options() -> OptionParser<Options> {
+    let verbs = construct!([
+        parse_propose(),
+        parse_outcome(),
+        parse_status(),
+        parse_show(),
+        parse_log(),
+        parse_diff(),
+        parse_drain(),
+        parse_check(),
+        parse_burn(),
+    ]);
+    verbs
+        .to_options()
+        .version(env!("CARGO_PKG_VERSION"))
+        .descr("Operates a bluebellpick fleet: proposes configurations and tells how they fare")
+        .header(
+            "A configuration is a numbered version. Write a patch against the version you last \
+             saw and propose it: it is accepted as the next version, refused because another \
+             patch came first or breaks a rule, or never applied. `bluebellpick VERB --help` \
+             tells more of each verb.",
+        )
+        .footer(CODES)
+}
+
+fn parse_seconds(name: &'static str, help: &'static str) -> impl Parser<Duration> {
+    long(name)
+        .help(help)
+        .argument::<u64>("SECONDS")
+        .map(Duration::from_secs)
+}
+
+fn parse_version(name: &'static str, help: &'static str) -> impl Parser<Version> {
+    positional::<u64>(name).help(help).map(Version)
+}
+
+fn parse_target() -> impl Parser<Target> {
+    let settings = long("settings")
+        .help("Settings file in INI, section [operator]; flags go before it")
+        .env("BLUEBELLPICK_SETTINGS")
+        .argument("FILE")
+        .optional();
+    let platform = long("platform")
+        .help("Address of the platform's object API")
+        .argument("ADDRESS")
+        .optional();
+    let nodes = long("node")
+        .help("Operators' listener of a node to ask; may be given several times")
+        .argument("ADDRESS")
+        .many();
+    let token_file = long("token-file")
+        .help("File that holds the token of operators' writes")
+        .argument("FILE")
+        .optional();
+    let timeout = parse_seconds("timeout", "Longest wait for one answer; 5 unless set").optional();
+    construct!(Target {
+        settings,
+        platform,
+        nodes,
+        token_file,
+        timeout
+    })
+}
+
+fn parse_json() -> impl Parser<bool> {
+    long("json").help("Write JSON on one line").switch()
+}
+
+fn parse_author() -> impl Parser<String> {
+    long("author")
+        .help("Who proposes, for the log of versions; $USER unless given")
+        .env("USER")
+        .argument("NAME")
+        .fallback("unknown".into())
+}
+
+fn make_options<V>(verb: V) -> impl Parser<Options>
+where
+    V: Parser<Verb>,
+{
+    let target = parse_target();
+    let json = parse_json();
+    construct!(Options { target, json, verb })
+}
+
+fn parse_propose() -> impl Parser<Options> {
+    let base = long("base")
+        .help("The version that the patch is against: the one that you last saw")
+        .argument::<u64>("N")
+        .map(Version);
+    let id = long("id")
+        .help("Name of an earlier try of the same proposal, to try it again; it is never applied twice")
+        .argument("ID")
+        .optional();
+    let author = parse_author();
+    let wait = parse_seconds("wait", "Longest time of trying while the platform does not answer")
+        .fallback(Duration::from_secs(DEFAULT_WAIT_S));
+    let file = positional("FILE").help("Patch file: one JSON change a line, # for comments");
+    let verb = construct!(Propose { base, id, author, wait, file }).map(Verb::Propose);
+    make_options(verb)
+        .to_options()
+        .descr("Proposes a patch: accepted, refused, never applied, or not known yet")
+        .header(
+            "The patch is checked, then becomes version N + 1 unless another one has become it \
+             first. The proposal's name is written to standard error before anything is sent: \
+             should this program be cut off, `bluebellpick outcome ID` settles what became of it.",
+        )
+        .footer(CODES)
+        .command("propose")
+        .help("Proposes a patch")
+}
+
+fn parse_outcome() -> impl Parser<Options> {
+    let author = parse_author();
+    let id = positional("ID").help("Name of the proposal, as `propose` told it");
+    let verb = construct!(Verb::Outcome { author, id });
+    make_options(verb)
+        .to_options()
+        .descr("Settles what became of a proposal")
+        .header(
+            "Where the proposal's number is still free, a version without changes takes it, so \
+             that a write that is still on its way can't be applied later. The answer then stays.",
+        )
+        .footer(CODES)
+        .command("outcome")
+        .help("Settles what became of a proposal")
+}
+
+fn parse_status() -> impl Parser<Options> {
+    make_options(bpaf::pure(Verb::Status))
+        .to_options()
+        .descr("Tells which version is the last, and how nodes stand")
+        .footer("Ends with 1 when a node that was asked did not answer.")
+        .command("status")
+        .help("Tells how nodes stand")
+}
+
+fn parse_show() -> impl Parser<Options> {
+    let version = parse_version("N", "The version; the last one when none is given").optional();
+    let verb = construct!(Verb::Show { version });
+    make_options(verb)
+        .to_options()
+        .descr("Shows a whole configuration, as a patch against version 0")
+        .command("show")
+        .help("Shows a configuration")
+}
+
+fn parse_log() -> impl Parser<Options> {
+    let limit = long("limit")
+        .help("How many versions, from the last one back")
+        .argument("N")
+        .fallback(DEFAULT_LIMIT);
+    let verb = construct!(Verb::Log { limit });
+    make_options(verb)
+        .to_options()
+        .descr("Lists versions with their proposals, the last one first")
+        .command("log")
+        .help("Lists versions")
+}
+
+fn parse_diff() -> impl Parser<Options> {
+    let old = parse_version("A", "The version before");
+    let new = parse_version("B", "The version after");
+    let verb = construct!(Verb::Diff { old, new });
+    make_options(verb)
+        .to_options()
+        .descr("Shows what changed between two versions, as a patch")
+        .header("`diff B A` gives the patch that takes the changes of A to B back.")
+        .command("diff")
+        .help("Shows what changed between two versions")
+}
+
+fn parse_drain() -> impl Parser<Options> {
+    let wait = parse_seconds("wait", "Longest wait until its calls in flight have ended; 0 unless set")
+        .fallback(Duration::ZERO);
+    let vm = positional("VM").help("Name of its node, or address of the node's operators' listener");
+    let verb = construct!(Verb::Drain { wait, vm });
+    make_options(verb)
+        .to_options()
+        .descr("Takes a VM out of service: no new calls, and those in flight end")
+        .header("Needs the token. The VM comes back into service when its node is started anew.")
+        .command("drain")
+        .help("Takes a VM out of service")
+}
+
+fn parse_check() -> impl Parser<Options> {
+    let base = long("base")
+        .help("The version that the patch is against; only its form is checked when none is given")
+        .argument::<u64>("N")
+        .map(Version)
+        .optional();
+    let file = positional("FILE").help("Patch file: one JSON change a line, # for comments");
+    let verb = construct!(Verb::Check { base, file });
+    make_options(verb)
+        .to_options()
+        .descr("Checks a patch file without proposing it")
+        .header("Version 0 is empty and needs no platform.")
+        .command("check")
+        .help("Checks a patch file")
+}
+
+fn parse_burn() -> impl Parser<Options> {
+    make_options(bpaf::pure(Verb::Burn))
+        .to_options()
+        .descr("Reports how fast services use up their error budgets")
+        .header(
+            "Adds up what the nodes that are asked count; name every node for the whole fleet's \
+             burn. Windows and alerts follow the Site Reliability Workbook, chapter 5.",
+        )
+        .footer("Ends with 1 when a node that was asked did not answer.")
+        .command("burn")
+        .help("Reports the burn of error budgets")
+}
--- /dev/null
+++ b/crates/cli/src/status_report.rs
@@ -0,0 +1,95 @@
+//! `status`: the last version, and how nodes stand.
+
+use crate::error::Error;
+use crate::exit::Exit;
+use crate::session::{Session, Unreachable, report_unreachable, split_replies};
+use crate::table::render_table;
+use config::Version;
+use platform::version::load;
+use serde::Serialize;
+use status::Status;
+
+/// What `status --json` writes.
+#[derive(Debug, Serialize)]
+struct Report {
+    /// The last accepted version, when the platform's address is known.
+    accepted: Option<Version>,
+    nodes: Vec<Status>,
+    unreachable: Vec<Unreachable>,
+}
+
+pub(crate) async fn report_status(session: &Session) -> Result<Exit, Error> {
+    let replies = session.ask_nodes("/v1/status").await?;
+    let (answers, unreachable) = split_replies(replies);
+    let accepted = read_accepted(session).await;
+    let nodes = answers.into_iter().map(|(_, status)| status).collect();
+    let report = Report {
+        accepted,
+        nodes,
+        unreachable,
+    };
+    if session.json {
+        session.print_json(&report);
+    } else {
+        print_report(&report);
+    }
+    Ok(report_unreachable(&report.unreachable))
+}
+
+/// Gives the last accepted version; an outage of the platform must not hide the nodes.
+async fn read_accepted(session: &Session) -> Option<Version> {
+    if !session.has_platform() {
+        return None;
+    }
+    let versions = session.versions().ok()?;
+    match load(&versions).await {
+        Ok(state) => Some(state.version),
+        Err(error) => {
+            eprintln!("bluebellpick: the last accepted version is not known: {error}");
+            None
+        }
+    }
+}
+
+fn print_report(report: &Report) {
+    let newest = report.nodes.iter().map(|node| node.version).max();
+    if let Some(version) = report.accepted.or(newest) {
+        let holders = report.nodes.iter().filter(|node| node.version >= version);
+        let (count, all) = (holders.count(), report.nodes.len());
+        let what = if report.accepted.is_some() {
+            "last accepted"
+        } else {
+            "highest seen"
+        };
+        println!("version {version} ({what}) is in force on {count} of {all} nodes that answered");
+    }
+    let heading = ["NODE", "ZONE", "VERSION", "STATE", "IN FLIGHT", "BACKEND SERVER"];
+    let mut rows = vec![heading.map(str::to_owned)];
+    for node in &report.nodes {
+        rows.push([
+            node.node.to_string(),
+            node.zone.to_string(),
+            node.version.to_string(),
+            describe_state(node),
+            node.in_flight.to_string(),
+            describe_backend(node),
+        ]);
+    }
+    print!("{}", render_table(&rows));
+}
+
+fn describe_state(node: &Status) -> String {
+    if node.not_ready.is_empty() {
+        "ready".to_owned()
+    } else {
+        node.not_ready.join("; ")
+    }
+}
+
+fn describe_backend(node: &Status) -> String {
+    match &node.backend {
+        Some(backend) if backend.leaving => format!("{} (leaving)", backend.service),
+        Some(backend) => backend.service.to_string(),
+        None => "none".to_owned(),
+    }
+}
