--- a/crates/node/src/outbound_call.rs
+++ b/crates/node/src/outbound_call.rs
@@ -3,9 +3,9 @@
 use crate::header::{put_headers, take_end_to_end};
 use crate::inbound_run::{Refused, TIMEOUT_HEADER};
 use crate::link;
+use crate::metrics::Ending;
 use crate::outbound::{Inner, pick_target};
 use crate::outbound_answer::{Body, Local, Remote, VERDICT_HEADER, refuse, reject};
-use crate::metrics::Ending;
 use crate::outbound_sent::{self, Sent};
 use crate::outbound_service::{Ask, Picked, Service};
 use crate::upload::{Rest, Upload};
@@ -254,7 +254,8 @@
             break;
         };
         tried.push(picked.key);
-        let (refused, back) = match try_once(inner, plan, head, body, &picked.endpoint, tries).await {
+        let (refused, back) = match try_once(inner, plan, head, body, &picked.endpoint, tries).await
+        {
             Tried::Answered(response, load) => {
                 picked.outcome = answered(response.status(), load);
                 if tries == 1 {
@@ -264,7 +265,7 @@
             }
             Tried::Refused(refused, back) => (refused, back),
         };
-        let cause = cause_of(&refused);
+        let cause = cause_of(refused);
         picked.outcome = refused_outcome(cause);
         drop(picked);
         if told.verdict == Verdict::NotRun {
@@ -305,7 +306,8 @@
         repeatable: plan.repeatable,
         route: plan.route,
     };
-    plan.known.pick(&inner.shared.clock, &view, &plan.service, &ask)
+    plan.known
+        .pick(&inner.shared.clock, &view, &plan.service, &ask)
 }
 
 fn answered(status: StatusCode, load: Option<f64>) -> Outcome {
@@ -316,7 +318,7 @@
     }
 }
 
-fn cause_of(refused: &Refused) -> Cause {
+fn cause_of(refused: Refused) -> Cause {
     match (refused.verdict, refused.reason) {
         (Verdict::NotRun, Reason::Leaving) => Cause::Leaving,
         (Verdict::NotRun, Reason::Full | Reason::Deadline) => Cause::Full,
@@ -397,7 +399,9 @@
     let connecting = inner.links.link(endpoint.address);
     let link = match tokio::time::timeout(left(inner, plan.deadline), connecting).await {
         Ok(Ok(link)) if link.node == endpoint.node && !link.is_leaving() => link,
-        Ok(Ok(_)) => return Tried::Refused(not_run(Reason::Leaving, UNREACHABLE_RETRY_MS), Some(body)),
+        Ok(Ok(_)) => {
+            return Tried::Refused(not_run(Reason::Leaving, UNREACHABLE_RETRY_MS), Some(body));
+        }
         Ok(Err(_)) | Err(_) => {
             return Tried::Refused(not_run(Reason::Backend, UNREACHABLE_RETRY_MS), Some(body));
         }
@@ -504,7 +508,10 @@
         _ => Verdict::Ran,
     };
     let verdict = HeaderValue::from_static(verdict.as_str());
-    response.headers_mut().entry(VERDICT_HEADER).or_insert(verdict);
+    response
+        .headers_mut()
+        .entry(VERDICT_HEADER)
+        .or_insert(verdict);
     response
 }
 
--- a/crates/node/src/outbound_link.rs
+++ b/crates/node/src/outbound_link.rs
@@ -15,7 +15,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use wire::call::{Frame, Reason, Request};
-use wire::{Hello, PROTOCOL, codec};
+use wire::{Hello, codec};
 
 /// Longest wait for a connection and the peer's hello.
 ///
@@ -204,10 +204,7 @@
         let mut stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         codec::write(&mut stream, &self.hello).await?;
-        let hello: Hello = codec::read(&mut stream, &mut Vec::new()).await?;
-        if hello.protocol != PROTOCOL {
-            return Err(wire::Error::Protocol(hello.protocol));
-        }
+        let hello = codec::read_hello(&mut stream).await?;
         let (sender, receiver) = link::open(stream)?;
         let number = self.number.fetch_add(1, Ordering::Relaxed);
         let opening = Frame::Open { link: number };
--- a/crates/node/src/outbound_service.rs
+++ b/crates/node/src/outbound_service.rs
@@ -179,9 +179,14 @@
         let took = now.saturating_duration_since(self.started);
         let mut state = self.service.state.lock();
         let state = &mut *state;
-        state
-            .balance
-            .finish(now, self.key, self.route, took, self.outcome, &mut state.rng);
+        state.balance.finish(
+            now,
+            self.key,
+            self.route,
+            took,
+            self.outcome,
+            &mut state.rng,
+        );
     }
 }
 
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -43,8 +43,8 @@
     });
     let headers = proptest::collection::vec(header, 0..20);
     let texts = ("[a-z-]{1,20}", "[A-Z]{1,7}", "/[ -~]{0,60}", "\\PC{0,20}");
-    (draw_id(), texts, headers, any::<(u32, bool)>()).prop_map(
-        |(id, (service, method, path, caller), headers, (timeout_ms, end))| Request {
+    (draw_id(), texts, headers, any::<(u32, u64, bool)>()).prop_map(
+        |(id, (service, method, path, caller), headers, (timeout_ms, route, end))| Request {
             id,
             service: service.into(),
             method: method.into(),
@@ -53,6 +53,7 @@
             timeout_ms,
             class: config::Class::Commit,
             caller: caller.into(),
+            route,
             end,
         },
     )
@@ -70,12 +71,25 @@
         })
     });
     let credit = (draw_id(), any::<u32>()).prop_map(|(id, bytes)| CallFrame::Credit { id, bytes });
+    let ask = (draw_id(), any::<(u64, bool, u64, u32)>()).prop_map(
+        |(id, (link, head, received, room))| CallFrame::Ask {
+            id,
+            link,
+            head,
+            received,
+            room,
+        },
+    );
     prop_oneof![
         draw_request().prop_map(CallFrame::Request),
         body,
         refusal,
         credit,
         draw_id().prop_map(CallFrame::Cancel),
+        any::<u64>().prop_map(|link| CallFrame::Open { link }),
+        ask,
+        Just(CallFrame::Ping),
+        Just(CallFrame::Leaving),
     ]
     .prop_map(Frame::Call)
 }
