--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -197,11 +197,10 @@
     });
     if changed {
         info!(
-            event = "backend_announced",
             service = backend.service.as_str(),
             address:% = backend.address,
             slots = backend.slots;
-            "backend server announced itself"
+            "backend_announced"
         );
     }
     true
@@ -220,7 +219,7 @@
         _ => false,
     });
     if changed {
-        info!(event = "backend_leaving"; "backend server leaves");
+        info!("backend_leaving");
     }
 }
 
