--- a/crates/node/src/inbound_gate.rs
+++ b/crates/node/src/inbound_gate.rs
@@ -179,7 +179,7 @@
         let now = self.gate.clock.now();
         let mut state = self.gate.state.lock();
         if state.waiting.remove(&self.key).is_some() {
-            state.admission.withdraw(self.key);
+            state.admission.withdraw(now, self.key);
         } else if let Ok(Ok(ticket)) = self.receiver.try_recv() {
             // It was let in while it went away.
             state.admission.finish(now, ticket, Outcome::Failed);
