--- /dev/null
+++ b/crates/cli/tests/fleet.rs
@@ -0,0 +1,159 @@
+//! What operators see of nodes, and do to them.
+
+mod support;
+
+use call::Verdict;
+use clock::System;
+use node::metrics::Ending;
+use node::shared::Shared;
+use node::{listener, operate};
+use platform::Memory;
+use settings::node::Settings;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+use support::{Desk, run_program};
+use tokio::net::TcpListener;
+
+const TOKEN: &str = "0123456789abcdef";
+
+const OBJECTIVE: config::Objective = config::Objective {
+    availability_ppm: 999_000,
+    latency_ms: 100,
+    latency_ppm: 990_000,
+};
+
+struct Node {
+    shared: Arc<Shared<System>>,
+    handle: listener::Handle,
+}
+
+impl Node {
+    async fn spawn(name: &str) -> Self {
+        let text = format!(
+            "[node]\nname = {name}\nzone = kl-a\nregion = kl\n\
+             [listen]\ncallers = 127.0.0.1:1\nbackend = 127.0.0.1:2\n\
+             nodes = 127.0.0.1:3\noperators = 127.0.0.1:4\n\
+             [fleet]\nplatform = 127.0.0.1:5\n[operators]\ntoken = {TOKEN}\n"
+        );
+        let shared = Shared::new(Settings::parse(&text, "test").unwrap(), 7, System);
+        let tcp = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let handle = operate::spawn(tcp, Arc::clone(&shared)).unwrap();
+        Self { shared, handle }
+    }
+
+    fn flag(&self) -> String {
+        format!("--node={}", self.handle.address())
+    }
+
+    fn record(&self, ending: Ending, count: usize) {
+        let counters = self.shared.metrics.service("jobs");
+        for _ in 0..count {
+            counters.record(Instant::now(), ending, Duration::ZERO, Some(&OBJECTIVE));
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn status_of_two() {
+    let desk = Desk::open(&Memory::new()).await;
+    let (one, two) = (Node::spawn("jobs-1").await, Node::spawn("jobs-2").await);
+    let ended = desk.run(&["status", &one.flag(), &two.flag()]);
+    assert_eq!(ended.code, 0, "{ended:?}");
+    let lines = ended.output.lines().collect::<Vec<_>>();
+    assert_eq!(
+        lines[0],
+        "version 0 (last accepted) is in force on 2 of 2 nodes that answered"
+    );
+    assert!(lines[2].starts_with("jobs-1  kl-a  0"), "{lines:?}");
+    assert!(lines[2].contains("holds no configuration yet"), "{lines:?}");
+    assert_eq!(lines.len(), 4);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_node() {
+    let node = Node::spawn("jobs-1").await;
+    // Takes connections and never answers.
+    let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let silent = format!("--node={}", silent.local_addr().unwrap());
+    let ended = run_program(&["status", &node.flag(), &silent, "--timeout=1", "--json"]);
+    assert_eq!(ended.code, 1);
+    let json = ended.json();
+    assert_eq!(json["nodes"][0]["node"], "jobs-1");
+    assert_eq!(json["unreachable"].as_array().unwrap().len(), 1);
+    assert!(ended.errors.contains("no answer in time"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn drain_by_name() {
+    let desk = Desk::open(&Memory::new()).await;
+    let (one, two) = (Node::spawn("jobs-1").await, Node::spawn("jobs-2").await);
+    let right = format!(
+        "--token-file={}",
+        desk.write("right", &format!("{TOKEN}\n"))
+    );
+    let wrong = format!("--token-file={}", desk.write("wrong", "fedcba9876543210"));
+    let nodes = [one.flag(), two.flag()];
+
+    let ended = desk.run(&["drain", "jobs-2", &nodes[0], &nodes[1], &wrong]);
+    assert_eq!(ended.code, 1, "{ended:?}");
+    assert!(ended.errors.contains("401"), "{ended:?}");
+    assert!(!*two.shared.leaving.borrow());
+
+    let ended = desk.run(&["drain", "jobs-2", &nodes[0], &nodes[1], &right]);
+    assert_eq!(ended.output, "jobs-2 takes no new calls; 0 in flight\n");
+    assert!(*two.shared.leaving.borrow() && !*one.shared.leaving.borrow());
+
+    let ended = desk.run(&["drain", "jobs-3", &nodes[0], &right]);
+    assert_eq!(ended.code, 1);
+    assert!(
+        ended
+            .errors
+            .contains("none of the nodes that answered is named \"jobs-3\"")
+    );
+
+    one.shared.in_flight.store(2, Ordering::Relaxed);
+    let address = one.handle.address().to_string();
+    let ended = desk.run(&["drain", &address, &right, "--wait=1"]);
+    assert_eq!(ended.code, 1, "{ended:?}");
+    assert_eq!(ended.output, "jobs-1 takes no new calls; 2 in flight\n");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn burn_of_two() {
+    let (one, two) = (Node::spawn("jobs-1").await, Node::spawn("jobs-2").await);
+    one.record(Ending::Answered(200), 900);
+    two.record(Ending::Answered(201), 80);
+    two.record(Ending::Refused(Verdict::NotRun), 20);
+    // The caller's own faults burn nothing.
+    two.record(Ending::Answered(404), 500);
+    two.record(Ending::Cancelled, 500);
+    let ended = run_program(&["burn", &one.flag(), &two.flag()]);
+    assert_eq!(ended.code, 0, "{ended:?}");
+    let row = ended
+        .output
+        .lines()
+        .find(|line| line.starts_with("jobs "))
+        .unwrap();
+    let cells = row.split_whitespace().collect::<Vec<_>>();
+    // 20 of 1,000 failed where 1 may: twenty times too fast.
+    assert_eq!(
+        cells,
+        [
+            "jobs",
+            "availability",
+            "1000",
+            "-1900.0",
+            "%",
+            "20.0",
+            "20.0",
+            "20.0",
+            "20.0",
+            "20.0",
+            "PAGE"
+        ]
+    );
+    let json = run_program(&["burn", &one.flag(), &two.flag(), "--json"]).json();
+    assert_eq!(json["services"][0]["availability"]["alert"], "page");
+    assert_eq!(json["services"][0]["latency"]["alert"], "none");
+}
--- /dev/null
+++ b/crates/cli/tests/history.rs
@@ -0,0 +1,111 @@
+//! Versions as operators read them.
+
+mod support;
+
+use platform::Memory;
+use support::{Desk, run_program};
+use yare::parameterized;
+
+/// Proposes one service after the other.
+async fn open_with(names: &[&str]) -> Desk {
+    let desk = Desk::open(&Memory::new()).await;
+    for (base, name) in names.iter().enumerate() {
+        let text = format!(r#"{{"put_service":{{"name":"{name}","service":{{}}}}}}"#);
+        let file = desk.write(name, &text);
+        let ended = desk.run(&["propose", &file, "--base", &base.to_string()]);
+        assert_eq!(ended.code, 0, "{ended:?}");
+    }
+    desk
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn show_and_diff() {
+    let desk = open_with(&["a", "b", "c"]).await;
+    let shown = desk.run(&["show", "2"]);
+    let lines = shown.output.lines().collect::<Vec<_>>();
+    assert!(lines[0].starts_with("# version 2, digest "));
+    assert_eq!(
+        lines[1..],
+        [
+            r#"{"put_service":{"name":"a","service":{"objective":null}}}"#,
+            r#"{"put_service":{"name":"b","service":{"objective":null}}}"#
+        ]
+    );
+    // What is shown is a patch against version 0.
+    let file = desk.write("shown", &shown.output);
+    assert_eq!(desk.run(&["check", &file, "--base=0"]).code, 0);
+
+    let back = desk.run(&["diff", "3", "1"]);
+    let removals = "{\"remove_service\":{\"name\":\"b\"}}\n{\"remove_service\":{\"name\":\"c\"}}\n";
+    assert_eq!((back.code, back.output.as_str()), (0, removals));
+    let last = desk.run(&["show", "--json"]).json();
+    assert_eq!(last["version"], 3);
+    assert_eq!(last["mesh"]["services"].as_object().unwrap().len(), 3);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn log_lists() {
+    let desk = open_with(&["a", "b", "c"]).await;
+    assert_eq!(desk.run(&["outcome", "3-abc"]).code, 4);
+    let listed = desk.run(&["log", "--limit=2"]);
+    let lines = listed.output.lines().collect::<Vec<_>>();
+    assert!(lines[0].starts_with("VERSION"));
+    assert!(lines[1].starts_with("4 ") && lines[1].contains("3-abc"));
+    assert!(lines[1].ends_with("never applied"));
+    assert!(lines[2].starts_with("3 ") && lines[2].ends_with('1'));
+    assert_eq!(lines.len(), 3);
+    let json = desk.run(&["log", "--json"]).json();
+    assert_eq!(json.as_array().unwrap().len(), 4);
+    assert_eq!(json[3]["entry"]["author"], "ann");
+}
+
+// After some hundred versions an operator still asks what an early one said.
+// A snapshot has taken the early records' place as the start for readers.
+#[tokio::test(flavor = "multi_thread")]
+async fn before_snapshot() {
+    let names = (0..70).map(|index| format!("s{index}")).collect::<Vec<_>>();
+    let names = names.iter().map(String::as_str).collect::<Vec<_>>();
+    let desk = open_with(&names).await;
+    let shown = desk.run(&["show", "2", "--json"]).json();
+    assert_eq!(shown["mesh"]["services"].as_object().unwrap().len(), 2);
+    let listed = desk.run(&["log", "--limit=69", "--json"]).json();
+    assert_eq!(listed.as_array().unwrap().len(), 69);
+}
+
+#[parameterized(
+    later = { &["show", "9"], 1, "there is no version 9 yet; the last one is 1" },
+    not_a_number = { &["show", "x"], 2, "couldn't parse `x`" },
+    unknown_verb = { &["apply"], 2, "apply" },
+    unknown_flag = { &["status", "--nodes=1"], 2, "--node" },
+    bad_id = { &["outcome", "abc"], 2, "is no proposal's name, such as 7-3f9a20c1" },
+    no_file = { &["check", "no-such-file"], 2, "no-such-file: can't be read" },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn wrong_use(arguments: &[&str], code: i32, message: &str) {
+    let desk = open_with(&["a"]).await;
+    let ended = desk.run(arguments);
+    assert_eq!(ended.code, code, "{ended:?}");
+    assert!(ended.errors.contains(message), "{ended:?}");
+}
+
+#[parameterized(
+    no_verb = { &[], 2, "expected" },
+    no_platform = { &["log"], 2, "give --platform ADDRESS" },
+    no_nodes = { &["status"], 2, "give --node ADDRESS" },
+    no_settings = { &["log", "--settings=no-such-file"], 2, "no-such-file: can't be read" },
+)]
+fn without_addresses(arguments: &[&str], code: i32, message: &str) {
+    let ended = run_program(arguments);
+    assert_eq!(ended.code, code, "{ended:?}");
+    assert!(ended.errors.contains(message), "{ended:?}");
+}
+
+#[parameterized(
+    propose = { "propose" }, outcome = { "outcome" }, status = { "status" }, show = { "show" },
+    log = { "log" }, diff = { "diff" }, drain = { "drain" }, check = { "check" }, burn = { "burn" },
+)]
+fn verb_help(verb: &str) {
+    let ended = run_program(&[verb, "--help"]);
+    assert_eq!(ended.code, 0);
+    assert!(ended.output.contains("--json") && ended.output.contains("Usage: "));
+}
--- /dev/null
+++ b/crates/cli/tests/support/mod.rs
@@ -0,0 +1,75 @@
+//! The program run against a platform in this process.
+
+use platform::Memory;
+use serde_json::Value;
+use standin::platform::{Rates, serve};
+use std::fs;
+use std::net::SocketAddr;
+use std::process::Command;
+use tempfile::TempDir;
+use tokio::net::TcpListener;
+
+/// How a run of the program ended.
+#[derive(Debug)]
+pub struct Ended {
+    /// Exit code.
+    pub code: i32,
+    /// Standard output.
+    pub output: String,
+    /// Standard error.
+    pub errors: String,
+}
+
+impl Ended {
+    /// Reads the output as JSON.
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.output).unwrap_or_else(|error| panic!("{error}: {self:?}"))
+    }
+}
+
+/// A desk to operate from.
+pub struct Desk {
+    platform: SocketAddr,
+    folder: TempDir,
+}
+
+impl Desk {
+    /// Serves `memory` as the platform.
+    pub async fn open(memory: &Memory) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let platform = listener.local_addr().unwrap();
+        tokio::spawn(serve(listener, memory.clone(), Rates::default()));
+        Self {
+            platform,
+            folder: tempfile::tempdir().unwrap(),
+        }
+    }
+
+    /// Writes a file, and gives its path.
+    pub fn write(&self, name: &str, text: &str) -> String {
+        let path = self.folder.path().join(name);
+        fs::write(&path, text).unwrap();
+        path.display().to_string()
+    }
+
+    /// Runs the program with the platform's address.
+    pub fn run(&self, arguments: &[&str]) -> Ended {
+        let platform = format!("--platform={}", self.platform);
+        run_program(&[arguments, &[&platform, "--timeout=2"]].concat())
+    }
+}
+
+/// Runs the program.
+pub fn run_program(arguments: &[&str]) -> Ended {
+    let output = Command::new(env!("CARGO_BIN_EXE_bluebellpick"))
+        .args(arguments)
+        .env_remove("BLUEBELLPICK_SETTINGS")
+        .env("USER", "ann")
+        .output()
+        .unwrap();
+    Ended {
+        code: output.status.code().unwrap(),
+        output: String::from_utf8(output.stdout).unwrap(),
+        errors: String::from_utf8(output.stderr).unwrap(),
+    }
+}
