Reserve idempotency keys in the platform before their calls run

A claim goes to the owner of its shard, which writes all that came meanwhile as one record (group commit); the record's creation decides. What can't be reserved is refused at once. A claim's attempts are numbered, so that what an owner gives back for one that nobody waited for can't free a later one.

--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -3,10 +3,15 @@
 //! A call that must not be repeated is tried again only after
 //! [`Verdict::NotRun`], which is said only when it is known.
 
+pub mod owner;
+pub mod reserve;
+
+mod header;
 mod id;
 mod table;
 mod verdict;
 
+pub use header::Header;
 pub use id::Id;
 pub use table::{Arrival, MAX_OUTCOMES, OUTCOME_RETENTION, Outcome, PEER_RETENTION, Table};
 pub use verdict::Verdict;
--- /dev/null
+++ b/crates/call/tests/reserve.rs
@@ -0,0 +1,149 @@
+//! What a call learns of its idempotency key.
+
+use bytes::Bytes;
+use call::Id;
+use call::reserve::{
+    Answer, Claim, Entry, Fingerprint, Holder, Key, MAX_ANSWER, MAX_ANSWERS, Reply, Table,
+};
+use std::sync::Arc;
+use yare::parameterized;
+
+const FIRST: Holder = holder(1, 1);
+const SECOND: Holder = holder(2, 1);
+const SECOND_BEFORE: Holder = holder(2, 0);
+const SECOND_AFTER: Holder = holder(2, 2);
+
+const fn holder(origin: u64, attempt: u8) -> Holder {
+    let call = Id {
+        origin,
+        sequence: 1,
+    };
+    Holder { call, attempt }
+}
+
+fn claim(holder: Holder) -> Claim {
+    Claim {
+        key: Key::of("claims", "release-7"),
+        fingerprint: Fingerprint::of("POST", "/claims/7/release", b"{}"),
+        holder,
+    }
+}
+
+fn answer(length: usize) -> Arc<Answer> {
+    Arc::new(Answer {
+        status: 200,
+        headers: Vec::new(),
+        body: Bytes::from(vec![b'x'; length]),
+    })
+}
+
+fn reserve(holder: Holder) -> Entry {
+    Entry::Reserve(claim(holder))
+}
+
+fn complete(holder: Holder, length: usize) -> Entry {
+    Entry::Complete {
+        key: claim(holder).key,
+        holder,
+        answer: Some(answer(length)),
+    }
+}
+
+fn release(holder: Holder) -> Entry {
+    Entry::Release {
+        key: claim(holder).key,
+        holder,
+    }
+}
+
+fn refused() -> Reply {
+    Reply::Refused { retry_after_ms: 0 }
+}
+
+#[parameterized(
+    free = { vec![], Reply::Granted },
+    held = { vec![reserve(FIRST)], Reply::Unsettled },
+    asked_again = { vec![reserve(SECOND)], Reply::Granted },
+    answered = { vec![reserve(FIRST), complete(FIRST, 3)], Reply::Known(answer(3)) },
+    too_long = { vec![reserve(FIRST), complete(FIRST, MAX_ANSWER + 1)], Reply::Ran },
+    released = { vec![reserve(FIRST), release(FIRST)], Reply::Granted },
+    released_by_another = { vec![reserve(FIRST), release(SECOND)], Reply::Unsettled },
+    completed_by_another = { vec![reserve(FIRST), complete(SECOND, 3)], Reply::Unsettled },
+    released_after_running = { vec![reserve(FIRST), complete(FIRST, 3), release(FIRST)], Reply::Known(answer(3)) },
+    own_attempt_before = { vec![reserve(SECOND_BEFORE)], Reply::Granted },
+    own_attempt_after = { vec![reserve(SECOND_AFTER)], refused() },
+    own_attempt_before_released = { vec![reserve(SECOND_BEFORE), release(SECOND_BEFORE)], Reply::Granted },
+    own_released = { vec![reserve(SECOND), release(SECOND)], refused() },
+    expired = { vec![reserve(FIRST), complete(FIRST, 3), Entry::Expire { through: 2 }], Reply::Granted },
+    not_expired = { vec![reserve(FIRST), Entry::Expire { through: 0 }], Reply::Unsettled },
+)]
+fn second_claim(before: Vec<Entry>, expected: Reply) {
+    let mut table = Table::default();
+    for (number, entry) in (1..).zip(&before) {
+        table.apply(entry, number);
+    }
+    let looked = table.look(&claim(SECOND));
+    assert_eq!(looked.unwrap_or(Reply::Granted), expected);
+    assert_eq!(table.apply(&reserve(SECOND), 9), Some(expected));
+}
+
+#[test]
+fn other_request() {
+    let mut table = Table::default();
+    table.apply(&reserve(FIRST), 1);
+    let other = Claim {
+        fingerprint: Fingerprint::of("POST", "/claims/7/release", b"{\"amount\":2}"),
+        ..claim(SECOND)
+    };
+    assert_eq!(table.look(&other), Some(Reply::Mismatch));
+}
+
+#[test]
+fn keys_of_services_apart() {
+    assert_ne!(Key::of("ab", "c"), Key::of("a", "bc"));
+    let shards = (0..1000).map(|n| Key::of("claims", &n.to_string()).shard());
+    let distinct: std::collections::HashSet<_> = shards.collect();
+    assert_eq!(distinct.len(), usize::from(call::reserve::SHARDS));
+}
+
+#[test]
+fn answers_bounded() {
+    let mut table = Table::default();
+    let count = 2 * MAX_ANSWERS / MAX_ANSWER;
+    for number in 0..count as u64 {
+        let claim = Claim {
+            key: Key::of("claims", &number.to_string()),
+            ..claim(FIRST)
+        };
+        table.apply(&Entry::Reserve(claim), number);
+        let complete = Entry::Complete {
+            key: claim.key,
+            holder: FIRST,
+            answer: Some(answer(MAX_ANSWER)),
+        };
+        table.apply(&complete, number);
+    }
+    let replies = (0..count).filter_map(|number| {
+        table.look(&Claim {
+            key: Key::of("claims", &number.to_string()),
+            ..claim(SECOND)
+        })
+    });
+    let known = replies.filter(|reply| matches!(reply, Reply::Known(_)));
+    assert_eq!(known.count() * MAX_ANSWER, MAX_ANSWERS);
+    assert_eq!(table.len(), count);
+}
+
+// A clerk's release is claimed at one owner, nobody answers in time, and the
+// second attempt is granted at another. Then the first owner, whose record
+// stood after all, gives the key back for whoever has gone away. A repeat must
+// not get it: the call runs right now.
+#[test]
+fn late_release_of_former_attempt() {
+    let mut table = Table::default();
+    table.apply(&reserve(SECOND_BEFORE), 1);
+    assert_eq!(table.apply(&reserve(SECOND), 2), Some(Reply::Granted));
+    table.apply(&release(SECOND_BEFORE), 3);
+    assert_eq!(table.apply(&reserve(FIRST), 4), Some(Reply::Unsettled));
+    assert!(table.is_held(claim(SECOND).key, SECOND));
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,10 @@
 mod outbound_link;
 mod outbound_sent;
 mod outbound_try;
+mod reserve_ages;
+mod reserve_link;
+mod reserve_record;
+mod reserve_shard;
 mod upload;
 
 pub mod announce;
@@ -29,4 +33,5 @@
 pub mod operate;
 pub mod outbound;
 pub mod process;
+pub mod reserve;
 pub mod shared;
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -356,7 +356,7 @@
                     }
                 }
                 Ok(None) => return ControlFlow::Continue(true),
-                Ok(Some((wire::Frame::Control(_), _))) | Err(_) => {
+                Ok(Some((wire::Frame::Control(_) | wire::Frame::Reserve(_), _))) | Err(_) => {
                     log::warn!(event = "link_malformed"; "a link brought bytes that are no frame of a call");
                     return ControlFlow::Break(());
                 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,7 +1,7 @@
 //! A whole node: its listeners and parts, from start to graceful stop.
 
 use crate::shared::Shared;
-use crate::{announce, control, inbound, listener, nodes, operate, outbound};
+use crate::{announce, control, inbound, listener, nodes, operate, outbound, reserve};
 use clock::Clock;
 use log::{info, warn};
 use platform::Client;
@@ -42,8 +42,15 @@
     let store = Client::open(settings.platform, platform::client::Limits::default());
     let shared = Shared::new(settings, rand::random(), clock);
     let inbound = inbound::spawn(Arc::clone(&shared));
+    let reserve = reserve::spawn(Arc::clone(&shared), &store);
     let control = control::spawn(Arc::clone(&shared), store);
-    let nodes = nodes::spawn(peers, Arc::clone(&shared), inbound.clone(), control.clone());
+    let nodes = nodes::spawn(
+        peers,
+        Arc::clone(&shared),
+        inbound.clone(),
+        control.clone(),
+        reserve,
+    );
     let announce = announce::spawn(backend, Arc::clone(&shared))?;
     let operate = operate::spawn(operators, Arc::clone(&shared))?;
     let outbound = outbound::spawn(callers, Arc::clone(&shared), inbound.clone())?;
--- a/crates/node/src/nodes.rs
+++ b/crates/node/src/nodes.rs
@@ -2,6 +2,7 @@
 
 use crate::control;
 use crate::inbound;
+use crate::reserve;
 use crate::shared::Shared;
 use clock::Clock;
 use log::debug;
@@ -58,6 +59,7 @@
     shared: Arc<Shared<C>>,
     inbound: inbound::Handle<C>,
     control: control::Handle<C>,
+    reserve: reserve::Handle<C>,
 ) -> Handle
 where
     C: Clock,
@@ -66,6 +68,7 @@
         shared,
         inbound,
         control,
+        reserve,
     });
     let task = tokio::spawn(accept(tcp, desk));
     Handle { task }
@@ -79,6 +82,7 @@
     shared: Arc<Shared<C>>,
     inbound: inbound::Handle<C>,
     control: control::Handle<C>,
+    reserve: reserve::Handle<C>,
 }
 
 async fn accept<C>(tcp: TcpListener, desk: Arc<Desk<C>>)
@@ -114,6 +118,7 @@
     match hello.link {
         Link::Call => desk.inbound.accept(stream, &hello)?,
         Link::Control => desk.control.accept(stream, &hello)?,
+        Link::Reserve => desk.reserve.accept(stream),
     }
     Ok(())
 }
--- /dev/null
+++ b/crates/node/src/reserve.rs
@@ -0,0 +1,318 @@
+//! At most once across callers' own repeats: a key is reserved before its call runs.
+//!
+//! A claim goes to the owner of the key's shard, which reserves it in the
+//! platform together with others. Should the owner not answer, the next one
+//! is asked, and in the end this node writes the record itself: whom it asks
+//! decides how much work it is, never whether the reservation holds.
+
+use crate::nodes::write_hello;
+use crate::reserve_link::{Peer, pass_note, serve};
+use crate::reserve_shard::{self, Order};
+use crate::shared::Shared;
+use call::Id;
+use call::owner::pick_owners;
+use call::reserve::{Answer, Claim, Entry, Fingerprint, Holder, Key, MAX_ANSWER, Reply, SHARDS};
+use clock::Clock;
+use config::{State, View};
+use parking_lot::Mutex;
+use platform::{Journal, Store};
+use rand::Rng;
+use smol_str::format_smolstr;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::time::{Instant, timeout_at};
+use wire::Link;
+
+/// Longest wait for a reservation, all attempts together.
+///
+/// A shard under full load commits every 130 ms and the platform answers in
+/// milliseconds. A caller whose key can't be reserved by then is told at once
+/// that its call did not run.
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// What such a caller is told to wait, at least; up to twice as much.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Time for which an owner that did not answer is not asked first.
+const FAILED_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Links from other nodes at once: keyed calls of the whole fleet, spread over
+/// the shards, keep some 350 open at the size that is designed for.
+const MAX_LINKS: usize = 1_024;
+
+/// A key that is held for a call, which may run now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[must_use = "a key that is neither completed nor released stays \"may have run\""]
+pub struct Grant {
+    key: Key,
+    holder: Holder,
+}
+
+/// How a claim ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Claimed {
+    /// The call may run.
+    Granted(Grant),
+    /// It must not; [`Reply::Granted`] is never told here.
+    Told(Reply),
+}
+
+/// The reservations of a node; clones share them.
+#[derive(Debug)]
+pub struct Handle<C>
+where
+    C: Clock,
+{
+    inner: Arc<Inner<C>>,
+}
+
+impl<C> Clone for Handle<C>
+where
+    C: Clock,
+{
+    fn clone(&self) -> Self {
+        Self {
+            inner: Arc::clone(&self.inner),
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Inner<C>
+where
+    C: Clock,
+{
+    shared: Arc<Shared<C>>,
+    shards: Arc<[mpsc::Sender<Order>]>,
+    peers: Mutex<HashMap<SocketAddr, Peer>>,
+    failed: Mutex<HashMap<SocketAddr, Instant>>,
+    owners: Mutex<Owners>,
+    links: Arc<Semaphore>,
+}
+
+/// The owners of each shard in one view, found when first asked for.
+#[derive(Debug)]
+struct Owners {
+    view: Arc<View>,
+    ways: Vec<Option<[Option<Way>; 2]>>,
+}
+
+/// Whom to ask.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Way {
+    Local,
+    Remote(SocketAddr),
+}
+
+/// Starts the reservations of a node, whose records are in `store`.
+#[must_use]
+pub fn spawn<S, C>(shared: Arc<Shared<C>>, store: &S) -> Handle<C>
+where
+    S: Store,
+    C: Clock,
+{
+    let shards = (0..SHARDS).map(|shard| {
+        let name = format_smolstr!("reservations/{shard:02}");
+        let journal = Journal::open(store.clone(), shared.clock.clone(), &name);
+        reserve_shard::spawn(journal, shared.clock.clone())
+    });
+    let view = shared.view.load_full();
+    Handle {
+        inner: Arc::new(Inner {
+            shards: shards.collect(),
+            shared,
+            peers: Mutex::default(),
+            failed: Mutex::default(),
+            owners: Mutex::new(Owners::new(view)),
+            links: Arc::new(Semaphore::new(MAX_LINKS)),
+        }),
+    }
+}
+
+impl<C> Handle<C>
+where
+    C: Clock,
+{
+    /// Claims `key` for `call`, within `limit`.
+    ///
+    /// `call` names one request of a caller and must be used for no other.
+    /// A claim that is given up before its end (dropped) holds nothing.
+    pub async fn claim(
+        &self,
+        key: Key,
+        fingerprint: Fingerprint,
+        call: Id,
+        limit: Duration,
+    ) -> Claimed {
+        let end = Instant::now() + limit.min(CLAIM_TIMEOUT);
+        let mut told = None;
+        for (attempt, way) in (0..).zip(self.inner.ways(key.shard())) {
+            // An owner that was asked and refused knows how the platform is;
+            // this node would only add to its load.
+            if told.is_some() && way == Way::Local {
+                break;
+            }
+            let holder = Holder { call, attempt };
+            let claim = Claim {
+                key,
+                fingerprint,
+                holder,
+            };
+            match timeout_at(end, self.inner.ask(way, claim)).await {
+                Ok(Some(Reply::Granted)) => return Claimed::Granted(Grant { key, holder }),
+                Ok(Some(refused @ Reply::Refused { .. })) => told = Some(refused),
+                Ok(Some(reply)) => return Claimed::Told(reply),
+                Ok(None) => self.inner.note_failed(way),
+                Err(_) => break,
+            }
+        }
+        Claimed::Told(told.unwrap_or_else(refuse))
+    }
+
+    /// Keeps the answer of a call that has run, for repeats.
+    pub fn complete(&self, grant: Grant, answer: Option<Answer>) {
+        let kept = answer.filter(|answer| answer.size() <= MAX_ANSWER);
+        self.inner.note(Entry::Complete {
+            key: grant.key,
+            holder: grant.holder,
+            answer: kept.map(Arc::new),
+        });
+    }
+
+    /// Gives the key of a call back that surely has not run and never will.
+    pub fn release(&self, grant: Grant) {
+        self.inner.note(Entry::Release {
+            key: grant.key,
+            holder: grant.holder,
+        });
+    }
+
+    /// Serves a link of another node, after both hellos.
+    pub fn accept(&self, stream: TcpStream) {
+        let Ok(permit) = Arc::clone(&self.inner.links).try_acquire_owned() else {
+            return;
+        };
+        let shards = Arc::clone(&self.inner.shards);
+        tokio::spawn(async move {
+            serve(stream, shards).await;
+            drop(permit);
+        });
+    }
+}
+
+impl<C> Inner<C>
+where
+    C: Clock,
+{
+    /// Gives whom to ask for a shard: its owners, and at last this node itself.
+    fn ways(&self, shard: u16) -> Vec<Way> {
+        let owners = self.owners(shard);
+        let mut ways: Vec<_> = owners.into_iter().flatten().collect();
+        let failed = self.failed.lock();
+        let has_failed = |way: &Way| match way {
+            Way::Remote(address) => failed
+                .get(address)
+                .is_some_and(|at| at.elapsed() < FAILED_TIMEOUT),
+            Way::Local => false,
+        };
+        ways.retain(|way| !has_failed(way));
+        if !ways.contains(&Way::Local) {
+            ways.push(Way::Local);
+        }
+        ways
+    }
+
+    fn owners(&self, shard: u16) -> [Option<Way>; 2] {
+        let view = self.shared.view.load_full();
+        let mut owners = self.owners.lock();
+        if !Arc::ptr_eq(&owners.view, &view) {
+            *owners = Owners::new(view);
+        }
+        owners.find(shard, &self.shared.settings.name)
+    }
+
+    async fn ask(&self, way: Way, claim: Claim) -> Option<Reply> {
+        match way {
+            Way::Local => {
+                let (reply, told) = oneshot::channel();
+                let shard = &self.shards[usize::from(claim.key.shard())];
+                shard.try_send(Order::Claim(claim, reply)).ok()?;
+                told.await.ok()
+            }
+            Way::Remote(address) => self.peer(address).claim(claim).await,
+        }
+    }
+
+    fn note(&self, entry: Entry) {
+        let (Entry::Complete { key, .. } | Entry::Release { key, .. }) = &entry else {
+            return;
+        };
+        let entry = match self.ways(key.shard()).first() {
+            Some(Way::Remote(address)) => match self.peer(*address).note(entry) {
+                Ok(()) => return,
+                Err(entry) => entry,
+            },
+            Some(Way::Local) | None => entry,
+        };
+        pass_note(entry, &self.shards);
+    }
+
+    fn peer(&self, address: SocketAddr) -> Peer {
+        let mut peers = self.peers.lock();
+        if let Some(peer) = peers.get(&address).filter(|peer| !peer.is_closed()) {
+            return peer.clone();
+        }
+        peers.retain(|_, peer| !peer.is_closed());
+        let peer = Peer::open(address, write_hello(&self.shared, Link::Reserve));
+        peers.insert(address, peer.clone());
+        peer
+    }
+
+    fn note_failed(&self, way: Way) {
+        if let Way::Remote(address) = way {
+            let mut failed = self.failed.lock();
+            failed.retain(|_, at| at.elapsed() < FAILED_TIMEOUT);
+            failed.insert(address, Instant::now());
+        }
+    }
+}
+
+impl Owners {
+    fn new(view: Arc<View>) -> Self {
+        Self {
+            view,
+            ways: vec![None; usize::from(SHARDS)],
+        }
+    }
+
+    fn find(&mut self, shard: u16, own: &str) -> [Option<Way>; 2] {
+        let view = &self.view;
+        let found = &mut self.ways[usize::from(shard)];
+        *found.get_or_insert_with(|| {
+            let serving = view.endpoints().iter();
+            let serving = serving.filter(|endpoint| endpoint.state == State::Serving);
+            let serving: Vec<_> = serving.collect();
+            let names = serving.iter().map(|endpoint| endpoint.node.as_str());
+            pick_owners(shard, names).map(|index| {
+                let endpoint = serving[index?];
+                Some(if endpoint.node == own {
+                    Way::Local
+                } else {
+                    Way::Remote(endpoint.address)
+                })
+            })
+        })
+    }
+}
+
+/// Refuses with a wait of its own for each, so that callers don't return all at once.
+fn refuse() -> Reply {
+    let wait = RETRY_AFTER.mul_f64(rand::rng().random_range(1.0..2.0));
+    Reply::Refused {
+        retry_after_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+    }
+}
--- a/crates/platform/src/journal.rs
+++ b/crates/platform/src/journal.rs
@@ -111,7 +111,7 @@
         }
     }
 
-    /// Gives the time since, by whichever clock says more.
+    /// Gives the time since, by whichever clock says more: for limits that must not be overrun.
     ///
     /// A VM that was suspended finds that its monotonic clock stood still; the
     /// time of day may have been set back. Both at once would be needed to err.
@@ -122,6 +122,17 @@
         let wall = clock.wall().duration_since(self.wall).unwrap_or_default();
         clock.now().duration_since(self.now).max(wall)
     }
+
+    /// Gives the time since by the monotonic clock: for waits that must not be cut short.
+    ///
+    /// The time of day may be set forward by hours in one step; this clock at
+    /// worst stands still.
+    pub fn waited<C>(self, clock: &C) -> Duration
+    where
+        C: Clock,
+    {
+        clock.now().duration_since(self.now)
+    }
 }
 
 /// A journal in the platform.
--- a/crates/platform/src/retain.rs
+++ b/crates/platform/src/retain.rs
@@ -149,7 +149,7 @@
         if self.seen.back().is_none_or(|(_, last)| *last < snapshot) {
             self.seen.push_back((now, snapshot));
         }
-        let aged = |entry: &(Moment, u64)| entry.0.elapsed(clock) >= RETENTION;
+        let aged = |entry: &(Moment, u64)| entry.0.waited(clock) >= RETENTION;
         while self.seen.get(1).is_some_and(aged) {
             self.seen.pop_front();
         }
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -1,19 +1,11 @@
 //! Frames of calls between an outbound and an inbound proxy.
 
 use bytes::Bytes;
+pub use call::Header;
 use call::{Id, Verdict};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-/// A header as it came.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Header {
-    /// Name, in lower case.
-    pub name: SmolStr,
-    /// Value.
-    pub value: Bytes,
-}
-
 /// The head of a request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Request {
--- a/crates/wire/src/hello.rs
+++ b/crates/wire/src/hello.rs
@@ -13,6 +13,8 @@
     Call,
     /// Configuration, endpoints and status.
     Control,
+    /// Reservations of idempotency keys, to the owner of their shard.
+    Reserve,
 }
 
 /// Who is at the other end of a link.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod call;
 pub mod codec;
 pub mod control;
+pub mod reserve;
 
 mod error;
 mod hello;
@@ -24,4 +25,6 @@
     Call(call::Frame),
     /// News of configuration, endpoints and status.
     Control(control::Frame),
+    /// Reservation of a call's idempotency key.
+    Reserve(reserve::Frame),
 }
