--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,11 +5,15 @@
 //! [`shared::Shared`].
 
 mod backend;
+mod control_link;
+mod control_platform;
+mod control_tree;
 mod control_watch;
 mod header;
 mod inbound_call;
 mod inbound_gate;
 mod inbound_run;
+mod metrics_control;
 mod metrics_service;
 mod outbound_answer;
 mod outbound_call;
@@ -17,6 +21,10 @@
 mod outbound_sent;
 mod outbound_service;
 mod outbound_try;
+mod reserve_ages;
+mod reserve_link;
+mod reserve_record;
+mod reserve_shard;
 mod upload;
 
 pub mod announce;
@@ -31,4 +39,5 @@
 pub mod operate;
 pub mod outbound;
 pub mod process;
+pub mod reserve;
 pub mod shared;
