--- a/crates/policy/tests/load/long_jobs.rs
+++ b/crates/policy/tests/load/long_jobs.rs
@@ -3,7 +3,9 @@
 
 fn scenario(long: f64) -> Scenario {
     let mut flows = Flow::new(Class::Lookup, 0.3 * CAPACITY * MEAN / 0.01).split(0..30);
-    flows.iter_mut().for_each(|flow| flow.mean = 0.01);
+    for flow in &mut flows {
+        flow.mean = 0.01;
+    }
     let jobs = Flow {
         route: 9,
         mean: 1.0,
--- a/crates/policy/tests/load/report.rs
+++ b/crates/policy/tests/load/report.rs
@@ -156,6 +156,10 @@
 fn percentile(mut values: Vec<f64>, share: f64) -> f64 {
     values.sort_by(f64::total_cmp);
     let rank = share * count(&values);
-    let before = (1..).take_while(|index| f64::from(*index) < rank).count();
-    values.get(before).copied().unwrap_or(f64::NAN)
+    let mut before = 0.0;
+    let found = values.into_iter().find(|_| {
+        before += 1.0;
+        before >= rank
+    });
+    found.unwrap_or(f64::NAN)
 }
