Tell the nodes' processor time for a call and their memory in bench path

Latencies move with whatever else the machine does; processor time of the nodes moves less, so that a change on the path can be judged on a busy one.

--- a/crates/bench/src/path.rs
+++ b/crates/bench/src/path.rs
@@ -8,6 +8,7 @@
 use crate::deployment::{Deployment, Plan, put_route, put_service};
 use crate::error::Error;
 use crate::load::{Planned, Series, send_planned};
+use crate::process::Usage;
 use config::{Change, Class, Repeat};
 use serde::Serialize;
 use std::time::Duration;
@@ -42,6 +43,10 @@
     pub added_local_p99_ms: f64,
     /// What both nodes add at the 99th percentile.
     pub added_remote_p99_ms: f64,
+    /// Processor time of all nodes for one call through them, in microseconds.
+    pub node_cpu_us_a_call: f64,
+    /// Largest resident memory of a node, in megabytes.
+    pub node_rss_mb_max: f64,
     /// Calls answered.
     pub calls: u64,
     /// Calls without a good answer.
@@ -76,7 +81,9 @@
             .await?;
     }
     send_planned(plan_calls(&deployment, plot, WARM_UP), CALL_LIMIT).await;
+    let before = read_usage(&deployment)?;
     let outcomes = send_planned(plan_calls(&deployment, plot, plot.duration), CALL_LIMIT).await;
+    let after = read_usage(&deployment)?;
     let mut series = [Series::new(), Series::new(), Series::new()];
     for outcome in outcomes {
         match outcome.answer {
@@ -86,7 +93,31 @@
             _ => series[outcome.series].errors += 1,
         }
     }
-    Ok(report(&series))
+    let mut report = report(&series);
+    let spent = after.processor.saturating_sub(before.processor);
+    let through = series[LOCAL].answers() + series[REMOTE].answers();
+    report.node_cpu_us_a_call = spent.as_secs_f64() * 1e6 / to_f64(through.max(1));
+    report.node_rss_mb_max = to_f64(after.resident) / f64::from(1 << 20);
+    Ok(report)
+}
+
+/// Gives the processor time of all nodes, and the largest resident memory of one.
+fn read_usage(deployment: &Deployment) -> Result<Usage, Error> {
+    let mut all = Usage {
+        resident: 0,
+        processor: Duration::ZERO,
+    };
+    for vm in &deployment.vms {
+        let one = vm.node.usage()?;
+        all.processor += one.processor;
+        all.resident = all.resident.max(one.resident);
+    }
+    Ok(all)
+}
+
+/// Turns a count into a number to reckon with.
+fn to_f64(count: u64) -> f64 {
+    u32::try_from(count).map_or(f64::INFINITY, f64::from)
 }
 
 fn plan_vm(index: usize) -> Plan {
@@ -148,6 +179,8 @@
         remote_p99_ms: p99(REMOTE),
         added_local_p99_ms: p99(LOCAL) - p99(DIRECT),
         added_remote_p99_ms: p99(REMOTE) - p99(DIRECT),
+        node_cpu_us_a_call: 0.0,
+        node_rss_mb_max: 0.0,
         calls: series.iter().map(Series::answers).sum(),
         errors: series.iter().map(|one| one.errors).sum(),
     }
