Reserve the keys of calls that must not be repeated, and answer repeats from what is kept

A keyed call goes on when its caller goes away, so that the repeat finds an answer instead of a run broken off half way. What can't be reserved is refused at once as not run, with when to come back.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -50,11 +50,11 @@
         Arc::clone(&shared),
         inbound.clone(),
         control.clone(),
-        reserve,
+        reserve.clone(),
     );
     let announce = announce::spawn(backend, Arc::clone(&shared))?;
     let operate = operate::spawn(operators, Arc::clone(&shared))?;
-    let outbound = outbound::spawn(callers, Arc::clone(&shared), inbound.clone())?;
+    let outbound = outbound::spawn(callers, Arc::clone(&shared), inbound.clone(), reserve)?;
     shared.listening.store(true, Ordering::Release);
     info!(node = shared.settings.name.as_str(), zone = shared.settings.zone.as_str(); "started");
     Ok(Handle {
--- a/crates/node/src/outbound.rs
+++ b/crates/node/src/outbound.rs
@@ -5,6 +5,7 @@
 use crate::outbound_call;
 use crate::outbound_link::Links;
 use crate::outbound_service::{Place, Services};
+use crate::reserve;
 use crate::shared::Shared;
 use clock::Clock;
 use config::ServiceKey;
@@ -17,7 +18,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 use wire::{Hello, Link, PROTOCOL};
 
 /// Connections of callers at once; more wait in the system's accept queue.
@@ -61,7 +62,10 @@
     pub(crate) links: Arc<Links>,
     pub(crate) services: Services,
     pub(crate) place: Place,
+    pub(crate) reserve: reserve::Handle<C>,
     connections: Arc<Semaphore>,
+    /// A permit is out for each keyed call that runs, be its caller there or not.
+    keyed: Arc<Semaphore>,
     stage: watch::Sender<Stage>,
 }
 
@@ -84,6 +88,7 @@
     listener: TcpListener,
     shared: Arc<Shared<C>>,
     inbound: inbound::Handle<C>,
+    reserve: reserve::Handle<C>,
 ) -> std::io::Result<Handle<C>>
 where
     C: Clock,
@@ -106,7 +111,9 @@
         place,
         inbound,
         links: Links::spawn(hello),
+        reserve,
         connections: Arc::new(Semaphore::new(MAX_CONNECTIONS)),
+        keyed: Arc::new(Semaphore::new(MAX_CONNECTIONS)),
         stage: watch::Sender::new(Stage::Serving),
     });
     tokio::spawn(accept(listener, Arc::clone(&inner)));
@@ -131,14 +138,30 @@
             tokio::time::sleep(LAME_DUCK.min(timeout / 2)).await;
             self.inner.stage.send_replace(Stage::Closing);
             drop(self.inner.connections.acquire_many(all).await);
+            drop(self.inner.keyed.acquire_many(all).await);
         };
         match tokio::time::timeout(timeout, ended).await {
             Ok(()) => 0,
-            Err(_) => MAX_CONNECTIONS - self.inner.connections.available_permits(),
+            Err(_) => self.inner.count_open(),
         }
     }
 }
 
+impl<C> Inner<C>
+where
+    C: Clock,
+{
+    /// Counts a keyed call until the permit is dropped; none is given while too many run.
+    pub(crate) fn count_keyed(&self) -> Option<OwnedSemaphorePermit> {
+        Arc::clone(&self.keyed).try_acquire_owned().ok()
+    }
+
+    fn count_open(&self) -> usize {
+        let free = |limit: &Semaphore| MAX_CONNECTIONS - limit.available_permits();
+        free(&self.connections).max(free(&self.keyed)).max(1)
+    }
+}
+
 async fn accept<C>(listener: TcpListener, inner: Arc<Inner<C>>)
 where
     C: Clock,
--- a/crates/node/src/outbound_answer.rs
+++ b/crates/node/src/outbound_answer.rs
@@ -41,6 +41,8 @@
     Whole(Option<Bytes>),
     /// From the backend server of another node.
     Remote(Remote),
+    /// One of the others, of which the start has been taken already.
+    Started(Option<Bytes>, Box<Body<C>>),
     /// From the backend server on the same VM.
     Local(Local<C>),
 }
@@ -68,6 +70,10 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
         match &mut *self {
             Self::Whole(bytes) => Poll::Ready(bytes.take().map(Frame::data).map(Ok)),
+            Self::Started(first, rest) => match first.take() {
+                Some(bytes) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
+                None => Pin::new(&mut **rest).poll_frame(cx),
+            },
             Self::Remote(Remote(sent)) => sent.poll_part(cx).map(|part| {
                 part.map(|got| got.map(Frame::data).map_err(|_refusal| Error::BrokenOff))
             }),
@@ -83,6 +89,7 @@
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Whole(bytes) => bytes.is_none(),
+            Self::Started(first, rest) => first.is_none() && rest.is_end_stream(),
             Self::Remote(Remote(sent)) => sent.is_end(),
             Self::Local(Local(running)) => running.is_end(),
         }
@@ -91,7 +98,7 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
-            Self::Remote(_) | Self::Local(_) => SizeHint::default(),
+            Self::Started(..) | Self::Remote(_) | Self::Local(_) => SizeHint::default(),
         }
     }
 }
@@ -149,7 +156,8 @@
     tell(status, Verdict::NotRun, reason, 0)
 }
 
-fn tell<C>(
+/// Answers in this node's own words.
+pub(crate) fn tell<C>(
     status: StatusCode,
     verdict: Verdict,
     reason: &str,
@@ -184,5 +192,6 @@
         Reason::Backend => "backend",
         Reason::NoService => "no-service",
         Reason::Cancelled => "cancelled",
+        Reason::Reservation => "reservation",
     }
 }
--- /dev/null
+++ b/crates/node/src/outbound_keyed.rs
@@ -0,0 +1,200 @@
+//! Calls with an `Idempotency-Key`: reserved before they run, answered again from what is kept.
+
+use crate::inbound_run::Refused;
+use crate::metrics::Ending;
+use crate::outbound::Inner;
+use crate::outbound_answer::{Body, VERDICT_HEADER, refuse, tell};
+use crate::outbound_call::{Served, serve_plan};
+use crate::outbound_plan::{Plan, left};
+use crate::outbound_sent;
+use crate::reserve::{Claimed, Grant};
+use bytes::{Bytes, BytesMut};
+use call::Verdict;
+use call::reserve::{Answer, Fingerprint, Key, MAX_ANSWER, Reply};
+use clock::Clock;
+use http::{HeaderName, HeaderValue, Response, StatusCode, request};
+use http_body_util::BodyExt;
+use std::sync::Arc;
+use wire::call::Reason;
+
+/// Header that names a request through all its repeats (IETF draft `idempotency-key-header`).
+const KEY_HEADER: HeaderName = HeaderName::from_static("idempotency-key");
+
+/// Header of an answer that was given before.
+const REPLAYED_HEADER: HeaderName = HeaderName::from_static("idempotent-replayed");
+
+/// Gives the key under which a call must be reserved, if it has one.
+pub(crate) fn key_of(plan: &Plan, head: &request::Parts) -> Option<Key> {
+    let value = head.headers.get(KEY_HEADER)?.to_str().ok()?;
+    (!plan.repeatable).then(|| Key::of(&plan.service, value))
+}
+
+/// Serves a call under its key.
+///
+/// It goes on when its caller goes away: a caller whose connection broke asks
+/// again under the same key, and then gets the answer of this run, where a run
+/// broken off half way would leave it with "may have run".
+pub(crate) async fn serve_keyed<C>(
+    inner: &Arc<Inner<C>>,
+    plan: &Arc<Plan>,
+    key: Key,
+    head: request::Parts,
+    body: outbound_sent::Body,
+) -> Served<C>
+where
+    C: Clock,
+{
+    let (inner, plan) = (Arc::clone(inner), Arc::clone(plan));
+    let counted = inner.count_keyed();
+    let run = tokio::spawn(async move {
+        let served = claim_and_run(&inner, &plan, key, &head, body).await;
+        drop(counted);
+        served
+    });
+    // The task has no way to end early but a panic, which is a bug.
+    run.await.expect("a keyed call runs to its end")
+}
+
+async fn claim_and_run<C>(
+    inner: &Arc<Inner<C>>,
+    plan: &Plan,
+    key: Key,
+    head: &request::Parts,
+    body: outbound_sent::Body,
+) -> Served<C>
+where
+    C: Clock,
+{
+    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+    let fingerprint = Fingerprint::of(head.method.as_str(), path, &body.ready);
+    let id = inner.links.next_id();
+    let limit = left(inner, plan.deadline);
+    match inner.reserve.claim(key, fingerprint, id, limit).await {
+        Claimed::Granted(grant) => run(inner, plan, grant, head, body).await,
+        Claimed::Told(reply) => answer_told(reply),
+    }
+}
+
+/// Runs a call that holds its key, and says what became of it.
+async fn run<C>(
+    inner: &Arc<Inner<C>>,
+    plan: &Plan,
+    grant: Grant,
+    head: &request::Parts,
+    body: outbound_sent::Body,
+) -> Served<C>
+where
+    C: Clock,
+{
+    let served = serve_plan(inner, plan, head, body).await;
+    let verdict = verdict_of(&served.response);
+    match (served.ending, verdict) {
+        (_, Some(Verdict::NotRun)) => inner.reserve.release(grant),
+        (Ending::Answered(_), Some(Verdict::Ran)) => {
+            return keep_answer(inner, grant, served).await;
+        }
+        // Nobody knows, and the key says so from now on.
+        _ => {}
+    }
+    served
+}
+
+fn verdict_of<C>(response: &Response<Body<C>>) -> Option<Verdict>
+where
+    C: Clock,
+{
+    let value = response.headers().get(VERDICT_HEADER)?;
+    let all = [Verdict::NotRun, Verdict::MayHaveRun, Verdict::Ran];
+    all.into_iter().find(|verdict| value == verdict.as_str())
+}
+
+/// Keeps an answer for repeats, if it is short and comes whole.
+async fn keep_answer<C>(inner: &Inner<C>, grant: Grant, served: Served<C>) -> Served<C>
+where
+    C: Clock,
+{
+    let (parts, mut body) = served.response.into_parts();
+    let mut whole = BytesMut::new();
+    let mut ended = false;
+    while whole.len() <= MAX_ANSWER {
+        match body.frame().await {
+            Some(Ok(frame)) => whole.extend_from_slice(&frame.into_data().unwrap_or_default()),
+            Some(Err(_)) => break,
+            None => {
+                ended = true;
+                break;
+            }
+        }
+    }
+    let whole = whole.freeze();
+    let answer = ended.then(|| Answer {
+        status: parts.status.as_u16(),
+        headers: crate::header::take_end_to_end(&parts.headers),
+        body: whole.clone(),
+    });
+    inner.reserve.complete(grant, answer);
+    let body = if ended {
+        Body::Whole((!whole.is_empty()).then_some(whole))
+    } else {
+        Body::Started(Some(whole), Box::new(body))
+    };
+    Served {
+        response: Response::from_parts(parts, body),
+        ending: served.ending,
+    }
+}
+
+/// Answers a call whose key another one holds, or that could not be reserved.
+fn answer_told<C>(reply: Reply) -> Served<C>
+where
+    C: Clock,
+{
+    match reply {
+        Reply::Known(answer) => {
+            let response = answer_again(&answer);
+            let ending = Ending::Answered(answer.status);
+            Served { response, ending }
+        }
+        Reply::Ran => Served {
+            response: tell(StatusCode::CONFLICT, Verdict::Ran, "answer-not-kept", 0),
+            ending: Ending::Refused(Verdict::Ran),
+        },
+        Reply::Granted | Reply::Unsettled => Served {
+            response: tell(StatusCode::CONFLICT, Verdict::MayHaveRun, "key-in-use", 0),
+            ending: Ending::Refused(Verdict::MayHaveRun),
+        },
+        Reply::Mismatch => Served {
+            response: tell(
+                StatusCode::UNPROCESSABLE_ENTITY,
+                Verdict::NotRun,
+                "key-of-another-request",
+                0,
+            ),
+            ending: Ending::Answered(StatusCode::UNPROCESSABLE_ENTITY.as_u16()),
+        },
+        Reply::Refused { retry_after_ms } => {
+            let refused = Refused {
+                verdict: Verdict::NotRun,
+                reason: Reason::Reservation,
+                retry_after_ms,
+            };
+            Served {
+                response: refuse(refused),
+                ending: Ending::Refused(Verdict::NotRun),
+            }
+        }
+    }
+}
+
+fn answer_again<C>(answer: &Answer) -> Response<Body<C>>
+where
+    C: Clock,
+{
+    let body: Bytes = answer.body.clone();
+    let mut response = Response::new(Body::Whole((!body.is_empty()).then_some(body)));
+    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+    let headers = response.headers_mut();
+    crate::header::put_headers(answer.headers.clone(), headers);
+    headers.insert(REPLAYED_HEADER, HeaderValue::from_static("true"));
+    response
+}
--- /dev/null
+++ b/crates/node/src/outbound_plan.rs
@@ -0,0 +1,145 @@
+//! What is known of a call before it is tried.
+
+use crate::inbound_run::TIMEOUT_HEADER;
+use crate::outbound::{Inner, pick_target};
+use crate::outbound_sent;
+use crate::outbound_service::Service;
+use bytes::{Bytes, BytesMut};
+use clock::Clock;
+use config::{Class, Objective, Repeat, Retry, View};
+use http::{HeaderMap, Method, request};
+use http_body::Body as _;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use policy::retry;
+use smol_str::SmolStr;
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use wire::call::WINDOW;
+
+/// Header with the name of the caller on whose behalf a call is made; its IP address stands in.
+const CALLER_HEADER: &str = "bluebellpick-caller";
+
+/// Longest time for a call. The inbound proxy remembers a peer's links for longer.
+const LONGEST_TIMEOUT: Duration = Duration::from_mins(5);
+
+/// Tries of a call whose route has no rule, the first included.
+const DEFAULT_ATTEMPTS: u8 = 3;
+
+/// A call, as its tries need it.
+#[derive(Debug)]
+pub(crate) struct Plan {
+    pub(crate) service: SmolStr,
+    pub(crate) known: Arc<Service>,
+    pub(crate) class: Class,
+    pub(crate) caller: SmolStr,
+    /// Hash of the route and method.
+    pub(crate) route: u64,
+    pub(crate) rule: Option<Retry>,
+    pub(crate) deadline: Instant,
+    /// Whether it may run more than once.
+    pub(crate) repeatable: bool,
+    /// Whether a layer above tries it again already.
+    pub(crate) retried_above: bool,
+}
+
+impl Plan {
+    pub(crate) fn attempts(&self) -> u8 {
+        let attempts = self.rule.as_ref().map(|rule| rule.attempts);
+        attempts.unwrap_or(DEFAULT_ATTEMPTS).max(1)
+    }
+
+    /// Tells whether a try that may have run is followed by another.
+    pub(crate) fn repeats(&self) -> bool {
+        let rule = self.rule.as_ref();
+        self.repeatable && rule.is_none_or(|rule| rule.repeat_may_have_run)
+    }
+}
+
+pub(crate) fn make_plan<C>(
+    inner: &Inner<C>,
+    view: &View,
+    head: &request::Parts,
+    peer: IpAddr,
+) -> Option<(Plan, Option<Objective>)>
+where
+    C: Clock,
+{
+    let route = view.route(view.find_route(head.uri.path())?);
+    let now = inner.shared.clock.now();
+    let own = Duration::from_millis(route.timeout_ms.into());
+    let timeout = timeout_of(&head.headers).unwrap_or(own);
+    let target = view.service(pick_target(&route.targets));
+    let plan = Plan {
+        service: target.name.clone(),
+        known: inner.services.get(&target.name, now),
+        class: route.class,
+        caller: caller_of(&head.headers, peer),
+        route: policy::hash(&route.prefix) ^ policy::hash(head.method.as_str()),
+        rule: route.retry.clone(),
+        deadline: now + timeout.min(LONGEST_TIMEOUT),
+        repeatable: is_repeatable(route.repeat, &head.method),
+        retried_above: head.headers.contains_key(retry::HEADER),
+    };
+    Some((plan, target.service.objective))
+}
+
+/// Tells whether a call may run more than once; one that nothing is said of may if its method is safe (RFC 9110).
+fn is_repeatable(repeat: Repeat, method: &Method) -> bool {
+    match repeat {
+        Repeat::Always => true,
+        Repeat::Never => false,
+        Repeat::ByMethod => method.is_safe(),
+    }
+}
+
+fn timeout_of(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get(TIMEOUT_HEADER)?.to_str().ok()?;
+    value.parse().ok().map(Duration::from_millis)
+}
+
+fn caller_of(headers: &HeaderMap, peer: IpAddr) -> SmolStr {
+    let name = headers
+        .get(CALLER_HEADER)
+        .and_then(|value| value.to_str().ok());
+    name.map_or_else(|| smol_str::format_smolstr!("{peer}"), SmolStr::new)
+}
+
+/// Takes the start of a caller's body: all of it, when it is not long.
+///
+/// So a call with a short body can be tried again, and one whose caller dies
+/// half way never reaches a backend server.
+pub(crate) async fn take_body(mut body: Incoming) -> Result<outbound_sent::Body, hyper::Error> {
+    let mut ready = Bytes::new();
+    while !body.is_end_stream() {
+        if ready.len() >= WINDOW {
+            return Ok(outbound_sent::Body {
+                ready,
+                rest: Some(body),
+            });
+        }
+        let Some(frame) = body.frame().await else {
+            break;
+        };
+        ready = join(ready, frame?.into_data().unwrap_or_default());
+    }
+    Ok(outbound_sent::Body { ready, rest: None })
+}
+
+fn join(first: Bytes, second: Bytes) -> Bytes {
+    if first.is_empty() {
+        return second;
+    }
+    let mut whole = BytesMut::from(first);
+    whole.extend_from_slice(&second);
+    whole.freeze()
+}
+
+/// Gives the time that is left.
+pub(crate) fn left<C>(inner: &Inner<C>, deadline: Instant) -> Duration
+where
+    C: Clock,
+{
+    deadline.saturating_duration_since(inner.shared.clock.now())
+}
--- /dev/null
+++ b/crates/node/src/outbound_send.rs
@@ -0,0 +1,242 @@
+//! One try of a call: on the own backend server, or over a link.
+
+use crate::header::{put_headers, take_end_to_end};
+use crate::inbound_run::Refused;
+use crate::link;
+use crate::outbound::Inner;
+use crate::outbound_answer::{Body, Local, Remote, VERDICT_HEADER};
+use crate::outbound_plan::{Plan, left};
+use crate::outbound_sent::{self, Sent};
+use crate::upload::{Rest, Upload};
+use bytes::Bytes;
+use call::{Id, Verdict};
+use clock::Clock;
+use config::Endpoint;
+use http::{HeaderValue, Response, StatusCode, request};
+use policy::retry;
+use smol_str::SmolStr;
+use std::future::poll_fn;
+use std::sync::Arc;
+use std::time::Duration;
+use wire::call::{Frame, Header, Reason, WINDOW};
+
+/// Header that names a try to the backend server, for its logs.
+const CALL_HEADER: &str = "bluebellpick-call";
+
+/// Time that is kept back from the inbound proxy's share of a deadline.
+///
+/// Its verdict on a call that ran out of time must be here before the
+/// deadline: half a millisecond on the way, a timer's granularity of 1 ms at
+/// both ends, and room for a busy machine.
+const VERDICT_MARGIN: Duration = Duration::from_millis(10);
+
+/// What a caller is told to wait when no backend server can be reached, in milliseconds.
+pub(crate) const UNREACHABLE_RETRY_MS: u32 = 500;
+
+/// How a try ended.
+pub(crate) enum Tried<C>
+where
+    C: Clock,
+{
+    Answered(Response<Body<C>>, Option<f64>),
+    /// No answer; the body is given back when it can be sent again.
+    Refused(Refused, Option<outbound_sent::Body>),
+}
+
+/// Tries a call once.
+pub(crate) async fn try_once<C>(
+    inner: &Arc<Inner<C>>,
+    plan: &Plan,
+    head: &request::Parts,
+    body: outbound_sent::Body,
+    endpoint: &Endpoint,
+    tries: u8,
+) -> Tried<C>
+where
+    C: Clock,
+{
+    let draft = make_request(inner, plan, head, tries);
+    if endpoint.node == inner.shared.settings.name {
+        try_local(inner, plan, draft, body).await
+    } else {
+        try_remote(inner, plan, draft, body, endpoint).await
+    }
+}
+
+async fn try_local<C>(
+    inner: &Arc<Inner<C>>,
+    plan: &Plan,
+    mut request: wire::call::Request,
+    body: outbound_sent::Body,
+) -> Tried<C>
+where
+    C: Clock,
+{
+    let kept = body.ready.clone();
+    let whole = body.rest.is_none();
+    let upload = Upload {
+        ready: (!body.ready.is_empty()).then_some(body.ready),
+        rest: body.rest.map_or(Rest::Done, Rest::Caller),
+    };
+    name_try(&mut request, inner.links.next_id());
+    let call = inner.inbound.call_local(request, upload, plan.deadline);
+    match call.await {
+        Ok(response) => {
+            let load = f64::from(response.body().load_percent()) / 100.0;
+            let response = response.map(|running| Body::Local(Local(running)));
+            Tried::Answered(finish_answer(response), Some(load))
+        }
+        Err(refused) => {
+            let back = whole.then_some(outbound_sent::Body {
+                ready: kept,
+                rest: None,
+            });
+            Tried::Refused(refused, back)
+        }
+    }
+}
+
+async fn try_remote<C>(
+    inner: &Arc<Inner<C>>,
+    plan: &Plan,
+    mut request: wire::call::Request,
+    body: outbound_sent::Body,
+    endpoint: &Endpoint,
+) -> Tried<C>
+where
+    C: Clock,
+{
+    let connecting = inner.links.link(endpoint.address);
+    let link = match tokio::time::timeout(left(inner, plan.deadline), connecting).await {
+        Ok(Ok(link)) if link.node == endpoint.node && !link.is_leaving() => link,
+        Ok(Ok(_)) => {
+            return Tried::Refused(not_run(Reason::Leaving, UNREACHABLE_RETRY_MS), Some(body));
+        }
+        Ok(Err(_)) | Err(_) => {
+            return Tried::Refused(not_run(Reason::Backend, UNREACHABLE_RETRY_MS), Some(body));
+        }
+    };
+    let kept = body.ready.clone();
+    let first = kept.slice(..kept.len().min(WINDOW));
+    let end = body.rest.is_none() && first.len() == kept.len();
+    let sent = inner.links.send(&link, plan.repeatable, |id| {
+        name_try(&mut request, id);
+        request.end = first.is_empty() && end;
+        let part = (!first.is_empty()).then(|| Frame::Body {
+            id,
+            bytes: first.clone(),
+            end,
+        });
+        (request, part)
+    });
+    let one = match sent {
+        Ok(one) => one,
+        Err(link::Error::Full) => {
+            return Tried::Refused(not_run(Reason::Full, UNREACHABLE_RETRY_MS), Some(body));
+        }
+        Err(_) => {
+            return Tried::Refused(not_run(Reason::Backend, UNREACHABLE_RETRY_MS), Some(body));
+        }
+    };
+    let mut sent = Sent::new(one, link, body, first.len());
+    let waiting = poll_fn(|cx| sent.poll_head(cx));
+    match tokio::time::timeout(left(inner, plan.deadline), waiting).await {
+        Ok(Ok(answer)) => answer_remote(answer, sent),
+        Ok(Err(refusal)) => {
+            let back = (!sent.used).then(|| outbound_sent::Body {
+                ready: kept,
+                rest: sent.body.rest.take(),
+            });
+            Tried::Refused(refusal.into(), back)
+        }
+        Err(_) => Tried::Refused(may_have_run(Reason::Deadline), None),
+    }
+}
+
+fn answer_remote<C>(answer: wire::call::Answer, sent: Sent) -> Tried<C>
+where
+    C: Clock,
+{
+    let load = f64::from(answer.load_percent) / 100.0;
+    let mut response = Response::new(Body::Remote(Remote(sent)));
+    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    put_headers(answer.headers, response.headers_mut());
+    Tried::Answered(finish_answer(response), Some(load))
+}
+
+/// Drafts a request; each try gets its own name and time.
+fn make_request<C>(
+    inner: &Inner<C>,
+    plan: &Plan,
+    head: &request::Parts,
+    tries: u8,
+) -> wire::call::Request
+where
+    C: Clock,
+{
+    let left = left(inner, plan.deadline);
+    let share = left.saturating_sub(VERDICT_MARGIN).max(left / 2);
+    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+    let mut headers = take_end_to_end(&head.headers);
+    if tries > 1 && !plan.retried_above {
+        headers.push(Header {
+            name: SmolStr::new_static(retry::HEADER),
+            value: Bytes::from_static(b"1"),
+        });
+    }
+    wire::call::Request {
+        id: Id {
+            origin: 0,
+            sequence: 0,
+        },
+        service: plan.service.clone(),
+        method: head.method.as_str().into(),
+        path: path.into(),
+        headers,
+        timeout_ms: u32::try_from(share.as_millis()).unwrap_or(u32::MAX),
+        class: plan.class,
+        caller: plan.caller.clone(),
+        route: plan.route,
+        end: false,
+    }
+}
+
+fn name_try(request: &mut wire::call::Request, id: Id) {
+    request.id = id;
+    request.headers.push(Header {
+        name: SmolStr::new_static(CALL_HEADER),
+        value: id.to_string().into(),
+    });
+}
+
+/// Adds the verdict to a backend server's answer, unless it has given its own.
+///
+/// A backend server that sheds load says 503 and does not say whether it began.
+fn finish_answer<B>(mut response: Response<B>) -> Response<B> {
+    let verdict = match response.status() {
+        StatusCode::SERVICE_UNAVAILABLE => Verdict::MayHaveRun,
+        _ => Verdict::Ran,
+    };
+    let verdict = HeaderValue::from_static(verdict.as_str());
+    response
+        .headers_mut()
+        .entry(VERDICT_HEADER)
+        .or_insert(verdict);
+    response
+}
+
+pub(crate) fn not_run(reason: Reason, retry_after_ms: u32) -> Refused {
+    Refused {
+        verdict: Verdict::NotRun,
+        reason,
+        retry_after_ms,
+    }
+}
+
+fn may_have_run(reason: Reason) -> Refused {
+    Refused {
+        verdict: Verdict::MayHaveRun,
+        reason,
+        retry_after_ms: 0,
+    }
+}
--- /dev/null
+++ b/crates/node/tests/calls/keyed.rs
@@ -0,0 +1,218 @@
+//! Calls with an idempotency key, repeated by their callers at other nodes.
+
+use crate::forward::{Forwarder, Mode};
+use crate::mesh::{Answer, Node, call, spawn_node, spawn_node_with, spawn_server, wait_recorded};
+use bytes::Bytes;
+use config::Repeat;
+use http::{Method, StatusCode};
+use platform::Memory;
+use platform::memory::Faults;
+use standin::record::Record;
+use std::net::SocketAddr;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+/// Two nodes for callers, and one whose backend server runs what is booked.
+struct Mesh {
+    one: Node,
+    two: Node,
+    far: Node,
+    record: Record,
+    store: Memory,
+}
+
+async fn spawn_mesh() -> Mesh {
+    let store = Memory::new();
+    let (address, record) = spawn_server(2).await;
+    let one = spawn_node_with("one", &store).await;
+    let two = spawn_node_with("two", &store).await;
+    let far = spawn_node_with("far", &store).await;
+    far.announce("jobs", address, 2);
+    for node in [&one, &two] {
+        node.serve_by("jobs", Repeat::Never, &[far.endpoint("jobs", far.nodes)]);
+    }
+    Mesh {
+        one,
+        two,
+        far,
+        record,
+        store,
+    }
+}
+
+async fn book(address: SocketAddr, key: &str, request: &str, work_ms: &str) -> Answer {
+    let headers = [
+        ("idempotency-key", key),
+        ("x-request", request),
+        ("x-work-ms", work_ms),
+    ];
+    let body = Bytes::from_static(b"bay 3");
+    call(address, Method::POST, "/jobs/1", &headers, body)
+        .await
+        .unwrap()
+}
+
+// A clerk's browser sends a booking again at another node, a minute later by
+// the clerk's watch. It gets the first one's answer, and nothing runs again.
+#[tokio::test]
+async fn answered_again() {
+    let mesh = spawn_mesh().await;
+    let first = book(mesh.one.outbound.address(), "k1", "r1", "0").await;
+    assert_eq!((first.status, first.verdict()), (StatusCode::OK, "ran"));
+    let again = book(mesh.two.outbound.address(), "k1", "r2", "0").await;
+    assert_eq!((again.status, again.verdict()), (StatusCode::OK, "ran"));
+    assert_eq!(again.headers["idempotent-replayed"], "true");
+    assert_eq!(again.body, first.body);
+    assert_eq!(mesh.record.entries().len(), 1);
+}
+
+// The repeat comes while the first one still runs: it is told that the job may
+// have run, at once, and doesn't run it.
+#[tokio::test]
+async fn first_still_runs() {
+    let mesh = spawn_mesh().await;
+    let address = mesh.one.outbound.address();
+    let first = tokio::spawn(async move { book(address, "k1", "r1", "400").await });
+    wait_recorded(&mesh.record, |entry| entry.request == "r1").await;
+    let again = book(mesh.two.outbound.address(), "k1", "r2", "0").await;
+    assert_eq!(
+        (again.status, again.verdict()),
+        (StatusCode::CONFLICT, "may-have-run")
+    );
+    assert_eq!(first.await.unwrap().status, StatusCode::OK);
+    assert_eq!(mesh.record.entries().len(), 1);
+}
+
+// The clerk's connection breaks while the job is booked. The booking goes on,
+// so that the repeat gets its answer rather than "may have run".
+#[tokio::test]
+async fn caller_gone() {
+    let mesh = spawn_mesh().await;
+    let mut caller = TcpStream::connect(mesh.one.outbound.address())
+        .await
+        .unwrap();
+    let head = "POST /jobs/1 HTTP/1.1\r\nhost: m\r\nidempotency-key: k1\r\nx-request: r1\r\nx-work-ms: 200\r\ncontent-length: 5\r\n\r\nbay 3";
+    caller.write_all(head.as_bytes()).await.unwrap();
+    wait_recorded(&mesh.record, |entry| entry.request == "r1").await;
+    drop(caller);
+    wait_recorded(&mesh.record, |entry| entry.end_us.is_some()).await;
+    let address = mesh.two.outbound.address();
+    let mut again = book(address, "k1", "r2", "0").await;
+    // The answer reaches the record of the key a moment after its end.
+    for _ in 0..200 {
+        if again.status == StatusCode::OK {
+            break;
+        }
+        assert_eq!(again.verdict(), "may-have-run");
+        again = book(address, "k1", "r2", "0").await;
+    }
+    assert_eq!(again.status, StatusCode::OK);
+    let told: serde_json::Value = serde_json::from_slice(&again.body).unwrap();
+    assert_eq!(told["request"], "r1");
+    assert_eq!(mesh.record.entries().len(), 1);
+}
+
+// A booking is refused as "not run", for its backend server leaves. The key is
+// free again, and the repeat books the job.
+#[tokio::test]
+async fn refused_then_run() {
+    let mesh = spawn_mesh().await;
+    mesh.far.shared.leaving.send_replace(true);
+    let refused = book(mesh.one.outbound.address(), "k1", "r1", "0").await;
+    assert_eq!(
+        (refused.status, refused.verdict()),
+        (StatusCode::SERVICE_UNAVAILABLE, "not-run")
+    );
+    let other = spawn_node("other").await;
+    let (address, record) = spawn_server(1).await;
+    other.announce("jobs", address, 1);
+    mesh.two.serve_by(
+        "jobs",
+        Repeat::Never,
+        &[other.endpoint("jobs", other.nodes)],
+    );
+    let mut again = book(mesh.two.outbound.address(), "k1", "r2", "0").await;
+    for _ in 0..200 {
+        if again.status == StatusCode::OK {
+            break;
+        }
+        again = book(mesh.two.outbound.address(), "k1", "r2", "0").await;
+    }
+    assert_eq!((again.status, again.verdict()), (StatusCode::OK, "ran"));
+    assert_eq!(
+        (mesh.record.entries().len(), record.entries().len()),
+        (0, 1)
+    );
+}
+
+// The platform is down. A booking that needs its key reserved is refused at
+// once with a time to come back, and a call without a key goes on.
+#[tokio::test]
+async fn platform_down() {
+    let mesh = spawn_mesh().await;
+    mesh.store.set_faults(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    let refused = book(mesh.one.outbound.address(), "k1", "r1", "0").await;
+    assert_eq!(
+        (refused.status, refused.verdict()),
+        (StatusCode::SERVICE_UNAVAILABLE, "not-run")
+    );
+    assert!(refused.headers.contains_key("retry-after"));
+    let plain = call(
+        mesh.one.outbound.address(),
+        Method::POST,
+        "/jobs/1",
+        &[],
+        Bytes::new(),
+    );
+    assert_eq!(plain.await.unwrap().status, StatusCode::OK);
+    assert_eq!(mesh.record.entries().len(), 1);
+}
+
+// Two families take the same key by mistake: the second is told, and not
+// answered with the other's booking.
+#[tokio::test]
+async fn other_request() {
+    let mesh = spawn_mesh().await;
+    let first = book(mesh.one.outbound.address(), "k1", "r1", "0").await;
+    assert_eq!(first.status, StatusCode::OK);
+    let headers = [("idempotency-key", "k1")];
+    let body = Bytes::from_static(b"bay 4");
+    let second = call(
+        mesh.two.outbound.address(),
+        Method::POST,
+        "/jobs/1",
+        &headers,
+        body,
+    );
+    let second = second.await.unwrap();
+    assert_eq!(
+        (second.status, second.verdict()),
+        (StatusCode::UNPROCESSABLE_ENTITY, "not-run")
+    );
+    assert_eq!(mesh.record.entries().len(), 1);
+}
+
+// The link goes silent for good while a booking runs, and its node is gone:
+// nobody knows. The key says "may have run" from then on, to every repeat.
+#[tokio::test]
+async fn nobody_knows() {
+    let mesh = spawn_mesh().await;
+    let forwarder = Forwarder::spawn(mesh.far.nodes).await;
+    let far = mesh.far.endpoint("jobs", forwarder.address);
+    mesh.one.serve_by("jobs", Repeat::Never, &[far]);
+    let address = mesh.one.outbound.address();
+    let first = tokio::spawn(async move { book(address, "k1", "r1", "3000").await });
+    wait_recorded(&mesh.record, |entry| entry.request == "r1").await;
+    forwarder.aim(spawn_node("far").await.nodes);
+    forwarder.set(Mode::Drop, Mode::Drop);
+    assert_eq!(first.await.unwrap().verdict(), "may-have-run");
+    let again = book(mesh.two.outbound.address(), "k1", "r2", "0").await;
+    assert_eq!(
+        (again.status, again.verdict()),
+        (StatusCode::CONFLICT, "may-have-run")
+    );
+    assert_eq!(mesh.record.entries().len(), 1);
+}
--- a/crates/node/tests/calls/main.rs
+++ b/crates/node/tests/calls/main.rs
@@ -2,6 +2,7 @@
 
 mod ending;
 mod forward;
+mod keyed;
 mod mesh;
 mod silence;
 mod whole;
--- a/crates/node/tests/calls/mesh.rs
+++ b/crates/node/tests/calls/mesh.rs
@@ -7,8 +7,10 @@
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use node::nodes::write_hello;
 use node::shared::{Backend, Shared};
-use node::{inbound, outbound};
+use node::{inbound, outbound, reserve};
+use platform::Memory;
 use settings::node::Settings;
 use standin::backend::{self, Backend as Server};
 use standin::record::{Entry, Record};
@@ -16,7 +18,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use wire::{Hello, Link, PROTOCOL, codec};
+use wire::{Link, codec};
 
 /// A node in this process.
 #[derive(Debug)]
@@ -36,6 +38,11 @@
 
 /// Starts a node named `name`, in a zone of its own.
 pub async fn spawn_node(name: &str) -> Node {
+    spawn_node_with(name, &Memory::new()).await
+}
+
+/// Starts a node whose reservations are in `store`.
+pub async fn spawn_node_with(name: &str, store: &Memory) -> Node {
     let (listener, nodes) = bind().await;
     let text = format!(
         "[node]\nname = {name}\nzone = zone-{name}\nregion = kl\n\
@@ -46,9 +53,16 @@
     let incarnation = u64::from(nodes.port());
     let shared = Shared::new(settings, incarnation, System);
     let inbound = inbound::spawn(Arc::clone(&shared));
-    tokio::spawn(accept(listener, Arc::clone(&shared), inbound.clone()));
+    let reserve = reserve::spawn(Arc::clone(&shared), store);
+    let accepting = accept(
+        listener,
+        Arc::clone(&shared),
+        inbound.clone(),
+        reserve.clone(),
+    );
+    tokio::spawn(accepting);
     let (callers, _) = bind().await;
-    let outbound = outbound::spawn(callers, Arc::clone(&shared), inbound.clone()).unwrap();
+    let outbound = outbound::spawn(callers, Arc::clone(&shared), inbound.clone(), reserve).unwrap();
     Node {
         shared,
         inbound,
@@ -61,20 +75,19 @@
     listener: TcpListener,
     shared: Arc<Shared<System>>,
     inbound: inbound::Handle<System>,
+    reserve: reserve::Handle<System>,
 ) {
     while let Ok((mut stream, _)) = listener.accept().await {
-        let own = Hello {
-            protocol: PROTOCOL,
-            node: shared.settings.name.clone(),
-            incarnation: shared.incarnation,
-            zone: shared.settings.zone.clone(),
-            link: Link::Call,
-        };
-        let theirs: Result<Hello, _> = codec::read(&mut stream, &mut Vec::new()).await;
+        let theirs = codec::read_hello(&mut stream).await;
         if let Ok(theirs) = theirs
-            && codec::write(&mut stream, &own).await.is_ok()
+            && codec::write(&mut stream, &write_hello(&shared, theirs.link))
+                .await
+                .is_ok()
         {
-            inbound.accept(stream, &theirs).unwrap();
+            match theirs.link {
+                Link::Reserve => reserve.accept(stream),
+                _ => inbound.accept(stream, &theirs).unwrap(),
+            }
         }
     }
 }
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -61,6 +61,8 @@
     NoService,
     /// The caller went away.
     Cancelled,
+    /// Its idempotency key could not be reserved.
+    Reservation,
 }
 
 /// A try that ended without an answer.
