--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,6 +5,7 @@
 //! and counts latency from those times, so that a stall is not left out.
 
 pub mod caller;
+pub mod demo;
 pub mod deployment;
 pub mod error;
 pub mod load;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,14 +3,16 @@
 //! Every experiment prints one JSON object with its figures as its last line.
 
 use bench::error::Error;
-use bench::path;
+use bench::{demo, path};
 use bpaf::{Parser, construct, long};
 use std::process::ExitCode;
 use std::time::Duration;
+use tokio::signal::unix::{SignalKind, signal};
 
 /// Which experiment to run.
 #[derive(Debug, Clone)]
 enum Command {
+    Demo,
     Path(path::Plot),
 }
 
@@ -46,10 +48,15 @@
 }
 
 fn parse_command() -> impl Parser<Command> {
-    parse_path()
+    let demo = bpaf::pure(Command::Demo)
+        .to_options()
+        .descr("Shows the main job on stand-ins")
+        .command("demo");
+    let path = parse_path()
         .to_options()
         .descr("Sets direct calls and calls through the proxies side by side")
-        .command("path")
+        .command("path");
+    construct!([demo, path])
 }
 
 // One thread: the pacer must see the sockets of its own calls at once.
@@ -59,7 +66,12 @@
         .to_options()
         .descr("Load, experiments and failures against real processes")
         .run();
-    match run(command).await {
+    // A run that is ended early drops its processes, which ends them.
+    let ended = tokio::select! {
+        report = run(command) => report,
+        () = wait_signal() => Err(Error::Unexpected("ended early by a signal".to_owned())),
+    };
+    match ended {
         Ok(report) => {
             println!("{report}");
             ExitCode::SUCCESS
@@ -71,8 +83,22 @@
     }
 }
 
+async fn wait_signal() {
+    let (Ok(mut terminate), Ok(mut interrupt)) = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+    ) else {
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
+
 async fn run(command: Command) -> Result<String, Error> {
     match command {
+        Command::Demo => print_json(&demo::run().await?),
         Command::Path(plot) => print_json(&path::run(plot).await?),
     }
 }
