--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -1,19 +1,11 @@
 //! Frames of calls between an outbound and an inbound proxy.
 
 use bytes::Bytes;
+pub use call::Header;
 use call::{Id, Verdict};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-/// A header as it came.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Header {
-    /// Name, in lower case.
-    pub name: SmolStr,
-    /// Value.
-    pub value: Bytes,
-}
-
 /// The head of a request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Request {
@@ -33,6 +25,8 @@
     pub class: config::Class,
     /// Caller on whose behalf it runs, for fair shares.
     pub caller: SmolStr,
+    /// Hash of its route and method: calls of one take about as long.
+    pub route: u64,
     /// Whether no body follows.
     pub end: bool,
 }
@@ -46,6 +40,8 @@
     pub status: u16,
     /// Headers, without those of one connection only.
     pub headers: Vec<Header>,
+    /// Calls that run and wait at the inbound proxy, in per cent of its slots.
+    pub load_percent: u16,
     /// Whether no body follows.
     pub end: bool,
 }
