--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -10,7 +10,6 @@
 use platform::Memory;
 use settings::node::Settings;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 use support::{Desk, run_program};
 use tokio::net::TcpListener;
@@ -112,7 +111,7 @@
             .contains("none of the nodes that answered is named \"jobs-3\"")
     );
 
-    one.shared.in_flight.store(2, Ordering::Relaxed);
+    one.shared.in_flight.send_replace(2);
     let address = one.handle.address().to_string();
     let ended = desk.run(&["drain", &address, &right, "--wait=1"]);
     assert_eq!(ended.code, 1, "{ended:?}");
--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -21,7 +21,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use tokio::net::TcpListener;
 
 /// Path of the announcements.
@@ -228,7 +227,7 @@
     C: Clock,
 {
     Status {
-        in_flight: shared.in_flight.load(Ordering::Relaxed),
+        in_flight: *shared.in_flight.borrow(),
         leaving: shared
             .backend
             .borrow()
--- a/crates/node/src/inbound.rs
+++ b/crates/node/src/inbound.rs
@@ -19,7 +19,6 @@
 use std::sync::{Arc, Weak};
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
-use tokio::sync::watch;
 use wire::Hello;
 use wire::call::{Frame, Reason, Request};
 
@@ -59,7 +58,6 @@
     tables: [Mutex<Table<Arc<Call>>>; SHARDS],
     links: Mutex<Vec<Weak<Sender>>>,
     pub(crate) gate: Arc<Gate<C>>,
-    active: watch::Sender<usize>,
 }
 
 /// Starts the inbound proxy.
@@ -74,7 +72,6 @@
         shared,
         tables: Default::default(),
         links: Mutex::default(),
-        active: watch::Sender::new(0),
     });
     tokio::spawn(forget(Arc::downgrade(&inner)));
     tokio::spawn(announce_leaving(Arc::downgrade(&inner)));
@@ -130,7 +127,7 @@
 
     /// Waits until nothing is in flight, and gives what is left of it at `timeout`.
     pub async fn drain(&self, timeout: Duration) -> usize {
-        let mut active = self.inner.active.subscribe();
+        let mut active = self.inner.shared.in_flight.subscribe();
         let ended = async {
             drop(active.wait_for(|count| *count == 0).await);
             let links = self.inner.links.lock().clone();
@@ -140,7 +137,7 @@
         };
         match tokio::time::timeout(timeout, ended).await {
             Ok(()) => 0,
-            Err(_) => (*self.inner.active.borrow()).max(1),
+            Err(_) => (*self.inner.shared.in_flight.borrow()).max(1),
         }
     }
 }
@@ -159,7 +156,7 @@
     C: Clock,
 {
     fn drop(&mut self) {
-        self.inner.active.send_if_modified(|count| {
+        self.inner.shared.in_flight.send_if_modified(|count| {
             *count -= 1;
             *count == 0
         });
@@ -171,7 +168,7 @@
     C: Clock,
 {
     pub(crate) fn count_in(self: &Arc<Self>) -> Active<C> {
-        self.active.send_if_modified(|count| {
+        self.shared.in_flight.send_if_modified(|count| {
             *count += 1;
             false
         });
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -65,7 +65,7 @@
     pub routes: usize,
     /// Routes withheld until their services are there.
     pub withheld_routes: usize,
-    /// Calls that the own backend server runs.
+    /// Calls that wait for the own backend server or run on it.
     pub in_flight: usize,
     /// Whether the node is ready.
     pub ready: bool,
@@ -160,7 +160,7 @@
             ),
             (
                 "in_flight_calls",
-                "Calls that the own backend server runs",
+                "Calls that wait for the own backend server or run on it",
                 &gauges.in_flight,
             ),
             (
--- a/crates/node/src/operate.rs
+++ b/crates/node/src/operate.rs
@@ -140,7 +140,7 @@
         endpoints: view.endpoints().len(),
         routes: view.routes().len(),
         withheld_routes: view.withheld().len(),
-        in_flight: shared.in_flight.load(Ordering::Relaxed),
+        in_flight: *shared.in_flight.borrow(),
         ready: find_obstacles(shared).is_empty(),
         leaving: backend_leaves || *shared.leaving.borrow(),
         process: read_usage(),
@@ -173,7 +173,7 @@
         version: view.version(),
         not_ready: find_obstacles(shared),
         leaving: *shared.leaving.borrow(),
-        in_flight: shared.in_flight.load(Ordering::Relaxed),
+        in_flight: *shared.in_flight.borrow(),
         backend,
         endpoints,
         withheld_routes: view
--- a/crates/node/src/outbound_call.rs
+++ b/crates/node/src/outbound_call.rs
@@ -112,6 +112,24 @@
     }
 }
 
+/// Refuses a call whose path has no route, or one whose service has no endpoint, which burns.
+fn refuse_unrouted<C>(inner: &Inner<C>, view: &View, path: &str) -> Response<Body<C>>
+where
+    C: Clock,
+{
+    let Some(withheld) = view.find_withheld(path) else {
+        return reject(StatusCode::NOT_FOUND, "no-route");
+    };
+    drop(Count {
+        inner,
+        service: &withheld.service,
+        objective: withheld.objective,
+        started: inner.shared.clock.now(),
+        ending: Ending::Refused(Verdict::NotRun),
+    });
+    refuse(not_run(Reason::NoService, UNREACHABLE_RETRY_MS))
+}
+
 /// Serves one call.
 pub(crate) async fn serve<C>(
     inner: &Arc<Inner<C>>,
@@ -125,11 +143,7 @@
     let started = inner.shared.clock.now();
     let view = inner.shared.view.load_full();
     let Some((plan, objective)) = make_plan(inner, &view, &head, peer) else {
-        return if view.is_withheld(head.uri.path()) {
-            refuse(not_run(Reason::NoService, UNREACHABLE_RETRY_MS))
-        } else {
-            reject(StatusCode::NOT_FOUND, "no-route")
-        };
+        return refuse_unrouted(inner, &view, head.uri.path());
     };
     drop(view);
     let mut count = Count {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -6,7 +6,7 @@
 use config::View;
 use settings::node::Settings;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize};
+use std::sync::atomic::AtomicBool;
 use tokio::sync::watch;
 
 /// What the node's own backend server has announced.
@@ -40,8 +40,8 @@
     pub backend: watch::Sender<Option<Backend>>,
     /// Whether the node itself is leaving.
     pub leaving: watch::Sender<bool>,
-    /// Calls that the own backend server runs right now.
-    pub in_flight: AtomicUsize,
+    /// Calls that wait for the own backend server or run on it.
+    pub in_flight: watch::Sender<usize>,
     /// Whether all listeners run.
     pub listening: AtomicBool,
     /// The node's part in distribution.
@@ -65,7 +65,7 @@
             view: ArcSwap::default(),
             backend: watch::Sender::new(None),
             leaving: watch::Sender::new(false),
-            in_flight: AtomicUsize::new(0),
+            in_flight: watch::Sender::new(0),
             listening: AtomicBool::new(false),
             distribution: ArcSwap::default(),
             metrics,
--- a/crates/node/tests/announce.rs
+++ b/crates/node/tests/announce.rs
@@ -3,7 +3,6 @@
 mod support;
 
 use node::announce;
-use std::sync::atomic::Ordering;
 use support::{bind, make_shared, request};
 use yare::parameterized;
 
@@ -28,7 +27,7 @@
     request(address, PUT, body).await;
     assert!(!news.has_changed().unwrap(), "a heartbeat is no change");
 
-    shared.in_flight.store(2, Ordering::Relaxed);
+    shared.in_flight.send_replace(2);
     let (_, text) = request(address, "DELETE /v1/announce", "").await;
     assert_eq!(text.trim(), r#"{"in_flight":2,"leaving":true}"#);
     assert!(news.borrow_and_update().as_ref().unwrap().leaving);
--- a/crates/status/src/lib.rs
+++ b/crates/status/src/lib.rs
@@ -96,7 +96,7 @@
     pub not_ready: Vec<String>,
     /// Whether the node leaves.
     pub leaving: bool,
-    /// Calls that the own backend server runs.
+    /// Calls that wait for the own backend server or run on it.
     pub in_flight: usize,
     /// The own backend server, once announced.
     pub backend: Option<Backend>,
