--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -6,10 +6,12 @@
 
 pub mod caller;
 pub mod converge;
+pub mod demo;
 pub mod deployment;
 pub mod error;
 pub mod load;
 pub mod node;
+pub mod options;
 pub mod path;
 pub mod process;
 pub mod relay;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,99 +3,35 @@
 //! Every experiment prints one JSON object with its figures as its last line.
 
 use bench::error::Error;
-use bench::{converge, path};
-use bpaf::{Parser, construct, long};
+use bench::{converge, demo, path};
+use bpaf::{Parser, construct};
 use std::process::ExitCode;
-use std::time::Duration;
+use tokio::signal::unix::{SignalKind, signal};
 
 /// Which experiment to run.
 #[derive(Debug, Clone)]
 enum Command {
+    Demo,
     Path(path::Plot),
     Converge(converge::Plot),
 }
 
-fn parse_seconds(default: u64) -> impl Parser<Duration> {
-    long("seconds")
-        .help("How long to measure, in seconds")
-        .argument::<u64>("SECONDS")
-        .fallback(default)
-        .display_fallback()
-        .map(Duration::from_secs)
-}
-
-fn parse_path() -> impl Parser<Command> {
-    let rate = long("rate")
-        .help("Calls a second of each series and VM")
-        .argument::<u32>("RATE")
-        .guard(|rate| *rate > 0, "at least one call a second")
-        .fallback(100)
-        .display_fallback();
-    let duration = parse_seconds(10);
-    let vms = long("vms")
-        .help("VMs with a backend server each")
-        .argument::<usize>("COUNT")
-        .guard(|vms| (2..=50).contains(vms), "between 2 and 50 VMs")
-        .fallback(3)
-        .display_fallback();
-    let plot = construct!(path::Plot {
-        rate,
-        duration,
-        vms
-    });
-    plot.map(Command::Path)
-}
-
-fn parse_converge() -> impl Parser<Command> {
-    let nodes = long("nodes")
-        .help("Node processes, in three availability zones")
-        .argument::<usize>("COUNT")
-        .guard(|nodes| (3..=240).contains(nodes), "between 3 and 240 nodes")
-        .fallback(12)
-        .display_fallback();
-    let versions = long("versions")
-        .help("Versions to propose, when nothing goes wrong")
-        .argument::<usize>("COUNT")
-        .fallback(20)
-        .display_fallback();
-    let services = long("services")
-        .help("Services, and routes, of the configuration")
-        .argument::<usize>("COUNT")
-        .guard(
-            |services| (2..=2_000).contains(services),
-            "between 2 and 2000",
-        )
-        .fallback(410)
-        .display_fallback();
-    let distribution = long("distribution")
-        .help("How versions come: tree, or one of the baselines whole and watch")
-        .argument::<String>("WAY")
-        .fallback("tree".to_owned())
-        .display_fallback();
-    let fault = long("fault")
-        .help("platform-outage, roots-killed, partition or herd-restart")
-        .argument::<converge::Fault>("FAULT")
-        .optional();
-    let plot = construct!(converge::Plot {
-        nodes,
-        versions,
-        services,
-        distribution,
-        fault
-    });
-    plot.map(Command::Converge)
-}
-
 fn parse_command() -> impl Parser<Command> {
-    let path = parse_path()
+    let demo = bpaf::pure(Command::Demo)
+        .to_options()
+        .descr("Shows the main job on stand-ins")
+        .command("demo");
+    let path = path::parse()
+        .map(Command::Path)
         .to_options()
         .descr("Sets direct calls and calls through the proxies side by side")
         .command("path");
-    let converge = parse_converge()
+    let converge = converge::parse()
+        .map(Command::Converge)
         .to_options()
         .descr("Measures how long versions take to all nodes, and what that costs")
         .command("converge");
-    construct!([path, converge])
+    construct!([demo, path, converge])
 }
 
 // One thread: the pacer must see the sockets of its own calls at once.
@@ -105,7 +41,12 @@
         .to_options()
         .descr("Load, experiments and failures against real processes")
         .run();
-    match run(command).await {
+    // A run that is ended early drops its processes, which ends them.
+    let ended = tokio::select! {
+        report = run(command) => report,
+        () = wait_signal() => Err(Error::Unexpected("ended early by a signal".to_owned())),
+    };
+    match ended {
         Ok(report) => {
             println!("{report}");
             ExitCode::SUCCESS
@@ -117,8 +58,22 @@
     }
 }
 
+async fn wait_signal() {
+    let (Ok(mut terminate), Ok(mut interrupt)) = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+    ) else {
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
+
 async fn run(command: Command) -> Result<String, Error> {
     match command {
+        Command::Demo => print_json(&demo::run().await?),
         Command::Path(plot) => print_json(&path::run(plot).await?),
         Command::Converge(plot) => print_json(&converge::run(plot).await?),
     }
