--- /dev/null
+++ b/crates/node/tests/reserve.rs
@@ -0,0 +1,328 @@
+//! Reservations of idempotency keys: one call per key runs, whoever asks where.
+
+use bytes::Bytes;
+use call::Id;
+use call::reserve::{Answer, Fingerprint, Key, Reply};
+use clock::System;
+use config::{Endpoint, Mesh, Service, State, Version, View};
+use node::nodes::write_hello;
+use node::reserve::{Claimed, Grant, Handle};
+use node::shared::Shared;
+use platform::Memory;
+use platform::memory::Faults;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use settings::node::Settings;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+use wire::{Link, codec};
+
+const LIMIT: Duration = Duration::from_secs(5);
+
+/// A node as far as reservations go.
+struct Node {
+    shared: Arc<Shared<System>>,
+    reserve: Handle<System>,
+    address: SocketAddr,
+    listener: JoinHandle<()>,
+    calls: AtomicU64,
+}
+
+async fn spawn_node(name: &str, store: &Memory) -> Node {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let text = format!(
+        "[node]\nname = {name}\nzone = kl-a\nregion = kl\n\
+         [listen]\ncallers = 127.0.0.1:1\nbackend = 127.0.0.1:2\nnodes = {address}\noperators = 127.0.0.1:4\n\
+         [fleet]\nplatform = 127.0.0.1:5\n[operators]\ntoken = 0123456789abcdef\n"
+    );
+    let settings = Settings::parse(&text, "test").unwrap();
+    let shared = Shared::new(settings, u64::from(address.port()), System);
+    let reserve = node::reserve::spawn(Arc::clone(&shared), store);
+    let listener = tokio::spawn(accept(listener, Arc::clone(&shared), reserve.clone()));
+    Node {
+        shared,
+        reserve,
+        address,
+        listener,
+        calls: AtomicU64::new(0),
+    }
+}
+
+async fn accept(listener: TcpListener, shared: Arc<Shared<System>>, reserve: Handle<System>) {
+    while let Ok((mut stream, _)) = listener.accept().await {
+        if codec::read_hello(&mut stream).await.is_ok() {
+            let hello = write_hello(&shared, Link::Reserve);
+            codec::write(&mut stream, &hello).await.unwrap();
+            reserve.accept(stream);
+        }
+    }
+}
+
+impl Node {
+    fn endpoint(&self) -> Endpoint {
+        Endpoint {
+            node: self.shared.settings.name.clone(),
+            incarnation: self.shared.incarnation,
+            started_ms: 1,
+            sequence: 1,
+            service: "claims".into(),
+            zone: "kl-a".into(),
+            region: "kl".into(),
+            address: self.address,
+            slots: 6,
+            state: State::Serving,
+        }
+    }
+
+    /// Lets the node know of `endpoints`, and so of the shards' owners.
+    fn know(&self, endpoints: &[Endpoint]) {
+        let mut mesh = Mesh::default();
+        mesh.services.insert("claims".into(), Service::default());
+        let view = View::build(Version(1), &mesh, endpoints);
+        self.shared.view.store(Arc::new(view));
+    }
+
+    async fn claim(&self, key: &str) -> Claimed {
+        let call = Id {
+            origin: self.shared.incarnation,
+            sequence: self.calls.fetch_add(1, Ordering::Relaxed),
+        };
+        let fingerprint = Fingerprint::of("POST", key, b"");
+        let key = Key::of("claims", key);
+        self.reserve.claim(key, fingerprint, call, LIMIT).await
+    }
+}
+
+/// Three nodes that agree on the owners.
+async fn spawn_fleet(store: &Memory) -> Vec<Node> {
+    let mut fleet = Vec::new();
+    for name in ["first", "second", "third"] {
+        fleet.push(spawn_node(name, store).await);
+    }
+    let endpoints: Vec<_> = fleet.iter().map(Node::endpoint).collect();
+    for node in &fleet {
+        node.know(&endpoints);
+    }
+    fleet
+}
+
+fn granted(claimed: Claimed) -> Grant {
+    match claimed {
+        Claimed::Granted(grant) => grant,
+        Claimed::Told(told) => panic!("{told:?}"),
+    }
+}
+
+fn answer() -> Answer {
+    Answer {
+        status: 201,
+        headers: Vec::new(),
+        body: Bytes::from_static(b"booked"),
+    }
+}
+
+/// Claims until something else than `not_yet` is told.
+async fn claim_past(node: &Node, key: &str, not_yet: fn(&Reply) -> bool) -> Claimed {
+    loop {
+        match node.claim(key).await {
+            Claimed::Told(told) if not_yet(&told) => {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+            claimed => return claimed,
+        }
+    }
+}
+
+// A clerk's client loses the answer to a warranty release and repeats it at
+// another node. The claim must not be released twice: the repeat gets the
+// first one's answer, or "may have run" as long as that isn't known.
+#[tokio::test]
+async fn repeat_elsewhere() {
+    let fleet = spawn_fleet(&Memory::new()).await;
+    for key in ["k1", "k2", "k3", "k4", "k5", "k6"] {
+        let grant = granted(fleet[0].claim(key).await);
+        for node in &fleet {
+            assert_eq!(node.claim(key).await, Claimed::Told(Reply::Unsettled));
+        }
+        fleet[0].reserve.complete(grant, Some(answer()));
+        let unsettled = |reply: &Reply| *reply == Reply::Unsettled;
+        let told = claim_past(&fleet[1], key, unsettled).await;
+        assert_eq!(told, Claimed::Told(Reply::Known(Arc::new(answer()))));
+    }
+}
+
+#[tokio::test]
+async fn released() {
+    let fleet = spawn_fleet(&Memory::new()).await;
+    let grant = granted(fleet[0].claim("k1").await);
+    fleet[0].reserve.release(grant);
+    let unsettled = |reply: &Reply| *reply == Reply::Unsettled;
+    let _grant = granted(claim_past(&fleet[1], "k1", unsettled).await);
+}
+
+// Mallae's Saturday opens and hundreds of lessons are booked at once. With a
+// write for each the platform would be full; records carry many.
+#[tokio::test]
+async fn group_commit() {
+    let memory = Memory::new();
+    memory.set_faults(Faults {
+        slow_ms: 20,
+        ..Faults::default()
+    });
+    let fleet = Arc::new(spawn_fleet(&memory).await);
+    let claims = (0..960).map(|number| {
+        let fleet = Arc::clone(&fleet);
+        tokio::spawn(async move { granted(fleet[number % 3].claim(&number.to_string()).await) })
+    });
+    for claim in claims.collect::<Vec<_>>() {
+        let _grant = claim.await.unwrap();
+    }
+    let writes = memory.counts().writes;
+    assert!(writes <= 96, "{writes} writes for 960 keys");
+}
+
+// The owner of a key's shard is gone, and its address answers nobody.
+#[tokio::test]
+async fn owner_gone() {
+    let fleet = spawn_fleet(&Memory::new()).await;
+    fleet[1].listener.abort();
+    fleet[2].listener.abort();
+    for number in 0..16 {
+        let key = number.to_string();
+        let _grant = granted(fleet[0].claim(&key).await);
+        assert_eq!(fleet[0].claim(&key).await, Claimed::Told(Reply::Unsettled));
+    }
+}
+
+// The platform is out for a while. A clerk's release must be refused at once
+// and truly not run; once the platform is back, the same key must work.
+#[tokio::test(start_paused = true)]
+async fn outage() {
+    let memory = Memory::new();
+    let node = spawn_node("own", &memory).await;
+    memory.set_faults(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    let start = tokio::time::Instant::now();
+    for _ in 0..5 {
+        let told = node.claim("k1").await;
+        assert!(
+            matches!(told, Claimed::Told(Reply::Refused { .. })),
+            "{told:?}"
+        );
+    }
+    assert!(start.elapsed() < Duration::from_millis(100));
+    memory.set_faults(Faults::default());
+    let refused = |reply: &Reply| matches!(reply, Reply::Refused { .. });
+    let _grant = granted(claim_past(&node, "k1", refused).await);
+}
+
+// The record with a clerk's key stands, but every answer was lost, and she was
+// told "not run". Her repeat must run in the end, not be told for a day that it
+// may have.
+#[tokio::test(start_paused = true)]
+async fn refused_in_doubt() {
+    let memory = Memory::new();
+    let node = spawn_node("own", &memory).await;
+    memory.set_faults(Faults {
+        lose_next: 4,
+        ..Faults::default()
+    });
+    let told = node.claim("k1").await;
+    assert!(
+        matches!(told, Claimed::Told(Reply::Refused { .. })),
+        "{told:?}"
+    );
+    let other = spawn_node("other", &memory).await;
+    let not_yet = |reply: &Reply| matches!(reply, Reply::Refused { .. } | Reply::Unsettled);
+    let _grant = granted(claim_past(&other, "k1", not_yet).await);
+}
+
+/// What became of the keys, as those who ran calls saw it.
+type Runs = Arc<Mutex<HashMap<String, u32>>>;
+
+/// A caller that repeats its request at any node until it has its answer.
+async fn call_until_known(
+    nodes: Arc<Vec<Node>>,
+    key: String,
+    runs: Runs,
+    mut rng: SmallRng,
+) -> bool {
+    for _ in 0..20 {
+        let node = &nodes[rng.random_range(0..nodes.len())];
+        let pause = Duration::from_millis(rng.random_range(0..300));
+        match node.claim(&key).await {
+            Claimed::Granted(grant) if rng.random_bool(0.3) => node.reserve.release(grant),
+            Claimed::Granted(grant) => {
+                *runs.lock().unwrap().entry(key.clone()).or_default() += 1;
+                tokio::time::sleep(pause).await;
+                node.reserve.complete(grant, Some(answer()));
+            }
+            Claimed::Told(Reply::Known(known)) => return *known == answer(),
+            Claimed::Told(_) => {}
+        }
+        tokio::time::sleep(pause).await;
+    }
+    false
+}
+
+async fn disturb(memory: Memory, mut rng: SmallRng) {
+    loop {
+        memory.set_faults(Faults {
+            slow_ms: rng.random_range(0..20),
+            lose_percent: 20,
+            late_next: rng.random_range(0..6),
+            down: rng.random_bool(0.1),
+            ..Faults::default()
+        });
+        let pause = Duration::from_millis(rng.random_range(0..200));
+        tokio::time::sleep(pause).await;
+        memory.deliver();
+    }
+}
+
+// Three zones are cut off from each other but not from the platform, so that
+// each takes itself for the owner of every shard. Callers repeat at all of them
+// while writes are lost, late or refused. No key may run twice.
+#[yare::parameterized(one = { 1 }, two = { 2 }, three = { 3 }, four = { 4 })]
+#[test_macro(tokio::test(start_paused = true))]
+async fn rival_owners(seed: u64) {
+    let memory = Memory::seeded(seed);
+    let mut nodes = Vec::new();
+    for name in ["first", "second", "third"] {
+        nodes.push(spawn_node(name, &memory).await);
+    }
+    let nodes = Arc::new(nodes);
+    let runs = Runs::default();
+    let chaos = tokio::spawn(disturb(memory.clone(), SmallRng::seed_from_u64(seed)));
+    let callers = (0..120).map(|caller| {
+        let key = (caller / 3).to_string();
+        let rng = SmallRng::seed_from_u64(seed * 1000 + caller);
+        tokio::spawn(call_until_known(
+            Arc::clone(&nodes),
+            key,
+            Arc::clone(&runs),
+            rng,
+        ))
+    });
+    let mut known = 0;
+    for caller in callers.collect::<Vec<_>>() {
+        known += u32::from(caller.await.unwrap());
+    }
+    chaos.abort();
+    let runs = runs.lock().unwrap();
+    let twice: Vec<_> = runs.iter().filter(|(_, runs)| **runs > 1).collect();
+    assert!(twice.is_empty(), "{twice:?}");
+    assert!(
+        known > 60,
+        "{known} of 120 callers got their answer, {} keys ran",
+        runs.len()
+    );
+}
