--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,15 +5,21 @@
 //! [`shared::Shared`].
 
 mod backend;
+mod control_link;
+mod control_platform;
+mod control_tree;
 mod control_watch;
 mod header;
 mod inbound_call;
+mod inbound_gate;
 mod inbound_run;
+mod metrics_control;
 mod metrics_service;
 mod outbound_answer;
 mod outbound_call;
 mod outbound_link;
 mod outbound_sent;
+mod outbound_service;
 mod outbound_try;
 mod reserve_ages;
 mod reserve_link;
