--- a/crates/node/src/control_platform.rs
+++ b/crates/node/src/control_platform.rs
@@ -1,5 +1,6 @@
 //! What the state machine asks of the platform, carried out one by one.
 
+use crate::control_removal;
 use crate::control_tree::Input;
 use crate::shared::Shared;
 use clock::Clock;
@@ -162,9 +163,14 @@
     fn follow(&mut self, after: config::Version) {
         let journal = Journal::open(self.store.clone(), self.shared.clock.clone(), JOURNAL);
         let position = (after > config::Version::ZERO).then_some(after.0);
-        let follower = Follower::open(journal, position);
+        let follower = Follower::open(journal.clone(), position);
         let inbox = self.inbox.clone();
-        self.follower = Some(Task(tokio::spawn(pass_on(follower, inbox))));
+        self.follower = Some(Task(tokio::spawn(async move {
+            tokio::select! {
+                () = pass_on(follower, inbox) => {}
+                () = control_removal::run(journal) => {}
+            }
+        })));
     }
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 mod backend;
 mod control_link;
 mod control_platform;
+mod control_removal;
 mod control_tree;
 mod control_watch;
 mod header;
