Harm real processes under seeded faults, and check callers' and backend servers' histories

bluebellpick-bench faults kills, freezes and silences nodes and backend servers, takes the platform's answers away and stops processes gracefully, two faults at once. Nodes can advertise another address than they listen on, so that a forwarder stands in front of them.

--- a/crates/bench/src/deployment.rs
+++ b/crates/bench/src/deployment.rs
@@ -187,13 +187,19 @@
         Ok(deployment)
     }
 
+    /// Gives the address that the next VM will have.
+    #[must_use]
+    pub fn next_ip(&self) -> IpAddr {
+        ip_of(self.base, self.vms.len() + 1)
+    }
+
     /// Starts one more VM.
     ///
     /// # Errors
     ///
     /// When a program can't be started.
     pub fn add(&mut self, plan: Plan) -> Result<(), Error> {
-        let ip = ip_of(self.base, self.vms.len() + 1);
+        let ip = self.next_ip();
         let settings = self.folder.path().join(format!("{}.ini", plan.name));
         let seeds = self.vms.iter().take(3).map(Vm::nodes).collect::<Vec<_>>();
         std::fs::write(
--- /dev/null
+++ b/crates/bench/src/faults.rs
@@ -0,0 +1,211 @@
+//! Calls under faults: real processes, seeded faults, and a check of the histories.
+
+use crate::deployment::{Deployment, Vm, plan_services, put_route, put_service};
+use crate::error::Error;
+use crate::faults_callers::{self, Notes, TIMEOUT_MS, now_us};
+use crate::faults_forward::Forwarder;
+use crate::faults_history::{History, Span, Verdict, check};
+use crate::faults_inject::{Fault, Stop, Target, record_arguments, record_file};
+use config::{Class, Repeat};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde::Serialize;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Services of the fleet: bookings that must run at most once, and look-ups.
+const SERVICES: [&str; 3] = ["claims", "jobs", "records"];
+
+/// Callers at once.
+const CALLERS: usize = 16;
+
+/// How long faults are in force, in milliseconds.
+const FAULT_MS: std::ops::Range<u64> = 300..2_500;
+
+/// Pause in which calls that met a fault come to their end.
+const SETTLE: Duration = Duration::from_millis(TIMEOUT_MS + 1_500);
+
+/// Time in which late requests and repeats could still do harm before the records are read.
+const AFTERMATH: Duration = Duration::from_secs(5);
+
+/// Longest wait for the fleet to serve.
+const START_LIMIT: Duration = Duration::from_secs(30);
+
+/// Port of the forwarder in front of a VM's node.
+const FORWARDER_PORT: u16 = 7006;
+
+/// What to try.
+#[derive(Debug, Clone, Copy)]
+pub struct Plot {
+    /// Seed of all that is drawn.
+    pub seed: u64,
+    /// How long.
+    pub duration: Duration,
+}
+
+/// What came of it.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Report {
+    /// Seed of all that was drawn.
+    pub seed: u64,
+    /// What the check found.
+    #[serde(flatten)]
+    pub verdict: Verdict,
+    /// Faults that were put in, graceful stops included.
+    pub faults_injected: usize,
+}
+
+impl Report {
+    /// Tells whether nothing was violated.
+    #[must_use]
+    pub fn is_clean(&self) -> bool {
+        let found = &self.verdict;
+        found.double_runs + found.false_not_run + found.mixed_answers + found.cut_in_flight == 0
+    }
+}
+
+/// Starts the fleet, harms it while callers call, and checks what they and the backend servers noted.
+///
+/// # Errors
+///
+/// When a program can't be started, or the fleet doesn't come to serve.
+pub async fn run(plot: Plot) -> Result<Report, Error> {
+    let mut target = spawn().await?;
+    let notes = Notes::default();
+    let end = Instant::now() + plot.duration;
+    let addresses: Vec<_> = target.deployment.vms.iter().map(Vm::callers).collect();
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|index| {
+            let run = faults_callers::run(index, plot.seed, addresses.clone(), end, notes.clone());
+            tokio::spawn(run)
+        })
+        .collect();
+    let mut harm = Harm::new(plot.seed);
+    while Instant::now() + SETTLE < end {
+        harm.go_on(&mut target).await?;
+    }
+    for caller in callers {
+        if caller.await.is_err() {
+            return Err(Error::Unexpected("a caller failed".to_owned()));
+        }
+    }
+    tokio::time::sleep(AFTERMATH).await;
+    let history = History {
+        invocations: notes.take(),
+        records: target.read_records()?,
+        graceful: harm.graceful,
+    };
+    let verdict = check(&history);
+    for violation in &verdict.violations {
+        eprintln!("{violation}");
+    }
+    Ok(Report {
+        seed: plot.seed,
+        verdict,
+        faults_injected: harm.injected,
+    })
+}
+
+async fn spawn() -> Result<Target, Error> {
+    let mut deployment = Deployment::spawn(Vec::new(), &[]).await?;
+    let mut forwarders = Vec::new();
+    let mut files = Vec::new();
+    for (index, mut plan) in plan_services(&SERVICES, 1).into_iter().enumerate() {
+        let file = record_file(deployment.folder(), index, 0);
+        plan.backend_arguments = record_arguments(&file);
+        let front = SocketAddr::new(deployment.next_ip(), FORWARDER_PORT);
+        let advertised = format!("advertised = {front}");
+        plan.settings.push(("listen".to_owned(), advertised));
+        deployment.add(plan)?;
+        let nodes = deployment.vms[index].nodes();
+        forwarders.push(Forwarder::spawn(front, nodes).await?);
+        files.push(file);
+    }
+    let mut changes = Vec::new();
+    for (name, class, repeat) in [
+        ("claims", Class::Commit, Repeat::Never),
+        ("jobs", Class::Commit, Repeat::Never),
+        ("records", Class::Lookup, Repeat::ByMethod),
+    ] {
+        changes.push(put_service(name));
+        changes.push(put_route(&format!("/{name}"), name, class, repeat));
+    }
+    deployment.propose(&changes, 0)?;
+    for name in SERVICES {
+        let path = format!("/{name}/ready");
+        deployment.wait_served(&path, START_LIMIT).await?;
+    }
+    Ok(Target::new(deployment, forwarders, files))
+}
+
+/// Draws the faults, one round after the other.
+struct Harm {
+    rng: SmallRng,
+    rounds: usize,
+    injected: usize,
+    graceful: Vec<Span>,
+}
+
+impl Harm {
+    fn new(seed: u64) -> Self {
+        Self {
+            rng: SmallRng::seed_from_u64(seed),
+            rounds: 0,
+            injected: 0,
+            graceful: Vec::new(),
+        }
+    }
+
+    /// Every third round stops something gracefully, the others do harm.
+    async fn go_on(&mut self, target: &mut Target) -> Result<(), Error> {
+        self.rounds += 1;
+        if self.rounds.is_multiple_of(3) {
+            tokio::time::sleep(SETTLE).await;
+            self.stop_some(target).await
+        } else {
+            self.harm_some(target).await
+        }
+    }
+
+    async fn harm_some(&mut self, target: &mut Target) -> Result<(), Error> {
+        let vms = target.deployment.vms.len();
+        let mut faults = vec![Fault::draw(&mut self.rng, vms)];
+        if self.rng.random_bool(0.5) {
+            let second = Fault::draw(&mut self.rng, vms);
+            faults.extend(Some(second).filter(|second| second.goes_with(faults[0])));
+        }
+        for fault in &faults {
+            eprintln!("inject {fault:?}");
+            target.inject(*fault).await?;
+            self.injected += 1;
+        }
+        let wait = Duration::from_millis(self.rng.random_range(FAULT_MS));
+        tokio::time::sleep(wait).await;
+        for fault in faults {
+            target.recover(fault).await?;
+        }
+        let pause = Duration::from_millis(self.rng.random_range(FAULT_MS) / 4);
+        tokio::time::sleep(pause).await;
+        Ok(())
+    }
+
+    /// Stops a node and a backend server, one after the other, and lets the calls of then end.
+    async fn stop_some(&mut self, target: &mut Target) -> Result<(), Error> {
+        let vms = target.deployment.vms.len();
+        let from_us = now_us();
+        for stop in [
+            Stop::Node(self.rng.random_range(0..vms)),
+            Stop::Server(self.rng.random_range(0..vms)),
+        ] {
+            eprintln!("stop {stop:?}");
+            target.stop(stop).await?;
+            self.injected += 1;
+            tokio::time::sleep(SETTLE).await;
+        }
+        self.graceful.push(Span {
+            from_us,
+            to_us: now_us(),
+        });
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/bench/src/faults_callers.rs
@@ -0,0 +1,165 @@
+//! Callers who book and look up, repeat what may not have run, and note what they were told.
+
+use crate::caller::{Answer, Call, Caller};
+use crate::error::Error;
+use crate::faults_history::{Invocation, Told};
+use http::Method;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde::Deserialize;
+use standin::backend::fingerprint;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Requests of one key at most.
+const MAX_REQUESTS: u32 = 6;
+
+/// Time that a caller gives a call, in milliseconds.
+pub const TIMEOUT_MS: u64 = 2_000;
+
+/// Time after which a caller takes a silent node for lost.
+const PATIENCE: Duration = Duration::from_millis(TIMEOUT_MS + 1_000);
+
+/// Pause between two calls of one caller, in milliseconds.
+const PAUSE_MS: std::ops::Range<u64> = 5..40;
+
+/// Pause before a repeat, in milliseconds.
+const REPEAT_MS: std::ops::Range<u64> = 20..400;
+
+/// What all callers noted so far; clones share it.
+#[derive(Debug, Clone, Default)]
+pub struct Notes(Arc<Mutex<Vec<Invocation>>>);
+
+impl Notes {
+    fn push(&self, one: Invocation) {
+        let mut notes = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        notes.push(one);
+    }
+
+    /// Takes all notes.
+    #[must_use]
+    pub fn take(&self) -> Vec<Invocation> {
+        std::mem::take(&mut self.0.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
+/// What a backend server tells of the request that it answers.
+#[derive(Debug, Deserialize)]
+struct Description {
+    request: String,
+    body_fingerprint: String,
+}
+
+/// Gives the time of day, in microseconds of the Unix epoch.
+#[must_use]
+pub fn now_us() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| {
+        u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
+    })
+}
+
+/// Calls until `end`, at nodes drawn anew for each request.
+pub async fn run(index: usize, seed: u64, addresses: Vec<SocketAddr>, end: Instant, notes: Notes) {
+    let mut one = One {
+        index,
+        rng: SmallRng::seed_from_u64(seed.wrapping_add(index as u64)),
+        nodes: addresses.into_iter().map(Caller::new).collect(),
+        requests: 0,
+        notes,
+    };
+    let mut calls = 0;
+    while Instant::now() < end {
+        calls += 1;
+        one.make_call(calls).await;
+        one.pause(PAUSE_MS).await;
+    }
+}
+
+/// One caller.
+struct One {
+    index: usize,
+    rng: SmallRng,
+    nodes: Vec<Caller>,
+    requests: u64,
+    notes: Notes,
+}
+
+impl One {
+    async fn pause(&mut self, range: std::ops::Range<u64>) {
+        let pause = Duration::from_millis(self.rng.random_range(range));
+        tokio::time::sleep(pause).await;
+    }
+
+    async fn make_call(&mut self, number: u64) {
+        let books = self.rng.random_bool(0.6);
+        let key = books.then(|| format!("key-{}-{number}", self.index));
+        let path = match (books, self.rng.random_bool(0.5)) {
+            (true, true) => "/claims/release",
+            (true, false) => "/jobs/book",
+            (false, _) => "/records/gearbox",
+        };
+        let mut call = Call::new(if books { Method::POST } else { Method::GET }, path);
+        if let Some(key) = &key {
+            call.body = format!("for {key}").into_bytes().into();
+            call.headers.push(("idempotency-key", key.clone()));
+        }
+        call.headers
+            .push(("bluebellpick-timeout-ms", TIMEOUT_MS.to_string()));
+        // A few answers are longer than what is sent at once.
+        if self.rng.random_ratio(1, 20) {
+            let bytes = self.rng.random_range(1_000..200_000);
+            call.headers.push(("x-answer-bytes", bytes.to_string()));
+        }
+        for _ in 0..MAX_REQUESTS {
+            let told = self.request(&call, key.as_ref()).await;
+            let settled = matches!(told, Told::Answered { .. } | Told::Ran);
+            if settled || key.is_none() {
+                return;
+            }
+            self.pause(REPEAT_MS).await;
+        }
+    }
+
+    /// Sends one request to a node that takes the connection, and notes what came of it.
+    async fn request(&mut self, call: &Call, key: Option<&String>) -> Told {
+        self.requests += 1;
+        let request = format!("r-{}-{}", self.index, self.requests);
+        let mut call = call.clone();
+        call.headers.push(("x-request", request.clone()));
+        let sent_us = now_us();
+        let told = loop {
+            let node = self.rng.random_range(0..self.nodes.len());
+            let caller = self.nodes[node].clone();
+            match caller.send_within(&call, PATIENCE).await {
+                Ok(answer) => break read(&answer),
+                // Nobody took the connection: nothing was sent.
+                Err(Error::Io(_)) => self.pause(REPEAT_MS).await,
+                Err(_) => break Told::Broken,
+            }
+        };
+        self.notes.push(Invocation {
+            request,
+            key: key.cloned(),
+            fingerprint: fingerprint(&call.body),
+            sent_us,
+            told_us: now_us(),
+            told: told.clone(),
+        });
+        told
+    }
+}
+
+fn read(answer: &Answer) -> Told {
+    let description = serde_json::from_slice::<Description>(&answer.body);
+    match (answer.header("bluebellpick-verdict"), description) {
+        (Some("ran"), Ok(description)) if answer.status.is_success() => Told::Answered {
+            request: description.request,
+            fingerprint: description.body_fingerprint,
+        },
+        (Some("ran"), _) => Told::Ran,
+        (Some("not-run"), _) => Told::NotRun,
+        _ => Told::MayHaveRun,
+    }
+}
--- /dev/null
+++ b/crates/bench/src/faults_inject.rs
@@ -0,0 +1,293 @@
+//! Faults that are put into a running fleet, and taken out again.
+
+use crate::deployment::{Deployment, put_service, write_patch};
+use crate::error::Error;
+use crate::faults_callers::now_us;
+use crate::faults_forward::{Forwarder, Mode};
+use crate::faults_history::{Record, Run, Span};
+use crate::process::Process;
+use rand::Rng;
+use rand::rngs::SmallRng;
+use rustix::process::Signal;
+use std::collections::HashMap;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+/// Longest wait for a process that was told to stop gracefully.
+const STOP_LIMIT: Duration = Duration::from_secs(20);
+
+/// Time between two looks at such a process.
+const POLL: Duration = Duration::from_millis(10);
+
+/// What is done to the fleet; numbers name VMs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// SIGKILL of a node.
+    KillNode(usize),
+    /// SIGSTOP of a node, and SIGCONT later.
+    FreezeNode(usize),
+    /// SIGKILL of a backend server.
+    KillServer(usize),
+    /// SIGSTOP of a backend server, and SIGCONT later.
+    FreezeServer(usize),
+    /// Connections to a node lose what goes towards it.
+    LoseUp(usize),
+    /// Connections to a node lose what comes back.
+    LoseDown(usize),
+    /// Connections to a node hold what goes towards it, and deliver it late.
+    HoldUp(usize),
+    /// The platform loses answers after the effect.
+    LoseAnswers,
+    /// The platform is down.
+    PlatformDown,
+    /// Two operators propose against the same version.
+    Race,
+}
+
+impl Fault {
+    /// Draws a fault.
+    pub fn draw(rng: &mut SmallRng, vms: usize) -> Self {
+        let vm = rng.random_range(0..vms);
+        let faults = [
+            Self::KillNode(vm),
+            Self::FreezeNode(vm),
+            Self::KillServer(vm),
+            Self::FreezeServer(vm),
+            Self::LoseUp(vm),
+            Self::LoseDown(vm),
+            Self::HoldUp(vm),
+            Self::LoseAnswers,
+            Self::PlatformDown,
+            Self::Race,
+        ];
+        faults[rng.random_range(0..faults.len())]
+    }
+
+    fn vm(self) -> Option<usize> {
+        match self {
+            Self::KillNode(vm)
+            | Self::FreezeNode(vm)
+            | Self::KillServer(vm)
+            | Self::FreezeServer(vm)
+            | Self::LoseUp(vm)
+            | Self::LoseDown(vm)
+            | Self::HoldUp(vm) => Some(vm),
+            Self::LoseAnswers | Self::PlatformDown | Self::Race => None,
+        }
+    }
+
+    /// Tells whether two faults can be in force at once without one undoing the other.
+    #[must_use]
+    pub fn goes_with(self, other: Self) -> bool {
+        match (self.vm(), other.vm()) {
+            (Some(one), Some(two)) => one != two,
+            (None, None) => self == Self::Race || other == Self::Race,
+            _ => true,
+        }
+    }
+}
+
+/// What is stopped gracefully; numbers name VMs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stop {
+    /// A node.
+    Node(usize),
+    /// A backend server.
+    Server(usize),
+}
+
+/// A running fleet with the means to harm it.
+#[derive(Debug)]
+pub struct Target {
+    /// The fleet.
+    pub deployment: Deployment,
+    /// A forwarder in front of each VM's node.
+    pub forwarders: Vec<Forwarder>,
+    /// Files of the records, by VM: one a process.
+    records: HashMap<usize, Vec<(PathBuf, Vec<Span>)>>,
+    racers: Vec<Process>,
+    races: u32,
+}
+
+impl Target {
+    /// Takes over a fleet whose backend servers record to the files of [`record_file`].
+    #[must_use]
+    pub fn new(deployment: Deployment, forwarders: Vec<Forwarder>, files: Vec<PathBuf>) -> Self {
+        let records = files.into_iter().map(|file| vec![(file, Vec::new())]);
+        Self {
+            deployment,
+            forwarders,
+            records: records.enumerate().collect(),
+            racers: Vec::new(),
+            races: 0,
+        }
+    }
+
+    /// Puts a fault in.
+    ///
+    /// # Errors
+    ///
+    /// When a process can't be signalled or the platform refuses the command.
+    pub async fn inject(&mut self, fault: Fault) -> Result<(), Error> {
+        match fault {
+            Fault::KillNode(vm) => self.deployment.vms[vm].node.kill(),
+            Fault::FreezeNode(vm) => self.deployment.vms[vm].node.signal(Signal::STOP),
+            Fault::KillServer(vm) => self.server(vm)?.kill(),
+            Fault::FreezeServer(vm) => self.server(vm)?.signal(Signal::STOP),
+            Fault::LoseUp(vm) => {
+                self.forwarders[vm].set(Mode::Lose, Mode::Pass);
+                Ok(())
+            }
+            Fault::LoseDown(vm) => {
+                self.forwarders[vm].set(Mode::Pass, Mode::Lose);
+                Ok(())
+            }
+            Fault::HoldUp(vm) => {
+                self.forwarders[vm].set(Mode::Hold, Mode::Pass);
+                Ok(())
+            }
+            Fault::LoseAnswers => self.set_platform(r#"{"lose_percent":50}"#).await,
+            Fault::PlatformDown => self.set_platform(r#"{"down":true}"#).await,
+            Fault::Race => self.race(),
+        }
+    }
+
+    /// Takes a fault out again.
+    ///
+    /// # Errors
+    ///
+    /// When a program can't be started again or the platform refuses the command.
+    pub async fn recover(&mut self, fault: Fault) -> Result<(), Error> {
+        match fault {
+            Fault::KillNode(vm) => self.deployment.vms[vm].restart_node(),
+            Fault::FreezeNode(vm) => self.deployment.vms[vm].node.signal(Signal::CONT),
+            Fault::KillServer(vm) => self.restart_server(vm),
+            Fault::FreezeServer(vm) => self.server(vm)?.signal(Signal::CONT),
+            Fault::HoldUp(vm) => {
+                self.forwarders[vm].set(Mode::Pass, Mode::Pass);
+                Ok(())
+            }
+            Fault::LoseUp(_) | Fault::LoseDown(_) | Fault::Race => Ok(()),
+            Fault::LoseAnswers | Fault::PlatformDown => self.set_platform("{}").await,
+        }
+    }
+
+    /// Stops a process gracefully, waits for its end and starts it again.
+    ///
+    /// # Errors
+    ///
+    /// When it does not end in time, or can't be started again.
+    pub async fn stop(&mut self, stop: Stop) -> Result<(), Error> {
+        let (Stop::Node(vm) | Stop::Server(vm)) = stop;
+        let from_us = now_us();
+        match stop {
+            Stop::Node(_) => self.deployment.vms[vm].node.signal(Signal::TERM)?,
+            Stop::Server(_) => self.server(vm)?.signal(Signal::TERM)?,
+        }
+        let start = Instant::now();
+        while match stop {
+            Stop::Node(_) => self.deployment.vms[vm].node.is_running(),
+            Stop::Server(_) => self.server(vm)?.is_running(),
+        } {
+            if start.elapsed() > STOP_LIMIT {
+                return Err(Error::Timeout(format!("{stop:?} to end")));
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        let span = Span {
+            from_us,
+            to_us: now_us(),
+        };
+        if let Some((_, left)) = self.records.entry(vm).or_default().last_mut() {
+            left.push(span);
+        }
+        match stop {
+            Stop::Node(_) => self.deployment.vms[vm].restart_node(),
+            Stop::Server(_) => self.restart_server(vm),
+        }
+    }
+
+    /// Reads what all backend servers recorded.
+    ///
+    /// # Errors
+    ///
+    /// When a file can't be read, or a line is no run.
+    pub fn read_records(&self) -> Result<Vec<Record>, Error> {
+        let files = self.records.values().flatten();
+        files
+            .map(|(file, left)| {
+                Ok(Record {
+                    runs: read_runs(&std::fs::read_to_string(file)?)?,
+                    left: left.clone(),
+                })
+            })
+            .collect()
+    }
+
+    fn server(&mut self, vm: usize) -> Result<&mut Process, Error> {
+        let server = self.deployment.vms[vm].backend.as_mut();
+        server.ok_or_else(|| Error::Unexpected(format!("VM {vm} has no backend server")))
+    }
+
+    async fn set_platform(&self, fault: &str) -> Result<(), Error> {
+        self.deployment.set_platform_fault(fault).await.map(drop)
+    }
+
+    /// A killed process leaves its record behind; the next one gets a file of its own.
+    fn restart_server(&mut self, vm: usize) -> Result<(), Error> {
+        let files = self.records.entry(vm).or_default();
+        let file = record_file(self.deployment.folder(), vm, files.len());
+        files.push((file.clone(), Vec::new()));
+        let server = &mut self.deployment.vms[vm];
+        server.plan.backend_arguments = record_arguments(&file);
+        server.restart_backend()
+    }
+
+    /// Starts two proposals against the version of now; which one wins is not looked at here.
+    fn race(&mut self) -> Result<(), Error> {
+        self.races += 1;
+        self.racers.retain_mut(Process::is_running);
+        let platform = self.deployment.platform_address.to_string();
+        for racer in 0..2 {
+            let service = format!("race-{}-{racer}", self.races);
+            let file = self.deployment.folder().join(format!("{service}.jsonl"));
+            std::fs::write(&file, write_patch(&[put_service(&service)])?)?;
+            let (file, base) = (file.display().to_string(), self.races.to_string());
+            let arguments = ["propose", &file, "--base", &base, "--platform", &platform];
+            let log = self.deployment.folder().join(format!("{service}.log"));
+            self.racers
+                .push(Process::spawn("bluebellpick", arguments, &log)?);
+        }
+        Ok(())
+    }
+}
+
+/// Names the file of a backend server's record.
+#[must_use]
+pub fn record_file(folder: &std::path::Path, vm: usize, process: usize) -> PathBuf {
+    folder.join(format!("record-{vm}-{process}.jsonl"))
+}
+
+/// Gives the arguments of a backend server that records to `file`.
+#[must_use]
+pub fn record_arguments(file: &std::path::Path) -> Vec<String> {
+    let file = file.display().to_string();
+    vec![
+        "--record".to_owned(),
+        file,
+        "--work-ms".to_owned(),
+        "8".to_owned(),
+    ]
+}
+
+/// Reads a record's lines; the last one of each run tells the most, and a killed process may leave half a line.
+fn read_runs(text: &str) -> Result<Vec<Run>, Error> {
+    let whole = text.rsplit_once('\n').map_or("", |(whole, _)| whole);
+    let mut runs: HashMap<usize, Run> = HashMap::new();
+    for line in whole.lines() {
+        let run: Run =
+            serde_json::from_str(line).map_err(|error| Error::Unexpected(error.to_string()))?;
+        runs.insert(run.run, run);
+    }
+    Ok(runs.into_values().collect())
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -7,6 +7,11 @@
 pub mod caller;
 pub mod deployment;
 pub mod error;
+pub mod faults;
+pub mod faults_callers;
+pub mod faults_forward;
+pub mod faults_history;
+pub mod faults_inject;
 pub mod load;
 pub mod path;
 pub mod process;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,7 +3,7 @@
 //! Every experiment prints one JSON object with its figures as its last line.
 
 use bench::error::Error;
-use bench::path;
+use bench::{faults, path};
 use bpaf::{Parser, construct, long};
 use std::process::ExitCode;
 use std::time::Duration;
@@ -12,6 +12,7 @@
 #[derive(Debug, Clone)]
 enum Command {
     Path(path::Plot),
+    Faults(faults::Plot),
 }
 
 fn parse_seconds(default: u64) -> impl Parser<Duration> {
@@ -45,11 +46,27 @@
     plot.map(Command::Path)
 }
 
+fn parse_faults() -> impl Parser<Command> {
+    let seed = long("seed")
+        .help("Seed of all faults and calls")
+        .argument::<u64>("SEED")
+        .fallback(1)
+        .display_fallback();
+    let duration = parse_seconds(60);
+    let plot = construct!(faults::Plot { seed, duration });
+    plot.map(Command::Faults)
+}
+
 fn parse_command() -> impl Parser<Command> {
-    parse_path()
+    let faults = parse_faults()
+        .to_options()
+        .descr("Checks the histories of callers and backend servers under seeded faults")
+        .command("faults");
+    let path = parse_path()
         .to_options()
         .descr("Sets direct calls and calls through the proxies side by side")
-        .command("path")
+        .command("path");
+    construct!([faults, path])
 }
 
 // One thread: the pacer must see the sockets of its own calls at once.
@@ -60,9 +77,13 @@
         .descr("Load, experiments and failures against real processes")
         .run();
     match run(command).await {
-        Ok(report) => {
+        Ok((report, clean)) => {
             println!("{report}");
-            ExitCode::SUCCESS
+            if clean {
+                ExitCode::SUCCESS
+            } else {
+                ExitCode::FAILURE
+            }
         }
         Err(error) => {
             eprintln!("bluebellpick-bench: {error}");
@@ -71,9 +92,14 @@
     }
 }
 
-async fn run(command: Command) -> Result<String, Error> {
+/// Gives the report, and whether nothing that must hold was violated.
+async fn run(command: Command) -> Result<(String, bool), Error> {
     match command {
-        Command::Path(plot) => print_json(&path::run(plot).await?),
+        Command::Path(plot) => Ok((print_json(&path::run(plot).await?)?, true)),
+        Command::Faults(plot) => {
+            let report = faults::run(plot).await?;
+            Ok((print_json(&report)?, report.is_clean()))
+        }
     }
 }
 
--- a/crates/node/src/control_platform.rs
+++ b/crates/node/src/control_platform.rs
@@ -152,7 +152,7 @@
     fn lease(&mut self, slot: u8) -> &mut Lease<S, C> {
         let name = self.name_lease(slot);
         let settings = &self.shared.settings;
-        let holder = format!("{} {} {}", settings.name, settings.zone, settings.nodes);
+        let holder = format!("{} {} {}", settings.name, settings.zone, settings.address());
         let (store, clock) = (self.store.clone(), self.shared.clock.clone());
         self.leases
             .entry(slot)
--- a/crates/node/src/control_tree.rs
+++ b/crates/node/src/control_tree.rs
@@ -114,7 +114,7 @@
             own: Peer {
                 node: own.name.clone(),
                 zone: own.zone.clone(),
-                address: own.nodes,
+                address: own.address(),
             },
             region: own.region.clone(),
             incarnation: shared.incarnation,
--- a/crates/node/src/control_watch.rs
+++ b/crates/node/src/control_watch.rs
@@ -210,7 +210,7 @@
         service: backend.service,
         zone: settings.zone.clone(),
         region: settings.region.clone(),
-        address: settings.nodes,
+        address: settings.address(),
         slots: backend.slots,
         state: if is_leaving {
             State::Leaving
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -24,6 +24,8 @@
         [listen] backend: SocketAddr;
         /// Where other nodes connect; they are told this address, so it can't be 0.0.0.0.
         [listen] nodes: SocketAddr;
+        /// Where other nodes are told to connect, when something forwards it to `nodes`; empty for `nodes` itself.
+        [listen] advertised: Option<SocketAddr> = "";
         /// Where operators connect.
         [listen] operators: SocketAddr;
         /// Address of the platform's object API.
@@ -70,6 +72,12 @@
         document.finish(settings, file)
     }
 
+    /// Gives the address that other nodes are told to connect to.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.advertised.unwrap_or(self.nodes)
+    }
+
     /// Gives the four listeners by the names of their keys.
     #[must_use]
     pub fn listeners(&self) -> [(&'static str, SocketAddr); 4] {
