--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,7 +3,7 @@
 //! Every experiment prints one JSON object with its figures as its last line.
 
 use bench::error::Error;
-use bench::{converge, demo, path};
+use bench::{converge, demo, faults, path};
 use bpaf::{Parser, construct};
 use std::process::ExitCode;
 use tokio::signal::unix::{SignalKind, signal};
@@ -14,6 +14,7 @@
     Demo,
     Path(path::Plot),
     Converge(converge::Plot),
+    Faults(faults::Plot),
 }
 
 fn parse_command() -> impl Parser<Command> {
@@ -31,7 +32,12 @@
         .to_options()
         .descr("Measures how long versions take to all nodes, and what that costs")
         .command("converge");
-    construct!([demo, path, converge])
+    let faults = faults::parse()
+        .map(Command::Faults)
+        .to_options()
+        .descr("Checks the histories of callers and backend servers under seeded faults")
+        .command("faults");
+    construct!([demo, path, converge, faults])
 }
 
 // One thread: the pacer must see the sockets of its own calls at once.
@@ -47,9 +53,13 @@
         () = wait_signal() => Err(Error::Unexpected("ended early by a signal".to_owned())),
     };
     match ended {
-        Ok(report) => {
+        Ok((report, is_clean)) => {
             println!("{report}");
-            ExitCode::SUCCESS
+            if is_clean {
+                ExitCode::SUCCESS
+            } else {
+                ExitCode::FAILURE
+            }
         }
         Err(error) => {
             eprintln!("bluebellpick-bench: {error}");
@@ -71,11 +81,16 @@
     }
 }
 
-async fn run(command: Command) -> Result<String, Error> {
+/// Gives the report, and whether nothing that must hold was violated.
+async fn run(command: Command) -> Result<(String, bool), Error> {
     match command {
-        Command::Demo => print_json(&demo::run().await?),
-        Command::Path(plot) => print_json(&path::run(plot).await?),
-        Command::Converge(plot) => print_json(&converge::run(plot).await?),
+        Command::Demo => Ok((print_json(&demo::run().await?)?, true)),
+        Command::Path(plot) => Ok((print_json(&path::run(plot).await?)?, true)),
+        Command::Faults(plot) => {
+            let report = faults::run(plot).await?;
+            Ok((print_json(&report)?, report.is_clean()))
+        }
+        Command::Converge(plot) => Ok((print_json(&converge::run(plot).await?)?, true)),
     }
 }
 
