--- /dev/null
+++ b/crates/node/src/inbound_run.rs
@@ -0,0 +1,314 @@
+//! How one call is run on the node's own backend server.
+
+use crate::backend::{Error, Reply};
+use crate::header::{put_headers, take_end_to_end};
+use crate::inbound::{Active, Inner};
+use crate::inbound_call::{Call, PART};
+use crate::inbound_gate::{Offer, Permit};
+use crate::upload::{Rest, Upload};
+use bytes::Bytes;
+use call::Verdict;
+use clock::Clock;
+use http::{HeaderName, HeaderValue, Method, Response, StatusCode, Uri};
+use policy::admission;
+use policy::limit::Outcome;
+use std::future::poll_fn;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+use wire::call::{Answer, Reason, Request};
+
+/// Header with the time that a call has left, in milliseconds; from callers, and to backend servers.
+pub const TIMEOUT_HEADER: HeaderName = HeaderName::from_static("bluebellpick-timeout-ms");
+
+/// Why a call got no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Refused {
+    pub(crate) verdict: Verdict,
+    pub(crate) reason: Reason,
+    pub(crate) retry_after_ms: u32,
+}
+
+/// A backend server's answer, with what it holds until its body ends.
+#[derive(Debug)]
+pub(crate) struct Running<C>
+where
+    C: Clock,
+{
+    reply: Reply<C>,
+    permit: Permit<C>,
+    _active: Active<C>,
+}
+
+impl Refused {
+    fn not_run(reason: Reason, retry_after_ms: u32) -> Self {
+        Self {
+            verdict: Verdict::NotRun,
+            reason,
+            retry_after_ms,
+        }
+    }
+
+    fn may_have_run(reason: Reason) -> Self {
+        Self {
+            verdict: Verdict::MayHaveRun,
+            reason,
+            retry_after_ms: 0,
+        }
+    }
+}
+
+/// Runs a call that came over a link.
+pub(crate) fn spawn<C>(inner: Arc<Inner<C>>, call: Arc<Call>, request: Request)
+where
+    C: Clock,
+{
+    tokio::spawn(async move {
+        let id = call.id;
+        let deadline = deadline_of(&inner, request.timeout_ms);
+        tokio::select! {
+            biased;
+            () = call.cancelled() => end_early(&inner, &call, Reason::Cancelled),
+            () = sleep_until(&inner, deadline) => end_early(&inner, &call, Reason::Deadline),
+            () = serve(&inner, &call, request, deadline) => {}
+        }
+        inner.finish(id);
+    });
+}
+
+/// Refuses a call that nobody waits for any more; dropping its exchange has told the backend server.
+fn end_early<C>(inner: &Inner<C>, call: &Call, reason: Reason)
+where
+    C: Clock,
+{
+    let verdict = if inner
+        .table(call.id.origin)
+        .lock()
+        .withdraw(call.id, inner.shared.clock.now())
+    {
+        Verdict::NotRun
+    } else {
+        Verdict::MayHaveRun
+    };
+    call.refuse(verdict, reason, 0);
+}
+
+async fn serve<C>(inner: &Arc<Inner<C>>, call: &Arc<Call>, request: Request, deadline: Instant)
+where
+    C: Clock,
+{
+    let upload = match call.take_whole() {
+        Some(upload) => upload,
+        None => Upload {
+            ready: None,
+            rest: Rest::Link(Arc::clone(call)),
+        },
+    };
+    let start = || inner.table(call.id.origin).lock().start(call.id);
+    match run(inner, request, upload, deadline, start).await {
+        Ok(response) => send_answer(call, response).await,
+        Err(refused) => call.refuse(refused.verdict, refused.reason, refused.retry_after_ms),
+    }
+}
+
+/// Waits for a slot and gives a request to the backend server.
+///
+/// `start` is asked right before: it is false for a call that was withdrawn
+/// while it waited.
+pub(crate) async fn run<C, S>(
+    inner: &Arc<Inner<C>>,
+    request: Request,
+    upload: Upload,
+    deadline: Instant,
+    start: S,
+) -> Result<Response<Running<C>>, Refused>
+where
+    C: Clock,
+    S: FnOnce() -> bool,
+{
+    let find = || {
+        inner
+            .find_backend(&request.service)
+            .map_err(|reason| Refused::not_run(reason, 0))
+    };
+    let active = inner.count_in();
+    let mut permit = enter(inner, &request, deadline, find()?.slots).await?;
+    let backend = find()?;
+    let request = make_request(request, upload, left(inner, deadline))
+        .ok_or(Refused::not_run(Reason::Backend, 0))?;
+    if !start() {
+        return Err(Refused::not_run(Reason::Cancelled, 0));
+    }
+    match inner.pool.exchange(backend.address, request).await {
+        Ok(response) => {
+            permit.outcome = outcome_of(response.status());
+            Ok(response.map(|reply| Running {
+                reply,
+                permit,
+                _active: active,
+            }))
+        }
+        Err(Error::Connect) => Err(Refused::not_run(Reason::Backend, 0)),
+        Err(Error::Broken) => Err(Refused::may_have_run(Reason::Backend)),
+    }
+}
+
+/// Waits at the gate.
+async fn enter<C>(
+    inner: &Arc<Inner<C>>,
+    request: &Request,
+    deadline: Instant,
+    slots: u16,
+) -> Result<Permit<C>, Refused>
+where
+    C: Clock,
+{
+    let path = request.path.split('?').next().unwrap_or_default();
+    let asked = admission::Request {
+        class: request.class,
+        caller: policy::hash(&request.caller),
+        key: policy::hash(path),
+        route: request.route,
+        deadline,
+    };
+    let decided = match inner.gate.offer(slots, &asked) {
+        Offer::Run(permit) => Ok(permit),
+        Offer::Refuse(refusal) => Err(refusal),
+        // What waits when the server begins to leave is refused at that instant.
+        Offer::Wait(waiting) => tokio::select! {
+            biased;
+            decided = waiting.decided() => decided,
+            () = inner.left() => return Err(Refused::not_run(Reason::Leaving, 0)),
+        },
+    };
+    decided.map_err(|refusal| {
+        let reason = match refusal.reason {
+            admission::Reason::Full => Reason::Full,
+            admission::Reason::Deadline => Reason::Deadline,
+        };
+        let wait = u32::try_from(refusal.retry_after.as_millis()).unwrap_or(u32::MAX);
+        Refused::not_run(reason, wait.max(1))
+    })
+}
+
+/// Tells what an answer's status says of the backend server's load.
+fn outcome_of(status: StatusCode) -> Outcome {
+    match status {
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => Outcome::Shed,
+        status if status.is_server_error() => Outcome::Failed,
+        _ => Outcome::Done,
+    }
+}
+
+impl<C> Running<C>
+where
+    C: Clock,
+{
+    /// Waits for the next part of the body; `None` ends it.
+    pub(crate) fn poll_part(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Error>>> {
+        let part = self.reply.poll_part(cx);
+        if matches!(part, Poll::Ready(Some(Err(_)))) {
+            self.permit.outcome = Outcome::Failed;
+        }
+        part
+    }
+
+    /// Tells whether no part follows.
+    pub(crate) fn is_end(&self) -> bool {
+        self.reply.is_end()
+    }
+
+    /// Gives the load of the backend server, in per cent of its slots.
+    pub(crate) fn load_percent(&self) -> u16 {
+        percent_of(self.permit.load())
+    }
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "clamped to what fits"
+)]
+fn percent_of(load: f64) -> u16 {
+    (load * 100.0).clamp(0.0, f64::from(u16::MAX)) as u16
+}
+
+fn make_request(request: Request, upload: Upload, left: Duration) -> Option<http::Request<Upload>> {
+    let mut made = http::Request::new(upload);
+    *made.method_mut() = Method::from_bytes(request.method.as_bytes()).ok()?;
+    *made.uri_mut() = Uri::try_from(request.path.as_str()).ok()?;
+    put_headers(request.headers, made.headers_mut());
+    let left = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+    made.headers_mut()
+        .insert(TIMEOUT_HEADER, HeaderValue::from(left));
+    Some(made)
+}
+
+async fn send_answer<C>(call: &Call, response: Response<Running<C>>)
+where
+    C: Clock,
+{
+    let (parts, mut running) = response.into_parts();
+    let load_percent = running.load_percent();
+    // What is there already of the body goes with the head, in one write.
+    let mut next = take_ready(&mut running).await;
+    let mut first = None;
+    if let Poll::Ready(Some(Ok(bytes))) = &next
+        && bytes.len() <= PART
+    {
+        first = Some(bytes.clone());
+        next = take_ready(&mut running).await;
+    }
+    let end = matches!(next, Poll::Ready(None));
+    let head = Answer {
+        id: call.id,
+        status: parts.status.as_u16(),
+        headers: take_end_to_end(&parts.headers),
+        load_percent,
+        end: end && first.is_none(),
+    };
+    call.send_head(head, first, end);
+    if end {
+        return;
+    }
+    loop {
+        let part = match std::mem::replace(&mut next, Poll::Pending) {
+            Poll::Ready(part) => part,
+            Poll::Pending => poll_fn(|cx| running.poll_part(cx)).await,
+        };
+        match part {
+            Some(Ok(bytes)) => call.send_part(bytes).await,
+            Some(Err(_)) => return call.refuse(Verdict::Ran, Reason::Backend, 0),
+            None => return call.send_end(),
+        }
+    }
+}
+
+/// Gives the next part of a body if it is there now.
+async fn take_ready<C>(running: &mut Running<C>) -> Poll<Option<Result<Bytes, Error>>>
+where
+    C: Clock,
+{
+    poll_fn(|cx| Poll::Ready(running.poll_part(cx))).await
+}
+
+pub(crate) fn deadline_of<C>(inner: &Inner<C>, timeout_ms: u32) -> Instant
+where
+    C: Clock,
+{
+    inner.shared.clock.now() + Duration::from_millis(timeout_ms.into())
+}
+
+fn left<C>(inner: &Inner<C>, deadline: Instant) -> Duration
+where
+    C: Clock,
+{
+    deadline.saturating_duration_since(inner.shared.clock.now())
+}
+
+pub(crate) async fn sleep_until<C>(inner: &Inner<C>, deadline: Instant)
+where
+    C: Clock,
+{
+    tokio::time::sleep(left(inner, deadline)).await;
+}
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,3 +1,102 @@
-//! Placeholder.
+//! `bluebellpick-node`: the proxy and relay beside a backend server.
 
-fn main() {}
+use bpaf::{Args, OptionParser, ParseFailure, Parser, construct, long};
+use log::{error, warn};
+use settings::node::Settings;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use tokio::runtime::Builder;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+/// Exit code for a command line or settings that can't be used.
+const BAD_SETTINGS: u8 = 2;
+
+/// Width of the help text, in columns.
+const WIDTH: usize = 100;
+
+/// What the command line says.
+#[derive(Debug, Clone)]
+struct Options {
+    settings: PathBuf,
+    check: bool,
+}
+
+fn parse_options() -> OptionParser<Options> {
+    let settings = long("settings")
+        .help("INI file with the node's settings")
+        .argument("FILE");
+    let check = long("check")
+        .help("Only check the settings, then end: 0 when they are right, 2 when not")
+        .switch();
+    construct!(Options { settings, check })
+        .to_options()
+        .version(env!("CARGO_PKG_VERSION"))
+        .descr("The proxy and relay that runs beside every backend server")
+        .footer(
+            "SIGTERM stops it gracefully: no new work, and what is in flight ends first. A second \
+             one ends it at once. Exit codes: 0 stopped gracefully; 1 could not start, or ended \
+             before what was in flight; 2 wrong command line or settings. The log goes to \
+             standard error; BLUEBELLPICK_LOG sets its level.",
+        )
+}
+
+fn main() -> ExitCode {
+    let options = match parse_options().run_inner(Args::current_args()) {
+        Ok(options) => options,
+        Err(failure) => {
+            failure.print_message(WIDTH);
+            let is_wrong = matches!(failure, ParseFailure::Stderr(_));
+            return ExitCode::from(if is_wrong { BAD_SETTINGS } else { 0 });
+        }
+    };
+    let settings = match Settings::open(&options.settings) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::from(BAD_SETTINGS);
+        }
+    };
+    if options.check {
+        return ExitCode::SUCCESS;
+    }
+    node::logs::open();
+    match start(settings) {
+        Ok(code) => code,
+        Err(error) => {
+            error!(error:%; "failed");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start(settings: Settings) -> std::io::Result<ExitCode> {
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(settings.threads.into())
+        .enable_all()
+        .build()?;
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: Settings) -> std::io::Result<ExitCode> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let running = node::node::spawn(settings, clock::System).await?;
+    wait_any(&mut terminate, &mut interrupt).await;
+    tokio::select! {
+        () = running.stop() => Ok(ExitCode::SUCCESS),
+        () = wait_any(&mut terminate, &mut interrupt) => {
+            warn!("stopped_at_once");
+            Ok(ExitCode::FAILURE)
+        }
+    }
+}
+
+async fn wait_any(terminate: &mut Signal, interrupt: &mut Signal) {
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
--- /dev/null
+++ b/crates/node/src/outbound_call.rs
@@ -0,0 +1,219 @@
+//! How the outbound proxy serves one call of a caller.
+
+use crate::inbound_run::Refused;
+use crate::metrics::Ending;
+use crate::outbound::Inner;
+use crate::outbound_answer::{Body, refuse, reject};
+use crate::outbound_keyed::{key_of, serve_keyed};
+use crate::outbound_plan::{Plan, left, make_plan, take_body};
+use crate::outbound_send::{Tried, UNREACHABLE_RETRY_MS, not_run, try_once};
+use crate::outbound_sent;
+use crate::outbound_service::{Ask, Picked};
+use call::Verdict;
+use clock::Clock;
+use config::Objective;
+use http::{Request, Response, StatusCode, request};
+use hyper::body::Incoming;
+use policy::balance::{Key, Outcome};
+use policy::retry::{self, Cause, Decision};
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use wire::call::Reason;
+
+/// A call's answer, and how it counts.
+pub(crate) struct Served<C>
+where
+    C: Clock,
+{
+    pub(crate) response: Response<Body<C>>,
+    pub(crate) ending: Ending,
+}
+
+/// Counts a call for the report on burn; one that is dropped was cancelled.
+struct Count<'a, C>
+where
+    C: Clock,
+{
+    inner: &'a Inner<C>,
+    service: &'a str,
+    objective: Option<Objective>,
+    started: Instant,
+    ending: Ending,
+}
+
+impl<C> Drop for Count<'_, C>
+where
+    C: Clock,
+{
+    fn drop(&mut self) {
+        let now = self.inner.shared.clock.now();
+        let elapsed = now.saturating_duration_since(self.started);
+        let service = self.inner.shared.metrics.service(self.service);
+        service.record(now, self.ending, elapsed, self.objective.as_ref());
+    }
+}
+
+/// Serves one call.
+pub(crate) async fn serve<C>(
+    inner: &Arc<Inner<C>>,
+    request: Request<Incoming>,
+    peer: IpAddr,
+) -> Response<Body<C>>
+where
+    C: Clock,
+{
+    let (head, body) = request.into_parts();
+    let started = inner.shared.clock.now();
+    let view = inner.shared.view.load_full();
+    let Some((plan, objective)) = make_plan(inner, &view, &head, peer) else {
+        return if view.is_withheld(head.uri.path()) {
+            refuse(not_run(Reason::NoService, UNREACHABLE_RETRY_MS))
+        } else {
+            reject(StatusCode::NOT_FOUND, "no-route")
+        };
+    };
+    drop(view);
+    let plan = Arc::new(plan);
+    let mut count = Count {
+        inner,
+        service: &plan.service,
+        objective,
+        started,
+        ending: Ending::Cancelled,
+    };
+    let taken = tokio::time::timeout(left(inner, plan.deadline), take_body(body)).await;
+    let body = match taken {
+        Ok(Ok(body)) => body,
+        Ok(Err(_)) => return reject(StatusCode::BAD_REQUEST, "body-cut-off"),
+        Err(_) => return reject(StatusCode::REQUEST_TIMEOUT, "body-late"),
+    };
+    let served = match key_of(&plan, &head) {
+        Some(key) => serve_keyed(inner, &plan, key, head, body).await,
+        None => serve_plan(inner, &plan, &head, body).await,
+    };
+    count.ending = served.ending;
+    served.response
+}
+
+impl<C> From<Refused> for Served<C>
+where
+    C: Clock,
+{
+    fn from(refused: Refused) -> Self {
+        Self {
+            response: refuse(refused),
+            ending: Ending::Refused(refused.verdict),
+        }
+    }
+}
+
+impl<C> From<Response<Body<C>>> for Served<C>
+where
+    C: Clock,
+{
+    fn from(response: Response<Body<C>>) -> Self {
+        Self {
+            ending: Ending::Answered(response.status().as_u16()),
+            response,
+        }
+    }
+}
+
+/// Tries a call until it is answered or its final refusal is known.
+pub(crate) async fn serve_plan<C>(
+    inner: &Arc<Inner<C>>,
+    plan: &Plan,
+    head: &request::Parts,
+    mut body: outbound_sent::Body,
+) -> Served<C>
+where
+    C: Clock,
+{
+    let mut tried = Vec::new();
+    // What the caller is told in the end: one try that may have run weighs more than any that did not.
+    let mut told = not_run(Reason::NoService, UNREACHABLE_RETRY_MS);
+    for tries in 1.. {
+        let Some(mut picked) = pick(inner, plan, &tried) else {
+            break;
+        };
+        tried.push(picked.key);
+        let (refused, back) = match try_once(inner, plan, head, body, &picked.endpoint, tries).await
+        {
+            Tried::Answered(response, load) => {
+                picked.outcome = answered(response.status(), load);
+                if tries == 1 {
+                    plan.known.succeed(plan.rule.as_ref());
+                }
+                return response.into();
+            }
+            Tried::Refused(refused, back) => (refused, back),
+        };
+        let cause = cause_of(refused);
+        picked.outcome = refused_outcome(cause);
+        drop(picked);
+        if told.verdict == Verdict::NotRun {
+            told = refused;
+        }
+        let Some(back) = back else {
+            break;
+        };
+        body = back;
+        let failed = retry::Try {
+            verdict: refused.verdict,
+            cause,
+            repeatable: plan.repeats(),
+            tries,
+            attempts: plan.attempts(),
+            retried_above: plan.retried_above,
+            untried: true,
+            deadline: plan.deadline,
+            expected: plan.known.expect(plan.route),
+        };
+        match plan.known.decide(inner.shared.clock.now(), &failed) {
+            Decision::Again(Duration::ZERO) => {}
+            Decision::Again(wait) => tokio::time::sleep(wait).await,
+            Decision::Stop(_) => break,
+        }
+    }
+    told.into()
+}
+
+fn pick<C>(inner: &Inner<C>, plan: &Plan, tried: &[Key]) -> Option<Picked<C>>
+where
+    C: Clock,
+{
+    let view = inner.shared.view.load_full();
+    let ask = Ask {
+        place: &inner.place,
+        tried,
+        repeatable: plan.repeatable,
+        route: plan.route,
+    };
+    plan.known
+        .pick(&inner.shared.clock, &view, &plan.service, &ask)
+}
+
+fn answered(status: StatusCode, load: Option<f64>) -> Outcome {
+    match status {
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => Outcome::Full,
+        status if status.is_server_error() => Outcome::Failed,
+        _ => Outcome::Answered(load),
+    }
+}
+
+fn cause_of(refused: Refused) -> Cause {
+    match (refused.verdict, refused.reason) {
+        (Verdict::NotRun, Reason::Leaving) => Cause::Leaving,
+        (Verdict::NotRun, Reason::Full | Reason::Deadline) => Cause::Full,
+        _ => Cause::Failed,
+    }
+}
+
+fn refused_outcome(cause: Cause) -> Outcome {
+    match cause {
+        Cause::Leaving => Outcome::Leaving,
+        Cause::Full => Outcome::Full,
+        Cause::Failed => Outcome::Failed,
+    }
+}
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -1,10 +1,12 @@
 //! What the parts of a node share.
 
+use crate::metrics::Metrics;
 use arc_swap::ArcSwap;
 use clock::Clock;
 use config::View;
 use settings::node::Settings;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize};
 use tokio::sync::watch;
 
 /// What the node's own backend server has announced.
@@ -38,6 +40,14 @@
     pub backend: watch::Sender<Option<Backend>>,
     /// Whether the node itself is leaving.
     pub leaving: watch::Sender<bool>,
+    /// Calls that the own backend server runs right now.
+    pub in_flight: AtomicUsize,
+    /// Whether all listeners run.
+    pub listening: AtomicBool,
+    /// The node's part in distribution.
+    pub distribution: ArcSwap<status::Distribution>,
+    /// What the node counts.
+    pub metrics: Metrics,
 }
 
 impl<C> Shared<C>
@@ -47,6 +57,7 @@
     /// Makes the shared state of a node that holds nothing yet.
     #[must_use]
     pub fn new(settings: Settings, incarnation: u64, clock: C) -> Arc<Self> {
+        let metrics = Metrics::new(clock.now());
         Arc::new(Self {
             settings,
             incarnation,
@@ -54,6 +65,10 @@
             view: ArcSwap::default(),
             backend: watch::Sender::new(None),
             leaving: watch::Sender::new(false),
+            in_flight: AtomicUsize::new(0),
+            listening: AtomicBool::new(false),
+            distribution: ArcSwap::default(),
+            metrics,
         })
     }
 }
--- /dev/null
+++ b/crates/status/src/lib.rs
@@ -0,0 +1,110 @@
+//! How a node stands, as operators see it.
+
+use config::Version;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// The own backend server, as operators see it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Backend {
+    /// Service that it belongs to.
+    pub service: SmolStr,
+    /// Where it takes calls.
+    pub address: SocketAddr,
+    /// Calls that it says it runs at once.
+    pub slots: u16,
+    /// Whether it leaves.
+    pub leaving: bool,
+}
+
+/// How many nodes hold a version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Count {
+    /// The version.
+    pub version: Version,
+    /// Nodes that hold it.
+    pub nodes: u32,
+}
+
+/// A version that a node could not apply.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refusal {
+    /// Name of the node.
+    pub node: SmolStr,
+    /// The version.
+    pub version: Version,
+    /// Why.
+    pub reason: SmolStr,
+}
+
+/// What the whole fleet holds, as far as a node was told.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fleet {
+    /// Nodes per version, lowest first.
+    pub counts: Vec<Count>,
+    /// Some of the nodes that are behind.
+    pub laggards: Vec<SmolStr>,
+    /// Some of the versions that could not be applied.
+    pub refusals: Vec<Refusal>,
+}
+
+/// A node's part in distribution.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Distribution {
+    /// Version held, which is served by once the process is ready.
+    pub held: Version,
+    /// Nodes from its root down to it; empty when it is cut off from every root.
+    pub path: Vec<SmolStr>,
+    /// Children that it relays to.
+    pub children: usize,
+    /// Roots that it is linked to, if it is one.
+    pub roots: usize,
+    /// Versions applied since the process started.
+    pub versions: u64,
+    /// Versions that could not be applied.
+    pub refusals: u64,
+    /// Parents taken since the process started.
+    pub parents: u64,
+    /// Nodes that it declared gone.
+    pub departures: u64,
+    /// Views made, for configuration or endpoints.
+    pub views: u64,
+    /// Views that were older than the one before; never above zero.
+    pub reverts: u64,
+    /// What the fleet holds.
+    pub fleet: Fleet,
+}
+
+/// How a node stands.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Status {
+    /// Name of the node.
+    pub node: SmolStr,
+    /// Availability zone of the node.
+    pub zone: SmolStr,
+    /// Region of the node.
+    pub region: SmolStr,
+    /// Random number of its process.
+    pub incarnation: u64,
+    /// How long it has run, in seconds.
+    pub uptime_s: u64,
+    /// Version of the configuration that calls are served by.
+    pub version: Version,
+    /// Why it does not take calls; empty when it does.
+    pub not_ready: Vec<String>,
+    /// Whether the node leaves.
+    pub leaving: bool,
+    /// Calls that the own backend server runs.
+    pub in_flight: usize,
+    /// The own backend server, once announced.
+    pub backend: Option<Backend>,
+    /// Endpoints that take new work, by service.
+    pub endpoints: BTreeMap<SmolStr, usize>,
+    /// Routes withheld until their services are there.
+    pub withheld_routes: Vec<SmolStr>,
+    /// Its part in distribution.
+    #[serde(default)]
+    pub distribution: Distribution,
+}
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -1,19 +1,11 @@
 //! Frames of calls between an outbound and an inbound proxy.
 
 use bytes::Bytes;
+pub use call::Header;
 use call::{Id, Verdict};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-/// A header as it came.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Header {
-    /// Name, in lower case.
-    pub name: SmolStr,
-    /// Value.
-    pub value: Bytes,
-}
-
 /// The head of a request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Request {
@@ -33,6 +25,8 @@
     pub class: config::Class,
     /// Caller on whose behalf it runs, for fair shares.
     pub caller: SmolStr,
+    /// Hash of its route and method: calls of one take about as long.
+    pub route: u64,
     /// Whether no body follows.
     pub end: bool,
 }
@@ -46,6 +40,8 @@
     pub status: u16,
     /// Headers, without those of one connection only.
     pub headers: Vec<Header>,
+    /// Calls that run and wait at the inbound proxy, in per cent of its slots.
+    pub load_percent: u16,
     /// Whether no body follows.
     pub end: bool,
 }
@@ -65,6 +61,8 @@
     NoService,
     /// The caller went away.
     Cancelled,
+    /// Its idempotency key could not be reserved.
+    Reservation,
 }
 
 /// A try that ended without an answer.
@@ -107,4 +105,34 @@
         /// Further bytes that may be sent.
         bytes: u32,
     },
+    /// Outbound to inbound, first on a link: voids whatever the sender's lower-numbered links still bring.
+    Open {
+        /// Number of this link; each of one incarnation's links to a peer has a higher one.
+        link: u64,
+    },
+    /// Outbound to inbound: what became of a try that was sent over an earlier link?
+    Ask {
+        /// The try.
+        id: Id,
+        /// The link that it was sent over.
+        link: u64,
+        /// Whether the head of the answer has come.
+        head: bool,
+        /// Bytes of the answer's body that have come.
+        received: u64,
+        /// Further bytes of it that may be sent.
+        room: u32,
+    },
+    /// Either way: the receiver answers with [`Frame::Pong`].
+    Ping,
+    /// Either way: answers [`Frame::Ping`].
+    Pong,
+    /// Inbound to outbound: new work will be refused from here on.
+    Leaving,
 }
+
+/// Bytes of a body that its sender may send before the first [`Frame::Credit`].
+///
+/// One trip and back within a region is about 1 ms, so that a body still moves
+/// at 64 MB a second, and a thousand calls that nobody reads hold 64 MB at most.
+pub const WINDOW: usize = 64 << 10;
