Count a link's silence only from when something is due on it

A look-up over a link that had been quiet for a second was told "may have run" (502) after a quarter of a second, while its answer was on the way; a booking was asked about over a new link for no reason. Cause: the ticks of an idle link were counted on when a call made it due, so it was over the limit at the next tick without ever having been pinged. Ruled out: the retry's policy (the second try was refused the same way), the forwarder. Change: the count starts anew when what is expected of the peer changes.

--- a/crates/call/tests/table.rs
+++ b/crates/call/tests/table.rs
@@ -202,7 +202,10 @@
 
     fn draw(&mut self) -> Option<u64> {
         let newest = self.sequence;
-        (newest > 0).then(|| self.rng.random_range(newest.saturating_sub(20).max(1)..=newest))
+        (newest > 0).then(|| {
+            self.rng
+                .random_range(newest.saturating_sub(20).max(1)..=newest)
+        })
     }
 
     fn step(&mut self) {
@@ -230,5 +233,9 @@
         world.step();
     }
     assert!(world.started.len() > 500, "{}", world.started.len());
-    assert!(world.told_not_run.len() > 200, "{}", world.told_not_run.len());
+    assert!(
+        world.told_not_run.len() > 200,
+        "{}",
+        world.told_not_run.len()
+    );
 }
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -293,6 +293,7 @@
         let mut ticks = tokio::time::interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut silent = 0;
+        let mut watched = Watch::Idle;
         loop {
             tokio::select! {
                 biased;
@@ -305,8 +306,11 @@
                     }
                 }
                 _ = ticks.tick() => {
-                    silent += 1;
-                    if self.check_progress(silent, watch()).is_break() {
+                    let now = watch();
+                    // Time in which nothing was due does not count as silence.
+                    silent = if now == watched { silent + 1 } else { 0 };
+                    watched = now;
+                    if self.check_progress(silent, now).is_break() {
                         break;
                     }
                 }
--- a/crates/node/tests/calls/silence.rs
+++ b/crates/node/tests/calls/silence.rs
@@ -200,3 +200,16 @@
     assert_eq!(told["request"], "r1");
     assert_eq!(pair.runs_of("r1"), 1);
 }
+
+// A quiet link has carried nothing for a while; then a job of half a second is
+// booked over it. It must not be taken for silent: it owed nothing until now.
+// Seen as look-ups that were told "may have run" for no reason.
+#[tokio::test]
+async fn quiet_is_not_silent() {
+    let pair = spawn_pair(Repeat::Always).await;
+    // The link's own time has to pass, as it is measured in its ticks.
+    tokio::time::sleep(Duration::from_millis(1_300)).await;
+    let answer = pair.post("r1", "500").await;
+    assert_eq!((answer.status, answer.verdict()), (StatusCode::OK, "ran"));
+    assert_eq!((pair.runs_of("r1"), pair.forwarder.count()), (1, 1));
+}
--- a/crates/node/tests/calls/whole.rs
+++ b/crates/node/tests/calls/whole.rs
@@ -1,11 +1,15 @@
 //! Calls through both proxies: whole answers, to the right caller.
 
-use crate::mesh::{call, spawn_node, spawn_server};
+use crate::mesh::{bind, call, spawn_node, spawn_server, wait_recorded};
 use bytes::Bytes;
 use config::Repeat;
 use http::{Method, StatusCode};
 use standin::backend;
 use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use wire::call::{Answer, Frame};
+use wire::{Hello, codec};
 
 #[yare::parameterized(
     small = { 0, 0 },
@@ -80,3 +84,115 @@
         (StatusCode::NOT_FOUND, "not-run")
     );
 }
+
+/// Answers two requests that came over one link: interleaved, in reverse order, with frames twice and of nobody.
+async fn answer_crosswise(listener: TcpListener) {
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let theirs = codec::read_hello(&mut stream).await.unwrap();
+    let own = Hello {
+        node: "far".into(),
+        incarnation: 2,
+        ..theirs
+    };
+    codec::write(&mut stream, &own).await.unwrap();
+    let mut requests = Vec::new();
+    while requests.len() < 2 {
+        let frame = codec::read(&mut stream, &mut Vec::new()).await.unwrap();
+        if let wire::Frame::Call(Frame::Request(request)) = frame {
+            requests.push(request);
+        }
+    }
+    let [one, two] = [&requests[0], &requests[1]];
+    let nobody = call::Id {
+        origin: one.id.origin,
+        sequence: u64::MAX,
+    };
+    let head = |id| {
+        Frame::Answer(Answer {
+            id,
+            status: 200,
+            headers: Vec::new(),
+            load_percent: 0,
+            end: false,
+        })
+    };
+    let part = |id, text: &str, end| Frame::Body {
+        id,
+        bytes: Bytes::copy_from_slice(text.as_bytes()),
+        end,
+    };
+    let frames = [
+        head(two.id),
+        part(two.id, &two.path, false),
+        head(nobody),
+        part(nobody, "of nobody", false),
+        head(one.id),
+        part(one.id, &one.path, true),
+        // Late and twice: the call is over.
+        part(one.id, "late", true),
+        head(one.id),
+        part(two.id, " and more", true),
+    ];
+    for frame in frames {
+        codec::write(&mut stream, &wire::Frame::Call(frame))
+            .await
+            .unwrap();
+    }
+    // The link stays up for as long as the callers need it.
+    std::future::pending::<()>().await;
+}
+
+// Two fitters look parts up at the same time. The answers come crosswise over
+// one link, with late, doubled and stray frames between them. Each fitter gets
+// the whole answer to the own question.
+#[tokio::test]
+async fn crosswise() {
+    let near = spawn_node("near").await;
+    let (listener, address) = bind().await;
+    tokio::spawn(answer_crosswise(listener));
+    let far = spawn_node("far").await;
+    near.serve_by("parts", Repeat::Never, &[far.endpoint("parts", address)]);
+    let address = near.outbound.address();
+    let one = call(address, Method::GET, "/parts/one", &[], Bytes::new());
+    let two = call(address, Method::GET, "/parts/two", &[], Bytes::new());
+    let (one, two) = tokio::join!(one, two);
+    let mut bodies = [one.unwrap().body, two.unwrap().body];
+    // Which request went first decides who gets the long answer.
+    bodies.sort();
+    let long = bodies
+        .iter()
+        .filter(|body| body.ends_with(b" and more"))
+        .count();
+    assert_eq!(long, 1, "{bodies:?}");
+    assert!(bodies[0].starts_with(b"/parts/one") && bodies[1].starts_with(b"/parts/two"));
+}
+
+// A customer's slow connection takes a long answer bit by bit. The nodes hold
+// no more than a window of it, and other calls over the link go on.
+#[tokio::test]
+async fn slow_reader() {
+    let (address, record) = spawn_server(2).await;
+    let near = spawn_node("near").await;
+    let far = spawn_node("far").await;
+    far.announce("jobs", address, 2);
+    near.serve_by("jobs", Repeat::Never, &[far.endpoint("jobs", far.nodes)]);
+    let address = near.outbound.address();
+    let mut slow = TcpStream::connect(address).await.unwrap();
+    let head = "GET /jobs/1 HTTP/1.1\r\nhost: m\r\nx-request: slow\r\nx-answer-bytes: 30000000\r\nbluebellpick-timeout-ms: 60000\r\n\r\n";
+    slow.write_all(head.as_bytes()).await.unwrap();
+    wait_recorded(&record, |entry| entry.request == "slow").await;
+    let mut first = [0; 1_000];
+    slow.read_exact(&mut first).await.unwrap();
+    for _ in 0..20 {
+        let got = call(address, Method::GET, "/jobs/2", &[], Bytes::new()).await;
+        assert_eq!(got.unwrap().status, StatusCode::OK);
+    }
+    // Nothing is lost of what was held back.
+    let mut rest = 0;
+    let mut buffer = vec![0; 1 << 20];
+    while rest < 29_999_000 {
+        let count = slow.read(&mut buffer).await.unwrap();
+        assert_ne!(count, 0, "cut off after {rest}");
+        rest += count;
+    }
+}
