Take calls to a backend server again once it is back from leaving

A backend server that was restarted while its node stayed got no calls over the links that had been told of its leave, until they closed (a minute idle). Cause: the news of leaving had no end, on the link and in the balance. Now the link is told both ways, and a newer view ends it in the balance. Test back_again: 503 before, 200 after.

--- a/crates/node/src/inbound.rs
+++ b/crates/node/src/inbound.rs
@@ -97,7 +97,7 @@
         links.push(Arc::downgrade(&sender));
         drop(links);
         if self.inner.is_leaving() {
-            drop(sender.send([Frame::Leaving]));
+            drop(sender.send([Frame::Leaving(true)]));
         }
         let origin = hello.incarnation;
         tokio::spawn(run_link(Arc::clone(&self.inner), sender, receiver, origin));
@@ -405,7 +405,7 @@
     }
 }
 
-/// Tells every peer when this node or its backend server begins to leave.
+/// Tells every peer when this node or its backend server begins to leave, or is back.
 async fn announce_leaving<C>(inner: Weak<Inner<C>>)
 where
     C: Clock,
@@ -418,6 +418,7 @@
     }) else {
         return;
     };
+    let mut told = false;
     loop {
         let changed = tokio::select! {
             changed = node.changed() => changed,
@@ -426,11 +427,13 @@
         let Some(inner) = inner.upgrade().filter(|_| changed.is_ok()) else {
             return;
         };
-        if inner.is_leaving() {
-            let links = inner.links.lock().clone();
-            for sender in links.iter().filter_map(Weak::upgrade) {
-                drop(sender.send([Frame::Leaving]));
-            }
+        let leaving = inner.is_leaving();
+        if std::mem::replace(&mut told, leaving) == leaving {
+            continue;
+        }
+        let links = inner.links.lock().clone();
+        for sender in links.iter().filter_map(Weak::upgrade) {
+            drop(sender.send([Frame::Leaving(leaving)]));
         }
     }
 }
--- a/crates/node/src/outbound_link.rs
+++ b/crates/node/src/outbound_link.rs
@@ -106,8 +106,8 @@
     /// doubled frame finds nothing here and reaches no other caller.
     fn take(&self, frame: Frame) -> ControlFlow<()> {
         let id = match &frame {
-            Frame::Leaving => {
-                self.leaving.store(true, Ordering::Relaxed);
+            Frame::Leaving(leaving) => {
+                self.leaving.store(*leaving, Ordering::Relaxed);
                 return ControlFlow::Continue(());
             }
             Frame::Answer(answer) => answer.id,
--- a/crates/node/tests/calls/ending.rs
+++ b/crates/node/tests/calls/ending.rs
@@ -210,3 +210,38 @@
         (StatusCode::SERVICE_UNAVAILABLE, "not-run")
     );
 }
+
+// A backend server is restarted for an update while its node stays. Calls must
+// reach it again once it is back; it stood idle while the others were full.
+// Cause: what had once said that it leaves was never asked again.
+#[tokio::test]
+async fn back_again() {
+    let (near, far, record) = spawn_pair().await;
+    let address = near.outbound.address();
+    assert_eq!(
+        post(address, "before", "0", "1000").await.status,
+        StatusCode::OK
+    );
+    let set_leaving = |leaving: bool| {
+        let own = &far.shared.backend;
+        own.send_modify(|own| own.as_mut().unwrap().leaving = leaving);
+    };
+    set_leaving(true);
+    let refused = post(address, "while", "0", "1000").await;
+    assert_eq!(
+        (refused.status, refused.verdict()),
+        (StatusCode::SERVICE_UNAVAILABLE, "not-run")
+    );
+    set_leaving(false);
+    // The news of its return, as the view brings it.
+    near.serve_by("jobs", Repeat::Never, &[far.endpoint("jobs", far.nodes)]);
+    let mut after = post(address, "after", "0", "1000").await;
+    for _ in 0..100 {
+        if after.status == StatusCode::OK {
+            break;
+        }
+        after = post(address, "after", "0", "1000").await;
+    }
+    assert_eq!(after.status, StatusCode::OK);
+    assert_eq!(record.entries().len(), 2);
+}
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -129,6 +129,8 @@
         let first = self.known.is_empty();
         for server in &mut self.servers {
             server.present = false;
+            // A newer view knows better; one that lags costs a refusal at the door.
+            server.leaving = false;
         }
         for candidate in candidates {
             let index = match self.known.get(&candidate.identity) {
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -127,8 +127,8 @@
     Ping,
     /// Either way: answers [`Frame::Ping`].
     Pong,
-    /// Inbound to outbound: new work will be refused from here on.
-    Leaving,
+    /// Inbound to outbound: whether new work is refused from here on.
+    Leaving(bool),
 }
 
 /// Bytes of a body that its sender may send before the first [`Frame::Credit`].
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -89,7 +89,7 @@
         any::<u64>().prop_map(|link| CallFrame::Open { link }),
         ask,
         Just(CallFrame::Ping),
-        Just(CallFrame::Leaving),
+        any::<bool>().prop_map(CallFrame::Leaving),
     ]
     .prop_map(Frame::Call)
 }
