End a probe when no call ends for 0.25 s

Failed tries: a longest probe of 0.5 s still refused them, one of 0.25 s found the limit of a server with fewer slots no more (load fewer_slots). A stall of 0.25 s ends only the probes that show nothing; all load patterns hold.

--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -51,10 +51,13 @@
 /// Calls under light load that a probe asks for, with half of the limit.
 const PROBE_CALLS: u32 = 64;
 
-/// Longest probe, for a backend server whose calls take long. Less than the
-/// patience of the shortest queue (0.7 s for a first look-up), so that a probe
-/// makes calls wait but refuses none.
-const PROBE_TIME: Duration = Duration::from_millis(500);
+/// Longest probe, for a backend server whose calls take long.
+const PROBE_TIME: Duration = Duration::from_secs(1);
+
+/// Time without the end of any call after which a probe is over. Less than the
+/// patience of the shortest queue (0.3 s for a first look-up), so that a probe
+/// behind long calls makes others wait but refuses none.
+const PROBE_STALL: Duration = Duration::from_millis(250);
 
 /// Time without any call under light load after which a probe is made. Under
 /// lasting overload there would be nothing to compare with; 64 calls of 30 ms
@@ -88,6 +91,7 @@
 struct Probe {
     left: u32,
     until: Instant,
+    stalls_at: Instant,
 }
 
 impl Probe {
@@ -95,8 +99,13 @@
         Self {
             left: PROBE_CALLS,
             until: now + PROBE_TIME,
+            stalls_at: now + PROBE_STALL,
         }
     }
+
+    fn ends_at(&self) -> Instant {
+        self.until.min(self.stalls_at)
+    }
 }
 
 #[derive(Debug, Clone, Copy, Default)]
@@ -151,14 +160,14 @@
     /// Calls that stream for minutes don't end, so that a probe which looked at
     /// the time only when a call ends would keep the other slots closed.
     pub(crate) fn end_probe(&mut self, now: Instant) {
-        if self.probe.is_some_and(|probe| now >= probe.until) {
+        if self.probe.is_some_and(|probe| now >= probe.ends_at()) {
             self.probe = None;
         }
     }
 
     /// Gives when a probe is over at the latest.
     pub(crate) fn probe_ends_at(&self) -> Option<Instant> {
-        self.probe.map(|probe| probe.until)
+        self.probe.map(|probe| probe.ends_at())
     }
 
     /// Tells whether `running` calls are few for this backend server.
@@ -214,6 +223,7 @@
         self.light_at = now;
         if let Some(probe) = &mut self.probe {
             probe.left -= 1;
+            probe.stalls_at = now + PROBE_STALL;
             if probe.left == 0 {
                 self.probe = None;
             }
--- a/crates/policy/tests/probe.rs
+++ b/crates/policy/tests/probe.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 /// Longest wait of a call that finds a free slot behind long ones.
-const PROBE: Duration = Duration::from_millis(500);
+const PROBE: Duration = Duration::from_millis(250);
 
 // A customer on a slow line fetches a long report right after a backend server
 // has started; look-ups beside it are refused for as long as that takes,
