--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -19,4 +19,6 @@
 pub mod options;
 pub mod path;
 pub mod process;
+pub mod proposer;
 pub mod relay;
+pub mod state;
