--- a/crates/cli/src/status_report.rs
+++ b/crates/cli/src/status_report.rs
@@ -7,13 +7,16 @@
 use config::Version;
 use platform::version::load;
 use serde::Serialize;
-use status::Status;
+use smol_str::SmolStr;
+use status::{Fleet, Status};
 
 /// What `status --json` writes.
 #[derive(Debug, Serialize)]
 struct Report {
     /// The last accepted version, when the platform's address is known.
     accepted: Option<Version>,
+    /// What the whole fleet holds, by the node that was told most.
+    fleet: Fleet,
     nodes: Vec<Status>,
     unreachable: Vec<Unreachable>,
 }
@@ -22,9 +25,13 @@
     let replies = session.ask_nodes("/v1/status").await?;
     let (answers, unreachable) = split_replies(replies);
     let accepted = read_accepted(session).await;
-    let nodes = answers.into_iter().map(|(_, status)| status).collect();
+    let nodes = answers
+        .into_iter()
+        .map(|(_, status)| status)
+        .collect::<Vec<_>>();
     let report = Report {
         accepted,
+        fleet: find_fleet(&nodes),
         nodes,
         unreachable,
     };
@@ -51,7 +58,42 @@
     }
 }
 
+/// Gives what the node that knows of most nodes was told of the fleet.
+fn find_fleet(nodes: &[Status]) -> Fleet {
+    let fleets = nodes.iter().map(|node| &node.distribution.fleet);
+    let known = fleets.max_by_key(|fleet| count_nodes(fleet));
+    known.cloned().unwrap_or_default()
+}
+
+fn count_nodes(fleet: &Fleet) -> u32 {
+    fleet.counts.iter().map(|count| count.nodes).sum()
+}
+
+fn print_fleet(fleet: &Fleet) {
+    let all = count_nodes(fleet);
+    for count in fleet.counts.iter().rev() {
+        println!(
+            "version {} is held by {} of {all} nodes of the fleet",
+            count.version, count.nodes
+        );
+    }
+    if !fleet.laggards.is_empty() {
+        let names = fleet.laggards.iter().map(SmolStr::as_str);
+        println!(
+            "behind, among others: {}",
+            names.collect::<Vec<_>>().join(", ")
+        );
+    }
+    for refusal in &fleet.refusals {
+        println!(
+            "node {} could not apply version {}: {}",
+            refusal.node, refusal.version, refusal.reason
+        );
+    }
+}
+
 fn print_report(report: &Report) {
+    print_fleet(&report.fleet);
     let newest = report.nodes.iter().map(|node| node.version).max();
     if let Some(version) = report.accepted.or(newest) {
         let holders = report.nodes.iter().filter(|node| node.version >= version);
--- a/crates/node/src/outbound_call.rs
+++ b/crates/node/src/outbound_call.rs
@@ -11,7 +11,7 @@
 use crate::outbound_service::{Ask, Picked};
 use call::Verdict;
 use clock::Clock;
-use config::Objective;
+use config::{Objective, View};
 use http::{Request, Response, StatusCode, request};
 use hyper::body::Incoming;
 use policy::balance::{Key, Outcome};
