--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -85,7 +85,7 @@
     ready: Gauge,
     leaving: Gauge,
     resident: Gauge,
-    cpu: Gauge<f64, AtomicU64>,
+    cpu: Counter<f64, AtomicU64>,
 }
 
 /// All that a node counts.
@@ -273,7 +273,8 @@
         gauges.ready.set(i64::from(reading.ready));
         gauges.leaving.set(i64::from(reading.leaving));
         gauges.resident.set(clamp(reading.process.resident_bytes));
-        gauges.cpu.set(reading.process.cpu.as_secs_f64());
+        let cpu = reading.process.cpu.as_secs_f64();
+        gauges.cpu.inc_by((cpu - gauges.cpu.get()).max(0.0));
         let mut text = String::new();
         text::encode(&mut text, &self.registry).expect("a string takes any text");
         text
