--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -8,7 +8,7 @@
 pub use crate::metrics_service::{Ending, Service};
 
 use crate::metrics_service::SLOT_LABELS;
-use parking_lot::RwLock;
+use parking_lot::{Mutex, RwLock};
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -101,6 +101,7 @@
     pub control: Control,
     gauges: Gauges,
     services: RwLock<BTreeMap<SmolStr, Arc<Service>>>,
+    rendering: Mutex<()>,
 }
 
 impl Metrics {
@@ -118,6 +119,7 @@
             control: Control::default(),
             gauges: Gauges::default(),
             services: RwLock::default(),
+            rendering: Mutex::default(),
         };
         metrics.register_counters();
         metrics.register_gauges();
@@ -264,6 +266,8 @@
     /// Never: a string takes any text.
     #[must_use]
     pub fn render(&self, reading: &Reading) -> String {
+        // Two that ask at once would both add the processor time since the last one.
+        let _one_at_a_time = self.rendering.lock();
         let gauges = &self.gauges;
         gauges.version.set(clamp(reading.version));
         gauges.endpoints.set(clamp(reading.endpoints));
