--- a/crates/cli/tests/docs.rs
+++ b/crates/cli/tests/docs.rs
@@ -1,5 +1,6 @@
 //! The operators' page lists what there is.
 
+use bpaf::doc::Section;
 use node::metrics::{Ending, Metrics, Reading};
 use std::time::{Duration, Instant};
 
@@ -63,3 +64,21 @@
     }
     assert_eq!(count, 9);
 }
+
+/// Where the manual page stands, and the variable that has it written anew.
+const MANUAL: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/bluebellpick.1");
+const WRITE: &str = "BLUEBELLPICK_WRITE_DOCS";
+
+#[test]
+fn manual_page() {
+    let options = cli::options::parse_options();
+    let page = options.render_manpage("bluebellpick", Section::General, None, None, None);
+    if std::env::var_os(WRITE).is_some() {
+        std::fs::write(MANUAL, &page).unwrap();
+    }
+    let committed = std::fs::read_to_string(MANUAL).unwrap();
+    assert!(
+        committed == page,
+        "write it anew: {WRITE}=1 cargo test -p bluebellpick-cli"
+    );
+}
