--- a/crates/node/src/control_tree.rs
+++ b/crates/node/src/control_tree.rs
@@ -6,7 +6,7 @@
 use clock::Clock;
 use config::{State, View};
 use fleet::{Action, Answer, Event, LinkKey, Node, Peer, Request, Role, Settings};
-use log::{error, info};
+use log::{error, info, warn};
 use platform::Store;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -261,6 +261,12 @@
             .departures
             .inc_by(next.departures - before.departures);
         control.views.inc_by(next.views - before.views);
+        if next.refusals > before.refusals {
+            let own = &self.shared.settings.name;
+            let refusal = next.fleet.refusals.iter().find(|one| one.node == *own);
+            let reason = refusal.map_or("", |refusal| refusal.reason.as_str());
+            warn!(reason, held = next.held.0; "version_refused");
+        }
         if next != **before {
             if next.path.first() != before.path.first() {
                 let root = next.path.first().map_or("", |root| root.as_str());
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -322,7 +322,7 @@
     fn check_progress(&self, silent: u32, watch: Watch) -> ControlFlow<()> {
         match watch {
             Watch::Due if silent > SILENT_TICKS => {
-                log::warn!(event = "link_silent"; "a link brought nothing for too long");
+                log::warn!("link_silent");
                 ControlFlow::Break(())
             }
             Watch::Due if silent > 1 && self.sender.send([Frame::Ping]).is_err() => {
@@ -357,7 +357,7 @@
                 }
                 Ok(None) => return ControlFlow::Continue(true),
                 Ok(Some((wire::Frame::Control(_) | wire::Frame::Reserve(_), _))) | Err(_) => {
-                    log::warn!(event = "link_malformed"; "a link brought bytes that are no frame of a call");
+                    log::warn!("link_malformed");
                     return ControlFlow::Break(());
                 }
             }
