--- a/crates/node/tests/calls/main.rs
+++ b/crates/node/tests/calls/main.rs
@@ -2,6 +2,8 @@
 
 mod ending;
 mod forward;
+mod keyed;
 mod mesh;
+mod reuse;
 mod silence;
 mod whole;
