--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,53 +3,41 @@
 //! Every experiment prints one JSON object with its figures as its last line.
 
 use bench::error::Error;
-use bench::path;
-use bpaf::{Parser, construct, long};
+use bench::{converge, demo, faults, path};
+use bpaf::{Parser, construct};
 use std::process::ExitCode;
-use std::time::Duration;
+use tokio::signal::unix::{SignalKind, signal};
 
 /// Which experiment to run.
 #[derive(Debug, Clone)]
 enum Command {
+    Demo,
     Path(path::Plot),
-}
-
-fn parse_seconds(default: u64) -> impl Parser<Duration> {
-    long("seconds")
-        .help("How long to measure, in seconds")
-        .argument::<u64>("SECONDS")
-        .fallback(default)
-        .display_fallback()
-        .map(Duration::from_secs)
-}
-
-fn parse_path() -> impl Parser<Command> {
-    let rate = long("rate")
-        .help("Calls a second of each series and VM")
-        .argument::<u32>("RATE")
-        .guard(|rate| *rate > 0, "at least one call a second")
-        .fallback(100)
-        .display_fallback();
-    let duration = parse_seconds(10);
-    let vms = long("vms")
-        .help("VMs with a backend server each")
-        .argument::<usize>("COUNT")
-        .guard(|vms| (2..=50).contains(vms), "between 2 and 50 VMs")
-        .fallback(3)
-        .display_fallback();
-    let plot = construct!(path::Plot {
-        rate,
-        duration,
-        vms
-    });
-    plot.map(Command::Path)
+    Converge(converge::Plot),
+    Faults(faults::Plot),
 }
 
 fn parse_command() -> impl Parser<Command> {
-    parse_path()
+    let demo = bpaf::pure(Command::Demo)
+        .to_options()
+        .descr("Shows the main job on stand-ins")
+        .command("demo");
+    let path = path::parse()
+        .map(Command::Path)
         .to_options()
         .descr("Sets direct calls and calls through the proxies side by side")
-        .command("path")
+        .command("path");
+    let converge = converge::parse()
+        .map(Command::Converge)
+        .to_options()
+        .descr("Measures how long versions take to all nodes, and what that costs")
+        .command("converge");
+    let faults = faults::parse()
+        .map(Command::Faults)
+        .to_options()
+        .descr("Checks the histories of callers and backend servers under seeded faults")
+        .command("faults");
+    construct!([demo, path, converge, faults])
 }
 
 // One thread: the pacer must see the sockets of its own calls at once.
@@ -59,10 +47,19 @@
         .to_options()
         .descr("Load, experiments and failures against real processes")
         .run();
-    match run(command).await {
-        Ok(report) => {
+    // A run that is ended early drops its processes, which ends them.
+    let ended = tokio::select! {
+        report = run(command) => report,
+        () = wait_signal() => Err(Error::Unexpected("ended early by a signal".to_owned())),
+    };
+    match ended {
+        Ok((report, is_clean)) => {
             println!("{report}");
-            ExitCode::SUCCESS
+            if is_clean {
+                ExitCode::SUCCESS
+            } else {
+                ExitCode::FAILURE
+            }
         }
         Err(error) => {
             eprintln!("bluebellpick-bench: {error}");
@@ -71,9 +68,29 @@
     }
 }
 
-async fn run(command: Command) -> Result<String, Error> {
+async fn wait_signal() {
+    let (Ok(mut terminate), Ok(mut interrupt)) = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+    ) else {
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
+
+/// Gives the report, and whether nothing that must hold was violated.
+async fn run(command: Command) -> Result<(String, bool), Error> {
     match command {
-        Command::Path(plot) => print_json(&path::run(plot).await?),
+        Command::Demo => Ok((print_json(&demo::run().await?)?, true)),
+        Command::Path(plot) => Ok((print_json(&path::run(plot).await?)?, true)),
+        Command::Faults(plot) => {
+            let report = faults::run(plot).await?;
+            Ok((print_json(&report)?, report.is_clean()))
+        }
+        Command::Converge(plot) => Ok((print_json(&converge::run(plot).await?)?, true)),
     }
 }
 
--- a/crates/bench/src/path.rs
+++ b/crates/bench/src/path.rs
@@ -8,7 +8,9 @@
 use crate::deployment::{Deployment, Plan, put_route, put_service};
 use crate::error::Error;
 use crate::load::{Planned, Series, send_planned};
+use crate::options;
 use crate::process::Usage;
+use bpaf::{Parser, construct, long};
 use config::{Change, Class, Repeat};
 use serde::Serialize;
 use std::time::Duration;
@@ -66,6 +68,29 @@
 const LOCAL: usize = 1;
 const REMOTE: usize = 2;
 
+/// Reads what to measure from the command line.
+#[must_use]
+pub fn parse() -> impl Parser<Plot> {
+    let rate = long("rate")
+        .help("Calls a second of each series and VM")
+        .argument::<u32>("RATE")
+        .guard(|rate| *rate > 0, "at least one call a second")
+        .fallback(100)
+        .display_fallback();
+    let duration = options::parse_seconds(10);
+    let vms = long("vms")
+        .help("VMs with a backend server each")
+        .argument::<usize>("COUNT")
+        .guard(|vms| (2..=50).contains(vms), "between 2 and 50 VMs")
+        .fallback(3)
+        .display_fallback();
+    construct!(Plot {
+        rate,
+        duration,
+        vms
+    })
+}
+
 /// Starts the fleet, sends the three series and gives what they took.
 ///
 /// # Errors
