--- a/crates/bench/src/faults.rs
+++ b/crates/bench/src/faults.rs
@@ -160,6 +160,8 @@
     async fn go_on(&mut self, target: &mut Target) -> Result<(), Error> {
         self.rounds += 1;
         if self.rounds.is_multiple_of(3) {
+            // A silent connection that nobody has used since is a fault that goes on.
+            target.forwarders.iter().for_each(Forwarder::sever);
             tokio::time::sleep(SETTLE).await;
             self.stop_some(target).await
         } else {
@@ -175,7 +177,7 @@
             faults.extend(Some(second).filter(|second| second.goes_with(faults[0])));
         }
         for fault in &faults {
-            eprintln!("inject {fault:?}");
+            eprintln!("{} inject {fault:?}", now_us());
             target.inject(*fault).await?;
             self.injected += 1;
         }
@@ -197,7 +199,7 @@
             Stop::Node(self.rng.random_range(0..vms)),
             Stop::Server(self.rng.random_range(0..vms)),
         ] {
-            eprintln!("stop {stop:?}");
+            eprintln!("{} stop {stop:?}", now_us());
             target.stop(stop).await?;
             self.injected += 1;
             tokio::time::sleep(SETTLE).await;
--- a/crates/bench/src/faults_forward.rs
+++ b/crates/bench/src/faults_forward.rs
@@ -50,6 +50,12 @@
         }
     }
 
+    /// Closes the connections that have lost bytes, as if what lost track of them had been replaced.
+    pub fn sever(&self) {
+        let mut lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        lines.retain(|line| *line.0.borrow() != Mode::Lose && *line.1.borrow() != Mode::Lose);
+    }
+
     async fn accept(self, listener: TcpListener, target: SocketAddr) {
         while let Ok((near, _)) = listener.accept().await {
             // A refused connection is passed on as one that ends at once.
@@ -70,6 +76,10 @@
     }
 }
 
+async fn severed(mut mode: watch::Receiver<Mode>) {
+    while mode.changed().await.is_ok() {}
+}
+
 /// Sets one way; what has lost bytes stays lost, for the rest would make no sense.
 fn turn(way: &Way, mode: Mode) {
     way.send_if_modified(|now| {
@@ -84,14 +94,18 @@
 async fn copy(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, mut mode: watch::Receiver<Mode>) {
     let mut buffer = vec![0; 16 << 10];
     loop {
-        let count = from.read(&mut buffer).await.unwrap_or(0);
+        let count = tokio::select! {
+            count = from.read(&mut buffer) => count.unwrap_or(0),
+            () = severed(mode.clone()) => return,
+        };
         let decided = mode.wait_for(|mode| *mode != Mode::Hold).await;
         let Ok(lost) = decided.map(|mode| *mode == Mode::Lose) else {
             return;
         };
         if count == 0 && lost {
-            // The end of a lost connection is lost as well.
-            return std::future::pending().await;
+            // The end of a lost connection is lost as well, until it is severed.
+            while mode.changed().await.is_ok() {}
+            return;
         }
         if lost {
             continue;
--- a/crates/bench/src/faults_history.rs
+++ b/crates/bench/src/faults_history.rs
@@ -43,6 +43,8 @@
     pub told_us: u64,
     /// What the caller was told.
     pub told: Told,
+    /// The node that was asked and its words, for people.
+    pub detail: String,
 }
 
 /// A run as a backend server recorded it.
@@ -214,7 +216,9 @@
         let cut = matches!(one.told, Told::Broken | Told::MayHaveRun);
         if cut && history.graceful.iter().any(within) {
             verdict.cut_in_flight += 1;
-            verdict.violations.push(format!("cut off: {one:?}"));
+            let runs = history.records.iter().flat_map(|record| &record.runs);
+            let ran: Vec<_> = runs.filter(|run| run.request == one.request).collect();
+            verdict.violations.push(format!("cut off: {one:?} {ran:?}"));
         }
     }
 }
--- a/crates/bench/tests/history.rs
+++ b/crates/bench/tests/history.rs
@@ -10,6 +10,7 @@
         sent_us: 1_000_000,
         told_us: 1_200_000,
         told,
+        detail: String::new(),
     }
 }
 
