Learn what became of a keyed call after its deadline, and let its key say so

A repeat of a booking was told "may have run" for good once the first try had met its deadline at a node that was stopped for some seconds, though that node knew the outcome as soon as it went on. The outbound proxy now asks on for 30 s after the caller has been told. Test settled_late.

--- a/crates/node/src/outbound_call.rs
+++ b/crates/node/src/outbound_call.rs
@@ -6,8 +6,8 @@
 use crate::outbound_answer::{Body, refuse, reject};
 use crate::outbound_keyed::{key_of, serve_keyed};
 use crate::outbound_plan::{Plan, left, make_plan, take_body};
-use crate::outbound_send::{Tried, UNREACHABLE_RETRY_MS, not_run, try_once};
-use crate::outbound_sent;
+use crate::outbound_send::{Tried, UNREACHABLE_RETRY_MS, may_have_run, not_run, try_once};
+use crate::outbound_sent::{self, Sent};
 use crate::outbound_service::{Ask, Picked};
 use call::Verdict;
 use clock::Clock;
@@ -28,6 +28,8 @@
 {
     pub(crate) response: Response<Body<C>>,
     pub(crate) ending: Ending,
+    /// What was sent and came to nothing by the deadline.
+    pub(crate) late: Option<Sent>,
 }
 
 /// Counts a call for the report on burn; one that is dropped was cancelled.
@@ -104,6 +106,7 @@
         Self {
             response: refuse(refused),
             ending: Ending::Refused(refused.verdict),
+            late: None,
         }
     }
 }
@@ -116,6 +119,7 @@
         Self {
             ending: Ending::Answered(response.status().as_u16()),
             response,
+            late: None,
         }
     }
 }
@@ -148,6 +152,13 @@
                 return response.into();
             }
             Tried::Refused(refused, back) => (refused, back),
+            Tried::Late(sent) => {
+                picked.outcome = Outcome::Failed;
+                return Served {
+                    late: Some(sent),
+                    ..may_have_run(Reason::Deadline).into()
+                };
+            }
         };
         let cause = cause_of(refused);
         picked.outcome = refused_outcome(cause);
--- a/crates/node/src/outbound_keyed.rs
+++ b/crates/node/src/outbound_keyed.rs
@@ -1,12 +1,12 @@
 //! Calls with an `Idempotency-Key`: reserved before they run, answered again from what is kept.
 
-use crate::inbound_run::Refused;
 use crate::metrics::Ending;
 use crate::outbound::Inner;
-use crate::outbound_answer::{Body, VERDICT_HEADER, refuse, tell};
+use crate::outbound_answer::{Body, VERDICT_HEADER, tell};
 use crate::outbound_call::{Served, serve_plan};
 use crate::outbound_plan::{Plan, left};
-use crate::outbound_sent;
+use crate::outbound_send::{Tried, answer_remote, not_run};
+use crate::outbound_sent::{self, Sent};
 use crate::reserve::{Claimed, Grant};
 use bytes::{Bytes, BytesMut};
 use call::Verdict;
@@ -14,7 +14,10 @@
 use clock::Clock;
 use http::{HeaderName, HeaderValue, Response, StatusCode, request};
 use http_body_util::BodyExt;
+use std::future::poll_fn;
 use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::oneshot;
 use wire::call::Reason;
 
 /// Header that names a request through all its repeats (IETF draft `idempotency-key-header`).
@@ -23,6 +26,9 @@
 /// Header of an answer that was given before.
 const REPLAYED_HEADER: HeaderName = HeaderName::from_static("idempotent-replayed");
 
+/// How long the outcome of a call is asked for after its deadline: most stops of a node are shorter.
+const LATE_LIMIT: Duration = Duration::from_secs(30);
+
 /// Gives the key under which a call must be reserved, if it has one.
 pub(crate) fn key_of(plan: &Plan, head: &request::Parts) -> Option<Key> {
     let value = head.headers.get(KEY_HEADER)?.to_str().ok()?;
@@ -46,22 +52,50 @@
 {
     let (inner, plan) = (Arc::clone(inner), Arc::clone(plan));
     let counted = inner.count_keyed();
-    let run = tokio::spawn(async move {
-        let served = claim_and_run(&inner, &plan, key, &head, body).await;
+    let (tell, told) = oneshot::channel();
+    tokio::spawn(async move {
+        let (served, open) = claim_and_run(&inner, &plan, key, &head, body).await;
+        // A caller who has gone away repeats, and is answered from the key.
+        drop(tell.send(served));
         drop(counted);
-        served
+        if let Some((grant, sent)) = open {
+            settle_late(&inner, grant, sent).await;
+        }
     });
     // The task has no way to end early but a panic, which is a bug.
-    run.await.expect("a keyed call runs to its end")
+    told.await.expect("a keyed call runs to its end")
+}
+
+/// Learns what became of a call after its deadline, for the repeats under its key.
+///
+/// A node that was stopped for seconds knows the outcome once it goes on.
+/// Without the question, every repeat would be told "may have run" for good.
+async fn settle_late<C>(inner: &Inner<C>, grant: Grant, mut sent: Sent)
+where
+    C: Clock,
+{
+    let head = tokio::time::timeout(LATE_LIMIT, poll_fn(|cx| sent.poll_head(cx))).await;
+    match head {
+        Ok(Ok(answer)) => {
+            if let Tried::Answered(response, _) = answer_remote(answer, sent) {
+                keep_answer(inner, grant, response).await;
+            }
+        }
+        Ok(Err(refusal)) if refusal.verdict == Verdict::NotRun => inner.reserve.release(grant),
+        Ok(Err(_)) | Err(_) => {}
+    }
 }
 
+/// A key that is granted, and the try whose outcome is open.
+type Open = (Grant, Sent);
+
 async fn claim_and_run<C>(
     inner: &Arc<Inner<C>>,
     plan: &Plan,
     key: Key,
     head: &request::Parts,
     body: outbound_sent::Body,
-) -> Served<C>
+) -> (Served<C>, Option<Open>)
 where
     C: Clock,
 {
@@ -71,7 +105,7 @@
     let limit = left(inner, plan.deadline);
     match inner.reserve.claim(key, fingerprint, id, limit).await {
         Claimed::Granted(grant) => run(inner, plan, grant, head, body).await,
-        Claimed::Told(reply) => answer_told(reply),
+        Claimed::Told(reply) => (answer_told(reply), None),
     }
 }
 
@@ -82,21 +116,21 @@
     grant: Grant,
     head: &request::Parts,
     body: outbound_sent::Body,
-) -> Served<C>
+) -> (Served<C>, Option<Open>)
 where
     C: Clock,
 {
-    let served = serve_plan(inner, plan, head, body).await;
-    let verdict = verdict_of(&served.response);
-    match (served.ending, verdict) {
+    let mut served = serve_plan(inner, plan, head, body).await;
+    let open = served.late.take().map(|sent| (grant, sent));
+    match (served.ending, verdict_of(&served.response)) {
         (_, Some(Verdict::NotRun)) => inner.reserve.release(grant),
         (Ending::Answered(_), Some(Verdict::Ran)) => {
-            return keep_answer(inner, grant, served).await;
+            served.response = keep_answer(inner, grant, served.response).await;
         }
         // Nobody knows, and the key says so from now on.
         _ => {}
     }
-    served
+    (served, open)
 }
 
 fn verdict_of<C>(response: &Response<Body<C>>) -> Option<Verdict>
@@ -109,11 +143,15 @@
 }
 
 /// Keeps an answer for repeats, if it is short and comes whole.
-async fn keep_answer<C>(inner: &Inner<C>, grant: Grant, served: Served<C>) -> Served<C>
+async fn keep_answer<C>(
+    inner: &Inner<C>,
+    grant: Grant,
+    response: Response<Body<C>>,
+) -> Response<Body<C>>
 where
     C: Clock,
 {
-    let (parts, mut body) = served.response.into_parts();
+    let (parts, mut body) = response.into_parts();
     let mut whole = BytesMut::new();
     let mut ended = false;
     while whole.len() <= MAX_ANSWER {
@@ -138,10 +176,7 @@
     } else {
         Body::Started(Some(whole), Box::new(body))
     };
-    Served {
-        response: Response::from_parts(parts, body),
-        ending: served.ending,
-    }
+    Response::from_parts(parts, body)
 }
 
 /// Answers a call whose key another one holds, or that could not be reserved.
@@ -150,39 +185,25 @@
     C: Clock,
 {
     match reply {
-        Reply::Known(answer) => {
-            let response = answer_again(&answer);
-            let ending = Ending::Answered(answer.status);
-            Served { response, ending }
-        }
+        Reply::Known(answer) => answer_again(&answer).into(),
         Reply::Ran => Served {
             response: tell(StatusCode::CONFLICT, Verdict::Ran, "answer-not-kept", 0),
             ending: Ending::Refused(Verdict::Ran),
+            late: None,
         },
         Reply::Granted | Reply::Unsettled => Served {
             response: tell(StatusCode::CONFLICT, Verdict::MayHaveRun, "key-in-use", 0),
             ending: Ending::Refused(Verdict::MayHaveRun),
+            late: None,
         },
-        Reply::Mismatch => Served {
-            response: tell(
-                StatusCode::UNPROCESSABLE_ENTITY,
-                Verdict::NotRun,
-                "key-of-another-request",
-                0,
-            ),
-            ending: Ending::Answered(StatusCode::UNPROCESSABLE_ENTITY.as_u16()),
-        },
-        Reply::Refused { retry_after_ms } => {
-            let refused = Refused {
-                verdict: Verdict::NotRun,
-                reason: Reason::Reservation,
-                retry_after_ms,
-            };
-            Served {
-                response: refuse(refused),
-                ending: Ending::Refused(Verdict::NotRun),
-            }
-        }
+        Reply::Mismatch => tell(
+            StatusCode::UNPROCESSABLE_ENTITY,
+            Verdict::NotRun,
+            "key-of-another-request",
+            0,
+        )
+        .into(),
+        Reply::Refused { retry_after_ms } => not_run(Reason::Reservation, retry_after_ms).into(),
     }
 }
 
--- a/crates/node/src/outbound_send.rs
+++ b/crates/node/src/outbound_send.rs
@@ -41,6 +41,8 @@
     Answered(Response<Body<C>>, Option<f64>),
     /// No answer; the body is given back when it can be sent again.
     Refused(Refused, Option<outbound_sent::Body>),
+    /// Nothing by the deadline; what was sent may still come to something.
+    Late(Sent),
 }
 
 /// Tries a call once.
@@ -149,11 +151,11 @@
             });
             Tried::Refused(refusal.into(), back)
         }
-        Err(_) => Tried::Refused(may_have_run(Reason::Deadline), None),
+        Err(_) => Tried::Late(sent),
     }
 }
 
-fn answer_remote<C>(answer: wire::call::Answer, sent: Sent) -> Tried<C>
+pub(crate) fn answer_remote<C>(answer: wire::call::Answer, sent: Sent) -> Tried<C>
 where
     C: Clock,
 {
@@ -233,7 +235,7 @@
     }
 }
 
-fn may_have_run(reason: Reason) -> Refused {
+pub(crate) fn may_have_run(reason: Reason) -> Refused {
     Refused {
         verdict: Verdict::MayHaveRun,
         reason,
--- a/crates/node/tests/calls/keyed.rs
+++ b/crates/node/tests/calls/keyed.rs
@@ -216,3 +216,46 @@
     );
     assert_eq!(mesh.record.entries().len(), 1);
 }
+
+// The node in front of the backend server is stopped for some seconds, longer
+// than the clerk waits. The clerk is told "may have run" at the deadline. Once
+// the node goes on, the repeat gets the booking's answer, and runs nothing.
+// Without it, the key said "may have run" for good, though the node knew.
+#[tokio::test]
+async fn settled_late() {
+    let mesh = spawn_mesh().await;
+    let forwarder = Forwarder::spawn(mesh.far.nodes).await;
+    let far = mesh.far.endpoint("jobs", forwarder.address);
+    mesh.one.serve_by("jobs", Repeat::Never, &[far]);
+    let address = mesh.one.outbound.address();
+    let warm = book(address, "k0", "r0", "0").await;
+    assert_eq!(warm.status, StatusCode::OK);
+    let headers = [
+        ("idempotency-key", "k1"),
+        ("x-request", "r1"),
+        ("x-work-ms", "100"),
+        ("bluebellpick-timeout-ms", "600"),
+    ];
+    let body = Bytes::from_static(b"bay 3");
+    let first =
+        tokio::spawn(async move { call(address, Method::POST, "/jobs/1", &headers, body).await });
+    wait_recorded(&mesh.record, |entry| entry.request == "r1").await;
+    forwarder.set(Mode::Pass, Mode::Hold);
+    let told = first.await.unwrap().unwrap();
+    assert_eq!(
+        (told.status, told.verdict()),
+        (StatusCode::GATEWAY_TIMEOUT, "may-have-run")
+    );
+    forwarder.set(Mode::Pass, Mode::Pass);
+    let address = mesh.two.outbound.address();
+    let mut again = book(address, "k1", "r2", "0").await;
+    for _ in 0..500 {
+        if again.status == StatusCode::OK {
+            break;
+        }
+        assert_eq!(again.verdict(), "may-have-run");
+        again = book(address, "k1", "r2", "0").await;
+    }
+    assert_eq!((again.status, again.verdict()), (StatusCode::OK, "ran"));
+    assert_eq!(mesh.record.entries().len(), 2);
+}
