Let a commit that runs go on past its deadline while its key is asked about

Cause: the inbound proxy broke the run off at the deadline, after which nobody could know. Now the caller is told at the deadline as before, and the run is dropped only when nobody asks on.

--- a/crates/bench/src/faults_callers.rs
+++ b/crates/bench/src/faults_callers.rs
@@ -27,6 +27,9 @@
 /// Pause between two calls of one caller, in milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 5..40;
 
+/// Longest that a caller waits because it was told to.
+const LONGEST_WAIT: Duration = Duration::from_secs(2);
+
 /// Pause before a repeat, in milliseconds.
 const REPEAT_MS: std::ops::Range<u64> = 20..400;
 
@@ -116,30 +119,33 @@
             call.headers.push(("x-answer-bytes", bytes.to_string()));
         }
         for _ in 0..MAX_REQUESTS {
-            let told = self.request(&call, key.as_ref()).await;
+            let (told, wait) = self.request(&call, key.as_ref()).await;
             let settled = matches!(told, Told::Answered { .. } | Told::Ran);
             if settled || key.is_none() {
                 return;
             }
+            tokio::time::sleep(wait.min(LONGEST_WAIT)).await;
             self.pause(REPEAT_MS).await;
         }
     }
 
     /// Sends one request to a node that takes the connection, and notes what came of it.
-    async fn request(&mut self, call: &Call, key: Option<&String>) -> Told {
+    ///
+    /// Gives what it was told, and the time to wait that it was told.
+    async fn request(&mut self, call: &Call, key: Option<&String>) -> (Told, Duration) {
         self.requests += 1;
         let request = format!("r-{}-{}", self.index, self.requests);
         let mut call = call.clone();
         call.headers.push(("x-request", request.clone()));
         let sent_us = now_us();
-        let (told, detail) = loop {
+        let (told, wait, detail) = loop {
             let node = self.rng.random_range(0..self.nodes.len());
             let caller = self.nodes[node].clone();
             match caller.send_within(&call, PATIENCE).await {
-                Ok(answer) => break (read(&answer), describe(node, &answer)),
+                Ok(answer) => break (read(&answer), read_wait(&answer), describe(node, &answer)),
                 // Nobody took the connection: nothing was sent.
                 Err(Error::Io(_)) => self.pause(REPEAT_MS).await,
-                Err(error) => break (Told::Broken, format!("VM {node}: {error}")),
+                Err(error) => break (Told::Broken, Duration::ZERO, format!("VM {node}: {error}")),
             }
         };
         self.notes.push(Invocation {
@@ -151,10 +157,16 @@
             told: told.clone(),
             detail,
         });
-        told
+        (told, wait)
     }
 }
 
+fn read_wait(answer: &Answer) -> Duration {
+    let header = answer.header("bluebellpick-retry-after-ms");
+    let wait = header.and_then(|value| value.parse().ok());
+    wait.map_or(Duration::ZERO, Duration::from_millis)
+}
+
 fn describe(node: usize, answer: &Answer) -> String {
     let words = String::from_utf8_lossy(&answer.body);
     let words: String = words.chars().take(MAX_WORDS).collect();
--- a/crates/call/src/table.rs
+++ b/crates/call/src/table.rs
@@ -196,6 +196,13 @@
         }
     }
 
+    /// Tells whether a try runs.
+    #[must_use]
+    pub fn is_running(&self, id: Id) -> bool {
+        let entry = self.calls.get(&id);
+        entry.is_some_and(|entry| entry.stage == Stage::Running)
+    }
+
     /// Marks a queued try as over, so that it never starts; false when it is not queued.
     #[must_use]
     pub fn withdraw(&mut self, id: Id, now: Instant) -> bool {
--- a/crates/node/src/inbound.rs
+++ b/crates/node/src/inbound.rs
@@ -19,7 +19,7 @@
 use std::sync::{Arc, Weak};
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
-use tokio::sync::watch;
+use tokio::sync::{oneshot, watch};
 use wire::Hello;
 use wire::call::{Frame, Reason, Request};
 
@@ -128,6 +128,35 @@
         }
     }
 
+    /// Runs a call that entered on this VM, on past its deadline for as long as the receiver is held.
+    pub(crate) fn spawn_local(
+        &self,
+        request: Request,
+        upload: Upload,
+        deadline: Instant,
+    ) -> oneshot::Receiver<Result<http::Response<Running<C>>, Refused>> {
+        let (mut sender, receiver) = oneshot::channel();
+        let inner = Arc::clone(&self.inner);
+        tokio::spawn(async move {
+            let run = inbound_run::run(&inner, request, upload, deadline, || true);
+            let overdue = async {
+                inbound_run::sleep_until(&inner, deadline).await;
+                tokio::time::sleep(inbound_run::LATE_LIMIT).await;
+            };
+            let ended = tokio::select! {
+                biased;
+                ended = run => Some(ended),
+                // What nobody waits for any more is dropped with its connection.
+                () = sender.closed() => None,
+                () = overdue => None,
+            };
+            if let Some(ended) = ended {
+                drop(sender.send(ended));
+            }
+        });
+        receiver
+    }
+
     /// Waits until nothing is in flight, and gives what is left of it at `timeout`.
     pub async fn drain(&self, timeout: Duration) -> usize {
         let mut active = self.inner.active.subscribe();
--- a/crates/node/src/inbound_run.rs
+++ b/crates/node/src/inbound_run.rs
@@ -7,8 +7,9 @@
 use crate::inbound_gate::{Offer, Permit};
 use crate::upload::{Rest, Upload};
 use bytes::Bytes;
-use call::Verdict;
+use call::{Id, Verdict};
 use clock::Clock;
+use config::Class;
 use http::{HeaderName, HeaderValue, Method, Response, StatusCode, Uri};
 use policy::admission;
 use policy::limit::Outcome;
@@ -21,6 +22,9 @@
 /// Header with the time that a call has left, in milliseconds; from callers, and to backend servers.
 pub const TIMEOUT_HEADER: HeaderName = HeaderName::from_static("bluebellpick-timeout-ms");
 
+/// How long a commit may run on after its deadline; most stops of a process are shorter.
+pub(crate) const LATE_LIMIT: Duration = Duration::from_secs(30);
+
 /// Why a call got no answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Refused {
@@ -69,13 +73,31 @@
         tokio::select! {
             biased;
             () = call.cancelled() => end_early(&inner, &call, Reason::Cancelled),
-            () = sleep_until(&inner, deadline) => end_early(&inner, &call, Reason::Deadline),
+            () = overdue(&inner, id, request.class, deadline) => {
+                end_early(&inner, &call, Reason::Deadline);
+            }
             () = serve(&inner, &call, request, deadline) => {}
         }
         inner.finish(id);
     });
 }
 
+/// Waits until a call's time is over.
+///
+/// A commit that runs has some time more: its caller is told by the outbound
+/// proxy, which cancels it then, unless it asks on for the sake of the call's
+/// key. Cut off here, nobody could ever say whether it took effect.
+async fn overdue<C>(inner: &Inner<C>, id: Id, class: Class, deadline: Instant)
+where
+    C: Clock,
+{
+    sleep_until(inner, deadline).await;
+    let runs = inner.table(id.origin).lock().is_running(id);
+    if runs && class == Class::Commit {
+        tokio::time::sleep(LATE_LIMIT).await;
+    }
+}
+
 /// Refuses a call that nobody waits for any more; dropping its exchange has told the backend server.
 fn end_early<C>(inner: &Inner<C>, call: &Call, reason: Reason)
 where
--- a/crates/node/src/outbound_answer.rs
+++ b/crates/node/src/outbound_answer.rs
@@ -130,22 +130,11 @@
         (_, Reason::Deadline) => StatusCode::GATEWAY_TIMEOUT,
         _ => StatusCode::BAD_GATEWAY,
     };
-    let mut response = tell(
-        status,
-        refused.verdict,
-        name_of(refused.reason),
-        refused.retry_after_ms,
-    );
-    if refused.verdict == Verdict::NotRun {
-        let seconds = refused.retry_after_ms.div_ceil(1_000).max(1);
-        let headers = response.headers_mut();
-        headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
-        headers.insert(
-            RETRY_AFTER_HEADER,
-            HeaderValue::from(refused.retry_after_ms),
-        );
-    }
-    response
+    let wait = match refused.verdict {
+        Verdict::NotRun => refused.retry_after_ms.max(1),
+        Verdict::MayHaveRun | Verdict::Ran => refused.retry_after_ms,
+    };
+    tell(status, refused.verdict, name_of(refused.reason), wait)
 }
 
 /// Answers a call that was not tried, with the fault that the caller can mend.
@@ -181,6 +170,11 @@
         HeaderValue::from_static("application/json"),
     );
     headers.insert(VERDICT_HEADER, HeaderValue::from_static(verdict.as_str()));
+    if retry_after_ms > 0 {
+        let seconds = retry_after_ms.div_ceil(1_000);
+        headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+        headers.insert(RETRY_AFTER_HEADER, HeaderValue::from(retry_after_ms));
+    }
     response
 }
 
--- a/crates/node/src/outbound_call.rs
+++ b/crates/node/src/outbound_call.rs
@@ -4,10 +4,10 @@
 use crate::metrics::Ending;
 use crate::outbound::Inner;
 use crate::outbound_answer::{Body, refuse, reject};
-use crate::outbound_keyed::{key_of, serve_keyed};
+use crate::outbound_keyed::serve_keyed;
 use crate::outbound_plan::{Plan, left, make_plan, take_body};
-use crate::outbound_send::{Tried, UNREACHABLE_RETRY_MS, may_have_run, not_run, try_once};
-use crate::outbound_sent::{self, Sent};
+use crate::outbound_send::{Late, Tried, UNREACHABLE_RETRY_MS, may_have_run, not_run, try_once};
+use crate::outbound_sent;
 use crate::outbound_service::{Ask, Picked};
 use call::Verdict;
 use clock::Clock;
@@ -29,7 +29,7 @@
     pub(crate) response: Response<Body<C>>,
     pub(crate) ending: Ending,
     /// What was sent and came to nothing by the deadline.
-    pub(crate) late: Option<Sent>,
+    pub(crate) late: Option<Late<C>>,
 }
 
 /// Counts a call for the report on burn; one that is dropped was cancelled.
@@ -90,7 +90,7 @@
         Ok(Err(_)) => return reject(StatusCode::BAD_REQUEST, "body-cut-off"),
         Err(_) => return reject(StatusCode::REQUEST_TIMEOUT, "body-late"),
     };
-    let served = match key_of(&plan, &head) {
+    let served = match plan.key {
         Some(key) => serve_keyed(inner, &plan, key, head, body).await,
         None => serve_plan(inner, &plan, &head, body).await,
     };
@@ -152,10 +152,10 @@
                 return response.into();
             }
             Tried::Refused(refused, back) => (refused, back),
-            Tried::Late(sent) => {
+            Tried::Late(late) => {
                 picked.outcome = Outcome::Failed;
                 return Served {
-                    late: Some(sent),
+                    late: Some(late),
                     ..may_have_run(Reason::Deadline).into()
                 };
             }
--- a/crates/node/src/outbound_keyed.rs
+++ b/crates/node/src/outbound_keyed.rs
@@ -1,12 +1,13 @@
 //! Calls with an `Idempotency-Key`: reserved before they run, answered again from what is kept.
 
+use crate::inbound_run::LATE_LIMIT;
 use crate::metrics::Ending;
 use crate::outbound::Inner;
 use crate::outbound_answer::{Body, VERDICT_HEADER, tell};
 use crate::outbound_call::{Served, serve_plan};
 use crate::outbound_plan::{Plan, left};
-use crate::outbound_send::{Tried, answer_remote, not_run};
-use crate::outbound_sent::{self, Sent};
+use crate::outbound_send::{Late, not_run};
+use crate::outbound_sent;
 use crate::reserve::{Claimed, Grant};
 use bytes::{Bytes, BytesMut};
 use call::Verdict;
@@ -14,26 +15,15 @@
 use clock::Clock;
 use http::{HeaderName, HeaderValue, Response, StatusCode, request};
 use http_body_util::BodyExt;
-use std::future::poll_fn;
 use std::sync::Arc;
-use std::time::Duration;
 use tokio::sync::oneshot;
 use wire::call::Reason;
 
-/// Header that names a request through all its repeats (IETF draft `idempotency-key-header`).
-const KEY_HEADER: HeaderName = HeaderName::from_static("idempotency-key");
-
 /// Header of an answer that was given before.
 const REPLAYED_HEADER: HeaderName = HeaderName::from_static("idempotent-replayed");
 
-/// How long the outcome of a call is asked for after its deadline: most stops of a node are shorter.
-const LATE_LIMIT: Duration = Duration::from_secs(30);
-
-/// Gives the key under which a call must be reserved, if it has one.
-pub(crate) fn key_of(plan: &Plan, head: &request::Parts) -> Option<Key> {
-    let value = head.headers.get(KEY_HEADER)?.to_str().ok()?;
-    (!plan.repeatable).then(|| Key::of(&plan.service, value))
-}
+/// When to ask again about a key that another call holds, in milliseconds: most calls have ended by then.
+const IN_USE_RETRY_MS: u32 = 1_000;
 
 /// Serves a call under its key.
 ///
@@ -58,8 +48,8 @@
         // A caller who has gone away repeats, and is answered from the key.
         drop(tell.send(served));
         drop(counted);
-        if let Some((grant, sent)) = open {
-            settle_late(&inner, grant, sent).await;
+        if let Some((grant, late)) = open {
+            settle_late(&inner, grant, late).await;
         }
     });
     // The task has no way to end early but a panic, which is a bug.
@@ -70,24 +60,35 @@
 ///
 /// A node that was stopped for seconds knows the outcome once it goes on.
 /// Without the question, every repeat would be told "may have run" for good.
-async fn settle_late<C>(inner: &Inner<C>, grant: Grant, mut sent: Sent)
+async fn settle_late<C>(inner: &Inner<C>, grant: Grant, late: Late<C>)
 where
     C: Clock,
 {
-    let head = tokio::time::timeout(LATE_LIMIT, poll_fn(|cx| sent.poll_head(cx))).await;
-    match head {
-        Ok(Ok(answer)) => {
-            if let Tried::Answered(response, _) = answer_remote(answer, sent) {
-                keep_answer(inner, grant, response).await;
-            }
-        }
-        Ok(Err(refusal)) if refusal.verdict == Verdict::NotRun => inner.reserve.release(grant),
+    match tokio::time::timeout(LATE_LIMIT, late.settle()).await {
+        Ok(Ok(response)) => drop(settle(inner, grant, response).await),
+        Ok(Err(refused)) if refused.verdict == Verdict::NotRun => inner.reserve.release(grant),
         Ok(Err(_)) | Err(_) => {}
     }
 }
 
+/// Says what an answer tells of the key.
+async fn settle<C>(inner: &Inner<C>, grant: Grant, response: Response<Body<C>>) -> Response<Body<C>>
+where
+    C: Clock,
+{
+    match verdict_of(&response) {
+        Some(Verdict::Ran) => keep_answer(inner, grant, response).await,
+        Some(Verdict::NotRun) => {
+            inner.reserve.release(grant);
+            response
+        }
+        // Nobody knows, and the key says so from now on.
+        Some(Verdict::MayHaveRun) | None => response,
+    }
+}
+
 /// A key that is granted, and the try whose outcome is open.
-type Open = (Grant, Sent);
+type Open<C> = (Grant, Late<C>);
 
 async fn claim_and_run<C>(
     inner: &Arc<Inner<C>>,
@@ -95,7 +96,7 @@
     key: Key,
     head: &request::Parts,
     body: outbound_sent::Body,
-) -> (Served<C>, Option<Open>)
+) -> (Served<C>, Option<Open<C>>)
 where
     C: Clock,
 {
@@ -116,21 +117,16 @@
     grant: Grant,
     head: &request::Parts,
     body: outbound_sent::Body,
-) -> (Served<C>, Option<Open>)
+) -> (Served<C>, Option<Open<C>>)
 where
     C: Clock,
 {
     let mut served = serve_plan(inner, plan, head, body).await;
-    let open = served.late.take().map(|sent| (grant, sent));
-    match (served.ending, verdict_of(&served.response)) {
-        (_, Some(Verdict::NotRun)) => inner.reserve.release(grant),
-        (Ending::Answered(_), Some(Verdict::Ran)) => {
-            served.response = keep_answer(inner, grant, served.response).await;
-        }
-        // Nobody knows, and the key says so from now on.
-        _ => {}
+    if let Some(late) = served.late.take() {
+        return (served, Some((grant, late)));
     }
-    (served, open)
+    served.response = settle(inner, grant, served.response).await;
+    (served, None)
 }
 
 fn verdict_of<C>(response: &Response<Body<C>>) -> Option<Verdict>
@@ -192,7 +188,12 @@
             late: None,
         },
         Reply::Granted | Reply::Unsettled => Served {
-            response: tell(StatusCode::CONFLICT, Verdict::MayHaveRun, "key-in-use", 0),
+            response: tell(
+                StatusCode::CONFLICT,
+                Verdict::MayHaveRun,
+                "key-in-use",
+                IN_USE_RETRY_MS,
+            ),
             ending: Ending::Refused(Verdict::MayHaveRun),
             late: None,
         },
--- a/crates/node/src/outbound_plan.rs
+++ b/crates/node/src/outbound_plan.rs
@@ -5,6 +5,7 @@
 use crate::outbound_sent;
 use crate::outbound_service::Service;
 use bytes::{Bytes, BytesMut};
+use call::reserve::Key;
 use clock::Clock;
 use config::{Class, Objective, Repeat, Retry, View};
 use http::{HeaderMap, Method, request};
@@ -21,6 +22,9 @@
 /// Header with the name of the caller on whose behalf a call is made; its IP address stands in.
 const CALLER_HEADER: &str = "bluebellpick-caller";
 
+/// Header that names a request through all its repeats (IETF draft `idempotency-key-header`).
+const KEY_HEADER: &str = "idempotency-key";
+
 /// Longest time for a call. The inbound proxy remembers a peer's links for longer.
 const LONGEST_TIMEOUT: Duration = Duration::from_mins(5);
 
@@ -40,6 +44,8 @@
     pub(crate) deadline: Instant,
     /// Whether it may run more than once.
     pub(crate) repeatable: bool,
+    /// Key under which it must be reserved.
+    pub(crate) key: Option<Key>,
     /// Whether a layer above tries it again already.
     pub(crate) retried_above: bool,
 }
@@ -71,6 +77,7 @@
     let own = Duration::from_millis(route.timeout_ms.into());
     let timeout = timeout_of(&head.headers).unwrap_or(own);
     let target = view.service(pick_target(&route.targets));
+    let repeatable = is_repeatable(route.repeat, &head.method);
     let plan = Plan {
         service: target.name.clone(),
         known: inner.services.get(&target.name, now),
@@ -79,7 +86,8 @@
         route: policy::hash(&route.prefix) ^ policy::hash(head.method.as_str()),
         rule: route.retry.clone(),
         deadline: now + timeout.min(LONGEST_TIMEOUT),
-        repeatable: is_repeatable(route.repeat, &head.method),
+        repeatable,
+        key: key_of(&head.headers, &target.name).filter(|_| !repeatable),
         retried_above: head.headers.contains_key(retry::HEADER),
     };
     Some((plan, target.service.objective))
@@ -99,6 +107,11 @@
     value.parse().ok().map(Duration::from_millis)
 }
 
+fn key_of(headers: &HeaderMap, service: &str) -> Option<Key> {
+    let value = headers.get(KEY_HEADER)?.to_str().ok()?;
+    Some(Key::of(service, value))
+}
+
 fn caller_of(headers: &HeaderMap, peer: IpAddr) -> SmolStr {
     let name = headers
         .get(CALLER_HEADER)
--- a/crates/node/src/outbound_send.rs
+++ b/crates/node/src/outbound_send.rs
@@ -1,7 +1,7 @@
 //! One try of a call: on the own backend server, or over a link.
 
 use crate::header::{put_headers, take_end_to_end};
-use crate::inbound_run::Refused;
+use crate::inbound_run::{Refused, Running};
 use crate::link;
 use crate::outbound::Inner;
 use crate::outbound_answer::{Body, Local, Remote, VERDICT_HEADER};
@@ -18,6 +18,7 @@
 use std::future::poll_fn;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::oneshot;
 use wire::call::{Frame, Header, Reason, WINDOW};
 
 /// Header that names a try to the backend server, for its logs.
@@ -42,7 +43,36 @@
     /// No answer; the body is given back when it can be sent again.
     Refused(Refused, Option<outbound_sent::Body>),
     /// Nothing by the deadline; what was sent may still come to something.
-    Late(Sent),
+    Late(Late<C>),
+}
+
+/// A try that came to nothing by the deadline; dropping it cancels it.
+#[derive(Debug)]
+pub(crate) enum Late<C>
+where
+    C: Clock,
+{
+    Remote(Sent),
+    Local(oneshot::Receiver<Result<Response<Running<C>>, Refused>>),
+}
+
+impl<C> Late<C>
+where
+    C: Clock,
+{
+    /// Waits for what it comes to after all.
+    pub(crate) async fn settle(self) -> Result<Response<Body<C>>, Refused> {
+        match self {
+            Self::Remote(mut sent) => match poll_fn(|cx| sent.poll_head(cx)).await {
+                Ok(answer) => Ok(respond_remote(answer, sent)),
+                Err(refusal) => Err(refusal.into()),
+            },
+            Self::Local(receiver) => match receiver.await {
+                Ok(ended) => ended.map(respond_local),
+                Err(_gone) => Err(may_have_run(Reason::Backend)),
+            },
+        }
+    }
 }
 
 /// Tries a call once.
@@ -81,12 +111,21 @@
         rest: body.rest.map_or(Rest::Done, Rest::Caller),
     };
     name_try(&mut request, inner.links.next_id());
-    let call = inner.inbound.call_local(request, upload, plan.deadline);
-    match call.await {
+    let ended = if plan.key.is_some() {
+        let mut call = inner.inbound.spawn_local(request, upload, plan.deadline);
+        match tokio::time::timeout(left(inner, plan.deadline), &mut call).await {
+            Ok(Ok(ended)) => ended,
+            Ok(Err(_gone)) => Err(may_have_run(Reason::Backend)),
+            Err(_) => return Tried::Late(Late::Local(call)),
+        }
+    } else {
+        let call = inner.inbound.call_local(request, upload, plan.deadline);
+        call.await
+    };
+    match ended {
         Ok(response) => {
             let load = f64::from(response.body().load_percent()) / 100.0;
-            let response = response.map(|running| Body::Local(Local(running)));
-            Tried::Answered(finish_answer(response), Some(load))
+            Tried::Answered(respond_local(response), Some(load))
         }
         Err(refused) => {
             let back = whole.then_some(outbound_sent::Body {
@@ -143,7 +182,10 @@
     let mut sent = Sent::new(one, link, body, first.len());
     let waiting = poll_fn(|cx| sent.poll_head(cx));
     match tokio::time::timeout(left(inner, plan.deadline), waiting).await {
-        Ok(Ok(answer)) => answer_remote(answer, sent),
+        Ok(Ok(answer)) => {
+            let load = f64::from(answer.load_percent) / 100.0;
+            Tried::Answered(respond_remote(answer, sent), Some(load))
+        }
         Ok(Err(refusal)) => {
             let back = (!sent.used).then(|| outbound_sent::Body {
                 ready: kept,
@@ -151,19 +193,25 @@
             });
             Tried::Refused(refusal.into(), back)
         }
-        Err(_) => Tried::Late(sent),
+        Err(_) => Tried::Late(Late::Remote(sent)),
     }
 }
 
-pub(crate) fn answer_remote<C>(answer: wire::call::Answer, sent: Sent) -> Tried<C>
+fn respond_remote<C>(answer: wire::call::Answer, sent: Sent) -> Response<Body<C>>
 where
     C: Clock,
 {
-    let load = f64::from(answer.load_percent) / 100.0;
     let mut response = Response::new(Body::Remote(Remote(sent)));
     *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
     put_headers(answer.headers, response.headers_mut());
-    Tried::Answered(finish_answer(response), Some(load))
+    finish_answer(response)
+}
+
+fn respond_local<C>(response: Response<Running<C>>) -> Response<Body<C>>
+where
+    C: Clock,
+{
+    finish_answer(response.map(|running| Body::Local(Local(running))))
 }
 
 /// Drafts a request; each try gets its own name and time.
--- a/crates/node/tests/calls/keyed.rs
+++ b/crates/node/tests/calls/keyed.rs
@@ -1,16 +1,20 @@
 //! Calls with an idempotency key, repeated by their callers at other nodes.
 
 use crate::forward::{Forwarder, Mode};
-use crate::mesh::{Answer, Node, call, spawn_node, spawn_node_with, spawn_server, wait_recorded};
+use crate::mesh::{
+    Answer, Node, bind, call, spawn_node, spawn_node_with, spawn_server, wait_recorded,
+};
 use bytes::Bytes;
-use config::Repeat;
+use config::{Class, Repeat};
 use http::{Method, StatusCode};
 use platform::Memory;
 use platform::memory::Faults;
 use standin::record::Record;
 use std::net::SocketAddr;
-use tokio::io::AsyncWriteExt;
+use std::sync::Arc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 
 /// Two nodes for callers, and one whose backend server runs what is booked.
 struct Mesh {
@@ -259,3 +263,69 @@
     assert_eq!((again.status, again.verdict()), (StatusCode::OK, "ran"));
     assert_eq!(mesh.record.entries().len(), 2);
 }
+
+/// A backend server that answers its first call only when told to.
+async fn spawn_stopped(go_on: Arc<Notify>) -> (SocketAddr, Arc<Notify>) {
+    let (listener, address) = bind().await;
+    let reached = Arc::new(Notify::new());
+    let reach = Arc::clone(&reached);
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut head = [0; 2_048];
+        let _head = stream.read(&mut head).await.unwrap();
+        reach.notify_one();
+        go_on.notified().await;
+        let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\nbooked";
+        stream.write_all(answer).await.unwrap();
+        std::future::pending::<()>().await;
+    });
+    (address, reached)
+}
+
+// The backend server is stopped in the middle of a booking and goes on after
+// the clerk's deadline. The clerk's repeat is answered by that booking, whether
+// the call came in on the backend server's own VM or on another.
+#[yare::parameterized(remote = { false }, local = { true })]
+#[test_macro(tokio::test)]
+async fn server_stopped(local: bool) {
+    let mesh = spawn_mesh().await;
+    let go_on = Arc::new(Notify::new());
+    let (server, reached) = spawn_stopped(Arc::clone(&go_on)).await;
+    mesh.far.announce("jobs", server, 2);
+    let node = if local { &mesh.far } else { &mesh.one };
+    for node in [&mesh.one, &mesh.two, &mesh.far] {
+        node.serve_as(
+            Class::Commit,
+            "jobs",
+            Repeat::Never,
+            &[mesh.far.endpoint("jobs", mesh.far.nodes)],
+        );
+    }
+    let address = node.outbound.address();
+    let headers = [
+        ("idempotency-key", "k1"),
+        ("bluebellpick-timeout-ms", "400"),
+    ];
+    let body = Bytes::from_static(b"bay 3");
+    let first = call(address, Method::POST, "/jobs/1", &headers, body.clone());
+    let (told, ()) = tokio::join!(first, reached.notified());
+    let told = told.unwrap();
+    assert_eq!(
+        (told.status, told.verdict()),
+        (StatusCode::GATEWAY_TIMEOUT, "may-have-run")
+    );
+    go_on.notify_one();
+    let address = mesh.two.outbound.address();
+    let mut again = book(address, "k1", "r2", "0").await;
+    for _ in 0..500 {
+        if again.status == StatusCode::OK {
+            break;
+        }
+        assert_eq!(again.verdict(), "may-have-run");
+        again = book(address, "k1", "r2", "0").await;
+    }
+    assert_eq!(
+        (again.status, &*again.body),
+        (StatusCode::OK, &b"booked"[..])
+    );
+}
--- a/crates/node/tests/calls/mesh.rs
+++ b/crates/node/tests/calls/mesh.rs
@@ -121,6 +121,11 @@
 
     /// Serves by one route, to the service of the same name.
     pub fn serve_by(&self, service: &str, repeat: Repeat, endpoints: &[Endpoint]) {
+        self.serve_as(Class::Lookup, service, repeat, endpoints);
+    }
+
+    /// Serves by one route of that class, to the service of the same name.
+    pub fn serve_as(&self, class: Class, service: &str, repeat: Repeat, endpoints: &[Endpoint]) {
         let mut mesh = Mesh::default();
         mesh.services.insert(service.into(), Service::default());
         let route = Route {
@@ -128,7 +133,7 @@
                 service: service.into(),
                 percent: 100,
             }],
-            class: Class::Lookup,
+            class,
             repeat,
             retry: None,
             timeout_ms: 5_000,
