Lay at a graceful stop's door only what began and ended while it went on

The check now counts a repeat from the first request under its key, and leaves out what ended after the span; doctored histories cover both ways.

--- a/crates/bench/src/faults_history.rs
+++ b/crates/bench/src/faults_history.rs
@@ -80,12 +80,6 @@
     pub to_us: u64,
 }
 
-impl Span {
-    fn meets(self, other: Self) -> bool {
-        self.from_us <= other.to_us && other.from_us <= self.to_us
-    }
-}
-
 /// All that was noted of a run of the experiment.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct History {
@@ -206,13 +200,21 @@
 }
 
 /// While nothing but graceful stops goes on, every call ends with an answer or a sure refusal.
+///
+/// A repeat counts from the first request under its key: what a fault before
+/// the stop has made unknown stays so. One that ends after the span may have
+/// met the next fault.
 fn check_graceful(verdict: &mut Verdict, history: &History) {
+    let mut first: HashMap<&str, u64> = HashMap::new();
     for one in &history.invocations {
-        let span = Span {
-            from_us: one.sent_us,
-            to_us: one.told_us,
-        };
-        let within = |graceful: &Span| graceful.from_us <= span.from_us && span.meets(*graceful);
+        if let Some(key) = &one.key {
+            let sent_us = first.entry(key).or_insert(one.sent_us);
+            *sent_us = one.sent_us.min(*sent_us);
+        }
+    }
+    for one in &history.invocations {
+        let from_us = one.key.as_deref().map_or(one.sent_us, |key| first[key]);
+        let within = |graceful: &Span| graceful.from_us <= from_us && one.told_us <= graceful.to_us;
         let cut = matches!(one.told, Told::Broken | Told::MayHaveRun);
         if cut && history.graceful.iter().any(within) {
             verdict.cut_in_flight += 1;
--- a/crates/bench/tests/history.rs
+++ b/crates/bench/tests/history.rs
@@ -91,6 +91,9 @@
     BodySwapped,
     AnswerBorrowed,
     CutOff,
+    CutOffOnRepeat,
+    UnknownBefore,
+    CutOffAfter,
 }
 
 fn doctor(history: &mut History, wrong: Wrong) {
@@ -103,6 +106,19 @@
         Wrong::BodySwapped => "f2".clone_into(&mut asked[4].fingerprint),
         Wrong::AnswerBorrowed => asked[2].told = answered("r1"),
         Wrong::CutOff => (asked[3].sent_us, asked[3].told_us) = (2_500_000, 2_600_000),
+        Wrong::CutOffOnRepeat => {
+            (asked[3].sent_us, asked[3].told_us) = (2_500_000, 2_600_000);
+            let mut repeat = invoke("r6", Some("k3"), Told::Broken);
+            (repeat.sent_us, repeat.told_us) = (2_700_000, 2_800_000);
+            asked.push(repeat);
+        }
+        // Not the stop's doing: unknown since before it, or cut off after it.
+        Wrong::UnknownBefore => {
+            let mut repeat = invoke("r6", Some("k3"), Told::MayHaveRun);
+            (repeat.sent_us, repeat.told_us) = (2_500_000, 2_600_000);
+            asked.push(repeat);
+        }
+        Wrong::CutOffAfter => (asked[3].sent_us, asked[3].told_us) = (2_900_000, 3_100_000),
     }
 }
 
@@ -113,6 +129,9 @@
     body_swapped = { Wrong::BodySwapped, [0, 0, 1, 0] },
     answer_borrowed = { Wrong::AnswerBorrowed, [0, 0, 1, 0] },
     cut_off = { Wrong::CutOff, [0, 0, 0, 1] },
+    cut_off_on_repeat = { Wrong::CutOffOnRepeat, [0, 0, 0, 2] },
+    unknown_before = { Wrong::UnknownBefore, [0, 0, 0, 0] },
+    cut_off_after = { Wrong::CutOffAfter, [0, 0, 0, 0] },
 )]
 fn doctored(wrong: Wrong, found: [usize; 4]) {
     let mut history = make_good();
