--- a/crates/node/src/outbound_call.rs
+++ b/crates/node/src/outbound_call.rs
@@ -4,9 +4,9 @@
 use crate::metrics::Ending;
 use crate::outbound::Inner;
 use crate::outbound_answer::{Body, refuse, reject};
-use crate::outbound_keyed::{key_of, serve_keyed};
+use crate::outbound_keyed::serve_keyed;
 use crate::outbound_plan::{Plan, left, make_plan, take_body};
-use crate::outbound_send::{Tried, UNREACHABLE_RETRY_MS, not_run, try_once};
+use crate::outbound_send::{Late, Tried, UNREACHABLE_RETRY_MS, may_have_run, not_run, try_once};
 use crate::outbound_sent;
 use crate::outbound_service::{Ask, Picked};
 use call::Verdict;
@@ -28,6 +28,8 @@
 {
     pub(crate) response: Response<Body<C>>,
     pub(crate) ending: Ending,
+    /// What was sent and came to nothing by the deadline.
+    pub(crate) late: Option<Late<C>>,
 }
 
 /// Counts a call for the report on burn; one that is dropped was cancelled.
@@ -102,7 +104,7 @@
         Ok(Err(_)) => return reject(StatusCode::BAD_REQUEST, "body-cut-off"),
         Err(_) => return reject(StatusCode::REQUEST_TIMEOUT, "body-late"),
     };
-    let served = match key_of(&plan, &head) {
+    let served = match plan.key {
         Some(key) => serve_keyed(inner, &plan, key, head, body).await,
         None => serve_plan(inner, &plan, &head, body).await,
     };
@@ -118,6 +120,7 @@
         Self {
             response: refuse(refused),
             ending: Ending::Refused(refused.verdict),
+            late: None,
         }
     }
 }
@@ -130,6 +133,7 @@
         Self {
             ending: Ending::Answered(response.status().as_u16()),
             response,
+            late: None,
         }
     }
 }
@@ -162,6 +166,13 @@
                 return response.into();
             }
             Tried::Refused(refused, back) => (refused, back),
+            Tried::Late(late) => {
+                picked.outcome = Outcome::Failed;
+                return Served {
+                    late: Some(late),
+                    ..may_have_run(Reason::Deadline).into()
+                };
+            }
         };
         let cause = cause_of(refused);
         picked.outcome = refused_outcome(cause);
