--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -8,5 +8,7 @@
 pub mod deployment;
 pub mod error;
 pub mod load;
+pub mod overload;
+pub mod overload_calls;
 pub mod path;
 pub mod process;
--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -91,7 +91,19 @@
 }
 
 /// Sends every planned call at its time, however late the answers are, and gives what became of them.
-pub async fn send_planned(mut plan: Vec<Planned>, limit: Duration) -> Vec<Outcome> {
+pub async fn send_planned(plan: Vec<Planned>, limit: Duration) -> Vec<Outcome> {
+    send_each(plan, move |planned| async move {
+        planned.caller.send_within(&planned.call, limit).await
+    })
+    .await
+}
+
+/// As [`send_planned`], with `send` for sending one call.
+pub async fn send_each<F, S>(mut plan: Vec<Planned>, send: F) -> Vec<Outcome>
+where
+    F: Fn(Planned) -> S,
+    S: Future<Output = Result<Answer, Error>> + Send + 'static,
+{
     plan.sort_by_key(|planned| planned.at);
     let total = plan.len();
     let (sender, mut receiver) = mpsc::unbounded_channel();
@@ -99,12 +111,14 @@
     for planned in plan {
         wait_until(start + planned.at).await;
         let sender = sender.clone();
+        let (series, at) = (planned.series, planned.at);
+        let answer = send(planned);
         tokio::spawn(async move {
-            let answer = planned.caller.send_within(&planned.call, limit).await;
-            let latency = start.elapsed().saturating_sub(planned.at);
+            let answer = answer.await;
+            let latency = start.elapsed().saturating_sub(at);
             let outcome = Outcome {
-                series: planned.series,
-                at: planned.at,
+                series,
+                at,
                 latency,
                 answer,
             };
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,7 +3,7 @@
 //! Every experiment prints one JSON object with its figures as its last line.
 
 use bench::error::Error;
-use bench::path;
+use bench::{overload, path};
 use bpaf::{Parser, construct, long};
 use std::process::ExitCode;
 use std::time::Duration;
@@ -12,6 +12,7 @@
 #[derive(Debug, Clone)]
 enum Command {
     Path(path::Plot),
+    Overload(overload::Plot),
 }
 
 fn parse_seconds(default: u64) -> impl Parser<Duration> {
@@ -45,11 +46,25 @@
     plot.map(Command::Path)
 }
 
+fn parse_overload() -> impl Parser<Command> {
+    let duration = parse_seconds(5);
+    let only = long("only")
+        .help("Run just this part: levels, fairness, slow or burst")
+        .argument::<overload::Part>("PART")
+        .optional();
+    construct!(overload::Plot { duration, only }).map(Command::Overload)
+}
+
 fn parse_command() -> impl Parser<Command> {
-    parse_path()
+    let path = parse_path()
         .to_options()
         .descr("Sets direct calls and calls through the proxies side by side")
-        .command("path")
+        .command("path");
+    let overload = parse_overload()
+        .to_options()
+        .descr("Sends up to ten times the capacity, beside a plain baseline")
+        .command("overload");
+    construct!([path, overload])
 }
 
 // One thread: the pacer must see the sockets of its own calls at once.
@@ -74,6 +89,7 @@
 async fn run(command: Command) -> Result<String, Error> {
     match command {
         Command::Path(plot) => print_json(&path::run(plot).await?),
+        Command::Overload(plot) => print_json(&overload::run(plot).await?),
     }
 }
 
