--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -17,6 +17,8 @@
 pub mod load;
 pub mod node;
 pub mod options;
+pub mod overload;
+pub mod overload_calls;
 pub mod path;
 pub mod process;
 pub mod proposer;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,7 +3,7 @@
 //! Every experiment prints one JSON object with its figures as its last line.
 
 use bench::error::Error;
-use bench::{converge, demo, faults, path, state};
+use bench::{converge, demo, faults, overload, path, state};
 use bpaf::{Parser, construct};
 use std::process::ExitCode;
 use tokio::signal::unix::{SignalKind, signal};
@@ -16,6 +16,7 @@
     Converge(converge::Plot),
     Faults(faults::Plot),
     State(state::Plot),
+    Overload(overload::Plot),
 }
 
 fn parse_command() -> impl Parser<Command> {
@@ -43,7 +44,12 @@
         .to_options()
         .descr("Measures what a large fleet's state and churn cost one node")
         .command("state");
-    construct!([demo, path, converge, faults, state])
+    let overload = overload::parse()
+        .map(Command::Overload)
+        .to_options()
+        .descr("Offers more than a fleet can serve, beside a plain baseline")
+        .command("overload");
+    construct!([demo, path, converge, faults, state, overload])
 }
 
 // One thread: the pacer must see the sockets of its own calls at once.
@@ -97,6 +103,7 @@
             Ok((print_json(&report)?, report.is_clean()))
         }
         Command::State(plot) => Ok((print_json(&state::run(plot).await?)?, true)),
+        Command::Overload(plot) => Ok((print_json(&overload::run(plot).await?)?, true)),
         Command::Converge(plot) => Ok((print_json(&converge::run(plot).await?)?, true)),
     }
 }
