--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -47,7 +47,7 @@
     let overload = overload::parse()
         .map(Command::Overload)
         .to_options()
-        .descr("Offers more than a fleet can serve, beside a plain baseline")
+        .descr("Sends up to ten times the capacity, beside a plain baseline")
         .command("overload");
     construct!([demo, path, converge, faults, state, overload])
 }
