--- a/crates/bench/src/converge.rs
+++ b/crates/bench/src/converge.rs
@@ -9,6 +9,7 @@
 use crate::node::{self, Installed, Metrics};
 use crate::proposer::{Proposer, name_service};
 use crate::relay;
+use bpaf::{Parser, construct, long};
 use config::{Class, Repeat};
 use hdrhistogram::Histogram;
 use rustix::process::Signal;
@@ -125,6 +126,47 @@
     not_converged: usize,
 }
 
+/// Reads what to measure from the command line.
+#[must_use]
+pub fn parse() -> impl Parser<Plot> {
+    let nodes = long("nodes")
+        .help("Node processes, in three availability zones")
+        .argument::<usize>("COUNT")
+        .guard(|nodes| (3..=240).contains(nodes), "between 3 and 240 nodes")
+        .fallback(12)
+        .display_fallback();
+    let versions = long("versions")
+        .help("Versions to propose, when nothing goes wrong")
+        .argument::<usize>("COUNT")
+        .fallback(20)
+        .display_fallback();
+    let services = long("services")
+        .help("Services, and routes, of the configuration")
+        .argument::<usize>("COUNT")
+        .guard(
+            |services| (2..=2_000).contains(services),
+            "between 2 and 2000",
+        )
+        .fallback(410)
+        .display_fallback();
+    let distribution = long("distribution")
+        .help("How versions come: tree, or one of the baselines whole and watch")
+        .argument::<String>("WAY")
+        .fallback("tree".to_owned())
+        .display_fallback();
+    let fault = long("fault")
+        .help("platform-outage, roots-killed, partition or herd-restart")
+        .argument::<Fault>("FAULT")
+        .optional();
+    construct!(Plot {
+        nodes,
+        versions,
+        services,
+        distribution,
+        fault
+    })
+}
+
 /// Starts the fleet, proposes the versions and gives the figures.
 ///
 /// # Errors
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,145 +3,53 @@
 //! Every experiment prints one JSON object with its figures as its last line.
 
 use bench::error::Error;
-use bench::{converge, path, state};
-use bpaf::{Parser, construct, long};
+use bench::{converge, demo, faults, overload, path, state};
+use bpaf::{Parser, construct};
 use std::process::ExitCode;
-use std::time::Duration;
+use tokio::signal::unix::{SignalKind, signal};
 
 /// Which experiment to run.
 #[derive(Debug, Clone)]
 enum Command {
+    Demo,
     Path(path::Plot),
     Converge(converge::Plot),
+    Faults(faults::Plot),
     State(state::Plot),
-}
-
-fn parse_seconds(default: u64) -> impl Parser<Duration> {
-    long("seconds")
-        .help("How long to measure, in seconds")
-        .argument::<u64>("SECONDS")
-        .fallback(default)
-        .display_fallback()
-        .map(Duration::from_secs)
-}
-
-fn parse_path() -> impl Parser<Command> {
-    let rate = long("rate")
-        .help("Calls a second of each series and VM")
-        .argument::<u32>("RATE")
-        .guard(|rate| *rate > 0, "at least one call a second")
-        .fallback(100)
-        .display_fallback();
-    let duration = parse_seconds(10);
-    let vms = long("vms")
-        .help("VMs with a backend server each")
-        .argument::<usize>("COUNT")
-        .guard(|vms| (2..=50).contains(vms), "between 2 and 50 VMs")
-        .fallback(3)
-        .display_fallback();
-    let plot = construct!(path::Plot {
-        rate,
-        duration,
-        vms
-    });
-    plot.map(Command::Path)
-}
-
-fn parse_converge() -> impl Parser<Command> {
-    let nodes = long("nodes")
-        .help("Node processes, in three availability zones")
-        .argument::<usize>("COUNT")
-        .guard(|nodes| (3..=240).contains(nodes), "between 3 and 240 nodes")
-        .fallback(12)
-        .display_fallback();
-    let versions = long("versions")
-        .help("Versions to propose, when nothing goes wrong")
-        .argument::<usize>("COUNT")
-        .fallback(20)
-        .display_fallback();
-    let services = long("services")
-        .help("Services, and routes, of the configuration")
-        .argument::<usize>("COUNT")
-        .guard(
-            |services| (2..=2_000).contains(services),
-            "between 2 and 2000",
-        )
-        .fallback(410)
-        .display_fallback();
-    let distribution = long("distribution")
-        .help("How versions come: tree, or one of the baselines whole and watch")
-        .argument::<String>("WAY")
-        .fallback("tree".to_owned())
-        .display_fallback();
-    let fault = long("fault")
-        .help("platform-outage, roots-killed, partition or herd-restart")
-        .argument::<converge::Fault>("FAULT")
-        .optional();
-    let plot = construct!(converge::Plot {
-        nodes,
-        versions,
-        services,
-        distribution,
-        fault
-    });
-    plot.map(Command::Converge)
-}
-
-fn parse_state() -> impl Parser<Command> {
-    let services = long("services")
-        .help("Services, and routes, of the configuration")
-        .argument::<usize>("COUNT")
-        .guard(
-            |services| (2..=2_000).contains(services),
-            "between 2 and 2000",
-        )
-        .fallback(410)
-        .display_fallback();
-    let endpoints = long("endpoints")
-        .help("Endpoints of the fleet")
-        .argument::<usize>("COUNT")
-        .guard(
-            |endpoints| (1..=50_000).contains(endpoints),
-            "between 1 and 50000",
-        )
-        .fallback(14_000)
-        .display_fallback();
-    let children = long("children")
-        .help("Children that the node relays to")
-        .argument::<usize>("COUNT")
-        .guard(|children| *children < 24, "fewer than 24")
-        .fallback(0)
-        .display_fallback();
-    let speed = long("speed")
-        .help("Times the churn of 14,000 nodes")
-        .argument::<f64>("TIMES")
-        .fallback(1.0)
-        .display_fallback();
-    let duration = parse_seconds(30);
-    let plot = construct!(state::Plot {
-        services,
-        endpoints,
-        children,
-        speed,
-        duration
-    });
-    plot.map(Command::State)
+    Overload(overload::Plot),
 }
 
 fn parse_command() -> impl Parser<Command> {
-    let path = parse_path()
+    let demo = bpaf::pure(Command::Demo)
+        .to_options()
+        .descr("Shows the main job on stand-ins")
+        .command("demo");
+    let path = path::parse()
+        .map(Command::Path)
         .to_options()
         .descr("Sets direct calls and calls through the proxies side by side")
         .command("path");
-    let converge = parse_converge()
+    let converge = converge::parse()
+        .map(Command::Converge)
         .to_options()
         .descr("Measures how long versions take to all nodes, and what that costs")
         .command("converge");
-    let state = parse_state()
+    let faults = faults::parse()
+        .map(Command::Faults)
+        .to_options()
+        .descr("Checks the histories of callers and backend servers under seeded faults")
+        .command("faults");
+    let state = state::parse()
+        .map(Command::State)
         .to_options()
         .descr("Measures what a large fleet's state and churn cost one node")
         .command("state");
-    construct!([path, converge, state])
+    let overload = overload::parse()
+        .map(Command::Overload)
+        .to_options()
+        .descr("Sends up to ten times the capacity, beside a plain baseline")
+        .command("overload");
+    construct!([demo, path, converge, faults, state, overload])
 }
 
 // One thread: the pacer must see the sockets of its own calls at once.
@@ -151,10 +59,19 @@
         .to_options()
         .descr("Load, experiments and failures against real processes")
         .run();
-    match run(command).await {
-        Ok(report) => {
+    // A run that is ended early drops its processes, which ends them.
+    let ended = tokio::select! {
+        report = run(command) => report,
+        () = wait_signal() => Err(Error::Unexpected("ended early by a signal".to_owned())),
+    };
+    match ended {
+        Ok((report, is_clean)) => {
             println!("{report}");
-            ExitCode::SUCCESS
+            if is_clean {
+                ExitCode::SUCCESS
+            } else {
+                ExitCode::FAILURE
+            }
         }
         Err(error) => {
             eprintln!("bluebellpick-bench: {error}");
@@ -163,11 +80,31 @@
     }
 }
 
-async fn run(command: Command) -> Result<String, Error> {
+async fn wait_signal() {
+    let (Ok(mut terminate), Ok(mut interrupt)) = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+    ) else {
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
+
+/// Gives the report, and whether nothing that must hold was violated.
+async fn run(command: Command) -> Result<(String, bool), Error> {
     match command {
-        Command::Path(plot) => print_json(&path::run(plot).await?),
-        Command::State(plot) => print_json(&state::run(plot).await?),
-        Command::Converge(plot) => print_json(&converge::run(plot).await?),
+        Command::Demo => Ok((print_json(&demo::run().await?)?, true)),
+        Command::Path(plot) => Ok((print_json(&path::run(plot).await?)?, true)),
+        Command::Faults(plot) => {
+            let report = faults::run(plot).await?;
+            Ok((print_json(&report)?, report.is_clean()))
+        }
+        Command::State(plot) => Ok((print_json(&state::run(plot).await?)?, true)),
+        Command::Overload(plot) => Ok((print_json(&overload::run(plot).await?)?, true)),
+        Command::Converge(plot) => Ok((print_json(&converge::run(plot).await?)?, true)),
     }
 }
 
--- a/crates/bench/src/state.rs
+++ b/crates/bench/src/state.rs
@@ -6,7 +6,9 @@
 use crate::deployment::{Deployment, Plan, put_route};
 use crate::error::Error;
 use crate::node;
+use crate::options;
 use crate::proposer::{Proposer, name_service};
+use bpaf::{Parser, construct, long};
 use config::{Class, Endpoint, Repeat, State, Version};
 use serde::Serialize;
 use std::net::SocketAddr;
@@ -84,6 +86,48 @@
     pub control_bytes_s: f64,
 }
 
+/// Reads what to measure from the command line.
+#[must_use]
+pub fn parse() -> impl Parser<Plot> {
+    let services = long("services")
+        .help("Services, and routes, of the configuration")
+        .argument::<usize>("COUNT")
+        .guard(
+            |services| (2..=2_000).contains(services),
+            "between 2 and 2000",
+        )
+        .fallback(410)
+        .display_fallback();
+    let endpoints = long("endpoints")
+        .help("Endpoints of the fleet")
+        .argument::<usize>("COUNT")
+        .guard(
+            |endpoints| (1..=50_000).contains(endpoints),
+            "between 1 and 50000",
+        )
+        .fallback(14_000)
+        .display_fallback();
+    let children = long("children")
+        .help("Children that the node relays to")
+        .argument::<usize>("COUNT")
+        .guard(|children| *children < 24, "fewer than 24")
+        .fallback(0)
+        .display_fallback();
+    let speed = long("speed")
+        .help("Times the churn of 14,000 nodes")
+        .argument::<f64>("TIMES")
+        .fallback(1.0)
+        .display_fallback();
+    let duration = options::parse_seconds(30);
+    construct!(Plot {
+        services,
+        endpoints,
+        children,
+        speed,
+        duration
+    })
+}
+
 /// Starts the node, fills it and gives what its state costs.
 ///
 /// # Errors
--- a/crates/node/src/inbound.rs
+++ b/crates/node/src/inbound.rs
@@ -5,6 +5,7 @@
 
 use crate::backend::Pool;
 use crate::inbound_call::Call;
+use crate::inbound_gate::Gate;
 use crate::inbound_run::{self, Refused, Running};
 use crate::link::{self, Receiver, Sender, Watch};
 use crate::shared::{Backend, Shared};
@@ -18,7 +19,7 @@
 use std::sync::{Arc, Weak};
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::oneshot;
 use wire::Hello;
 use wire::call::{Frame, Reason, Request};
 
@@ -57,8 +58,7 @@
     pub(crate) pool: Arc<Pool<C>>,
     tables: [Mutex<Table<Arc<Call>>>; SHARDS],
     links: Mutex<Vec<Weak<Sender>>>,
-    slots: Mutex<(u16, Arc<Semaphore>)>,
-    active: watch::Sender<usize>,
+    pub(crate) gate: Arc<Gate<C>>,
 }
 
 /// Starts the inbound proxy.
@@ -69,11 +69,10 @@
 {
     let inner = Arc::new(Inner {
         pool: Pool::new(shared.clock.clone()),
+        gate: Gate::spawn(shared.clock.clone(), shared.incarnation),
         shared,
         tables: Default::default(),
         links: Mutex::default(),
-        slots: Mutex::new((0, Arc::new(Semaphore::new(0)))),
-        active: watch::Sender::new(0),
     });
     tokio::spawn(forget(Arc::downgrade(&inner)));
     tokio::spawn(announce_leaving(Arc::downgrade(&inner)));
@@ -96,7 +95,7 @@
         links.push(Arc::downgrade(&sender));
         drop(links);
         if self.inner.is_leaving() {
-            drop(sender.send([Frame::Leaving]));
+            drop(sender.send([Frame::Leaving(true)]));
         }
         let origin = hello.incarnation;
         tokio::spawn(run_link(Arc::clone(&self.inner), sender, receiver, origin));
@@ -127,9 +126,38 @@
         }
     }
 
+    /// Runs a call that entered on this VM, on past its deadline for as long as the receiver is held.
+    pub(crate) fn spawn_local(
+        &self,
+        request: Request,
+        upload: Upload,
+        deadline: Instant,
+    ) -> oneshot::Receiver<Result<http::Response<Running<C>>, Refused>> {
+        let (mut sender, receiver) = oneshot::channel();
+        let inner = Arc::clone(&self.inner);
+        tokio::spawn(async move {
+            let run = inbound_run::run(&inner, request, upload, deadline, || true);
+            let overdue = async {
+                inbound_run::sleep_until(&inner, deadline).await;
+                tokio::time::sleep(inbound_run::LATE_LIMIT).await;
+            };
+            let ended = tokio::select! {
+                biased;
+                ended = run => Some(ended),
+                // What nobody waits for any more is dropped with its connection.
+                () = sender.closed() => None,
+                () = overdue => None,
+            };
+            if let Some(ended) = ended {
+                drop(sender.send(ended));
+            }
+        });
+        receiver
+    }
+
     /// Waits until nothing is in flight, and gives what is left of it at `timeout`.
     pub async fn drain(&self, timeout: Duration) -> usize {
-        let mut active = self.inner.active.subscribe();
+        let mut active = self.inner.shared.in_flight.subscribe();
         let ended = async {
             drop(active.wait_for(|count| *count == 0).await);
             let links = self.inner.links.lock().clone();
@@ -139,7 +167,7 @@
         };
         match tokio::time::timeout(timeout, ended).await {
             Ok(()) => 0,
-            Err(_) => (*self.inner.active.borrow()).max(1),
+            Err(_) => (*self.inner.shared.in_flight.borrow()).max(1),
         }
     }
 }
@@ -158,7 +186,7 @@
     C: Clock,
 {
     fn drop(&mut self) {
-        self.inner.active.send_if_modified(|count| {
+        self.inner.shared.in_flight.send_if_modified(|count| {
             *count -= 1;
             *count == 0
         });
@@ -170,7 +198,7 @@
     C: Clock,
 {
     pub(crate) fn count_in(self: &Arc<Self>) -> Active<C> {
-        self.active.send_if_modified(|count| {
+        self.shared.in_flight.send_if_modified(|count| {
             *count += 1;
             false
         });
@@ -190,6 +218,17 @@
                 .is_some_and(|own| own.leaving)
     }
 
+    /// Waits until new work is refused.
+    pub(crate) async fn left(&self) {
+        let mut node = self.shared.leaving.subscribe();
+        let mut backend = self.shared.backend.subscribe();
+        // The senders live as long as the shared state.
+        tokio::select! {
+            _ = node.wait_for(|leaving| *leaving) => {}
+            _ = backend.wait_for(|own| own.as_ref().is_none_or(|own| own.leaving)) => {}
+        }
+    }
+
     /// Gives the backend server that takes calls of `service` now.
     pub(crate) fn find_backend(&self, service: &str) -> Result<Backend, Reason> {
         if *self.shared.leaving.borrow() {
@@ -203,15 +242,6 @@
         }
     }
 
-    /// Gives the slots of the backend server.
-    pub(crate) fn slots(&self, count: u16) -> Arc<Semaphore> {
-        let mut slots = self.slots.lock();
-        if slots.0 != count {
-            *slots = (count, Arc::new(Semaphore::new(count.max(1).into())));
-        }
-        Arc::clone(&slots.1)
-    }
-
     pub(crate) fn table(&self, origin: u64) -> &Mutex<Table<Arc<Call>>> {
         #[expect(
             clippy::cast_possible_truncation,
@@ -402,7 +432,7 @@
     }
 }
 
-/// Tells every peer when this node or its backend server begins to leave.
+/// Tells every peer when this node or its backend server begins to leave, or is back.
 async fn announce_leaving<C>(inner: Weak<Inner<C>>)
 where
     C: Clock,
@@ -415,6 +445,7 @@
     }) else {
         return;
     };
+    let mut told = false;
     loop {
         let changed = tokio::select! {
             changed = node.changed() => changed,
@@ -423,11 +454,13 @@
         let Some(inner) = inner.upgrade().filter(|_| changed.is_ok()) else {
             return;
         };
-        if inner.is_leaving() {
-            let links = inner.links.lock().clone();
-            for sender in links.iter().filter_map(Weak::upgrade) {
-                drop(sender.send([Frame::Leaving]));
-            }
+        let leaving = inner.is_leaving();
+        if std::mem::replace(&mut told, leaving) == leaving {
+            continue;
+        }
+        let links = inner.links.lock().clone();
+        for sender in links.iter().filter_map(Weak::upgrade) {
+            drop(sender.send([Frame::Leaving(leaving)]));
         }
     }
 }
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -293,6 +293,7 @@
         let mut ticks = tokio::time::interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut silent = 0;
+        let mut watched = Watch::Idle;
         loop {
             tokio::select! {
                 biased;
@@ -305,8 +306,11 @@
                     }
                 }
                 _ = ticks.tick() => {
-                    silent += 1;
-                    if self.check_progress(silent, watch()).is_break() {
+                    let now = watch();
+                    // Time in which nothing was due does not count as silence.
+                    silent = if now == watched { silent + 1 } else { 0 };
+                    watched = now;
+                    if self.check_progress(silent, now).is_break() {
                         break;
                     }
                 }
@@ -322,7 +326,7 @@
     fn check_progress(&self, silent: u32, watch: Watch) -> ControlFlow<()> {
         match watch {
             Watch::Due if silent > SILENT_TICKS => {
-                log::warn!(event = "link_silent"; "a link brought nothing for too long");
+                log::warn!("link_silent");
                 ControlFlow::Break(())
             }
             Watch::Due if silent > 1 && self.sender.send([Frame::Ping]).is_err() => {
@@ -356,8 +360,8 @@
                     }
                 }
                 Ok(None) => return ControlFlow::Continue(true),
-                Ok(Some((wire::Frame::Control(_), _))) | Err(_) => {
-                    log::warn!(event = "link_malformed"; "a link brought bytes that are no frame of a call");
+                Ok(Some((wire::Frame::Control(_) | wire::Frame::Reserve(_), _))) | Err(_) => {
+                    log::warn!("link_malformed");
                     return ControlFlow::Break(());
                 }
             }
--- a/crates/node/src/outbound.rs
+++ b/crates/node/src/outbound.rs
@@ -4,9 +4,11 @@
 use crate::outbound_answer::Body;
 use crate::outbound_call;
 use crate::outbound_link::Links;
+use crate::outbound_service::{Place, Services};
+use crate::reserve;
 use crate::shared::Shared;
 use clock::Clock;
-use config::{Endpoint, ServiceKey, View};
+use config::ServiceKey;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -16,17 +18,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 use wire::{Hello, Link, PROTOCOL};
 
-/// Connections of callers at once; more wait in the system's accept queue.
-///
-/// A connection costs some 20 kB at rest, so that they stay under 80 MB.
-const MAX_CONNECTIONS: usize = 4_096;
-
-/// Longest wait for a request's head, against callers that never end their headers.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
-
 /// Largest head of a request, in bytes, as with most servers.
 const MAX_HEAD: usize = 64 << 10;
 
@@ -58,7 +52,12 @@
     pub(crate) shared: Arc<Shared<C>>,
     pub(crate) inbound: inbound::Handle<C>,
     pub(crate) links: Arc<Links>,
+    pub(crate) services: Services,
+    pub(crate) place: Place,
+    pub(crate) reserve: reserve::Handle<C>,
     connections: Arc<Semaphore>,
+    /// A permit is out for each keyed call that runs, be its caller there or not.
+    keyed: Arc<Semaphore>,
     stage: watch::Sender<Stage>,
 }
 
@@ -81,11 +80,13 @@
     listener: TcpListener,
     shared: Arc<Shared<C>>,
     inbound: inbound::Handle<C>,
+    reserve: reserve::Handle<C>,
 ) -> std::io::Result<Handle<C>>
 where
     C: Clock,
 {
     let address = listener.local_addr()?;
+    let connections = usize::from(shared.settings.connections);
     let hello = Hello {
         protocol: PROTOCOL,
         node: shared.settings.name.clone(),
@@ -93,11 +94,19 @@
         zone: shared.settings.zone.clone(),
         link: Link::Call,
     };
+    let place = Place {
+        zone: shared.settings.zone.clone(),
+        region: shared.settings.region.clone(),
+    };
     let inner = Arc::new(Inner {
         shared,
+        services: Services::default(),
+        place,
         inbound,
         links: Links::spawn(hello),
-        connections: Arc::new(Semaphore::new(MAX_CONNECTIONS)),
+        reserve,
+        connections: Arc::new(Semaphore::new(connections)),
+        keyed: Arc::new(Semaphore::new(connections)),
         stage: watch::Sender::new(Stage::Serving),
     });
     tokio::spawn(accept(listener, Arc::clone(&inner)));
@@ -117,19 +126,36 @@
     /// Ends the connections of callers as their answers end, and gives how many are left at `timeout`.
     pub async fn drain(&self, timeout: Duration) -> usize {
         self.inner.stage.send_replace(Stage::LameDuck);
-        let all = u32::try_from(MAX_CONNECTIONS).unwrap_or(u32::MAX);
+        let all = u32::from(self.inner.shared.settings.connections);
         let ended = async {
             tokio::time::sleep(LAME_DUCK.min(timeout / 2)).await;
             self.inner.stage.send_replace(Stage::Closing);
             drop(self.inner.connections.acquire_many(all).await);
+            drop(self.inner.keyed.acquire_many(all).await);
         };
         match tokio::time::timeout(timeout, ended).await {
             Ok(()) => 0,
-            Err(_) => MAX_CONNECTIONS - self.inner.connections.available_permits(),
+            Err(_) => self.inner.count_open(),
         }
     }
 }
 
+impl<C> Inner<C>
+where
+    C: Clock,
+{
+    /// Counts a keyed call until the permit is dropped; none is given while too many run.
+    pub(crate) fn count_keyed(&self) -> Option<OwnedSemaphorePermit> {
+        Arc::clone(&self.keyed).try_acquire_owned().ok()
+    }
+
+    fn count_open(&self) -> usize {
+        let all = usize::from(self.shared.settings.connections);
+        let taken = |limit: &Semaphore| all - limit.available_permits();
+        taken(&self.connections).max(taken(&self.keyed)).max(1)
+    }
+}
+
 async fn accept<C>(listener: TcpListener, inner: Arc<Inner<C>>)
 where
     C: Clock,
@@ -152,7 +178,7 @@
                 });
             }
             Err(error) => {
-                log::warn!(event = "accept_failed", error:%; "no connection could be accepted");
+                log::warn!(error:%; "accept_failed");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
@@ -166,6 +192,7 @@
     if stream.set_nodelay(true).is_err() {
         return;
     }
+    let head_timeout = inner.shared.settings.head_timeout;
     let mut stage = inner.stage.subscribe();
     let service = service_fn(move |request| {
         let inner = Arc::clone(&inner);
@@ -179,7 +206,7 @@
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIMEOUT)
+        .header_read_timeout(head_timeout)
         .max_buf_size(MAX_HEAD)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
@@ -202,37 +229,6 @@
         .insert(http::header::CONNECTION, close);
 }
 
-impl<C> Inner<C>
-where
-    C: Clock,
-{
-    /// Picks an endpoint that has not been tried: the own one, one of the own zone, then any.
-    pub(crate) fn pick_endpoint<'a>(
-        &self,
-        view: &'a View,
-        service: &str,
-        tried: &[SocketAddr],
-    ) -> Option<&'a Endpoint> {
-        let keys = &view.service(view.find_service(service)?).endpoints;
-        let fresh: Vec<_> = keys
-            .iter()
-            .map(|key| view.endpoint(*key))
-            .filter(|endpoint| !tried.contains(&endpoint.address))
-            .collect();
-        let settings = &self.shared.settings;
-        if let Some(own) = fresh.iter().find(|endpoint| endpoint.node == settings.name) {
-            return Some(own);
-        }
-        let near: Vec<_> = fresh
-            .iter()
-            .filter(|endpoint| endpoint.zone == settings.zone)
-            .copied()
-            .collect();
-        let from = if near.is_empty() { &fresh } else { &near };
-        (!from.is_empty()).then(|| from[rand::rng().random_range(0..from.len())])
-    }
-}
-
 /// Picks a route's service by its shares.
 pub(crate) fn pick_target(targets: &[(ServiceKey, u8)]) -> ServiceKey {
     let mut draw = if targets.len() > 1 {
--- a/crates/node/src/outbound_answer.rs
+++ b/crates/node/src/outbound_answer.rs
@@ -41,6 +41,8 @@
     Whole(Option<Bytes>),
     /// From the backend server of another node.
     Remote(Remote),
+    /// One of the others, of which the start has been taken already.
+    Started(Option<Bytes>, Box<Body<C>>),
     /// From the backend server on the same VM.
     Local(Local<C>),
 }
@@ -68,10 +70,14 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
         match &mut *self {
             Self::Whole(bytes) => Poll::Ready(bytes.take().map(Frame::data).map(Ok)),
+            Self::Started(first, rest) => match first.take() {
+                Some(bytes) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
+                None => Pin::new(&mut **rest).poll_frame(cx),
+            },
             Self::Remote(Remote(sent)) => sent.poll_part(cx).map(|part| {
                 part.map(|got| got.map(Frame::data).map_err(|_refusal| Error::BrokenOff))
             }),
-            Self::Local(Local(running)) => running.reply.poll_part(cx).map(|part| {
+            Self::Local(Local(running)) => running.poll_part(cx).map(|part| {
                 part.map(|got| match got {
                     Ok(bytes) => Ok(Frame::data(bytes)),
                     Err(backend::Error::Connect | backend::Error::Broken) => Err(Error::BrokenOff),
@@ -83,15 +89,16 @@
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Whole(bytes) => bytes.is_none(),
+            Self::Started(first, rest) => first.is_none() && rest.is_end_stream(),
             Self::Remote(Remote(sent)) => sent.is_end(),
-            Self::Local(Local(running)) => running.reply.is_end(),
+            Self::Local(Local(running)) => running.is_end(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
-            Self::Remote(_) | Self::Local(_) => SizeHint::default(),
+            Self::Started(..) | Self::Remote(_) | Self::Local(_) => SizeHint::default(),
         }
     }
 }
@@ -123,22 +130,11 @@
         (_, Reason::Deadline) => StatusCode::GATEWAY_TIMEOUT,
         _ => StatusCode::BAD_GATEWAY,
     };
-    let mut response = tell(
-        status,
-        refused.verdict,
-        name_of(refused.reason),
-        refused.retry_after_ms,
-    );
-    if refused.verdict == Verdict::NotRun {
-        let seconds = refused.retry_after_ms.div_ceil(1_000).max(1);
-        let headers = response.headers_mut();
-        headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
-        headers.insert(
-            RETRY_AFTER_HEADER,
-            HeaderValue::from(refused.retry_after_ms),
-        );
-    }
-    response
+    let wait = match refused.verdict {
+        Verdict::NotRun => refused.retry_after_ms.max(1),
+        Verdict::MayHaveRun | Verdict::Ran => refused.retry_after_ms,
+    };
+    tell(status, refused.verdict, name_of(refused.reason), wait)
 }
 
 /// Answers a call that was not tried, with the fault that the caller can mend.
@@ -149,7 +145,8 @@
     tell(status, Verdict::NotRun, reason, 0)
 }
 
-fn tell<C>(
+/// Answers in this node's own words.
+pub(crate) fn tell<C>(
     status: StatusCode,
     verdict: Verdict,
     reason: &str,
@@ -173,6 +170,11 @@
         HeaderValue::from_static("application/json"),
     );
     headers.insert(VERDICT_HEADER, HeaderValue::from_static(verdict.as_str()));
+    if retry_after_ms > 0 {
+        let seconds = retry_after_ms.div_ceil(1_000);
+        headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+        headers.insert(RETRY_AFTER_HEADER, HeaderValue::from(retry_after_ms));
+    }
     response
 }
 
@@ -184,5 +186,6 @@
         Reason::Backend => "backend",
         Reason::NoService => "no-service",
         Reason::Cancelled => "cancelled",
+        Reason::Reservation => "reservation",
     }
 }
--- a/crates/node/src/outbound_call.rs
+++ b/crates/node/src/outbound_call.rs
@@ -1,71 +1,77 @@
 //! How the outbound proxy serves one call of a caller.
 
-use crate::header::{put_headers, take_end_to_end};
-use crate::inbound_run::{Refused, TIMEOUT_HEADER};
-use crate::link;
-use crate::outbound::{Inner, pick_target};
-use crate::outbound_answer::{Body, Local, Remote, VERDICT_HEADER, refuse, reject};
-use crate::outbound_sent::{self, Sent};
-use crate::upload::{Rest, Upload};
-use bytes::{Bytes, BytesMut};
-use call::{Id, Verdict};
+use crate::inbound_run::Refused;
+use crate::metrics::Ending;
+use crate::outbound::Inner;
+use crate::outbound_answer::{Body, refuse, reject};
+use crate::outbound_keyed::serve_keyed;
+use crate::outbound_plan::{Plan, left, make_plan, take_body};
+use crate::outbound_send::{Late, Tried, UNREACHABLE_RETRY_MS, may_have_run, not_run, try_once};
+use crate::outbound_sent;
+use crate::outbound_service::{Ask, Picked};
+use call::Verdict;
 use clock::Clock;
-use config::{Class, Endpoint, Repeat, Retry, View};
-use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, request};
-use http_body::Body as _;
-use http_body_util::BodyExt;
+use config::{Objective, View};
+use http::{Request, Response, StatusCode, request};
 use hyper::body::Incoming;
-use smol_str::SmolStr;
-use std::future::poll_fn;
+use policy::balance::{Key, Outcome};
+use policy::retry::{self, Cause, Decision};
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use wire::call::{Frame, Header, Reason, WINDOW};
+use wire::call::Reason;
 
-/// Header with the name of the caller on whose behalf a call is made; its IP address stands in.
-const CALLER_HEADER: &str = "bluebellpick-caller";
-
-/// Header that names a try to the backend server, for its logs.
-const CALL_HEADER: &str = "bluebellpick-call";
-
-/// Longest time for a call. The inbound proxy remembers a peer's links for longer.
-const LONGEST_TIMEOUT: Duration = Duration::from_mins(5);
-
-/// Time that is kept back from the inbound proxy's share of a deadline.
-///
-/// Its verdict on a call that ran out of time must be here before the
-/// deadline: half a millisecond on the way, a timer's granularity of 1 ms at
-/// both ends, and room for a busy machine.
-const VERDICT_MARGIN: Duration = Duration::from_millis(10);
-
-/// Tries of a call whose route has no rule: the first, and two more after a sure "not run".
-const DEFAULT_ATTEMPTS: u8 = 3;
+/// A call's answer, and how it counts.
+pub(crate) struct Served<C>
+where
+    C: Clock,
+{
+    pub(crate) response: Response<Body<C>>,
+    pub(crate) ending: Ending,
+    /// What was sent and came to nothing by the deadline.
+    pub(crate) late: Option<Late<C>>,
+}
 
-/// What a caller is told to wait when no backend server can be reached, in milliseconds.
-const UNREACHABLE_RETRY_MS: u32 = 500;
+/// Counts a call for the report on burn; one that is dropped was cancelled.
+struct Count<'a, C>
+where
+    C: Clock,
+{
+    inner: &'a Inner<C>,
+    service: &'a str,
+    objective: Option<Objective>,
+    started: Instant,
+    ending: Ending,
+}
 
-/// A call, as its tries need it.
-#[derive(Debug)]
-struct Plan {
-    service: SmolStr,
-    class: Class,
-    caller: SmolStr,
-    deadline: Instant,
-    /// Whether it may run more than once.
-    repeatable: bool,
-    attempts: u8,
-    /// Whether a try that may have run is followed by another.
-    repeats: bool,
+impl<C> Drop for Count<'_, C>
+where
+    C: Clock,
+{
+    fn drop(&mut self) {
+        let now = self.inner.shared.clock.now();
+        let elapsed = now.saturating_duration_since(self.started);
+        let service = self.inner.shared.metrics.service(self.service);
+        service.record(now, self.ending, elapsed, self.objective.as_ref());
+    }
 }
 
-/// How a try ended.
-enum Tried<C>
+/// Refuses a call whose path has no route, or one whose service has no endpoint, which burns.
+fn refuse_unrouted<C>(inner: &Inner<C>, view: &View, path: &str) -> Response<Body<C>>
 where
     C: Clock,
 {
-    Answered(Response<Body<C>>),
-    /// No answer; the body is given back when it can be sent again.
-    Refused(Refused, Option<outbound_sent::Body>),
+    let Some(withheld) = view.find_withheld(path) else {
+        return reject(StatusCode::NOT_FOUND, "no-route");
+    };
+    drop(Count {
+        inner,
+        service: &withheld.service,
+        objective: withheld.objective,
+        started: inner.shared.clock.now(),
+        ending: Ending::Refused(Verdict::NotRun),
+    });
+    refuse(not_run(Reason::NoService, UNREACHABLE_RETRY_MS))
 }
 
 /// Serves one call.
@@ -78,297 +84,161 @@
     C: Clock,
 {
     let (head, body) = request.into_parts();
+    let started = inner.shared.clock.now();
     let view = inner.shared.view.load_full();
-    let Some(plan) = make_plan(inner, &view, &head, peer) else {
-        return if view.is_withheld(head.uri.path()) {
-            refuse(not_run(Reason::NoService, UNREACHABLE_RETRY_MS))
-        } else {
-            reject(StatusCode::NOT_FOUND, "no-route")
-        };
+    let Some((plan, objective)) = make_plan(inner, &view, &head, peer) else {
+        return refuse_unrouted(inner, &view, head.uri.path());
+    };
+    drop(view);
+    let plan = Arc::new(plan);
+    let mut count = Count {
+        inner,
+        service: &plan.service,
+        objective,
+        started,
+        ending: Ending::Cancelled,
     };
     let taken = tokio::time::timeout(left(inner, plan.deadline), take_body(body)).await;
-    match taken {
-        Ok(Ok(body)) => serve_plan(inner, &plan, &head, body).await,
-        Ok(Err(_)) => reject(StatusCode::BAD_REQUEST, "body-cut-off"),
-        Err(_) => reject(StatusCode::REQUEST_TIMEOUT, "body-late"),
-    }
+    let body = match taken {
+        Ok(Ok(body)) => body,
+        Ok(Err(_)) => return reject(StatusCode::BAD_REQUEST, "body-cut-off"),
+        Err(_) => return reject(StatusCode::REQUEST_TIMEOUT, "body-late"),
+    };
+    let served = match plan.key {
+        Some(key) => serve_keyed(inner, &plan, key, head, body).await,
+        None => serve_plan(inner, &plan, &head, body).await,
+    };
+    count.ending = served.ending;
+    served.response
 }
 
-fn make_plan<C>(inner: &Inner<C>, view: &View, head: &request::Parts, peer: IpAddr) -> Option<Plan>
+impl<C> From<Refused> for Served<C>
 where
     C: Clock,
 {
-    let route = view.route(view.find_route(head.uri.path())?);
-    let own = Duration::from_millis(route.timeout_ms.into());
-    let timeout = timeout_of(&head.headers)
-        .unwrap_or(own)
-        .min(LONGEST_TIMEOUT);
-    let repeatable = is_repeatable(route.repeat, &head.method);
-    let rule = route.retry.as_ref();
-    let target = pick_target(&route.targets);
-    Some(Plan {
-        service: view.service(target).name.clone(),
-        class: route.class,
-        caller: caller_of(&head.headers, peer),
-        deadline: inner.shared.clock.now() + timeout,
-        repeatable,
-        attempts: rule.map_or(DEFAULT_ATTEMPTS, |rule| rule.attempts).max(1),
-        repeats: repeatable && rule.is_none_or(|rule: &Retry| rule.repeat_may_have_run),
-    })
-}
-
-/// Tells whether a call may run more than once; one that nothing is said of may if its method is safe (RFC 9110).
-fn is_repeatable(repeat: Repeat, method: &Method) -> bool {
-    match repeat {
-        Repeat::Always => true,
-        Repeat::Never => false,
-        Repeat::ByMethod => method.is_safe(),
-    }
-}
-
-fn timeout_of(headers: &HeaderMap) -> Option<Duration> {
-    let value = headers.get(TIMEOUT_HEADER)?.to_str().ok()?;
-    value.parse().ok().map(Duration::from_millis)
-}
-
-fn caller_of(headers: &HeaderMap, peer: IpAddr) -> SmolStr {
-    let name = headers
-        .get(CALLER_HEADER)
-        .and_then(|value| value.to_str().ok());
-    name.map_or_else(|| smol_str::format_smolstr!("{peer}"), SmolStr::new)
-}
-
-/// Takes the start of a caller's body: all of it, when it is not long.
-///
-/// So a call with a short body can be tried again, and one whose caller dies
-/// half way never reaches a backend server.
-async fn take_body(mut body: Incoming) -> Result<outbound_sent::Body, hyper::Error> {
-    let mut ready = Bytes::new();
-    while !body.is_end_stream() {
-        if ready.len() >= WINDOW {
-            return Ok(outbound_sent::Body {
-                ready,
-                rest: Some(body),
-            });
+    fn from(refused: Refused) -> Self {
+        Self {
+            response: refuse(refused),
+            ending: Ending::Refused(refused.verdict),
+            late: None,
         }
-        let Some(frame) = body.frame().await else {
-            break;
-        };
-        ready = join(ready, frame?.into_data().unwrap_or_default());
     }
-    Ok(outbound_sent::Body { ready, rest: None })
 }
 
-fn join(first: Bytes, second: Bytes) -> Bytes {
-    if first.is_empty() {
-        return second;
+impl<C> From<Response<Body<C>>> for Served<C>
+where
+    C: Clock,
+{
+    fn from(response: Response<Body<C>>) -> Self {
+        Self {
+            ending: Ending::Answered(response.status().as_u16()),
+            response,
+            late: None,
+        }
     }
-    let mut whole = BytesMut::from(first);
-    whole.extend_from_slice(&second);
-    whole.freeze()
 }
 
-async fn serve_plan<C>(
+/// Tries a call until it is answered or its final refusal is known.
+pub(crate) async fn serve_plan<C>(
     inner: &Arc<Inner<C>>,
     plan: &Plan,
     head: &request::Parts,
     mut body: outbound_sent::Body,
-) -> Response<Body<C>>
+) -> Served<C>
 where
     C: Clock,
 {
     let mut tried = Vec::new();
     // What the caller is told in the end: one try that may have run weighs more than any that did not.
     let mut told = not_run(Reason::NoService, UNREACHABLE_RETRY_MS);
-    for _ in 0..plan.attempts {
-        let view = inner.shared.view.load_full();
-        let Some(endpoint) = inner.pick_endpoint(&view, &plan.service, &tried) else {
+    for tries in 1.. {
+        let Some(mut picked) = pick(inner, plan, &tried) else {
             break;
         };
-        tried.push(endpoint.address);
-        let (refused, back) = match try_once(inner, plan, head, body, endpoint).await {
-            Tried::Answered(response) => return response,
+        tried.push(picked.key);
+        let (refused, back) = match try_once(inner, plan, head, body, &picked.endpoint, tries).await
+        {
+            Tried::Answered(response, load) => {
+                picked.outcome = answered(response.status(), load);
+                if tries == 1 {
+                    plan.known.succeed(plan.rule.as_ref());
+                }
+                return response.into();
+            }
             Tried::Refused(refused, back) => (refused, back),
+            Tried::Late(late) => {
+                picked.outcome = Outcome::Failed;
+                return Served {
+                    late: Some(late),
+                    ..may_have_run(Reason::Deadline).into()
+                };
+            }
         };
+        let cause = cause_of(refused);
+        picked.outcome = refused_outcome(cause);
+        drop(picked);
         if told.verdict == Verdict::NotRun {
             told = refused;
         }
-        let again = refused.verdict == Verdict::NotRun
-            || (refused.verdict == Verdict::MayHaveRun && plan.repeats);
-        match back {
-            Some(back) if again && !left(inner, plan.deadline).is_zero() => body = back,
-            _ => break,
-        }
-    }
-    refuse(told)
-}
-
-async fn try_once<C>(
-    inner: &Arc<Inner<C>>,
-    plan: &Plan,
-    head: &request::Parts,
-    body: outbound_sent::Body,
-    endpoint: &Endpoint,
-) -> Tried<C>
-where
-    C: Clock,
-{
-    if endpoint.node == inner.shared.settings.name {
-        try_local(inner, plan, head, body).await
-    } else {
-        try_remote(inner, plan, head, body, endpoint).await
-    }
-}
-
-async fn try_local<C>(
-    inner: &Arc<Inner<C>>,
-    plan: &Plan,
-    head: &request::Parts,
-    body: outbound_sent::Body,
-) -> Tried<C>
-where
-    C: Clock,
-{
-    let kept = body.ready.clone();
-    let whole = body.rest.is_none();
-    let upload = Upload {
-        ready: (!body.ready.is_empty()).then_some(body.ready),
-        rest: body.rest.map_or(Rest::Done, Rest::Caller),
-    };
-    let id = inner.links.next_id();
-    let request = make_request(inner, plan, head, id, true);
-    let call = inner.inbound.call_local(request, upload, plan.deadline);
-    match call.await {
-        Ok(response) => {
-            let response = response.map(|running| Body::Local(Local(running)));
-            Tried::Answered(mark_ran(response))
-        }
-        Err(refused) => {
-            let back = whole.then_some(outbound_sent::Body {
-                ready: kept,
-                rest: None,
-            });
-            Tried::Refused(refused, back)
+        let Some(back) = back else {
+            break;
+        };
+        body = back;
+        let failed = retry::Try {
+            verdict: refused.verdict,
+            cause,
+            repeatable: plan.repeats(),
+            tries,
+            attempts: plan.attempts(),
+            retried_above: plan.retried_above,
+            untried: true,
+            deadline: plan.deadline,
+            expected: plan.known.expect(plan.route),
+        };
+        match plan.known.decide(inner.shared.clock.now(), &failed) {
+            Decision::Again(Duration::ZERO) => {}
+            Decision::Again(wait) => tokio::time::sleep(wait).await,
+            Decision::Stop(_) => break,
         }
     }
+    told.into()
 }
 
-async fn try_remote<C>(
-    inner: &Arc<Inner<C>>,
-    plan: &Plan,
-    head: &request::Parts,
-    body: outbound_sent::Body,
-    endpoint: &Endpoint,
-) -> Tried<C>
+fn pick<C>(inner: &Inner<C>, plan: &Plan, tried: &[Key]) -> Option<Picked<C>>
 where
     C: Clock,
 {
-    let connecting = inner.links.link(endpoint.address);
-    let link = match tokio::time::timeout(left(inner, plan.deadline), connecting).await {
-        Ok(Ok(link)) if link.node == endpoint.node && !link.is_leaving() => link,
-        Ok(Ok(_)) => return Tried::Refused(not_run(Reason::Leaving, 0), Some(body)),
-        Ok(Err(_)) | Err(_) => {
-            return Tried::Refused(not_run(Reason::Backend, UNREACHABLE_RETRY_MS), Some(body));
-        }
-    };
-    let kept = body.ready.clone();
-    let first = kept.slice(..kept.len().min(WINDOW));
-    let end = body.rest.is_none() && first.len() == kept.len();
-    let sent = inner.links.send(&link, plan.repeatable, |id| {
-        let request = make_request(inner, plan, head, id, first.is_empty() && end);
-        let part = (!first.is_empty()).then(|| Frame::Body {
-            id,
-            bytes: first.clone(),
-            end,
-        });
-        (request, part)
-    });
-    let one = match sent {
-        Ok(one) => one,
-        Err(link::Error::Full) => return Tried::Refused(not_run(Reason::Full, 0), Some(body)),
-        Err(_) => return Tried::Refused(not_run(Reason::Backend, 0), Some(body)),
+    let view = inner.shared.view.load_full();
+    let ask = Ask {
+        place: &inner.place,
+        tried,
+        repeatable: plan.repeatable,
+        route: plan.route,
     };
-    let mut sent = Sent::new(one, link, body, first.len());
-    let head = tokio::time::timeout(left(inner, plan.deadline), poll_fn(|cx| sent.poll_head(cx)));
-    match head.await {
-        Ok(Ok(answer)) => {
-            let mut response = Response::new(Body::Remote(Remote(sent)));
-            *response.status_mut() =
-                StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
-            put_headers(answer.headers, response.headers_mut());
-            Tried::Answered(mark_ran(response))
-        }
-        Ok(Err(refusal)) => {
-            let back = (!sent.used).then(|| outbound_sent::Body {
-                ready: kept,
-                rest: sent.body.rest.take(),
-            });
-            Tried::Refused(refusal.into(), back)
-        }
-        Err(_) => Tried::Refused(may_have_run(Reason::Deadline), None),
-    }
+    plan.known
+        .pick(&inner.shared.clock, &view, &plan.service, &ask)
 }
 
-fn make_request<C>(
-    inner: &Inner<C>,
-    plan: &Plan,
-    head: &request::Parts,
-    id: Id,
-    end: bool,
-) -> wire::call::Request
-where
-    C: Clock,
-{
-    let left = left(inner, plan.deadline);
-    let share = left.saturating_sub(VERDICT_MARGIN).max(left / 2);
-    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
-    let mut headers = take_end_to_end(&head.headers);
-    headers.push(Header {
-        name: SmolStr::new_static(CALL_HEADER),
-        value: id.to_string().into(),
-    });
-    wire::call::Request {
-        id,
-        service: plan.service.clone(),
-        method: head.method.as_str().into(),
-        path: path.into(),
-        headers,
-        timeout_ms: u32::try_from(share.as_millis()).unwrap_or(u32::MAX),
-        class: plan.class,
-        caller: plan.caller.clone(),
-        end,
+fn answered(status: StatusCode, load: Option<f64>) -> Outcome {
+    match status {
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => Outcome::Full,
+        status if status.is_server_error() => Outcome::Failed,
+        _ => Outcome::Answered(load),
     }
 }
 
-/// Adds the verdict to a backend server's answer, unless it has given its own.
-fn mark_ran<B>(mut response: Response<B>) -> Response<B> {
-    let verdict = HeaderValue::from_static(Verdict::Ran.as_str());
-    response
-        .headers_mut()
-        .entry(VERDICT_HEADER)
-        .or_insert(verdict);
-    response
-}
-
-fn not_run(reason: Reason, retry_after_ms: u32) -> Refused {
-    Refused {
-        verdict: Verdict::NotRun,
-        reason,
-        retry_after_ms,
+fn cause_of(refused: Refused) -> Cause {
+    match (refused.verdict, refused.reason) {
+        (Verdict::NotRun, Reason::Leaving) => Cause::Leaving,
+        (Verdict::NotRun, Reason::Full | Reason::Deadline) => Cause::Full,
+        _ => Cause::Failed,
     }
 }
 
-fn may_have_run(reason: Reason) -> Refused {
-    Refused {
-        verdict: Verdict::MayHaveRun,
-        reason,
-        retry_after_ms: 0,
+fn refused_outcome(cause: Cause) -> Outcome {
+    match cause {
+        Cause::Leaving => Outcome::Leaving,
+        Cause::Full => Outcome::Full,
+        Cause::Failed => Outcome::Failed,
     }
 }
-
-fn left<C>(inner: &Inner<C>, deadline: Instant) -> Duration
-where
-    C: Clock,
-{
-    deadline.saturating_duration_since(inner.shared.clock.now())
-}
--- a/crates/node/src/outbound_link.rs
+++ b/crates/node/src/outbound_link.rs
@@ -15,7 +15,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use wire::call::{Frame, Reason, Request};
-use wire::{Hello, PROTOCOL, codec};
+use wire::{Hello, codec};
 
 /// Longest wait for a connection and the peer's hello.
 ///
@@ -106,8 +106,8 @@
     /// doubled frame finds nothing here and reaches no other caller.
     fn take(&self, frame: Frame) -> ControlFlow<()> {
         let id = match &frame {
-            Frame::Leaving => {
-                self.leaving.store(true, Ordering::Relaxed);
+            Frame::Leaving(leaving) => {
+                self.leaving.store(*leaving, Ordering::Relaxed);
                 return ControlFlow::Continue(());
             }
             Frame::Answer(answer) => answer.id,
@@ -204,10 +204,7 @@
         let mut stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         codec::write(&mut stream, &self.hello).await?;
-        let hello: Hello = codec::read(&mut stream, &mut Vec::new()).await?;
-        if hello.protocol != PROTOCOL {
-            return Err(wire::Error::Protocol(hello.protocol));
-        }
+        let hello = codec::read_hello(&mut stream).await?;
         let (sender, receiver) = link::open(stream)?;
         let number = self.number.fetch_add(1, Ordering::Relaxed);
         let opening = Frame::Open { link: number };
--- /dev/null
+++ b/crates/node/tests/calls/main.rs
@@ -0,0 +1,9 @@
+//! Calls through nodes in one process: whole answers, silent links, early ends.
+
+mod ending;
+mod forward;
+mod keyed;
+mod mesh;
+mod reuse;
+mod silence;
+mod whole;
--- a/crates/node/tests/mesh/mod.rs
+++ b/crates/node/tests/calls/mesh.rs
@@ -7,13 +7,18 @@
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use node::nodes::write_hello;
 use node::shared::{Backend, Shared};
-use node::{inbound, outbound};
+use node::{inbound, outbound, reserve};
+use platform::Memory;
 use settings::node::Settings;
+use standin::backend::{self, Backend as Server};
+use standin::record::{Entry, Record};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use wire::{Hello, Link, PROTOCOL, codec};
+use wire::{Link, codec};
 
 /// A node in this process.
 #[derive(Debug)]
@@ -33,6 +38,11 @@
 
 /// Starts a node named `name`, in a zone of its own.
 pub async fn spawn_node(name: &str) -> Node {
+    spawn_node_with(name, &Memory::new()).await
+}
+
+/// Starts a node whose reservations are in `store`.
+pub async fn spawn_node_with(name: &str, store: &Memory) -> Node {
     let (listener, nodes) = bind().await;
     let text = format!(
         "[node]\nname = {name}\nzone = zone-{name}\nregion = kl\n\
@@ -43,9 +53,16 @@
     let incarnation = u64::from(nodes.port());
     let shared = Shared::new(settings, incarnation, System);
     let inbound = inbound::spawn(Arc::clone(&shared));
-    tokio::spawn(accept(listener, Arc::clone(&shared), inbound.clone()));
+    let reserve = reserve::spawn(Arc::clone(&shared), store);
+    let accepting = accept(
+        listener,
+        Arc::clone(&shared),
+        inbound.clone(),
+        reserve.clone(),
+    );
+    tokio::spawn(accepting);
     let (callers, _) = bind().await;
-    let outbound = outbound::spawn(callers, Arc::clone(&shared), inbound.clone()).unwrap();
+    let outbound = outbound::spawn(callers, Arc::clone(&shared), inbound.clone(), reserve).unwrap();
     Node {
         shared,
         inbound,
@@ -58,20 +75,19 @@
     listener: TcpListener,
     shared: Arc<Shared<System>>,
     inbound: inbound::Handle<System>,
+    reserve: reserve::Handle<System>,
 ) {
     while let Ok((mut stream, _)) = listener.accept().await {
-        let own = Hello {
-            protocol: PROTOCOL,
-            node: shared.settings.name.clone(),
-            incarnation: shared.incarnation,
-            zone: shared.settings.zone.clone(),
-            link: Link::Call,
-        };
-        let theirs: Result<Hello, _> = codec::read(&mut stream, &mut Vec::new()).await;
+        let theirs = codec::read_hello(&mut stream).await;
         if let Ok(theirs) = theirs
-            && codec::write(&mut stream, &own).await.is_ok()
+            && codec::write(&mut stream, &write_hello(&shared, theirs.link))
+                .await
+                .is_ok()
         {
-            inbound.accept(stream, &theirs).unwrap();
+            match theirs.link {
+                Link::Reserve => reserve.accept(stream),
+                _ => inbound.accept(stream, &theirs).unwrap(),
+            }
         }
     }
 }
@@ -105,6 +121,11 @@
 
     /// Serves by one route, to the service of the same name.
     pub fn serve_by(&self, service: &str, repeat: Repeat, endpoints: &[Endpoint]) {
+        self.serve_as(Class::Lookup, service, repeat, endpoints);
+    }
+
+    /// Serves by one route of that class, to the service of the same name.
+    pub fn serve_as(&self, class: Class, service: &str, repeat: Repeat, endpoints: &[Endpoint]) {
         let mut mesh = Mesh::default();
         mesh.services.insert(service.into(), Service::default());
         let route = Route {
@@ -112,7 +133,7 @@
                 service: service.into(),
                 percent: 100,
             }],
-            class: Class::Lookup,
+            class,
             repeat,
             retry: None,
             timeout_ms: 5_000,
@@ -123,6 +144,38 @@
     }
 }
 
+/// Starts a backend server with that many slots; its record tells what it ran.
+pub async fn spawn_server(slots: u16) -> (SocketAddr, Record) {
+    let (listener, address) = bind().await;
+    let record = Record::open(None).unwrap();
+    let plan = backend::Plan {
+        slots,
+        queue: 20,
+        work: Duration::ZERO,
+        long_percent: 0,
+        long_work: Duration::ZERO,
+        cold: Duration::ZERO,
+    };
+    // It serves as long as the runtime; only its record is looked at.
+    let _running = Server::spawn(listener, plan, record.clone(), 1);
+    (address, record)
+}
+
+/// Waits until the record shows a run for which `is_it` holds.
+pub async fn wait_recorded<F>(record: &Record, is_it: F)
+where
+    F: Fn(&Entry) -> bool,
+{
+    let seen = async {
+        while !record.entries().iter().any(&is_it) {
+            tokio::task::yield_now().await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(5), seen)
+        .await
+        .expect("it is recorded");
+}
+
 /// What a caller received.
 #[derive(Debug)]
 pub struct Answer {
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -24,6 +24,8 @@
         [listen] backend: SocketAddr;
         /// Where other nodes connect; they are told this address, so it can't be 0.0.0.0.
         [listen] nodes: SocketAddr;
+        /// Where other nodes are told to connect, when something forwards it to `nodes`; empty for `nodes` itself.
+        [listen] advertised: Option<SocketAddr> = "";
         /// Where operators connect.
         [listen] operators: SocketAddr;
         /// Address of the platform's object API.
@@ -34,6 +36,10 @@
         [fleet] distribution: Distribution = "tree";
         /// Longest wait for calls in flight at a graceful stop.
         [limits] drain_timeout: Duration = "30 s";
+        /// Connections of callers at once, some 20 kB each at rest; more wait in the system's queue.
+        [limits] connections: u16 = "4096";
+        /// Longest wait for the head of a caller's request, against callers that never end theirs.
+        [limits] head_timeout: Duration = "30 s";
         /// Threads that serve calls; a VM's node shares its cores with the backend server.
         [limits] threads: u16 = "2";
         /// Token that operators' writes must carry.
@@ -70,6 +76,12 @@
         document.finish(settings, file)
     }
 
+    /// Gives the address that other nodes are told to connect to.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.advertised.unwrap_or(self.nodes)
+    }
+
     /// Gives the four listeners by the names of their keys.
     #[must_use]
     pub fn listeners(&self) -> [(&'static str, SocketAddr); 4] {
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -1,19 +1,11 @@
 //! Frames of calls between an outbound and an inbound proxy.
 
 use bytes::Bytes;
+pub use call::Header;
 use call::{Id, Verdict};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-/// A header as it came.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Header {
-    /// Name, in lower case.
-    pub name: SmolStr,
-    /// Value.
-    pub value: Bytes,
-}
-
 /// The head of a request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Request {
@@ -33,6 +25,8 @@
     pub class: config::Class,
     /// Caller on whose behalf it runs, for fair shares.
     pub caller: SmolStr,
+    /// Hash of its route and method: calls of one take about as long.
+    pub route: u64,
     /// Whether no body follows.
     pub end: bool,
 }
@@ -46,6 +40,8 @@
     pub status: u16,
     /// Headers, without those of one connection only.
     pub headers: Vec<Header>,
+    /// Calls that run and wait at the inbound proxy, in per cent of its slots.
+    pub load_percent: u16,
     /// Whether no body follows.
     pub end: bool,
 }
@@ -65,6 +61,8 @@
     NoService,
     /// The caller went away.
     Cancelled,
+    /// Its idempotency key could not be reserved.
+    Reservation,
 }
 
 /// A try that ended without an answer.
@@ -129,8 +127,8 @@
     Ping,
     /// Either way: answers [`Frame::Ping`].
     Pong,
-    /// Inbound to outbound: new work will be refused from here on.
-    Leaving,
+    /// Inbound to outbound: whether new work is refused from here on.
+    Leaving(bool),
 }
 
 /// Bytes of a body that its sender may send before the first [`Frame::Credit`].
