--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -72,6 +72,8 @@
     pub installed: BTreeMap<Version, Duration>,
     frozen: Option<VecDeque<(u64, Item)>>,
     pub backend: State,
+    /// How far the VM's time of day is behind.
+    skew: Duration,
     wake_at: Duration,
 }
 
@@ -82,6 +84,8 @@
     last: [Duration; 2],
     /// Whether frames towards each end vanish.
     is_silent: [bool; 2],
+    /// Whether neither end learns that the other has closed.
+    loses_close: bool,
     is_open: bool,
 }
 
@@ -145,6 +149,7 @@
                 installed: BTreeMap::new(),
                 frozen: None,
                 backend: State::Serving,
+                skew: Duration::ZERO,
                 wake_at: Duration::MAX,
             });
         }
@@ -173,7 +178,7 @@
             own: slot.own.clone(),
             region: "north".into(),
             incarnation: slot.incarnation,
-            started_ms: u64::try_from(self.now.as_millis()).unwrap(),
+            started_ms: u64::try_from(self.now.saturating_sub(slot.skew).as_millis()).unwrap(),
             seeds,
             sends_whole: false,
         };
@@ -216,6 +221,11 @@
         self.push(vm, Duration::ZERO, Item::Wake);
     }
 
+    /// Sets a VM's time of day back.
+    pub fn skew_back(&mut self, vm: usize, by: Duration) {
+        self.vms[vm].skew = by;
+    }
+
     /// Makes all links of a VM silent towards it; new ones work.
     pub fn silence(&mut self, vm: usize) {
         for conn in &mut self.conns {
@@ -227,6 +237,18 @@
         }
     }
 
+    /// Loses all that a VM sends over its links, and the news that they were closed; what comes to it still comes.
+    pub fn mute(&mut self, vm: usize) {
+        for conn in &mut self.conns {
+            for side in 0..2 {
+                if conn.ends[side].0 == vm {
+                    conn.is_silent[1 - side] = true;
+                    conn.loses_close = true;
+                }
+            }
+        }
+    }
+
     /// Makes a VM's backend server leave or come back.
     pub fn set_backend(&mut self, vm: usize, state: State) {
         self.vms[vm].backend = state;
@@ -504,6 +526,7 @@
             ends,
             last: [Duration::ZERO; 2],
             is_silent: [false; 2],
+            loses_close: false,
             is_open: true,
         });
         let wait = self.latency();
@@ -527,7 +550,7 @@
         self.conns[conn].is_open = false;
         let side = usize::from(self.conns[conn].ends[0].0 == by);
         let (vm, incarnation, _) = self.conns[conn].ends[side];
-        if self.conns[conn].is_silent[side] {
+        if self.conns[conn].is_silent[side] || self.conns[conn].loses_close {
             return;
         }
         let wait = self.latency();
