Don't count idle connections as bad requests

A scraper keeps its connection, and hyper tells its idling as it tells a request whose head never ends. What is left unread of a head tells them apart.

--- a/crates/node/src/listener.rs
+++ b/crates/node/src/listener.rs
@@ -7,17 +7,17 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::server::graceful::GracefulShutdown;
 use prometheus_client::metrics::counter::Counter;
 use serde::Serialize;
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot};
-use tokio::task::JoinHandle;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot, watch};
+use tokio::task::{JoinHandle, JoinSet};
 
 /// Answer of a small listener.
 pub type Answer = Response<Full<Bytes>>;
@@ -120,9 +120,9 @@
     F: Future<Output = Answer> + Send + 'static,
 {
     let connections = Arc::new(Semaphore::new(limits.connections));
-    let graceful = GracefulShutdown::new();
+    let stopping = watch::Sender::new(false);
     // Owns the connections, so that an aborted listener leaves none behind.
-    let mut served = tokio::task::JoinSet::new();
+    let mut served = JoinSet::new();
     loop {
         while served.try_join_next().is_some() {}
         let accepted = tokio::select! {
@@ -131,18 +131,10 @@
         };
         match accepted {
             Ok((stream, permit)) => {
-                let watcher = graceful.watcher();
-                let answer = answer.clone();
-                let service = service_fn(move |request| {
-                    let answer = answer(request);
-                    async move { Ok::<_, Infallible>(answer.await) }
-                });
-                let connection =
-                    build_server(limits).serve_connection(TokioIo::new(stream), service);
+                let served_one = serve(stream, limits, answer.clone(), stopping.subscribe());
                 let bad_requests = bad_requests.clone();
                 served.spawn(async move {
-                    // Errors are the peer's: hyper has closed the connection by then.
-                    if watcher.watch(connection).await.is_err() {
+                    if served_one.await == Ended::Badly {
                         bad_requests.inc();
                     }
                     drop(permit);
@@ -152,7 +144,65 @@
         }
     }
     drop(tcp);
-    graceful.shutdown().await;
+    stopping.send_replace(true);
+    while served.join_next().await.is_some() {}
+}
+
+/// How a connection ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Ended {
+    /// By either side's wish, or with the network.
+    Well,
+    /// Because of what the peer sent, or left out.
+    Badly,
+}
+
+impl Ended {
+    /// Judges the end of a connection that has `unread` bytes of a request's head.
+    ///
+    /// A timeout without any is an idle connection, which is no fault: a
+    /// scraper's would be counted all day.
+    pub(crate) fn judge(ended: &Result<(), hyper::Error>, unread: usize) -> Self {
+        match ended {
+            Err(error) if error.is_parse() || error.is_incomplete_message() => Self::Badly,
+            Err(error) if error.is_timeout() && unread > 0 => Self::Badly,
+            _ => Self::Well,
+        }
+    }
+}
+
+/// Serves one connection until its peer ends it, it idles, or the listener stops.
+async fn serve<H, F>(
+    stream: TcpStream,
+    limits: Limits,
+    answer: H,
+    mut stopping: watch::Receiver<bool>,
+) -> Ended
+where
+    H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+    F: Future<Output = Answer> + Send + 'static,
+{
+    let service = service_fn(move |request| {
+        let answer = answer(request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let mut connection = build_server(limits).serve_connection(TokioIo::new(stream), service);
+    let early = tokio::select! {
+        ended = &mut connection => Some(ended),
+        () = wait_stop(&mut stopping) => None,
+    };
+    let ended = if let Some(ended) = early {
+        ended
+    } else {
+        Pin::new(&mut connection).graceful_shutdown();
+        (&mut connection).await
+    };
+    Ended::judge(&ended, connection.into_parts().read_buf.len())
+}
+
+async fn wait_stop(stopping: &mut watch::Receiver<bool>) {
+    // The sender lives until all connections have ended.
+    drop(stopping.wait_for(|stops| *stops).await);
 }
 
 async fn accept_one(
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -16,7 +16,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
 use smol_str::SmolStr;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::time::{Duration, Instant};
@@ -100,7 +100,7 @@
     /// What is counted of distribution.
     pub control: Control,
     gauges: Gauges,
-    services: RwLock<BTreeMap<SmolStr, Arc<Service>>>,
+    services: RwLock<HashMap<SmolStr, Arc<Service>>>,
     rendering: Mutex<()>,
 }
 
--- a/crates/node/tests/bad_input.rs
+++ b/crates/node/tests/bad_input.rs
@@ -154,3 +154,21 @@
     );
     assert!(shared.backend.borrow().is_none());
 }
+
+// Operators see bad requests counted all day, though nobody sends any. Cause: a
+// scraper keeps its connection, and each time it has idled too long counts.
+#[tokio::test]
+async fn idle_connection() {
+    let shared = make_shared();
+    let handle = operate::spawn_within(bind().await, Arc::clone(&shared), LIMITS).unwrap();
+    let request = b"GET /healthz HTTP/1.1\r\nhost: node\r\n\r\n";
+    // Ends when the listener closes the connection.
+    let answer = exchange(handle.address(), request).await;
+    assert_eq!(split_answer(&answer), (200, "alive\n".into()));
+    assert_eq!(exchange(handle.address(), b"").await, "");
+    let text = shared.metrics.render(&node::metrics::Reading::default());
+    assert!(
+        text.contains("bluebellpick_bad_requests_total{listener=\"operators\"} 0"),
+        "{text}"
+    );
+}
