--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,9 +5,18 @@
 //! and counts latency from those times, so that a stall is not left out.
 
 pub mod caller;
+pub mod converge;
 pub mod demo;
 pub mod deployment;
 pub mod error;
+pub mod faults;
+pub mod faults_callers;
+pub mod faults_forward;
+pub mod faults_history;
+pub mod faults_inject;
 pub mod load;
+pub mod node;
+pub mod options;
 pub mod path;
 pub mod process;
+pub mod relay;
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -16,7 +16,7 @@
 use crate::duration;
 use crate::limit::{Limit, Outcome};
 use crate::queue::{self, CLASSES, Entry, Queue};
-use crate::share::{self, Bucket};
+use crate::share::{self, Place};
 use config::Class;
 use rand::Rng;
 use std::time::{Duration, Instant};
@@ -41,8 +41,8 @@
 #[must_use]
 pub struct Ticket {
     class: Class,
-    caller: Bucket,
-    key: Bucket,
+    caller: Place,
+    key: Place,
     route: u64,
     long: bool,
     cost: f64,
@@ -107,7 +107,7 @@
 
 /// Times its bound after which a waiting call is given up, though its deadline
 /// is far: the prediction was wrong, for instance as the backend server hangs.
-const PATIENCE: f64 = 4.0;
+const PATIENCE: f64 = 6.0;
 
 /// Times its expected duration that must be left when a call starts: with
 /// durations that vary as much as their mean, 86% then end in time.
@@ -196,6 +196,7 @@
     where
         R: Rng,
     {
+        self.limit.end_probe(now);
         let cost = self.durations.expect(request.route);
         let long = self.durations.is_long(request.route);
         let rank = rank_of(request.class);
@@ -214,10 +215,10 @@
             .deadline
             .saturating_duration_since(now)
             .as_secs_f64();
-        if left < cost {
-            return Decision::Refuse(self.refuse(now, &entry, Reason::Deadline, rng));
-        }
-        if self.has_room(long) && !self.queue.has(long) {
+        // A free slot is tried whatever the call is expected to take: else a
+        // backend server that was once slower than the deadlines would never be
+        // given a call again to show that it no longer is.
+        if self.has_room(long) && !self.queue.has(long) && left > 0.0 {
             self.in_order_at[queue::lane_of(request.class, long)] = now;
             self.charge(now, entry.class, caller, key, cost);
             return Decision::Run(self.start(now, &entry));
@@ -283,6 +284,7 @@
     where
         R: Rng,
     {
+        self.limit.end_probe(now);
         if let Some((key, entry)) = self.queue.expire(now) {
             self.charge(now, entry.class, entry.caller, entry.key, -entry.cost);
             let refusal = self.refuse(now, &entry, Reason::Deadline, rng);
@@ -296,10 +298,12 @@
         Some(Next::Run(key, self.start(now, &entry)))
     }
 
-    /// Gives when a waiting call has next to be given up on.
+    /// Gives when a waiting call has next to be given up on, or may be let in by the time alone.
     #[must_use]
     pub fn wake_at(&mut self) -> Option<Instant> {
-        self.queue.wake_at()
+        let expires_at = self.queue.wake_at()?;
+        let probe_ends_at = self.limit.probe_ends_at();
+        Some(probe_ends_at.map_or(expires_at, |at| at.min(expires_at)))
     }
 
     /// Takes out a waiting call that nobody waits for any more; tells whether it did wait.
@@ -366,12 +370,12 @@
         }
         let standing = now.saturating_duration_since(self.in_order_at[lane]) > INTERVAL;
         let bound = if standing { target } else { target * BURST };
-        let caller = self.callers[rank].factor(now, entry.caller);
-        let key = self.keys[rank].factor(now, entry.key);
+        let caller = self.callers[rank].factor(now, entry.caller, entry.cost);
+        let key = self.keys[rank].factor(now, entry.key, entry.cost);
         bound * caller.min(key)
     }
 
-    fn charge(&mut self, now: Instant, class: Class, caller: Bucket, key: Bucket, work: f64) {
+    fn charge(&mut self, now: Instant, class: Class, caller: Place, key: Place, work: f64) {
         self.callers[rank_of(class)].charge(now, caller, work);
         self.keys[rank_of(class)].charge(now, key, work);
     }
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -24,13 +24,15 @@
         [listen] backend: SocketAddr;
         /// Where other nodes connect; they are told this address, so it can't be 0.0.0.0.
         [listen] nodes: SocketAddr;
+        /// Where other nodes are told to connect, when something forwards it to `nodes`; empty for `nodes` itself.
+        [listen] advertised: Option<SocketAddr> = "";
         /// Where operators connect.
         [listen] operators: SocketAddr;
         /// Address of the platform's object API.
         [fleet] platform: SocketAddr;
         /// Other nodes to ask when the platform does not answer.
         [fleet] seeds: Vec<SocketAddr> = "";
-        /// How versions and endpoints come: `tree` through the zone's relays, `watch` from the platform to each node.
+        /// How versions and endpoints come: `tree` through the zone's relays; the baselines are `whole`, which sends whole configurations, and `watch`, from the platform to each node.
         [fleet] distribution: Distribution = "tree";
         /// Longest wait for calls in flight at a graceful stop.
         [limits] drain_timeout: Duration = "30 s";
@@ -74,6 +76,12 @@
         document.finish(settings, file)
     }
 
+    /// Gives the address that other nodes are told to connect to.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.advertised.unwrap_or(self.nodes)
+    }
+
     /// Gives the four listeners by the names of their keys.
     #[must_use]
     pub fn listeners(&self) -> [(&'static str, SocketAddr); 4] {
