--- a/crates/node/src/nodes.rs
+++ b/crates/node/src/nodes.rs
@@ -22,6 +22,9 @@
 /// accept queue, so that a herd of strangers can't fill the memory.
 const MAX_STRANGERS: usize = 256;
 
+/// Name of this listener in settings and metrics.
+const LISTENER: &str = "nodes";
+
 /// Wait after a failed accept: running out of file descriptors would spin otherwise.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -90,15 +93,18 @@
     C: Clock,
 {
     let strangers = Arc::new(Semaphore::new(MAX_STRANGERS));
+    let bad_requests = desk.shared.metrics.bad_requests(LISTENER);
     while let Ok(permit) = Arc::clone(&strangers).acquire_owned().await {
         let Ok((stream, _peer)) = tcp.accept().await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
         let desk = Arc::clone(&desk);
+        let bad_requests = bad_requests.clone();
         tokio::spawn(async move {
             if let Err(error) = greet(stream, &desk).await {
                 debug!(error:%; "link_refused");
+                bad_requests.inc();
             }
             drop(permit);
         });
--- a/crates/node/src/outbound.rs
+++ b/crates/node/src/outbound.rs
@@ -1,6 +1,7 @@
 //! The outbound proxy: takes calls of callers over HTTP and sends them where they run.
 
 use crate::inbound;
+use crate::listener::Ended;
 use crate::outbound_answer::Body;
 use crate::outbound_call;
 use crate::outbound_link::Links;
@@ -15,12 +16,16 @@
 use rand::Rng;
 use std::convert::Infallible;
 use std::net::{IpAddr, SocketAddr};
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 use wire::{Hello, Link, PROTOCOL};
 
+/// Name of this listener in settings and metrics.
+const LISTENER: &str = "callers";
+
 /// Largest head of a request, in bytes, as with most servers.
 const MAX_HEAD: usize = 64 << 10;
 
@@ -193,6 +198,7 @@
         return;
     }
     let head_timeout = inner.shared.settings.head_timeout;
+    let bad_requests = inner.shared.metrics.bad_requests(LISTENER);
     let mut stage = inner.stage.subscribe();
     let service = service_fn(move |request| {
         let inner = Arc::clone(&inner);
@@ -204,19 +210,29 @@
             Ok::<_, Infallible>(response)
         }
     });
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(head_timeout)
         .max_buf_size(MAX_HEAD)
         .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
-    tokio::select! {
-        // The error is the caller's own: it has gone, or sent no HTTP.
-        _ = connection.as_mut() => return,
-        _ = stage.wait_for(|stage| *stage == Stage::Closing) => {}
+    let early = tokio::select! {
+        ended = &mut connection => Some(ended),
+        () = wait_closing(&mut stage) => None,
+    };
+    let ended = if let Some(ended) = early {
+        ended
+    } else {
+        Pin::new(&mut connection).graceful_shutdown();
+        (&mut connection).await
+    };
+    if Ended::judge(&ended, connection.into_parts().read_buf.len()) == Ended::Badly {
+        bad_requests.inc();
     }
-    connection.as_mut().graceful_shutdown();
-    drop(connection.await);
+}
+
+async fn wait_closing(stage: &mut watch::Receiver<Stage>) {
+    // The sender lives as long as the proxy.
+    drop(stage.wait_for(|stage| *stage == Stage::Closing).await);
 }
 
 fn end_connection<C>(response: &mut http::Response<Body<C>>)
--- a/crates/node/tests/program.rs
+++ b/crates/node/tests/program.rs
@@ -255,6 +255,10 @@
         }
         assert!(node.get(CALLERS, "/nowhere").starts_with("HTTP/1.1 404"));
     }
+    for listener in ["callers", "backend", "nodes", "operators"] {
+        let name = format!("bluebellpick_bad_requests_total{{listener=\"{listener}\"}}");
+        assert!(node.read_metric(&name) > 0.0, "{listener}");
+    }
     // A right peer is still greeted.
     let mut peer = node.connect(NODES);
     peer.write_all(&make_hello(PROTOCOL, Link::Call)).unwrap();
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -125,11 +125,14 @@
             );
             document.add_fault(line, message);
         }
-        if self.nodes.ip().is_unspecified() {
-            let line = document.line_of("listen", "nodes");
+        let (key, told) = match self.advertised {
+            Some(advertised) => ("advertised", advertised),
+            None => ("nodes", self.nodes),
+        };
+        if told.ip().is_unspecified() {
+            let line = document.line_of("listen", key);
             let message = format!(
-                "[listen] nodes: other nodes can't connect to {}; want the VM's own IP address",
-                self.nodes
+                "[listen] {key}: other nodes can't connect to {told}; want the VM's own IP address"
             );
             document.add_fault(line, message);
         }
--- a/crates/settings/tests/node.rs
+++ b/crates/settings/tests/node.rs
@@ -49,6 +49,7 @@
     overlapping_listener = { "127.0.0.1:7004", "0.0.0.0:7001", 10, "is also the address of callers" },
     backend_off_loopback = { "127.0.0.1:7002", "10.0.0.1:7002", 8, "is not on loopback" },
     nodes_without_address = { "127.0.0.1:7003", "0.0.0.0:7003", 9, "other nodes can't connect to 0.0.0.0:7003" },
+    advertised_without_address = { "[fleet]", "advertised = 0.0.0.0:7003\n[fleet]", 11, "[listen] advertised: other nodes can't connect to 0.0.0.0:7003" },
     doubled_key = { "zone = kl-a\n", "zone = kl-a\nzone = kl-b\n", 5, "[node] zone: already set on line 4" },
     doubled_section = { "[fleet]\n", "[fleet]\n[node]\nzone = kl-b\n[fleet]\n", 13, "already set on line 4" },
     no_section = { "# A node.", "zone = kl-a", 1, "stands before the first [section]" },
