Call nobody for fewer than five bad calls

Cause: a share of three calls is no share; one failed call of a service with three an hour burnt hundreds of times too fast and paged. Budget and burn are shown as before; an alert needs five bad calls in its long window.

--- a/crates/burn/src/report.rs
+++ b/crates/burn/src/report.rs
@@ -20,6 +20,14 @@
     (Window::SixHours, Window::ThreeDays, 1.0, Alert::Ticket),
 ];
 
+/// Bad calls in the long window below which nobody is called.
+///
+/// Load pattern: a service with three calls an hour at night, one of which
+/// fails. Without this bound it burns hundreds of times too fast, and somebody
+/// is woken by a single call. With fewer than five, one more or less moves the
+/// burn by over a fifth, so that it says nothing yet.
+const LEAST_BAD: u64 = 5;
+
 /// What a node reports of one service.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Service {
@@ -135,6 +143,7 @@
     let alert = RULES
         .iter()
         .filter(|(short, long, limit, _)| burn[short] >= *limit && burn[long] >= *limit)
+        .filter(|(_, long, ..)| split(windows.counts(*long)).0 >= LEAST_BAD)
         .map(|(.., alert)| *alert)
         .max()
         .unwrap_or_default();
--- a/crates/burn/tests/burn.rs
+++ b/crates/burn/tests/burn.rs
@@ -92,6 +92,26 @@
     }
 }
 
+// Somebody is woken at three in the morning by one failed call. Cause: it was
+// one of three in that hour, and a share of three is no share.
+#[parameterized(
+    one_of_three = { 2, 1, Alert::None },
+    four = { 1, 4, Alert::None },
+    five = { 1, 5, Alert::Page },
+)]
+fn quiet_night(served: u32, failed: u32, alert: Alert) {
+    let mut history = History::default();
+    for _ in 0..served {
+        history.record(MINUTE, SERVED);
+    }
+    for _ in 0..failed {
+        history.record(MINUTE, Outcome::Failed);
+    }
+    let level = judge_at(&history, 1).availability.unwrap();
+    assert!(level.burn[&Window::FiveMinutes] > 14.4);
+    assert_eq!(level.alert, alert);
+}
+
 #[test]
 fn slow_answers() {
     let mut history = History::default();
