--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -16,8 +16,8 @@
             display("{}", source)
             source(source)
         }
-        /// An address is needed that neither flags nor settings give.
-        Missing(what: &'static str) {
+        /// Flags and settings lack something, or contradict each other.
+        Usage(what: &'static str) {
             display("{}", what)
         }
         /// A file can't be read.
@@ -60,7 +60,7 @@
     #[must_use]
     pub fn exit(&self) -> Exit {
         match self {
-            Self::Settings(_) | Self::Missing(_) | Self::File(..) | Self::Patch(..) => Exit::Usage,
+            Self::Settings(_) | Self::Usage(_) | Self::File(..) | Self::Patch(..) => Exit::Usage,
             Self::Platform(_)
             | Self::NoSuchVersion(..)
             | Self::Removed(..)
--- a/crates/cli/src/propose.rs
+++ b/crates/cli/src/propose.rs
@@ -58,7 +58,7 @@
     let patch = read_patch(&flags.file)?;
     let id = flags.id.clone().unwrap_or_else(|| Id::draw(flags.base));
     if id.base != flags.base {
-        return Err(Error::Missing(
+        return Err(Error::Usage(
             "--id names a proposal against another version than --base",
         ));
     }
--- a/crates/cli/src/session.rs
+++ b/crates/cli/src/session.rs
@@ -91,7 +91,7 @@
 
     /// Gives the journal of versions.
     pub(crate) fn versions(&self) -> Result<Versions, Error> {
-        let address = self.platform.ok_or(Error::Missing(
+        let address = self.platform.ok_or(Error::Usage(
             "the platform's address is needed: give --platform ADDRESS, or platform in the settings file",
         ))?;
         let limits = client::Limits {
@@ -109,7 +109,7 @@
 
     /// Reads the token of operators' writes.
     pub(crate) fn read_token(&self) -> Result<String, Error> {
-        let path = self.token_file.as_ref().ok_or(Error::Missing(
+        let path = self.token_file.as_ref().ok_or(Error::Usage(
             "a token is needed: give --token-file FILE, or token_file in the settings file",
         ))?;
         match std::fs::read_to_string(path) {
@@ -124,7 +124,7 @@
         T: DeserializeOwned + Send + 'static,
     {
         if self.nodes.is_empty() {
-            return Err(Error::Missing(
+            return Err(Error::Usage(
                 "nodes to ask are needed: give --node ADDRESS, or nodes in the settings file",
             ));
         }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -75,6 +75,7 @@
     pub process: crate::process::Usage,
 }
 
+/// What is set from a [`Reading`] when somebody asks.
 #[derive(Debug, Default)]
 struct Gauges {
     version: Gauge,
