--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,7 @@
 mod inbound_gate;
 mod inbound_run;
 mod metrics_control;
+mod metrics_reserve;
 mod metrics_service;
 mod outbound_answer;
 mod outbound_call;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -5,6 +5,7 @@
 //! the configuration alone; beyond [`MAX_SERVICES`] they share one.
 
 pub use crate::metrics_control::Control;
+pub use crate::metrics_reserve::Reserve;
 pub use crate::metrics_service::{Ending, Service};
 
 use crate::metrics_service::SLOT_LABELS;
@@ -99,6 +100,8 @@
     control_bytes: Family<DirectionLabel, Counter>,
     /// What is counted of distribution.
     pub control: Control,
+    /// What is counted of reservations.
+    pub reserve: Reserve,
     gauges: Gauges,
     services: RwLock<BTreeMap<SmolStr, Arc<Service>>>,
 }
@@ -116,6 +119,7 @@
             bad_requests: Family::default(),
             control_bytes: Family::default(),
             control: Control::default(),
+            reserve: Reserve::default(),
             gauges: Gauges::default(),
             services: RwLock::default(),
         };
@@ -137,6 +141,7 @@
         let bytes = self.control_bytes.clone();
         registry.register_with_unit("control", help, Unit::Bytes, bytes);
         self.control.register(&mut self.registry);
+        self.reserve.register(&mut self.registry);
     }
 
     fn register_gauges(&mut self) {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -10,8 +10,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 use tokio::net::TcpListener;
 
+/// Longest wait for the platform to take the outcomes of keyed calls at a stop.
+const FLUSH_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// A running node.
 #[derive(Debug)]
 pub struct Handle<C>
@@ -25,6 +29,7 @@
     nodes: nodes::Handle,
     announce: listener::Handle,
     operate: listener::Handle,
+    reserve: reserve::Handle<C>,
 }
 
 /// Binds all listeners, then starts every part.
@@ -54,7 +59,12 @@
     );
     let announce = announce::spawn(backend, Arc::clone(&shared))?;
     let operate = operate::spawn(operators, Arc::clone(&shared))?;
-    let outbound = outbound::spawn(callers, Arc::clone(&shared), inbound.clone(), reserve)?;
+    let outbound = outbound::spawn(
+        callers,
+        Arc::clone(&shared),
+        inbound.clone(),
+        reserve.clone(),
+    )?;
     shared.listening.store(true, Ordering::Release);
     info!(node = shared.settings.name.as_str(), zone = shared.settings.zone.as_str(); "started");
     Ok(Handle {
@@ -65,6 +75,7 @@
         nodes,
         announce,
         operate,
+        reserve,
     })
 }
 
@@ -89,6 +100,7 @@
         if callers + calls > 0 {
             warn!(callers, calls; "cut_off");
         }
+        self.reserve.flush(FLUSH_TIMEOUT).await;
         self.control.leave().await;
         drop(self.nodes);
         self.announce.stop().await;
--- a/crates/node/src/reserve.rs
+++ b/crates/node/src/reserve.rs
@@ -148,7 +148,25 @@
         call: Id,
         limit: Duration,
     ) -> Claimed {
-        let end = Instant::now() + limit.min(CLAIM_TIMEOUT);
+        let start = Instant::now();
+        let claimed = self.claim_by(key, fingerprint, call, start + limit.min(CLAIM_TIMEOUT));
+        let claimed = claimed.await;
+        let reply = match &claimed {
+            Claimed::Granted(_) => &Reply::Granted,
+            Claimed::Told(reply) => reply,
+        };
+        let metrics = &self.inner.shared.metrics.reserve;
+        metrics.count(reply, start.elapsed());
+        claimed
+    }
+
+    async fn claim_by(
+        &self,
+        key: Key,
+        fingerprint: Fingerprint,
+        call: Id,
+        end: Instant,
+    ) -> Claimed {
         let mut told = None;
         for (attempt, way) in (0..).zip(self.inner.ways(key.shard())) {
             // An owner that was asked and refused knows how the platform is;
@@ -191,6 +209,28 @@
         });
     }
 
+    /// Writes and sends what still waits, so that a node that leaves takes no outcome with it.
+    ///
+    /// Repeats of a call whose outcome is lost are told "may have run" for as
+    /// long as its key is held.
+    pub async fn flush(&self, limit: Duration) {
+        let mut flushed = Vec::new();
+        for shard in self.inner.shards.iter() {
+            let (done, waits) = oneshot::channel();
+            if shard.try_send(Order::Flush(done)).is_ok() {
+                flushed.push(waits);
+            }
+        }
+        let peers: Vec<_> = self.inner.peers.lock().values().cloned().collect();
+        let end = Instant::now() + limit;
+        for peer in peers {
+            drop(timeout_at(end, peer.flush()).await);
+        }
+        for waits in flushed {
+            drop(timeout_at(end, waits).await);
+        }
+    }
+
     /// Serves a link of another node, after both hellos.
     pub fn accept(&self, stream: TcpStream) {
         let Ok(permit) = Arc::clone(&self.inner.links).try_acquire_owned() else {
--- a/crates/node/src/reserve_link.rs
+++ b/crates/node/src/reserve_link.rs
@@ -38,6 +38,8 @@
 enum Question {
     Claim(Claim, oneshot::Sender<Reply>),
     Note(Entry),
+    /// Asks to be told when all before it is on its way.
+    Flush(oneshot::Sender<()>),
 }
 
 /// A link to an owner, from its first question to its last.
@@ -74,11 +76,21 @@
 
     /// Tells the owner of a completion or a release; gives it back when the link can't take it.
     pub(crate) fn note(&self, entry: Entry) -> Result<(), Entry> {
-        let sent = self.questions.try_send(Question::Note(entry));
-        sent.map_err(|error| match error.into_inner() {
-            Question::Note(entry) => entry,
-            Question::Claim(claim, _) => Entry::Reserve(claim),
-        })
+        match self.questions.try_reserve() {
+            Ok(place) => {
+                place.send(Question::Note(entry));
+                Ok(())
+            }
+            Err(_) => Err(entry),
+        }
+    }
+
+    /// Waits until all that was noted before is on its way, or the link has ended.
+    pub(crate) async fn flush(&self) {
+        let (done, waits) = oneshot::channel();
+        if self.questions.send(Question::Flush(done)).await.is_ok() {
+            drop(waits.await);
+        }
     }
 }
 
@@ -143,8 +155,9 @@
                 let Some(question) = question else { return Ok(()) };
                 used = Instant::now();
                 serial += 1;
-                let frame = put_question(question, serial, sent);
-                codec::write(writer, &wire::Frame::Reserve(frame)).await?;
+                if let Some(frame) = put_question(question, serial, sent) {
+                    codec::write(writer, &wire::Frame::Reserve(frame)).await?;
+                }
             }
             frame = came.recv() => {
                 let Some(frame) = frame else { return Ok(()) };
@@ -161,7 +174,7 @@
     }
 }
 
-fn put_question(question: Question, serial: u64, sent: &mut HashMap<u64, Sent>) -> Frame {
+fn put_question(question: Question, serial: u64, sent: &mut HashMap<u64, Sent>) -> Option<Frame> {
     match question {
         Question::Claim(claim, reply) => {
             let at = Instant::now();
@@ -175,9 +188,14 @@
                     heard,
                 },
             );
-            Frame::Claim { serial, claim }
+            Some(Frame::Claim { serial, claim })
+        }
+        Question::Note(entry) => Some(Frame::Note(entry)),
+        Question::Flush(done) => {
+            // Whoever waited has lost patience; nothing is lost by that.
+            let _told = done.send(());
+            None
         }
-        Question::Note(entry) => Frame::Note(entry),
     }
 }
 
--- a/crates/node/src/reserve_shard.rs
+++ b/crates/node/src/reserve_shard.rs
@@ -58,6 +58,8 @@
     Claim(Claim, oneshot::Sender<Reply>),
     /// A completion or a release.
     Note(Entry),
+    /// Asks to be told when nothing waits any more.
+    Flush(oneshot::Sender<()>),
 }
 
 /// A claim that waits.
@@ -83,6 +85,7 @@
     /// Keys with a waiting completion or release.
     noted_keys: HashSet<Key>,
     noted_since: Instant,
+    flushes: Vec<oneshot::Sender<()>>,
     /// When the records written so far would have been written at an even pace.
     paid: Instant,
     used: Instant,
@@ -139,6 +142,7 @@
             noted: Vec::new(),
             noted_keys: HashSet::new(),
             noted_since: now,
+            flushes: Vec::new(),
             paid: now,
             used: now,
             down_until: None,
@@ -151,6 +155,19 @@
         match order {
             Order::Claim(claim, reply) => self.take_claim(Asked { claim, reply }),
             Order::Note(entry) => self.note(entry),
+            Order::Flush(done) => {
+                self.flushes.push(done);
+                self.tell_flushed();
+            }
+        }
+    }
+
+    fn tell_flushed(&mut self) {
+        if self.noted.is_empty() && self.asked.is_empty() {
+            for done in self.flushes.drain(..) {
+                // Whoever waited has lost patience; nothing is lost by that.
+                let _told = done.send(());
+            }
         }
     }
 
@@ -216,7 +233,8 @@
 
     /// Tells when the next record is to be written, if one is needed.
     fn next_commit(&self) -> Option<Instant> {
-        let wanted = if !self.asked.is_empty() || self.log.is_in_doubt() {
+        let presses = !self.asked.is_empty() || !self.flushes.is_empty();
+        let wanted = if presses || self.log.is_in_doubt() {
             self.used
         } else if self.noted.is_empty() {
             return None;
@@ -249,6 +267,7 @@
             }
             Err(error) => self.fail(&error),
         }
+        self.tell_flushed();
     }
 
     /// Refuses at once all that wait: what can't be reserved does not run.
--- a/crates/node/tests/reserve.rs
+++ b/crates/node/tests/reserve.rs
@@ -166,6 +166,25 @@
     let _grant = granted(claim_past(&fleet[1], "k1", unsettled).await);
 }
 
+// A node stops right after a payment. Its outcome must not die with it, or the
+// parent's repeat is told "may have run" for a day.
+#[tokio::test(start_paused = true)]
+async fn flushed_at_stop() {
+    let memory = Memory::new();
+    let node = spawn_node("own", &memory).await;
+    let keys = ["k1", "k2", "k3", "k4", "k5", "k6"];
+    for key in keys {
+        let grant = granted(node.claim(key).await);
+        node.reserve.complete(grant, Some(answer()));
+    }
+    node.reserve.flush(LIMIT).await;
+    let successor = spawn_node("successor", &memory).await;
+    for key in keys {
+        let told = successor.claim(key).await;
+        assert_eq!(told, Claimed::Told(Reply::Known(Arc::new(answer()))));
+    }
+}
+
 // Mallae's Saturday opens and hundreds of lessons are booked at once. With a
 // write for each the platform would be full; records carry many.
 #[tokio::test]
