Forget old keys also on conflicts and when a shard is full

Causes, found by forgotten_after_a_day and shard_full, which were red before: the age of keys counted as used up once a record was drafted, though its number was another's, so that keys of shards that two nodes write stayed for ever; and a full shard refused all claims without writing a record, so that the one which would have made room never came. Ruled out: the ages themselves, which were right. Now ages go only with the record that stands, and a full shard writes a record for them alone.

--- a/crates/node/src/reserve_ages.rs
+++ b/crates/node/src/reserve_ages.rs
@@ -28,7 +28,6 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Ages {
     seen: VecDeque<(Instant, u64)>,
-    expired: u64,
 }
 
 impl Ages {
@@ -44,23 +43,21 @@
         }
     }
 
-    /// Gives the last record whose keys may be forgotten, if there are new ones.
-    pub(crate) fn expired<C>(&mut self, clock: &C, keys: usize) -> Option<u64>
+    /// Gives the last record whose keys may be forgotten, if there are any.
+    pub(crate) fn expired<C>(&self, clock: &C, keys: usize) -> Option<u64>
     where
         C: Clock,
     {
         let full = keys * 8 >= MAX_KEYS * FULL_EIGHTHS;
         let kept = if full { KEPT_WHEN_FULL } else { KEPT };
         let now = clock.now();
-        let mut through = None;
-        while let Some((at, number)) = self.seen.front()
-            && now.duration_since(*at) >= kept
-        {
-            through = Some(*number);
-            self.seen.pop_front();
-        }
-        let through = through.filter(|through| *through > self.expired)?;
-        self.expired = through;
-        Some(through)
+        let aged = |(at, _): &&(Instant, u64)| now.duration_since(*at) >= kept;
+        let last = self.seen.iter().take_while(aged).last();
+        last.map(|(_, number)| *number)
+    }
+
+    /// Notes that the keys of records up to `through` are forgotten.
+    pub(crate) fn forget(&mut self, through: u64) {
+        self.seen.retain(|(_, number)| *number > through);
     }
 }
--- a/crates/node/src/reserve_log.rs
+++ b/crates/node/src/reserve_log.rs
@@ -2,7 +2,7 @@
 
 use crate::reserve_ages::Ages;
 use crate::reserve_record::{decode, encode};
-use call::reserve::{Claim, Entry, Holder, Key, Reply, Table};
+use call::reserve::{Claim, Entry, Holder, Key, MAX_KEYS, Reply, Table};
 use clock::Clock;
 use platform::journal::{Append, Moment, Record};
 use platform::retain::Retention;
@@ -140,6 +140,18 @@
         Ok(())
     }
 
+    /// Forgets old keys when there is no room for new ones.
+    ///
+    /// Keys go with the next record; where all claims are refused for want of
+    /// room, there would never be one.
+    pub(crate) async fn make_room(&mut self) -> Result<(), Error> {
+        let keys = self.table.len();
+        if keys >= MAX_KEYS && self.ages.expired(&self.clock, keys).is_some() {
+            self.write(Vec::new()).await?;
+        }
+        Ok(())
+    }
+
     /// Writes the next record; gives a reply for each claim in it, or `None` when its number is another's.
     pub(crate) async fn write(
         &mut self,
@@ -187,6 +199,11 @@
 
     fn apply(&mut self, entries: &[Entry], number: u64) -> Vec<Reply> {
         self.position = number;
+        for entry in entries {
+            if let Entry::Expire { through } = entry {
+                self.ages.forget(*through);
+            }
+        }
         let replies = entries
             .iter()
             .filter_map(|entry| self.table.apply(entry, number));
--- a/crates/node/src/reserve_shard.rs
+++ b/crates/node/src/reserve_shard.rs
@@ -288,6 +288,7 @@
         for release in self.log.prepare().await? {
             self.note(release);
         }
+        self.log.make_room().await?;
         for attempt in 0..CONFLICT_ATTEMPTS {
             let stale = |asked: &Asked| {
                 let known = self.log.table().look(&asked.claim);
--- a/crates/node/tests/reserve.rs
+++ b/crates/node/tests/reserve.rs
@@ -2,8 +2,8 @@
 
 use bytes::Bytes;
 use call::Id;
-use call::reserve::{Answer, Fingerprint, Key, Reply};
-use clock::System;
+use call::reserve::{Answer, Fingerprint, Key, MAX_KEYS, Reply};
+use clock::{Clock, Manual, System};
 use config::{Endpoint, Mesh, Service, State, Version, View};
 use node::nodes::write_hello;
 use node::reserve::{Claimed, Grant, Handle};
@@ -25,15 +25,25 @@
 const LIMIT: Duration = Duration::from_secs(5);
 
 /// A node as far as reservations go.
-struct Node {
-    shared: Arc<Shared<System>>,
-    reserve: Handle<System>,
+struct Node<C = System>
+where
+    C: Clock,
+{
+    shared: Arc<Shared<C>>,
+    reserve: Handle<C>,
     forwarder: Forwarder,
     listener: JoinHandle<()>,
     calls: AtomicU64,
 }
 
 async fn spawn_node(name: &str, store: &Memory) -> Node {
+    spawn_node_by(name, store, System).await
+}
+
+async fn spawn_node_by<C>(name: &str, store: &Memory, clock: C) -> Node<C>
+where
+    C: Clock,
+{
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let text = format!(
@@ -42,7 +52,7 @@
          [fleet]\nplatform = 127.0.0.1:5\n[operators]\ntoken = 0123456789abcdef\n"
     );
     let settings = Settings::parse(&text, "test").unwrap();
-    let shared = Shared::new(settings, u64::from(address.port()), System);
+    let shared = Shared::new(settings, u64::from(address.port()), clock);
     let reserve = node::reserve::spawn(Arc::clone(&shared), store);
     let listener = tokio::spawn(accept(listener, Arc::clone(&shared), reserve.clone()));
     Node {
@@ -54,7 +64,10 @@
     }
 }
 
-async fn accept(listener: TcpListener, shared: Arc<Shared<System>>, reserve: Handle<System>) {
+async fn accept<C>(listener: TcpListener, shared: Arc<Shared<C>>, reserve: Handle<C>)
+where
+    C: Clock,
+{
     while let Ok((mut stream, _)) = listener.accept().await {
         if codec::read_hello(&mut stream).await.is_ok() {
             let hello = write_hello(&shared, Link::Reserve);
@@ -64,7 +77,10 @@
     }
 }
 
-impl Node {
+impl<C> Node<C>
+where
+    C: Clock,
+{
     fn endpoint(&self) -> Endpoint {
         Endpoint {
             node: self.shared.settings.name.clone(),
@@ -128,7 +144,10 @@
 }
 
 /// Claims until something else than `not_yet` is told.
-async fn claim_past(node: &Node, key: &str, not_yet: fn(&Reply) -> bool) -> Claimed {
+async fn claim_past<C>(node: &Node<C>, key: &str, not_yet: fn(&Reply) -> bool) -> Claimed
+where
+    C: Clock,
+{
     loop {
         match node.claim(key).await {
             Claimed::Told(told) if not_yet(&told) => {
@@ -185,6 +204,66 @@
     }
 }
 
+#[tokio::test(start_paused = true)]
+async fn forgotten_after_a_day() {
+    let memory = Memory::new();
+    let clock = Manual::new();
+    let node = spawn_node_by("own", &memory, clock.clone()).await;
+    let grant = granted(node.claim("k1").await);
+    node.reserve.complete(grant, Some(answer()));
+    node.reserve.flush(LIMIT).await;
+    clock.advance(Duration::from_hours(23));
+    // Keys go with a record; other keys of the shard bring one about.
+    for number in 0..64 {
+        let _grant = granted(node.claim(&format!("a{number}")).await);
+    }
+    let known = Claimed::Told(Reply::Known(Arc::new(answer())));
+    assert_eq!(node.claim("k1").await, known);
+    let successor = spawn_node_by("successor", &memory, clock.clone()).await;
+    clock.advance(Duration::from_hours(2));
+    for number in 0..64 {
+        let _grant = granted(successor.claim(&format!("b{number}")).await);
+    }
+    // The successor has not seen the key for a day yet.
+    assert_eq!(successor.claim("k1").await, known);
+    for number in 0..64 {
+        let _grant = granted(node.claim(&format!("c{number}")).await);
+    }
+    let _grant = granted(node.claim("k1").await);
+}
+
+// So many keys come that a shard has no room. New ones must be refused, since
+// to forget others early might let their calls run twice; after a while there
+// is room again.
+#[tokio::test(start_paused = true)]
+async fn shard_full() {
+    let clock = Manual::new();
+    let node = Arc::new(spawn_node_by("own", &Memory::new(), clock.clone()).await);
+    let keys: Vec<_> = (0..u64::MAX)
+        .map(|number| number.to_string())
+        .filter(|key| Key::of("claims", key).shard() == 0)
+        .take(MAX_KEYS + 2)
+        .collect();
+    for batch in keys[..MAX_KEYS].chunks(4_096) {
+        let claims = batch.iter().cloned().map(|key| {
+            let node = Arc::clone(&node);
+            tokio::spawn(async move { granted(node.claim(&key).await) })
+        });
+        for claim in claims.collect::<Vec<_>>() {
+            let _grant = claim.await.unwrap();
+        }
+    }
+    let told = node.claim(&keys[MAX_KEYS]).await;
+    let Claimed::Told(Reply::Refused { retry_after_ms }) = told else {
+        panic!("{told:?}");
+    };
+    assert!(retry_after_ms >= 10_000, "{retry_after_ms}");
+    assert_eq!(node.claim(&keys[0]).await, Claimed::Told(Reply::Unsettled));
+    clock.advance(Duration::from_mins(16));
+    let refused = |reply: &Reply| matches!(reply, Reply::Refused { .. });
+    let _grant = granted(claim_past(&node, &keys[MAX_KEYS + 1], refused).await);
+}
+
 // Mallae's Saturday opens and hundreds of lessons are booked at once. With a
 // write for each the platform would be full; records carry many.
 #[tokio::test]
