--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,7 +3,7 @@
 //! Every experiment prints one JSON object with its figures as its last line.
 
 use bench::error::Error;
-use bench::{converge, demo, faults, path};
+use bench::{converge, demo, faults, overload, path, state};
 use bpaf::{Parser, construct};
 use std::process::ExitCode;
 use tokio::signal::unix::{SignalKind, signal};
@@ -15,6 +15,8 @@
     Path(path::Plot),
     Converge(converge::Plot),
     Faults(faults::Plot),
+    State(state::Plot),
+    Overload(overload::Plot),
 }
 
 fn parse_command() -> impl Parser<Command> {
@@ -37,7 +39,17 @@
         .to_options()
         .descr("Checks the histories of callers and backend servers under seeded faults")
         .command("faults");
-    construct!([demo, path, converge, faults])
+    let state = state::parse()
+        .map(Command::State)
+        .to_options()
+        .descr("Measures what a large fleet's state and churn cost one node")
+        .command("state");
+    let overload = overload::parse()
+        .map(Command::Overload)
+        .to_options()
+        .descr("Sends up to ten times the capacity, beside a plain baseline")
+        .command("overload");
+    construct!([demo, path, converge, faults, state, overload])
 }
 
 // One thread: the pacer must see the sockets of its own calls at once.
@@ -90,6 +102,8 @@
             let report = faults::run(plot).await?;
             Ok((print_json(&report)?, report.is_clean()))
         }
+        Command::State(plot) => Ok((print_json(&state::run(plot).await?)?, true)),
+        Command::Overload(plot) => Ok((print_json(&overload::run(plot).await?)?, true)),
         Command::Converge(plot) => Ok((print_json(&converge::run(plot).await?)?, true)),
     }
 }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -9,7 +9,7 @@
 pub use crate::metrics_service::{Ending, Service};
 
 use crate::metrics_service::SLOT_LABELS;
-use parking_lot::RwLock;
+use parking_lot::{Mutex, RwLock};
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -86,7 +86,7 @@
     ready: Gauge,
     leaving: Gauge,
     resident: Gauge,
-    cpu: Gauge<f64, AtomicU64>,
+    cpu: Counter<f64, AtomicU64>,
 }
 
 /// All that a node counts.
@@ -104,6 +104,7 @@
     pub reserve: Reserve,
     gauges: Gauges,
     services: RwLock<BTreeMap<SmolStr, Arc<Service>>>,
+    rendering: Mutex<()>,
 }
 
 impl Metrics {
@@ -122,6 +123,7 @@
             reserve: Reserve::default(),
             gauges: Gauges::default(),
             services: RwLock::default(),
+            rendering: Mutex::default(),
         };
         metrics.register_counters();
         metrics.register_gauges();
@@ -269,6 +271,8 @@
     /// Never: a string takes any text.
     #[must_use]
     pub fn render(&self, reading: &Reading) -> String {
+        // Two that ask at once would both add the processor time since the last one.
+        let _one_at_a_time = self.rendering.lock();
         let gauges = &self.gauges;
         gauges.version.set(clamp(reading.version));
         gauges.endpoints.set(clamp(reading.endpoints));
@@ -278,7 +282,8 @@
         gauges.ready.set(i64::from(reading.ready));
         gauges.leaving.set(i64::from(reading.leaving));
         gauges.resident.set(clamp(reading.process.resident_bytes));
-        gauges.cpu.set(reading.process.cpu.as_secs_f64());
+        let cpu = reading.process.cpu.as_secs_f64();
+        gauges.cpu.inc_by((cpu - gauges.cpu.get()).max(0.0));
         let mut text = String::new();
         text::encode(&mut text, &self.registry).expect("a string takes any text");
         text
