--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -15,6 +15,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::GracefulShutdown;
 use parking_lot::Mutex;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -25,7 +26,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
-use tokio::sync::Semaphore;
+use tokio::sync::{Semaphore, watch};
 use tokio::time::{sleep, timeout};
 
 /// Header with the time left for a call, in milliseconds.
@@ -97,6 +98,15 @@
     faults: Mutex<Faults>,
     load: Mutex<(Instant, usize)>,
     rng: Mutex<SmallRng>,
+    stage: watch::Sender<Stage>,
+}
+
+/// How far a backend server has come in leaving.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    Serving,
+    Draining,
+    Drained,
 }
 
 /// Counts a call as in flight until it is dropped.
@@ -130,11 +140,20 @@
             faults: Mutex::default(),
             load: Mutex::new((now, 0)),
             rng: Mutex::new(SmallRng::seed_from_u64(seed)),
+            stage: watch::Sender::new(Stage::Serving),
         }));
         tokio::spawn(accept(listener, backend.clone()));
         backend
     }
 
+    /// Takes no more connections, and waits until all answers are written.
+    pub async fn drain(&self) {
+        self.0.stage.send_replace(Stage::Draining);
+        let mut stages = self.0.stage.subscribe();
+        // The sender lives as long as this does.
+        drop(stages.wait_for(|stage| *stage == Stage::Drained).await);
+    }
+
     /// Tells how many calls are waiting or running.
     #[must_use]
     pub fn in_flight(&self) -> usize {
@@ -247,27 +266,38 @@
     }
 }
 
+/// Takes connections until the drain, then waits until each has written its answer.
 async fn accept(listener: TcpListener, backend: Backend) {
+    let connections = GracefulShutdown::new();
+    let stage = &backend.0.stage;
+    let mut stages = stage.subscribe();
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stages.wait_for(|stage| *stage == Stage::Draining) => break,
+        };
+        let Ok((stream, _)) = accepted else {
             // Out of descriptors: those in use must end first.
             sleep(Duration::from_millis(10)).await;
             continue;
         };
         drop(stream.set_nodelay(true));
-        let backend = backend.clone();
-        let service = service_fn(move |request| backend.clone().answer(request));
+        let serving = backend.clone();
+        let service = service_fn(move |request| serving.clone().answer(request));
         // The connection drops the call when the other side closes, which
         // stops the work: that is how a cancellation arrives.
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .serve_connection(TokioIo::new(stream), service);
+        let connection = connections.watch(connection);
         tokio::spawn(async move {
             if let Err(error) = connection.await {
                 log::debug!(error:%; "connection_ended");
             }
         });
     }
+    connections.shutdown().await;
+    stage.send_replace(Stage::Drained);
 }
 
 fn text_of<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -209,12 +209,10 @@
     if let Some(node) = &node {
         node.leave(drain_timeout).await;
     }
-    let drained = async {
-        while backend.in_flight() > 0 {
-            tokio::time::sleep(Duration::from_millis(10)).await;
-        }
-    };
-    if tokio::time::timeout(drain_timeout, drained).await.is_err() {
+    if tokio::time::timeout(drain_timeout, backend.drain())
+        .await
+        .is_err()
+    {
         log::warn!(in_flight = backend.in_flight(); "drain_timeout");
     }
 }
