--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -5,6 +5,7 @@
 //! the configuration alone; beyond [`MAX_SERVICES`] they share one.
 
 pub use crate::metrics_control::Control;
+pub use crate::metrics_reserve::Reserve;
 pub use crate::metrics_service::{Ending, Service};
 
 use crate::metrics_service::SLOT_LABELS;
@@ -16,7 +17,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
 use smol_str::SmolStr;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::time::{Duration, Instant};
@@ -75,6 +76,7 @@
     pub process: crate::process::Usage,
 }
 
+/// What is set from a [`Reading`] when somebody asks.
 #[derive(Debug, Default)]
 struct Gauges {
     version: Gauge,
@@ -99,8 +101,10 @@
     control_bytes: Family<DirectionLabel, Counter>,
     /// What is counted of distribution.
     pub control: Control,
+    /// What is counted of reservations.
+    pub reserve: Reserve,
     gauges: Gauges,
-    services: RwLock<BTreeMap<SmolStr, Arc<Service>>>,
+    services: RwLock<HashMap<SmolStr, Arc<Service>>>,
     rendering: Mutex<()>,
 }
 
@@ -117,6 +121,7 @@
             bad_requests: Family::default(),
             control_bytes: Family::default(),
             control: Control::default(),
+            reserve: Reserve::default(),
             gauges: Gauges::default(),
             services: RwLock::default(),
             rendering: Mutex::default(),
@@ -139,6 +144,7 @@
         let bytes = self.control_bytes.clone();
         registry.register_with_unit("control", help, Unit::Bytes, bytes);
         self.control.register(&mut self.registry);
+        self.reserve.register(&mut self.registry);
     }
 
     fn register_gauges(&mut self) {
