--- a/crates/bench/src/faults.rs
+++ b/crates/bench/src/faults.rs
@@ -25,6 +25,9 @@
 /// Pause in which calls that met a fault come to their end.
 const SETTLE: Duration = Duration::from_millis(TIMEOUT_MS + 1_500);
 
+/// Pause after each restart of a rolling one: a node and its backend server are back well within it.
+const ROLLING_PAUSE: Duration = Duration::from_millis(1_500);
+
 /// Time in which late requests and repeats could still do harm before the records are read.
 const AFTERMATH: Duration = Duration::from_secs(5);
 
@@ -41,6 +44,8 @@
     pub seed: u64,
     /// How long.
     pub duration: Duration,
+    /// Whether nothing is done but to restart every node and backend server, one after the other.
+    pub rolling: bool,
 }
 
 /// What came of it.
@@ -82,7 +87,11 @@
         .collect();
     let mut harm = Harm::new(plot.seed);
     while Instant::now() + SETTLE < end {
-        harm.go_on(&mut target).await?;
+        if plot.rolling {
+            harm.restart_all(&mut target, end).await?;
+        } else {
+            harm.go_on(&mut target).await?;
+        }
     }
     for caller in callers {
         if caller.await.is_err() {
@@ -156,6 +165,35 @@
         }
     }
 
+    /// Restarts every node and backend server in turn, until `end`.
+    async fn restart_all(&mut self, target: &mut Target, end: Instant) -> Result<(), Error> {
+        let from_us = now_us();
+        for vm in 0..target.deployment.vms.len() {
+            for stop in [Stop::Node(vm), Stop::Server(vm)] {
+                if Instant::now() + SETTLE > end {
+                    break;
+                }
+                self.stop_one(target, stop).await?;
+                tokio::time::sleep(ROLLING_PAUSE).await;
+            }
+        }
+        tokio::time::sleep(SETTLE).await;
+        self.note_graceful(from_us);
+        Ok(())
+    }
+
+    async fn stop_one(&mut self, target: &mut Target, stop: Stop) -> Result<(), Error> {
+        eprintln!("{} stop {stop:?}", now_us());
+        target.stop(stop).await?;
+        self.injected += 1;
+        Ok(())
+    }
+
+    fn note_graceful(&mut self, from_us: u64) {
+        let to_us = now_us();
+        self.graceful.push(Span { from_us, to_us });
+    }
+
     /// Every third round stops something gracefully, the others do harm.
     async fn go_on(&mut self, target: &mut Target) -> Result<(), Error> {
         self.rounds += 1;
@@ -199,15 +237,10 @@
             Stop::Node(self.rng.random_range(0..vms)),
             Stop::Server(self.rng.random_range(0..vms)),
         ] {
-            eprintln!("{} stop {stop:?}", now_us());
-            target.stop(stop).await?;
-            self.injected += 1;
+            self.stop_one(target, stop).await?;
             tokio::time::sleep(SETTLE).await;
         }
-        self.graceful.push(Span {
-            from_us,
-            to_us: now_us(),
-        });
+        self.note_graceful(from_us);
         Ok(())
     }
 }
--- a/crates/bench/src/faults_history.rs
+++ b/crates/bench/src/faults_history.rs
@@ -106,6 +106,8 @@
     pub may_have_run: usize,
     /// Those whose connection broke, or that heard nothing in time.
     pub broken: usize,
+    /// Keys of which the callers never learned whether they ran.
+    pub unsettled_keys: usize,
     /// Keys that ran more than once.
     pub double_runs: usize,
     /// Requests that were told "not run" and ran.
@@ -131,6 +133,7 @@
     for one in &history.invocations {
         count(&mut verdict, one);
     }
+    verdict.unsettled_keys = count_unsettled(history);
     check_runs(&mut verdict, history);
     check_answers(&mut verdict, history);
     check_graceful(&mut verdict, history);
@@ -148,6 +151,22 @@
     }
 }
 
+fn count_unsettled(history: &History) -> usize {
+    let mut last: HashMap<&str, &Invocation> = HashMap::new();
+    for one in &history.invocations {
+        if let Some(key) = &one.key {
+            let known = last.entry(key).or_insert(one);
+            if known.told_us < one.told_us {
+                *known = one;
+            }
+        }
+    }
+    let unsettled = last
+        .values()
+        .filter(|one| matches!(one.told, Told::MayHaveRun | Told::Broken));
+    unsettled.count()
+}
+
 fn check_runs(verdict: &mut Verdict, history: &History) {
     let runs = || history.records.iter().flat_map(|record| &record.runs);
     let mut of_key: HashMap<&str, Vec<&Run>> = HashMap::new();
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -53,7 +53,14 @@
         .fallback(1)
         .display_fallback();
     let duration = parse_seconds(60);
-    let plot = construct!(faults::Plot { seed, duration });
+    let rolling = long("rolling")
+        .help("Restart every node and backend server in turn instead, which must cut nothing off")
+        .switch();
+    let plot = construct!(faults::Plot {
+        seed,
+        duration,
+        rolling
+    });
     plot.map(Command::Faults)
 }
 
