--- a/crates/bench/src/faults.rs
+++ b/crates/bench/src/faults.rs
@@ -6,6 +6,8 @@
 use crate::faults_forward::Forwarder;
 use crate::faults_history::{History, Span, Verdict, check};
 use crate::faults_inject::{Fault, Stop, Target, record_arguments, record_file};
+use crate::options;
+use bpaf::{Parser, construct, long};
 use config::{Class, Repeat};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -69,6 +71,25 @@
     }
 }
 
+/// Reads what to try from the command line.
+#[must_use]
+pub fn parse() -> impl Parser<Plot> {
+    let seed = long("seed")
+        .help("Seed of all faults and calls")
+        .argument::<u64>("SEED")
+        .fallback(1)
+        .display_fallback();
+    let duration = options::parse_seconds(60);
+    let rolling = long("rolling")
+        .help("Restart every node and backend server in turn instead, which must cut nothing off")
+        .switch();
+    construct!(Plot {
+        seed,
+        duration,
+        rolling
+    })
+}
+
 /// Starts the fleet, harms it while callers call, and checks what they and the backend servers noted.
 ///
 /// # Errors
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,6 +5,8 @@
 //! and counts latency from those times, so that a stall is not left out.
 
 pub mod caller;
+pub mod converge;
+pub mod demo;
 pub mod deployment;
 pub mod error;
 pub mod faults;
@@ -13,5 +15,8 @@
 pub mod faults_history;
 pub mod faults_inject;
 pub mod load;
+pub mod node;
+pub mod options;
 pub mod path;
 pub mod process;
+pub mod relay;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 mod backend;
 mod control_link;
 mod control_platform;
+mod control_removal;
 mod control_tree;
 mod control_watch;
 mod header;
@@ -26,6 +27,7 @@
 mod outbound_try;
 mod reserve_ages;
 mod reserve_link;
+mod reserve_log;
 mod reserve_record;
 mod reserve_shard;
 mod upload;
