Serve a call on the VM that it comes in on while there is room

It saves the hop over another node. The own VM is the nearest tier of the balance, so that it spills over by load as the own zone does; a cold one gets its share as slow start has it.

--- a/crates/node/src/outbound.rs
+++ b/crates/node/src/outbound.rs
@@ -102,6 +102,7 @@
         link: Link::Call,
     };
     let place = Place {
+        node: shared.settings.name.clone(),
         zone: shared.settings.zone.clone(),
         region: shared.settings.region.clone(),
     };
--- a/crates/node/src/outbound_service.rs
+++ b/crates/node/src/outbound_service.rs
@@ -39,6 +39,7 @@
 /// Where the node itself is.
 #[derive(Debug, Clone)]
 pub(crate) struct Place {
+    pub(crate) node: SmolStr,
     pub(crate) zone: SmolStr,
     pub(crate) region: SmolStr,
 }
@@ -198,7 +199,9 @@
 }
 
 fn distance_of(endpoint: &Endpoint, place: &Place) -> Distance {
-    if endpoint.region != place.region {
+    if endpoint.node == place.node {
+        Distance::Vm
+    } else if endpoint.region != place.region {
         Distance::Far
     } else if endpoint.zone == place.zone {
         Distance::Zone
--- a/crates/node/tests/calls/whole.rs
+++ b/crates/node/tests/calls/whole.rs
@@ -196,3 +196,37 @@
         rest += count;
     }
 }
+
+// A look-up comes in on the VM of a backend server that has room. It runs
+// there, though another one of the zone has room as well: that saves a hop.
+#[tokio::test]
+async fn own_first() {
+    let (own_server, own_record) = spawn_server(6).await;
+    let (other_server, other_record) = spawn_server(6).await;
+    let own = spawn_node("own").await;
+    let other = spawn_node("other").await;
+    own.announce("jobs", own_server, 6);
+    other.announce("jobs", other_server, 6);
+    let mut beside = other.endpoint("jobs", other.nodes);
+    beside.zone = own.shared.settings.zone.clone();
+    own.serve_by(
+        "jobs",
+        Repeat::Never,
+        &[own.endpoint("jobs", own.nodes), beside],
+    );
+    for _ in 0..20 {
+        let got = call(
+            own.outbound.address(),
+            Method::GET,
+            "/jobs/1",
+            &[],
+            Bytes::new(),
+        )
+        .await;
+        assert_eq!(got.unwrap().status, StatusCode::OK);
+    }
+    assert_eq!(
+        (own_record.entries().len(), other_record.entries().len()),
+        (20, 0)
+    );
+}
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -33,6 +33,8 @@
 /// How far away a backend server is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Distance {
+    /// On the same VM: no other node is on the way.
+    Vm,
     /// In the same availability zone.
     Zone,
     /// In another availability zone of the region.
@@ -95,7 +97,7 @@
     free: Vec<u32>,
     known: HashMap<Identity, u32>,
     /// In the choice, nearest first.
-    tiers: [Vec<u32>; 3],
+    tiers: [Vec<u32>; 4],
     durations: duration::Table,
     probe_due: Option<Instant>,
 }
@@ -296,17 +298,24 @@
         R: Rng,
     {
         let mut best = None;
-        for tier in &self.tiers {
-            let Some(found) = self.choose_of(tier, call, rng) else {
+        let mut cold = None;
+        for (tier, servers) in self.tiers.iter().enumerate() {
+            let Some(found) = self.choose_of(servers, call, rng) else {
                 continue;
             };
+            // Alone in its tier, a cold one would get all that comes in on its VM.
+            let warmth = self.servers[found as usize].warmth(call.now);
+            if tier == Distance::Vm as usize && !rng.random_bool(warmth) {
+                cold = Some(found);
+                continue;
+            }
             let Some(near) = best else {
                 best = Some(found);
                 continue;
             };
             best = Some(self.choose_nearer(near, found, call, rng));
         }
-        best
+        best.or(cold)
     }
 
     /// Decides between the nearer and the further of two.
