--- a/crates/call/src/table.rs
+++ b/crates/call/src/table.rs
@@ -222,11 +222,23 @@
         self.calls.get(&id).map(|entry| &entry.call)
     }
 
+    /// Forgets a try that is over and that its peer will not ask about.
+    pub fn settle(&mut self, id: Id) {
+        if self
+            .calls
+            .get(&id)
+            .is_some_and(|entry| entry.stage == Stage::Over)
+        {
+            self.calls.remove(&id);
+        }
+    }
+
     /// Forgets the oldest outcomes that are past their time or too many.
     pub fn forget(&mut self, now: Instant) {
         while let Some(&(at, id)) = self.over.front() {
             let expired = now.saturating_duration_since(at) > OUTCOME_RETENTION;
-            if !expired && self.over.len() <= MAX_OUTCOMES {
+            let settled = !self.calls.contains_key(&id);
+            if !expired && !settled && self.over.len() <= MAX_OUTCOMES {
                 break;
             }
             self.over.pop_front();
--- a/crates/call/tests/table.rs
+++ b/crates/call/tests/table.rs
@@ -90,6 +90,19 @@
     assert_eq!(table.arrive(id(1), 2, "again", later), Arrival::Queued);
 }
 
+// The peer has the answer and says so: nothing of the call is kept.
+#[test]
+fn settled_is_forgotten() {
+    let now = Instant::now();
+    let mut table = make_table(now);
+    table.settle(id(1));
+    assert!(table.start(id(1)), "one that is not over stays");
+    table.finish(id(1), now);
+    table.settle(id(1));
+    assert_eq!(table.sizes().0, 0);
+    assert_eq!(table.arrive(id(1), 1, "again", now), Arrival::Repeated);
+}
+
 #[test]
 fn bounded() {
     let now = Instant::now();
--- a/crates/node/src/inbound.rs
+++ b/crates/node/src/inbound.rs
@@ -324,6 +324,14 @@
                 }
                 ControlFlow::Continue(())
             }
+            Frame::Done(sequences) => {
+                let origin = self.origin;
+                let mut table = self.inner.table(origin).lock();
+                for sequence in sequences {
+                    table.settle(Id { origin, sequence });
+                }
+                ControlFlow::Continue(())
+            }
             Frame::Ask {
                 id,
                 link,
--- a/crates/node/src/outbound_link.rs
+++ b/crates/node/src/outbound_link.rs
@@ -29,6 +29,11 @@
 /// Longest pause between tries to reach a peer that owes outcomes.
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 
+/// Tries that are over and wait for the next request to be told of.
+///
+/// Beyond, the peer forgets them by their age, which costs it memory only.
+const MAX_DONE: usize = 256;
+
 /// Parts of a link's table of tries, each under its own lock.
 const SHARDS: usize = 8;
 
@@ -68,6 +73,8 @@
     sender: Arc<Sender>,
     tries: [Mutex<HashMap<u64, Arc<Try>>>; SHARDS],
     leaving: AtomicBool,
+    /// Tries that are over, of which the peer has not been told.
+    done: Mutex<Vec<u64>>,
 }
 
 impl Link {
@@ -123,6 +130,10 @@
         }
         if found.is_over() {
             self.forget(id);
+            let mut done = self.done.lock();
+            if done.len() < MAX_DONE {
+                done.push(id.sequence);
+            }
         }
         ControlFlow::Continue(())
     }
@@ -218,6 +229,7 @@
             sender,
             tries: Default::default(),
             leaving: AtomicBool::new(false),
+            done: Mutex::default(),
         };
         Ok((Arc::new(link), receiver))
     }
@@ -246,7 +258,12 @@
             link.shard(id).lock().insert(id.sequence, Arc::clone(&one));
             kept = Some(one);
             let (request, body) = make(id);
-            std::iter::once(Frame::Request(request)).chain(body)
+            // With a request, they cost no write of their own.
+            let done = std::mem::take(&mut *link.done.lock());
+            let done = (!done.is_empty()).then_some(Frame::Done(done));
+            done.into_iter()
+                .chain(std::iter::once(Frame::Request(request)))
+                .chain(body)
         });
         match (result, kept) {
             (Ok(end), Some(one)) => {
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -123,6 +123,8 @@
         /// Further bytes of it that may be sent.
         room: u32,
     },
+    /// Outbound to inbound: tries of this link's process that are over, and will not be asked about.
+    Done(Vec<u64>),
     /// Either way: the receiver answers with [`Frame::Pong`].
     Ping,
     /// Either way: answers [`Frame::Ping`].
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -88,6 +88,7 @@
         draw_id().prop_map(CallFrame::Cancel),
         any::<u64>().prop_map(|link| CallFrame::Open { link }),
         ask,
+        proptest::collection::vec(any::<u64>(), 0..20).prop_map(CallFrame::Done),
         Just(CallFrame::Ping),
         any::<bool>().prop_map(CallFrame::Leaving),
     ]
