Tell callers of a node without a configuration to come back, not that there is no route

Cause: before its first configuration a node has no routes at all. Now 503, "not run", with when to come back; 404 is said only by a node that holds a configuration.

--- a/crates/node/src/outbound_answer.rs
+++ b/crates/node/src/outbound_answer.rs
@@ -186,6 +186,7 @@
         Reason::Backend => "backend",
         Reason::NoService => "no-service",
         Reason::Cancelled => "cancelled",
+        Reason::NoRoutes => "no-routes-yet",
         Reason::Reservation => "reservation",
     }
 }
--- a/crates/node/src/outbound_call.rs
+++ b/crates/node/src/outbound_call.rs
@@ -11,7 +11,7 @@
 use crate::outbound_service::{Ask, Picked};
 use call::Verdict;
 use clock::Clock;
-use config::{Objective, View};
+use config::{Objective, Version, View};
 use http::{Request, Response, StatusCode, request};
 use hyper::body::Incoming;
 use policy::balance::{Key, Outcome};
@@ -61,6 +61,10 @@
 where
     C: Clock,
 {
+    // A node that has just started knows no routes yet; that is not the caller's fault.
+    if view.version() == Version::ZERO {
+        return refuse(not_run(Reason::NoRoutes, UNREACHABLE_RETRY_MS));
+    }
     let Some(withheld) = view.find_withheld(path) else {
         return reject(StatusCode::NOT_FOUND, "no-route");
     };
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -61,6 +61,8 @@
     NoService,
     /// The caller went away.
     Cancelled,
+    /// The node has no configuration yet.
+    NoRoutes,
     /// Its idempotency key could not be reserved.
     Reservation,
 }
