--- a/crates/node/src/outbound.rs
+++ b/crates/node/src/outbound.rs
@@ -100,6 +100,7 @@
         link: Link::Call,
     };
     let place = Place {
+        node: shared.settings.name.clone(),
         zone: shared.settings.zone.clone(),
         region: shared.settings.region.clone(),
     };
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -61,6 +61,8 @@
     NoService,
     /// The caller went away.
     Cancelled,
+    /// The node has no configuration yet.
+    NoRoutes,
     /// Its idempotency key could not be reserved.
     Reservation,
 }
@@ -123,6 +125,8 @@
         /// Further bytes of it that may be sent.
         room: u32,
     },
+    /// Outbound to inbound: tries of this link's process that are over, and will not be asked about.
+    Done(Vec<u64>),
     /// Either way: the receiver answers with [`Frame::Pong`].
     Ping,
     /// Either way: answers [`Frame::Ping`].
