--- a/crates/bench/src/overload.rs
+++ b/crates/bench/src/overload.rs
@@ -9,7 +9,7 @@
 use crate::error::Error;
 use crate::load::Outcome;
 use crate::overload_calls::{
-    CAPACITY, Entry, Flow, SERVERS, TIMEOUT, Tally, WORK_MS, send_flows, to_f64,
+    CAPACITY, Entry, Flow, PROBES, SERVERS, TIMEOUT, Tally, WORK_MS, send_flows, to_f64,
 };
 use config::{Class, Repeat};
 use serde::Serialize;
@@ -71,8 +71,12 @@
     pub lookup_p99_ms: f64,
     /// Refusals, median.
     pub refusal_p50_ms: f64,
+    /// Refusals, 90th percentile.
+    pub refusal_p90_ms: f64,
     /// Refusals, 99th percentile.
     pub refusal_p99_ms: f64,
+    /// Calls that a backend server answers at once, without a node between, 99th percentile.
+    pub wire_p99_ms: f64,
     /// Answers after their deadline.
     pub late_answers: u64,
 }
@@ -263,7 +267,10 @@
             counts(outcome) && is_of(outcome, series)
         })
     };
-    let all = Tally::count(outcomes, counts);
+    let all = Tally::count(outcomes, |outcome| {
+        counts(outcome) && outcome.series < PROBES
+    });
+    let wire = Tally::count(outcomes, |outcome| outcome.series == PROBES);
     let [commits, lookups, refreshes] = [COMMITS, LOOKUPS, REFRESHES].map(of);
     Level {
         load,
@@ -274,7 +281,9 @@
         commit_p99_ms: commits.good.quantile_ms(0.99),
         lookup_p99_ms: lookups.good.quantile_ms(0.99),
         refusal_p50_ms: all.refused.quantile_ms(0.5),
+        refusal_p90_ms: all.refused.quantile_ms(0.9),
         refusal_p99_ms: all.refused.quantile_ms(0.99),
+        wire_p99_ms: wire.good.quantile_ms(0.99),
         late_answers: all.late,
     }
 }
@@ -309,7 +318,8 @@
     let span = (0.0, seconds + 2.0);
     let flows = [flow(COMMITS, 0.05, span), flow(LOOKUPS, 0.35, span)];
     // What is learnt of the slow one in two seconds is in force afterwards.
-    let counts = |outcome: &Outcome| outcome.at >= Duration::from_secs(2);
+    let counts =
+        |outcome: &Outcome| outcome.series < PROBES && outcome.at >= Duration::from_secs(2);
     let mut tallies = Vec::new();
     for factor in [1, 10] {
         tokio::time::sleep(PAUSE).await;
@@ -350,7 +360,7 @@
     let within = |from: f64, to: f64| {
         Tally::count(&outcomes, |outcome| {
             let at = outcome.at.as_secs_f64();
-            from <= at && at < to && !is_of(outcome, REFRESHES)
+            from <= at && at < to && outcome.series < REFRESHES
         })
     };
     let usual = within(1.0, BURST.0).good.quantile_ms(0.99);
--- a/crates/bench/src/overload_calls.rs
+++ b/crates/bench/src/overload_calls.rs
@@ -67,7 +67,8 @@
         Entry::Servers => vm.server(),
     });
     let places = addresses.map(Caller::new).collect::<Vec<_>>();
-    let plan = plan_calls(flows, &places);
+    let mut plan = plan_calls(flows, &places);
+    plan.extend(plan_probes(deployment, flows));
     match entry {
         // The node itself ends a call at its deadline; the bench only must not hang.
         Entry::Nodes => send_planned(plan, 5 * TIMEOUT).await,
@@ -80,7 +81,12 @@
     let turn = Arc::new(AtomicUsize::new(0));
     send_each(plan, move |planned| {
         let (places, turn) = (Arc::clone(&places), Arc::clone(&turn));
-        async move { send_tries(&planned.call, &places, &turn).await }
+        async move {
+            if planned.series == PROBES {
+                return planned.caller.send_within(&planned.call, TIMEOUT).await;
+            }
+            send_tries(&planned.call, &places, &turn).await
+        }
     })
     .await
 }
@@ -98,6 +104,33 @@
     last
 }
 
+/// Series of the probes.
+pub const PROBES: usize = 1_000;
+
+/// Time between two probes.
+const PROBE_PERIOD: Duration = Duration::from_millis(10);
+
+/// Plans calls that a backend server answers at once: what the wire and the
+/// machine take meanwhile.
+fn plan_probes(deployment: &Deployment, flows: &[Flow]) -> Vec<Planned> {
+    let end = flows.iter().map(|flow| flow.span.1).fold(0.0, f64::max);
+    let mut planned = Vec::new();
+    let mut at = Duration::ZERO;
+    for vm in deployment.vms.iter().cycle() {
+        if at.as_secs_f64() >= end {
+            break;
+        }
+        planned.push(Planned {
+            at,
+            series: PROBES,
+            caller: Caller::new(vm.server()),
+            call: Call::get("/health"),
+        });
+        at += PROBE_PERIOD;
+    }
+    planned
+}
+
 /// Draws send times that are independent of each other, as those of many callers are.
 fn plan_calls(flows: &[Flow], places: &[Caller]) -> Vec<Planned> {
     let mut rng = SmallRng::seed_from_u64(SEED);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,6 +17,7 @@
 mod metrics_service;
 mod outbound_answer;
 mod outbound_call;
+mod outbound_hedge;
 mod outbound_keyed;
 mod outbound_link;
 mod outbound_plan;
--- a/crates/node/src/outbound_call.rs
+++ b/crates/node/src/outbound_call.rs
@@ -4,6 +4,7 @@
 use crate::metrics::Ending;
 use crate::outbound::Inner;
 use crate::outbound_answer::{Body, refuse, reject};
+use crate::outbound_hedge::try_first;
 use crate::outbound_keyed::{key_of, serve_keyed};
 use crate::outbound_plan::{Plan, left, make_plan, take_body};
 use crate::outbound_send::{Tried, UNREACHABLE_RETRY_MS, not_run, try_once};
@@ -138,8 +139,14 @@
             break;
         };
         tried.push(picked.key);
-        let (refused, back) = match try_once(inner, plan, head, body, &picked.endpoint, tries).await
-        {
+        let tried_once = if tries == 1 {
+            let (result, winner) = try_first(inner, plan, head, body, picked, &mut tried).await;
+            picked = winner;
+            result
+        } else {
+            try_once(inner, plan, head, body, &picked.endpoint, tries).await
+        };
+        let (refused, back) = match tried_once {
             Tried::Answered(response, load) => {
                 picked.outcome = answered(response.status(), load);
                 if tries == 1 {
@@ -179,7 +186,7 @@
     told.into()
 }
 
-fn pick<C>(inner: &Inner<C>, plan: &Plan, tried: &[Key]) -> Option<Picked<C>>
+pub(crate) fn pick<C>(inner: &Inner<C>, plan: &Plan, tried: &[Key]) -> Option<Picked<C>>
 where
     C: Clock,
 {
@@ -202,7 +209,7 @@
     }
 }
 
-fn cause_of(refused: Refused) -> Cause {
+pub(crate) fn cause_of(refused: Refused) -> Cause {
     match (refused.verdict, refused.reason) {
         (Verdict::NotRun, Reason::Leaving) => Cause::Leaving,
         (Verdict::NotRun, Reason::Full | Reason::Deadline) => Cause::Full,
@@ -210,7 +217,7 @@
     }
 }
 
-fn refused_outcome(cause: Cause) -> Outcome {
+pub(crate) fn refused_outcome(cause: Cause) -> Outcome {
     match cause {
         Cause::Leaving => Outcome::Leaving,
         Cause::Full => Outcome::Full,
--- /dev/null
+++ b/crates/node/src/outbound_hedge.rs
@@ -0,0 +1,169 @@
+//! A second copy of a call whose first try is late: runs `policy::hedge`.
+
+use crate::outbound::Inner;
+use crate::outbound_call::{cause_of, pick, refused_outcome};
+use crate::outbound_plan::Plan;
+use crate::outbound_send::{Tried, try_once};
+use crate::outbound_sent;
+use crate::outbound_service::Picked;
+use call::Verdict;
+use clock::Clock;
+use http::request;
+use policy::balance::{Key, Outcome};
+use std::pin::{Pin, pin};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Where a copy goes, and its body.
+struct Second<C>
+where
+    C: Clock,
+{
+    picked: Picked<C>,
+    body: outbound_sent::Body,
+}
+
+/// Tries a call for the first time; once it is late, a copy of it elsewhere as well.
+///
+/// Gives the try that counts and where it went. `tried` gets the copy's
+/// backend server.
+pub(crate) async fn try_first<C>(
+    inner: &Arc<Inner<C>>,
+    plan: &Plan,
+    head: &request::Parts,
+    body: outbound_sent::Body,
+    first: Picked<C>,
+    tried: &mut Vec<Key>,
+) -> (Tried<C>, Picked<C>)
+where
+    C: Clock,
+{
+    let started = first.started;
+    // Only a body that is held whole can be sent twice.
+    let may = plan.hedges() && body.rest.is_none();
+    let copy = outbound_sent::Body {
+        ready: body.ready.clone(),
+        rest: None,
+    };
+    let endpoint = first.endpoint.clone();
+    let mut one = pin!(try_once(inner, plan, head, body, &endpoint, 1));
+    if let Some(wait) = plan.known.hedge_wait(started, may) {
+        match tokio::time::timeout(wait, one.as_mut()).await {
+            Ok(result) => return (note(inner, plan, started, result), first),
+            Err(_late) => {
+                if let Some(picked) = pick_copy(inner, plan, tried) {
+                    let second = Second { picked, body: copy };
+                    return race(inner, plan, head, one, first, second).await;
+                }
+            }
+        }
+    }
+    let result = one.await;
+    (note(inner, plan, started, result), first)
+}
+
+/// Runs the copy beside the first try; the first answer counts.
+async fn race<C, F>(
+    inner: &Arc<Inner<C>>,
+    plan: &Plan,
+    head: &request::Parts,
+    mut one: Pin<&mut F>,
+    mut first: Picked<C>,
+    second: Second<C>,
+) -> (Tried<C>, Picked<C>)
+where
+    C: Clock,
+    F: Future<Output = Tried<C>>,
+{
+    let started = first.started;
+    let Second {
+        picked: mut second,
+        body,
+    } = second;
+    let endpoint = second.endpoint.clone();
+    let mut two = pin!(try_once(inner, plan, head, body, &endpoint, 2));
+    tokio::select! {
+        result = one.as_mut() => {
+            let result = note(inner, plan, started, result);
+            if matches!(result, Tried::Answered(..)) {
+                plan.known.settle_hedge(false);
+                return (result, first);
+            }
+            first.outcome = outcome_of(&result);
+            (pick_final(result, two.await), second)
+        }
+        result = two.as_mut() => {
+            if matches!(result, Tried::Answered(..)) {
+                plan.known.settle_hedge(true);
+                plan.known.see_first(elapsed(inner, started));
+                // It takes at least as long as it has: the balance may know.
+                first.outcome = Outcome::Answered(None);
+                return (result, second);
+            }
+            second.outcome = outcome_of(&result);
+            drop(second);
+            let last = note(inner, plan, started, one.await);
+            (pick_final(result, last), first)
+        }
+    }
+}
+
+/// Gives what counts of a refused try and the one that ended after it.
+///
+/// The caller may be told "not run" only if neither may have run.
+fn pick_final<C>(refused: Tried<C>, last: Tried<C>) -> Tried<C>
+where
+    C: Clock,
+{
+    let ran = |tried: &Tried<C>| match tried {
+        Tried::Answered(..) => true,
+        Tried::Refused(refused, _) => refused.verdict != Verdict::NotRun,
+    };
+    if ran(&refused) && !matches!(last, Tried::Answered(..)) {
+        refused
+    } else {
+        last
+    }
+}
+
+fn outcome_of<C>(tried: &Tried<C>) -> Outcome
+where
+    C: Clock,
+{
+    match tried {
+        Tried::Answered(_, load) => Outcome::Answered(*load),
+        Tried::Refused(refused, _) => refused_outcome(cause_of(*refused)),
+    }
+}
+
+fn pick_copy<C>(inner: &Arc<Inner<C>>, plan: &Plan, tried: &mut Vec<Key>) -> Option<Picked<C>>
+where
+    C: Clock,
+{
+    let second = pick(inner, plan, tried)?;
+    if !plan.known.spend(inner.shared.clock.now()) {
+        return None;
+    }
+    tried.push(second.key);
+    Some(second)
+}
+
+/// Tells the hedge how the first try went.
+fn note<C>(inner: &Inner<C>, plan: &Plan, started: Instant, result: Tried<C>) -> Tried<C>
+where
+    C: Clock,
+{
+    match &result {
+        Tried::Answered(..) => plan.known.see_first(elapsed(inner, started)),
+        Tried::Refused(..) => plan.known.pause_hedge(inner.shared.clock.now()),
+    }
+    result
+}
+
+fn elapsed<C>(inner: &Inner<C>, started: Instant) -> Duration
+where
+    C: Clock,
+{
+    let now = inner.shared.clock.now();
+    now.saturating_duration_since(started)
+}
--- a/crates/node/src/outbound_plan.rs
+++ b/crates/node/src/outbound_plan.rs
@@ -50,6 +50,11 @@
         attempts.unwrap_or(DEFAULT_ATTEMPTS).max(1)
     }
 
+    /// Tells whether a second copy may be sent while the first is late.
+    pub(crate) fn hedges(&self) -> bool {
+        self.repeatable && self.rule.as_ref().is_some_and(|rule| rule.hedge)
+    }
+
     /// Tells whether a try that may have run is followed by another.
     pub(crate) fn repeats(&self) -> bool {
         let rule = self.rule.as_ref();
--- a/crates/node/src/outbound_service.rs
+++ b/crates/node/src/outbound_service.rs
@@ -4,6 +4,7 @@
 use config::{Endpoint, Retry, ServiceKey, View};
 use parking_lot::{Mutex, RwLock};
 use policy::balance::{Balance, Candidate, Distance, Identity, Key, Outcome};
+use policy::hedge::Hedge;
 use policy::retry::{Budget, Decision, Try};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -31,6 +32,7 @@
 struct State {
     balance: Balance,
     budget: Budget,
+    hedge: Hedge,
     /// The view that the balance was last told.
     synced: Weak<View>,
     rng: SmallRng,
@@ -51,7 +53,7 @@
 {
     service: Arc<Service>,
     clock: C,
-    started: Instant,
+    pub(crate) started: Instant,
     route: u64,
     pub(crate) key: Key,
     pub(crate) endpoint: Endpoint,
@@ -76,6 +78,7 @@
                 state: Mutex::new(State {
                     balance: Balance::new(),
                     budget: Budget::new(now, DEFAULT_BUDGET_PERCENT),
+                    hedge: Hedge::new(now),
                     synced: Weak::new(),
                     rng: SmallRng::from_os_rng(),
                 }),
@@ -153,6 +156,31 @@
         state.budget.succeed();
     }
 
+    /// Gives the wait after which a call that `may` be copied is late, if a copy is to be sent.
+    pub(crate) fn hedge_wait(&self, now: Instant, may: bool) -> Option<Duration> {
+        self.state.lock().hedge.wait(now, may)
+    }
+
+    /// Takes in how long a first try took, or that it was overtaken after so long.
+    pub(crate) fn see_first(&self, took: Duration) {
+        self.state.lock().hedge.see(took);
+    }
+
+    /// Takes in whether a copy was answered before the first try.
+    pub(crate) fn settle_hedge(&self, won: bool) {
+        self.state.lock().hedge.settle(won);
+    }
+
+    /// Takes in that a try was refused.
+    pub(crate) fn pause_hedge(&self, now: Instant) {
+        self.state.lock().hedge.refused(now);
+    }
+
+    /// Pays for a copy of a call; tells whether the budget allows it.
+    pub(crate) fn spend(&self, now: Instant) -> bool {
+        self.state.lock().budget.spend(now)
+    }
+
     /// Decides what follows a try that came to nothing.
     pub(crate) fn decide(&self, now: Instant, tried: &Try) -> Decision {
         let mut state = self.state.lock();
--- /dev/null
+++ b/crates/node/tests/calls/hedge.rs
@@ -0,0 +1,84 @@
+// A fitter looks up a teardown history; the connection to the first backend
+// server's node is held up on the way. The look-up may be repeated and its rule
+// allows hedges, so a copy goes to the other one and is answered. Without the
+// copy the fitter waits until the silence of the link is noticed.
+
+use crate::forward::{Forwarder, Mode};
+use crate::mesh::{call, spawn_node, spawn_server};
+use bytes::Bytes;
+use config::{Class, Mesh, Repeat, Retry, Route, Service, Target, Version, View};
+use http::{Method, StatusCode};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::task::JoinSet;
+
+/// Calls from which the node learns what is late.
+const WARM_UP: usize = 120;
+
+/// Calls while the first backend server is held up.
+const HELD: usize = 8;
+
+fn hedged_mesh() -> Mesh {
+    let mut mesh = Mesh::default();
+    mesh.services.insert("desk".into(), Service::default());
+    let rule = Retry {
+        attempts: 3,
+        budget_percent: 20,
+        hedge: true,
+        repeat_may_have_run: true,
+    };
+    mesh.retries.insert("reads".into(), rule);
+    let route = Route {
+        targets: vec![Target {
+            service: "desk".into(),
+            percent: 100,
+        }],
+        class: Class::Lookup,
+        repeat: Repeat::ByMethod,
+        retry: Some("reads".into()),
+        timeout_ms: 5_000,
+    };
+    mesh.routes.insert("/desk".into(), route);
+    mesh
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn copy_answers() {
+    let (caller, first, second) = tokio::join!(
+        spawn_node("caller"),
+        spawn_node("first"),
+        spawn_node("second")
+    );
+    let forwarder = Forwarder::spawn(first.nodes).await;
+    let mut records = Vec::new();
+    for node in [&first, &second] {
+        let (address, record) = spawn_server(6).await;
+        node.announce("desk", address, 6);
+        records.push(record);
+    }
+    let endpoints = [
+        first.endpoint("desk", forwarder.address),
+        second.endpoint("desk", second.nodes),
+    ];
+    let view = View::build(Version(1), &hedged_mesh(), &endpoints);
+    caller.shared.view.store(Arc::new(view));
+    let entry = caller.outbound.address();
+    let look_up = || call(entry, Method::GET, "/desk/history", &[], Bytes::new());
+    for _ in 0..WARM_UP {
+        assert_eq!(look_up().await.unwrap().status, StatusCode::OK);
+    }
+    let before = records[1].entries().len();
+    forwarder.set(Mode::Hold, Mode::Hold);
+    let start = Instant::now();
+    // Side by side, so that some go to the first one.
+    let mut held = JoinSet::new();
+    for _ in 0..HELD {
+        held.spawn(look_up());
+    }
+    for answer in held.join_all().await {
+        assert_eq!(answer.unwrap().status, StatusCode::OK);
+    }
+    assert!(start.elapsed() < Duration::from_millis(500));
+    // The second one answered all, those that went to the first one included.
+    assert_eq!(records[1].entries().len() - before, HELD);
+}
--- a/crates/node/tests/calls/main.rs
+++ b/crates/node/tests/calls/main.rs
@@ -2,6 +2,7 @@
 
 mod ending;
 mod forward;
+mod hedge;
 mod keyed;
 mod mesh;
 mod reuse;
