--- a/crates/bench/src/overload.rs
+++ b/crates/bench/src/overload.rs
@@ -8,9 +8,11 @@
 use crate::deployment::{Deployment, Plan, put_route, put_service, send_fault};
 use crate::error::Error;
 use crate::load::Outcome;
+use crate::options::parse_seconds;
 use crate::overload_calls::{
     CAPACITY, Entry, Flow, PROBES, SERVERS, TIMEOUT, Tally, WORK_MS, send_flows, to_f64,
 };
+use bpaf::{Parser, construct, long};
 use config::{Class, Repeat};
 use serde::Serialize;
 use std::str::FromStr;
@@ -38,6 +40,16 @@
     Burst,
 }
 
+/// Reads what to run.
+pub fn parse() -> impl Parser<Plot> {
+    let duration = parse_seconds(5);
+    let only = long("only")
+        .help("Run just this part: levels, fairness, slow or burst")
+        .argument::<Part>("PART")
+        .optional();
+    construct!(Plot { duration, only })
+}
+
 impl FromStr for Part {
     type Err = String;
 
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -54,6 +54,11 @@
 /// Longest probe, for a backend server whose calls take long.
 const PROBE_TIME: Duration = Duration::from_secs(1);
 
+/// Time without the end of any call after which a probe is over. Less than the
+/// patience of the shortest queue (0.3 s for a first look-up), so that a probe
+/// behind long calls makes others wait but refuses none.
+const PROBE_STALL: Duration = Duration::from_millis(250);
+
 /// Time without any call under light load after which a probe is made. Under
 /// lasting overload there would be nothing to compare with; 64 calls of 30 ms
 /// at half speed, every 30 s, cost 1% of the capacity.
@@ -86,6 +91,7 @@
 struct Probe {
     left: u32,
     until: Instant,
+    stalls_at: Instant,
 }
 
 impl Probe {
@@ -93,8 +99,13 @@
         Self {
             left: PROBE_CALLS,
             until: now + PROBE_TIME,
+            stalls_at: now + PROBE_STALL,
         }
     }
+
+    fn ends_at(&self) -> Instant {
+        self.until.min(self.stalls_at)
+    }
 }
 
 #[derive(Debug, Clone, Copy, Default)]
@@ -138,8 +149,25 @@
         }
     }
 
+    /// Gives half of the slots, but no less than two: in a probe of one slot a
+    /// single long call would keep all others out.
     fn half(&self) -> f64 {
-        (self.found / 2.0).floor().max(1.0)
+        (self.found / 2.0).floor().max(self.found.clamp(1.0, 2.0))
+    }
+
+    /// Ends a probe whose time is up.
+    ///
+    /// Calls that stream for minutes don't end, so that a probe which looked at
+    /// the time only when a call ends would keep the other slots closed.
+    pub(crate) fn end_probe(&mut self, now: Instant) {
+        if self.probe.is_some_and(|probe| now >= probe.ends_at()) {
+            self.probe = None;
+        }
+    }
+
+    /// Gives when a probe is over at the latest.
+    pub(crate) fn probe_ends_at(&self) -> Option<Instant> {
+        self.probe.map(|probe| probe.ends_at())
     }
 
     /// Tells whether `running` calls are few for this backend server.
@@ -195,10 +223,12 @@
         self.light_at = now;
         if let Some(probe) = &mut self.probe {
             probe.left -= 1;
-            if probe.left == 0 || now >= probe.until {
+            probe.stalls_at = now + PROBE_STALL;
+            if probe.left == 0 {
                 self.probe = None;
             }
         }
+        self.end_probe(now);
     }
 
     fn judge(&mut self, now: Instant) {
