--- a/crates/bench/src/overload.rs
+++ b/crates/bench/src/overload.rs
@@ -41,6 +41,7 @@
 }
 
 /// Reads what to run.
+#[must_use]
 pub fn parse() -> impl Parser<Plot> {
     let duration = parse_seconds(5);
     let only = long("only")
