--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -115,9 +115,9 @@
 
 /// Share of the slots that long jobs may not take, rounded down: two of six.
 ///
-/// With long jobs that would fill all slots, short calls are answered to 0.33
-/// with none held back, 0.61 with one, 0.90 with two and 1.00 with three, and
-/// long ones to 0.87, 0.80, 0.64 and 0.56; three leave a sixth of the slots
+/// With long jobs that would fill all slots, short calls are answered to 0.20
+/// with none held back, 0.54 with one, 0.88 with two and 1.00 with three, and
+/// long ones to 0.92, 0.83, 0.60 and 0.45; three leave a seventh of the slots
 /// idle (`tests/load/long_jobs.rs`).
 const RESERVE: f64 = 1.0 / 3.0;
 
--- a/crates/policy/src/drain.rs
+++ b/crates/policy/src/drain.rs
@@ -24,10 +24,8 @@
 /// Work done by a slot a second, as a share of what its calls were expected to take.
 ///
 /// It is taken from durations, not from counting what ends: with jobs of a
-/// second among calls of milliseconds, counts come in lumps, and waits
-/// predicted from them refused a quarter of the short calls without need
-/// (`tests/load/long_jobs.rs`). A backend server that hangs ends nothing at
-/// all; it shows by the age of the calls that run.
+/// second among calls of milliseconds, counts come in lumps. A backend server
+/// that hangs ends nothing at all; it shows by the age of the calls that run.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Speed {
     expected: f64,
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -24,7 +24,7 @@
 ///
 /// Commits that alone fit must all get in, up to nine tenths of the capacity;
 /// what they leave goes to look-ups and refreshes at four to one, and none of
-/// them ever gets nothing. Measured in `tests/sustained_overload.rs`.
+/// them ever gets nothing. Measured in `tests/load/sustained_overload.rs`.
 const WEIGHTS: [f64; 3] = [90.0, 8.0, 2.0];
 
 /// Lanes: a short and a long one for each class.
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -8,7 +8,7 @@
 //! of all there are next to none. Only this hop's own failures are tried
 //! again: an answer of the backend server's, error or not, is passed up. So
 //! when a call fails deep down, just the layer next to the failure tries
-//! again. Measured in `tests/retry_storm.rs`.
+//! again. Measured in `tests/load/retry_storm.rs`.
 
 use crate::backoff;
 use call::Verdict;
