--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -19,6 +19,7 @@
 mod metrics_service;
 mod outbound_answer;
 mod outbound_call;
+mod outbound_hedge;
 mod outbound_keyed;
 mod outbound_link;
 mod outbound_plan;
