--- a/crates/node/src/outbound_hedge.rs
+++ b/crates/node/src/outbound_hedge.rs
@@ -116,9 +116,8 @@
     C: Clock,
 {
     let ran = |tried: &Tried<C>| match tried {
-        Tried::Answered(..) => true,
+        Tried::Answered(..) | Tried::Late(_) => true,
         Tried::Refused(refused, _) => refused.verdict != Verdict::NotRun,
-        Tried::Late(_) => true,
     };
     if ran(&refused) && !matches!(last, Tried::Answered(..)) {
         refused
