--- a/crates/node/src/metrics_reserve.rs
+++ b/crates/node/src/metrics_reserve.rs
@@ -12,6 +12,16 @@
 /// to the longest wait for a reservation, with a shard's pace in between.
 const CLAIM_BOUNDS: [f64; 8] = [0.002, 0.005, 0.01, 0.05, 0.1, 0.2, 0.5, 1.5];
 
+/// Label values of replies.
+const REPLIES: [&str; 6] = [
+    "granted",
+    "known",
+    "ran",
+    "unsettled",
+    "mismatch",
+    "refused",
+];
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ReplyLabel {
     reply: &'static str,
@@ -25,9 +35,14 @@
 }
 
 impl Default for Reserve {
+    /// Starts all replies at zero, so that a rate of the first ones can be told.
     fn default() -> Self {
+        let claims = Family::<ReplyLabel, Counter>::default();
+        for reply in REPLIES {
+            drop(claims.get_or_create(&ReplyLabel { reply }));
+        }
         Self {
-            claims: Family::default(),
+            claims,
             durations: Histogram::new(CLAIM_BOUNDS),
         }
     }
