--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,6 +13,7 @@
 mod header;
 mod inbound_call;
 mod inbound_gate;
+mod inbound_link;
 mod inbound_run;
 mod metrics_control;
 mod metrics_service;
--- a/crates/node/src/outbound_link.rs
+++ b/crates/node/src/outbound_link.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 use wire::call::{Frame, Reason, Request};
 use wire::{Hello, codec};
 
@@ -23,6 +24,17 @@
 /// again after a second, which is as long as a caller should wait here.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// How long a failure to connect stands for all who ask for the link: one
+/// connection a quarter of a second costs nothing, and finds a node that is
+/// back as soon as its callers care.
+const FAILURE_RETENTION: Duration = Duration::from_millis(250);
+
+/// Time after which a try to connect that nobody waits for any more counts as failed.
+const LEAST_ATTEMPT: Duration = Duration::from_millis(100);
+
+/// Peers after which those without a link or a call are let go, again and again.
+const PEERS_CHUNK: usize = 512;
+
 /// First pause before another try to reach a peer that owes outcomes; doubles.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 
@@ -62,6 +74,8 @@
     current: Mutex<Option<Arc<Link>>>,
     /// Held while connecting, so that one connection is made for all who wait.
     connecting: tokio::sync::Mutex<()>,
+    /// When the last try to connect failed, and how.
+    failed: Mutex<Option<(Instant, io::ErrorKind)>>,
 }
 
 /// A link that is up.
@@ -166,11 +180,15 @@
             return Arc::clone(peer);
         }
         let mut peers = self.peers.write();
+        if peers.len() % PEERS_CHUNK == PEERS_CHUNK - 1 {
+            peers.retain(|_, peer| Arc::strong_count(peer) > 1);
+        }
         let made = peers.entry(address).or_insert_with(|| {
             Arc::new(Peer {
                 address,
                 current: Mutex::default(),
                 connecting: tokio::sync::Mutex::default(),
+                failed: Mutex::default(),
             })
         });
         Arc::clone(made)
@@ -197,9 +215,18 @@
         if let Some(link) = peer.live() {
             return Ok(link);
         }
+        if let Some(kind) = peer.failure() {
+            return Err(io::Error::from(kind).into());
+        }
+        let attempt = Attempt {
+            peer,
+            since: Instant::now(),
+        };
         let opened = tokio::time::timeout(CONNECT_TIMEOUT, self.open(peer.address)).await;
-        let (link, receiver) =
-            opened.map_err(|_elapsed| io::Error::from(io::ErrorKind::TimedOut))??;
+        let opened =
+            opened.unwrap_or_else(|_| Err(io::Error::from(io::ErrorKind::TimedOut).into()));
+        attempt.end();
+        let (link, receiver) = opened.inspect_err(|error| peer.note_failure(error))?;
         *peer.current.lock() = Some(Arc::clone(&link));
         let ended = self.ended.clone();
         tokio::spawn(run_link(
@@ -281,7 +308,47 @@
     }
 }
 
+/// A try to connect that is under way; dropped before its end, it failed like one that timed out.
+///
+/// Callers with short deadlines give up before it ends. Without this, each of
+/// them would begin another one, and none would ever count as failed.
+struct Attempt<'a> {
+    peer: &'a Peer,
+    since: Instant,
+}
+
+impl Attempt<'_> {
+    fn end(mut self) {
+        self.since = Instant::now();
+    }
+}
+
+impl Drop for Attempt<'_> {
+    fn drop(&mut self) {
+        if self.since.elapsed() >= LEAST_ATTEMPT {
+            *self.peer.failed.lock() = Some((Instant::now(), io::ErrorKind::TimedOut));
+        }
+    }
+}
+
 impl Peer {
+    /// Tells how connecting failed, if it did just now.
+    ///
+    /// Without it, each call to a node that can't be reached would wait for the
+    /// tries of all before it, and then make its own.
+    fn failure(&self) -> Option<io::ErrorKind> {
+        let (at, kind) = (*self.failed.lock())?;
+        (at.elapsed() < FAILURE_RETENTION).then_some(kind)
+    }
+
+    fn note_failure(&self, error: &wire::Error) {
+        let kind = match error {
+            wire::Error::Io(error) => error.kind(),
+            _ => io::ErrorKind::InvalidData,
+        };
+        *self.failed.lock() = Some((Instant::now(), kind));
+    }
+
     fn live(&self) -> Option<Arc<Link>> {
         let current = self.current.lock();
         let link = current.as_ref()?;
--- a/crates/node/tests/calls/silence.rs
+++ b/crates/node/tests/calls/silence.rs
@@ -1,7 +1,7 @@
 //! Calls over links that go silent: settled by asking, never run twice.
 
 use crate::forward::{Forwarder, Mode};
-use crate::mesh::{Answer, Node, call, spawn_node, spawn_server, wait_recorded};
+use crate::mesh::{Answer, Node, bind, call, spawn_node, spawn_server, wait_recorded};
 use bytes::Bytes;
 use config::Repeat;
 use http::{Method, StatusCode};
@@ -213,3 +213,41 @@
     assert_eq!((answer.status, answer.verdict()), (StatusCode::OK, "ran"));
     assert_eq!((pair.runs_of("r1"), pair.forwarder.count()), (1, 1));
 }
+
+// An availability zone is cut off: connections to a node there are taken by
+// nobody, and say nothing. Twenty clerks book at once. All must hear "not run"
+// when the first try to connect is given up, and who comes next at once.
+// Cause: each waited for the try of the one before, and then made its own.
+#[tokio::test]
+async fn cut_off_zone() {
+    let near = spawn_node("near").await;
+    let far = spawn_node("far").await;
+    // Its backlog takes connections, and nobody ever answers them.
+    let (_listener, address) = bind().await;
+    near.serve_by("jobs", Repeat::Never, &[far.endpoint("jobs", address)]);
+    let callers = near.outbound.address();
+    let started = Instant::now();
+    let clerks: Vec<_> = (0..20)
+        .map(|_| tokio::spawn(async move { post(callers, "r1", "0").await }))
+        .collect();
+    for clerk in clerks {
+        let answer = clerk.await.unwrap();
+        assert_eq!(
+            (answer.status, answer.verdict()),
+            (StatusCode::SERVICE_UNAVAILABLE, "not-run")
+        );
+    }
+    assert!(
+        started.elapsed() < Duration::from_secs(2),
+        "{:?}",
+        started.elapsed()
+    );
+    let started = Instant::now();
+    let next = post(callers, "r2", "0").await;
+    assert_eq!(next.verdict(), "not-run");
+    assert!(
+        started.elapsed() < Duration::from_millis(200),
+        "{:?}",
+        started.elapsed()
+    );
+}
