--- a/crates/node/src/outbound_link.rs
+++ b/crates/node/src/outbound_link.rs
@@ -1,6 +1,8 @@
 //! Links from the outbound proxy to the nodes of other backend servers.
 
 use crate::link::{self, Receiver, Sender, Watch};
+use crate::outbound_peer::Peer;
+use crate::outbound_settle::{Ended, settle_all, sort_out};
 use crate::outbound_try::Try;
 use call::{Id, Verdict};
 use parking_lot::{Mutex, RwLock};
@@ -9,12 +11,11 @@
 use std::io;
 use std::net::SocketAddr;
 use std::ops::ControlFlow;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Weak};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::time::Instant;
 use wire::call::{Frame, Reason, Request};
 use wire::{Hello, codec};
 
@@ -24,23 +25,9 @@
 /// again after a second, which is as long as a caller should wait here.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// How long a failure to connect stands for all who ask for the link: one
-/// connection a quarter of a second costs nothing, and finds a node that is
-/// back as soon as its callers care.
-const FAILURE_RETENTION: Duration = Duration::from_millis(250);
-
-/// Time after which a try to connect that nobody waits for any more counts as failed.
-const LEAST_ATTEMPT: Duration = Duration::from_millis(100);
-
 /// Peers after which those without a link or a call are let go, again and again.
 const PEERS_CHUNK: usize = 512;
 
-/// First pause before another try to reach a peer that owes outcomes; doubles.
-const FIRST_PAUSE: Duration = Duration::from_millis(50);
-
-/// Longest pause between tries to reach a peer that owes outcomes.
-const LONGEST_PAUSE: Duration = Duration::from_millis(800);
-
 /// Tries that are over and wait for the next request to be told of.
 ///
 /// Beyond, the peer forgets them by their age, which costs it memory only.
@@ -59,30 +46,11 @@
     ended: mpsc::UnboundedSender<Ended>,
 }
 
-/// A link that ended, with the tries whose outcome must be asked for.
-#[derive(Debug)]
-struct Ended {
-    peer: Arc<Peer>,
-    incarnation: u64,
-    open: Vec<Arc<Try>>,
-}
-
-/// A node that calls are sent to.
-#[derive(Debug)]
-pub(crate) struct Peer {
-    address: SocketAddr,
-    current: Mutex<Option<Arc<Link>>>,
-    /// Held while connecting, so that one connection is made for all who wait.
-    connecting: tokio::sync::Mutex<()>,
-    /// When the last try to connect failed, and how.
-    failed: Mutex<Option<(Instant, io::ErrorKind)>>,
-}
-
 /// A link that is up.
 #[derive(Debug)]
 pub(crate) struct Link {
     number: u64,
-    incarnation: u64,
+    pub(crate) incarnation: u64,
     pub(crate) node: SmolStr,
     sender: Arc<Sender>,
     tries: [Mutex<HashMap<u64, Arc<Try>>>; SHARDS],
@@ -114,6 +82,29 @@
         self.shard(id).lock().remove(&id.sequence);
     }
 
+    /// Asks what became of a try that was sent over an earlier link to the same process.
+    pub(crate) fn ask(&self, one: &Arc<Try>) {
+        let id = one.id;
+        self.shard(id).lock().insert(id.sequence, Arc::clone(one));
+        let progress = one.move_to(Arc::clone(&self.sender));
+        let question = Frame::Ask {
+            id,
+            link: one.sent_over,
+            head: progress.head,
+            received: progress.received,
+            room: u32::try_from(progress.room).unwrap_or(u32::MAX),
+        };
+        if self.sender.send([question]).is_err() {
+            self.forget(id);
+            one.fail(Verdict::MayHaveRun, Reason::Backend);
+        }
+    }
+
+    /// Tells whether nothing can be sent over it any more.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
     fn take_all(&self) -> Vec<Arc<Try>> {
         let shards = self.tries.iter();
         shards
@@ -183,14 +174,7 @@
         if peers.len() % PEERS_CHUNK == PEERS_CHUNK - 1 {
             peers.retain(|_, peer| Arc::strong_count(peer) > 1);
         }
-        let made = peers.entry(address).or_insert_with(|| {
-            Arc::new(Peer {
-                address,
-                current: Mutex::default(),
-                connecting: tokio::sync::Mutex::default(),
-                failed: Mutex::default(),
-            })
-        });
+        let made = peers.entry(address).or_insert_with(|| Peer::new(address));
         Arc::clone(made)
     }
 
@@ -210,7 +194,11 @@
         self.connect(&peer).await
     }
 
-    async fn connect(self: &Arc<Self>, peer: &Arc<Peer>) -> Result<Arc<Link>, wire::Error> {
+    /// Gives the link to a peer, made anew when there is none.
+    pub(crate) async fn connect(
+        self: &Arc<Self>,
+        peer: &Arc<Peer>,
+    ) -> Result<Arc<Link>, wire::Error> {
         let _single = peer.connecting.lock().await;
         if let Some(link) = peer.live() {
             return Ok(link);
@@ -218,10 +206,7 @@
         if let Some(kind) = peer.failure() {
             return Err(io::Error::from(kind).into());
         }
-        let attempt = Attempt {
-            peer,
-            since: Instant::now(),
-        };
+        let attempt = peer.attempt();
         let opened = tokio::time::timeout(CONNECT_TIMEOUT, self.open(peer.address)).await;
         let opened =
             opened.unwrap_or_else(|_| Err(io::Error::from(io::ErrorKind::TimedOut).into()));
@@ -308,54 +293,6 @@
     }
 }
 
-/// A try to connect that is under way; dropped before its end, it failed like one that timed out.
-///
-/// Callers with short deadlines give up before it ends. Without this, each of
-/// them would begin another one, and none would ever count as failed.
-struct Attempt<'a> {
-    peer: &'a Peer,
-    since: Instant,
-}
-
-impl Attempt<'_> {
-    fn end(mut self) {
-        self.since = Instant::now();
-    }
-}
-
-impl Drop for Attempt<'_> {
-    fn drop(&mut self) {
-        if self.since.elapsed() >= LEAST_ATTEMPT {
-            *self.peer.failed.lock() = Some((Instant::now(), io::ErrorKind::TimedOut));
-        }
-    }
-}
-
-impl Peer {
-    /// Tells how connecting failed, if it did just now.
-    ///
-    /// Without it, each call to a node that can't be reached would wait for the
-    /// tries of all before it, and then make its own.
-    fn failure(&self) -> Option<io::ErrorKind> {
-        let (at, kind) = (*self.failed.lock())?;
-        (at.elapsed() < FAILURE_RETENTION).then_some(kind)
-    }
-
-    fn note_failure(&self, error: &wire::Error) {
-        let kind = match error {
-            wire::Error::Io(error) => error.kind(),
-            _ => io::ErrorKind::InvalidData,
-        };
-        *self.failed.lock() = Some((Instant::now(), kind));
-    }
-
-    fn live(&self) -> Option<Arc<Link>> {
-        let current = self.current.lock();
-        let link = current.as_ref()?;
-        (!link.sender.is_closed()).then(|| Arc::clone(link))
-    }
-}
-
 /// Reads a link until it ends, then has the tries settled that it leaves open.
 async fn run_link(
     peer: Arc<Peer>,
@@ -382,80 +319,3 @@
         }));
     }
 }
-
-async fn settle_all(links: Weak<Links>, mut ended: mpsc::UnboundedReceiver<Ended>) {
-    while let Some(one) = ended.recv().await {
-        let Some(links) = links.upgrade() else {
-            return;
-        };
-        tokio::spawn(settle(links, one));
-    }
-}
-
-/// Ends the tries whose outcome needs no asking and gives the others.
-fn sort_out(tries: Vec<Arc<Try>>) -> Vec<Arc<Try>> {
-    let mut open = Vec::new();
-    for one in tries {
-        if !one.was_written() {
-            one.fail(Verdict::NotRun, Reason::Backend);
-        } else if one.repeatable {
-            one.fail(Verdict::MayHaveRun, Reason::Backend);
-        } else {
-            open.push(one);
-        }
-    }
-    open
-}
-
-/// Asks the peer, over a new link, what became of the tries of one that ended.
-///
-/// A link that goes silent may have delivered its requests or lost them. The
-/// peer's table of calls knows, but only in the process that got them: after
-/// a restart nobody can say that a call has not run.
-async fn settle(links: Arc<Links>, ended: Ended) {
-    let Ended {
-        peer,
-        incarnation,
-        mut open,
-    } = ended;
-    let mut pause = FIRST_PAUSE;
-    loop {
-        open.retain(|one| !one.is_abandoned());
-        if open.is_empty() {
-            return;
-        }
-        match links.connect(&peer).await {
-            Ok(link) if link.incarnation == incarnation => {
-                ask(&link, open);
-                return;
-            }
-            Err(wire::Error::Io(error)) if error.kind() == io::ErrorKind::TimedOut => {}
-            // The process that got them is gone, and its table of calls with it.
-            Ok(_) | Err(_) => break,
-        }
-        tokio::time::sleep(pause).await;
-        pause = (pause * 2).min(LONGEST_PAUSE);
-    }
-    for one in open {
-        one.fail(Verdict::MayHaveRun, Reason::Backend);
-    }
-}
-
-fn ask(link: &Link, open: Vec<Arc<Try>>) {
-    for one in open {
-        let id = one.id;
-        link.shard(id).lock().insert(id.sequence, Arc::clone(&one));
-        let progress = one.move_to(Arc::clone(&link.sender));
-        let question = Frame::Ask {
-            id,
-            link: one.sent_over,
-            head: progress.head,
-            received: progress.received,
-            room: u32::try_from(progress.room).unwrap_or(u32::MAX),
-        };
-        if link.sender.send([question]).is_err() {
-            link.forget(id);
-            one.fail(Verdict::MayHaveRun, Reason::Backend);
-        }
-    }
-}
