--- a/crates/node/src/outbound_call.rs
+++ b/crates/node/src/outbound_call.rs
@@ -4,6 +4,7 @@
 use crate::metrics::Ending;
 use crate::outbound::Inner;
 use crate::outbound_answer::{Body, refuse, reject};
+use crate::outbound_hedge::try_first;
 use crate::outbound_keyed::serve_keyed;
 use crate::outbound_plan::{Plan, left, make_plan, take_body};
 use crate::outbound_send::{Late, Tried, UNREACHABLE_RETRY_MS, may_have_run, not_run, try_once};
@@ -11,7 +12,7 @@
 use crate::outbound_service::{Ask, Picked};
 use call::Verdict;
 use clock::Clock;
-use config::{Objective, View};
+use config::{Objective, Version, View};
 use http::{Request, Response, StatusCode, request};
 use hyper::body::Incoming;
 use policy::balance::{Key, Outcome};
@@ -61,6 +62,10 @@
 where
     C: Clock,
 {
+    // A node that has just started knows no routes yet; that is not the caller's fault.
+    if view.version() == Version::ZERO {
+        return refuse(not_run(Reason::NoRoutes, UNREACHABLE_RETRY_MS));
+    }
     let Some(withheld) = view.find_withheld(path) else {
         return reject(StatusCode::NOT_FOUND, "no-route");
     };
@@ -156,8 +161,14 @@
             break;
         };
         tried.push(picked.key);
-        let (refused, back) = match try_once(inner, plan, head, body, &picked.endpoint, tries).await
-        {
+        let tried_once = if tries == 1 {
+            let (result, winner) = try_first(inner, plan, head, body, picked, &mut tried).await;
+            picked = winner;
+            result
+        } else {
+            try_once(inner, plan, head, body, &picked.endpoint, tries).await
+        };
+        let (refused, back) = match tried_once {
             Tried::Answered(response, load) => {
                 picked.outcome = answered(response.status(), load);
                 if tries == 1 {
@@ -204,7 +215,7 @@
     told.into()
 }
 
-fn pick<C>(inner: &Inner<C>, plan: &Plan, tried: &[Key]) -> Option<Picked<C>>
+pub(crate) fn pick<C>(inner: &Inner<C>, plan: &Plan, tried: &[Key]) -> Option<Picked<C>>
 where
     C: Clock,
 {
@@ -227,7 +238,7 @@
     }
 }
 
-fn cause_of(refused: Refused) -> Cause {
+pub(crate) fn cause_of(refused: Refused) -> Cause {
     match (refused.verdict, refused.reason) {
         (Verdict::NotRun, Reason::Leaving) => Cause::Leaving,
         (Verdict::NotRun, Reason::Full | Reason::Deadline) => Cause::Full,
@@ -235,7 +246,7 @@
     }
 }
 
-fn refused_outcome(cause: Cause) -> Outcome {
+pub(crate) fn refused_outcome(cause: Cause) -> Outcome {
     match cause {
         Cause::Leaving => Outcome::Leaving,
         Cause::Full => Outcome::Full,
