--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -42,6 +42,7 @@
 mod duty;
 mod event;
 mod node;
+mod search;
 mod sync;
 mod tree;
 
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -9,7 +9,7 @@
 use crate::link::{BEAT, Link, LinkKey, Purpose, Role};
 use crate::parent::{Candidates, Source};
 use crate::root::Lease;
-use crate::{relay, sync, tree};
+use crate::{relay, search, sync};
 use config::{Endpoint, Version};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -69,7 +69,7 @@
     /// Names from the root down to this node; empty without a root.
     pub(crate) path: Vec<SmolStr>,
     pub(crate) door: Bucket,
-    pub(crate) search: tree::Search,
+    pub(crate) search: search::Search,
     pub(crate) news: sync::News,
     pub(crate) own: Option<Endpoint>,
     pub(crate) is_synced: bool,
@@ -94,7 +94,7 @@
         // A herd that restarts together must not beat and read in step.
         let beat_at = now + BEAT.mul_f64(rng.random::<f64>());
         let refresh_at = now + crate::endpoints::REFRESH.mul_f64(rng.random::<f64>());
-        let search = tree::Search::new(now, &mut rng);
+        let search = search::Search::new(now, &mut rng);
         Self {
             settings,
             rng,
--- /dev/null
+++ b/crates/fleet/src/search.rs
@@ -0,0 +1,201 @@
+//! The search for a parent: whom to ask, when, and when to ask the platform.
+
+use crate::backoff::Backoff;
+use crate::event::{Action, Request};
+use crate::link::{LinkKey, Purpose, Role};
+use crate::node::Node;
+use rand::Rng;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use wire::control::Frame;
+
+/// Bounds of the wait between rounds of tries among nodes that answer.
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(3));
+
+/// Bounds of the wait between readings of the platform: 14,000 nodes without
+/// any root, each waiting half of this on average, read 1,400 times a second.
+const READINGS: (Duration, Duration) = (Duration::from_millis(400), Duration::from_secs(20));
+
+/// Tries in a row without a wait: each refusal names others that have room.
+const TRIES: u32 = 6;
+
+/// Spread of a herd's first look; 1,000 nodes then read the platform at 2,000 a second.
+const START: Duration = Duration::from_millis(500);
+
+/// Longest wait for the platform's answer before the seeds are asked.
+const LEASES: Duration = Duration::from_secs(1);
+
+/// Time that a parent may be without a root before its children look elsewhere.
+const PATIENCE: (Duration, Duration) = (Duration::from_secs(3), Duration::from_mins(1));
+
+/// The search for a parent.
+#[derive(Debug)]
+pub(crate) struct Search {
+    /// When to try next; none while there is a parent or an answer is awaited.
+    try_at: Option<Instant>,
+    backoff: Backoff,
+    readings: Backoff,
+    tries: u32,
+    /// Whether any node answered in this round.
+    is_answered: bool,
+    /// Whether the platform is to be asked before the next try.
+    wants_leases: bool,
+    dialled: Option<(LinkKey, SocketAddr)>,
+    leave_at: Option<Instant>,
+    patience: Duration,
+    /// Whether the last parent was lost without a farewell.
+    pub(crate) was_lost: bool,
+}
+
+impl Search {
+    pub(crate) fn new<R>(now: Instant, rng: &mut R) -> Self
+    where
+        R: Rng,
+    {
+        Self {
+            try_at: Some(now + START.mul_f64(rng.random::<f64>())),
+            backoff: Backoff::new(BACKOFF.0, BACKOFF.1),
+            readings: Backoff::new(READINGS.0, READINGS.1),
+            tries: 0,
+            is_answered: false,
+            wants_leases: true,
+            dialled: None,
+            leave_at: None,
+            patience: PATIENCE.0,
+            was_lost: false,
+        }
+    }
+
+    pub(crate) fn deadline(&self) -> Option<Instant> {
+        let try_at = self.try_at.filter(|_| self.dialled.is_none());
+        [try_at, self.leave_at].into_iter().flatten().min()
+    }
+
+    /// Tells whether there is no parent yet.
+    pub(crate) fn is_on(&self) -> bool {
+        self.try_at.is_some()
+    }
+
+    /// Takes the link out that is being opened.
+    pub(crate) fn take_dialled(&mut self) -> Option<LinkKey> {
+        self.dialled.take().map(|(link, _)| link)
+    }
+
+    /// Ends the opening of a link, if it is the one that is being opened; gives its address.
+    pub(crate) fn end_dial(&mut self, link: LinkKey) -> Option<SocketAddr> {
+        let (_, address) = self.dialled.take_if(|(dialled, _)| *dialled == link)?;
+        Some(address)
+    }
+
+    /// Goes on after a try came to nothing, by an answer or by none.
+    pub(crate) fn resume(&mut self, is_answered: bool, now: Instant) {
+        self.is_answered |= is_answered;
+        if self.is_on() {
+            self.try_at = Some(now);
+        }
+    }
+
+    /// Notes whether the parent has a way to a root; one that has none for long is left.
+    pub(crate) fn note_root<R>(&mut self, is_rooted: bool, now: Instant, rng: &mut R)
+    where
+        R: Rng,
+    {
+        let wait = self.patience + (self.patience / 2).mul_f64(rng.random::<f64>());
+        if is_rooted {
+            self.leave_at = None;
+        } else {
+            self.leave_at.get_or_insert(now + wait);
+        }
+    }
+
+    /// Tries again at `at` without asking the platform first.
+    pub(crate) fn hurry(&mut self, at: Instant) {
+        if self.try_at.is_some() {
+            self.try_at = Some(at);
+            self.wants_leases = false;
+        }
+    }
+
+    pub(crate) fn stop(&mut self) {
+        self.try_at = None;
+        self.leave_at = None;
+        self.tries = 0;
+        self.patience = PATIENCE.0;
+        self.backoff.reset();
+        self.readings.reset();
+    }
+}
+
+impl Node {
+    pub(crate) fn start_search(&mut self, now: Instant) {
+        if self.is_leaving || self.lease.is_held() {
+            return;
+        }
+        self.search.stop();
+        self.candidates.reset();
+        self.search.try_at = Some(now + self.draw(BACKOFF.0 / 4));
+        self.search.wants_leases = false;
+    }
+
+    pub(crate) fn step_search(&mut self, now: Instant) {
+        if self.search.leave_at.is_some_and(|at| now >= at) {
+            self.leave_parent(now);
+        }
+        let is_due = self.search.try_at.is_some_and(|at| now >= at);
+        if !is_due || self.search.dialled.is_some() {
+            return;
+        }
+        if self.search.wants_leases {
+            self.search.wants_leases = false;
+            self.search.try_at = Some(now + LEASES);
+            self.actions.push(Action::Ask(Request::Leases));
+            return;
+        }
+        let name = self.settings.own.node.clone();
+        let next = (self.search.tries < TRIES)
+            .then(|| self.candidates.pick(&name, now))
+            .flatten();
+        match next {
+            Some(address) if self.is_candidate(address) => {
+                self.search.tries += 1;
+                let link = self.dial(address, Purpose::Join, now);
+                self.search.dialled = Some((link, address));
+            }
+            Some(address) => self.candidates.postpone(address, now + PATIENCE.0),
+            None => self.pause_search(now),
+        }
+    }
+
+    /// Waits before the next round; one in which no node answered begins with the platform's leases.
+    pub(crate) fn pause_search(&mut self, now: Instant) {
+        let is_answered = std::mem::take(&mut self.search.is_answered);
+        let wait = if is_answered {
+            self.search.backoff.next(&mut self.rng)
+        } else {
+            self.search.readings.next(&mut self.rng)
+        };
+        self.search.tries = 0;
+        self.search.try_at = Some(now + wait);
+        self.search.wants_leases = !is_answered;
+    }
+
+    pub(crate) fn is_candidate(&self, address: SocketAddr) -> bool {
+        let is_child = self.links.values().any(|link| {
+            let peer = link.peer.as_ref();
+            link.role == Role::Child && peer.is_some_and(|peer| peer.address == address)
+        });
+        address != self.settings.own.address && !is_child
+    }
+
+    /// Leaves a parent that has had no root for too long.
+    fn leave_parent(&mut self, now: Instant) {
+        self.search.leave_at = None;
+        let patience = (self.search.patience * 2).min(PATIENCE.1);
+        for parent in self.find_links(|link| link.role == Role::Parent) {
+            let parents = Vec::new();
+            self.send(parent, Frame::Leave { parents });
+            self.lose_link(now, parent, true);
+        }
+        self.search.patience = patience;
+    }
+}
