--- a/crates/fleet/tests/randomised.rs
+++ b/crates/fleet/tests/randomised.rs
@@ -6,7 +6,7 @@
 mod world;
 
 use config::State;
-use world::{Chaos, MS, S, World};
+use world::{Chaos, MS, S, World, zone_name};
 use yare::parameterized;
 
 const ZONES: usize = 3;
@@ -16,7 +16,7 @@
 /// One random event.
 fn shake(world: &mut World) {
     let vm = world.draw(NODES);
-    match world.draw(16) {
+    match world.draw(18) {
         0 | 1 => world.kill(vm, false),
         2 => world.kill(vm, true),
         3 => world.leave(vm),
@@ -41,6 +41,14 @@
             }
         }
         14 => world.cuts.clear(),
+        15 => {
+            let zone = world.draw(ZONES);
+            world.platform.cuts.insert(zone_name(zone));
+        }
+        16 => {
+            world.platform.cuts.clear();
+            world.restore_platform();
+        }
         _ => {
             let states = [State::Serving, State::Leaving];
             let state = states[world.draw(2)];
@@ -55,6 +63,7 @@
     world.cuts.clear();
     world.platform.loses_answers = false;
     world.platform.silent.clear();
+    world.platform.cuts.clear();
     world.restore_platform();
     for vm in 0..NODES {
         world.thaw(vm);
--- a/crates/fleet/tests/world/platform.rs
+++ b/crates/fleet/tests/world/platform.rs
@@ -21,13 +21,16 @@
     pub is_out: bool,
     /// Whether answers to writes are lost after the write took effect.
     pub loses_answers: bool,
+    /// Zones that can't reach the platform.
+    pub cuts: BTreeSet<String>,
     /// Followers that get nothing more, and aren't told.
     pub silent: BTreeSet<usize>,
     pub calls: u64,
     history: Vec<(Arc<Patch>, Arc<Mesh>, Digest)>,
     held: Held,
     leases: BTreeMap<(String, u8), Lease>,
-    followers: BTreeMap<usize, Version>,
+    /// Who follows, in which zone, and what it was sent.
+    followers: BTreeMap<usize, (String, Version)>,
     writes: u64,
     /// Revisions of all leases as each VM last read them.
     seen: BTreeMap<usize, BTreeMap<(String, u8), u64>>,
@@ -81,13 +84,14 @@
         }
         let head = self.head();
         let mut all = Vec::new();
-        let followers: Vec<_> = self.followers.iter().map(|(vm, at)| (*vm, *at)).collect();
-        for (vm, at) in followers {
-            if !self.silent.contains(&vm) {
-                all.push((vm, self.steps_after(at)));
-                self.followers.insert(vm, head);
+        let mut followers = std::mem::take(&mut self.followers);
+        for (vm, (zone, at)) in &mut followers {
+            if !self.silent.contains(vm) && !self.cuts.contains(zone) {
+                all.push((*vm, self.steps_after(*at)));
+                *at = head;
             }
         }
+        self.followers = followers;
         all
     }
 
@@ -113,10 +117,11 @@
         now: Duration,
     ) -> Vec<(Duration, Answer)> {
         self.calls += 1;
-        if self.is_out {
+        let zone = own.zone.to_string();
+        if self.is_out || self.cuts.contains(&zone) {
             return match request {
                 Request::Follow { after } => {
-                    self.followers.insert(vm, after);
+                    self.followers.insert(vm, (zone, after));
                     Vec::new()
                 }
                 _ => vec![(TIMEOUT, Answer::Failed(request))],
@@ -147,7 +152,7 @@
                 return Vec::new();
             }
             Request::Follow { after } => {
-                self.followers.insert(vm, self.head());
+                self.followers.insert(vm, (zone, self.head()));
                 self.silent.remove(&vm);
                 let steps = self.steps_after(after);
                 return steps.into_iter().map(|step| (3 * MS, step)).collect();
