--- a/crates/bench/src/converge.rs
+++ b/crates/bench/src/converge.rs
@@ -1,6 +1,6 @@
 //! How long an accepted version takes to be in force on every node, and what that costs.
 //!
-//! Real node processes in three availability zones, each with an announced
+//! Real node processes in a few availability zones, each with an announced
 //! endpoint. The time counts from before the proposal is sent, so that the
 //! platform's write is in it, and ends with the log line of the last node.
 
@@ -18,9 +18,6 @@
 use std::str::FromStr;
 use std::time::{Duration, Instant};
 
-/// Availability zones of the fleet.
-const ZONES: usize = 3;
-
 /// Services that the nodes' endpoints belong to; the others have none.
 const SERVED: usize = 12;
 
@@ -71,6 +68,8 @@
 pub struct Plot {
     /// Node processes.
     pub nodes: usize,
+    /// Availability zones that they are spread over.
+    pub zones: usize,
     /// Versions to propose.
     pub versions: usize,
     /// Services and routes of the configuration.
@@ -137,11 +136,17 @@
 #[must_use]
 pub fn parse() -> impl Parser<Plot> {
     let nodes = long("nodes")
-        .help("Node processes, in three availability zones")
+        .help("Node processes")
         .argument::<usize>("COUNT")
         .guard(|nodes| (3..=240).contains(nodes), "between 3 and 240 nodes")
         .fallback(12)
         .display_fallback();
+    let zones = long("zones")
+        .help("Availability zones that they are spread over")
+        .argument::<usize>("COUNT")
+        .guard(|zones| (1..=20).contains(zones), "between 1 and 20 zones")
+        .fallback(3)
+        .display_fallback();
     let versions = long("versions")
         .help("Versions to propose, when nothing goes wrong")
         .argument::<usize>("COUNT")
@@ -167,6 +172,7 @@
         .optional();
     construct!(Plot {
         nodes,
+        zones,
         versions,
         services,
         distribution,
@@ -220,11 +226,11 @@
     let mut deployment = Deployment::spawn(Vec::new(), &[]).await?;
     let cut = relay::bind(deployment.platform_address).await?;
     for index in 0..plot.nodes {
-        let zone = format!("zone-{}", index % ZONES + 1);
+        let zone = format!("zone-{}", index % plot.zones + 1);
         let mut plan = Plan::new(&format!("vm-{index}"), &zone, None);
         let line = format!("distribution = {}", plot.distribution);
         plan.settings.push(("fleet".to_owned(), line));
-        if index % ZONES == ZONES - 1 {
+        if index % plot.zones == plot.zones - 1 {
             plan.platform = Some(cut.address);
         }
         deployment.add(plan)?;
@@ -276,7 +282,7 @@
 
     async fn suffer(&mut self, fault: Fault) -> Result<(), Error> {
         for round in 0..ROUNDS {
-            let zone = format!("zone-{}", round % ZONES + 1);
+            let zone = format!("zone-{}", round % self.plot.zones + 1);
             let mut killed = Vec::new();
             match fault {
                 Fault::PlatformOutage => {
