--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -15,10 +15,13 @@
 use std::time::{Duration, Instant};
 use wire::control::{Frame, Peer};
 
-/// Children of one node: three roots and two levels below make room for
-/// 3 × 24 × 24 = 1,728 nodes, more than a zone of 1,000.
+/// Children of one node that is no root.
 pub const FAN_OUT: usize = 24;
 
+/// Children of a root, which also has links to the other roots: three roots
+/// then make room for 48 + 48 × 24 = 1,200 nodes.
+pub const ROOT_FAN_OUT: usize = 16;
+
 /// Longest path from a root to a leaf; deeper ones would add hops, not room.
 pub const MAX_DEPTH: usize = 6;
 
@@ -94,7 +97,12 @@
         if !is_able || self.is_leaving {
             return 0;
         }
-        let free = FAN_OUT.saturating_sub(self.count_links(Role::Child));
+        let most = if self.lease.is_held() {
+            ROOT_FAN_OUT
+        } else {
+            FAN_OUT
+        };
+        let free = most.saturating_sub(self.count_links(Role::Child));
         u8::try_from(free).unwrap_or(u8::MAX)
     }
 
--- a/crates/fleet/src/root.rs
+++ b/crates/fleet/src/root.rs
@@ -201,15 +201,26 @@
         })
     }
 
+    fn is_lowest(&self, own: &Peer) -> bool {
+        let slot = self.slot().unwrap_or(SEATS);
+        let mut others = self
+            .seats
+            .iter()
+            .filter(|seat| seat.is_live && seat.slot < slot);
+        !others.any(|seat| seat.holder.zone == own.zone && seat.holder.node != own.node)
+    }
+
     /// Gives the roots to link to: those of the own zone and one of each other zone.
     ///
     /// The lower zone and the lower name call first, so that two roots don't
-    /// call each other at once.
+    /// call each other at once. Only a zone's lowest root calls other zones:
+    /// with all three calling, links between 45 roots cost each some 1.6 KB a second.
     pub fn meets<F>(&self, own: &Peer, now: Instant, is_met: F) -> Vec<Peer>
     where
         F: Fn(&Peer) -> bool,
     {
         let is_patient = now >= self.since + PATIENCE;
+        let is_lowest = self.is_lowest(own);
         let mut seats: Vec<_> = self.seats.iter().filter(|seat| seat.is_live).collect();
         seats.sort_by_cached_key(|seat| {
             let pair = format!("{} {}", own.node, seat.holder.node);
@@ -223,7 +234,11 @@
         for holder in seats.into_iter().map(|seat| &seat.holder) {
             let is_own_zone = holder.zone == own.zone;
             let is_higher = (&holder.zone, &holder.node) > (&own.zone, &own.node);
-            let is_callee = is_higher || (is_patient && !is_own_zone);
+            let is_callee = if is_own_zone {
+                is_higher
+            } else {
+                is_lowest && (is_higher || is_patient)
+            };
             let is_served = !is_own_zone && served == Some(&holder.zone);
             if !is_callee || is_served || holder.node == own.node {
                 continue;
