--- a/crates/node/src/reserve.rs
+++ b/crates/node/src/reserve.rs
@@ -37,6 +37,12 @@
 /// What such a caller is told to wait, at least; up to twice as much.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Time for which claims of a shard are refused at once after one had to wait
+/// for [`CLAIM_TIMEOUT`] in vain; then one may try again.
+///
+/// While the platform is so slow, callers would otherwise all wait as long.
+const STALL_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Time for which an owner that did not answer is not asked first.
 const FAILED_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -91,6 +97,8 @@
     peers: Mutex<HashMap<SocketAddr, Peer>>,
     failed: Mutex<HashMap<SocketAddr, Instant>>,
     owners: Mutex<Owners>,
+    /// When a claim of each shard last waited in vain.
+    stalled: Mutex<Vec<Option<Instant>>>,
     links: Arc<Semaphore>,
 }
 
@@ -128,6 +136,7 @@
             peers: Mutex::default(),
             failed: Mutex::default(),
             owners: Mutex::new(Owners::new(view)),
+            stalled: Mutex::new(vec![None; usize::from(SHARDS)]),
             links: Arc::new(Semaphore::new(MAX_LINKS)),
         }),
     }
@@ -149,8 +158,7 @@
         limit: Duration,
     ) -> Claimed {
         let start = Instant::now();
-        let claimed = self.claim_by(key, fingerprint, call, start + limit.min(CLAIM_TIMEOUT));
-        let claimed = claimed.await;
+        let claimed = self.claim_from(start, key, fingerprint, call, limit).await;
         let reply = match &claimed {
             Claimed::Granted(_) => &Reply::Granted,
             Claimed::Told(reply) => reply,
@@ -160,13 +168,18 @@
         claimed
     }
 
-    async fn claim_by(
+    async fn claim_from(
         &self,
+        start: Instant,
         key: Key,
         fingerprint: Fingerprint,
         call: Id,
-        end: Instant,
+        limit: Duration,
     ) -> Claimed {
+        if self.inner.is_stalled(key) {
+            return Claimed::Told(refuse());
+        }
+        let end = start + limit.min(CLAIM_TIMEOUT);
         let mut told = None;
         for (attempt, way) in (0..).zip(self.inner.ways(key.shard())) {
             // An owner that was asked and refused knows how the platform is;
@@ -185,7 +198,10 @@
                 Ok(Some(refused @ Reply::Refused { .. })) => told = Some(refused),
                 Ok(Some(reply)) => return Claimed::Told(reply),
                 Ok(None) => self.inner.note_failed(way),
-                Err(_) => break,
+                Err(_) => {
+                    self.inner.note_stalled(key, start);
+                    break;
+                }
             }
         }
         Claimed::Told(told.unwrap_or_else(refuse))
@@ -287,6 +303,18 @@
         }
     }
 
+    fn is_stalled(&self, key: Key) -> bool {
+        let stalled = self.stalled.lock()[usize::from(key.shard())];
+        stalled.is_some_and(|at| at.elapsed() < STALL_TIMEOUT)
+    }
+
+    /// Notes that a claim which began at `start` was not answered, unless its caller had less time.
+    fn note_stalled(&self, key: Key, start: Instant) {
+        if start.elapsed() >= CLAIM_TIMEOUT {
+            self.stalled.lock()[usize::from(key.shard())] = Some(Instant::now());
+        }
+    }
+
     fn note(&self, entry: Entry) {
         let (Entry::Complete { key, .. } | Entry::Release { key, .. }) = &entry else {
             return;
--- a/crates/node/tests/reserve.rs
+++ b/crates/node/tests/reserve.rs
@@ -322,6 +322,30 @@
     let _grant = granted(claim_past(&node, "k1", refused).await);
 }
 
+// The platform takes a minute for each call. One claim may have to wait to find
+// that out; the others must be refused at once, and not wait as long each.
+#[tokio::test(start_paused = true)]
+async fn platform_slow() {
+    let memory = Memory::new();
+    let node = spawn_node("own", &memory).await;
+    memory.set_faults(Faults {
+        slow_ms: 60_000,
+        ..Faults::default()
+    });
+    let mut waits = Vec::new();
+    for _ in 0..5 {
+        let start = tokio::time::Instant::now();
+        let told = node.claim("k1").await;
+        assert!(
+            matches!(told, Claimed::Told(Reply::Refused { .. })),
+            "{told:?}"
+        );
+        waits.push(start.elapsed());
+    }
+    assert!(waits[0] < Duration::from_secs(2), "{waits:?}");
+    assert!(waits[1..].iter().all(Duration::is_zero), "{waits:?}");
+}
+
 // The record with a clerk's key stands, but every answer was lost, and she was
 // told "not run". Her repeat must run in the end, not be told for a day that it
 // may have.
