--- a/crates/bench/src/faults_history.rs
+++ b/crates/bench/src/faults_history.rs
@@ -106,6 +106,8 @@
     pub may_have_run: usize,
     /// Those whose connection broke, or that heard nothing in time.
     pub broken: usize,
+    /// Keys of which the callers never learned whether they ran.
+    pub unsettled_keys: usize,
     /// Keys that ran more than once.
     pub double_runs: usize,
     /// Requests that were told "not run" and ran.
@@ -119,6 +121,9 @@
     /// The violations, for people.
     #[serde(skip)]
     pub violations: Vec<String>,
+    /// What the callers were told of each unsettled key, for people.
+    #[serde(skip)]
+    pub unsettled: Vec<String>,
 }
 
 /// Checks a history.
@@ -131,6 +136,8 @@
     for one in &history.invocations {
         count(&mut verdict, one);
     }
+    verdict.unsettled = describe_unsettled(history);
+    verdict.unsettled_keys = verdict.unsettled.len();
     check_runs(&mut verdict, history);
     check_answers(&mut verdict, history);
     check_graceful(&mut verdict, history);
@@ -148,6 +155,27 @@
     }
 }
 
+fn describe_unsettled(history: &History) -> Vec<String> {
+    let mut under_key: HashMap<&str, Vec<&Invocation>> = HashMap::new();
+    for one in &history.invocations {
+        if let Some(key) = &one.key {
+            under_key.entry(key).or_default().push(one);
+        }
+    }
+    let settled = |one: &&Invocation| matches!(one.told, Told::Answered { .. } | Told::Ran);
+    let unsettled = under_key.iter().filter(|(_, asked)| {
+        let unknown = |one: &&Invocation| matches!(one.told, Told::MayHaveRun | Told::Broken);
+        !asked.iter().any(settled) && asked.iter().any(unknown)
+    });
+    unsettled
+        .map(|(key, asked)| {
+            let runs = history.records.iter().flat_map(|record| &record.runs);
+            let ran: Vec<_> = runs.filter(|run| run.key == **key).collect();
+            format!("unsettled: {asked:?} {ran:?}")
+        })
+        .collect()
+}
+
 fn check_runs(verdict: &mut Verdict, history: &History) {
     let runs = || history.records.iter().flat_map(|record| &record.runs);
     let mut of_key: HashMap<&str, Vec<&Run>> = HashMap::new();
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -17,7 +17,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
 use smol_str::SmolStr;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::time::{Duration, Instant};
@@ -76,6 +76,7 @@
     pub process: crate::process::Usage,
 }
 
+/// What is set from a [`Reading`] when somebody asks.
 #[derive(Debug, Default)]
 struct Gauges {
     version: Gauge,
@@ -103,7 +104,7 @@
     /// What is counted of reservations.
     pub reserve: Reserve,
     gauges: Gauges,
-    services: RwLock<BTreeMap<SmolStr, Arc<Service>>>,
+    services: RwLock<HashMap<SmolStr, Arc<Service>>>,
     rendering: Mutex<()>,
 }
 
