--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -12,6 +12,7 @@
 use std::sync::Arc;
 use std::task::Waker;
 use std::time::Duration;
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::Notify;
@@ -298,12 +299,12 @@
             tokio::select! {
                 biased;
                 () = self.sender.closed.notified() => break,
-                ready = self.socket.readable() => {
-                    match self.read(&mut buffer, &mut take) {
-                        ControlFlow::Continue(true) => silent = 0,
-                        ControlFlow::Continue(false) if ready.is_ok() => {}
-                        _ => break,
+                read = self.socket.read_buf(&mut buffer) => {
+                    silent = 0;
+                    if !matches!(read, Ok(1..)) || self.take_frames(&mut buffer, &mut take).is_break() {
+                        break;
                     }
+                    buffer.reserve(READ_CHUNK);
                 }
                 _ = ticks.tick() => {
                     let now = watch();
@@ -337,20 +338,11 @@
         }
     }
 
-    /// Reads what has come, hands on its whole frames and tells whether anything came.
-    fn read<T>(&mut self, buffer: &mut BytesMut, take: &mut T) -> ControlFlow<(), bool>
+    /// Hands on the whole frames that have come.
+    fn take_frames<T>(&self, buffer: &mut BytesMut, take: &mut T) -> ControlFlow<()>
     where
         T: FnMut(Frame) -> ControlFlow<()>,
     {
-        buffer.reserve(READ_CHUNK);
-        match self.socket.try_read_buf(buffer) {
-            Ok(0) => return ControlFlow::Break(()),
-            Ok(_) => {}
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                return ControlFlow::Continue(false);
-            }
-            Err(_) => return ControlFlow::Break(()),
-        }
         loop {
             match codec::decode(buffer) {
                 Ok(Some((wire::Frame::Call(frame), used))) => {
@@ -359,7 +351,7 @@
                         return ControlFlow::Break(());
                     }
                 }
-                Ok(None) => return ControlFlow::Continue(true),
+                Ok(None) => return ControlFlow::Continue(()),
                 Ok(Some((wire::Frame::Control(_) | wire::Frame::Reserve(_), _))) | Err(_) => {
                     log::warn!("link_malformed");
                     return ControlFlow::Break(());
