Give a key back that an owner may have reserved without being able to say so

Now it has the key released by another way than the silent one. Test reservation_lost: 409 for good before, the booking after.

--- a/crates/node/src/reserve.rs
+++ b/crates/node/src/reserve.rs
@@ -150,6 +150,7 @@
     ) -> Claimed {
         let end = Instant::now() + limit.min(CLAIM_TIMEOUT);
         let mut told = None;
+        let mut unanswered = Vec::new();
         for (attempt, way) in (0..).zip(self.inner.ways(key.shard())) {
             // An owner that was asked and refused knows how the platform is;
             // this node would only add to its load.
@@ -166,10 +167,22 @@
                 Ok(Some(Reply::Granted)) => return Claimed::Granted(Grant { key, holder }),
                 Ok(Some(refused @ Reply::Refused { .. })) => told = Some(refused),
                 Ok(Some(reply)) => return Claimed::Told(reply),
-                Ok(None) => self.inner.note_failed(way),
-                Err(_) => break,
+                Ok(None) => {
+                    unanswered.push((way, holder));
+                    self.inner.note_failed(way);
+                }
+                Err(_) => {
+                    unanswered.push((way, holder));
+                    break;
+                }
             }
         }
+        // An owner whose answer was lost may have reserved the key for this
+        // call, which nobody will run now. Not given back, its repeats would be
+        // told "may have run" for good.
+        for (way, holder) in unanswered {
+            self.inner.release_beside(way, key, holder);
+        }
         Claimed::Told(told.unwrap_or_else(refuse))
     }
 
@@ -247,11 +260,23 @@
         }
     }
 
+    /// Releases a key by another way than the one that did not answer.
+    fn release_beside(&self, silent: Way, key: Key, holder: Holder) {
+        let ways = self.ways(key.shard());
+        let way = ways.iter().find(|way| **way != silent);
+        self.note_by(way, Entry::Release { key, holder });
+    }
+
     fn note(&self, entry: Entry) {
         let (Entry::Complete { key, .. } | Entry::Release { key, .. }) = &entry else {
             return;
         };
-        let entry = match self.ways(key.shard()).first() {
+        let ways = self.ways(key.shard());
+        self.note_by(ways.first(), entry);
+    }
+
+    fn note_by(&self, way: Option<&Way>, entry: Entry) {
+        let entry = match way {
             Some(Way::Remote(address)) => match self.peer(*address).note(entry) {
                 Ok(()) => return,
                 Err(entry) => entry,
--- a/crates/node/tests/calls/keyed.rs
+++ b/crates/node/tests/calls/keyed.rs
@@ -329,3 +329,43 @@
         (StatusCode::OK, &b"booked"[..])
     );
 }
+
+// The owner of a clerk's key has heard of it and is reserving it when its
+// answers begin to be lost. The clerk is told "not run" in the end, and the
+// reservation stands. The repeat must book the job, and not hear "may have
+// run" of a call that nobody runs.
+#[tokio::test]
+async fn reservation_lost() {
+    let mesh = spawn_mesh().await;
+    let front = Forwarder::spawn(mesh.far.nodes).await;
+    let far = mesh.far.endpoint("jobs", front.address);
+    mesh.one.serve_by("jobs", Repeat::Never, &[far]);
+    let address = mesh.one.outbound.address();
+    assert_eq!(book(address, "k0", "r0", "0").await.status, StatusCode::OK);
+    mesh.store.set_faults(Faults {
+        slow_ms: 400,
+        ..Faults::default()
+    });
+    let before = mesh.store.counts();
+    let first = tokio::spawn(async move { book(address, "k1", "r1", "0").await });
+    while mesh.store.counts() == before {
+        tokio::task::yield_now().await;
+    }
+    front.set(Mode::Pass, Mode::Drop);
+    let first = first.await.unwrap();
+    assert_eq!(
+        (first.status, first.verdict()),
+        (StatusCode::SERVICE_UNAVAILABLE, "not-run")
+    );
+    mesh.store.set_faults(Faults::default());
+    let address = mesh.two.outbound.address();
+    let mut again = book(address, "k1", "r2", "0").await;
+    for _ in 0..500 {
+        if again.status == StatusCode::OK {
+            break;
+        }
+        again = book(address, "k1", "r2", "0").await;
+    }
+    assert_eq!((again.status, again.verdict()), (StatusCode::OK, "ran"));
+    assert_eq!(mesh.record.entries().len(), 2);
+}
