--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -10,8 +10,8 @@
 //! Old Information?", 2000). Scores come from calls in flight, from what the
 //! inbound proxies say of their queues, and from durations seen; health
 //! reported by backend servers is not used at all. There is no affinity by
-//! key, so a hot key spreads over all. Measured in `tests/slow_server.rs`,
-//! `tests/zone_return.rs` and `tests/same_figures.rs`.
+//! key, so a hot key spreads over all. Measured in `tests/load/slow_server.rs`,
+//! `tests/load/zone_return.rs` and `tests/load/same_figures.rs`.
 
 use crate::duration;
 use crate::outlier::{self, Others, Phase, Sample};
@@ -118,7 +118,7 @@
             free: Vec::new(),
             known: HashMap::new(),
             tiers: Default::default(),
-            durations: duration::Table::new(),
+            durations: duration::Table::new(duration::SERVICE_ROWS),
             probe_due: None,
         }
     }
@@ -389,6 +389,9 @@
     where
         R: Rng,
     {
+        if self.servers[index as usize].health.take_usual(now, sample) {
+            return;
+        }
         let others = self.others(index, now);
         let server = &mut self.servers[index as usize];
         if server.health.take(now, sample, &others, rng) {
