Send the end of a request's body though there is no room for more of it

A body whose length was just a window, sent in chunks, never ended for the backend server, and the call hung up to its deadline; a body that broke off half way was not cancelled at the inbound proxy. Found by reading the sending loop anew: it stopped when the caller's side was read to the end, whether the end had gone out or not. Test end_without_room: no end within 2 s before.

--- a/crates/node/src/outbound_sent.rs
+++ b/crates/node/src/outbound_sent.rs
@@ -21,6 +21,8 @@
     pub(crate) body: Body,
     /// Whether some of the body's rest is used up, so that it can't be sent again.
     pub(crate) used: bool,
+    /// Whether the request has gone out to its end.
+    done: bool,
 }
 
 /// A request's body, of which the start is held so that another try can send it again.
@@ -37,11 +39,13 @@
     pub(crate) fn new(one: Arc<Try>, link: Arc<Link>, mut body: Body, gone: usize) -> Self {
         body.ready = body.ready.split_off(gone);
         one.use_credit(gone);
+        let done = body.ready.is_empty() && body.rest.is_none();
         Self {
             one,
             link,
             body,
             used: false,
+            done,
         }
     }
 
@@ -66,41 +70,57 @@
     }
 
     fn send_on(&mut self, cx: &mut Context<'_>) {
-        while self.body.rest.is_some() || !self.body.ready.is_empty() {
-            if self.body.ready.is_empty() && !self.poll_rest(cx) {
-                return;
+        while !self.done {
+            if self.body.ready.is_empty() && self.body.rest.is_some() {
+                if !self.poll_rest(cx) {
+                    return;
+                }
+                continue;
+            }
+            let mut room = 0;
+            // The end alone needs no room.
+            if !self.body.ready.is_empty() {
+                match self.one.poll_credit(cx) {
+                    Poll::Ready(Some(credit)) => room = credit.min(PART),
+                    Poll::Ready(None) => self.done = true,
+                    Poll::Pending => return,
+                }
+            }
+            if !self.done {
+                self.send_part(room);
             }
-            let Poll::Ready(credit) = self.one.poll_credit(cx) else {
-                return;
-            };
-            let Some(credit) = credit else {
-                self.body = Body::default();
-                return;
-            };
-            let length = self.body.ready.len().min(credit).min(PART);
-            let part = self.body.ready.split_to(length);
-            let end = self.body.ready.is_empty() && self.body.rest.is_none();
-            self.one.send_part(part, end);
         }
     }
 
-    /// Takes more of the caller's body, if there is any now.
+    fn send_part(&mut self, room: usize) {
+        let length = self.body.ready.len().min(room);
+        let part = self.body.ready.split_to(length);
+        self.done = self.body.ready.is_empty() && self.body.rest.is_none();
+        self.one.send_part(part, self.done);
+    }
+
+    /// Takes more of the caller's body; false when there is none now.
     fn poll_rest(&mut self, cx: &mut Context<'_>) -> bool {
         let Some(rest) = &mut self.body.rest else {
             return false;
         };
-        let Poll::Ready(next) = Pin::new(rest).poll_frame(cx) else {
+        let Poll::Ready(next) = Pin::new(&mut *rest).poll_frame(cx) else {
             return false;
         };
         self.used = true;
+        let ended = next.is_none() || rest.is_end_stream();
         match next {
             Some(Ok(frame)) => self.body.ready = frame.into_data().unwrap_or_default(),
+            // Half a body must not pass for the whole: no end is sent.
             Some(Err(_)) => {
-                self.body.rest = None;
-                self.one.fail(Verdict::MayHaveRun, Reason::Cancelled);
+                self.done = true;
                 self.one.abandon();
+                self.one.fail(Verdict::MayHaveRun, Reason::Cancelled);
             }
-            None => self.body.rest = None,
+            None => {}
+        }
+        if ended {
+            self.body.rest = None;
         }
         true
     }
--- a/crates/node/tests/calls/whole.rs
+++ b/crates/node/tests/calls/whole.rs
@@ -243,3 +243,43 @@
         (20, 0)
     );
 }
+
+// A customer sends a photo whose length is just a window, in chunks, so that
+// its end comes by itself. The backend server must hear of the end, though it
+// has made no room for more. Seen as a call that hangs up to its deadline.
+#[tokio::test]
+async fn end_without_room() {
+    let near = spawn_node("near").await;
+    let (listener, address) = bind().await;
+    let far = spawn_node("far").await;
+    near.serve_by("photos", Repeat::Never, &[far.endpoint("photos", address)]);
+    let taking = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let theirs = codec::read_hello(&mut stream).await.unwrap();
+        let own = Hello {
+            node: "far".into(),
+            incarnation: 2,
+            ..theirs
+        };
+        codec::write(&mut stream, &own).await.unwrap();
+        let mut length = 0;
+        loop {
+            let frame = codec::read(&mut stream, &mut Vec::new()).await.unwrap();
+            if let wire::Frame::Call(Frame::Body { bytes, end, .. }) = frame {
+                length += bytes.len();
+                if end {
+                    return length;
+                }
+            }
+        }
+    });
+    let mut caller = TcpStream::connect(near.outbound.address()).await.unwrap();
+    let head = "POST /photos/1 HTTP/1.1\r\nhost: m\r\ntransfer-encoding: chunked\r\n\r\n10000\r\n";
+    caller.write_all(head.as_bytes()).await.unwrap();
+    caller.write_all(&vec![7; 0x10000]).await.unwrap();
+    caller.write_all(b"\r\n").await.unwrap();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    caller.write_all(b"0\r\n\r\n").await.unwrap();
+    let taken = tokio::time::timeout(Duration::from_secs(2), taking).await;
+    assert_eq!(taken.expect("the end comes").unwrap(), 0x10000);
+}
