--- a/crates/node/src/outbound_send.rs
+++ b/crates/node/src/outbound_send.rs
@@ -12,7 +12,7 @@
 use call::{Id, Verdict};
 use clock::Clock;
 use config::Endpoint;
-use http::{HeaderValue, Response, StatusCode, request};
+use http::{HeaderValue, Response, StatusCode, header, request};
 use policy::retry;
 use smol_str::SmolStr;
 use std::future::poll_fn;
@@ -64,7 +64,7 @@
     pub(crate) async fn settle(self) -> Result<Response<Body<C>>, Refused> {
         match self {
             Self::Remote(mut sent) => match poll_fn(|cx| sent.poll_head(cx)).await {
-                Ok(answer) => Ok(respond_remote(answer, sent)),
+                Ok(answer) => Ok(respond_remote(read_head(answer), sent)),
                 Err(refusal) => Err(refusal.into()),
             },
             Self::Local(receiver) => match receiver.await {
@@ -122,21 +122,35 @@
         let call = inner.inbound.call_local(request, upload, plan.deadline);
         call.await
     };
+    let back = whole.then_some(outbound_sent::Body {
+        ready: kept,
+        rest: None,
+    });
     match ended {
         Ok(response) => {
             let load = f64::from(response.body().load_percent()) / 100.0;
-            Tried::Answered(respond_local(response), Some(load))
-        }
-        Err(refused) => {
-            let back = whole.then_some(outbound_sent::Body {
-                ready: kept,
-                rest: None,
-            });
-            Tried::Refused(refused, back)
+            let response = respond_local(response);
+            match find_refusal(&response) {
+                Some(refused) => Tried::Refused(refused, back),
+                None => Tried::Answered(response, Some(load)),
+            }
         }
+        Err(refused) => Tried::Refused(refused, back),
     }
 }
 
+/// Finds a backend server's own word that it sheds a call that it has not begun with.
+fn find_refusal<B>(response: &Response<B>) -> Option<Refused> {
+    let not_begun = response.headers().get(VERDICT_HEADER)? == Verdict::NotRun.as_str();
+    let seconds = response.headers().get(header::RETRY_AFTER);
+    let seconds = seconds.and_then(|value| value.to_str().ok()?.parse::<u32>().ok());
+    let wait = seconds.map_or(UNREACHABLE_RETRY_MS, |seconds| {
+        seconds.saturating_mul(1_000)
+    });
+    (not_begun && response.status() == StatusCode::SERVICE_UNAVAILABLE)
+        .then(|| not_run(Reason::Full, wait))
+}
+
 async fn try_remote<C>(
     inner: &Arc<Inner<C>>,
     plan: &Plan,
@@ -184,27 +198,29 @@
     match tokio::time::timeout(left(inner, plan.deadline), waiting).await {
         Ok(Ok(answer)) => {
             let load = f64::from(answer.load_percent) / 100.0;
-            Tried::Answered(respond_remote(answer, sent), Some(load))
-        }
-        Ok(Err(refusal)) => {
-            let back = (!sent.used).then(|| outbound_sent::Body {
-                ready: kept,
-                rest: sent.body.rest.take(),
-            });
-            Tried::Refused(refusal.into(), back)
+            let head = read_head(answer);
+            match find_refusal(&head) {
+                Some(refused) => Tried::Refused(refused, sent.take_back(kept)),
+                None => Tried::Answered(respond_remote(head, sent), Some(load)),
+            }
         }
+        Ok(Err(refusal)) => Tried::Refused(refusal.into(), sent.take_back(kept)),
         Err(_) => Tried::Late(Late::Remote(sent)),
     }
 }
 
-fn respond_remote<C>(answer: wire::call::Answer, sent: Sent) -> Response<Body<C>>
+fn read_head(answer: wire::call::Answer) -> Response<()> {
+    let mut head = Response::new(());
+    *head.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    put_headers(answer.headers, head.headers_mut());
+    head
+}
+
+fn respond_remote<C>(head: Response<()>, sent: Sent) -> Response<Body<C>>
 where
     C: Clock,
 {
-    let mut response = Response::new(Body::Remote(Remote(sent)));
-    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
-    put_headers(answer.headers, response.headers_mut());
-    finish_answer(response)
+    finish_answer(head.map(|()| Body::Remote(Remote(sent))))
 }
 
 fn respond_local<C>(response: Response<Running<C>>) -> Response<Body<C>>
--- a/crates/node/src/outbound_sent.rs
+++ b/crates/node/src/outbound_sent.rs
@@ -49,6 +49,14 @@
         }
     }
 
+    /// Gives the body back for another try, from its start `ready` on, if none of its rest is used up.
+    pub(crate) fn take_back(&mut self, ready: Bytes) -> Option<Body> {
+        (!self.used).then(|| Body {
+            ready,
+            rest: self.body.rest.take(),
+        })
+    }
+
     /// Waits for the head of the answer, and sends on the body meanwhile.
     pub(crate) fn poll_head(&mut self, cx: &mut Context<'_>) -> Poll<Result<Answer, Refusal>> {
         self.send_on(cx);
--- a/crates/node/tests/calls/ending.rs
+++ b/crates/node/tests/calls/ending.rs
@@ -245,3 +245,45 @@
     assert_eq!(after.status, StatusCode::OK);
     assert_eq!(record.entries().len(), 2);
 }
+
+/// A backend server that sheds each call, and says whether it has begun with it.
+async fn spawn_shedding(header: &'static str) -> SocketAddr {
+    let (listener, address) = bind().await;
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut head = [0; 2_048];
+            let _head = stream.read(&mut head).await.unwrap();
+            let answer = format!("HTTP/1.1 503 Busy\r\n{header}content-length: 4\r\n\r\nbusy");
+            stream.write_all(answer.as_bytes()).await.unwrap();
+        }
+    });
+    address
+}
+
+// A backend server is full and sheds a booking. If it says that it has not
+// begun, another one takes it; if it says nothing, the clerk is told that the
+// job may have run, and it is not tried again.
+#[yare::parameterized(
+    says_so_remote = { Entry::Near, "bluebellpick-verdict: not-run\r\n", 200, "ran", 1 },
+    says_so_local = { Entry::Far, "bluebellpick-verdict: not-run\r\n", 200, "ran", 1 },
+    silent_remote = { Entry::Near, "", 503, "may-have-run", 0 },
+    silent_local = { Entry::Far, "", 503, "may-have-run", 0 },
+)]
+#[test_macro(tokio::test)]
+async fn shed(entry: Entry, header: &'static str, status: u16, verdict: &str, runs: usize) {
+    let (near, far, _record) = spawn_pair().await;
+    far.announce("jobs", spawn_shedding(header).await, 1);
+    let other = spawn_node("other").await;
+    let (server, record) = spawn_server(1).await;
+    other.announce("jobs", server, 1);
+    // The other one is in another region, so that it is not the first choice.
+    let mut spare = other.endpoint("jobs", other.nodes);
+    spare.region = "jb".into();
+    for node in [&near, &far] {
+        let endpoints = [far.endpoint("jobs", far.nodes), spare.clone()];
+        node.serve_by("jobs", Repeat::Never, &endpoints);
+    }
+    let got = post(entry_of(entry, &near, &far), "r1", "0", "2000").await;
+    assert_eq!((got.status.as_u16(), got.verdict()), (status, verdict));
+    assert_eq!(record.entries().len(), runs);
+}
