--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -33,6 +33,7 @@
 mod reserve_ages;
 mod reserve_link;
 mod reserve_log;
+mod reserve_owners;
 mod reserve_record;
 mod reserve_shard;
 mod upload;
--- a/crates/node/src/reserve.rs
+++ b/crates/node/src/reserve.rs
@@ -7,13 +7,12 @@
 
 use crate::nodes::write_hello;
 use crate::reserve_link::{Peer, pass_note, serve};
+use crate::reserve_owners::{Owners, Way};
 use crate::reserve_shard::{self, Order};
 use crate::shared::Shared;
 use call::Id;
-use call::owner::pick_owners;
 use call::reserve::{Answer, Claim, Entry, Fingerprint, Holder, Key, MAX_ANSWER, Reply, SHARDS};
 use clock::Clock;
-use config::{State, View};
 use parking_lot::Mutex;
 use platform::{Journal, Store};
 use rand::Rng;
@@ -102,20 +101,6 @@
     links: Arc<Semaphore>,
 }
 
-/// The owners of each shard in one view, found when first asked for.
-#[derive(Debug)]
-struct Owners {
-    view: Arc<View>,
-    ways: Vec<Option<[Option<Way>; 2]>>,
-}
-
-/// Whom to ask.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Way {
-    Local,
-    Remote(SocketAddr),
-}
-
 /// Starts the reservations of a node, whose records are in `store`.
 #[must_use]
 pub fn spawn<S, C>(shared: Arc<Shared<C>>, store: &S) -> Handle<C>
@@ -372,34 +357,6 @@
     }
 }
 
-impl Owners {
-    fn new(view: Arc<View>) -> Self {
-        Self {
-            view,
-            ways: vec![None; usize::from(SHARDS)],
-        }
-    }
-
-    fn find(&mut self, shard: u16, own: &str) -> [Option<Way>; 2] {
-        let view = &self.view;
-        let found = &mut self.ways[usize::from(shard)];
-        *found.get_or_insert_with(|| {
-            let serving = view.endpoints().iter();
-            let serving = serving.filter(|endpoint| endpoint.state == State::Serving);
-            let serving: Vec<_> = serving.collect();
-            let names = serving.iter().map(|endpoint| endpoint.node.as_str());
-            pick_owners(shard, names).map(|index| {
-                let endpoint = serving[index?];
-                Some(if endpoint.node == own {
-                    Way::Local
-                } else {
-                    Way::Remote(endpoint.address)
-                })
-            })
-        })
-    }
-}
-
 /// Refuses with a wait of its own for each, so that callers don't return all at once.
 fn refuse() -> Reply {
     let wait = RETRY_AFTER.mul_f64(rand::rng().random_range(1.0..2.0));
