Believe a backend server's "not run" only of the call that it names

Cause: the outbound proxy took 'bluebellpick-verdict: not-run' in any answer for the backend server's own word. One that passes on the answer of a call which it made itself, headers and all, said so of that call, after work of its own; its caller was told 'not run', the key was freed and the call tried elsewhere. Ruled out: leaving the word away, since a backend server that sheds before it begins saves the caller a 'may have run'. Now it must name the try as well, and the header of an answer is always the proxy's.

--- a/crates/node/src/outbound_send.rs
+++ b/crates/node/src/outbound_send.rs
@@ -110,7 +110,8 @@
         ready: (!body.ready.is_empty()).then_some(body.ready),
         rest: body.rest.map_or(Rest::Done, Rest::Caller),
     };
-    name_try(&mut request, inner.links.next_id());
+    let id = inner.links.next_id();
+    name_try(&mut request, id);
     let ended = if plan.key.is_some() {
         let mut call = inner.inbound.spawn_local(request, upload, plan.deadline);
         match tokio::time::timeout(left(inner, plan.deadline), &mut call).await {
@@ -129,19 +130,24 @@
     match ended {
         Ok(response) => {
             let load = f64::from(response.body().load_percent()) / 100.0;
-            let response = respond_local(response);
-            match find_refusal(&response) {
+            match find_refusal(&response, id) {
                 Some(refused) => Tried::Refused(refused, back),
-                None => Tried::Answered(response, Some(load)),
+                None => Tried::Answered(respond_local(response), Some(load)),
             }
         }
         Err(refused) => Tried::Refused(refused, back),
     }
 }
 
-/// Finds a backend server's own word that it sheds a call that it has not begun with.
-fn find_refusal<B>(response: &Response<B>) -> Option<Refused> {
-    let not_begun = response.headers().get(VERDICT_HEADER)? == Verdict::NotRun.as_str();
+/// Finds a backend server's own word that it sheds the try `id`, which it has not begun with.
+///
+/// It names the try, because many a backend server passes on the answer of a
+/// call that it made itself, headers and all: that one did not run, but the
+/// work before it did, and would be done again.
+fn find_refusal<B>(response: &Response<B>, id: Id) -> Option<Refused> {
+    let headers = response.headers();
+    let names_try = *headers.get(CALL_HEADER)? == *id.to_string();
+    let not_begun = names_try && headers.get(VERDICT_HEADER)? == Verdict::NotRun.as_str();
     let seconds = response.headers().get(header::RETRY_AFTER);
     let seconds = seconds.and_then(|value| value.to_str().ok()?.parse::<u32>().ok());
     let wait = seconds.map_or(UNREACHABLE_RETRY_MS, |seconds| {
@@ -198,8 +204,9 @@
     match tokio::time::timeout(left(inner, plan.deadline), waiting).await {
         Ok(Ok(answer)) => {
             let load = f64::from(answer.load_percent) / 100.0;
+            let id = answer.id;
             let head = read_head(answer);
-            match find_refusal(&head) {
+            match find_refusal(&head, id) {
                 Some(refused) => Tried::Refused(refused, sent.take_back(kept)),
                 None => Tried::Answered(respond_remote(head, sent), Some(load)),
             }
@@ -275,7 +282,7 @@
     });
 }
 
-/// Adds the verdict to a backend server's answer, unless it has given its own.
+/// Adds the verdict to a backend server's answer, in place of one that it passed on.
 ///
 /// A backend server that sheds load says 503 and does not say whether it began.
 fn finish_answer<B>(mut response: Response<B>) -> Response<B> {
@@ -284,10 +291,7 @@
         _ => Verdict::Ran,
     };
     let verdict = HeaderValue::from_static(verdict.as_str());
-    response
-        .headers_mut()
-        .entry(VERDICT_HEADER)
-        .or_insert(verdict);
+    response.headers_mut().insert(VERDICT_HEADER, verdict);
     response
 }
 
--- a/crates/node/tests/calls/ending.rs
+++ b/crates/node/tests/calls/ending.rs
@@ -246,14 +246,25 @@
     assert_eq!(record.entries().len(), 2);
 }
 
+/// A backend server's own word that it has not begun with a call.
+const OWN_WORD: &str = "bluebellpick-verdict: not-run\r\nbluebellpick-call: OWN\r\n";
+
+/// The same of another call.
+const PASSED_ON: &str =
+    "bluebellpick-verdict: not-run\r\nbluebellpick-call: 00000000000000aa-1\r\n";
+
 /// A backend server that sheds each call, and says whether it has begun with it.
-async fn spawn_shedding(header: &'static str) -> SocketAddr {
+async fn spawn_shedding(status: u16, header: &'static str) -> SocketAddr {
     let (listener, address) = bind().await;
     tokio::spawn(async move {
         while let Ok((mut stream, _)) = listener.accept().await {
             let mut head = [0; 2_048];
-            let _head = stream.read(&mut head).await.unwrap();
-            let answer = format!("HTTP/1.1 503 Busy\r\n{header}content-length: 4\r\n\r\nbusy");
+            let length = stream.read(&mut head).await.unwrap();
+            let head = String::from_utf8_lossy(&head[..length]);
+            let mut lines = head.lines();
+            let call = lines.find_map(|line| line.strip_prefix("bluebellpick-call: "));
+            let header = header.replace("OWN", call.unwrap());
+            let answer = format!("HTTP/1.1 {status} Busy\r\n{header}content-length: 4\r\n\r\nbusy");
             stream.write_all(answer.as_bytes()).await.unwrap();
         }
     });
@@ -262,17 +273,29 @@
 
 // A backend server is full and sheds a booking. If it says that it has not
 // begun, another one takes it; if it says nothing, the clerk is told that the
-// job may have run, and it is not tried again.
+// job may have run, and it is not tried again. Nor is it when the backend server
+// passes on such words of a call that it made itself, after work of its own.
 #[yare::parameterized(
-    says_so_remote = { Entry::Near, "bluebellpick-verdict: not-run\r\n", 200, "ran", 1 },
-    says_so_local = { Entry::Far, "bluebellpick-verdict: not-run\r\n", 200, "ran", 1 },
-    silent_remote = { Entry::Near, "", 503, "may-have-run", 0 },
-    silent_local = { Entry::Far, "", 503, "may-have-run", 0 },
+    says_so_remote = { Entry::Near, 503, OWN_WORD, 200, "ran", 1 },
+    says_so_local = { Entry::Far, 503, OWN_WORD, 200, "ran", 1 },
+    silent_remote = { Entry::Near, 503, "", 503, "may-have-run", 0 },
+    silent_local = { Entry::Far, 503, "", 503, "may-have-run", 0 },
+    passed_on_remote = { Entry::Near, 503, PASSED_ON, 503, "may-have-run", 0 },
+    passed_on_local = { Entry::Far, 503, PASSED_ON, 503, "may-have-run", 0 },
+    unnamed = { Entry::Near, 503, "bluebellpick-verdict: not-run\r\n", 503, "may-have-run", 0 },
+    failed_after = { Entry::Near, 500, PASSED_ON, 500, "ran", 0 },
 )]
 #[test_macro(tokio::test)]
-async fn shed(entry: Entry, header: &'static str, status: u16, verdict: &str, runs: usize) {
+async fn shed(
+    entry: Entry,
+    said: u16,
+    header: &'static str,
+    status: u16,
+    verdict: &str,
+    runs: usize,
+) {
     let (near, far, _record) = spawn_pair().await;
-    far.announce("jobs", spawn_shedding(header).await, 1);
+    far.announce("jobs", spawn_shedding(said, header).await, 1);
     let other = spawn_node("other").await;
     let (server, record) = spawn_server(1).await;
     other.announce("jobs", server, 1);
