--- a/crates/node/src/reserve.rs
+++ b/crates/node/src/reserve.rs
@@ -7,13 +7,12 @@
 
 use crate::nodes::write_hello;
 use crate::reserve_link::{Peer, pass_note, serve};
+use crate::reserve_owners::{Owners, Way};
 use crate::reserve_shard::{self, Order};
 use crate::shared::Shared;
 use call::Id;
-use call::owner::pick_owners;
 use call::reserve::{Answer, Claim, Entry, Fingerprint, Holder, Key, MAX_ANSWER, Reply, SHARDS};
 use clock::Clock;
-use config::{State, View};
 use parking_lot::Mutex;
 use platform::{Journal, Store};
 use rand::Rng;
@@ -37,6 +36,12 @@
 /// What such a caller is told to wait, at least; up to twice as much.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Time for which claims of a shard are refused at once after one had to wait
+/// for [`CLAIM_TIMEOUT`] in vain; then one may try again.
+///
+/// While the platform is so slow, callers would otherwise all wait as long.
+const STALL_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Time for which an owner that did not answer is not asked first.
 const FAILED_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -91,23 +96,11 @@
     peers: Mutex<HashMap<SocketAddr, Peer>>,
     failed: Mutex<HashMap<SocketAddr, Instant>>,
     owners: Mutex<Owners>,
+    /// When a claim of each shard last waited in vain.
+    stalled: Mutex<Vec<Option<Instant>>>,
     links: Arc<Semaphore>,
 }
 
-/// The owners of each shard in one view, found when first asked for.
-#[derive(Debug)]
-struct Owners {
-    view: Arc<View>,
-    ways: Vec<Option<[Option<Way>; 2]>>,
-}
-
-/// Whom to ask.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Way {
-    Local,
-    Remote(SocketAddr),
-}
-
 /// Starts the reservations of a node, whose records are in `store`.
 #[must_use]
 pub fn spawn<S, C>(shared: Arc<Shared<C>>, store: &S) -> Handle<C>
@@ -128,6 +121,7 @@
             peers: Mutex::default(),
             failed: Mutex::default(),
             owners: Mutex::new(Owners::new(view)),
+            stalled: Mutex::new(vec![None; usize::from(SHARDS)]),
             links: Arc::new(Semaphore::new(MAX_LINKS)),
         }),
     }
@@ -149,8 +143,7 @@
         limit: Duration,
     ) -> Claimed {
         let start = Instant::now();
-        let claimed = self.claim_by(key, fingerprint, call, start + limit.min(CLAIM_TIMEOUT));
-        let claimed = claimed.await;
+        let claimed = self.claim_from(start, key, fingerprint, call, limit).await;
         let reply = match &claimed {
             Claimed::Granted(_) => &Reply::Granted,
             Claimed::Told(reply) => reply,
@@ -160,14 +153,20 @@
         claimed
     }
 
-    async fn claim_by(
+    async fn claim_from(
         &self,
+        start: Instant,
         key: Key,
         fingerprint: Fingerprint,
         call: Id,
-        end: Instant,
+        limit: Duration,
     ) -> Claimed {
+        if self.inner.is_stalled(key) {
+            return Claimed::Told(refuse());
+        }
+        let end = start + limit.min(CLAIM_TIMEOUT);
         let mut told = None;
+        let mut unanswered = Vec::new();
         for (attempt, way) in (0..).zip(self.inner.ways(key.shard())) {
             // An owner that was asked and refused knows how the platform is;
             // this node would only add to its load.
@@ -184,10 +183,23 @@
                 Ok(Some(Reply::Granted)) => return Claimed::Granted(Grant { key, holder }),
                 Ok(Some(refused @ Reply::Refused { .. })) => told = Some(refused),
                 Ok(Some(reply)) => return Claimed::Told(reply),
-                Ok(None) => self.inner.note_failed(way),
-                Err(_) => break,
+                Ok(None) => {
+                    unanswered.push((way, holder));
+                    self.inner.note_failed(way);
+                }
+                Err(_) => {
+                    unanswered.push((way, holder));
+                    self.inner.note_stalled(key, start);
+                    break;
+                }
             }
         }
+        // An owner whose answer was lost may have reserved the key for this
+        // call, which nobody will run now. Not given back, its repeats would be
+        // told "may have run" for good.
+        for (way, holder) in unanswered {
+            self.inner.release_beside(way, key, holder);
+        }
         Claimed::Told(told.unwrap_or_else(refuse))
     }
 
@@ -287,11 +299,35 @@
         }
     }
 
+    fn is_stalled(&self, key: Key) -> bool {
+        let stalled = self.stalled.lock()[usize::from(key.shard())];
+        stalled.is_some_and(|at| at.elapsed() < STALL_TIMEOUT)
+    }
+
+    /// Notes that a claim which began at `start` was not answered, unless its caller had less time.
+    fn note_stalled(&self, key: Key, start: Instant) {
+        if start.elapsed() >= CLAIM_TIMEOUT {
+            self.stalled.lock()[usize::from(key.shard())] = Some(Instant::now());
+        }
+    }
+
+    /// Releases a key by another way than the one that did not answer.
+    fn release_beside(&self, silent: Way, key: Key, holder: Holder) {
+        let ways = self.ways(key.shard());
+        let way = ways.iter().find(|way| **way != silent);
+        self.note_by(way, Entry::Release { key, holder });
+    }
+
     fn note(&self, entry: Entry) {
         let (Entry::Complete { key, .. } | Entry::Release { key, .. }) = &entry else {
             return;
         };
-        let entry = match self.ways(key.shard()).first() {
+        let ways = self.ways(key.shard());
+        self.note_by(ways.first(), entry);
+    }
+
+    fn note_by(&self, way: Option<&Way>, entry: Entry) {
+        let entry = match way {
             Some(Way::Remote(address)) => match self.peer(*address).note(entry) {
                 Ok(()) => return,
                 Err(entry) => entry,
@@ -321,34 +357,6 @@
     }
 }
 
-impl Owners {
-    fn new(view: Arc<View>) -> Self {
-        Self {
-            view,
-            ways: vec![None; usize::from(SHARDS)],
-        }
-    }
-
-    fn find(&mut self, shard: u16, own: &str) -> [Option<Way>; 2] {
-        let view = &self.view;
-        let found = &mut self.ways[usize::from(shard)];
-        *found.get_or_insert_with(|| {
-            let serving = view.endpoints().iter();
-            let serving = serving.filter(|endpoint| endpoint.state == State::Serving);
-            let serving: Vec<_> = serving.collect();
-            let names = serving.iter().map(|endpoint| endpoint.node.as_str());
-            pick_owners(shard, names).map(|index| {
-                let endpoint = serving[index?];
-                Some(if endpoint.node == own {
-                    Way::Local
-                } else {
-                    Way::Remote(endpoint.address)
-                })
-            })
-        })
-    }
-}
-
 /// Refuses with a wait of its own for each, so that callers don't return all at once.
 fn refuse() -> Reply {
     let wait = RETRY_AFTER.mul_f64(rand::rng().random_range(1.0..2.0));
