Close a link whose peer asks and never reads

What a node owed to such a peer grew without end. Test deaf_peer: 64 MB of pings taken and the link still open before; closed at 8 MB unread after.

--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -26,6 +26,13 @@
 /// wait behind it is 10 ms at 1 Gbit/s, longer than any queue that pays.
 const MAX_QUEUED: usize = 1 << 20;
 
+/// Bytes that may wait for a peer that does not read, before its link is closed.
+///
+/// Bodies wait only as far as their windows go, and a backend server runs some
+/// dozens of calls at once, 64 kB each. What grows beyond that is owed to a
+/// peer that asks and never listens, and would grow without end.
+const MAX_UNREAD: usize = 8 << 20;
+
 /// Bytes that a reader takes from the socket at once.
 const READ_CHUNK: usize = 16 << 10;
 
@@ -179,6 +186,11 @@
             }
         }
         let end = outbox.written + outbox.queued() as u64;
+        if outbox.queued() > MAX_UNREAD {
+            log::warn!("link_unread");
+            self.close_locked(outbox);
+            return Err(Error::Closed);
+        }
         if !outbox.blocked {
             match outbox.flush(&self.socket) {
                 Ok(()) if outbox.blocked => self.blocked.notify_one(),
--- a/crates/node/tests/calls/whole.rs
+++ b/crates/node/tests/calls/whole.rs
@@ -4,6 +4,7 @@
 use bytes::Bytes;
 use config::Repeat;
 use http::{Method, StatusCode};
+use node::nodes::write_hello;
 use standin::backend;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -283,3 +284,29 @@
     let taken = tokio::time::timeout(Duration::from_secs(2), taking).await;
     assert_eq!(taken.expect("the end comes").unwrap(), 0x10000);
 }
+
+// A peer that has gone wrong asks and asks, and reads nothing of what it is
+// told. The node must close that link rather than keep the answers for ever,
+// and serve the others. Seen as a node that grows until it is killed.
+#[tokio::test]
+async fn deaf_peer() {
+    let far = spawn_node("far").await;
+    let mut stream = TcpStream::connect(far.nodes).await.unwrap();
+    let hello = write_hello(&spawn_node("deaf").await.shared, wire::Link::Call);
+    codec::write(&mut stream, &hello).await.unwrap();
+    let open = wire::Frame::Call(Frame::Open { link: 1 });
+    codec::write(&mut stream, &open).await.unwrap();
+    let mut pings = Vec::new();
+    for _ in 0..10_000 {
+        codec::encode(&wire::Frame::Call(Frame::Ping), &mut pings).unwrap();
+    }
+    let mut sent = 0;
+    // More than what both sockets and the bound hold together.
+    while sent < 64 << 20 {
+        match stream.write_all(&pings).await {
+            Ok(()) => sent += pings.len(),
+            Err(_) => return,
+        }
+    }
+    panic!("the link is still open after {sent} bytes");
+}
