Let go of a request's body once its call is over

A call with a long body that was refused kept up to a window of it for the ten seconds of its outcome, and its place in its link's list for as long as the link lived. Found by reading; there is no test that sees the memory of one call, the tests of early ends are green.

--- a/crates/node/src/inbound_call.rs
+++ b/crates/node/src/inbound_call.rs
@@ -52,6 +52,7 @@
     parts: VecDeque<Bytes>,
     ended: bool,
     broken: bool,
+    over: bool,
     taken: usize,
     reader: Option<Waker>,
 }
@@ -87,6 +88,9 @@
         if upload.ended || held + bytes.len() > WINDOW {
             return false;
         }
+        if upload.over {
+            return true;
+        }
         if !bytes.is_empty() {
             upload.parts.push_back(bytes);
         }
@@ -95,6 +99,16 @@
         true
     }
 
+    /// Lets go of what is left of the request's body: its call is over.
+    ///
+    /// A call that is refused early leaves a window of it unread, which would
+    /// stay for as long as the outcome is kept.
+    pub(crate) fn drop_upload(&self) {
+        let mut upload = self.upload.lock();
+        upload.parts.clear();
+        upload.over = true;
+    }
+
     /// Breaks the request's body off when its link is gone before its end.
     ///
     /// Otherwise a backend server would wait for the rest for ever, or take
@@ -110,9 +124,10 @@
         Arc::ptr_eq(&self.answer.lock().link, link)
     }
 
-    /// Tells whether the request's body has come whole.
-    pub(crate) fn is_uploaded(&self) -> bool {
-        self.upload.lock().ended
+    /// Tells whether more of the request's body is wanted.
+    pub(crate) fn wants_more(&self) -> bool {
+        let upload = self.upload.lock();
+        !upload.ended && !upload.over
     }
 
     /// Gives the request's body when it has come whole already.
--- a/crates/node/src/inbound_link.rs
+++ b/crates/node/src/inbound_link.rs
@@ -130,7 +130,7 @@
             return ControlFlow::Break(());
         }
         if !request.end {
-            self.uploads.retain(|upload| !upload.is_uploaded());
+            self.uploads.retain(|upload| upload.wants_more());
             self.uploads.push(Arc::clone(&call));
         }
         inbound_run::spawn(Arc::clone(self.inner), call, request);
--- a/crates/node/src/inbound_run.rs
+++ b/crates/node/src/inbound_run.rs
@@ -78,6 +78,7 @@
             }
             () = serve(&inner, &call, request, deadline) => {}
         }
+        call.drop_upload();
         inner.finish(id);
     });
 }
