Shun a backend server whose calls are all overtaken by their copies

Cause: an overtaken try counted by the time it had had, three times the usual, and its queue was empty.

--- a/crates/bench/src/overload.rs
+++ b/crates/bench/src/overload.rs
@@ -13,7 +13,7 @@
     CAPACITY, Entry, Flow, PROBES, SERVERS, TIMEOUT, Tally, WORK_MS, send_flows, to_f64,
 };
 use bpaf::{Parser, construct, long};
-use config::{Class, Repeat};
+use config::{Change, Class, Repeat, Retry};
 use serde::Serialize;
 use std::str::FromStr;
 use std::time::Duration;
@@ -225,14 +225,42 @@
     let changes = [
         put_service("desk"),
         put_route("/book", "desk", Class::Commit, Repeat::Never),
-        put_route("/find", "desk", Class::Lookup, Repeat::ByMethod),
-        put_route("/board", "desk", Class::Refresh, Repeat::ByMethod),
+        put_reads(),
+        with_retry(put_route("/find", "desk", Class::Lookup, Repeat::ByMethod)),
+        with_retry(put_route(
+            "/board",
+            "desk",
+            Class::Refresh,
+            Repeat::ByMethod,
+        )),
     ];
     deployment.propose(&changes, 0)?;
     deployment.wait_served("/find/ready", START_LIMIT).await?;
     Ok(deployment)
 }
 
+/// Name of the retry rule of calls that read.
+const READS: &str = "reads";
+
+fn put_reads() -> Change {
+    Change::PutRetry {
+        name: READS.into(),
+        retry: Retry {
+            attempts: 3,
+            budget_percent: 20,
+            hedge: true,
+            repeat_may_have_run: true,
+        },
+    }
+}
+
+fn with_retry(mut change: Change) -> Change {
+    if let Change::PutRoute { route, .. } = &mut change {
+        route.retry = Some(READS.into());
+    }
+    change
+}
+
 fn flow(series: usize, share: f64, span: (f64, f64)) -> Flow {
     let (class, callers) = match series {
         COMMITS => (Class::Commit, ("clerk", 30)),
@@ -342,11 +370,13 @@
         tallies.push(Tally::count(&outcomes, counts));
     }
     send_fault(deployment.vms[0].server(), r#"{"slow_factor": 1}"#).await?;
-    Ok(Slow {
+    let slow = Slow {
         healthy_p99_ms: tallies[0].good.quantile_ms(0.99),
         slow_p99_ms: tallies[1].good.quantile_ms(0.99),
         slow_share: tallies[1].share(),
-    })
+    };
+    eprintln!("{entry:?} {slow:?}");
+    Ok(slow)
 }
 
 /// Begin and end of the burst, in seconds.
--- a/crates/node/src/outbound_hedge.rs
+++ b/crates/node/src/outbound_hedge.rs
@@ -96,8 +96,7 @@
             if matches!(result, Tried::Answered(..)) {
                 plan.known.settle_hedge(true);
                 plan.known.see_first(elapsed(inner, started));
-                // It takes at least as long as it has: the balance may know.
-                first.outcome = Outcome::Answered(None);
+                first.outcome = Outcome::Overtaken;
                 return (result, second);
             }
             second.outcome = outcome_of(&result);
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -64,6 +64,8 @@
 pub enum Outcome {
     /// It was answered; the inbound proxy's [`load`](crate::admission::Admission::load), if told.
     Answered(Option<f64>),
+    /// A copy that was sent later elsewhere was answered first.
+    Overtaken,
     /// It failed, or its link did.
     Failed,
     /// It was refused as there is too much load.
@@ -221,6 +223,15 @@
                 self.servers[key.index as usize].see(now, stretch);
                 self.weigh(now, key.index, Sample::Answered(stretch), rng);
             }
+            // How long it would have taken is not known, but that it was slow
+            // is. Counted by the time it had, a backend server whose calls are
+            // all overtaken would look hardly slow, and go on to get its share.
+            Outcome::Overtaken => {
+                let stretch = took.as_secs_f64() / self.durations.expect(route).max(1e-6);
+                let stretch = stretch.max(outlier::SLOW);
+                self.servers[key.index as usize].see(now, stretch);
+                self.weigh(now, key.index, Sample::Answered(stretch), rng);
+            }
             Outcome::Failed => self.weigh(now, key.index, Sample::Failed, rng),
             Outcome::Full => server.tell_load(now, FULL),
             Outcome::Leaving => {
--- a/crates/policy/src/outlier.rs
+++ b/crates/policy/src/outlier.rs
@@ -17,11 +17,15 @@
 /// of all, that is 1 in 100,000 calls.
 const IN_A_ROW: u32 = 5;
 
+/// Slow answers in a row that make an outlier at once: with service times that
+/// vary as much as their mean, by chance 1 in 160,000 calls.
+const SLOW_IN_A_ROW: u32 = 3;
+
 /// Share of failures beyond the others' that makes an outlier.
 const FAILING: f64 = 0.3;
 
 /// Times the others' stretch that makes an outlier.
-const SLOW: f64 = 4.0;
+pub(crate) const SLOW: f64 = 4.0;
 
 /// Weight of a new sample: a window of about ten calls.
 const WEIGHT: f64 = 0.1;
@@ -30,7 +34,7 @@
 const ENOUGH: u32 = 10;
 
 /// First ejection; each further one doubles it.
-const FIRST: Duration = Duration::from_secs(2);
+const FIRST: Duration = Duration::from_secs(5);
 
 /// Longest ejection.
 const LONGEST: Duration = Duration::from_mins(1);
@@ -68,6 +72,7 @@
     stretch: f64,
     samples: u32,
     in_a_row: u32,
+    slow_in_a_row: u32,
     ejected: Option<Ejection>,
     times: u32,
     in_since: Instant,
@@ -88,6 +93,7 @@
             stretch: 1.0,
             samples: 0,
             in_a_row: 0,
+            slow_in_a_row: 0,
             ejected: None,
             times: 0,
             in_since: now,
@@ -160,6 +166,9 @@
         if self.in_a_row >= IN_A_ROW && others.failures < FAILING {
             return true;
         }
+        if self.slow_in_a_row >= SLOW_IN_A_ROW && others.stretch < SLOW / 2.0 {
+            return true;
+        }
         if self.samples < ENOUGH {
             return false;
         }
@@ -200,6 +209,11 @@
         let failed = match sample {
             Sample::Answered(stretch) => {
                 self.in_a_row = 0;
+                self.slow_in_a_row = if stretch < SLOW {
+                    0
+                } else {
+                    self.slow_in_a_row + 1
+                };
                 // One freak value may not eject: ten times the usual is as bad as it gets.
                 self.stretch += WEIGHT * (stretch.min(10.0) - self.stretch);
                 0.0
--- a/crates/policy/tests/load/sim.rs
+++ b/crates/policy/tests/load/sim.rs
@@ -606,6 +606,9 @@
         if !open {
             return;
         }
+        if self.calls[call].hedged == Some(attempt) && ending == Ending::Answered {
+            self.overtake(call, route);
+        }
         if ending == Ending::Answered {
             self.calls[call].open = false;
             let (flow, born) = (self.calls[call].flow, self.calls[call].born);
@@ -615,6 +618,24 @@
         }
     }
 
+    /// The copy was first: the other try is cancelled, and nothing more is heard of it.
+    fn overtake(&mut self, call: usize, route: u64) {
+        let now = self.at(self.now);
+        let others = self.attempts.iter_mut().rev();
+        let Some(first) = others
+            .filter(|attempt| attempt.call == call && attempt.first)
+            .find(|attempt| attempt.key.is_some())
+        else {
+            return;
+        };
+        let took = Duration::from_secs_f64(self.now - first.sent);
+        if let Some(key) = first.key.take() {
+            let balance = &mut self.outbound[self.calls[call].proxy].balance;
+            let outcome = balance::Outcome::Overtaken;
+            balance.finish(now, key, route, took, outcome, &mut self.rng);
+        }
+    }
+
     fn fail(&mut self, call: usize, ending: Ending, retry_after: f64) {
         let again = match self.system {
             System::Baseline => (self.calls[call].tries <= 3).then_some(0.0),
