Tell those who are refused without a better guess to come back at different times

A call that could not be sent was told to come back in a millisecond, or in half a second sharp with all the others. Now it draws between 0.5 and 1 s.

--- a/crates/node/src/outbound_answer.rs
+++ b/crates/node/src/outbound_answer.rs
@@ -12,6 +12,7 @@
 use serde::Serialize;
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::time::Duration;
 use wire::call::{Reason, Refusal};
 
 /// Header with the verdict.
@@ -20,6 +21,10 @@
 /// Header beside `Retry-After`, which knows only whole seconds, in milliseconds.
 pub const RETRY_AFTER_HEADER: HeaderName = HeaderName::from_static("bluebellpick-retry-after-ms");
 
+/// Least wait that a caller is told when nobody knows a better one: a list of
+/// endpoints follows a change, and a node its restart, within a second.
+const RETRY_AFTER: Duration = Duration::from_millis(500);
+
 quick_error! {
     /// Why an answer broke off.
     #[derive(Debug)]
@@ -130,13 +135,19 @@
         (_, Reason::Deadline) => StatusCode::GATEWAY_TIMEOUT,
         _ => StatusCode::BAD_GATEWAY,
     };
-    let wait = match refused.verdict {
-        Verdict::NotRun => refused.retry_after_ms.max(1),
-        Verdict::MayHaveRun | Verdict::Ran => refused.retry_after_ms,
+    let wait = match (refused.verdict, refused.retry_after_ms) {
+        (Verdict::NotRun, 0) => draw_wait(),
+        (_, wait) => wait,
     };
     tell(status, refused.verdict, name_of(refused.reason), wait)
 }
 
+/// Draws a wait, so that those who were refused together don't come back together.
+fn draw_wait() -> u32 {
+    let wait = policy::backoff::spread(RETRY_AFTER, &mut rand::rng());
+    u32::try_from(wait.as_millis()).unwrap_or(u32::MAX)
+}
+
 /// Answers a call that was not tried, with the fault that the caller can mend.
 pub(crate) fn reject<C>(status: StatusCode, reason: &str) -> Response<Body<C>>
 where
--- a/crates/node/src/outbound_send.rs
+++ b/crates/node/src/outbound_send.rs
@@ -31,9 +31,6 @@
 /// both ends, and room for a busy machine.
 const VERDICT_MARGIN: Duration = Duration::from_millis(10);
 
-/// What a caller is told to wait when no backend server can be reached, in milliseconds.
-pub(crate) const UNREACHABLE_RETRY_MS: u32 = 500;
-
 /// How a try ended.
 pub(crate) enum Tried<C>
 where
@@ -144,9 +141,7 @@
     let not_begun = response.headers().get(VERDICT_HEADER)? == Verdict::NotRun.as_str();
     let seconds = response.headers().get(header::RETRY_AFTER);
     let seconds = seconds.and_then(|value| value.to_str().ok()?.parse::<u32>().ok());
-    let wait = seconds.map_or(UNREACHABLE_RETRY_MS, |seconds| {
-        seconds.saturating_mul(1_000)
-    });
+    let wait = seconds.map_or(0, |seconds| seconds.saturating_mul(1_000));
     (not_begun && response.status() == StatusCode::SERVICE_UNAVAILABLE)
         .then(|| not_run(Reason::Full, wait))
 }
@@ -165,10 +160,10 @@
     let link = match tokio::time::timeout(left(inner, plan.deadline), connecting).await {
         Ok(Ok(link)) if link.node == endpoint.node && !link.is_leaving() => link,
         Ok(Ok(_)) => {
-            return Tried::Refused(not_run(Reason::Leaving, UNREACHABLE_RETRY_MS), Some(body));
+            return Tried::Refused(not_run(Reason::Leaving, 0), Some(body));
         }
         Ok(Err(_)) | Err(_) => {
-            return Tried::Refused(not_run(Reason::Backend, UNREACHABLE_RETRY_MS), Some(body));
+            return Tried::Refused(not_run(Reason::Backend, 0), Some(body));
         }
     };
     let kept = body.ready.clone();
@@ -187,10 +182,10 @@
     let one = match sent {
         Ok(one) => one,
         Err(link::Error::Full) => {
-            return Tried::Refused(not_run(Reason::Full, UNREACHABLE_RETRY_MS), Some(body));
+            return Tried::Refused(not_run(Reason::Full, 0), Some(body));
         }
         Err(_) => {
-            return Tried::Refused(not_run(Reason::Backend, UNREACHABLE_RETRY_MS), Some(body));
+            return Tried::Refused(not_run(Reason::Backend, 0), Some(body));
         }
     };
     let mut sent = Sent::new(one, link, body, first.len());
@@ -291,6 +286,7 @@
     response
 }
 
+/// Refuses a call that has not run; a wait of nought leaves it to the answer to name one.
 pub(crate) fn not_run(reason: Reason, retry_after_ms: u32) -> Refused {
     Refused {
         verdict: Verdict::NotRun,
