--- a/crates/node/src/inbound_run.rs
+++ b/crates/node/src/inbound_run.rs
@@ -45,7 +45,8 @@
 }
 
 impl Refused {
-    fn not_run(reason: Reason, retry_after_ms: u32) -> Self {
+    /// Refuses a call that has not run; a wait of nought leaves it to the answer to name one.
+    pub(crate) fn not_run(reason: Reason, retry_after_ms: u32) -> Self {
         Self {
             verdict: Verdict::NotRun,
             reason,
@@ -53,7 +54,8 @@
         }
     }
 
-    fn may_have_run(reason: Reason) -> Self {
+    /// Gives up on a call that may have run.
+    pub(crate) fn may_have_run(reason: Reason) -> Self {
         Self {
             verdict: Verdict::MayHaveRun,
             reason,
--- a/crates/node/src/outbound_keyed.rs
+++ b/crates/node/src/outbound_keyed.rs
@@ -1,12 +1,12 @@
 //! Calls with an `Idempotency-Key`: reserved before they run, answered again from what is kept.
 
-use crate::inbound_run::LATE_LIMIT;
+use crate::inbound_run::{LATE_LIMIT, Refused};
 use crate::metrics::Ending;
 use crate::outbound::Inner;
 use crate::outbound_answer::{Body, VERDICT_HEADER, tell};
 use crate::outbound_call::{Served, serve_plan};
 use crate::outbound_plan::{Plan, left};
-use crate::outbound_send::{Late, not_run};
+use crate::outbound_send::Late;
 use crate::outbound_sent;
 use crate::reserve::{Claimed, Grant};
 use bytes::{Bytes, BytesMut};
@@ -204,7 +204,9 @@
             0,
         )
         .into(),
-        Reply::Refused { retry_after_ms } => not_run(Reason::Reservation, retry_after_ms).into(),
+        Reply::Refused { retry_after_ms } => {
+            Refused::not_run(Reason::Reservation, retry_after_ms).into()
+        }
     }
 }
 
--- a/crates/node/src/outbound_send.rs
+++ b/crates/node/src/outbound_send.rs
@@ -66,7 +66,7 @@
             },
             Self::Local(receiver) => match receiver.await {
                 Ok(ended) => ended.map(respond_local),
-                Err(_gone) => Err(may_have_run(Reason::Backend)),
+                Err(_gone) => Err(Refused::may_have_run(Reason::Backend)),
             },
         }
     }
@@ -112,7 +112,7 @@
         let mut call = inner.inbound.spawn_local(request, upload, plan.deadline);
         match tokio::time::timeout(left(inner, plan.deadline), &mut call).await {
             Ok(Ok(ended)) => ended,
-            Ok(Err(_gone)) => Err(may_have_run(Reason::Backend)),
+            Ok(Err(_gone)) => Err(Refused::may_have_run(Reason::Backend)),
             Err(_) => return Tried::Late(Late::Local(call)),
         }
     } else {
@@ -143,7 +143,7 @@
     let seconds = seconds.and_then(|value| value.to_str().ok()?.parse::<u32>().ok());
     let wait = seconds.map_or(0, |seconds| seconds.saturating_mul(1_000));
     (not_begun && response.status() == StatusCode::SERVICE_UNAVAILABLE)
-        .then(|| not_run(Reason::Full, wait))
+        .then(|| Refused::not_run(Reason::Full, wait))
 }
 
 async fn try_remote<C>(
@@ -160,10 +160,10 @@
     let link = match tokio::time::timeout(left(inner, plan.deadline), connecting).await {
         Ok(Ok(link)) if link.node == endpoint.node && !link.is_leaving() => link,
         Ok(Ok(_)) => {
-            return Tried::Refused(not_run(Reason::Leaving, 0), Some(body));
+            return Tried::Refused(Refused::not_run(Reason::Leaving, 0), Some(body));
         }
         Ok(Err(_)) | Err(_) => {
-            return Tried::Refused(not_run(Reason::Backend, 0), Some(body));
+            return Tried::Refused(Refused::not_run(Reason::Backend, 0), Some(body));
         }
     };
     let kept = body.ready.clone();
@@ -182,10 +182,10 @@
     let one = match sent {
         Ok(one) => one,
         Err(link::Error::Full) => {
-            return Tried::Refused(not_run(Reason::Full, 0), Some(body));
+            return Tried::Refused(Refused::not_run(Reason::Full, 0), Some(body));
         }
         Err(_) => {
-            return Tried::Refused(not_run(Reason::Backend, 0), Some(body));
+            return Tried::Refused(Refused::not_run(Reason::Backend, 0), Some(body));
         }
     };
     let mut sent = Sent::new(one, link, body, first.len());
@@ -285,20 +285,3 @@
         .or_insert(verdict);
     response
 }
-
-/// Refuses a call that has not run; a wait of nought leaves it to the answer to name one.
-pub(crate) fn not_run(reason: Reason, retry_after_ms: u32) -> Refused {
-    Refused {
-        verdict: Verdict::NotRun,
-        reason,
-        retry_after_ms,
-    }
-}
-
-pub(crate) fn may_have_run(reason: Reason) -> Refused {
-    Refused {
-        verdict: Verdict::MayHaveRun,
-        reason,
-        retry_after_ms: 0,
-    }
-}
