Tell of a backend server that announced itself first

Ruled out: the platform and the leases, which other nodes used. Change: what stands at the subscription counts as news.

--- a/crates/node/src/control_tree.rs
+++ b/crates/node/src/control_tree.rs
@@ -56,6 +56,9 @@
     let desk = control_platform::run(Arc::clone(&shared), store, asked, sender.clone());
     let desk = tokio::spawn(desk);
     let mut backend = shared.backend.subscribe();
+    // A backend server may have announced itself before this task ran; what
+    // stands at the subscription counts as seen, and it would never be told.
+    backend.mark_changed();
     let mut leaving = shared.leaving.subscribe();
     let mut tree = Tree::new(shared, requests, sender);
     let done = loop {
--- /dev/null
+++ b/crates/node/tests/control.rs
@@ -0,0 +1,43 @@
+//! How a node takes part in the distribution of endpoints.
+
+use clock::System;
+use config::State;
+use node::control;
+use node::shared::{Backend, Shared};
+use platform::Memory;
+use settings::node::Settings;
+use std::sync::Arc;
+use std::time::Duration;
+
+const SETTINGS: &str = "[node]\nname = records-1\nzone = kl-a\nregion = kl\n\
+    [listen]\ncallers = 127.0.0.1:1\nbackend = 127.0.0.1:2\n\
+    nodes = 127.0.0.1:3\noperators = 127.0.0.1:4\n\
+    [fleet]\nplatform = 127.0.0.1:5\n[operators]\ntoken = 0123456789abcdef\n";
+
+// A backend server starts before its node and announces itself as soon as the
+// node listens. Callers everywhere are told that its service is not there, for
+// as long as the node runs. Cause: the part that tells the others subscribed
+// to announcements a moment later, and waited for the next change.
+#[tokio::test]
+async fn announced_before() {
+    let shared = Shared::new(Settings::parse(SETTINGS, "test").unwrap(), 7, System);
+    shared.backend.send_replace(Some(Backend {
+        service: "records".into(),
+        address: "127.0.0.1:9000".parse().unwrap(),
+        slots: 6,
+        leaving: false,
+    }));
+    let _control = control::spawn(Arc::clone(&shared), Memory::new());
+    let is_serving = async {
+        loop {
+            let view = shared.view.load_full();
+            let mut endpoints = view.endpoints().iter();
+            if endpoints.any(|known| known.state == State::Serving) {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    let found = tokio::time::timeout(Duration::from_secs(20), is_serving).await;
+    assert!(found.is_ok(), "the announcement was never told");
+}
