Let a restarted root serve only once it knows others' endpoints

Cause: a root that took up its lease again counted the platform's word on the version as one on endpoints, and served with its own backend server alone until it met another root.

Change: with another live lease known it waits for one exchange of sums, two seconds at most; alone it serves at once as before. Ruled out: waiting without a limit, since the leases of a zone that is down stay live for some seconds.

Before: both cases of the new test with another root red, the lone one green.

--- a/crates/fleet/src/duty.rs
+++ b/crates/fleet/src/duty.rs
@@ -171,8 +171,7 @@
     pub(crate) fn on_head(&mut self, now: Instant, version: Version) {
         self.gate.hear_platform(version, now);
         self.news.head = self.news.head.max(version);
-        // Nobody else is known who could tell of endpoints.
-        self.is_synced = true;
+        self.sync_alone(now);
     }
 
     pub(crate) fn on_platform_step(
--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -17,6 +17,11 @@
 use std::time::{Duration, Instant};
 use wire::control::{BUCKETS, Chunk, Frame, MAX_ENDPOINTS};
 
+/// Longest wait of a root for the endpoints that other roots know: meeting one
+/// takes two reads of the leases, and the leases of a zone that is down stay
+/// live for some seconds.
+const ALONE: Duration = Duration::from_secs(2);
+
 /// Time for a step to come by itself, before it is asked for.
 const WANT: Duration = Duration::from_millis(150);
 
@@ -39,6 +44,8 @@
     view_at: Option<Instant>,
     want_at: Option<Instant>,
     want_wait: Duration,
+    /// When a root takes what it has for all endpoints.
+    alone_at: Option<Instant>,
     /// Highest version that the platform told of.
     pub(crate) head: Version,
 }
@@ -51,6 +58,7 @@
             view_at: None,
             want_at: None,
             want_wait: WANT_AGAIN.0,
+            alone_at: None,
             head: Version::ZERO,
         }
     }
@@ -58,7 +66,7 @@
 
 impl News {
     pub(crate) fn deadline(&self) -> Option<Instant> {
-        let all = [self.flush_at, self.view_at, self.want_at];
+        let all = [self.flush_at, self.view_at, self.want_at, self.alone_at];
         all.into_iter().flatten().min()
     }
 }
@@ -318,13 +326,39 @@
             self.send(key, Frame::Endpoints(list));
         }
         if is_reply {
-            self.is_synced = true;
+            self.set_synced();
         } else {
             self.send_sums(key, true);
         }
     }
 
+    fn set_synced(&mut self) {
+        self.is_synced = true;
+        self.news.alone_at = None;
+    }
+
+    /// Serves without the endpoints of others, at once if no other root is known.
+    ///
+    /// Guards against a restarted root that serves by the platform's version
+    /// with its own endpoint alone: until it met another root, callers at its
+    /// VM were told that no service but its own had an endpoint.
+    pub(crate) fn sync_alone(&mut self, now: Instant) {
+        let own = &self.settings.own.node;
+        let mut seats = self.lease.seats().iter();
+        if self.is_synced {
+            return;
+        }
+        if seats.any(|seat| seat.is_live && seat.holder.node != *own) {
+            self.news.alone_at.get_or_insert(now + ALONE);
+        } else {
+            self.set_synced();
+        }
+    }
+
     pub(crate) fn step_gate(&mut self, now: Instant) {
+        if self.news.alone_at.is_some_and(|at| now >= at) {
+            self.set_synced();
+        }
         let was_open = self.gate.is_open();
         let held = self.version();
         if self.gate.pass(held, now) && !was_open {
--- a/crates/fleet/tests/joining.rs
+++ b/crates/fleet/tests/joining.rs
@@ -5,14 +5,14 @@
 use fleet::bootstrap::Gate;
 use fleet::bucket::Bucket;
 use fleet::parent::{Candidates, Source};
-use fleet::{Action, Answer, Event, LinkKey, Node, Peer, Request, Settings};
+use fleet::{Action, Answer, Event, LinkKey, Node, Peer, Request, Seat, Settings};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use smol_str::SmolStr;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
-use wire::control::Frame;
+use wire::control::{BUCKETS, Frame};
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -118,13 +118,16 @@
     assert!(gate.pass(Version(7), start), "the platform needs no second");
 }
 
-/// A node that has just connected to its seed.
-fn connected(now: Instant) -> (Node, LinkKey) {
-    let peer = |node: &str, port| Peer {
+fn peer(node: &str, port: u16) -> Peer {
+    Peer {
         node: node.into(),
         zone: "a".into(),
         address: address(port),
-    };
+    }
+}
+
+/// A node that looks for its place, a second after its start.
+fn searching(now: Instant) -> Node {
     let settings = Settings {
         own: peer("vm-1", 1),
         region: "r".into(),
@@ -135,6 +138,12 @@
     };
     let mut node = Node::new(settings, 1, now);
     node.handle(now + Duration::from_secs(1), Event::Wake);
+    node
+}
+
+/// A node that has just connected to its seed.
+fn connected(now: Instant) -> (Node, LinkKey) {
+    let mut node = searching(now);
     let failed = Event::Platform(Answer::Failed(Request::Leases));
     let later = now + Duration::from_secs(2);
     let mut actions = node.handle(now + Duration::from_secs(1), failed);
@@ -187,3 +196,57 @@
         .any(|action| matches!(action, Action::Close { link: closed } if *closed == link));
     assert!(left && node.path().is_empty(), "{actions:?}");
 }
+
+// A root's VM is restarted under load and takes up its lease again. It served
+// at once by the platform's version with its own backend server alone: until
+// it met another root, its callers were told that no other service had an
+// endpoint. Cause: the platform's word on the version counted as one on endpoints.
+#[yare::parameterized(
+    met = { true, true },
+    silent = { true, false },
+    alone = { false, false },
+)]
+fn endpoints_first(is_other_known: bool, is_met: bool) {
+    let start = Instant::now();
+    let mut node = searching(start);
+    let seat = |slot, name: &str, port| Seat {
+        slot,
+        holder: peer(name, port),
+        is_live: true,
+    };
+    let mut seats = vec![seat(0, "vm-1", 1)];
+    seats.extend(is_other_known.then(|| seat(1, "vm-2", 2)));
+    let granted_at = start + Duration::from_secs(1);
+    let installs = |actions: &[Action]| {
+        let is_view = |action: &Action| matches!(action, Action::Install(_));
+        actions.iter().any(is_view)
+    };
+    let mut answer = |answer| node.handle(granted_at, Event::Platform(answer));
+    answer(Answer::Leases(seats));
+    answer(Answer::Granted { slot: 0 });
+    let actions = answer(Answer::Head(Version(0)));
+    assert_eq!(installs(&actions), !is_other_known);
+    let later = granted_at + 1_900 * MS;
+    assert!(!installs(&node.handle(later, Event::Wake)));
+    if is_met {
+        let link = node.accept(peer("vm-2", 2), later);
+        for frame in [
+            Frame::Meet {
+                address: address(2),
+                version: Version(0),
+            },
+            Frame::Sums {
+                sums: vec![0; BUCKETS],
+                is_reply: true,
+            },
+        ] {
+            node.handle(later, Event::Frame { link, frame });
+        }
+        assert!(installs(&node.handle(later + 60 * MS, Event::Wake)));
+    } else if is_other_known {
+        let limit = granted_at + Duration::from_secs(2);
+        let mut actions = node.handle(limit, Event::Wake);
+        actions.extend(node.handle(limit + 60 * MS, Event::Wake));
+        assert!(installs(&actions), "the wait has a limit");
+    }
+}
