Take callers' connections only with routes, and close the listener over none

Now it binds the address at the start and listens once it has routes, or after [limits] routes_wait (5 s) to say plainly that there are none.

Ruled out: holding calls until routes come, since other nodes can serve them at once; closing the listener at the start of leaving, which meets the same race sooner. Left: a connection that the system takes between the last accept and the close, a few microseconds, is reset.

The test just_connected was red with the third guard out. The program's tests set routes_wait to 1 ms, as they have no platform; before, the node listened from the start, which is what the first change ends.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -9,9 +9,8 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 
 /// Longest wait for the platform to take the outcomes of keyed calls at a stop.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(2);
@@ -41,7 +40,7 @@
 where
     C: Clock,
 {
-    let callers = bind(settings.callers).await?;
+    let callers = bind_unheard(settings.callers)?;
     let backend = bind(settings.backend).await?;
     let peers = bind(settings.nodes).await?;
     let operators = bind(settings.operators).await?;
@@ -59,13 +58,12 @@
     );
     let announce = announce::spawn(backend, Arc::clone(&shared))?;
     let operate = operate::spawn(operators, Arc::clone(&shared))?;
-    let outbound = outbound::spawn(
+    let outbound = outbound::spawn_with_routes(
         callers,
         Arc::clone(&shared),
         inbound.clone(),
         reserve.clone(),
     )?;
-    shared.listening.store(true, Ordering::Release);
     info!(node = shared.settings.name.as_str(), zone = shared.settings.zone.as_str(); "started");
     Ok(Handle {
         shared,
@@ -109,9 +107,26 @@
     }
 }
 
+/// Binds an address without taking connections yet, so that a taken one is found at the start.
+fn bind_unheard(address: SocketAddr) -> io::Result<TcpSocket> {
+    let bound = || {
+        let socket = match address {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        // Connections of the process before may still be closing.
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        Ok(socket)
+    };
+    bound().map_err(|error| name_address(address, &error))
+}
+
 async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
-    match TcpListener::bind(address).await {
-        Ok(listener) => Ok(listener),
-        Err(error) => Err(io::Error::new(error.kind(), format!("{address}: {error}"))),
-    }
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|error| name_address(address, &error))
+}
+
+fn name_address(address: SocketAddr, error: &io::Error) -> io::Error {
+    io::Error::new(error.kind(), format!("{address}: {error}"))
 }
--- a/crates/node/src/outbound.rs
+++ b/crates/node/src/outbound.rs
@@ -9,7 +9,7 @@
 use crate::reserve;
 use crate::shared::Shared;
 use clock::Clock;
-use config::ServiceKey;
+use config::{ServiceKey, Version};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -18,8 +18,9 @@
 use std::net::{IpAddr, SocketAddr};
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 use wire::{Hello, Link, PROTOCOL};
 
@@ -36,6 +37,19 @@
 /// time, and are told in the answer that the connection ends.
 const LAME_DUCK: Duration = Duration::from_secs(1);
 
+/// How long a closing node waits for the first request of a connection: many
+/// round trips of the farthest callers, who are 8 ms away.
+///
+/// A connection that was taken a moment ago mostly has its request on the way;
+/// closed at once, its caller can't tell whether that ran.
+const FIRST_REQUEST: Duration = Duration::from_millis(250);
+
+/// Time between two looks for the first routes: short beside the start of a process.
+const ROUTES_POLL: Duration = Duration::from_millis(10);
+
+/// Connections that the system takes before they are accepted, as in tokio.
+const BACKLOG: u32 = 1_024;
+
 /// Pause after a failed accept, so that running out of sockets does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -74,6 +88,8 @@
     LameDuck,
     /// Nothing new is taken.
     Closing,
+    /// The listener is closed.
+    Closed,
 }
 
 /// Starts to serve callers on `listener`.
@@ -90,7 +106,84 @@
 where
     C: Clock,
 {
-    let address = listener.local_addr()?;
+    let handle = build(listener.local_addr()?, shared, inbound, reserve);
+    let inner = Arc::clone(&handle.inner);
+    tokio::spawn(async move {
+        accept(listener, &inner).await;
+        inner.advance(Stage::Closed);
+    });
+    Ok(handle)
+}
+
+/// Starts to serve callers on the address that `socket` is bound to, once there are routes.
+///
+/// Guards against a node that is restarted under load: its callers come back
+/// with the first connection that it takes, and before the configuration has
+/// come it could only send them away. A connection that is refused tells them
+/// that nothing was sent, so they go to another node. A node that gets no
+/// configuration takes them after `[limits] routes_wait` and says so.
+///
+/// # Errors
+///
+/// When the socket has no address.
+pub fn spawn_with_routes<C>(
+    socket: TcpSocket,
+    shared: Arc<Shared<C>>,
+    inbound: inbound::Handle<C>,
+    reserve: reserve::Handle<C>,
+) -> std::io::Result<Handle<C>>
+where
+    C: Clock,
+{
+    let handle = build(socket.local_addr()?, shared, inbound, reserve);
+    let inner = Arc::clone(&handle.inner);
+    tokio::spawn(async move {
+        accept_with_routes(socket, &inner).await;
+        inner.advance(Stage::Closed);
+    });
+    Ok(handle)
+}
+
+async fn accept_with_routes<C>(socket: TcpSocket, inner: &Arc<Inner<C>>)
+where
+    C: Clock,
+{
+    let mut stage = inner.stage.subscribe();
+    tokio::select! {
+        () = wait_routes(&inner.shared) => {}
+        () = wait_closing(&mut stage) => return,
+    }
+    match socket.listen(BACKLOG) {
+        Ok(listener) => {
+            inner.shared.listening.store(true, Ordering::Release);
+            accept(listener, inner).await;
+        }
+        Err(error) => log::error!(error:%; "listen_failed"),
+    }
+}
+
+async fn wait_routes<C>(shared: &Shared<C>)
+where
+    C: Clock,
+{
+    let arrived = async {
+        while shared.view.load().version() == Version::ZERO {
+            tokio::time::sleep(ROUTES_POLL).await;
+        }
+    };
+    // Without routes in time, callers are told so.
+    drop(tokio::time::timeout(shared.settings.routes_wait, arrived).await);
+}
+
+fn build<C>(
+    address: SocketAddr,
+    shared: Arc<Shared<C>>,
+    inbound: inbound::Handle<C>,
+    reserve: reserve::Handle<C>,
+) -> Handle<C>
+where
+    C: Clock,
+{
     let connections = usize::from(shared.settings.connections);
     let hello = Hello {
         protocol: PROTOCOL,
@@ -115,8 +208,7 @@
         keyed: Arc::new(Semaphore::new(connections)),
         stage: watch::Sender::new(Stage::Serving),
     });
-    tokio::spawn(accept(listener, Arc::clone(&inner)));
-    Ok(Handle { inner, address })
+    Handle { inner, address }
 }
 
 impl<C> Handle<C>
@@ -131,11 +223,14 @@
 
     /// Ends the connections of callers as their answers end, and gives how many are left at `timeout`.
     pub async fn drain(&self, timeout: Duration) -> usize {
-        self.inner.stage.send_replace(Stage::LameDuck);
+        self.inner.advance(Stage::LameDuck);
         let all = u32::from(self.inner.shared.settings.connections);
         let ended = async {
             tokio::time::sleep(LAME_DUCK.min(timeout / 2)).await;
-            self.inner.stage.send_replace(Stage::Closing);
+            self.inner.advance(Stage::Closing);
+            // Waiting for all permits keeps every further one from the listener.
+            let mut stage = self.inner.stage.subscribe();
+            drop(stage.wait_for(|stage| *stage == Stage::Closed).await);
             drop(self.inner.connections.acquire_many(all).await);
             drop(self.inner.keyed.acquire_many(all).await);
         };
@@ -155,6 +250,10 @@
         Arc::clone(&self.keyed).try_acquire_owned().ok()
     }
 
+    fn advance(&self, stage: Stage) {
+        self.stage.send_modify(|now| *now = stage.max(*now));
+    }
+
     fn count_open(&self) -> usize {
         let all = usize::from(self.shared.settings.connections);
         let taken = |limit: &Semaphore| all - limit.available_permits();
@@ -162,22 +261,33 @@
     }
 }
 
-async fn accept<C>(listener: TcpListener, inner: Arc<Inner<C>>)
+/// Takes connections until the node closes, and then those that the system has taken already.
+///
+/// Guards against a listener that is closed over connections which wait in the
+/// system's queue: these are reset, and a caller who has sent its request on
+/// one can't tell whether it ran.
+async fn accept<C>(listener: TcpListener, inner: &Arc<Inner<C>>)
 where
     C: Clock,
 {
     let mut stage = inner.stage.subscribe();
     loop {
-        let Ok(permit) = Arc::clone(&inner.connections).acquire_owned().await else {
+        let permit = tokio::select! {
+            biased;
+            permit = Arc::clone(&inner.connections).acquire_owned() => permit,
+            () = wait_closing(&mut stage) => return,
+        };
+        let Ok(permit) = permit else {
             return;
         };
         let accepted = tokio::select! {
+            biased;
             accepted = listener.accept() => accepted,
-            _ = stage.wait_for(|stage| *stage == Stage::Closing) => return,
+            () = wait_closing(&mut stage) => return,
         };
         match accepted {
             Ok((stream, peer)) => {
-                let inner = Arc::clone(&inner);
+                let inner = Arc::clone(inner);
                 tokio::spawn(async move {
                     serve_connection(stream, peer.ip(), inner).await;
                     drop(permit);
@@ -201,7 +311,10 @@
     let head_timeout = inner.shared.settings.head_timeout;
     let bad_requests = inner.shared.metrics.bad_requests(LISTENER);
     let mut stage = inner.stage.subscribe();
+    let asked = Arc::new(AtomicBool::new(false));
+    let asks = Arc::clone(&asked);
     let service = service_fn(move |request| {
+        asks.store(true, Ordering::Relaxed);
         let inner = Arc::clone(&inner);
         async move {
             let mut response = outbound_call::serve(&inner, request, peer).await;
@@ -216,10 +329,14 @@
         .header_read_timeout(head_timeout)
         .max_buf_size(MAX_HEAD)
         .serve_connection(TokioIo::new(stream), service);
-    let early = tokio::select! {
+    let mut early = tokio::select! {
         ended = &mut connection => Some(ended),
         () = wait_closing(&mut stage) => None,
     };
+    if early.is_none() && !asked.load(Ordering::Relaxed) {
+        let first = tokio::time::timeout(FIRST_REQUEST, &mut connection);
+        early = first.await.ok();
+    }
     let ended = if let Some(ended) = early {
         ended
     } else {
@@ -233,7 +350,7 @@
 
 async fn wait_closing(stage: &mut watch::Receiver<Stage>) {
     // The sender lives as long as the proxy.
-    drop(stage.wait_for(|stage| *stage == Stage::Closing).await);
+    drop(stage.wait_for(|stage| *stage >= Stage::Closing).await);
 }
 
 fn end_connection<C>(response: &mut http::Response<Body<C>>)
--- a/crates/node/tests/calls/ending.rs
+++ b/crates/node/tests/calls/ending.rs
@@ -158,6 +158,31 @@
     assert!(answer.contains("\"request\":\"r1\""), "{answer}");
 }
 
+// A caller connects to a node that is stopped for an update, and its request is
+// on the way when the node closes. It must get the whole answer: the connection
+// was closed under it, and it could not tell whether the call had run.
+#[tokio::test]
+async fn just_connected() {
+    let (near, _far, _record) = spawn_pair().await;
+    let address = near.outbound.address();
+    let mut caller = TcpStream::connect(address).await.unwrap();
+    let asking = async {
+        while TcpStream::connect(address).await.is_ok() {
+            // Looks on until the node has closed its listener.
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let head = "POST /jobs/1 HTTP/1.1\r\nhost: m\r\nx-request: r1\r\ncontent-length: 0\r\n\r\n";
+        caller.write_all(head.as_bytes()).await.unwrap();
+        let mut answer = String::new();
+        caller.read_to_string(&mut answer).await.unwrap();
+        answer
+    };
+    let (left, answer) = tokio::join!(near.outbound.drain(Duration::from_secs(5)), asking);
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(answer.contains("connection: close"), "{answer}");
+    assert_eq!(left, 0);
+}
+
 // A backend server dies half way through an answer. The caller must see that
 // it is cut off, not take the half for the whole.
 #[yare::parameterized(
--- a/crates/node/tests/program.rs
+++ b/crates/node/tests/program.rs
@@ -44,7 +44,7 @@
              [listen]\ncallers = {ip}:{CALLERS}\nbackend = {ip}:{BACKEND}\n\
              nodes = {ip}:{NODES}\noperators = {ip}:{OPERATORS}\n\
              [fleet]\nplatform = {ip}:7100\n\
-             [limits]\ndrain_timeout = 1 min\n{limits}[operators]\ntoken = 0123456789abcdef\n"
+             [limits]\ndrain_timeout = 1 min\nroutes_wait = 1 ms\n{limits}[operators]\ntoken = 0123456789abcdef\n"
         );
         fs::write(&settings, text).unwrap();
         let log = fs::File::create(folder.path().join("log")).unwrap();
@@ -56,7 +56,10 @@
             .spawn()
             .unwrap();
         let node = Self { child, ip, folder };
-        wait_until("alive", || node.try_get(OPERATORS, "/healthz").is_some());
+        wait_until("listening", || {
+            let ready = node.try_get(OPERATORS, "/readyz");
+            ready.is_some_and(|answer| !answer.contains("listeners do not run yet"))
+        });
         node
     }
 
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -40,6 +40,8 @@
         [limits] connections: u16 = "4096";
         /// Longest wait for the head of a caller's request, against callers that never end theirs.
         [limits] head_timeout: Duration = "30 s";
+        /// How long a new process takes no connections of callers while it has no routes yet, so that they go to other nodes; then it tells them to come back.
+        [limits] routes_wait: Duration = "5 s";
         /// Threads that serve calls; a VM's node shares its cores with the backend server.
         [limits] threads: u16 = "2";
         /// Token that operators' writes must carry.
