--- a/crates/node/src/outbound_send.rs
+++ b/crates/node/src/outbound_send.rs
@@ -12,7 +12,7 @@
 use call::{Id, Verdict};
 use clock::Clock;
 use config::Endpoint;
-use http::{HeaderValue, Response, StatusCode, request};
+use http::{HeaderValue, Response, StatusCode, header, request};
 use policy::retry;
 use smol_str::SmolStr;
 use std::future::poll_fn;
@@ -64,7 +64,7 @@
     pub(crate) async fn settle(self) -> Result<Response<Body<C>>, Refused> {
         match self {
             Self::Remote(mut sent) => match poll_fn(|cx| sent.poll_head(cx)).await {
-                Ok(answer) => Ok(respond_remote(answer, sent)),
+                Ok(answer) => Ok(respond_remote(read_head(answer), sent)),
                 Err(refusal) => Err(refusal.into()),
             },
             Self::Local(receiver) => match receiver.await {
@@ -110,7 +110,8 @@
         ready: (!body.ready.is_empty()).then_some(body.ready),
         rest: body.rest.map_or(Rest::Done, Rest::Caller),
     };
-    name_try(&mut request, inner.links.next_id());
+    let id = inner.links.next_id();
+    name_try(&mut request, id);
     let ended = if plan.key.is_some() {
         let mut call = inner.inbound.spawn_local(request, upload, plan.deadline);
         match tokio::time::timeout(left(inner, plan.deadline), &mut call).await {
@@ -122,21 +123,40 @@
         let call = inner.inbound.call_local(request, upload, plan.deadline);
         call.await
     };
+    let back = whole.then_some(outbound_sent::Body {
+        ready: kept,
+        rest: None,
+    });
     match ended {
         Ok(response) => {
             let load = f64::from(response.body().load_percent()) / 100.0;
-            Tried::Answered(respond_local(response), Some(load))
-        }
-        Err(refused) => {
-            let back = whole.then_some(outbound_sent::Body {
-                ready: kept,
-                rest: None,
-            });
-            Tried::Refused(refused, back)
+            match find_refusal(&response, id) {
+                Some(refused) => Tried::Refused(refused, back),
+                None => Tried::Answered(respond_local(response), Some(load)),
+            }
         }
+        Err(refused) => Tried::Refused(refused, back),
     }
 }
 
+/// Finds a backend server's own word that it sheds the try `id`, which it has not begun with.
+///
+/// It names the try, because many a backend server passes on the answer of a
+/// call that it made itself, headers and all: that one did not run, but the
+/// work before it did, and would be done again.
+fn find_refusal<B>(response: &Response<B>, id: Id) -> Option<Refused> {
+    let headers = response.headers();
+    let names_try = *headers.get(CALL_HEADER)? == *id.to_string();
+    let not_begun = names_try && headers.get(VERDICT_HEADER)? == Verdict::NotRun.as_str();
+    let seconds = response.headers().get(header::RETRY_AFTER);
+    let seconds = seconds.and_then(|value| value.to_str().ok()?.parse::<u32>().ok());
+    let wait = seconds.map_or(UNREACHABLE_RETRY_MS, |seconds| {
+        seconds.saturating_mul(1_000)
+    });
+    (not_begun && response.status() == StatusCode::SERVICE_UNAVAILABLE)
+        .then(|| not_run(Reason::Full, wait))
+}
+
 async fn try_remote<C>(
     inner: &Arc<Inner<C>>,
     plan: &Plan,
@@ -184,27 +204,30 @@
     match tokio::time::timeout(left(inner, plan.deadline), waiting).await {
         Ok(Ok(answer)) => {
             let load = f64::from(answer.load_percent) / 100.0;
-            Tried::Answered(respond_remote(answer, sent), Some(load))
-        }
-        Ok(Err(refusal)) => {
-            let back = (!sent.used).then(|| outbound_sent::Body {
-                ready: kept,
-                rest: sent.body.rest.take(),
-            });
-            Tried::Refused(refusal.into(), back)
+            let id = answer.id;
+            let head = read_head(answer);
+            match find_refusal(&head, id) {
+                Some(refused) => Tried::Refused(refused, sent.take_back(kept)),
+                None => Tried::Answered(respond_remote(head, sent), Some(load)),
+            }
         }
+        Ok(Err(refusal)) => Tried::Refused(refusal.into(), sent.take_back(kept)),
         Err(_) => Tried::Late(Late::Remote(sent)),
     }
 }
 
-fn respond_remote<C>(answer: wire::call::Answer, sent: Sent) -> Response<Body<C>>
+fn read_head(answer: wire::call::Answer) -> Response<()> {
+    let mut head = Response::new(());
+    *head.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    put_headers(answer.headers, head.headers_mut());
+    head
+}
+
+fn respond_remote<C>(head: Response<()>, sent: Sent) -> Response<Body<C>>
 where
     C: Clock,
 {
-    let mut response = Response::new(Body::Remote(Remote(sent)));
-    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
-    put_headers(answer.headers, response.headers_mut());
-    finish_answer(response)
+    finish_answer(head.map(|()| Body::Remote(Remote(sent))))
 }
 
 fn respond_local<C>(response: Response<Running<C>>) -> Response<Body<C>>
@@ -259,7 +282,7 @@
     });
 }
 
-/// Adds the verdict to a backend server's answer, unless it has given its own.
+/// Adds the verdict to a backend server's answer, in place of one that it passed on.
 ///
 /// A backend server that sheds load says 503 and does not say whether it began.
 fn finish_answer<B>(mut response: Response<B>) -> Response<B> {
@@ -268,10 +291,7 @@
         _ => Verdict::Ran,
     };
     let verdict = HeaderValue::from_static(verdict.as_str());
-    response
-        .headers_mut()
-        .entry(VERDICT_HEADER)
-        .or_insert(verdict);
+    response.headers_mut().insert(VERDICT_HEADER, verdict);
     response
 }
 
