Draw the time to come back where a refusal has none measured

Cause: one that leaves measures no wait, so its callers were told 1 ms, all of them; those of a service that can't be reached were told 500 ms, all of them. They return in step, and in the first case at once, for as long as a restart takes.

Change: the answer to the caller draws a wait of 0.5 to 1 s for every "not run" that has none of its own. Waits from the measured drain rate and of reservations stay as they are. Refusals whose cause is in the request (no such route, a body cut off) still tell none: the call is no better later.

Before: both cases of told_when red (1 ms in the trial with the draw taken out), after: green.

--- a/crates/node/src/outbound_answer.rs
+++ b/crates/node/src/outbound_answer.rs
@@ -8,10 +8,12 @@
 use clock::Clock;
 use http::{HeaderName, HeaderValue, Response, StatusCode, header};
 use http_body::{Frame, SizeHint};
+use policy::backoff;
 use quick_error::quick_error;
 use serde::Serialize;
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::time::Duration;
 use wire::call::{Reason, Refusal};
 
 /// Header with the verdict.
@@ -20,6 +22,14 @@
 /// Header beside `Retry-After`, which knows only whole seconds, in milliseconds.
 pub const RETRY_AFTER_HEADER: HeaderName = HeaderName::from_static("bluebellpick-retry-after-ms");
 
+/// When a caller is to come back for whose wait nothing was measured.
+///
+/// A VM that is restarted serves again after 1.2 s on average (`bluebellpick-bench
+/// rolling`), and the lists of endpoints follow within 0.25 s. Spread over once
+/// to twice its length, half a second mostly meets the next backend server, and
+/// callers that were refused in the same instant don't return as one.
+const UNMEASURED_WAIT: Duration = Duration::from_millis(500);
+
 quick_error! {
     /// Why an answer broke off.
     #[derive(Debug)]
@@ -131,13 +141,19 @@
         _ => StatusCode::BAD_GATEWAY,
     };
     let wait = match refused.verdict {
-        Verdict::NotRun => refused.retry_after_ms.max(1),
-        Verdict::MayHaveRun | Verdict::Ran => refused.retry_after_ms,
+        Verdict::NotRun if refused.retry_after_ms == 0 => draw_wait(),
+        Verdict::NotRun | Verdict::MayHaveRun | Verdict::Ran => refused.retry_after_ms,
     };
     tell(status, refused.verdict, name_of(refused.reason), wait)
 }
 
-/// Answers a call that was not tried, with the fault that the caller can mend.
+fn draw_wait() -> u32 {
+    let wait = backoff::spread(UNMEASURED_WAIT, &mut rand::rng());
+    u32::try_from(wait.as_millis()).unwrap_or(u32::MAX)
+}
+
+/// Answers a call that was not tried, with the fault that the caller can mend;
+/// the same call is no better later, so there is no time to come back.
 pub(crate) fn reject<C>(status: StatusCode, reason: &str) -> Response<Body<C>>
 where
     C: Clock,
--- a/crates/node/src/outbound_call.rs
+++ b/crates/node/src/outbound_call.rs
@@ -7,7 +7,7 @@
 use crate::outbound_hedge::try_first;
 use crate::outbound_keyed::serve_keyed;
 use crate::outbound_plan::{Plan, left, make_plan, take_body};
-use crate::outbound_send::{Late, Tried, UNREACHABLE_RETRY_MS, may_have_run, not_run, try_once};
+use crate::outbound_send::{Late, Tried, UNMEASURED_MS, may_have_run, not_run, try_once};
 use crate::outbound_sent;
 use crate::outbound_service::{Ask, Picked};
 use call::Verdict;
@@ -64,7 +64,7 @@
 {
     // A node that has just started knows no routes yet; that is not the caller's fault.
     if view.version() == Version::ZERO {
-        return refuse(not_run(Reason::NoRoutes, UNREACHABLE_RETRY_MS));
+        return refuse(not_run(Reason::NoRoutes, UNMEASURED_MS));
     }
     let Some(withheld) = view.find_withheld(path) else {
         return reject(StatusCode::NOT_FOUND, "no-route");
@@ -76,7 +76,7 @@
         started: inner.shared.clock.now(),
         ending: Ending::Refused(Verdict::NotRun),
     });
-    refuse(not_run(Reason::NoService, UNREACHABLE_RETRY_MS))
+    refuse(not_run(Reason::NoService, UNMEASURED_MS))
 }
 
 /// Serves one call.
@@ -155,7 +155,7 @@
 {
     let mut tried = Vec::new();
     // What the caller is told in the end: one try that may have run weighs more than any that did not.
-    let mut told = not_run(Reason::NoService, UNREACHABLE_RETRY_MS);
+    let mut told = not_run(Reason::NoService, UNMEASURED_MS);
     for tries in 1.. {
         let Some(mut picked) = pick(inner, plan, &tried) else {
             break;
--- a/crates/node/src/outbound_send.rs
+++ b/crates/node/src/outbound_send.rs
@@ -31,8 +31,8 @@
 /// both ends, and room for a busy machine.
 const VERDICT_MARGIN: Duration = Duration::from_millis(10);
 
-/// What a caller is told to wait when no backend server can be reached, in milliseconds.
-pub(crate) const UNREACHABLE_RETRY_MS: u32 = 500;
+/// The wait of a refusal that nothing was measured for; the answer to the caller draws one.
+pub(crate) const UNMEASURED_MS: u32 = 0;
 
 /// How a try ended.
 pub(crate) enum Tried<C>
@@ -150,9 +150,7 @@
     let not_begun = names_try && headers.get(VERDICT_HEADER)? == Verdict::NotRun.as_str();
     let seconds = response.headers().get(header::RETRY_AFTER);
     let seconds = seconds.and_then(|value| value.to_str().ok()?.parse::<u32>().ok());
-    let wait = seconds.map_or(UNREACHABLE_RETRY_MS, |seconds| {
-        seconds.saturating_mul(1_000)
-    });
+    let wait = seconds.map_or(UNMEASURED_MS, |seconds| seconds.saturating_mul(1_000));
     (not_begun && response.status() == StatusCode::SERVICE_UNAVAILABLE)
         .then(|| not_run(Reason::Full, wait))
 }
@@ -171,10 +169,10 @@
     let link = match tokio::time::timeout(left(inner, plan.deadline), connecting).await {
         Ok(Ok(link)) if link.node == endpoint.node && !link.is_leaving() => link,
         Ok(Ok(_)) => {
-            return Tried::Refused(not_run(Reason::Leaving, UNREACHABLE_RETRY_MS), Some(body));
+            return Tried::Refused(not_run(Reason::Leaving, UNMEASURED_MS), Some(body));
         }
         Ok(Err(_)) | Err(_) => {
-            return Tried::Refused(not_run(Reason::Backend, UNREACHABLE_RETRY_MS), Some(body));
+            return Tried::Refused(not_run(Reason::Backend, UNMEASURED_MS), Some(body));
         }
     };
     let kept = body.ready.clone();
@@ -193,10 +191,10 @@
     let one = match sent {
         Ok(one) => one,
         Err(link::Error::Full) => {
-            return Tried::Refused(not_run(Reason::Full, UNREACHABLE_RETRY_MS), Some(body));
+            return Tried::Refused(not_run(Reason::Full, UNMEASURED_MS), Some(body));
         }
         Err(_) => {
-            return Tried::Refused(not_run(Reason::Backend, UNREACHABLE_RETRY_MS), Some(body));
+            return Tried::Refused(not_run(Reason::Backend, UNMEASURED_MS), Some(body));
         }
     };
     let mut sent = Sent::new(one, link, body, first.len());
--- a/crates/node/tests/calls/ending.rs
+++ b/crates/node/tests/calls/ending.rs
@@ -236,6 +236,40 @@
     );
 }
 
+// The only backend server of a service leaves, and its callers are told to come
+// back after a millisecond, all of them: they hammered the node for as long as
+// the restart took, in step. Cause: the one that leaves measures no wait, and
+// the outbound proxy passed that on.
+#[yare::parameterized(leaving = { true }, gone = { false })]
+#[test_macro(tokio::test)]
+async fn told_when(is_there: bool) {
+    let (near, far, _record) = spawn_pair().await;
+    if is_there {
+        let own = &far.shared.backend;
+        own.send_modify(|own| own.as_mut().unwrap().leaving = true);
+    } else {
+        let (closed, address) = bind().await;
+        drop(closed);
+        near.serve_by("jobs", Repeat::Never, &[far.endpoint("jobs", address)]);
+    }
+    let mut waits = Vec::new();
+    for index in 0..20 {
+        let address = near.outbound.address();
+        let answer = post(address, &format!("r{index}"), "0", "1000").await;
+        assert_eq!(answer.verdict(), "not-run");
+        let header = &answer.headers["bluebellpick-retry-after-ms"];
+        waits.push(header.to_str().unwrap().parse::<u64>().unwrap());
+        assert_eq!(answer.headers["retry-after"], "1");
+    }
+    assert!(
+        waits.iter().all(|wait| (500..=1_000).contains(wait)),
+        "{waits:?}"
+    );
+    waits.sort_unstable();
+    waits.dedup();
+    assert!(waits.len() > 10, "in step: {waits:?}");
+}
+
 // A backend server is restarted for an update while its node stays. Calls must
 // reach it again once it is back; it stood idle while the others were full.
 // Cause: what had once said that it leaves was never asked again.
