--- a/crates/node/tests/calls/main.rs
+++ b/crates/node/tests/calls/main.rs
@@ -1,6 +1,7 @@
 //! Calls through nodes in one process: whole answers, silent links, early ends.
 
 mod ending;
+mod feed;
 mod forward;
 mod hedge;
 mod keyed;
