--- a/crates/fleet/src/duty.rs
+++ b/crates/fleet/src/duty.rs
@@ -174,11 +174,12 @@
         }
     }
 
-    pub(crate) fn on_head(&mut self, version: Version) {
+    pub(crate) fn on_head(&mut self, now: Instant, version: Version) {
         self.gate.hear_platform(version);
         self.news.head = self.news.head.max(version);
-        // Nobody else need be there who could tell a root of endpoints.
-        self.is_synced |= self.lease.is_held();
+        if self.lease.is_held() {
+            self.sync_alone(now);
+        }
     }
 
     pub(crate) fn on_platform_step(
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -282,7 +282,7 @@
             Answer::Granted { slot } => self.on_granted(now, slot),
             Answer::Lost { slot } => self.on_lost(now, slot),
             Answer::Failed(request) => self.on_failed(now, request),
-            Answer::Head(version) => self.on_head(version),
+            Answer::Head(version) => self.on_head(now, version),
             Answer::Step {
                 version,
                 patch,
--- a/crates/node/tests/calls/ending.rs
+++ b/crates/node/tests/calls/ending.rs
@@ -158,6 +158,31 @@
     assert!(answer.contains("\"request\":\"r1\""), "{answer}");
 }
 
+// A caller connects to a node that is stopped for an update, and its request is
+// on the way when the node closes. It must get the whole answer: the connection
+// was closed under it, and it could not tell whether the call had run.
+#[tokio::test]
+async fn just_connected() {
+    let (near, _far, _record) = spawn_pair().await;
+    let address = near.outbound.address();
+    let mut caller = TcpStream::connect(address).await.unwrap();
+    let asking = async {
+        while TcpStream::connect(address).await.is_ok() {
+            // Looks on until the node has closed its listener.
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let head = "POST /jobs/1 HTTP/1.1\r\nhost: m\r\nx-request: r1\r\ncontent-length: 0\r\n\r\n";
+        caller.write_all(head.as_bytes()).await.unwrap();
+        let mut answer = String::new();
+        caller.read_to_string(&mut answer).await.unwrap();
+        answer
+    };
+    let (left, answer) = tokio::join!(near.outbound.drain(Duration::from_secs(5)), asking);
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(answer.contains("connection: close"), "{answer}");
+    assert_eq!(left, 0);
+}
+
 // A backend server dies half way through an answer. The caller must see that
 // it is cut off, not take the half for the whole.
 #[yare::parameterized(
@@ -211,6 +236,40 @@
     );
 }
 
+// The only backend server of a service leaves, and its callers are told to come
+// back after a millisecond, all of them: they hammered the node for as long as
+// the restart took, in step. Cause: the one that leaves measures no wait, and
+// the outbound proxy passed that on.
+#[yare::parameterized(leaving = { true }, gone = { false })]
+#[test_macro(tokio::test)]
+async fn told_when(is_there: bool) {
+    let (near, far, _record) = spawn_pair().await;
+    if is_there {
+        let own = &far.shared.backend;
+        own.send_modify(|own| own.as_mut().unwrap().leaving = true);
+    } else {
+        let (closed, address) = bind().await;
+        drop(closed);
+        near.serve_by("jobs", Repeat::Never, &[far.endpoint("jobs", address)]);
+    }
+    let mut waits = Vec::new();
+    for index in 0..20 {
+        let address = near.outbound.address();
+        let answer = post(address, &format!("r{index}"), "0", "1000").await;
+        assert_eq!(answer.verdict(), "not-run");
+        let header = &answer.headers["bluebellpick-retry-after-ms"];
+        waits.push(header.to_str().unwrap().parse::<u64>().unwrap());
+        assert_eq!(answer.headers["retry-after"], "1");
+    }
+    assert!(
+        waits.iter().all(|wait| (500..=1_000).contains(wait)),
+        "{waits:?}"
+    );
+    waits.sort_unstable();
+    waits.dedup();
+    assert!(waits.len() > 10, "in step: {waits:?}");
+}
+
 // A backend server is restarted for an update while its node stays. Calls must
 // reach it again once it is back; it stood idle while the others were full.
 // Cause: what had once said that it leaves was never asked again.
