--- a/crates/bench/src/state.rs
+++ b/crates/bench/src/state.rs
@@ -46,6 +46,10 @@
 /// Endpoint events taken together in one tick of the feeder.
 const TICK: Duration = Duration::from_millis(20);
 
+/// Children that can be played: the node is a root, which takes sixteen, and
+/// one link is there for the fleet's state.
+const MOST_CHILDREN: usize = 15;
+
 /// What to measure.
 #[derive(Debug, Clone, Copy)]
 pub struct Plot {
@@ -110,7 +114,10 @@
     let children = long("children")
         .help("Children that the node relays to")
         .argument::<usize>("COUNT")
-        .guard(|children| *children < 24, "fewer than 24")
+        .guard(
+            |children| *children <= MOST_CHILDREN,
+            "at most 15: the node is its zone's root",
+        )
         .fallback(0)
         .display_fallback();
     let speed = long("speed")
