--- a/crates/bench/src/converge.rs
+++ b/crates/bench/src/converge.rs
@@ -7,6 +7,7 @@
 use crate::deployment::{Deployment, Plan, Vm, put_route};
 use crate::error::Error;
 use crate::node::{self, Installed, Metrics};
+use crate::options;
 use crate::proposer::{Proposer, name_service};
 use crate::relay;
 use bpaf::{Parser, construct, long};
@@ -152,15 +153,7 @@
         .argument::<usize>("COUNT")
         .fallback(20)
         .display_fallback();
-    let services = long("services")
-        .help("Services, and routes, of the configuration")
-        .argument::<usize>("COUNT")
-        .guard(
-            |services| (2..=2_000).contains(services),
-            "between 2 and 2000",
-        )
-        .fallback(410)
-        .display_fallback();
+    let services = options::parse_services();
     let distribution = long("distribution")
         .help("How versions come: tree, or one of the baselines whole and watch")
         .argument::<String>("WAY")
--- a/crates/bench/src/options.rs
+++ b/crates/bench/src/options.rs
@@ -12,3 +12,20 @@
         .display_fallback()
         .map(Duration::from_secs)
 }
+
+/// Services of the fleet that the project is designed for.
+const SERVICES: usize = 410;
+
+/// Reads how many services the configuration has.
+#[must_use]
+pub fn parse_services() -> impl Parser<usize> {
+    long("services")
+        .help("Services, and routes, of the configuration")
+        .argument::<usize>("COUNT")
+        .guard(
+            |services| (2..=2_000).contains(services),
+            "between 2 and 2000",
+        )
+        .fallback(SERVICES)
+        .display_fallback()
+}
--- a/crates/bench/src/state.rs
+++ b/crates/bench/src/state.rs
@@ -1,4 +1,4 @@
-//! What the letter's state and churn cost one node: memory, processor time and control bytes.
+//! What a large fleet's state and churn cost one node: memory, processor time and control bytes.
 //!
 //! One real node is fed by a link of this tool's, which plays a child that
 //! knows the whole fleet, while further links play children that are relayed to.
@@ -59,7 +59,7 @@
     pub endpoints: usize,
     /// Children that the node relays to, besides the feeder.
     pub children: usize,
-    /// Times the letter's rates.
+    /// Times the churn of 14,000 nodes.
     pub speed: f64,
     /// How long.
     pub duration: Duration,
@@ -74,7 +74,7 @@
     pub endpoints: usize,
     /// Children that it relays to, besides the feeder.
     pub children: usize,
-    /// Times the letter's rates.
+    /// Times the churn of 14,000 nodes.
     pub speed: f64,
     /// Versions that came while it was measured.
     pub versions: usize,
@@ -93,15 +93,7 @@
 /// Reads what to measure from the command line.
 #[must_use]
 pub fn parse() -> impl Parser<Plot> {
-    let services = long("services")
-        .help("Services, and routes, of the configuration")
-        .argument::<usize>("COUNT")
-        .guard(
-            |services| (2..=2_000).contains(services),
-            "between 2 and 2000",
-        )
-        .fallback(410)
-        .display_fallback();
+    let services = options::parse_services();
     let endpoints = long("endpoints")
         .help("Endpoints of the fleet")
         .argument::<usize>("COUNT")
@@ -189,7 +181,7 @@
     })
 }
 
-/// Sends announcements and proposes versions at the letter's rates times the speed.
+/// Sends announcements and proposes versions at the rates of 14,000 nodes times the speed.
 async fn churn(
     plot: Plot,
     feeder: &Arc<Mutex<OwnedWriteHalf>>,
