--- a/crates/node/src/control_tree.rs
+++ b/crates/node/src/control_tree.rs
@@ -283,16 +283,6 @@
 
     fn read_distribution(&self) -> status::Distribution {
         let counters = self.node.counters();
-        let fleet = self.node.fleet();
-        let counts = fleet.counts.iter().map(|count| status::Count {
-            version: count.version,
-            nodes: count.nodes,
-        });
-        let refusals = fleet.refusals.iter().map(|refusal| status::Refusal {
-            node: refusal.node.clone(),
-            version: refusal.version,
-            reason: refusal.reason.clone(),
-        });
         status::Distribution {
             held: self.node.version(),
             path: self.node.path().to_vec(),
@@ -304,11 +294,7 @@
             departures: counters.departures,
             views: counters.views,
             reverts: self.shared.metrics.control.reverts.get(),
-            fleet: status::Fleet {
-                counts: counts.collect(),
-                laggards: fleet.laggards,
-                refusals: refusals.collect(),
-            },
+            fleet: self.node.fleet(),
         }
     }
 
--- a/crates/status/src/lib.rs
+++ b/crates/status/src/lib.rs
@@ -39,12 +39,12 @@
     pub reason: SmolStr,
 }
 
-/// What the whole fleet holds, as far as a node was told.
+/// What a fleet, or a part of it, holds, in bounded size.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Fleet {
     /// Nodes per version, lowest first.
     pub counts: Vec<Count>,
-    /// Some of the nodes that are behind.
+    /// Some of the nodes that are behind the highest version.
     pub laggards: Vec<SmolStr>,
     /// Some of the versions that could not be applied.
     pub refusals: Vec<Refusal>,
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -11,6 +11,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+pub use status::{Count, Fleet as Status, Refusal};
+
 /// Bytes of a configuration in one [`Chunk`]: short enough that beats aren't held up behind it.
 pub const CHUNK: usize = 64 << 10;
 
@@ -34,37 +36,6 @@
     pub address: SocketAddr,
 }
 
-/// How many nodes hold a version.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Count {
-    /// The version.
-    pub version: Version,
-    /// Nodes that hold it.
-    pub nodes: u32,
-}
-
-/// A version that a node could not apply.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Refusal {
-    /// Name of the node.
-    pub node: SmolStr,
-    /// The version.
-    pub version: Version,
-    /// Why.
-    pub reason: SmolStr,
-}
-
-/// What a part of the fleet holds, in bounded size.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Status {
-    /// Nodes counted per version, lowest first.
-    pub counts: Vec<Count>,
-    /// Some of the nodes that are behind the highest version.
-    pub laggards: Vec<SmolStr>,
-    /// Some of the versions that could not be applied.
-    pub refusals: Vec<Refusal>,
-}
-
 /// A sign of life with what the sender holds.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Beat {
