--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -26,7 +26,6 @@
 //! assert!(matches!(actions[..], [Action::Ask(Request::Leases)]));
 //! ```
 
-pub mod backoff;
 pub mod bootstrap;
 pub mod bucket;
 pub mod departure;
--- a/crates/fleet/src/search.rs
+++ b/crates/fleet/src/search.rs
@@ -1,9 +1,9 @@
 //! The search for a parent: whom to ask, when, and when to ask the platform.
 
-use crate::backoff::Backoff;
 use crate::event::{Action, Request};
 use crate::link::{LinkKey, Purpose, Role};
 use crate::node::Node;
+use policy::backoff::Backoff;
 use rand::Rng;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
--- a/crates/fleet/tests/joining.rs
+++ b/crates/fleet/tests/joining.rs
@@ -1,11 +1,11 @@
 //! Joining: bounded admission, no cycles, and serving only by the newest version heard.
 
 use config::Version;
-use fleet::backoff::Backoff;
 use fleet::bootstrap::Gate;
 use fleet::bucket::Bucket;
 use fleet::parent::{Candidates, Source};
 use fleet::{Action, Answer, Event, LinkKey, Node, Peer, Request, Seat, Settings};
+use policy::backoff::Backoff;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use smol_str::SmolStr;
--- a/crates/platform/src/follow.rs
+++ b/crates/platform/src/follow.rs
@@ -3,7 +3,7 @@
 use crate::journal::{Loaded, Record};
 use crate::{Error, Event, Journal, Revision, Store, Watch};
 use clock::Clock;
-use rand::Rng;
+use policy::backoff::Backoff;
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -31,7 +31,8 @@
     revision: Revision,
     watch: Option<Watch>,
     ready: VecDeque<Record>,
-    failures: u32,
+    is_connected: bool,
+    backoff: Backoff,
 }
 
 impl<S, C> Follower<S, C>
@@ -48,14 +49,15 @@
             revision: Revision::default(),
             watch: None,
             ready: VecDeque::new(),
-            failures: 0,
+            is_connected: true,
+            backoff: Backoff::new(FIRST_WAIT, LAST_WAIT),
         }
     }
 
     /// Tells whether the platform answered when last asked.
     #[must_use]
     pub fn is_connected(&self) -> bool {
-        self.failures == 0
+        self.is_connected
     }
 
     /// Waits for news, through outages; numbers only grow, and none is left out.
@@ -65,9 +67,9 @@
                 return News::Record(record);
             }
             match self.advance().await {
-                Ok(None) => self.failures = 0,
+                Ok(None) => self.note_answer(),
                 Ok(Some(loaded)) => {
-                    self.failures = 0;
+                    self.note_answer();
                     return News::Reset(loaded);
                 }
                 // The events in between are gone, the records are not.
@@ -137,15 +139,19 @@
         Ok(())
     }
 
+    fn note_answer(&mut self) {
+        self.is_connected = true;
+        self.backoff.reset();
+    }
+
     /// Waits with full jitter, so that the readers of all zones don't come back at once.
     async fn pause(&mut self, error: &Error) {
-        if self.failures == 0 {
+        if self.is_connected {
             log::warn!(journal:% = self.journal.name, error:%; "platform_lost");
         }
+        self.is_connected = false;
         self.watch = None;
-        let bound = FIRST_WAIT.saturating_mul(1 << self.failures.min(16));
-        self.failures = self.failures.saturating_add(1);
-        let share = rand::rng().random_range(0.0..1.0);
-        tokio::time::sleep(bound.min(LAST_WAIT).mul_f64(share)).await;
+        let wait = self.backoff.next(&mut rand::rng());
+        tokio::time::sleep(wait).await;
     }
 }
