--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -13,6 +13,7 @@
 //! key, so a hot key spreads over all. Measured in `tests/load/slow_server.rs`,
 //! `tests/load/zone_return.rs` and `tests/load/same_figures.rs`.
 
+use crate::choice::Call;
 use crate::duration;
 use crate::outlier::{self, Others, Phase, Sample};
 use crate::server::Server;
@@ -81,36 +82,18 @@
 /// Load that a refusal stands for.
 const FULL: f64 = 1.5;
 
-/// Load of the own zone's choice from which other zones are looked at; from
-/// here to a full load ever more calls look. As the look is a matter of
-/// chance that grows steadily, no threshold makes the flow flap.
-const SPILL_FROM: f64 = 0.7;
-
-/// Times the score that a backend server elsewhere must stay under.
-const SPILL_COST: f64 = 1.5;
-
-/// Draws before one that is cold or already tried is taken as it is.
-const DRAWS: usize = 8;
-
 /// The backend servers of one service, as one outbound proxy sees them.
 #[derive(Debug)]
 pub struct Balance {
-    servers: Vec<Server>,
+    pub(crate) servers: Vec<Server>,
     free: Vec<u32>,
     known: HashMap<Identity, u32>,
     /// In the choice, nearest first.
-    tiers: [Vec<u32>; 4],
-    durations: duration::Table,
+    pub(crate) tiers: [Vec<u32>; 4],
+    pub(crate) durations: duration::Table,
     probe_due: Option<Instant>,
 }
 
-/// What a choice depends on besides the backend servers.
-struct Call<'a> {
-    now: Instant,
-    tried: &'a [Key],
-    repeatable: bool,
-}
-
 impl Balance {
     /// Makes a balance that knows no backend server.
     #[must_use]
@@ -304,115 +287,6 @@
             .min()
     }
 
-    fn choose<R>(&self, call: &Call<'_>, rng: &mut R) -> Option<u32>
-    where
-        R: Rng,
-    {
-        let mut best = None;
-        let mut cold = None;
-        for (tier, servers) in self.tiers.iter().enumerate() {
-            let Some(found) = self.choose_of(servers, call, rng) else {
-                continue;
-            };
-            // Alone in its tier, a cold one would get all that comes in on its VM.
-            let warmth = self.servers[found as usize].warmth(call.now);
-            if tier == Distance::Vm as usize && !rng.random_bool(warmth) {
-                cold = Some(found);
-                continue;
-            }
-            let Some(near) = best else {
-                best = Some(found);
-                continue;
-            };
-            best = Some(self.choose_nearer(near, found, call, rng));
-        }
-        best.or(cold).or_else(|| self.choose_last(call))
-    }
-
-    /// Chooses among those that are out, if there are no others at all.
-    ///
-    /// The floor of ejections holds when one is ejected; when the others leave
-    /// afterwards, callers would be told that there is no backend server.
-    fn choose_last(&self, call: &Call<'_>) -> Option<u32> {
-        let health = |index: u32| &self.servers[index as usize].health;
-        if self
-            .present()
-            .any(|index| health(index).phase(call.now) == Phase::In)
-        {
-            return None;
-        }
-        self.present()
-            .filter(|index| !call.tried.contains(&self.key(*index)))
-            .min_by_key(|index| health(*index).out_until())
-    }
-
-    /// Decides between the nearer and the further of two.
-    fn choose_nearer<R>(&self, near: u32, far: u32, call: &Call<'_>, rng: &mut R) -> u32
-    where
-        R: Rng,
-    {
-        let load = self.servers[near as usize].load(call.now);
-        let look = ((load - SPILL_FROM) / (1.0 - SPILL_FROM)).clamp(0.0, 1.0);
-        if !rng.random_bool(look) {
-            return near;
-        }
-        if self.score(far, call) * SPILL_COST < self.score(near, call) {
-            far
-        } else {
-            near
-        }
-    }
-
-    fn choose_of<R>(&self, tier: &[u32], call: &Call<'_>, rng: &mut R) -> Option<u32>
-    where
-        R: Rng,
-    {
-        let one = self.draw(tier, call, None, rng)?;
-        let Some(two) = self.draw(tier, call, Some(one), rng) else {
-            return Some(one);
-        };
-        let better = self.score(two, call) < self.score(one, call);
-        Some(if better { two } else { one })
-    }
-
-    /// Draws one that is in the choice, a cold one less often.
-    fn draw<R>(
-        &self,
-        tier: &[u32],
-        call: &Call<'_>,
-        except: Option<u32>,
-        rng: &mut R,
-    ) -> Option<u32>
-    where
-        R: Rng,
-    {
-        let usable = |index: u32| {
-            Some(index) != except
-                && !call.tried.contains(&self.key(index))
-                && self.servers[index as usize].health.phase(call.now) == Phase::In
-        };
-        let mut cold = None;
-        for _ in 0..DRAWS {
-            let index = *tier.get(rng.random_range(0..tier.len().max(1)))?;
-            if !usable(index) {
-                continue;
-            }
-            if rng.random_bool(self.servers[index as usize].warmth(call.now)) {
-                return Some(index);
-            }
-            cold = Some(index);
-        }
-        // Luck failed; a first choice has to be found if there is any.
-        cold.or_else(|| {
-            let found = tier.iter().copied().find(|index| usable(*index));
-            found.filter(|_| except.is_none())
-        })
-    }
-
-    fn score(&self, index: u32, call: &Call<'_>) -> f64 {
-        self.servers[index as usize].score(call.now, self.durations.mean(), call.repeatable)
-    }
-
     fn weigh<R>(&mut self, now: Instant, index: u32, sample: Sample, rng: &mut R)
     where
         R: Rng,
@@ -466,11 +340,11 @@
         }
     }
 
-    fn present(&self) -> impl Iterator<Item = u32> {
+    pub(crate) fn present(&self) -> impl Iterator<Item = u32> {
         self.tiers.iter().flatten().copied()
     }
 
-    fn key(&self, index: u32) -> Key {
+    pub(crate) fn key(&self, index: u32) -> Key {
         Key {
             index,
             generation: self.servers[index as usize].generation,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod admission;
 pub mod backoff;
 pub mod balance;
+mod choice;
 mod drain;
 pub mod duration;
 pub mod hedge;
