--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -26,7 +26,7 @@
 const FAREWELL: Duration = Duration::from_secs(1);
 
 /// The running control part of a node; clones share it.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Handle<C>
 where
     C: Clock,
@@ -36,19 +36,6 @@
     task: Arc<JoinHandle<()>>,
 }
 
-impl<C> Clone for Handle<C>
-where
-    C: Clock,
-{
-    fn clone(&self) -> Self {
-        Self {
-            shared: Arc::clone(&self.shared),
-            inbox: self.inbox.clone(),
-            task: Arc::clone(&self.task),
-        }
-    }
-}
-
 /// Starts to learn, and to announce the own backend server.
 #[must_use]
 pub fn spawn<C, S>(shared: Arc<Shared<C>>, store: S) -> Handle<C>
--- a/crates/node/src/inbound.rs
+++ b/crates/node/src/inbound.rs
@@ -30,7 +30,7 @@
 const FORGET_INTERVAL: Duration = Duration::from_secs(10);
 
 /// The inbound proxy.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Handle<C>
 where
     C: Clock,
@@ -38,17 +38,6 @@
     inner: Arc<Inner<C>>,
 }
 
-impl<C> Clone for Handle<C>
-where
-    C: Clock,
-{
-    fn clone(&self) -> Self {
-        Self {
-            inner: Arc::clone(&self.inner),
-        }
-    }
-}
-
 #[derive(Debug)]
 pub(crate) struct Inner<C>
 where
--- a/crates/node/src/reserve.rs
+++ b/crates/node/src/reserve.rs
@@ -67,7 +67,7 @@
 }
 
 /// The reservations of a node; clones share them.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Handle<C>
 where
     C: Clock,
@@ -75,17 +75,6 @@
     inner: Arc<Inner<C>>,
 }
 
-impl<C> Clone for Handle<C>
-where
-    C: Clock,
-{
-    fn clone(&self) -> Self {
-        Self {
-            inner: Arc::clone(&self.inner),
-        }
-    }
-}
-
 #[derive(Debug)]
 struct Inner<C>
 where
