--- a/crates/bench/src/converge.rs
+++ b/crates/bench/src/converge.rs
@@ -15,7 +15,7 @@
 use bpaf::{Parser, construct, long};
 use config::{Class, Repeat};
 use hdrhistogram::Histogram;
-use platform::memory::Counts;
+use store::memory::Counts;
 use serde::Serialize;
 use std::time::{Duration, Instant};
 
--- a/crates/bench/src/node.rs
+++ b/crates/bench/src/node.rs
@@ -5,7 +5,7 @@
 use crate::error::Error;
 use config::Version;
 use http::Method;
-use platform::memory::Counts;
+use store::memory::Counts;
 use status::Status;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -31,7 +31,7 @@
             source(source)
         }
         /// The platform did not answer as it should.
-        Platform(source: platform::Error) {
+        Platform(source: store::Error) {
             from()
             display("{}", source)
             source(source)
--- a/crates/cli/src/history.rs
+++ b/crates/cli/src/history.rs
@@ -5,8 +5,8 @@
 use crate::session::{Session, Versions, to_json};
 use crate::table::render_table;
 use config::{Digest, Mesh, Patch, Version};
-use platform::journal::Loaded;
-use platform::version::{State, Step};
+use store::journal::Loaded;
+use store::version::{State, Step};
 use serde::Serialize;
 
 /// What `show --json` writes.
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -2,7 +2,7 @@
 
 use bpaf::{OptionParser, Parser, construct, long, positional};
 use config::Version;
-use platform::version::Id;
+use store::version::Id;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
--- a/crates/cli/src/propose.rs
+++ b/crates/cli/src/propose.rs
@@ -6,8 +6,8 @@
 use crate::options::Propose;
 use crate::session::{Session, Versions};
 use config::Version;
-use platform::propose::{Outcome, Proposal, Refusal, propose, settle};
-use platform::version::{Id, Step};
+use store::propose::{Outcome, Proposal, Refusal, propose, settle};
+use store::version::{Id, Step};
 use rand::Rng as _;
 use serde::Serialize;
 use smol_str::SmolStr;
@@ -98,7 +98,7 @@
         // Full jitter: operators that were cut off together must not come back together.
         let drawn = rand::rng().random_range(Duration::ZERO..bound);
         let pause = match error {
-            platform::Error::Busy(retry_after) => drawn + retry_after,
+            store::Error::Busy(retry_after) => drawn + retry_after,
             _ => drawn,
         };
         let is_over = Instant::now() + pause >= deadline;
--- a/crates/cli/src/status_report.rs
+++ b/crates/cli/src/status_report.rs
@@ -5,7 +5,7 @@
 use crate::session::{Session, Unreachable, report_unreachable, split_replies};
 use crate::table::render_table;
 use config::Version;
-use platform::version::load;
+use store::version::load;
 use serde::Serialize;
 use smol_str::SmolStr;
 use status::{Fleet, Status};
--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -7,7 +7,7 @@
 use node::metrics::Ending;
 use node::shared::Shared;
 use node::{listener, operate};
-use platform::Memory;
+use store::Memory;
 use settings::node::Settings;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
--- a/crates/cli/tests/history.rs
+++ b/crates/cli/tests/history.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use platform::Memory;
+use store::Memory;
 use support::{Desk, run_program};
 use yare::parameterized;
 
--- a/crates/cli/tests/propose.rs
+++ b/crates/cli/tests/propose.rs
@@ -2,8 +2,8 @@
 
 mod support;
 
-use platform::Memory;
-use platform::memory::Faults;
+use store::Memory;
+use store::memory::Faults;
 use support::Desk;
 use yare::parameterized;
 
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -1,6 +1,6 @@
 //! The program run against a platform in this process.
 
-use platform::Memory;
+use store::Memory;
 use serde_json::Value;
 use standin::platform::{Rates, serve};
 use std::fs;
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -9,7 +9,7 @@
 use crate::shared::Shared;
 use clock::Clock;
 use fleet::Peer;
-use platform::Store;
+use store::Store;
 use settings::node::Distribution;
 use std::io;
 use std::sync::Arc;
--- a/crates/node/src/control_removal.rs
+++ b/crates/node/src/control_removal.rs
@@ -2,8 +2,8 @@
 
 use clock::Clock;
 use log::debug;
-use platform::retain::Retention;
-use platform::{Journal, Store};
+use store::retain::Retention;
+use store::{Journal, Store};
 use rand::Rng;
 use std::time::Duration;
 
--- a/crates/node/src/control_tree.rs
+++ b/crates/node/src/control_tree.rs
@@ -7,7 +7,7 @@
 use config::{State, View};
 use fleet::{Action, Answer, Event, LinkKey, Node, Peer, Request, Role, Settings};
 use log::{error, info, warn};
-use platform::Store;
+use store::Store;
 use settings::node::Distribution;
 use std::collections::BTreeMap;
 use std::sync::Arc;
--- a/crates/node/src/control_watch.rs
+++ b/crates/node/src/control_watch.rs
@@ -7,9 +7,9 @@
 use clock::Clock;
 use config::{Endpoint, Held, State, Version, View};
 use log::{info, warn};
-use platform::follow::News;
-use platform::version::{JOURNAL, Step};
-use platform::{Client, Error, Event, Follower, Journal, Store};
+use store::follow::News;
+use store::version::{JOURNAL, Step};
+use store::{Client, Error, Event, Follower, Journal, Store};
 use smol_str::SmolStr;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -115,7 +115,7 @@
                 .map_err(invalid)
         }
         News::Reset(loaded) => {
-            let state = platform::version::State::build(&loaded)?;
+            let state = store::version::State::build(&loaded)?;
             if state.version == Version::ZERO {
                 return Ok(());
             }
@@ -241,7 +241,7 @@
 {
     let store = Client::open(
         shared.settings.platform,
-        platform::client::Limits::default(),
+        store::client::Limits::default(),
     );
     if let Some(mut endpoint) = build_endpoint(shared, u64::MAX) {
         endpoint.state = State::Gone;
--- a/crates/node/src/reserve.rs
+++ b/crates/node/src/reserve.rs
@@ -14,7 +14,7 @@
 use call::reserve::{Answer, Claim, Entry, Fingerprint, Holder, Key, MAX_ANSWER, Reply, SHARDS};
 use clock::Clock;
 use parking_lot::Mutex;
-use platform::{Journal, Store};
+use store::{Journal, Store};
 use rand::Rng;
 use smol_str::format_smolstr;
 use std::collections::HashMap;
--- a/crates/node/src/reserve_record.rs
+++ b/crates/node/src/reserve_record.rs
@@ -11,13 +11,13 @@
 ///
 /// # Errors
 ///
-/// [`platform::Error::Invalid`] when it has no such form.
-pub(crate) fn encode<T>(value: &T) -> Result<Value, platform::Error>
+/// [`store::Error::Invalid`] when it has no such form.
+pub(crate) fn encode<T>(value: &T) -> Result<Value, store::Error>
 where
     T: Serialize,
 {
     let bytes =
-        postcard::to_stdvec(value).map_err(|error| platform::Error::Invalid(error.to_string()))?;
+        postcard::to_stdvec(value).map_err(|error| store::Error::Invalid(error.to_string()))?;
     Ok(Value::String(STANDARD_NO_PAD.encode(bytes)))
 }
 
@@ -25,12 +25,12 @@
 ///
 /// # Errors
 ///
-/// [`platform::Error::Invalid`] when it is something else.
-pub(crate) fn decode<T>(value: &Value) -> Result<T, platform::Error>
+/// [`store::Error::Invalid`] when it is something else.
+pub(crate) fn decode<T>(value: &Value) -> Result<T, store::Error>
 where
     T: DeserializeOwned,
 {
-    let invalid = |why: String| platform::Error::Invalid(why);
+    let invalid = |why: String| store::Error::Invalid(why);
     let text = value
         .as_str()
         .ok_or_else(|| invalid("a record that is no text".into()))?;
--- a/crates/node/src/reserve_shard.rs
+++ b/crates/node/src/reserve_shard.rs
@@ -8,7 +8,7 @@
 use crate::reserve_log::Log;
 use call::reserve::{Claim, Entry, Key, MAX_KEYS, Reply, SHARDS};
 use clock::Clock;
-use platform::{Error, Journal, Store};
+use store::{Error, Journal, Store};
 use rand::Rng;
 use std::collections::HashSet;
 use std::time::Duration;
--- a/crates/node/tests/calls/keyed.rs
+++ b/crates/node/tests/calls/keyed.rs
@@ -7,8 +7,8 @@
 use bytes::Bytes;
 use config::{Class, Repeat};
 use http::{Method, StatusCode};
-use platform::Memory;
-use platform::memory::Faults;
+use store::Memory;
+use store::memory::Faults;
 use standin::record::Record;
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/node/tests/calls/mesh.rs
+++ b/crates/node/tests/calls/mesh.rs
@@ -10,7 +10,7 @@
 use node::nodes::write_hello;
 use node::shared::{Backend, Shared};
 use node::{inbound, outbound, reserve};
-use platform::Memory;
+use store::Memory;
 use settings::node::Settings;
 use standin::backend::{self, Backend as Server};
 use standin::record::{Entry, Record};
--- a/crates/node/tests/control.rs
+++ b/crates/node/tests/control.rs
@@ -4,7 +4,7 @@
 use config::State;
 use node::control;
 use node::shared::{Backend, Shared};
-use platform::Memory;
+use store::Memory;
 use settings::node::Settings;
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -1,7 +1,7 @@
 //! The stand-ins as one program.
 
 use bpaf::{Parser, construct, long};
-use platform::Memory;
+use store::Memory;
 use smol_str::SmolStr;
 use standin::announce::{Announcement, Node};
 use standin::backend::{Backend, Plan};
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -1,7 +1,7 @@
 //! The platform: its object API over HTTP, its rates, and faults by command.
 //!
 //! Besides the object API it answers `GET /counts`, and `GET` and `POST
-//! /fault` with [`platform::memory::Faults`] as JSON.
+//! /fault` with [`store::memory::Faults`] as JSON.
 
 use crate::http::{Body, Error, answer_json, read_json};
 use crate::rate::Limit;
@@ -13,8 +13,8 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use parking_lot::Mutex;
-use platform::api::{Item, Kind, Line, MAX_VALUE, Page, ROOT};
-use platform::{Memory, Object, Revision, Store, Watch};
+use store::api::{Item, Kind, Line, MAX_VALUE, Page, ROOT};
+use store::{Memory, Object, Revision, Store, Watch};
 use serde_json::json;
 use std::collections::HashMap;
 use std::convert::Infallible;
@@ -138,15 +138,15 @@
     outcome.or_else(|error| answer_error(&error))
 }
 
-async fn read_object(memory: &Memory, name: &str) -> Result<Response<Body>, platform::Error> {
-    let object = memory.get(name).await?.ok_or(platform::Error::NotFound)?;
+async fn read_object(memory: &Memory, name: &str) -> Result<Response<Body>, store::Error> {
+    let object = memory.get(name).await?.ok_or(store::Error::NotFound)?;
     Ok(answer_json(StatusCode::OK, &Item::from(object)))
 }
 
 async fn read_list(
     memory: &Memory,
     query: &HashMap<&str, &str>,
-) -> Result<Response<Body>, platform::Error> {
+) -> Result<Response<Body>, store::Error> {
     let prefix = query.get("prefix").copied().unwrap_or_default();
     let after = query.get("continue").copied().unwrap_or_default();
     let limit = query.get("limit").and_then(|text| text.parse().ok());
@@ -161,7 +161,7 @@
     name: &str,
     item: Item,
     create: bool,
-) -> Result<Response<Body>, platform::Error> {
+) -> Result<Response<Body>, store::Error> {
     let (status, revision) = if create {
         (StatusCode::CREATED, memory.create(name, &item.spec).await?)
     } else {
@@ -196,11 +196,11 @@
     let mut watch = watch?;
     match watch.next().await {
         Ok(event) => Some((Ok(frame_line(&Line::from(event))), Some(watch))),
-        Err(platform::Error::Gone) => {
+        Err(store::Error::Gone) => {
             let line = Line {
                 kind: Kind::Error,
                 object: Item {
-                    metadata: platform::api::Metadata::default(),
+                    metadata: store::api::Metadata::default(),
                     spec: json!({"code": 410}),
                 },
             };
@@ -243,8 +243,8 @@
     answer
 }
 
-fn answer_error(error: &platform::Error) -> Result<Response<Body>, Error> {
-    use platform::Error as Failed;
+fn answer_error(error: &store::Error) -> Result<Response<Body>, Error> {
+    use store::Error as Failed;
     Ok(match error {
         Failed::Conflict => answer_status(StatusCode::CONFLICT),
         Failed::NotFound => answer_status(StatusCode::NOT_FOUND),
--- a/crates/standin/tests/object_api.rs
+++ b/crates/standin/tests/object_api.rs
@@ -1,9 +1,9 @@
 //! The client against the platform's stand-in, over HTTP.
 
-use platform::client::Limits;
-use platform::follow::News;
-use platform::memory::Faults;
-use platform::{Client, Error, Event, Follower, Journal, Memory, Store};
+use store::client::Limits;
+use store::follow::News;
+use store::memory::Faults;
+use store::{Client, Error, Event, Follower, Journal, Memory, Store};
 use serde_json::{Value, json};
 use standin::forward::Forwarder;
 use standin::platform::{Rates, serve};
--- a/crates/platform/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -5,7 +5,7 @@
 //! process, with faults on demand.
 //!
 //! ```
-//! use platform::{Error, Memory, Store};
+//! use store::{Error, Memory, Store};
 //!
 //! let run = async {
 //!     let store = Memory::new();
--- a/crates/platform/tests/append.rs
+++ b/crates/store/tests/append.rs
@@ -1,10 +1,10 @@
 //! Appending to a journal, reading it, and removing what is old.
 
 use clock::Manual;
-use platform::journal::{Append, FREE_TIMEOUT};
-use platform::memory::Faults;
-use platform::retain::{RETENTION, Retention};
-use platform::{Error, Journal, Memory, Store};
+use store::journal::{Append, FREE_TIMEOUT};
+use store::memory::Faults;
+use store::retain::{RETENTION, Retention};
+use store::{Error, Journal, Memory, Store};
 use serde_json::{Value, json};
 use yare::parameterized;
 
--- a/crates/platform/tests/follower.rs
+++ b/crates/store/tests/follower.rs
@@ -1,10 +1,10 @@
 //! Following a journal through outages.
 
 use clock::Manual;
-use platform::follow::{Follower, News};
-use platform::memory::Faults;
-use platform::retain::{RETENTION, Retention};
-use platform::{Journal, Memory};
+use store::follow::{Follower, News};
+use store::memory::Faults;
+use store::retain::{RETENTION, Retention};
+use store::{Journal, Memory};
 use serde_json::json;
 use std::time::Duration;
 
--- a/crates/platform/tests/history.rs
+++ b/crates/store/tests/history.rs
@@ -2,10 +2,10 @@
 
 use clock::System;
 use config::{Patch, Version};
-use platform::memory::Faults;
-use platform::propose::{Outcome, Proposal, Refusal, propose, settle};
-use platform::version::{Id, JOURNAL, load};
-use platform::{Journal, Memory};
+use store::memory::Faults;
+use store::propose::{Outcome, Proposal, Refusal, propose, settle};
+use store::version::{Id, JOURNAL, load};
+use store::{Journal, Memory};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::collections::BTreeSet;
--- a/crates/platform/tests/lease.rs
+++ b/crates/store/tests/lease.rs
@@ -1,8 +1,8 @@
 //! Leases under lost answers and paused holders.
 
 use clock::Manual;
-use platform::memory::Faults;
-use platform::{Error, Lease, Memory};
+use store::memory::Faults;
+use store::{Error, Lease, Memory};
 use std::time::Duration;
 
 const DURATION: Duration = Duration::from_secs(15);
--- a/crates/platform/tests/removal_race.rs
+++ b/crates/store/tests/removal_race.rs
@@ -1,11 +1,11 @@
 //! Writers that are paused for long, late writes, removal and readers, all at once.
 
 use clock::Clock;
-use platform::follow::{Follower, News};
-use platform::journal::Append;
-use platform::memory::Faults;
-use platform::retain::Retention;
-use platform::{Error, Journal, Memory};
+use store::follow::{Follower, News};
+use store::journal::Append;
+use store::memory::Faults;
+use store::retain::Retention;
+use store::{Error, Journal, Memory};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use serde_json::json;
