--- a/crates/bench/src/converge.rs
+++ b/crates/bench/src/converge.rs
@@ -15,9 +15,9 @@
 use bpaf::{Parser, construct, long};
 use config::{Class, Repeat};
 use hdrhistogram::Histogram;
-use store::memory::Counts;
 use serde::Serialize;
 use std::time::{Duration, Instant};
+use store::memory::Counts;
 
 /// Services that the nodes' endpoints belong to; the others have none.
 const SERVED: usize = 12;
--- a/crates/bench/src/node.rs
+++ b/crates/bench/src/node.rs
@@ -5,12 +5,12 @@
 use crate::error::Error;
 use config::Version;
 use http::Method;
-use store::memory::Counts;
 use status::Status;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
+use store::memory::Counts;
 
 /// Longest wait for an answer.
 const LIMIT: Duration = Duration::from_secs(5);
--- a/crates/bench/src/proposer.rs
+++ b/crates/bench/src/proposer.rs
@@ -4,12 +4,13 @@
 use crate::error::Error;
 use clock::System;
 use config::{Change, Class, Mesh, Patch, Repeat, Version};
-use store::propose::{Outcome, Proposal, propose};
-use store::version::{Id, JOURNAL};
-use store::{Client, Journal};
+use platform::Client;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use store::Journal;
+use store::propose::{Outcome, Proposal, propose};
+use store::version::{Id, JOURNAL};
 
 /// Changes in one proposal of the first configuration.
 const FIRST_CHANGES: usize = 400;
@@ -33,7 +34,7 @@
     /// Starts with the platform's empty journal.
     #[must_use]
     pub fn open(platform: SocketAddr) -> Self {
-        let store = Client::open(platform, store::client::Limits::default());
+        let store = Client::open(platform, platform::client::Limits::default());
         Self {
             version: Version::ZERO,
             mesh: Mesh::default(),
--- a/crates/cli/src/history.rs
+++ b/crates/cli/src/history.rs
@@ -5,9 +5,9 @@
 use crate::session::{Session, Versions, to_json};
 use crate::table::render_table;
 use config::{Digest, Mesh, Patch, Version};
+use serde::Serialize;
 use store::journal::Loaded;
 use store::version::{State, Step};
-use serde::Serialize;
 
 /// What `show --json` writes.
 #[derive(Debug, Serialize)]
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -2,10 +2,10 @@
 
 use bpaf::{OptionParser, Parser, construct, long, positional};
 use config::Version;
-use store::version::Id;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
+use store::version::Id;
 
 /// What is asked for.
 #[derive(Debug, Clone)]
--- a/crates/cli/src/propose.rs
+++ b/crates/cli/src/propose.rs
@@ -6,12 +6,12 @@
 use crate::options::Propose;
 use crate::session::{Session, Versions};
 use config::Version;
-use store::propose::{Outcome, Proposal, Refusal, propose, settle};
-use store::version::{Id, Step};
 use rand::Rng as _;
 use serde::Serialize;
 use smol_str::SmolStr;
 use std::time::{Duration, Instant};
+use store::propose::{Outcome, Proposal, Refusal, propose, settle};
+use store::version::{Id, Step};
 
 /// First bound of the wait between two tries; each further one doubles it.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
--- a/crates/cli/src/session.rs
+++ b/crates/cli/src/session.rs
@@ -7,14 +7,15 @@
 use crate::{burn_report, check, drain, history, propose, status_report};
 use clock::System;
 use http::Method;
-use store::version::JOURNAL;
-use store::{Client, Journal, client};
+use platform::{Client, client};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use settings::operator::Settings;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
+use store::Journal;
+use store::version::JOURNAL;
 
 /// The journal of versions in the platform.
 pub(crate) type Versions = Journal<Client, System>;
--- a/crates/cli/src/status_report.rs
+++ b/crates/cli/src/status_report.rs
@@ -5,10 +5,10 @@
 use crate::session::{Session, Unreachable, report_unreachable, split_replies};
 use crate::table::render_table;
 use config::Version;
-use store::version::load;
 use serde::Serialize;
 use smol_str::SmolStr;
 use status::{Fleet, Status};
+use store::version::load;
 
 /// What `status --json` writes.
 #[derive(Debug, Serialize)]
--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -7,10 +7,10 @@
 use node::metrics::Ending;
 use node::shared::Shared;
 use node::{listener, operate};
-use store::Memory;
 use settings::node::Settings;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use store::Memory;
 use support::{Desk, run_program};
 use tokio::net::TcpListener;
 
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -1,11 +1,11 @@
 //! The program run against a platform in this process.
 
-use store::Memory;
 use serde_json::Value;
 use standin::platform::{Rates, serve};
 use std::fs;
 use std::net::SocketAddr;
 use std::process::Command;
+use store::Memory;
 use tempfile::TempDir;
 use tokio::net::TcpListener;
 
--- a/crates/node/benches/reserve.rs
+++ b/crates/node/benches/reserve.rs
@@ -12,14 +12,15 @@
 use node::nodes::write_hello;
 use node::reserve::{Claimed, Handle};
 use node::shared::Shared;
-use store::client::Limits;
-use store::memory::Faults;
-use store::{Client, Memory, Store};
+use platform::Client;
 use settings::node::Settings;
 use standin::platform::{Rates, serve};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use store::client::Limits;
+use store::memory::Faults;
+use store::{Memory, Store};
 use tokio::net::TcpListener;
 use wire::{Link, codec};
 
--- a/crates/node/src/control_platform.rs
+++ b/crates/node/src/control_platform.rs
@@ -6,14 +6,14 @@
 use clock::Clock;
 use fleet::{Answer, Peer, Request, Seat};
 use log::warn;
-use store::follow::News;
-use store::lease::{self, Standing};
-use store::version::{self, JOURNAL};
-use store::{Error, Follower, Journal, Lease, Revision, Store};
 use smol_str::{SmolStr, format_smolstr};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Instant;
+use store::follow::News;
+use store::lease::{self, Standing};
+use store::version::{self, JOURNAL};
+use store::{Error, Follower, Journal, Lease, Revision, Store};
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
@@ -159,7 +159,7 @@
     }
 
     fn name_lease(&self, slot: u8) -> SmolStr {
-        format_smolstr!("{ROOTS}{}/{slot}", self.shared.settings.zone)
+        format_smolstr!("{ROOTS}{}.{slot}", self.shared.settings.zone)
     }
 
     fn lease(&mut self, slot: u8) -> &mut Lease<S, C> {
@@ -239,7 +239,7 @@
 
 /// Reads the lease of a root; its holder is a name, a zone and an address.
 fn read_seat(standing: &Standing, is_live: bool) -> Option<Seat> {
-    let slot = standing.name.rsplit_once('/')?.1.parse().ok()?;
+    let slot = standing.name.rsplit_once('.')?.1.parse().ok()?;
     let mut words = standing.holder.split(' ');
     let holder = Peer {
         node: words.next()?.into(),
--- a/crates/node/src/control_removal.rs
+++ b/crates/node/src/control_removal.rs
@@ -2,10 +2,10 @@
 
 use clock::Clock;
 use log::debug;
-use store::retain::Retention;
-use store::{Journal, Store};
 use rand::Rng;
 use std::time::Duration;
+use store::retain::Retention;
+use store::{Journal, Store};
 
 /// Mean time between two rounds; each root waits for a time of its own.
 ///
--- a/crates/node/src/control_watch.rs
+++ b/crates/node/src/control_watch.rs
@@ -7,13 +7,14 @@
 use clock::Clock;
 use config::{Endpoint, Held, State, Version, View};
 use log::{info, warn};
-use store::follow::News;
-use store::version::{JOURNAL, Step};
-use store::{Client, Error, Event, Follower, Journal, Store};
+use platform::Client;
 use smol_str::SmolStr;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, UNIX_EPOCH};
+use store::follow::News;
+use store::version::{JOURNAL, Step};
+use store::{Error, Event, Follower, Journal, Store};
 use tokio::sync::mpsc;
 
 /// Prefix of the endpoints' objects.
@@ -241,7 +242,7 @@
 {
     let store = Client::open(
         shared.settings.platform,
-        store::client::Limits::default(),
+        platform::client::Limits::default(),
     );
     if let Some(mut endpoint) = build_endpoint(shared, u64::MAX) {
         endpoint.state = State::Gone;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -4,7 +4,7 @@
 use crate::{announce, control, inbound, listener, nodes, operate, outbound, reserve};
 use clock::Clock;
 use log::{info, warn};
-use store::Client;
+use platform::Client;
 use settings::node::Settings;
 use std::io;
 use std::net::SocketAddr;
@@ -53,7 +53,7 @@
     let backend = bind(settings.backend).await?;
     let peers = bind(settings.nodes).await?;
     let operators = bind(settings.operators).await?;
-    let store = Client::open(settings.platform, store::client::Limits::default());
+    let store = Client::open(settings.platform, platform::client::Limits::default());
     let shared = Shared::new(settings, rand::random(), clock);
     let inbound = inbound::spawn(Arc::clone(&shared));
     let reserve = reserve::spawn(Arc::clone(&shared), &store);
--- a/crates/node/src/reserve_log.rs
+++ b/crates/node/src/reserve_log.rs
@@ -4,11 +4,11 @@
 use crate::reserve_record::{decode, encode};
 use call::reserve::{Claim, Entry, Holder, Key, MAX_KEYS, Reply, Table};
 use clock::Clock;
+use smol_str::{SmolStr, format_smolstr};
+use std::time::Duration;
 use store::journal::{Append, Moment, Record};
 use store::retain::Retention;
 use store::{Error, Journal, Store};
-use smol_str::{SmolStr, format_smolstr};
-use std::time::Duration;
 use tokio::time::Instant;
 
 /// Records between two snapshots: a node that takes a shard over reads at most
--- a/crates/node/src/reserve_shard.rs
+++ b/crates/node/src/reserve_shard.rs
@@ -8,10 +8,10 @@
 use crate::reserve_log::Log;
 use call::reserve::{Claim, Entry, Key, MAX_KEYS, Reply, SHARDS};
 use clock::Clock;
-use store::{Error, Journal, Store};
 use rand::Rng;
 use std::collections::HashSet;
 use std::time::Duration;
+use store::{Error, Journal, Store};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
--- a/crates/node/tests/calls/keyed.rs
+++ b/crates/node/tests/calls/keyed.rs
@@ -7,11 +7,11 @@
 use bytes::Bytes;
 use config::{Class, Repeat};
 use http::{Method, StatusCode};
-use store::Memory;
-use store::memory::Faults;
 use standin::record::Record;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use store::Memory;
+use store::memory::Faults;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
--- a/crates/node/tests/calls/mesh.rs
+++ b/crates/node/tests/calls/mesh.rs
@@ -10,13 +10,13 @@
 use node::nodes::write_hello;
 use node::shared::{Backend, Shared};
 use node::{inbound, outbound, reserve};
-use store::Memory;
 use settings::node::Settings;
 use standin::backend::{self, Backend as Server};
 use standin::record::{Entry, Record};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use store::Memory;
 use tokio::net::{TcpListener, TcpStream};
 use wire::{Link, codec};
 
--- a/crates/node/tests/control.rs
+++ b/crates/node/tests/control.rs
@@ -4,10 +4,10 @@
 use config::State;
 use node::control;
 use node::shared::{Backend, Shared};
-use store::Memory;
 use settings::node::Settings;
 use std::sync::Arc;
 use std::time::Duration;
+use store::Memory;
 
 const SETTINGS: &str = "[node]\nname = records-1\nzone = kl-a\nregion = kl\n\
     [listen]\ncallers = 127.0.0.1:1\nbackend = 127.0.0.1:2\n\
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -1,7 +1,6 @@
 //! The stand-ins as one program.
 
 use bpaf::{Parser, construct, long};
-use store::Memory;
 use smol_str::SmolStr;
 use standin::announce::{Announcement, Node};
 use standin::backend::{Backend, Plan};
@@ -11,6 +10,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
+use store::Memory;
 use tokio::signal::unix::{SignalKind, signal};
 
 /// What to stand in for.
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -5,28 +5,25 @@
 
 use crate::http::{Body, Error, answer_json, read_json};
 use crate::rate::Limit;
-use bytes::Bytes;
-use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use parking_lot::Mutex;
-use store::api::{Item, Kind, Line, MAX_VALUE, Page, ROOT};
-use store::{Memory, Object, Revision, Store, Watch};
-use serde_json::json;
+use platform::api::{Change, Changes, Item, MAX_WAIT_MS, Page, ROOT};
+use serde_json::{Value, json};
 use std::collections::HashMap;
-use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use store::{Event, MAX_VALUE, Memory, Object, Revision, Store};
 use tokio::net::TcpListener;
 
 /// Room for an object's JSON around the value.
 const MAX_BODY: usize = MAX_VALUE + (64 << 10);
 
-/// Objects of a list when the reader names no limit.
-const DEFAULT_PAGE: usize = 500;
+/// Objects of a page, as the platform has it.
+const PAGE: usize = 500;
 
 /// Rates that the platform takes, in calls a second.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -102,7 +99,7 @@
 
 async fn answer_object(
     shared: &Shared,
-    name: &str,
+    path: &str,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Error> {
     let limit = match *request.method() {
@@ -113,23 +110,27 @@
     if let Err(wait) = taken {
         return Ok(answer_busy(wait));
     }
-    let query = parse_query(request.uri().query().unwrap_or_default());
+    let query = request.uri().query().unwrap_or_default().to_owned();
+    let query = parse_query(&query);
     let memory = &shared.memory;
-    let outcome = match *request.method() {
-        Method::GET if query.contains_key("watch") => return open_watch(memory, &query).await,
-        Method::GET if name.is_empty() => read_list(memory, &query).await,
-        Method::GET => read_object(memory, name).await,
-        Method::DELETE => {
-            let expected = query
-                .get("resourceVersion")
-                .and_then(|text| parse_revision(text));
-            let deleted = memory.delete(name, expected).await;
-            deleted.map(|()| answer_json(StatusCode::OK, &json!({"status": "Success"})))
+    let outcome = match (request.method().clone(), path.split_once('/')) {
+        (Method::GET, None) if query.contains_key("watch") => {
+            wait_changes(memory, path, &query).await
         }
-        Method::POST | Method::PUT => {
-            let create = request.method() == Method::POST;
+        (Method::GET, None) => read_list(memory, path, &query).await,
+        (Method::GET, Some((kind, leaf))) => read_object(memory, kind, leaf).await,
+        (Method::DELETE, Some(_)) => {
+            let expected = read_revision(&query, "revision");
+            let deleted = memory.delete(path, expected).await;
+            deleted.map(|()| answer_json(StatusCode::OK, &Value::Null))
+        }
+        (Method::POST, None) => match read_json(request.into_body(), MAX_BODY).await {
+            Ok(item) => create(memory, path, item).await,
+            Err(status) => Ok(answer_status(status)),
+        },
+        (Method::PUT, Some((kind, leaf))) => {
             match read_json::<Item>(request.into_body(), MAX_BODY).await {
-                Ok(item) => write_object(memory, name, item, create).await,
+                Ok(item) => replace(memory, kind, leaf, item).await,
                 Err(status) => Ok(answer_status(status)),
             }
         }
@@ -138,82 +139,113 @@
     outcome.or_else(|error| answer_error(&error))
 }
 
-async fn read_object(memory: &Memory, name: &str) -> Result<Response<Body>, store::Error> {
-    let object = memory.get(name).await?.ok_or(store::Error::NotFound)?;
-    Ok(answer_json(StatusCode::OK, &Item::from(object)))
+async fn read_object(
+    memory: &Memory,
+    kind: &str,
+    leaf: &str,
+) -> Result<Response<Body>, store::Error> {
+    let object = memory.get(&format!("{kind}/{leaf}")).await?;
+    let object = object.ok_or(store::Error::NotFound)?;
+    Ok(answer_json(StatusCode::OK, &make_item(object)))
 }
 
 async fn read_list(
     memory: &Memory,
+    kind: &str,
     query: &HashMap<&str, &str>,
 ) -> Result<Response<Body>, store::Error> {
-    let prefix = query.get("prefix").copied().unwrap_or_default();
-    let after = query.get("continue").copied().unwrap_or_default();
-    let limit = query.get("limit").and_then(|text| text.parse().ok());
+    let after = query.get("after").map(|leaf| format!("{kind}/{leaf}"));
     let list = memory
-        .list(prefix, after, limit.unwrap_or(DEFAULT_PAGE))
+        .list(&format!("{kind}/"), &after.unwrap_or_default(), PAGE)
         .await?;
-    Ok(answer_json(StatusCode::OK, &Page::from(list)))
+    let page = Page {
+        items: list.items.into_iter().map(make_item).collect(),
+        has_more: list.more,
+        store_revision: list.revision.0,
+    };
+    Ok(answer_json(StatusCode::OK, &page))
 }
 
-async fn write_object(
+async fn create(memory: &Memory, kind: &str, item: Item) -> Result<Response<Body>, store::Error> {
+    let name = format!("{kind}/{}", item.metadata.name);
+    let revision = memory.create(&name, &item.spec).await?;
+    let written = Item::new(&item.metadata.name, Some(revision), item.spec);
+    Ok(answer_json(StatusCode::CREATED, &written))
+}
+
+/// Replaces an object, or answers with it as it stands when it is another than expected.
+async fn replace(
     memory: &Memory,
-    name: &str,
+    kind: &str,
+    leaf: &str,
     item: Item,
-    create: bool,
 ) -> Result<Response<Body>, store::Error> {
-    let (status, revision) = if create {
-        (StatusCode::CREATED, memory.create(name, &item.spec).await?)
-    } else {
-        let expected = item.metadata.revision().unwrap_or_default();
-        let revision = memory.update(name, &item.spec, expected).await?;
-        (StatusCode::OK, revision)
-    };
-    let written = Item::from(Object {
-        name: name.into(),
-        revision,
-        value: serde_json::Value::Null,
-    });
-    Ok(answer_json(status, &written))
+    let name = format!("{kind}/{leaf}");
+    let expected = Revision(item.metadata.revision.unwrap_or_default());
+    match memory.update(&name, &item.spec, expected).await {
+        Ok(revision) => {
+            let written = Item::new(leaf, Some(revision), item.spec);
+            Ok(answer_json(StatusCode::OK, &written))
+        }
+        Err(store::Error::Conflict) => {
+            let object = memory.get(&name).await?.ok_or(store::Error::NotFound)?;
+            Ok(answer_json(StatusCode::CONFLICT, &make_item(object)))
+        }
+        Err(error) => Err(error),
+    }
 }
 
-async fn open_watch(memory: &Memory, query: &HashMap<&str, &str>) -> Result<Response<Body>, Error> {
-    let prefix = query.get("prefix").copied().unwrap_or_default();
-    let from = query
-        .get("resourceVersion")
-        .and_then(|text| parse_revision(text));
-    let watch = match memory.watch(prefix, from.unwrap_or_default()).await {
-        Ok(watch) => watch,
-        Err(error) => return answer_error(&error),
+/// Waits until something of a kind has changed, or the time that the reader gave is up.
+async fn wait_changes(
+    memory: &Memory,
+    kind: &str,
+    query: &HashMap<&str, &str>,
+) -> Result<Response<Body>, store::Error> {
+    let from = read_revision(query, "watch").unwrap_or_default();
+    let wait = query.get("wait_ms").and_then(|text| text.parse().ok());
+    let wait = Duration::from_millis(wait.unwrap_or(MAX_WAIT_MS).min(MAX_WAIT_MS));
+    let until = tokio::time::Instant::now() + wait;
+    if memory.faults().silent_watches {
+        // The connection stays open, and no answer will come.
+        std::future::pending::<()>().await;
+    }
+    let mut watch = memory.watch(&format!("{kind}/"), from).await?;
+    let mut changes = Changes {
+        events: Vec::new(),
+        store_revision: from.0,
     };
-    let lines = futures_util::stream::unfold(Some(watch), next_line);
-    Ok(Response::new(StreamBody::new(lines).boxed()))
+    while changes.events.is_empty() {
+        let Ok(event) = tokio::time::timeout_at(until, watch.next()).await else {
+            break;
+        };
+        let event = event?;
+        changes.store_revision = event.revision().0;
+        changes.events.extend(make_change(event));
+    }
+    Ok(answer_json(StatusCode::OK, &changes))
 }
 
-type Chunk = Result<Frame<Bytes>, Infallible>;
-
-async fn next_line(watch: Option<Watch>) -> Option<(Chunk, Option<Watch>)> {
-    let mut watch = watch?;
-    match watch.next().await {
-        Ok(event) => Some((Ok(frame_line(&Line::from(event))), Some(watch))),
-        Err(store::Error::Gone) => {
-            let line = Line {
-                kind: Kind::Error,
-                object: Item {
-                    metadata: store::api::Metadata::default(),
-                    spec: json!({"code": 410}),
-                },
-            };
-            Some((Ok(frame_line(&line)), None))
-        }
-        Err(_) => None,
-    }
+fn make_item(object: Object) -> Item {
+    let leaf = object.name.rsplit('/').next().unwrap_or_default();
+    Item::new(leaf, Some(object.revision), object.value)
 }
 
-fn frame_line(line: &Line) -> Frame<Bytes> {
-    let mut json = serde_json::to_vec(line).unwrap_or_default();
-    json.push(b'\n');
-    Frame::data(json.into())
+fn make_change(event: Event) -> Option<Change> {
+    match event {
+        Event::Put(object) => Some(Change {
+            deleted: false,
+            object: make_item(object),
+        }),
+        Event::Deleted { name, revision } => Some(Change {
+            deleted: true,
+            object: make_item(Object {
+                name,
+                revision,
+                value: Value::Null,
+            }),
+        }),
+        Event::Bookmark(_) => None,
+    }
 }
 
 fn parse_query(query: &str) -> HashMap<&str, &str> {
@@ -223,8 +255,8 @@
         .collect()
 }
 
-fn parse_revision(text: &str) -> Option<Revision> {
-    text.parse().ok().map(Revision)
+fn read_revision(query: &HashMap<&str, &str>, key: &str) -> Option<Revision> {
+    query.get(key)?.parse().ok().map(Revision)
 }
 
 fn answer_status(status: StatusCode) -> Response<Body> {
--- a/crates/standin/tests/object_api.rs
+++ b/crates/standin/tests/object_api.rs
@@ -1,18 +1,19 @@
 //! The client against the platform's stand-in, over HTTP.
 
-use store::client::Limits;
-use store::follow::News;
-use store::memory::Faults;
-use store::{Client, Error, Event, Follower, Journal, Memory, Store};
+use platform::Client;
+use platform::client::Limits;
 use serde_json::{Value, json};
 use standin::forward::Forwarder;
 use standin::platform::{Rates, serve};
 use std::time::Duration;
+use store::follow::News;
+use store::memory::Faults;
+use store::{Error, Event, Follower, Journal, Memory, Store, Watch};
 use tokio::net::TcpListener;
 
 const QUICK: Limits = Limits {
     call: Duration::from_millis(300),
-    silence: Duration::from_millis(300),
+    watch: Duration::from_millis(300),
 };
 
 async fn open(rates: Rates, limits: Limits) -> (Memory, Client) {
@@ -66,6 +67,16 @@
     assert_eq!(rest.items[0].value, json!("a/3"));
 }
 
+/// Waits for the next event that is more than a sign of life.
+async fn next_change(watch: &mut Watch) -> Result<Event, Error> {
+    loop {
+        match watch.next().await {
+            Ok(Event::Bookmark(_)) => {}
+            other => return other,
+        }
+    }
+}
+
 #[tokio::test]
 async fn watch_from_a_revision() {
     let (memory, client) = open(Rates::default(), Limits::default()).await;
@@ -74,11 +85,12 @@
     let mut watch = client.watch("a/", first).await.unwrap();
     client.create("a/2", &json!(2)).await.unwrap();
     client.delete("a/1", None).await.unwrap();
-    match watch.next().await.unwrap() {
+    match next_change(&mut watch).await.unwrap() {
         Event::Put(object) => assert_eq!(object.name, "a/2"),
         other => panic!("{other:?}"),
     }
-    assert!(matches!(watch.next().await, Ok(Event::Deleted { name, .. }) if name == "a/1"));
+    let removed = next_change(&mut watch).await;
+    assert!(matches!(removed, Ok(Event::Deleted { name, .. }) if name == "a/1"));
     memory.forget_history();
     let mut late = client.watch("a/", first).await.unwrap();
     assert_eq!(late.next().await, Err(Error::Gone));
@@ -86,7 +98,7 @@
 
 // An operator's version reaches no zone for an hour although the platform is
 // well: the root relays' watches went silent without an error. Cause: what
-// lies between forgot the connections; only missing bookmarks show it.
+// lies between forgot the connections; only the missing answers show it.
 #[tokio::test]
 async fn silent_watch() {
     let (memory, client) = open(Rates::default(), QUICK).await;
--- a/crates/store/src/chunk.rs
+++ b/crates/store/src/chunk.rs
@@ -3,7 +3,7 @@
 //! The parts of a large value go first, under the writer's nonce; the object
 //! that names them comes last, so that whoever sees it finds them all.
 
-use crate::api::MAX_VALUE;
+use crate::MAX_VALUE;
 use crate::{Error, Object, Store};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -36,7 +36,7 @@
 }
 
 fn name_part(directory: &str, nonce: &str, index: usize) -> String {
-    format!("{directory}/{nonce}/{index:04}")
+    format!("{directory}.{nonce}.{index:04}")
 }
 
 /// Cuts `text` into parts of at most `length` bytes, none inside a character.
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,8 +1,7 @@
-//! Client of the platform's object API, and the journal kept in it.
+//! What lasts: the platform's store as an interface, and what is kept in it.
 //!
-//! [`Store`] is the platform as the rest of the system sees it; [`Client`]
-//! reaches the real one over HTTP and [`Memory`] keeps its objects in the
-//! process, with faults on demand.
+//! [`Store`] is the platform as the rest of the system sees it; [`Memory`]
+//! keeps its objects in the process, with faults on demand.
 //!
 //! ```
 //! use store::{Error, Memory, Store};
@@ -18,25 +17,22 @@
 //! # tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap().block_on(run).unwrap();
 //! ```
 
-pub mod api;
-pub mod client;
 pub mod follow;
 pub mod journal;
 pub mod lease;
 pub mod memory;
+pub mod patience;
 pub mod propose;
 pub mod retain;
 pub mod version;
 
 mod chunk;
 mod error;
-mod patience;
 mod store;
 
-pub use client::Client;
 pub use error::Error;
 pub use follow::Follower;
 pub use journal::Journal;
 pub use lease::Lease;
 pub use memory::Memory;
-pub use store::{Event, List, Object, Revision, Store, Watch};
+pub use store::{Event, List, MAX_VALUE, Object, Revision, Store, Watch};
--- a/crates/store/src/memory.rs
+++ b/crates/store/src/memory.rs
@@ -2,7 +2,7 @@
 //!
 //! Tests use it in place of the real one, and the stand-in serves it over HTTP.
 
-use crate::api::MAX_VALUE;
+use crate::MAX_VALUE;
 use crate::{Error, Event, List, Object, Revision, Store, Watch};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
--- a/crates/store/src/patience.rs
+++ b/crates/store/src/patience.rs
@@ -13,13 +13,15 @@
 /// serve nobody, for as long as it is slow, although it answers every call.
 /// With a long one each silent connection would cost as much.
 #[derive(Debug)]
-pub(crate) struct Patience {
+pub struct Patience {
     base: Duration,
     doublings: AtomicU32,
 }
 
 impl Patience {
-    pub(crate) fn new(base: Duration) -> Self {
+    /// Starts with `base` as the limit.
+    #[must_use]
+    pub fn new(base: Duration) -> Self {
         Self {
             base,
             doublings: AtomicU32::new(0),
@@ -27,12 +29,13 @@
     }
 
     /// Gives the limit for the next call.
-    pub(crate) fn limit(&self) -> Duration {
+    #[must_use]
+    pub fn limit(&self) -> Duration {
         self.base * (1 << self.doublings.load(Ordering::Relaxed))
     }
 
     /// Notes that a call got no answer within `limit`.
-    pub(crate) fn note_timeout(&self, limit: Duration) {
+    pub fn note_timeout(&self, limit: Duration) {
         let doublings = self.doublings.load(Ordering::Relaxed);
         // Calls that ran at once and all ended so count as one.
         if limit == self.limit() && doublings < MAX_DOUBLINGS {
@@ -41,7 +44,7 @@
     }
 
     /// Notes that a call was answered after `time`.
-    pub(crate) fn note_answer(&self, time: Duration) {
+    pub fn note_answer(&self, time: Duration) {
         if time < self.base / 2 {
             self.doublings.store(0, Ordering::Relaxed);
         }
--- a/crates/store/src/retain.rs
+++ b/crates/store/src/retain.rs
@@ -92,7 +92,7 @@
             let prefix = format!("{}/{directory}/", self.name);
             let page = self.store.list(&prefix, "", left).await?;
             for object in page.items {
-                let number = object.name[prefix.len()..].split('/').next();
+                let number = object.name[prefix.len()..].split('.').next();
                 if number.and_then(parse_number).is_none_or(|n| n >= end) {
                     break;
                 }
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -7,6 +7,9 @@
 use std::fmt;
 use tokio::sync::mpsc;
 
+/// Largest value, in bytes of JSON (the platform's limit of a megabyte).
+pub const MAX_VALUE: usize = 1 << 20;
+
 /// The number of a write among all the platform's writes; it only grows.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -23,7 +26,7 @@
 /// An object as it stood at a revision.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Object {
-    /// Name, a path such as `versions/00000000000000000007`.
+    /// Name, `FOLDER/LEAF` such as `versions/log/00000000000000000007`.
     pub name: SmolStr,
     /// The write that made it so.
     pub revision: Revision,
@@ -101,14 +104,16 @@
 }
 
 /// The platform's object API.
+///
+/// Names are paths; lists and watches take whole folders.
 pub trait Store: Clone + Send + Sync + 'static {
     /// Reads an object.
     fn get(&self, name: &str) -> impl Future<Output = Result<Option<Object>, Error>> + Send;
 
-    /// Reads up to `limit` objects whose names start with `prefix` and come after `after`, in order.
+    /// Reads up to `limit` objects of a folder (`versions/log/`) that come after `after`, in order.
     fn list(
         &self,
-        prefix: &str,
+        folder: &str,
         after: &str,
         limit: usize,
     ) -> impl Future<Output = Result<List, Error>> + Send;
@@ -135,10 +140,10 @@
         expected: Option<Revision>,
     ) -> impl Future<Output = Result<(), Error>> + Send;
 
-    /// Watches the objects whose names start with `prefix`, for all writes after `from`.
+    /// Watches the objects of a folder for all writes after `from`.
     fn watch(
         &self,
-        prefix: &str,
+        folder: &str,
         from: Revision,
     ) -> impl Future<Output = Result<Watch, Error>> + Send;
 }
--- a/crates/store/tests/append.rs
+++ b/crates/store/tests/append.rs
@@ -1,11 +1,11 @@
 //! Appending to a journal, reading it, and removing what is old.
 
 use clock::Manual;
+use serde_json::{Value, json};
 use store::journal::{Append, FREE_TIMEOUT};
 use store::memory::Faults;
 use store::retain::{RETENTION, Retention};
 use store::{Error, Journal, Memory, Store};
-use serde_json::{Value, json};
 use yare::parameterized;
 
 type Numbers = Journal<Memory, Manual>;
--- a/crates/store/tests/follower.rs
+++ b/crates/store/tests/follower.rs
@@ -1,12 +1,12 @@
 //! Following a journal through outages.
 
 use clock::Manual;
+use serde_json::json;
+use std::time::Duration;
 use store::follow::{Follower, News};
 use store::memory::Faults;
 use store::retain::{RETENTION, Retention};
 use store::{Journal, Memory};
-use serde_json::json;
-use std::time::Duration;
 
 type Numbers = Journal<Memory, Manual>;
 
--- a/crates/store/tests/history.rs
+++ b/crates/store/tests/history.rs
@@ -2,15 +2,15 @@
 
 use clock::System;
 use config::{Patch, Version};
-use store::memory::Faults;
-use store::propose::{Outcome, Proposal, Refusal, propose, settle};
-use store::version::{Id, JOURNAL, load};
-use store::{Journal, Memory};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use store::memory::Faults;
+use store::propose::{Outcome, Proposal, Refusal, propose, settle};
+use store::version::{Id, JOURNAL, load};
+use store::{Journal, Memory};
 use todc_utils::{Action, History, Specification, WGLChecker};
 use yare::parameterized;
 
--- a/crates/store/tests/lease.rs
+++ b/crates/store/tests/lease.rs
@@ -1,9 +1,9 @@
 //! Leases under lost answers and paused holders.
 
 use clock::Manual;
+use std::time::Duration;
 use store::memory::Faults;
 use store::{Error, Lease, Memory};
-use std::time::Duration;
 
 const DURATION: Duration = Duration::from_secs(15);
 const RENEWAL: Duration = Duration::from_secs(5);
--- a/crates/store/tests/removal_race.rs
+++ b/crates/store/tests/removal_race.rs
@@ -1,16 +1,16 @@
 //! Writers that are paused for long, late writes, removal and readers, all at once.
 
 use clock::Clock;
-use store::follow::{Follower, News};
-use store::journal::Append;
-use store::memory::Faults;
-use store::retain::Retention;
-use store::{Error, Journal, Memory};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use serde_json::json;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime};
+use store::follow::{Follower, News};
+use store::journal::Append;
+use store::memory::Faults;
+use store::retain::Retention;
+use store::{Error, Journal, Memory};
 use yare::parameterized;
 
 /// The time of the paused runtime.
