--- a/crates/bench/src/deployment.rs
+++ b/crates/bench/src/deployment.rs
@@ -385,6 +385,8 @@
             repeat,
             retry: None,
             timeout_ms: ROUTE_TIMEOUT_MS,
+            limit_ms: None,
+            target_ms: None,
         },
     }
 }
--- a/crates/config/src/error.rs
+++ b/crates/config/src/error.rs
@@ -12,9 +12,9 @@
         Name(name: SmolStr) {
             display("{:?} is no name: 1 to {} letters, digits, '-', '_' or '.'", name, crate::validate::MAX_NAME)
         }
-        /// A path prefix has the wrong shape.
+        /// A prefix has the wrong shape.
         Prefix(prefix: SmolStr) {
-            display("{:?} is no path prefix: it starts with '/', has no empty part, '?', '#' or blank, and ends without '/'", prefix)
+            display("{:?} is no prefix: a path that starts with '/' and has no empty part, '?', '#' or blank, after a host in lower case if it is for that alone", prefix)
         }
         /// A service that isn't there is to be removed.
         NoSuchService(name: SmolStr) {
--- a/crates/config/src/held.rs
+++ b/crates/config/src/held.rs
@@ -48,15 +48,21 @@
         &self.mesh
     }
 
-    /// Moves on by one version.
+    /// Moves on from version `base` to `version`, which need not be the next number.
     ///
     /// # Errors
     ///
-    /// Refuses any version but the next, a patch that can't be applied, and a
-    /// result that has another digest; what is held then stays.
-    pub fn step(&mut self, version: Version, patch: &Patch, digest: Digest) -> Result<(), Error> {
+    /// Refuses a step from any version but the one held, a patch that can't be
+    /// applied, and a result that has another digest; what is held then stays.
+    pub fn step(
+        &mut self,
+        base: Version,
+        version: Version,
+        patch: &Patch,
+        digest: Digest,
+    ) -> Result<(), Error> {
         self.check_newer(version)?;
-        if version != self.version.next() {
+        if base != self.version {
             return Err(Error::Gap(self.version, version));
         }
         let mesh = patch.apply(&self.mesh)?;
--- a/crates/config/src/mesh.rs
+++ b/crates/config/src/mesh.rs
@@ -63,7 +63,7 @@
     pub percent: u8,
 }
 
-/// Where calls under a path prefix go.
+/// Where calls under a prefix go.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Route {
@@ -81,6 +81,12 @@
     /// Time for a call when the caller names none, in milliseconds.
     #[serde(default = "default_timeout_ms")]
     pub timeout_ms: u32,
+    /// Longest time that a call is kept waiting, whatever its caller says, in milliseconds.
+    #[serde(default)]
+    pub limit_ms: Option<u32>,
+    /// Time within which an answer is worth most to its caller, in milliseconds.
+    #[serde(default)]
+    pub target_ms: Option<u32>,
 }
 
 /// How calls are tried again.
@@ -104,7 +110,10 @@
 pub struct Mesh {
     /// Services by name.
     pub services: BTreeMap<SmolStr, Service>,
-    /// Routes by path prefix.
+    /// Routes by prefix: a path, or a host and a path (`shop.example/parts/`).
+    ///
+    /// One with a host goes before all without. One that ends with a slash
+    /// takes only what lies below it.
     pub routes: BTreeMap<SmolStr, Route>,
     /// Retry rules by name.
     pub retries: BTreeMap<SmolStr, Retry>,
--- a/crates/config/src/patch.rs
+++ b/crates/config/src/patch.rs
@@ -24,14 +24,14 @@
     },
     /// Adds or replaces a route.
     PutRoute {
-        /// Path prefix, with its leading slash.
+        /// Path prefix with its leading slash, after a host if it is for that alone.
         prefix: SmolStr,
         /// The route.
         route: Route,
     },
     /// Removes a route.
     RemoveRoute {
-        /// Path prefix, with its leading slash.
+        /// Prefix that the route stands under.
         prefix: SmolStr,
     },
     /// Adds or replaces a retry rule.
--- a/crates/config/src/validate.rs
+++ b/crates/config/src/validate.rs
@@ -11,8 +11,8 @@
 /// Longest name, in bytes: that of a DNS label, which names end up in.
 pub const MAX_NAME: usize = 63;
 
-/// Longest path prefix, in bytes.
-pub const MAX_PREFIX: usize = 256;
+/// Longest prefix, in bytes: a host name's 253 and a path of as many.
+pub const MAX_PREFIX: usize = 512;
 
 /// Most services: ten times the 410 that are planned for.
 pub const MAX_SERVICES: usize = 4_096;
@@ -83,19 +83,27 @@
 }
 
 pub(crate) fn check_prefix(prefix: &SmolStr) -> Result<(), Fault> {
-    let is_fit = prefix.starts_with('/')
-        && prefix.len() <= MAX_PREFIX
-        && (prefix.len() == 1 || !prefix.ends_with('/'))
-        && !prefix.contains("//")
-        && prefix
-            .bytes()
-            .all(|byte| byte.is_ascii_graphic() && !matches!(byte, b'?' | b'#'));
+    let path = prefix.find('/').map(|slash| prefix.split_at(slash));
+    let is_fit = path.is_some_and(|(host, path)| {
+        prefix.len() <= MAX_PREFIX
+            && (host.is_empty() || is_host(host))
+            && !path.contains("//")
+            && path
+                .bytes()
+                .all(|byte| byte.is_ascii_graphic() && !matches!(byte, b'?' | b'#'))
+    });
     if !is_fit {
         return Err(Fault::Prefix(prefix.clone()));
     }
     Ok(())
 }
 
+/// Tells whether `text` is a host name as lookups have it: in lower case, without a port.
+fn is_host(text: &str) -> bool {
+    text.bytes()
+        .all(|byte| matches!(byte, b'a'..=b'z' | b'0'..=b'9' | b'-' | b'_' | b'.'))
+}
+
 pub(crate) fn check_objective(objective: &Objective) -> Result<(), Fault> {
     check_range("availability_ppm", objective.availability_ppm, 1, PPM)?;
     check_range("latency_ppm", objective.latency_ppm, 1, PPM)?;
@@ -119,7 +127,11 @@
     if sum != PERCENT || route.targets.iter().any(|target| target.percent == 0) {
         return Err(Fault::Shares(prefix.clone(), sum));
     }
-    check_range("timeout_ms", route.timeout_ms, 1, MAX_TIMEOUT_MS)
+    check_range("timeout_ms", route.timeout_ms, 1, MAX_TIMEOUT_MS)?;
+    for (what, time) in [("limit_ms", route.limit_ms), ("target_ms", route.target_ms)] {
+        time.map_or(Ok(()), |time| check_range(what, time, 1, MAX_TIMEOUT_MS))?;
+    }
+    Ok(())
 }
 
 fn check_route(mesh: &Mesh, prefix: &SmolStr, route: &Route) -> Result<(), Fault> {
--- a/crates/config/src/view.rs
+++ b/crates/config/src/view.rs
@@ -7,6 +7,7 @@
     Class, Digest, Endpoint, Held, Mesh, Objective, Repeat, Retry, Route, Service, State, Version,
 };
 use smol_str::SmolStr;
+use std::borrow::Cow;
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -36,7 +37,7 @@
 /// A route whose services are all in the view.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RouteEntry {
-    /// Path prefix.
+    /// Prefix that it stands under.
     pub prefix: SmolStr,
     /// Services with their shares in per cent.
     pub targets: Vec<(ServiceKey, u8)>,
@@ -48,12 +49,16 @@
     pub retry: Option<Retry>,
     /// Time for a call when the caller names none, in milliseconds.
     pub timeout_ms: u32,
+    /// Longest time that a call is kept waiting, in milliseconds.
+    pub limit_ms: Option<u32>,
+    /// Time within which an answer is worth most, in milliseconds.
+    pub target_ms: Option<u32>,
 }
 
 /// A route that is withheld until its services are there.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WithheldEntry {
-    /// Path prefix.
+    /// Prefix that it stands under.
     pub prefix: SmolStr,
     /// The route's first service, whose promise its refused calls break.
     pub service: SmolStr,
@@ -70,8 +75,8 @@
     services: Vec<ServiceEntry>,
     routes: Vec<RouteEntry>,
     withheld: Vec<WithheldEntry>,
-    /// Routes by prefix without its last slash.
-    index: HashMap<SmolStr, Slot>,
+    /// Routes by prefix; hosts have a table each, the empty one is for all.
+    index: HashMap<SmolStr, HashMap<SmolStr, Slot>>,
 }
 
 /// What stands at a prefix.
@@ -127,7 +132,7 @@
             services: Vec::new(),
             routes: Vec::new(),
             withheld: Vec::new(),
-            index: HashMap::with_capacity(mesh.routes.len()),
+            index: HashMap::new(),
         };
         view.add_services(mesh);
         for (prefix, route) in &mesh.routes {
@@ -168,7 +173,9 @@
             }
             None => self.withhold(mesh, prefix, route),
         };
-        self.index.insert(prefix.trim_end_matches('/').into(), slot);
+        let (host, path) = prefix.split_at(prefix.find('/').unwrap_or_default());
+        let paths = self.index.entry(host.into()).or_default();
+        paths.insert(path.into(), slot);
     }
 
     fn withhold(&mut self, mesh: &Mesh, prefix: &SmolStr, route: &Route) -> Slot {
@@ -203,6 +210,8 @@
             repeat: route.repeat,
             retry,
             timeout_ms: route.timeout_ms,
+            limit_ms: route.limit_ms,
+            target_ms: route.target_ms,
         })
     }
 
@@ -241,13 +250,13 @@
         u32::try_from(index).ok().map(ServiceKey)
     }
 
-    /// Finds the route with the longest prefix of `path`; none when just that one is withheld.
+    /// Finds the route of `host` with the longest prefix of `path`; none when just that one is withheld.
     ///
     /// A shorter prefix doesn't step in for a withheld one: it belongs to
     /// another service, which must not get these calls.
     #[must_use]
-    pub fn find_route(&self, path: &str) -> Option<RouteKey> {
-        match self.look_up(path)? {
+    pub fn find_route(&self, host: &str, path: &str) -> Option<RouteKey> {
+        match self.look_up(host, path)? {
             Slot::Route(key) => Some(key),
             Slot::Withheld(_) => None,
         }
@@ -255,28 +264,26 @@
 
     /// Tells whether `path` has a route that is withheld until its services are there.
     #[must_use]
-    pub fn is_withheld(&self, path: &str) -> bool {
-        self.find_withheld(path).is_some()
+    pub fn is_withheld(&self, host: &str, path: &str) -> bool {
+        self.find_withheld(host, path).is_some()
     }
 
     /// Finds the route of `path` when it is withheld until its services are there.
     #[must_use]
-    pub fn find_withheld(&self, path: &str) -> Option<&WithheldEntry> {
-        match self.look_up(path)? {
+    pub fn find_withheld(&self, host: &str, path: &str) -> Option<&WithheldEntry> {
+        match self.look_up(host, path)? {
             Slot::Route(_) => None,
             Slot::Withheld(index) => self.withheld.get(index),
         }
     }
 
-    /// Looks `path` up part by part, from the whole of it to the empty prefix.
-    fn look_up(&self, path: &str) -> Option<Slot> {
-        let mut rest = path.split(['?', '#']).next().unwrap_or_default();
-        loop {
-            if let Some(found) = self.index.get(rest) {
-                return Some(*found);
-            }
-            rest = &rest[..rest.rfind('/')?];
-        }
+    /// Looks a path up among the routes of its host, then among those of all hosts.
+    fn look_up(&self, host: &str, path: &str) -> Option<Slot> {
+        let path = path.split(['?', '#']).next().unwrap_or_default();
+        let name = name_host(host);
+        let own = self.index.get(&*name).filter(|_| !name.is_empty());
+        own.and_then(|paths| look_up_path(paths, path))
+            .or_else(|| look_up_path(self.index.get("")?, path))
     }
 
     /// Gives the routes that are withheld until their services are there.
@@ -321,3 +328,33 @@
         &self.routes
     }
 }
+
+/// Gives a `Host` header as routes name hosts: without its port, in lower case.
+fn name_host(host: &str) -> Cow<'_, str> {
+    let name = match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
+        _ => host,
+    };
+    if name.bytes().any(|byte| byte.is_ascii_uppercase()) {
+        Cow::Owned(name.to_ascii_lowercase())
+    } else {
+        Cow::Borrowed(name)
+    }
+}
+
+/// Looks `path` up part by part, from the whole of it to the root.
+///
+/// `/a/b` is tried as `/a/b`, then as `/a/`, `/a` and `/`: each part once with
+/// its slash, for prefixes that take only what lies below them.
+fn look_up_path(paths: &HashMap<SmolStr, Slot>, path: &str) -> Option<Slot> {
+    let mut rest = path;
+    loop {
+        if let Some(found) = paths.get(rest) {
+            return Some(*found);
+        }
+        rest = match rest.strip_suffix('/') {
+            Some(part) => part,
+            None => &rest[..=rest.rfind('/')?],
+        };
+    }
+}
--- a/crates/config/tests/held.rs
+++ b/crates/config/tests/held.rs
@@ -44,7 +44,8 @@
             let taken = if is_snapshot {
                 held.replace(*version, mesh.clone(), digest).is_ok()
             } else {
-                held.step(*version, patch, digest).is_ok()
+                let base = Version(version.0 - 1);
+                held.step(base, *version, patch, digest).is_ok()
             };
             let is_next = *version == before.version().next();
             let is_newer = *version > before.version();
@@ -66,7 +67,7 @@
     let mut held = Held::default();
     let patch = Patch::from(vec![put("claims")]);
     let wrong = Digest::of(&Mesh::default());
-    let error = held.step(Version(1), &patch, wrong);
+    let error = held.step(Version::ZERO, Version(1), &patch, wrong);
     assert!(matches!(error, Err(Error::Mismatch(..))), "{error:?}");
     assert_eq!(held, Held::default());
 }
--- a/crates/config/tests/view.rs
+++ b/crates/config/tests/view.rs
@@ -48,7 +48,33 @@
         endpoint("claims", State::Serving),
     ];
     let view = View::build(Version(1), &mesh(), &endpoints);
-    let found = view.find_route(path).map(|key| &view.route(key).prefix);
+    let found = view.find_route("", path).map(|key| &view.route(key).prefix);
+    assert_eq!(found.map(smol_str::SmolStr::as_str), prefix);
+}
+
+#[parameterized(
+    own = { "shop.example", "/parts/7", Some("shop.example/parts/") },
+    port = { "shop.example:8080", "/parts/7", Some("shop.example/parts/") },
+    case = { "Shop.Example", "/parts/7", Some("shop.example/parts/") },
+    longest = { "shop.example", "/parts/teeth/7", Some("shop.example/parts/teeth/") },
+    at_the_slash = { "shop.example", "/parts/", Some("shop.example/parts/") },
+    not_below = { "shop.example", "/parts", Some("/") },
+    longer_part = { "shop.example", "/parts7/x", Some("/") },
+    query = { "shop.example", "/parts?x=/parts/", Some("/") },
+    other_host = { "yard.example", "/parts/7", Some("/") },
+    no_host = { "", "/parts/7", Some("/") },
+)]
+fn routes_of_hosts(host: &str, path: &str, prefix: Option<&str>) {
+    let text = r#"
+{"put_route": {"prefix": "shop.example/parts/", "route": {"targets": [{"service": "records", "percent": 100}]}}}
+{"put_route": {"prefix": "shop.example/parts/teeth/", "route": {"targets": [{"service": "records", "percent": 100}]}}}
+"#;
+    let mesh = Patch::parse(text).expect("valid").apply(&mesh());
+    let endpoints = [endpoint("records", State::Serving)];
+    let view = View::build(Version(1), &mesh.expect("valid"), &endpoints);
+    let found = view
+        .find_route(host, path)
+        .map(|key| &view.route(key).prefix);
     assert_eq!(found.map(smol_str::SmolStr::as_str), prefix);
 }
 
@@ -64,8 +90,8 @@
         ];
         let view = View::build(Version(1), &mesh(), &endpoints);
         let is_there = state != State::Gone;
-        assert_eq!(view.find_route("/claims/7").is_some(), is_there);
-        assert_eq!(view.is_withheld("/claims/7"), !is_there);
+        assert_eq!(view.find_route("", "/claims/7").is_some(), is_there);
+        assert_eq!(view.is_withheld("", "/claims/7"), !is_there);
         let taking = view
             .find_service("claims")
             .map(|key| view.service(key).endpoints.len());
@@ -79,7 +105,7 @@
 #[test]
 fn retry_resolved() {
     let view = View::build(Version(1), &mesh(), &[endpoint("records", State::Serving)]);
-    let key = view.find_route("/x").expect("routed");
+    let key = view.find_route("shop.example", "/x").expect("routed");
     assert_eq!(
         view.route(key).retry.as_ref().map(|rule| rule.attempts),
         Some(2)
--- a/crates/fleet/src/duty.rs
+++ b/crates/fleet/src/duty.rs
@@ -190,6 +190,8 @@
         digest: Digest,
     ) {
         let step = Step {
+            // The journal leaves no number out.
+            base: Version(version.0.saturating_sub(1)),
             version,
             patch,
             digest,
@@ -202,14 +204,10 @@
         self.settle_step(now, taken, &step);
     }
 
-    pub(crate) fn on_platform_whole(
-        &mut self,
-        now: Instant,
-        version: Version,
-        mesh: Mesh,
-        digest: Digest,
-    ) {
-        let taken = self.holder.take_whole(version, mesh, digest);
-        self.settle_taken(now, taken);
+    pub(crate) fn on_platform_whole(&mut self, now: Instant, version: Version, mesh: Mesh) {
+        match self.holder.take_newest(version, mesh) {
+            (taken, Some(step)) => self.settle_step(now, taken, &step),
+            (taken, None) => self.settle_taken(now, taken),
+        }
     }
 }
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -89,8 +89,6 @@
         version: Version,
         /// The configuration.
         mesh: Mesh,
-        /// Digest of the configuration.
-        digest: Digest,
     },
 }
 
--- a/crates/fleet/src/holder.rs
+++ b/crates/fleet/src/holder.rs
@@ -23,6 +23,8 @@
 /// A step from one version to the next.
 #[derive(Debug, Clone)]
 pub struct Step {
+    /// The version before it.
+    pub base: Version,
     /// The version after it.
     pub version: Version,
     /// What changes.
@@ -32,8 +34,9 @@
 }
 
 impl Step {
-    fn frame(&self) -> Frame {
+    pub(crate) fn frame(&self) -> Frame {
         Frame::Step {
+            base: self.base,
             version: self.version,
             patch: Arc::clone(&self.patch),
             digest: self.digest,
@@ -96,7 +99,9 @@
 
     /// Takes a step, if it is the next one.
     pub fn take_step(&mut self, step: Step) -> Taken {
-        let result = self.held.step(step.version, &step.patch, step.digest);
+        let result = self
+            .held
+            .step(step.base, step.version, &step.patch, step.digest);
         let taken = self.settle(step.version, result);
         if taken == Taken::Applied {
             self.keep(step);
@@ -104,6 +109,28 @@
         taken
     }
 
+    /// Takes the newest configuration, whole, and gives the step that leads to it.
+    ///
+    /// Whoever reads a source of whole versions makes the step, so that the
+    /// nodes below get what changed: a version of 350 routes is some 40 kB,
+    /// and most change a few.
+    pub fn take_newest(&mut self, version: Version, mesh: Mesh) -> (Taken, Option<Step>) {
+        let digest = Digest::of(&mesh);
+        if self.version() == Version::ZERO || version <= self.version() {
+            return (self.take_whole(version, mesh, digest), None);
+        }
+        let step = Step {
+            base: self.version(),
+            version,
+            patch: Arc::new(config::diff(self.held.mesh(), &mesh)),
+            digest,
+        };
+        match self.take_step(step.clone()) {
+            Taken::Applied => (Taken::Applied, Some(step)),
+            _ => (self.take_whole(version, mesh, digest), None),
+        }
+    }
+
     /// Takes a whole configuration, if it is a higher version.
     pub fn take_whole(&mut self, version: Version, mesh: Mesh, digest: Digest) -> Taken {
         let result = self.held.replace(version, mesh, digest);
@@ -164,8 +191,7 @@
         if after >= self.version() {
             return Vec::new();
         }
-        let first = self.steps.iter().position(|step| step.version > after);
-        let first = first.filter(|index| self.steps[*index].version == after.next());
+        let first = self.steps.iter().position(|step| step.base == after);
         if let Some(first) = first.filter(|_| !whole) {
             let range = self.steps.range(first..);
             if range
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -5,7 +5,7 @@
 use crate::departure::Guard;
 use crate::endpoints::Table;
 use crate::event::{Action, Answer, Event};
-use crate::holder::Holder;
+use crate::holder::{Holder, Step};
 use crate::link::{BEAT, Link, LinkKey, Purpose, Role};
 use crate::parent::{Candidates, Source};
 use crate::root::Lease;
@@ -253,10 +253,19 @@
         match frame {
             Frame::Beat(beat) => self.on_beat(now, key, &beat),
             Frame::Step {
+                base,
                 version,
                 patch,
                 digest,
-            } => self.on_step(now, key, version, patch, digest),
+            } => {
+                let step = Step {
+                    base,
+                    version,
+                    patch,
+                    digest,
+                };
+                self.on_step(now, key, &step);
+            }
             Frame::Want { after, whole } => self.on_want(key, after, whole),
             Frame::Chunk(chunk) => self.on_chunk(now, key, &chunk),
             Frame::Endpoints(list) => self.on_endpoints(now, key, &list),
@@ -288,11 +297,7 @@
                 patch,
                 digest,
             } => self.on_platform_step(now, version, patch, digest),
-            Answer::Whole {
-                version,
-                mesh,
-                digest,
-            } => self.on_platform_whole(now, version, mesh, digest),
+            Answer::Whole { version, mesh } => self.on_platform_whole(now, version, mesh),
         }
     }
 
--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -10,7 +10,7 @@
 use crate::holder::{Step, Taken};
 use crate::link::{Link, LinkKey, Role};
 use crate::node::Node;
-use config::{Digest, Endpoint, Patch, State, Version, View};
+use config::{Endpoint, State, Version, View};
 use smol_str::SmolStr;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -119,22 +119,10 @@
         self.send_after(key, after, whole);
     }
 
-    pub(crate) fn on_step(
-        &mut self,
-        now: Instant,
-        key: LinkKey,
-        version: Version,
-        patch: Arc<Patch>,
-        digest: Digest,
-    ) {
-        self.note_version(key, version);
-        let step = Step {
-            version,
-            patch,
-            digest,
-        };
+    pub(crate) fn on_step(&mut self, now: Instant, key: LinkKey, step: &Step) {
+        self.note_version(key, step.version);
         let taken = self.holder.take_step(step.clone());
-        self.settle_step(now, taken, &step);
+        self.settle_step(now, taken, step);
     }
 
     pub(crate) fn on_chunk(&mut self, now: Instant, key: LinkKey, chunk: &Chunk) {
@@ -156,12 +144,7 @@
             let behind = |link: &Link| link.role == Role::Child && link.version < step.version;
             for child in self.find_links(behind) {
                 self.note_version(child, step.version);
-                let frame = Frame::Step {
-                    version: step.version,
-                    patch: Arc::clone(&step.patch),
-                    digest: step.digest,
-                };
-                self.send(child, frame);
+                self.send(child, step.frame());
             }
         }
         self.settle_taken(now, taken);
--- a/crates/fleet/tests/refusal.rs
+++ b/crates/fleet/tests/refusal.rs
@@ -20,8 +20,11 @@
     let steps = (1..=count).map(|number| {
         let patch = Arc::new(put(&format!("s{number}")));
         let digest = Digest::of(&patch.apply(held.mesh()).expect("valid"));
-        held.step(Version(number), &patch, digest).expect("next");
+        let base = Version(number - 1);
+        held.step(base, Version(number), &patch, digest)
+            .expect("next");
         Step {
+            base,
             version: Version(number),
             patch,
             digest,
@@ -33,10 +36,12 @@
 fn take(holder: &mut Holder, frame: Frame) -> Taken {
     match frame {
         Frame::Step {
+            base,
             version,
             patch,
             digest,
         } => holder.take_step(Step {
+            base,
             version,
             patch,
             digest,
@@ -115,6 +120,7 @@
     let version = Version(4);
     assert_eq!(
         source.take_step(Step {
+            base: Version(3),
             version,
             patch,
             digest
@@ -174,3 +180,42 @@
     wire::codec::encode(&total, &mut buffer).expect("fits");
     assert!(buffer.len() < 2_000, "{} bytes", buffer.len());
 }
+
+// An operator's tool writes whole configurations under numbers that leave some
+// out. The nodes below the one that reads them must get what changed and not
+// the whole each time, and one that missed a step must not take the next.
+#[test]
+fn steps_of_whole_versions() {
+    let mesh = |count: u64| {
+        let patches = (0..count).map(|number| put(&format!("s{number}")));
+        patches.fold(config::Mesh::default(), |mesh, patch| {
+            patch.apply(&mesh).expect("valid")
+        })
+    };
+    let mut source = Holder::default();
+    source.take_newest(Version(3), mesh(2));
+    let (first, second) = (
+        source.take_newest(Version(9), mesh(3)),
+        source.take_newest(Version(10), mesh(4)),
+    );
+    let (Some(first), Some(second)) = (first.1, second.1) else {
+        panic!("a step leads to each version after the first");
+    };
+    assert_eq!((first.base, first.patch.changes.len()), (Version(3), 1));
+    let mut child = Holder::default();
+    for frame in source.frames_after(Version::ZERO, true) {
+        take(&mut child, frame);
+    }
+    assert_eq!(child.version(), Version(10));
+    let mut behind = Holder::default();
+    behind.take_newest(Version(3), mesh(2));
+    assert_eq!(behind.take_step(second.clone()), Taken::Gap);
+    assert_eq!(behind.version(), Version(3));
+    let frames = source.frames_after(Version(3), false);
+    assert_eq!(frames.len(), 2);
+    for frame in frames {
+        assert_eq!(take(&mut behind, frame), Taken::Applied);
+    }
+    assert_eq!(behind.held(), source.held());
+    assert_eq!(source.take_newest(Version(9), mesh(1)).0, Taken::Known);
+}
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -313,6 +313,8 @@
                 repeat: config::Repeat::default(),
                 retry: None,
                 timeout_ms: 1_000,
+                limit_ms: None,
+                target_ms: None,
             },
         };
         let name = format!("s{}", number % 5);
--- a/crates/fleet/tests/world/platform.rs
+++ b/crates/fleet/tests/world/platform.rs
@@ -65,7 +65,7 @@
         let version = self.head().next();
         let digest = Digest::of(&next);
         self.held
-            .step(version, &patch, digest)
+            .step(self.held.version(), version, &patch, digest)
             .expect("the next version");
         self.history
             .push((Arc::new(patch), Arc::clone(self.held.mesh()), digest));
--- a/crates/node/src/control_platform.rs
+++ b/crates/node/src/control_platform.rs
@@ -218,11 +218,9 @@
         }
         News::Reset(loaded) => {
             let state = version::State::build(&loaded)?;
-            let digest = config::Digest::of(&state.mesh);
             let whole = Answer::Whole {
                 version: state.version,
                 mesh: state.mesh,
-                digest,
             };
             Ok(vec![Answer::Head(state.version), whole])
         }
--- a/crates/node/src/control_watch.rs
+++ b/crates/node/src/control_watch.rs
@@ -112,7 +112,8 @@
         News::Record(record) => {
             let step = Step::parse(&record)?;
             let entry = &step.entry;
-            held.step(step.version, &entry.patch, entry.digest)
+            let base = Version(step.version.0.saturating_sub(1));
+            held.step(base, step.version, &entry.patch, entry.digest)
                 .map_err(invalid)
         }
         News::Reset(loaded) => {
--- a/crates/node/src/outbound_call.rs
+++ b/crates/node/src/outbound_call.rs
@@ -6,7 +6,7 @@
 use crate::outbound_answer::{Body, refuse, reject};
 use crate::outbound_hedge::try_first;
 use crate::outbound_keyed::serve_keyed;
-use crate::outbound_plan::{Plan, left, make_plan, take_body};
+use crate::outbound_plan::{Plan, host_of, left, make_plan, take_body};
 use crate::outbound_send::{Late, Tried, try_once};
 use crate::outbound_sent;
 use crate::outbound_service::{Ask, Picked};
@@ -58,7 +58,7 @@
 }
 
 /// Refuses a call whose path has no route, or one whose service has no endpoint, which burns.
-fn refuse_unrouted<C>(inner: &Inner<C>, view: &View, path: &str) -> Response<Body<C>>
+fn refuse_unrouted<C>(inner: &Inner<C>, view: &View, head: &request::Parts) -> Response<Body<C>>
 where
     C: Clock,
 {
@@ -66,7 +66,7 @@
     if view.version() == Version::ZERO {
         return refuse(Refused::not_run(Reason::NoRoutes, 0));
     }
-    let Some(withheld) = view.find_withheld(path) else {
+    let Some(withheld) = view.find_withheld(host_of(head), head.uri.path()) else {
         return reject(StatusCode::NOT_FOUND, "no-route");
     };
     drop(Count {
@@ -92,7 +92,7 @@
     let started = inner.shared.clock.now();
     let view = inner.shared.view.load_full();
     let Some((plan, objective)) = make_plan(inner, &view, &head, peer) else {
-        return refuse_unrouted(inner, &view, head.uri.path());
+        return refuse_unrouted(inner, &view, &head);
     };
     drop(view);
     let plan = Arc::new(plan);
--- a/crates/node/src/outbound_plan.rs
+++ b/crates/node/src/outbound_plan.rs
@@ -8,7 +8,7 @@
 use call::reserve::Key;
 use clock::Clock;
 use config::{Class, Objective, Repeat, Retry, View};
-use http::{HeaderMap, Method, request};
+use http::{HeaderMap, Method, header, request};
 use http_body::Body as _;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -77,10 +77,14 @@
 where
     C: Clock,
 {
-    let route = view.route(view.find_route(head.uri.path())?);
+    let route = view.route(view.find_route(host_of(head), head.uri.path())?);
     let now = inner.shared.clock.now();
     let own = Duration::from_millis(route.timeout_ms.into());
     let timeout = timeout_of(&head.headers).unwrap_or(own);
+    let longest = route
+        .limit_ms
+        .map(|limit| Duration::from_millis(limit.into()));
+    let timeout = timeout.min(longest.unwrap_or(LONGEST_TIMEOUT));
     let target = view.service(pick_target(&route.targets));
     let repeatable = is_repeatable(route.repeat, &head.method);
     let plan = Plan {
@@ -98,6 +102,13 @@
     Some((plan, target.service.objective))
 }
 
+/// Gives the host that a request is for; empty when it names none.
+pub(crate) fn host_of(head: &request::Parts) -> &str {
+    let named = || head.headers.get(header::HOST)?.to_str().ok();
+    let whole = head.uri.authority().map(http::uri::Authority::as_str);
+    whole.or_else(named).unwrap_or_default()
+}
+
 /// Tells whether a call may run more than once; one that nothing is said of may if its method is safe (RFC 9110).
 fn is_repeatable(repeat: Repeat, method: &Method) -> bool {
     match repeat {
--- a/crates/node/tests/calls/hedge.rs
+++ b/crates/node/tests/calls/hedge.rs
@@ -37,6 +37,8 @@
         repeat: Repeat::ByMethod,
         retry: Some("reads".into()),
         timeout_ms: 5_000,
+        limit_ms: None,
+        target_ms: None,
     };
     mesh.routes.insert("/desk".into(), route);
     mesh
--- a/crates/node/tests/calls/mesh.rs
+++ b/crates/node/tests/calls/mesh.rs
@@ -137,6 +137,8 @@
             repeat,
             retry: None,
             timeout_ms: 5_000,
+            limit_ms: None,
+            target_ms: None,
         };
         mesh.routes.insert(format!("/{service}").into(), route);
         let view = View::build(Version(1), &mesh, endpoints);
--- a/crates/node/tests/operate.rs
+++ b/crates/node/tests/operate.rs
@@ -93,7 +93,7 @@
     let shared = make_shared();
     shared.view.store(Arc::new(make_view()));
     let view = shared.view.load();
-    let withheld = view.find_withheld("/jobs/7").unwrap();
+    let withheld = view.find_withheld("", "/jobs/7").unwrap();
     let counters = shared.metrics.service(&withheld.service);
     let endings = [Ending::Refused(Verdict::NotRun), Ending::Answered(404)];
     for ending in endings.into_iter().cycle().take(20) {
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -116,8 +116,10 @@
     Path(Vec<SmolStr>),
     /// A sign of life.
     Beat(Beat),
-    /// The step from the version before to this one.
+    /// The step from one version to a later one.
     Step {
+        /// The version before the step.
+        base: Version,
         /// The version after the step.
         version: Version,
         /// What changes.
