--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -4,6 +4,8 @@
 //! and how many at once; it is repeated as a heartbeat. `DELETE /v1/announce`
 //! says that it is leaving: from that instant it gets no new call. `GET`
 //! tells it how many calls are still in flight, so that it knows when to end.
+//! With `interface = platform` it announces itself in the platform's words as
+//! well, which [`platform::announce`] reads.
 //!
 //! Silence is no departure. A backend server that is paused or cut off for a
 //! moment would otherwise lose all its work at once; one that is really gone
@@ -16,8 +18,10 @@
 use hyper::body::Incoming;
 use log::info;
 use parking_lot::Mutex;
+use platform::announce::Notice;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
+use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -103,11 +107,45 @@
     known: Mutex<Known>,
 }
 
+/// Former processes of the backend server that are remembered: restarts within an hour, at most.
+const MAX_FORMER: usize = 32;
+
 /// The backend server's process that announced itself last.
 #[derive(Default)]
 struct Known {
     incarnation: Option<u64>,
+    instance: Option<SmolStr>,
+    sequence: u64,
     left: bool,
+    former: VecDeque<SmolStr>,
+}
+
+impl Known {
+    /// Tells whether a notice of the process `instance` is newer than what is known.
+    ///
+    /// Guards against an announcement that a cut has held up: it may come after
+    /// its sender has left or crashed and another process has its address, and
+    /// calls would be addressed to a process that is gone.
+    fn is_news(&self, instance: &SmolStr, sequence: Option<u64>) -> bool {
+        if self.former.contains(instance) {
+            return false;
+        }
+        if self.instance.as_ref() != Some(instance) {
+            return sequence.is_some();
+        }
+        !self.left && sequence.is_none_or(|sequence| sequence > self.sequence)
+    }
+
+    fn note(&mut self, instance: &SmolStr, sequence: Option<u64>) {
+        if self.instance.as_ref() != Some(instance) {
+            self.former.extend(self.instance.replace(instance.clone()));
+            if self.former.len() > MAX_FORMER {
+                self.former.pop_front();
+            }
+            self.left = false;
+        }
+        self.sequence = sequence.unwrap_or(self.sequence);
+    }
 }
 
 async fn answer<C>(request: Request<Incoming>, desk: &Desk<C>) -> Answer
@@ -115,6 +153,12 @@
     C: Clock,
 {
     let shared = &*desk.shared;
+    if shared.is_on_platform()
+        && let Some(instance) = platform::announce::find_instance(request.uri().path())
+    {
+        let instance = SmolStr::new(instance);
+        return answer_notice(request, desk, &instance).await;
+    }
     if request.uri().path() != PATH {
         return refuse(StatusCode::NOT_FOUND, "only /v1/announce is here");
     }
@@ -138,6 +182,55 @@
     }
 }
 
+/// Answers what a backend server says in the platform's words; whatever is understood is acknowledged.
+async fn answer_notice<C>(request: Request<Incoming>, desk: &Desk<C>, instance: &str) -> Answer
+where
+    C: Clock,
+{
+    let method = request.method().clone();
+    let body = match listener::read_body(request.into_body(), desk.limits).await {
+        Ok(body) => body,
+        Err(refusal) => return refusal,
+    };
+    match platform::announce::decode(&method, instance, &body) {
+        Ok(notice) => {
+            take_notice(desk, notice);
+            answer_json(StatusCode::OK, &serde_json::Map::new())
+        }
+        Err(error) => refuse(StatusCode::BAD_REQUEST, &error.to_string()),
+    }
+}
+
+fn take_notice<C>(desk: &Desk<C>, notice: Notice)
+where
+    C: Clock,
+{
+    let mut known = desk.known.lock();
+    let sequence = notice.announcement.as_ref().map(|one| one.sequence);
+    if !known.is_news(&notice.instance, sequence) {
+        return;
+    }
+    known.note(&notice.instance, sequence);
+    let is_current = known.instance.as_ref() == Some(&notice.instance);
+    match notice.announcement {
+        Some(announcement) if !announcement.leaving => {
+            let backend = Backend {
+                service: announcement.service,
+                instance: Some(notice.instance),
+                address: announcement.address,
+                slots: announcement.slots.max(1),
+                leaving: false,
+            };
+            install(desk, backend);
+        }
+        Some(_) | None if is_current => {
+            known.left = true;
+            begin_leave(desk);
+        }
+        Some(_) | None => {}
+    }
+}
+
 async fn take_announcement(
     request: Request<Incoming>,
     limits: Limits,
@@ -179,16 +272,23 @@
     if is_same && known.left {
         return false;
     }
-    *known = Known {
-        incarnation: announcement.incarnation,
-        left: false,
-    };
+    known.incarnation = announcement.incarnation;
+    known.left = false;
     let backend = Backend {
         service: announcement.service.clone(),
+        instance: None,
         address: announcement.address,
         slots: announcement.slots,
         leaving: false,
     };
+    install(desk, backend);
+    true
+}
+
+fn install<C>(desk: &Desk<C>, backend: Backend)
+where
+    C: Clock,
+{
     let changed = desk.shared.backend.send_if_modified(|held| {
         let changed = held.as_ref() != Some(&backend);
         *held = Some(backend.clone());
@@ -202,7 +302,6 @@
             "backend_announced"
         );
     }
-    true
 }
 
 fn leave<C>(desk: &Desk<C>)
@@ -210,6 +309,13 @@
     C: Clock,
 {
     desk.known.lock().left = true;
+    begin_leave(desk);
+}
+
+fn begin_leave<C>(desk: &Desk<C>)
+where
+    C: Clock,
+{
     let changed = desk.shared.backend.send_if_modified(|held| match held {
         Some(backend) if !backend.leaving => {
             backend.leaving = true;
--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -228,6 +228,11 @@
         }
     }
 
+    /// Lets go of an answer with its connection, which is not to be used again.
+    pub(crate) fn discard(mut self) {
+        self.connection = None;
+    }
+
     /// Tells whether no part follows.
     pub(crate) fn is_end(&self) -> bool {
         self.incoming.is_end_stream()
--- a/crates/node/src/control_platform.rs
+++ b/crates/node/src/control_platform.rs
@@ -13,7 +13,7 @@
 use store::follow::News;
 use store::lease::{self, Standing};
 use store::version::{self, JOURNAL};
-use store::{Error, Follower, Journal, Lease, Revision, Store};
+use store::{Error, Follower, Journal, Latest, Lease, Object, Revision, Store};
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
@@ -108,6 +108,9 @@
 
     /// Reads the highest version, given one that is known; the log is read from there only.
     async fn read_head(&self, after: config::Version) -> Result<Answer, Error> {
+        if self.shared.is_on_platform() {
+            return self.read_newest().await;
+        }
         let journal = Journal::open(self.store.clone(), self.shared.clock.clone(), JOURNAL);
         let last = match journal.read(after.0).await? {
             Some(tail) => tail.records.last().map(|record| record.number),
@@ -117,6 +120,15 @@
         Ok(Answer::Head(config::Version(last.unwrap_or(after.0))))
     }
 
+    /// Reads the operators' configuration, which is the newest version there is.
+    async fn read_newest(&self) -> Result<Answer, Error> {
+        let object = self.store.get(platform::mesh::NAME).await?;
+        let object = object.ok_or(Error::NotFound)?;
+        let (version, mesh) = read_whole(&object)?;
+        drop(self.inbox.send(Input::Answer(Answer::Head(version))).await);
+        Ok(Answer::Whole { version, mesh })
+    }
+
     async fn read_leases(&mut self) -> Result<Answer, Error> {
         let standings = lease::list(&self.store, ROOTS).await?;
         let now = self.shared.clock.now();
@@ -173,6 +185,12 @@
     }
 
     fn follow(&mut self, after: config::Version) {
+        if self.shared.is_on_platform() {
+            let latest = Latest::open(self.store.clone(), platform::mesh::NAME);
+            let follow = follow_latest(latest, self.inbox.clone());
+            self.follower = Some(Task(tokio::spawn(follow)));
+            return;
+        }
         let journal = Journal::open(self.store.clone(), self.shared.clock.clone(), JOURNAL);
         let position = (after > config::Version::ZERO).then_some(after.0);
         let follower = Follower::open(journal.clone(), position);
@@ -186,6 +204,34 @@
     }
 }
 
+fn read_whole(object: &Object) -> Result<(config::Version, config::Mesh), Error> {
+    platform::mesh::decode(&object.value).map_err(|error| Error::Invalid(error.to_string()))
+}
+
+/// Passes the operators' configurations on until it is dropped.
+///
+/// One that can't be read is passed over: the version held stays in force.
+async fn follow_latest<S>(mut latest: Latest<S>, inbox: mpsc::Sender<Input>)
+where
+    S: Store,
+{
+    loop {
+        let object = latest.next().await;
+        let (version, mesh) = match read_whole(&object) {
+            Ok(read) => read,
+            Err(error) => {
+                warn!(revision = object.revision.0, error:%; "version_unreadable");
+                continue;
+            }
+        };
+        for answer in [Answer::Head(version), Answer::Whole { version, mesh }] {
+            if inbox.send(Input::Answer(answer)).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
 /// Passes versions on until the follower is dropped.
 async fn pass_on<C, S>(mut follower: Follower<S, C>, inbox: mpsc::Sender<Input>)
 where
--- a/crates/node/src/inbound_run.rs
+++ b/crates/node/src/inbound_run.rs
@@ -11,6 +11,7 @@
 use clock::Clock;
 use config::Class;
 use http::{HeaderName, HeaderValue, Method, Response, StatusCode, Uri};
+use platform::header;
 use policy::admission;
 use policy::limit::Outcome;
 use std::future::poll_fn;
@@ -159,13 +160,27 @@
     let active = inner.count_in();
     let mut permit = enter(inner, &request, deadline, find()?.slots).await?;
     let backend = find()?;
-    let request = make_request(request, upload, left(inner, deadline))
+    let mut request = make_request(request, upload, left(inner, deadline))
         .ok_or(Refused::not_run(Reason::Backend, 0))?;
+    let attempt = platform::header::find_attempt(request.headers());
+    if inner.shared.is_on_platform() {
+        let (left, instance) = (left(inner, deadline), backend.instance.as_ref());
+        platform::header::write_handover(request.headers_mut(), left, instance);
+    }
     if !start() {
         return Err(Refused::not_run(Reason::Cancelled, 0));
     }
     match inner.pool.exchange(backend.address, request).await {
         Ok(response) => {
+            if inner.shared.is_on_platform()
+                && let Err((refused, outcome)) = check_answer(attempt.as_ref(), &response)
+            {
+                permit.outcome = outcome;
+                if refused.verdict == Verdict::MayHaveRun {
+                    response.into_body().discard();
+                }
+                return Err(refused);
+            }
             permit.outcome = outcome_of(response.status());
             Ok(response.map(|reply| Running {
                 reply,
@@ -178,6 +193,25 @@
     }
 }
 
+/// Tells why an answer is not the backend server's to this request, and what it says of its load.
+fn check_answer<B>(
+    attempt: Option<&HeaderValue>,
+    response: &Response<B>,
+) -> Result<(), (Refused, Outcome)> {
+    let judged = platform::header::judge(attempt, response.status(), response.headers());
+    let refused = match judged {
+        header::Answer::Whole => return Ok(()),
+        header::Answer::NotBegun { retry_after } => {
+            let wait = retry_after.unwrap_or_default().as_millis();
+            let wait = u32::try_from(wait).unwrap_or(u32::MAX);
+            (Refused::not_run(Reason::Full, wait), Outcome::Shed)
+        }
+        header::Answer::Elsewhere => (Refused::not_run(Reason::NoService, 0), Outcome::Failed),
+        header::Answer::Foreign => (Refused::may_have_run(Reason::Backend), Outcome::Failed),
+    };
+    Err(refused)
+}
+
 /// Waits at the gate.
 async fn enter<C>(
     inner: &Arc<Inner<C>>,
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,10 +1,11 @@
 //! `bluebellpick-node`: the proxy and relay beside a backend server.
 
 use bpaf::{Args, OptionParser, ParseFailure, Parser, construct, long};
-use log::{error, warn};
+use log::{error, info, warn};
 use settings::node::Settings;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::Duration;
 use tokio::runtime::{Builder, Handle, Runtime};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
@@ -27,6 +28,7 @@
 fn parse_options() -> OptionParser<Options> {
     let settings = long("settings")
         .help("INI file with the node's settings")
+        .env("BLUEBELLPICK_SETTINGS")
         .argument("FILE");
     let check = long("check")
         .help("Only check the settings, then end: 0 when they are right, 2 when not")
@@ -52,18 +54,22 @@
             return ExitCode::from(if is_wrong { BAD_SETTINGS } else { 0 });
         }
     };
-    let settings = match Settings::open(&options.settings) {
+    let mut settings = match Settings::open(&options.settings) {
         Ok(settings) => settings,
         Err(error) => {
             eprintln!("{error}");
             return ExitCode::from(BAD_SETTINGS);
         }
     };
+    if let Err(error) = apply_bounds(&mut settings) {
+        eprintln!("[fleet] bounds: {error}");
+        return ExitCode::from(BAD_SETTINGS);
+    }
     if options.check {
         return ExitCode::SUCCESS;
     }
     node::logs::open();
-    match start(settings) {
+    match start(settings, &options.settings) {
         Ok(code) => code,
         Err(error) => {
             error!(error:%; "failed");
@@ -72,10 +78,25 @@
     }
 }
 
-fn start(settings: Settings) -> std::io::Result<ExitCode> {
+/// Time kept back from what the platform gives a process to stop in.
+///
+/// The last frames must be out, and a machine with a fifth of a core wakes
+/// late; what is still in flight then is cut off in order.
+const STOP_MARGIN: Duration = Duration::from_millis(500);
+
+/// Puts what the platform asks for in place of the limits of the file.
+fn apply_bounds(settings: &mut Settings) -> Result<(), platform::Error> {
+    let bounds = platform::bounds::decode(&settings.bounds)?;
+    if let Some(stop) = bounds.stop {
+        settings.drain_timeout = stop.saturating_sub(STOP_MARGIN).max(stop / 2);
+    }
+    Ok(())
+}
+
+fn start(settings: Settings, path: &Path) -> std::io::Result<ExitCode> {
     let background = build_runtime("background", 1)?;
     let calls = build_runtime("calls", settings.threads.into())?;
-    calls.block_on(serve(settings, background.handle()))
+    calls.block_on(serve(settings, path, background.handle()))
 }
 
 fn build_runtime(name: &str, threads: usize) -> std::io::Result<Runtime> {
@@ -86,11 +107,18 @@
         .build()
 }
 
-async fn serve(settings: Settings, background: &Handle) -> std::io::Result<ExitCode> {
+async fn serve(settings: Settings, path: &Path, background: &Handle) -> std::io::Result<ExitCode> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    let mut held = settings.clone();
     let running = node::node::spawn(settings, clock::System, background).await?;
-    wait_any(&mut terminate, &mut interrupt).await;
+    loop {
+        tokio::select! {
+            () = wait_any(&mut terminate, &mut interrupt) => break,
+            _ = hangup.recv() => held = reload(held, path),
+        }
+    }
     tokio::select! {
         () = running.stop() => Ok(ExitCode::SUCCESS),
         () = wait_any(&mut terminate, &mut interrupt) => {
@@ -100,6 +128,29 @@
     }
 }
 
+/// Reads the settings file again, and tells what of it would change.
+///
+/// All of a node's settings are its place and its addresses, which callers and
+/// other nodes know it by, or limits of what is open already: what has changed
+/// takes effect with the next start. A file that is wrong is named at once and
+/// not by a process that fails to start later.
+fn reload(held: Settings, path: &Path) -> Settings {
+    match Settings::open(path) {
+        Ok(next) if next == held => {
+            info!("settings_unchanged");
+            held
+        }
+        Ok(next) => {
+            warn!("settings_wait_for_restart");
+            next
+        }
+        Err(error) => {
+            error!(error:%; "settings_refused");
+            held
+        }
+    }
+}
+
 async fn wait_any(terminate: &mut Signal, interrupt: &mut Signal) {
     tokio::select! {
         _ = terminate.recv() => {}
--- a/crates/node/src/operate.rs
+++ b/crates/node/src/operate.rs
@@ -209,7 +209,7 @@
 where
     C: Clock,
 {
-    if !is_authorized(request, &shared.settings.token.0) {
+    if !is_authorized(request, shared.settings.token.0.as_deref()) {
         warn!("drain_unauthorized");
         return refuse(StatusCode::UNAUTHORIZED, "want Authorization: Bearer TOKEN");
     }
@@ -224,7 +224,10 @@
 ///
 /// The time of the comparison tells nothing of how many bytes were right;
 /// else a token could be guessed byte by byte.
-fn is_authorized(request: &Request<Incoming>, token: &str) -> bool {
+fn is_authorized(request: &Request<Incoming>, token: Option<&str>) -> bool {
+    let Some(token) = token else {
+        return false;
+    };
     let given = request
         .headers()
         .get(header::AUTHORIZATION)
--- a/crates/node/src/outbound.rs
+++ b/crates/node/src/outbound.rs
@@ -2,7 +2,7 @@
 
 use crate::inbound;
 use crate::listener::Ended;
-use crate::outbound_answer::Body;
+use crate::outbound_answer::{Body, RETRY_AFTER_HEADER};
 use crate::outbound_call;
 use crate::outbound_link::Links;
 use crate::outbound_service::{Place, Services};
@@ -318,6 +318,9 @@
         let inner = Arc::clone(&inner);
         async move {
             let mut response = outbound_call::serve(&inner, request, peer).await;
+            if inner.shared.is_on_platform() {
+                tell_wait(&mut response);
+            }
             if *inner.stage.borrow() >= Stage::LameDuck {
                 end_connection(&mut response);
             }
@@ -353,6 +356,18 @@
     drop(stage.wait_for(|stage| *stage >= Stage::Closing).await);
 }
 
+/// Tells when to come back in the platform's way, which has fractions of a second.
+fn tell_wait<C>(response: &mut http::Response<Body<C>>)
+where
+    C: Clock,
+{
+    let own = response.headers().get(&RETRY_AFTER_HEADER);
+    let wait = own.and_then(|value| value.to_str().ok()?.parse().ok());
+    if let Some(wait) = wait {
+        platform::header::write_wait(response.headers_mut(), Duration::from_millis(wait));
+    }
+}
+
 fn end_connection<C>(response: &mut http::Response<Body<C>>)
 where
     C: Clock,
--- a/crates/node/src/outbound_plan.rs
+++ b/crates/node/src/outbound_plan.rs
@@ -80,7 +80,12 @@
     let route = view.route(view.find_route(host_of(head), head.uri.path())?);
     let now = inner.shared.clock.now();
     let own = Duration::from_millis(route.timeout_ms.into());
-    let timeout = timeout_of(&head.headers).unwrap_or(own);
+    let told = if inner.shared.is_on_platform() {
+        platform::header::read_timeout(&head.headers)
+    } else {
+        timeout_of(&head.headers)
+    };
+    let timeout = told.unwrap_or(own);
     let longest = route
         .limit_ms
         .map(|limit| Duration::from_millis(limit.into()));
--- a/crates/node/src/outbound_send.rs
+++ b/crates/node/src/outbound_send.rs
@@ -246,6 +246,10 @@
     let share = left.saturating_sub(VERDICT_MARGIN).max(left / 2);
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
     let mut headers = take_end_to_end(&head.headers);
+    if inner.shared.is_on_platform() {
+        let origin = inner.shared.settings.service.as_deref().unwrap_or_default();
+        mark_origin(&mut headers, origin);
+    }
     if tries > 1 && !plan.retried_above {
         headers.push(Header {
             name: SmolStr::new_static(retry::HEADER),
@@ -269,6 +273,15 @@
     }
 }
 
+/// Says on which service's VM a request began, whatever its sender says.
+fn mark_origin(headers: &mut Vec<Header>, service: &str) {
+    headers.retain(|header| !platform::header::is_reserved(&header.name));
+    headers.push(Header {
+        name: SmolStr::new_static(platform::header::ORIGIN),
+        value: Bytes::copy_from_slice(service.as_bytes()),
+    });
+}
+
 fn name_try(request: &mut wire::call::Request, id: Id) {
     request.id = id;
     request.headers.push(Header {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -4,7 +4,7 @@
 use arc_swap::ArcSwap;
 use clock::Clock;
 use config::View;
-use settings::node::Settings;
+use settings::node::{Interface, Settings};
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use tokio::sync::watch;
@@ -14,7 +14,9 @@
 pub struct Backend {
     /// Service that it belongs to.
     pub service: smol_str::SmolStr,
-    /// Where it takes calls, on loopback.
+    /// Name of its process, if it has one that calls are to be addressed to.
+    pub instance: Option<smol_str::SmolStr>,
+    /// Where it takes calls, on this VM.
     pub address: std::net::SocketAddr,
     /// Calls that it says it runs at once.
     pub slots: u16,
@@ -54,6 +56,12 @@
 where
     C: Clock,
 {
+    /// Tells whether callers and backend servers speak the platform's words.
+    #[must_use]
+    pub fn is_on_platform(&self) -> bool {
+        self.settings.interface == Interface::Platform
+    }
+
     /// Makes the shared state of a node that holds nothing yet.
     #[must_use]
     pub fn new(settings: Settings, incarnation: u64, clock: C) -> Arc<Self> {
--- a/crates/node/tests/calls/mesh.rs
+++ b/crates/node/tests/calls/mesh.rs
@@ -96,6 +96,7 @@
     /// Announces a backend server of `service` at `address`.
     pub fn announce(&self, service: &str, address: SocketAddr, slots: u16) {
         self.shared.backend.send_replace(Some(Backend {
+            instance: None,
             service: service.into(),
             address,
             slots,
--- a/crates/node/tests/control.rs
+++ b/crates/node/tests/control.rs
@@ -22,6 +22,7 @@
 async fn announced_before() {
     let shared = Shared::new(Settings::parse(SETTINGS, "test").unwrap(), 7, System);
     shared.backend.send_replace(Some(Backend {
+        instance: None,
         service: "records".into(),
         address: "127.0.0.1:9000".parse().unwrap(),
         slots: 6,
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -1,6 +1,6 @@
 //! Settings of `bluebellpick-node`.
 
-pub use crate::value::{Distribution, Token};
+pub use crate::value::{Distribution, Interface, Token};
 
 use crate::document::{Document, read_file};
 use crate::error::Error;
@@ -18,9 +18,11 @@
         [node] zone: SmolStr;
         /// Region of the availability zone.
         [node] region: SmolStr;
+        /// Service of the backend server on this VM, which other backend servers are told as the origin of its calls; needed with `interface = platform`.
+        [node] service: Option<SmolStr> = "";
         /// Where callers connect.
         [listen] callers: SocketAddr;
-        /// Where the backend server on the same VM announces itself, on loopback.
+        /// Where the backend server on the same VM announces itself, on loopback or the VM's own address.
         [listen] backend: SocketAddr;
         /// Where other nodes connect; they are told this address, so it can't be 0.0.0.0.
         [listen] nodes: SocketAddr;
@@ -34,6 +36,10 @@
         [fleet] seeds: Vec<SocketAddr> = "";
         /// How versions and endpoints come: `tree` through the zone's relays; the baselines are `whole`, which sends whole configurations, and `watch`, from the platform to each node.
         [fleet] distribution: Distribution = "tree";
+        /// Whose words callers, backend servers and configurations are in: the product's `own`, or those of the `platform`.
+        [fleet] interface: Interface = "own";
+        /// What the platform asks for in times and shares, in its own words; it goes before the limits here.
+        [fleet] bounds: String = "";
         /// Longest wait for calls in flight at a graceful stop.
         [limits] drain_timeout: Duration = "30 s";
         /// Connections of callers at once, some 20 kB each at rest; more wait in the system's queue.
@@ -119,10 +125,15 @@
                 }
             }
         }
-        if !self.backend.ip().is_loopback() {
+        if self.interface == Interface::Platform && self.service.is_none() {
+            let line = document.line_of("node", "service");
+            let message = "[node] service: missing, and interface = platform needs it".to_owned();
+            document.add_fault(line, message);
+        }
+        if !self.backend.ip().is_loopback() && self.backend.ip() != self.nodes.ip() {
             let line = document.line_of("listen", "backend");
             let message = format!(
-                "[listen] backend: {} is not on loopback; want one such as 127.0.0.1:7002",
+                "[listen] backend: {} is not on loopback, nor on the VM's own address of nodes; want one such as 127.0.0.1:7002",
                 self.backend
             );
             document.add_fault(line, message);
--- a/crates/settings/src/value.rs
+++ b/crates/settings/src/value.rs
@@ -37,9 +37,12 @@
     fn read(text: &str) -> Result<Self, Rejection>;
 }
 
-/// A secret that is never shown.
+/// A secret that is never shown, or none where nobody is to have it.
 #[derive(Clone, PartialEq, Eq)]
-pub struct Token(pub String);
+pub struct Token(pub Option<String>);
+
+/// Word that stands for no secret.
+const NO_TOKEN: &str = "none";
 
 impl fmt::Debug for Token {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -112,6 +115,35 @@
     }
 }
 
+/// Whose words callers, backend servers and operators' configurations are in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Interface {
+    /// The product's own.
+    Own,
+    /// Those of the platform that the VMs run on.
+    Platform,
+}
+
+impl Value for Interface {
+    const FORM: &str = "own or platform";
+
+    fn read(text: &str) -> Result<Self, Rejection> {
+        match text {
+            "own" => Ok(Self::Own),
+            "platform" => Ok(Self::Platform),
+            _ => Err(Rejection::Form),
+        }
+    }
+}
+
+impl Value for String {
+    const FORM: &str = "a text of one line";
+
+    fn read(text: &str) -> Result<Self, Rejection> {
+        Ok(text.to_owned())
+    }
+}
+
 impl<T> Value for Option<T>
 where
     T: Value,
@@ -153,12 +185,16 @@
 }
 
 impl Value for Token {
-    const FORM: &str = "a secret of at least 16 characters without spaces";
+    const FORM: &str =
+        "a secret of at least 16 characters without spaces, or none to refuse operators' writes";
 
     fn read(text: &str) -> Result<Self, Rejection> {
+        if text == NO_TOKEN {
+            return Ok(Self(None));
+        }
         let fits = text.len() >= MIN_TOKEN && text.chars().all(|c| c.is_ascii_graphic());
         if fits {
-            Ok(Self(text.to_owned()))
+            Ok(Self(Some(text.to_owned())))
         } else {
             Err(Rejection::Form)
         }
--- a/crates/settings/tests/node.rs
+++ b/crates/settings/tests/node.rs
@@ -33,7 +33,7 @@
 
 #[parameterized(
     unknown_section = { "[fleet]", "[flet]", 11, "[flet]: unknown section; known: node, listen, fleet" },
-    unknown_key = { "zone =", "zoon =", 4, "[node] zoon: unknown key; known here: name, zone, region" },
+    unknown_key = { "zone =", "zoon =", 4, "[node] zoon: unknown key; known here: name, zone, region, service" },
     wrong_type = { "127.0.0.1:7001", "7001", 7, "[listen] callers: \"7001\" is not an IP address with a port" },
     looked_up_name = { "127.0.0.1:7100", "localhost:7100", 12, "is not an IP address with a port" },
     missing_address = { "nodes = 127.0.0.1:7003\n", "", 6, "[listen] nodes: missing; add nodes = an IP address" },
@@ -44,6 +44,8 @@
     negative_limit = { "[fleet]", "[limits]\ndrain_timeout = -1 s\n[fleet]", 12, "\"-1 s\" is not a whole number" },
     limit_without_unit = { "[fleet]", "[limits]\ndrain_timeout = 30\n[fleet]", 12, "with a unit (ms, s, min or h)" },
     huge_limit = { "[fleet]", "[limits]\ndrain_timeout = 18446744073709551615 h\n[fleet]", 12, "is not a whole number" },
+    unknown_interface = { "[fleet]", "[fleet]\ninterface = theirs", 12, "\"theirs\" is not own or platform" },
+    interface_without_service = { "[fleet]", "[fleet]\ninterface = platform", 2, "[node] service: missing" },
     port_zero = { "127.0.0.1:7001", "127.0.0.1:0", 7, "is zero" },
     shared_listener = { "127.0.0.1:7004", "127.0.0.1:7001", 10, "[listen] operators: 127.0.0.1:7001 is also the address of callers" },
     overlapping_listener = { "127.0.0.1:7004", "0.0.0.0:7001", 10, "is also the address of callers" },
--- a/crates/settings/tests/property.rs
+++ b/crates/settings/tests/property.rs
@@ -72,7 +72,7 @@
             prop_assert_eq!(settings.zone.as_str(), zone);
             prop_assert_eq!(settings.nodes.port(), port);
             prop_assert_eq!(settings.drain_timeout.as_millis(), u128::from(millis));
-            prop_assert_eq!(settings.token.0, token);
+            prop_assert_eq!(settings.token.0, Some(token));
             Ok(())
         },
     );
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -19,6 +19,7 @@
 
 pub mod follow;
 pub mod journal;
+pub mod latest;
 pub mod lease;
 pub mod memory;
 pub mod patience;
@@ -33,6 +34,7 @@
 pub use error::Error;
 pub use follow::Follower;
 pub use journal::Journal;
+pub use latest::Latest;
 pub use lease::Lease;
 pub use memory::Memory;
 pub use store::{Event, List, MAX_VALUE, Object, Revision, Store, Watch};
