--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -5,7 +5,6 @@
 use settings::node::Settings;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::time::Duration;
 use tokio::runtime::{Builder, Handle, Runtime};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
@@ -54,17 +53,13 @@
             return ExitCode::from(if is_wrong { BAD_SETTINGS } else { 0 });
         }
     };
-    let mut settings = match Settings::open(&options.settings) {
+    let settings = match Settings::open(&options.settings) {
         Ok(settings) => settings,
         Err(error) => {
             eprintln!("{error}");
             return ExitCode::from(BAD_SETTINGS);
         }
     };
-    if let Err(error) = apply_bounds(&mut settings) {
-        eprintln!("[fleet] bounds: {error}");
-        return ExitCode::from(BAD_SETTINGS);
-    }
     if options.check {
         return ExitCode::SUCCESS;
     }
@@ -78,21 +73,6 @@
     }
 }
 
-/// Time kept back from what the platform gives a process to stop in.
-///
-/// The last frames must be out, and a machine with a fifth of a core wakes
-/// late; what is still in flight then is cut off in order.
-const STOP_MARGIN: Duration = Duration::from_millis(500);
-
-/// Puts what the platform asks for in place of the limits of the file.
-fn apply_bounds(settings: &mut Settings) -> Result<(), platform::Error> {
-    let bounds = platform::bounds::decode(&settings.bounds)?;
-    if let Some(stop) = bounds.stop {
-        settings.drain_timeout = stop.saturating_sub(STOP_MARGIN).max(stop / 2);
-    }
-    Ok(())
-}
-
 fn start(settings: Settings, path: &Path) -> std::io::Result<ExitCode> {
     let background = build_runtime("background", 1)?;
     let calls = build_runtime("calls", settings.threads.into())?;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -76,7 +76,13 @@
         inbound.clone(),
         reserve.clone(),
     )?;
-    info!(node = shared.settings.name.as_str(), zone = shared.settings.zone.as_str(); "started");
+    info!(
+        node = shared.settings.name.as_str(),
+        zone = shared.settings.zone.as_str(),
+        incarnation = shared.incarnation,
+        stop_limit_s = shared.settings.stop_limit().as_secs_f64();
+        "started"
+    );
     Ok(Handle {
         shared,
         inbound,
@@ -103,9 +109,9 @@
     ///
     /// The drain timeout of the settings bounds the wait; what it cuts off is logged.
     pub async fn stop(self) {
-        let limit = self.shared.settings.drain_timeout;
+        let limit = self.shared.settings.stop_limit();
         self.shared.leaving.send_replace(true);
-        info!(drain_timeout_s = limit.as_secs_f64(); "leaving");
+        info!(stop_limit_s = limit.as_secs_f64(); "leaving");
         let (callers, calls) = tokio::join!(self.outbound.drain(limit), self.inbound.drain(limit));
         if callers + calls > 0 {
             warn!(callers, calls; "cut_off");
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -38,10 +38,10 @@
         [fleet] distribution: Distribution = "tree";
         /// Whose words callers, backend servers and configurations are in: the product's `own`, or those of the `platform`.
         [fleet] interface: Interface = "own";
-        /// What the platform asks for in times and shares, in its own words; it goes before the limits here.
-        [fleet] bounds: String = "";
         /// Longest wait for calls in flight at a graceful stop.
         [limits] drain_timeout: Duration = "30 s";
+        /// Time after SIGTERM at which the process is killed by whoever runs it; the node has ended before. Empty when nobody does.
+        [limits] kill_timeout: Option<Duration> = "";
         /// Connections of callers at once, some 20 kB each at rest; more wait in the system's queue.
         [limits] connections: u16 = "4096";
         /// Longest wait for the head of a caller's request, against callers that never end theirs.
@@ -90,6 +90,15 @@
         self.advertised.unwrap_or(self.nodes)
     }
 
+    /// Gives the longest wait for calls in flight at a graceful stop, which ends before a kill would.
+    #[must_use]
+    pub fn stop_limit(&self) -> Duration {
+        let before = self
+            .kill_timeout
+            .map(|kill| kill.saturating_sub(STOP_MARGIN).max(kill / 2));
+        before.map_or(self.drain_timeout, |before| before.min(self.drain_timeout))
+    }
+
     /// Gives the four listeners by the names of their keys.
     #[must_use]
     pub fn listeners(&self) -> [(&'static str, SocketAddr); 4] {
@@ -152,6 +161,10 @@
     }
 }
 
+/// Time kept back before a kill: the last frames must be out, and a VM with a
+/// fifth of a core wakes late.
+const STOP_MARGIN: Duration = Duration::from_millis(500);
+
 /// Most threads of a node: more than the cores of any VM that it is meant for.
 const MAX_THREADS: u16 = 64;
 
--- a/crates/settings/src/value.rs
+++ b/crates/settings/src/value.rs
@@ -136,14 +136,6 @@
     }
 }
 
-impl Value for String {
-    const FORM: &str = "a text of one line";
-
-    fn read(text: &str) -> Result<Self, Rejection> {
-        Ok(text.to_owned())
-    }
-}
-
 impl<T> Value for Option<T>
 where
     T: Value,
--- a/crates/settings/tests/node.rs
+++ b/crates/settings/tests/node.rs
@@ -31,6 +31,17 @@
     assert!(!format!("{settings:?}").contains("0123456789abcdef"));
 }
 
+#[parameterized(
+    soon = { "6 s", 5_500 },
+    at_once = { "600ms", 300 },
+    late = { "2 min", 30_000 },
+)]
+fn stop_before_kill(kill: &str, limit_ms: u64) {
+    let text = format!("{RIGHT}[limits]\nkill_timeout = {kill}\n");
+    let settings = Settings::parse(&text, "node.ini").unwrap();
+    assert_eq!(settings.stop_limit(), Duration::from_millis(limit_ms));
+}
+
 #[parameterized(
     unknown_section = { "[fleet]", "[flet]", 11, "[flet]: unknown section; known: node, listen, fleet" },
     unknown_key = { "zone =", "zoon =", 4, "[node] zoon: unknown key; known here: name, zone, region, service" },
