Tell a backend server's refusals from a full door

Now refusals under light load cut nothing, what never reached a backend server counts neither as an attempt nor against the budget, and a further door is tried only where one may have room.

--- a/crates/config/src/mesh.rs
+++ b/crates/config/src/mesh.rs
@@ -93,7 +93,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Retry {
-    /// Tries in all, the first included.
+    /// Tries that may reach a backend server, the first included.
     pub attempts: u8,
     /// Retries allowed as a share of successes, in per cent.
     pub budget_percent: u8,
--- a/crates/node/src/inbound_run.rs
+++ b/crates/node/src/inbound_run.rs
@@ -204,7 +204,7 @@
         header::Answer::NotBegun { retry_after } => {
             let wait = retry_after.unwrap_or_default().as_millis();
             let wait = u32::try_from(wait).unwrap_or(u32::MAX);
-            (Refused::not_run(Reason::Full, wait), Outcome::Shed)
+            (Refused::not_run(Reason::Shed, wait), Outcome::Shed)
         }
         header::Answer::Elsewhere => (Refused::not_run(Reason::NoService, 0), Outcome::Failed),
         header::Answer::Foreign => (Refused::may_have_run(Reason::Backend), Outcome::Failed),
--- a/crates/node/src/outbound_answer.rs
+++ b/crates/node/src/outbound_answer.rs
@@ -193,6 +193,7 @@
     match reason {
         Reason::Leaving => "leaving",
         Reason::Full => "full",
+        Reason::Shed => "shed",
         Reason::Deadline => "deadline",
         Reason::Backend => "backend",
         Reason::NoService => "no-service",
--- a/crates/node/src/outbound_call.rs
+++ b/crates/node/src/outbound_call.rs
@@ -154,6 +154,7 @@
     C: Clock,
 {
     let mut tried = Vec::new();
+    let mut reached = 0;
     // What the caller is told in the end: one try that may have run weighs more than any that did not.
     let mut told = Refused::not_run(Reason::NoService, 0);
     for tries in 1.. {
@@ -186,6 +187,7 @@
             }
         };
         let cause = cause_of(refused);
+        reached += u8::from(!matches!(cause, Cause::Full | Cause::Leaving));
         picked.outcome = refused_outcome(cause);
         drop(picked);
         if told.verdict == Verdict::NotRun {
@@ -195,18 +197,20 @@
             break;
         };
         body = back;
+        let now = inner.shared.clock.now();
         let failed = retry::Try {
             verdict: refused.verdict,
             cause,
             repeatable: plan.repeats(),
             tries,
+            reached,
             attempts: plan.attempts(),
             retried_above: plan.retried_above,
-            untried: true,
+            untried: cause != Cause::Full || plan.known.has_room(now, &tried),
             deadline: plan.deadline,
             expected: plan.known.expect(plan.route),
         };
-        match plan.known.decide(inner.shared.clock.now(), &failed) {
+        match plan.known.decide(now, &failed) {
             Decision::Again(Duration::ZERO) => {}
             Decision::Again(wait) => tokio::time::sleep(wait).await,
             Decision::Stop(_) => break,
@@ -242,6 +246,7 @@
     match (refused.verdict, refused.reason) {
         (Verdict::NotRun, Reason::Leaving) => Cause::Leaving,
         (Verdict::NotRun, Reason::Full | Reason::Deadline) => Cause::Full,
+        (Verdict::NotRun, Reason::Shed) => Cause::Shed,
         _ => Cause::Failed,
     }
 }
@@ -250,6 +255,7 @@
     match cause {
         Cause::Leaving => Outcome::Leaving,
         Cause::Full => Outcome::Full,
+        Cause::Shed => Outcome::Shed,
         Cause::Failed => Outcome::Failed,
     }
 }
--- a/crates/node/src/outbound_send.rs
+++ b/crates/node/src/outbound_send.rs
@@ -149,7 +149,7 @@
     let seconds = seconds.and_then(|value| value.to_str().ok()?.parse::<u32>().ok());
     let wait = seconds.map_or(0, |seconds| seconds.saturating_mul(1_000));
     (not_begun && response.status() == StatusCode::SERVICE_UNAVAILABLE)
-        .then(|| Refused::not_run(Reason::Full, wait))
+        .then(|| Refused::not_run(Reason::Shed, wait))
 }
 
 async fn try_remote<C>(
--- a/crates/node/src/outbound_service.rs
+++ b/crates/node/src/outbound_service.rs
@@ -149,6 +149,11 @@
         self.state.lock().balance.expect(route)
     }
 
+    /// Tells whether an endpoint that has not refused the call may have room.
+    pub(crate) fn has_room(&self, now: Instant, tried: &[Key]) -> bool {
+        self.state.lock().balance.has_room(now, tried)
+    }
+
     /// Counts a first try that was answered.
     pub(crate) fn succeed(&self, rule: Option<&Retry>) {
         let percent = rule.map_or(DEFAULT_BUDGET_PERCENT, |rule| rule.budget_percent);
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -73,6 +73,8 @@
     Failed,
     /// It was refused as there is too much load.
     Full,
+    /// The backend server refused it, though its inbound proxy had found room.
+    Shed,
     /// It was refused as the backend server leaves.
     Leaving,
     /// Its caller went away; nothing is learnt.
@@ -219,6 +221,9 @@
             }
             Outcome::Failed => self.weigh(now, key.index, Sample::Failed, rng),
             Outcome::Full => server.tell_load(now, FULL),
+            // Refused although there was room: that is no load but a fault, and
+            // one that the others don't have puts it out of the choice.
+            Outcome::Shed => self.weigh(now, key.index, Sample::Failed, rng),
             Outcome::Leaving => {
                 server.leaving = true;
                 self.rebuild();
@@ -228,6 +233,20 @@
         self.forget(key.index);
     }
 
+    /// Tells whether one that has not refused the call is not known to be full.
+    ///
+    /// In an overload of the whole service all have said so within the last
+    /// tenths of a second, and a further door would be tried for nothing.
+    #[must_use]
+    pub fn has_room(&self, now: Instant, tried: &[Key]) -> bool {
+        self.present().any(|index| {
+            let server = &self.servers[index as usize];
+            !tried.contains(&self.key(index))
+                && server.health.phase(now) == Phase::In
+                && server.load(now) < 1.0
+        })
+    }
+
     fn add(&mut self, now: Instant, candidate: &Candidate, first: bool) -> u32 {
         let mut server = Server::new(now, candidate, first);
         let index = if let Some(index) = self.free.pop() {
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -64,6 +64,13 @@
 /// at half speed, every 30 s, cost 1% of the capacity.
 const PROBE_INTERVAL: Duration = Duration::from_secs(30);
 
+/// Share of calls refused under light load from which refusals say nothing of
+/// concurrency: one in ten, where a full backend server has none.
+const LIGHT_SHED: f64 = 0.1;
+
+/// Weight of a call under light load in that share: some ten calls.
+const SHED_WEIGHT: f64 = 0.1;
+
 /// A concurrency limit that is found from what is seen.
 #[derive(Debug, Clone)]
 pub struct Limit {
@@ -78,6 +85,8 @@
     usual_until: Instant,
     /// What things were before a cut that is on trial.
     trial: Option<Trial>,
+    /// Share of the calls under light load that were refused lately.
+    light_shed: f64,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -130,6 +139,7 @@
             usual: 1.0,
             usual_until: now,
             trial: None,
+            light_shed: 0.0,
         }
     }
 
@@ -179,12 +189,37 @@
     /// Takes in the end of a call that started as the `running`th.
     pub fn finish(&mut self, now: Instant, running: u32, outcome: Outcome, stretch: Option<f64>) {
         match outcome {
-            Outcome::Shed => self.cut_below(now, running),
+            Outcome::Shed => self.weigh_shed(now, running),
             Outcome::Failed => {}
-            Outcome::Done => self.weigh(now, running, stretch),
+            Outcome::Done => {
+                if self.is_light(running) {
+                    self.note_light(false);
+                }
+                self.weigh(now, running, stretch);
+            }
+        }
+    }
+
+    /// Takes in that the backend server refused a call for load.
+    ///
+    /// *Load pattern:* a backend server that refuses half of its calls however
+    /// few it runs. *Without it* each refusal cuts the limit, down to one call
+    /// at a time, and a service whose backend servers are all so serves a sixth
+    /// of what they would take. What is refused under light load as well is no
+    /// matter of concurrency.
+    fn weigh_shed(&mut self, now: Instant, running: u32) {
+        if self.is_light(running) {
+            self.note_light(true);
+        } else if self.light_shed < LIGHT_SHED {
+            self.cut_below(now, running);
         }
     }
 
+    fn note_light(&mut self, shed: bool) {
+        let sample = if shed { 1.0 } else { 0.0 };
+        self.light_shed += SHED_WEIGHT * (sample - self.light_shed);
+    }
+
     /// Cuts to just under the concurrency that was refused.
     fn cut_below(&mut self, now: Instant, running: u32) {
         let refused = f64::from(running).min(self.found);
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -25,8 +25,10 @@
 pub enum Cause {
     /// The backend server leaves: another one will take it.
     Leaving,
-    /// There was too much load.
+    /// There was too much load, as the inbound proxy found; the backend server never saw it.
     Full,
+    /// The backend server refused it.
+    Shed,
     /// The try failed.
     Failed,
 }
@@ -42,11 +44,14 @@
     pub repeatable: bool,
     /// Tries so far, this one included.
     pub tries: u8,
+    /// Those of them that were given to a backend server, or may have been.
+    pub reached: u8,
     /// Tries allowed by the retry rule.
     pub attempts: u8,
     /// Whether a layer above marked the call as a retry ([`HEADER`]).
     pub retried_above: bool,
-    /// Whether there are backend servers that have not refused the call.
+    /// Whether there are backend servers that have not refused the call, and
+    /// after [`Cause::Full`] one that is not known to be full as well.
     pub untried: bool,
     /// When nobody waits for the answer any more.
     pub deadline: Instant,
@@ -85,6 +90,12 @@
 /// Tokens a second that come without successes, for services with a call now and then.
 const TRICKLE: f64 = 0.2;
 
+/// Doors that a call may be turned away from. What outbound proxies know of
+/// loads is some hundred milliseconds old, so that the first choice may be full
+/// while another has room; with three doors of a service's four, 97 in 100 find
+/// the room that a third of its backend servers have. Each costs a round trip.
+const DOORS: u8 = 3;
+
 /// Ceilings of the wait before a try of a call that failed.
 const WAIT: (Duration, Duration) = (Duration::from_millis(5), Duration::from_millis(200));
 
@@ -126,15 +137,16 @@
             return Decision::Stop(stop);
         }
         let wait = match tried.cause {
-            Cause::Leaving | Cause::Full => Duration::ZERO,
+            Cause::Leaving | Cause::Full | Cause::Shed => Duration::ZERO,
             Cause::Failed => draw_wait(tried.tries, rng),
         };
         if now + wait + tried.expected > tried.deadline {
             return Decision::Stop(Stop::Late);
         }
-        // One that leaves has refused at the door: sending the call elsewhere
-        // adds no work, and a rolling restart must not use up the budget.
-        if tried.cause == Cause::Leaving || self.spend(now) {
+        // Refused at the door, by one that leaves or is full, the call has cost
+        // no backend server anything: a rolling restart, or one that is slow
+        // while the others have room, must not use up the budget.
+        if matches!(tried.cause, Cause::Leaving | Cause::Full) || self.spend(now) {
             Decision::Again(wait)
         } else {
             Decision::Stop(Stop::Budget)
@@ -165,7 +177,13 @@
     if !harmless {
         return Some(Stop::Unsafe);
     }
-    if tried.cause != Cause::Leaving && tried.tries >= tried.attempts || !tried.untried {
+    let is_used_up = match tried.cause {
+        Cause::Leaving => false,
+        // Turned away at the door, it has cost no backend server anything.
+        Cause::Full => tried.tries >= DOORS.max(tried.attempts),
+        Cause::Shed | Cause::Failed => tried.reached >= tried.attempts,
+    };
+    if is_used_up || !tried.untried {
         return Some(Stop::Exhausted);
     }
     (tried.retried_above && tried.cause != Cause::Leaving).then_some(Stop::Layer)
--- a/crates/policy/tests/load/in_time.rs
+++ b/crates/policy/tests/load/in_time.rs
@@ -38,6 +38,6 @@
         timely(&aimed)
     );
     let all = aimed.answered(aimed.all(), STEADY) / (CAPACITY * 8.0);
-    assert!(timely(&aimed) > timely(&blind) * 1.05);
-    assert!(timely(&aimed) > 0.8 && all > 0.9, "{all}");
+    assert!(timely(&aimed) > timely(&blind) * 1.3);
+    assert!(timely(&aimed) > 0.75 && all > 0.9, "{all}");
 }
--- a/crates/policy/tests/load/sim.rs
+++ b/crates/policy/tests/load/sim.rs
@@ -560,9 +560,13 @@
             cause,
             repeatable,
             tries,
+            reached: if cause == Cause::Full { 0 } else { tries },
             attempts: 3,
             retried_above: false,
-            untried: tried.len() < outbound.balance.len(),
+            untried: match cause {
+                Cause::Full => outbound.balance.has_room(now, tried),
+                _ => tried.len() < outbound.balance.len(),
+            },
             deadline,
             expected: outbound.balance.expect(route),
         };
--- a/crates/policy/tests/retry.rs
+++ b/crates/policy/tests/retry.rs
@@ -15,6 +15,7 @@
         cause,
         repeatable: false,
         tries: 1,
+        reached: 1,
         attempts: 3,
         retried_above: false,
         untried: true,
@@ -37,7 +38,9 @@
     may_have_run = { |_| {}, Verdict::MayHaveRun, Cause::Failed, Some(Stop::Unsafe) },
     ran = { |tried| tried.repeatable = true, Verdict::Ran, Cause::Failed, Some(Stop::Unsafe) },
     repeatable = { |tried| tried.repeatable = true, Verdict::MayHaveRun, Cause::Failed, None },
-    attempts_used = { |tried| tried.tries = 3, Verdict::NotRun, Cause::Full, Some(Stop::Exhausted) },
+    attempts_used = { |tried| tried.reached = 3, Verdict::NotRun, Cause::Shed, Some(Stop::Exhausted) },
+    full_attempts = { |tried| tried.reached = 3, Verdict::NotRun, Cause::Full, None },
+    doors_used = { |tried| tried.tries = 3, Verdict::NotRun, Cause::Full, Some(Stop::Exhausted) },
     leaving_is_free = { |tried| tried.tries = 3, Verdict::NotRun, Cause::Leaving, None },
     all_tried = { |tried| tried.untried = false, Verdict::NotRun, Cause::Leaving, Some(Stop::Exhausted) },
     layer_above = { |tried| tried.retried_above = true, Verdict::NotRun, Cause::Full, Some(Stop::Layer) },
@@ -60,7 +63,7 @@
     let mut budget = Budget::new(clock.now(), 10);
     let mut retries = 0;
     for _ in 0..1_000 {
-        let tried = make_try(&clock, Verdict::NotRun, Cause::Full);
+        let tried = make_try(&clock, Verdict::NotRun, Cause::Shed);
         let decision = budget.decide(clock.now(), &tried, &mut rng);
         retries += u32::from(matches!(decision, Decision::Again(_)));
         clock.advance(Duration::from_millis(1));
--- /dev/null
+++ b/crates/policy/tests/sheds.rs
@@ -0,0 +1,46 @@
+//! What refusals of a backend server say of its slots.
+
+use policy::limit::{Limit, Outcome};
+use std::time::{Duration, Instant};
+
+/// Ends `calls` calls that were started as the limit allows, one each 10 ms;
+/// `sheds` tells of each, by its number and the calls that run, whether it is refused.
+fn run<F>(calls: u32, sheds: F) -> f64
+where
+    F: Fn(u32, u32) -> bool,
+{
+    let mut now = Instant::now();
+    let mut limit = Limit::new(now, 6);
+    let mut least = f64::MAX;
+    for call in 0..calls {
+        now += Duration::from_millis(10);
+        // As many run as may, then one after the other ends.
+        let most = (1..=6).take_while(|count| f64::from(*count) <= limit.slots());
+        let most = most.last().unwrap_or(1);
+        let running = 1 + call % most;
+        let (outcome, stretch) = if sheds(call, running) {
+            (Outcome::Shed, None)
+        } else {
+            (Outcome::Done, Some(1.0))
+        };
+        limit.finish(now, running, outcome, stretch);
+        if call > calls / 2 {
+            least = least.min(limit.slots());
+        }
+    }
+    least
+}
+
+// A service is half as fast as it could be, and its callers are turned away:
+// each of its backend servers refuses every other call, also when it runs one
+// alone. Cause: each refusal was taken for a sign of too many calls at once.
+#[test]
+fn refusals_at_any_load() {
+    assert!(run(2_000, |call, _| call.is_multiple_of(2)) >= 5.0);
+}
+
+#[test]
+fn refusals_when_full() {
+    let least = run(2_000, |_, running| running > 3);
+    assert!((2.0..=4.0).contains(&least), "{least}");
+}
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -55,6 +55,8 @@
     Leaving,
     /// It is full, or the wait would not fit the deadline.
     Full,
+    /// The backend server itself refused it for load, when it had reached it.
+    Shed,
     /// The deadline passed.
     Deadline,
     /// The backend server can't be reached, or broke off.
