Find each other again while the platform is out

Now lost neighbours are dialled, and a node that serves stands in as root while no lease can be had. Both new tests fail without it.

--- a/crates/fleet/src/duty.rs
+++ b/crates/fleet/src/duty.rs
@@ -142,17 +142,17 @@
             return;
         }
         self.actions.push(Action::Ask(Request::Unfollow));
+        self.leave_equals();
+        self.set_path(Vec::new());
+        self.start_search(now);
+    }
+
+    pub(crate) fn leave_equals(&mut self) {
         for equal in self.find_links(|link| link.role == Role::Equal) {
-            self.send(
-                equal,
-                Frame::Leave {
-                    parents: Vec::new(),
-                },
-            );
+            let parents = Vec::new();
+            self.send(equal, Frame::Leave { parents });
             self.close(equal);
         }
-        self.set_path(Vec::new());
-        self.start_search(now);
     }
 
     pub(crate) fn on_failed(&mut self, now: Instant, request: Request) {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -42,6 +42,7 @@
 mod event;
 mod lookout;
 mod node;
+mod outage;
 mod search;
 mod sync;
 mod tree;
--- a/crates/fleet/src/lookout.rs
+++ b/crates/fleet/src/lookout.rs
@@ -53,6 +53,12 @@
     }
 }
 
+/// Gives the time between a node's questions when all `nodes` of its zone ask.
+pub(crate) fn share_rate(nodes: usize) -> Duration {
+    let nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
+    AGAIN.max(Duration::from_secs(1) * nodes / ZONE_RATE)
+}
+
 impl Node {
     /// Gives when the platform is to be asked, if this node does so at all.
     pub(crate) fn next_look(&self) -> Option<Instant> {
@@ -75,9 +81,8 @@
         }
         let zone = &self.settings.own.zone;
         let nodes = self.table.iter().filter(|one| one.zone == *zone).count();
-        let nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
         self.lookout.asked = Some(now);
-        self.lookout.again = AGAIN.max(Duration::from_secs(1) * nodes / ZONE_RATE);
+        self.lookout.again = share_rate(nodes);
         let after = self.version();
         self.actions.push(Action::Ask(Request::Newest { after }));
     }
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -8,6 +8,7 @@
 use crate::holder::{Holder, Step};
 use crate::link::{BEAT, Link, LinkKey, Purpose, Role};
 use crate::lookout::Lookout;
+use crate::outage::Outage;
 use crate::parent::{Candidates, Source};
 use crate::root::Lease;
 use crate::{relay, search, sync};
@@ -72,6 +73,7 @@
     pub(crate) door: Bucket,
     pub(crate) search: search::Search,
     pub(crate) lookout: Lookout,
+    pub(crate) outage: Outage,
     pub(crate) news: sync::News,
     pub(crate) own: Option<Endpoint>,
     pub(crate) is_synced: bool,
@@ -111,6 +113,7 @@
             door: Bucket::new(relay::ADMIT_INTERVAL, relay::ADMIT_BURST),
             search,
             lookout: Lookout::new(now),
+            outage: Outage::default(),
             news: sync::News::default(),
             own: None,
             is_synced: false,
@@ -160,6 +163,7 @@
             self.guard.deadline(now),
             self.gate.deadline(),
             self.next_look(),
+            self.outage.deadline(),
         ];
         let links = self.links.values().map(Link::deadline);
         let first = others.into_iter().flatten().chain(links).min();
@@ -227,6 +231,7 @@
         self.step_search(now);
         self.step_gate(now);
         self.look_out(now);
+        self.step_outage(now);
         if now >= self.beat_at {
             self.beat_at = now + BEAT;
             self.beat_all();
@@ -291,6 +296,8 @@
     }
 
     fn on_answer(&mut self, now: Instant, answer: Answer) {
+        let answers = !matches!(answer, Answer::Failed(_));
+        self.note_platform(now, answers);
         match answer {
             Answer::Leases(seats) => self.on_leases(now, seats),
             Answer::Granted { slot } => self.on_granted(now, slot),
--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -56,7 +56,11 @@
                 if self.lease.is_held() && !self.is_leaving {
                     self.admit(now, key, Role::Equal, *version);
                 } else {
+                    let peer = self.links.get(&key).and_then(|link| link.peer.clone());
                     self.refuse(key, WAIT_FULL);
+                    if let Some(peer) = peer {
+                        self.learn_caller(&peer, now);
+                    }
                 }
             }
             Frame::Ask => self.refuse(key, Duration::ZERO),
--- a/crates/fleet/src/root.rs
+++ b/crates/fleet/src/root.rs
@@ -32,8 +32,14 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum State {
     None,
-    Asked { slot: u8 },
-    Held { slot: u8 },
+    Asked {
+        slot: u8,
+    },
+    Held {
+        slot: u8,
+    },
+    /// Root without a lease, as the platform gives out none.
+    StandIn,
 }
 
 /// The own lease, if any, and what was read of the others.
@@ -64,7 +70,25 @@
     /// Tells whether this node is a root.
     #[must_use]
     pub fn is_held(&self) -> bool {
-        matches!(self.state, State::Held { .. })
+        matches!(self.state, State::Held { .. } | State::StandIn)
+    }
+
+    /// Tells whether this node is a root without a lease.
+    #[must_use]
+    pub fn is_stand_in(&self) -> bool {
+        self.state == State::StandIn
+    }
+
+    /// Becomes a root without a lease.
+    pub fn stand_in(&mut self) {
+        self.state = State::StandIn;
+    }
+
+    /// Ceases to be a root without a lease.
+    pub fn step_aside(&mut self) {
+        if self.state == State::StandIn {
+            self.state = State::None;
+        }
     }
 
     /// Gives the lease held.
@@ -72,7 +96,7 @@
     pub fn slot(&self) -> Option<u8> {
         match self.state {
             State::Held { slot } => Some(slot),
-            State::None | State::Asked { .. } => None,
+            State::None | State::Asked { .. } | State::StandIn => None,
         }
     }
 
@@ -149,7 +173,8 @@
     /// Gives when something is due.
     #[must_use]
     pub fn deadline(&self) -> Option<Instant> {
-        self.is_held().then(|| self.renew_at.min(self.read_at))
+        let has_lease = matches!(self.state, State::Held { .. });
+        has_lease.then(|| self.renew_at.min(self.read_at))
     }
 
     /// Gives the lease to nominate a child for, if one is free.
--- a/crates/fleet/src/search.rs
+++ b/crates/fleet/src/search.rs
@@ -173,7 +173,10 @@
         let wait = if is_answered {
             self.search.backoff.next(&mut self.rng)
         } else {
-            self.search.readings.next(&mut self.rng)
+            let zone = &self.settings.own.zone;
+            let nodes = self.table.iter().filter(|one| one.zone == *zone).count();
+            let longest = crate::lookout::share_rate(nodes);
+            self.search.readings.next(&mut self.rng).min(longest)
         };
         self.search.tries = 0;
         self.search.try_at = Some(now + wait);
--- a/crates/fleet/src/tree.rs
+++ b/crates/fleet/src/tree.rs
@@ -43,8 +43,10 @@
         };
         link.settle(role, now);
         link.version = version;
-        if let Some(peer) = &link.peer {
-            self.guard.find(&peer.node);
+        let name = link.peer.as_ref().map(|peer| peer.node.clone());
+        if let Some(name) = name {
+            self.guard.find(&name);
+            self.end_recall(&name);
         }
         self.hear_version(now, key, version);
     }
@@ -210,6 +212,9 @@
             if is_neighbour && !is_clean {
                 self.guard.lose(&peer.node, now);
             }
+            if matches!(link.role, Role::Child | Role::Equal) {
+                self.recall(peer, now);
+            }
             if link.role == Role::Parent {
                 self.candidates.learn(peer.address, Source::Hint, now);
                 self.candidates.miss(peer.address, now);
--- a/crates/fleet/tests/converge.rs
+++ b/crates/fleet/tests/converge.rs
@@ -215,3 +215,50 @@
     let version = world.propose();
     world.run_until(S, "after lost answers", |world| world.all_serve(version));
 }
+
+// The platform is out, and one after the other all VMs of a zone are restarted.
+// Callers at each are refused until the outage ends. Cause: a new process has
+// nobody to ask, and once the zone's roots are gone no other may take a lease.
+#[test]
+fn restarts_without_platform() {
+    let mut world = started(3, 4, 11);
+    world.platform.is_out = true;
+    world.run(2 * S);
+    let zone: Vec<_> = (0..12).filter(|vm| vm % 3 == 1).collect();
+    for vm in &zone {
+        world.kill(*vm, false);
+        world.run(S);
+        world.spawn(*vm);
+        world.run(2 * S);
+    }
+    world.run_until(4 * S, "found again", |world| {
+        (0..12).all(|vm| world.serving(vm) == 12)
+    });
+    world.restore_platform();
+    let version = world.propose();
+    world.run_until(6 * S, "after the outage", |world| world.all_serve(version));
+    world.run_until(20 * S, "roots", |world| roots(world, 1).len() == 3);
+}
+
+// All roots of a zone die while the platform is out. The zone's list of
+// endpoints stands still: it doesn't learn of what leaves or comes elsewhere.
+#[test]
+fn roots_killed_without_platform() {
+    let mut world = started(3, 8, 12);
+    world.platform.is_out = true;
+    world.run(2 * S);
+    let dead = roots(&world, 2);
+    for root in &dead {
+        world.kill(*root, true);
+    }
+    world.run(6 * S);
+    let living: Vec<_> = (0..24)
+        .filter(|vm| vm % 3 == 2 && !dead.contains(vm))
+        .collect();
+    let before: Vec<_> = living.iter().map(|vm| world.serving(*vm)).collect();
+    world.set_backend(0, config::State::Leaving);
+    world.run_until(2 * S, "news from another zone", |world| {
+        let now = living.iter().map(|vm| world.serving(*vm));
+        now.zip(&before).all(|(now, before)| now + 1 == *before)
+    });
+}
