--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -131,21 +131,28 @@
             return false;
         }
         if self.instance.as_ref() != Some(instance) {
-            return sequence.is_some();
+            return true;
         }
         !self.left && sequence.is_none_or(|sequence| sequence > self.sequence)
     }
 
     fn note(&mut self, instance: &SmolStr, sequence: Option<u64>) {
         if self.instance.as_ref() != Some(instance) {
-            self.former.extend(self.instance.replace(instance.clone()));
-            if self.former.len() > MAX_FORMER {
-                self.former.pop_front();
+            if let Some(former) = self.instance.replace(instance.clone()) {
+                self.forget(former);
             }
             self.left = false;
         }
         self.sequence = sequence.unwrap_or(self.sequence);
     }
+
+    /// Takes nothing more of a process.
+    fn forget(&mut self, instance: SmolStr) {
+        self.former.push_back(instance);
+        if self.former.len() > MAX_FORMER {
+            self.former.pop_front();
+        }
+    }
 }
 
 async fn answer<C>(request: Request<Incoming>, desk: &Desk<C>) -> Answer
@@ -210,8 +217,13 @@
     if !known.is_news(&notice.instance, sequence) {
         return;
     }
+    if notice.announcement.is_none() && known.instance.as_ref() != Some(&notice.instance) {
+        // This process has not heard of it before, perhaps as it is new itself;
+        // an announcement that comes late must not bring it back.
+        known.forget(notice.instance);
+        return;
+    }
     known.note(&notice.instance, sequence);
-    let is_current = known.instance.as_ref() == Some(&notice.instance);
     match notice.announcement {
         Some(announcement) if !announcement.leaving => {
             let backend = Backend {
@@ -223,11 +235,10 @@
             };
             install(desk, backend);
         }
-        Some(_) | None if is_current => {
+        Some(_) | None => {
             known.left = true;
             begin_leave(desk);
         }
-        Some(_) | None => {}
     }
 }
 
