Let restarted roots meet at once

A new root waited 2 s for the endpoints that other roots know, read the leases 5 s later than the others became roots, and took no sums from those that called it. Ruled out: the heartbeats (all announced by 40.3 s).

--- a/crates/fleet/src/bootstrap.rs
+++ b/crates/fleet/src/bootstrap.rs
@@ -19,9 +19,6 @@
 /// Sources that must have been heard; two peers rarely lag together.
 const SOURCES: usize = 2;
 
-/// Time after which the platform counts as not answering: it takes some milliseconds.
-const SLOW: Duration = Duration::from_millis(300);
-
 /// Time between questions to further nodes.
 const ASK: Duration = Duration::from_millis(500);
 
@@ -104,7 +101,7 @@
     pub fn miss_platform(&mut self, now: Instant) {
         if self.platform != Platform::Answered {
             self.platform = Platform::Unanswered;
-            self.ask_at = Some(self.ask_at.map_or(now, |at| at.min(now)));
+            self.ask_at.get_or_insert(now);
             self.ask_platform_at = Some(now + ASK_PLATFORM);
         }
     }
@@ -117,7 +114,6 @@
         let is_time = !self.is_open && self.platform == Platform::Unasked && self.holds_all(held);
         if is_time {
             self.platform = Platform::Asked;
-            self.ask_at.get_or_insert(now + SLOW);
         }
         is_time
     }
@@ -143,6 +139,7 @@
     pub fn pass(&mut self, held: Version) -> bool {
         let is_heard = match self.platform {
             Platform::Answered => true,
+            Platform::Asked if self.ask_at.is_none() => false,
             Platform::Unanswered | Platform::Asked => self.has_sources(),
             Platform::Unasked => false,
         };
--- a/crates/fleet/src/duty.rs
+++ b/crates/fleet/src/duty.rs
@@ -26,6 +26,9 @@
         if self.lease.is_held() {
             self.meet_roots(now);
             self.nominate(now);
+            if !self.is_synced {
+                self.lease.hurry(now);
+            }
             return;
         }
         let candidates = &self.candidates;
@@ -65,7 +68,8 @@
     fn meet_roots(&mut self, now: Instant) {
         let links = &self.links;
         let own_zone = &self.settings.own.zone;
-        let wanted = self.lease.meets(&self.settings.own, now, |holder| {
+        let (own, is_new) = (&self.settings.own, !self.is_synced);
+        let wanted = self.lease.meets(own, is_new, now, |holder| {
             let is_same = |peer: &wire::control::Peer| {
                 peer.node == holder.node || (holder.zone != *own_zone && peer.zone == holder.zone)
             };
--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -119,6 +119,10 @@
         };
         self.send(key, frame);
         self.settle_link(now, key, role, version);
+        if role == Role::Equal && !self.is_synced {
+            // The caller learns what this one knows by its own question only.
+            self.send_sums(key, false);
+        }
     }
 
     fn refuse(&mut self, key: LinkKey, wait: Duration) {
--- a/crates/fleet/src/root.rs
+++ b/crates/fleet/src/root.rs
@@ -25,6 +25,12 @@
 /// Wait after a nomination before the leases are read again.
 const SETTLE: Duration = Duration::from_secs(1);
 
+/// Time between the readings of a new root that has met no other yet. After a
+/// restart of all, whoever is to call it mostly is no root itself at its first
+/// reading, and the next one came 5 s later: all VMs then waited 2 s for the
+/// endpoints that others know, and served only by their own meanwhile.
+const HURRY: Duration = Duration::from_millis(250);
+
 /// Time that a root of a higher zone leaves the call to the lower ones.
 const PATIENCE: Duration = Duration::from_secs(7);
 
@@ -201,6 +207,11 @@
         self.read_at = self.read_at.min(now + SETTLE);
     }
 
+    /// Notes that no other root was met yet: the leases are to be read again at once.
+    pub fn hurry(&mut self, now: Instant) {
+        self.read_at = self.read_at.min(now + HURRY);
+    }
+
     /// Gives the lease that a node without any root should take.
     ///
     /// `is_unreached` tells which holders could not be reached. A zone where
@@ -240,7 +251,8 @@
     /// The lower zone and the lower name call first, so that two roots don't
     /// call each other at once. Only a zone's lowest root calls other zones:
     /// with all three calling, links between 45 roots cost each some 1.6 KB a second.
-    pub fn meets<F>(&self, own: &Peer, now: Instant, is_met: F) -> Vec<Peer>
+    /// One that has met none yet (`is_new`) waits for no call.
+    pub fn meets<F>(&self, own: &Peer, is_new: bool, now: Instant, is_met: F) -> Vec<Peer>
     where
         F: Fn(&Peer) -> bool,
     {
@@ -259,8 +271,8 @@
         for holder in seats.into_iter().map(|seat| &seat.holder) {
             let is_own_zone = holder.zone == own.zone;
             let is_higher = (&holder.zone, &holder.node) > (&own.zone, &own.node);
-            let is_callee = if is_own_zone {
-                is_higher
+            let is_callee = if is_own_zone || is_new {
+                is_higher || is_new
             } else {
                 is_lowest && (is_higher || is_patient)
             };
--- a/crates/fleet/src/search.rs
+++ b/crates/fleet/src/search.rs
@@ -20,8 +20,9 @@
 const TRIES: u32 = 6;
 
 /// Spread of a herd's first look; each node reads the platform three times at
-/// its start, so that 1,000 nodes stay below its 2,000 reads a second.
-const START: Duration = Duration::from_secs(1);
+/// its start, so that 300 nodes stay below its 2,000 reads a second, and more
+/// are told when to come back.
+const START: Duration = Duration::from_millis(500);
 
 /// Longest wait for the platform's answer before the seeds are asked.
 const LEASES: Duration = Duration::from_secs(1);
--- a/crates/fleet/tests/converge.rs
+++ b/crates/fleet/tests/converge.rs
@@ -262,3 +262,22 @@
         now.zip(&before).all(|(now, before)| now + 1 == *before)
     });
 }
+
+// All VMs lose power in the same second and come back. Calls are refused for
+// two seconds more than it takes to start, as each VM serves only by its own
+// backend server. Cause: each had read the leases before the others were roots
+// again, and read them next 5 s later.
+#[test]
+fn all_restarted() {
+    let mut world = started(3, 3, 13);
+    for vm in 0..9 {
+        world.kill(vm, true);
+    }
+    world.run(S);
+    for vm in 0..9 {
+        world.spawn(vm);
+    }
+    world.run_until(2_500 * MS, "all endpoints", |world| {
+        (0..9).all(|vm| world.serving(vm) == 9)
+    });
+}
