--- a/crates/cli/tests/docs.rs
+++ b/crates/cli/tests/docs.rs
@@ -4,7 +4,7 @@
 use node::metrics::{Ending, Metrics, Reading};
 use std::time::{Duration, Instant};
 
-const PAGE: &str = include_str!("../../../docs/OPERATING.md");
+const PAGE: &str = include_str!("../../../docs/OPERATIONS.md");
 
 /// Tells whether a table row of the page starts with these cells.
 fn has_row(cells: &[&str]) -> bool {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -9,6 +9,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::runtime;
@@ -105,11 +106,28 @@
         &self.shared
     }
 
+    /// Works on while callers are sent elsewhere; gives the time that is left to stop in.
+    ///
+    /// Guards against a node that closes its listener while callers are still
+    /// sent to it: whoever watches its readiness takes some seconds to see it,
+    /// and each call in between met a closed port.
+    async fn hand_over(&self) -> Duration {
+        let limit = self.shared.settings.stop_limit();
+        let wait = self.shared.settings.handover.unwrap_or_default();
+        let wait = wait.min(limit / 2);
+        self.shared.stopping.store(true, Ordering::Release);
+        if !wait.is_zero() {
+            info!(handover_s = wait.as_secs_f64(); "handing_over");
+            tokio::time::sleep(wait).await;
+        }
+        limit.saturating_sub(wait)
+    }
+
     /// Stops gracefully: no new work from this instant on, and what is in flight ends first.
     ///
     /// The drain timeout of the settings bounds the wait; what it cuts off is logged.
     pub async fn stop(self) {
-        let limit = self.shared.settings.stop_limit();
+        let limit = self.hand_over().await;
         self.shared.leaving.send_replace(true);
         info!(stop_limit_s = limit.as_secs_f64(); "leaving");
         let (callers, calls) = tokio::join!(self.outbound.drain(limit), self.inbound.drain(limit));
--- a/crates/node/src/operate.rs
+++ b/crates/node/src/operate.rs
@@ -116,7 +116,10 @@
             !shared.listening.load(Ordering::Acquire),
             "listeners do not run yet",
         ),
-        (*shared.leaving.borrow(), "is leaving"),
+        (
+            *shared.leaving.borrow() || shared.stopping.load(Ordering::Acquire),
+            "is leaving",
+        ),
     ];
     obstacles
         .into_iter()
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -40,6 +40,8 @@
     pub view: ArcSwap<View>,
     /// The node's own backend server, once announced.
     pub backend: watch::Sender<Option<Backend>>,
+    /// Whether the node is about to leave, and tells that it is not ready.
+    pub stopping: AtomicBool,
     /// Whether the node itself is leaving.
     pub leaving: watch::Sender<bool>,
     /// Calls that wait for the own backend server or run on it.
@@ -72,6 +74,7 @@
             clock,
             view: ArcSwap::default(),
             backend: watch::Sender::new(None),
+            stopping: AtomicBool::new(false),
             leaving: watch::Sender::new(false),
             in_flight: watch::Sender::new(0),
             listening: AtomicBool::new(false),
--- a/crates/node/tests/program.rs
+++ b/crates/node/tests/program.rs
@@ -175,6 +175,43 @@
     assert!(log.contains("stopped") && !log.contains("cut_off"), "{log}");
 }
 
+// A planned stop turns callers away for two seconds: their calls meet a closed
+// port, since whoever sends them there asks for readiness once a second and
+// has not seen yet that the node leaves.
+#[test]
+fn hands_over() {
+    let mut node = Node::spawn_limited(7, "handover = 1500 ms\n");
+    node.signal(Signal::TERM);
+    wait_until("not ready", || {
+        node.get(OPERATORS, "/readyz").contains("is leaving")
+    });
+    let answer = node.get(CALLERS, "/jobs/1");
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(!node.read_log().contains(" leaving"), "it works on meanwhile");
+    assert_eq!(node.wait_code(), Some(0));
+}
+
+// An operator sends SIGHUP after a change of the settings file that is wrong.
+// The node must neither end nor forget what it runs by, and must name the line.
+#[test]
+fn settings_changed() {
+    let node = Node::spawn(8);
+    let file = node.folder.path().join("node.ini");
+    let right = fs::read_to_string(&file).unwrap();
+    node.signal(Signal::HUP);
+    wait_until("read again", || node.read_log().contains("settings_unchanged"));
+    fs::write(&file, right.replace("zone =", "zoon =")).unwrap();
+    node.signal(Signal::HUP);
+    wait_until("refused", || node.read_log().contains("settings_refused"));
+    assert!(node.read_log().contains("unknown key"));
+    fs::write(&file, right.replace("1 min", "2 min")).unwrap();
+    node.signal(Signal::HUP);
+    wait_until("noted", || {
+        node.read_log().contains("settings_wait_for_restart")
+    });
+    assert!(node.get(OPERATORS, "/healthz").contains("alive"));
+}
+
 // An operator stops a node, finds that a caller who sends its body for ever
 // keeps it from ending, and asks a second time.
 #[test]
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -40,6 +40,8 @@
         [fleet] interface: Interface = "own";
         /// Longest wait for calls in flight at a graceful stop.
         [limits] drain_timeout: Duration = "30 s";
+        /// How long after SIGTERM the node works on as before while it tells that it is not ready, so that whoever watches that sends callers elsewhere first; at most half of the time to stop in. Empty for not at all.
+        [limits] handover: Option<Duration> = "";
         /// Time after SIGTERM at which the process is killed by whoever runs it; the node has ended before. Empty when nobody does.
         [limits] kill_timeout: Option<Duration> = "";
         /// Connections of callers at once, some 20 kB each at rest; more wait in the system's queue.
