--- a/crates/fleet/src/lookout.rs
+++ b/crates/fleet/src/lookout.rs
@@ -7,7 +7,7 @@
 //! though the platform would answer it in milliseconds.
 
 use crate::event::{Action, Request};
-use crate::link::Role;
+use crate::link::{Link, Role};
 use crate::node::Node;
 use std::time::{Duration, Instant};
 
@@ -72,7 +72,7 @@
             self.lookout.hear(now);
         } else if self.is_rooted() {
             let parents = self.links.values().filter(|link| link.role == Role::Parent);
-            if let Some(heard) = parents.map(|link| link.heard()).max() {
+            if let Some(heard) = parents.map(Link::heard).max() {
                 self.lookout.hear(heard);
             }
         }
--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -233,7 +233,7 @@
                 slots: announcement.slots.max(1),
                 leaving: false,
             };
-            install(desk, backend);
+            install(desk, &backend);
         }
         Some(_) | None => {
             known.left = true;
@@ -292,16 +292,16 @@
         slots: announcement.slots,
         leaving: false,
     };
-    install(desk, backend);
+    install(desk, &backend);
     true
 }
 
-fn install<C>(desk: &Desk<C>, backend: Backend)
+fn install<C>(desk: &Desk<C>, backend: &Backend)
 where
     C: Clock,
 {
     let changed = desk.shared.backend.send_if_modified(|held| {
-        let changed = held.as_ref() != Some(&backend);
+        let changed = held.as_ref() != Some(backend);
         *held = Some(backend.clone());
         changed
     });
--- a/crates/node/tests/program.rs
+++ b/crates/node/tests/program.rs
@@ -187,7 +187,10 @@
     });
     let answer = node.get(CALLERS, "/jobs/1");
     assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
-    assert!(!node.read_log().contains(" leaving"), "it works on meanwhile");
+    assert!(
+        !node.read_log().contains(" leaving"),
+        "it works on meanwhile"
+    );
     assert_eq!(node.wait_code(), Some(0));
 }
 
@@ -199,7 +202,9 @@
     let file = node.folder.path().join("node.ini");
     let right = fs::read_to_string(&file).unwrap();
     node.signal(Signal::HUP);
-    wait_until("read again", || node.read_log().contains("settings_unchanged"));
+    wait_until("read again", || {
+        node.read_log().contains("settings_unchanged")
+    });
     fs::write(&file, right.replace("zone =", "zoon =")).unwrap();
     node.signal(Signal::HUP);
     wait_until("refused", || node.read_log().contains("settings_refused"));
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -225,7 +225,7 @@
             cost,
             start_by: now + seconds((left - MARGIN * cost).max(0.0)),
         };
-        let entry = self.aim(now, request, entry);
+        let entry = aim(now, request, entry);
         // A free slot is tried whatever the call is expected to take: else a
         // backend server that was once slower than the deadlines would never be
         // given a call again to show that it no longer is.
@@ -353,26 +353,6 @@
         }
     }
 
-    /// Brings the latest start of a call forward to where its answer is worth most.
-    ///
-    /// *Load pattern:* a lasting overload of calls whose answers lose most of
-    /// their worth some time before their deadlines. *Without it* the queue
-    /// grows until all are answered just before their deadlines: the same
-    /// number is served, nearly all of them late. A call that could be
-    /// answered late only is better sent to come back, and the slot given to
-    /// one that is still in time. Commits wait on: late is better than lost.
-    fn aim(&self, now: Instant, request: &Request, entry: Entry) -> Entry {
-        let Some(target) = request.target.filter(|_| entry.class != Class::Commit) else {
-            return entry;
-        };
-        let left = target.saturating_duration_since(now).as_secs_f64();
-        let slack = (left - AIM_MARGIN * entry.cost).max(LEAST_SLACK * entry.cost);
-        Entry {
-            start_by: entry.start_by.min(now + seconds(slack)),
-            ..entry
-        }
-    }
-
     /// Predicts the wait from what the class has got of the slots lately: a
     /// look-up's wait depends on the commits that will come after it.
     fn predict_wait(&self, now: Instant, entry: &Entry) -> f64 {
@@ -435,6 +415,26 @@
     }
 }
 
+/// Brings the latest start of a call forward to where its answer is worth most.
+///
+/// *Load pattern:* a lasting overload of calls whose answers lose most of
+/// their worth some time before their deadlines. *Without it* the queue
+/// grows until all are answered just before their deadlines: the same
+/// number is served, nearly all of them late. A call that could be
+/// answered late only is better sent to come back, and the slot given to
+/// one that is still in time. Commits wait on: late is better than lost.
+fn aim(now: Instant, request: &Request, entry: Entry) -> Entry {
+    let Some(target) = request.target.filter(|_| entry.class != Class::Commit) else {
+        return entry;
+    };
+    let left = target.saturating_duration_since(now).as_secs_f64();
+    let slack = (left - AIM_MARGIN * entry.cost).max(LEAST_SLACK * entry.cost);
+    Entry {
+        start_by: entry.start_by.min(now + seconds(slack)),
+        ..entry
+    }
+}
+
 /// Gives the wait up to which the queue of a call's class is in order.
 fn target_of(entry: &Entry) -> f64 {
     (TARGETS[rank_of(entry.class)] * entry.cost).max(LEAST_TARGET)
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -244,11 +244,10 @@
                 self.servers[key.index as usize].see(now, stretch);
                 self.weigh(now, key.index, Sample::Answered(stretch), rng);
             }
-            Outcome::Failed => self.weigh(now, key.index, Sample::Failed, rng),
             Outcome::Full => server.tell_load(now, FULL),
             // Refused although there was room: that is no load but a fault, and
             // one that the others don't have puts it out of the choice.
-            Outcome::Shed => self.weigh(now, key.index, Sample::Failed, rng),
+            Outcome::Failed | Outcome::Shed => self.weigh(now, key.index, Sample::Failed, rng),
             Outcome::Leaving => {
                 server.leaving = true;
                 self.rebuild();
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -89,17 +89,13 @@
     where
         R: Rng,
     {
-        let looks = match call.left {
-            Some(left) => self.score(near, call) * self.durations.expect(call.route) * AMPLE > left,
-            None => {
-                let load = self.servers[near as usize].load(call.now);
-                rng.random_bool(((load - SPILL_FROM) / (1.0 - SPILL_FROM)).clamp(0.0, 1.0))
-            }
-        };
-        let cost = if call.left.is_some() {
-            SOONER
+        let (looks, cost) = if let Some(left) = call.left {
+            let expected = self.score(near, call) * self.durations.expect(call.route);
+            (expected * AMPLE > left, SOONER)
         } else {
-            SPILL_COST
+            let load = self.servers[near as usize].load(call.now);
+            let look = ((load - SPILL_FROM) / (1.0 - SPILL_FROM)).clamp(0.0, 1.0);
+            (rng.random_bool(look), SPILL_COST)
         };
         if !looks {
             return near;
--- a/crates/store/src/memory.rs
+++ b/crates/store/src/memory.rs
@@ -369,8 +369,8 @@
         self.read(|table| table.objects.get(name).cloned()).await
     }
 
-    async fn list(&self, prefix: &str, after: &str, limit: usize) -> Result<List, Error> {
-        self.read(|table| table.list(prefix, after, limit)).await
+    async fn list(&self, folder: &str, after: &str, limit: usize) -> Result<List, Error> {
+        self.read(|table| table.list(folder, after, limit)).await
     }
 
     async fn create(&self, name: &str, value: &Value) -> Result<Revision, Error> {
@@ -392,11 +392,11 @@
         Ok(())
     }
 
-    async fn watch(&self, prefix: &str, from: Revision) -> Result<Watch, Error> {
+    async fn watch(&self, folder: &str, from: Revision) -> Result<Watch, Error> {
         self.lock().counts.watches += 1;
         self.enter().await?;
         let (sender, watch) = Watch::channel();
-        tokio::spawn(self.clone().feed(prefix.into(), from, sender));
+        tokio::spawn(self.clone().feed(folder.into(), from, sender));
         Ok(watch)
     }
 }
