Put the node's modules in folders by concern

The way of a call reads from outbound.rs through outbound/ and inbound/, the way of a version from control.rs through control/. Moves and names only.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -1,11 +1,16 @@
 //! How a node learns of configuration and endpoints.
 //!
 //! By default it takes its place in its zone's tree of relays
-//! ([`fleet::Node`] decides, `control_tree` carries it out). The settings may
+//! ([`fleet::Node`] decides, [`tree`] carries it out). The settings may
 //! have it watch the platform itself instead, as a baseline for measurements.
 
-use crate::control_tree::{self, Input};
-use crate::control_watch;
+pub(crate) mod desk;
+pub(crate) mod link;
+pub(crate) mod removal;
+pub(crate) mod tree;
+pub(crate) mod watch;
+
+use crate::control::tree::Input;
 use crate::shared::Shared;
 use clock::Clock;
 use fleet::Peer;
@@ -45,12 +50,12 @@
 {
     let (inbox, task) = match shared.settings.distribution {
         Distribution::Watch => {
-            let task = tokio::spawn(control_watch::run(Arc::clone(&shared), store));
+            let task = tokio::spawn(watch::run(Arc::clone(&shared), store));
             (None, task)
         }
         Distribution::Tree | Distribution::Whole => {
             let (sender, receiver) = mpsc::channel(INBOX);
-            let run = control_tree::run(Arc::clone(&shared), store, sender.clone(), receiver);
+            let run = tree::run(Arc::clone(&shared), store, sender.clone(), receiver);
             (Some(sender), tokio::spawn(run))
         }
     };
@@ -90,7 +95,7 @@
     /// Ends, once the others have been told that this node has left.
     pub async fn leave(&self) {
         match &self.inbox {
-            None => control_watch::announce_gone(&self.shared).await,
+            None => watch::announce_gone(&self.shared).await,
             Some(inbox) => {
                 let (done, told) = oneshot::channel();
                 let farewell = async {
--- a/crates/node/src/control_platform.rs
+++ b/crates/node/src/control/desk.rs
@@ -1,7 +1,7 @@
 //! What the state machine asks of the platform, carried out one by one.
 
-use crate::control_removal;
-use crate::control_tree::Input;
+use crate::control::removal;
+use crate::control::tree::Input;
 use crate::shared::Shared;
 use clock::Clock;
 use fleet::{Answer, Peer, Request, Seat};
@@ -208,7 +208,7 @@
         self.follower = Some(Task(tokio::spawn(async move {
             tokio::select! {
                 () = pass_on(follower, inbox) => {}
-                () = control_removal::run(journal) => {}
+                () = removal::run(journal) => {}
             }
         })));
     }
--- a/crates/node/src/control_link.rs
+++ b/crates/node/src/control/link.rs
@@ -1,6 +1,6 @@
 //! The socket side of control links: connecting, reading and writing.
 
-use crate::control_tree::Input;
+use crate::control::tree::Input;
 use crate::nodes::write_hello;
 use crate::shared::Shared;
 use clock::Clock;
--- a/crates/node/src/control_tree.rs
+++ b/crates/node/src/control/tree.rs
@@ -1,7 +1,7 @@
 //! Runs the state machine of distribution: sockets, timers and the platform around it.
 
-use crate::control_link::{self, Sender};
-use crate::control_platform;
+use crate::control::desk;
+use crate::control::link::{self, Sender};
 use crate::shared::Shared;
 use clock::Clock;
 use config::{State, View};
@@ -53,7 +53,7 @@
     S: Store,
 {
     let (requests, asked) = mpsc::unbounded_channel();
-    let desk = control_platform::run(Arc::clone(&shared), store, asked, sender.clone());
+    let desk = desk::run(Arc::clone(&shared), store, asked, sender.clone());
     let desk = tokio::spawn(desk);
     let mut backend = shared.backend.subscribe();
     // A backend server may have announced itself before this task ran; what
@@ -166,7 +166,7 @@
     }
 
     fn open(&mut self, key: LinkKey, stream: TcpStream) {
-        let sender = control_link::spawn(&self.shared, key, stream, self.inbox.clone());
+        let sender = link::spawn(&self.shared, key, stream, self.inbox.clone());
         self.links.insert(key, sender);
     }
 
@@ -186,7 +186,7 @@
     fn act(&mut self, action: Action) {
         match action {
             Action::Connect { link, address } => {
-                control_link::dial(&self.shared, link, address, self.inbox.clone());
+                link::dial(&self.shared, link, address, self.inbox.clone());
             }
             Action::Send { link, frame } => self.send(link, frame),
             Action::Close { link } => {
--- a/crates/node/src/inbound.rs
+++ b/crates/node/src/inbound.rs
@@ -3,12 +3,17 @@
 //! It alone talks to that backend server, and holds the table of calls that
 //! settles what became of one when a link has gone silent.
 
+pub(crate) mod entry;
+pub(crate) mod gate;
+pub(crate) mod link;
+pub(crate) mod run;
+
 use crate::backend::Pool;
-use crate::inbound_call::Call;
-use crate::inbound_gate::Gate;
-use crate::inbound_link::run_link;
-use crate::inbound_run::{self, Refused, Running};
-use crate::link::{self, Sender};
+use crate::inbound::entry::Call;
+use crate::inbound::gate::Gate;
+use crate::inbound::link::run_link;
+use crate::inbound::run::{Refused, Running};
+use crate::link::Sender;
 use crate::shared::{Backend, Shared};
 use crate::upload::Upload;
 use call::{Id, Table, Verdict};
@@ -78,7 +83,7 @@
     ///
     /// When the socket's options can't be set.
     pub fn accept(&self, stream: TcpStream, hello: &Hello) -> io::Result<()> {
-        let (sender, receiver) = link::open(stream)?;
+        let (sender, receiver) = crate::link::open(stream)?;
         let mut links = self.inner.links.lock();
         links.retain(|known| known.strong_count() > 0);
         links.push(Arc::downgrade(&sender));
@@ -103,11 +108,11 @@
             started.store(true, Ordering::Relaxed);
             true
         };
-        let run = inbound_run::run(&self.inner, request, upload, deadline, start);
+        let run = run::run(&self.inner, request, upload, deadline, start);
         tokio::select! {
             biased;
             ended = run => ended,
-            () = inbound_run::sleep_until(&self.inner, deadline) => Err(Refused {
+            () = run::sleep_until(&self.inner, deadline) => Err(Refused {
                 verdict: if started.load(Ordering::Relaxed) { Verdict::MayHaveRun } else { Verdict::NotRun },
                 reason: Reason::Deadline,
                 retry_after_ms: 0,
@@ -125,10 +130,10 @@
         let (mut sender, receiver) = oneshot::channel();
         let inner = Arc::clone(&self.inner);
         tokio::spawn(async move {
-            let run = inbound_run::run(&inner, request, upload, deadline, || true);
+            let run = run::run(&inner, request, upload, deadline, || true);
             let overdue = async {
-                inbound_run::sleep_until(&inner, deadline).await;
-                tokio::time::sleep(inbound_run::LATE_LIMIT).await;
+                run::sleep_until(&inner, deadline).await;
+                tokio::time::sleep(run::LATE_LIMIT).await;
             };
             let ended = tokio::select! {
                 biased;
--- a/crates/node/src/inbound_link.rs
+++ b/crates/node/src/inbound/link.rs
@@ -1,8 +1,8 @@
 //! Reads the links from other nodes' outbound proxies.
 
 use crate::inbound::Inner;
-use crate::inbound_call::Call;
-use crate::inbound_run;
+use crate::inbound::entry::Call;
+use crate::inbound::run;
 use crate::link::{Receiver, Sender, Watch};
 use call::{Arrival, Id, Outcome, Verdict};
 use clock::Clock;
@@ -133,7 +133,7 @@
             self.uploads.retain(|upload| upload.wants_more());
             self.uploads.push(Arc::clone(&call));
         }
-        inbound_run::spawn(Arc::clone(self.inner), call, request);
+        run::spawn(Arc::clone(self.inner), call, request);
         ControlFlow::Continue(())
     }
 
--- a/crates/node/src/inbound_run.rs
+++ b/crates/node/src/inbound/run.rs
@@ -2,9 +2,9 @@
 
 use crate::backend::{Error, Reply};
 use crate::header::{put_headers, take_end_to_end};
+use crate::inbound::entry::{Call, PART};
+use crate::inbound::gate::{Offer, Permit};
 use crate::inbound::{Active, Inner};
-use crate::inbound_call::{Call, PART};
-use crate::inbound_gate::{Offer, Permit};
 use crate::upload::{Rest, Upload};
 use bytes::Bytes;
 use call::{Id, Verdict};
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -4,11 +4,15 @@
 //! and then only touches atomics and one short lock. Label values come from
 //! the configuration alone; beyond [`MAX_SERVICES`] they share one.
 
-pub use crate::metrics_control::Control;
-pub use crate::metrics_reserve::Reserve;
-pub use crate::metrics_service::{Ending, Service};
+pub(crate) mod control;
+pub(crate) mod reserve;
+pub(crate) mod service;
 
-use crate::metrics_service::SLOT_LABELS;
+pub use crate::metrics::control::Control;
+pub use crate::metrics::reserve::Reserve;
+pub use crate::metrics::service::{Ending, Service};
+
+use crate::metrics::service::SLOT_LABELS;
 use parking_lot::{Mutex, RwLock};
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
--- a/crates/node/src/outbound.rs
+++ b/crates/node/src/outbound.rs
@@ -1,11 +1,23 @@
 //! The outbound proxy: takes calls of callers over HTTP and sends them where they run.
 
+pub(crate) mod answer;
+pub(crate) mod attempt;
+pub(crate) mod hedge;
+pub(crate) mod keyed;
+pub(crate) mod link;
+pub(crate) mod peer;
+pub(crate) mod plan;
+pub(crate) mod send;
+pub(crate) mod sent;
+pub(crate) mod serve;
+pub(crate) mod service;
+pub(crate) mod settle;
+
 use crate::inbound;
 use crate::listener::Ended;
-use crate::outbound_answer::{Body, RETRY_AFTER_HEADER};
-use crate::outbound_call;
-use crate::outbound_link::Links;
-use crate::outbound_service::{Place, Services};
+use crate::outbound::answer::{Body, RETRY_AFTER_HEADER};
+use crate::outbound::link::Links;
+use crate::outbound::service::{Place, Services};
 use crate::reserve;
 use crate::shared::Shared;
 use clock::Clock;
@@ -317,7 +329,7 @@
         asks.store(true, Ordering::Relaxed);
         let inner = Arc::clone(&inner);
         async move {
-            let mut response = outbound_call::serve(&inner, request, peer).await;
+            let mut response = serve::serve(&inner, request, peer).await;
             if inner.shared.is_on_platform() {
                 tell_wait(&mut response);
             }
--- a/crates/node/src/outbound_answer.rs
+++ b/crates/node/src/outbound/answer.rs
@@ -1,8 +1,8 @@
 //! What callers get: answers, and refusals with their verdict.
 
 use crate::backend;
-use crate::inbound_run::{Refused, Running};
-use crate::outbound_sent::Sent;
+use crate::inbound::run::{Refused, Running};
+use crate::outbound::sent::Sent;
 use bytes::Bytes;
 use call::Verdict;
 use clock::Clock;
--- a/crates/node/src/outbound_hedge.rs
+++ b/crates/node/src/outbound/hedge.rs
@@ -1,11 +1,11 @@
 //! A second copy of a call whose first try is late: runs `policy::hedge`.
 
 use crate::outbound::Inner;
-use crate::outbound_call::{cause_of, pick, refused_outcome};
-use crate::outbound_plan::Plan;
-use crate::outbound_send::{Tried, try_once};
-use crate::outbound_sent;
-use crate::outbound_service::Picked;
+use crate::outbound::plan::Plan;
+use crate::outbound::send::{Tried, try_once};
+use crate::outbound::sent;
+use crate::outbound::serve::{cause_of, pick, refused_outcome};
+use crate::outbound::service::Picked;
 use call::Verdict;
 use clock::Clock;
 use http::request;
@@ -20,7 +20,7 @@
     C: Clock,
 {
     picked: Picked<C>,
-    body: outbound_sent::Body,
+    body: sent::Body,
 }
 
 /// Tries a call for the first time; once it is late, a copy of it elsewhere as well.
@@ -31,7 +31,7 @@
     inner: &Arc<Inner<C>>,
     plan: &Plan,
     head: &request::Parts,
-    body: outbound_sent::Body,
+    body: sent::Body,
     first: Picked<C>,
     tried: &mut Vec<Key>,
 ) -> (Tried<C>, Picked<C>)
@@ -41,7 +41,7 @@
     let started = first.started;
     // Only a body that is held whole can be sent twice.
     let may = plan.hedges() && body.rest.is_none();
-    let copy = outbound_sent::Body {
+    let copy = sent::Body {
         ready: body.ready.clone(),
         rest: None,
     };
--- a/crates/node/src/outbound_keyed.rs
+++ b/crates/node/src/outbound/keyed.rs
@@ -1,13 +1,13 @@
 //! Calls with an `Idempotency-Key`: reserved before they run, answered again from what is kept.
 
-use crate::inbound_run::{LATE_LIMIT, Refused};
+use crate::inbound::run::{LATE_LIMIT, Refused};
 use crate::metrics::Ending;
 use crate::outbound::Inner;
-use crate::outbound_answer::{Body, VERDICT_HEADER, tell};
-use crate::outbound_call::{Served, serve_plan};
-use crate::outbound_plan::{Plan, left};
-use crate::outbound_send::Late;
-use crate::outbound_sent;
+use crate::outbound::answer::{Body, VERDICT_HEADER, tell};
+use crate::outbound::plan::{Plan, left};
+use crate::outbound::send::Late;
+use crate::outbound::sent;
+use crate::outbound::serve::{Served, serve_plan};
 use crate::reserve::{Claimed, Grant};
 use bytes::{Bytes, BytesMut};
 use call::Verdict;
@@ -35,7 +35,7 @@
     plan: &Arc<Plan>,
     key: Key,
     head: request::Parts,
-    body: outbound_sent::Body,
+    body: sent::Body,
 ) -> Served<C>
 where
     C: Clock,
@@ -95,7 +95,7 @@
     plan: &Plan,
     key: Key,
     head: &request::Parts,
-    body: outbound_sent::Body,
+    body: sent::Body,
 ) -> (Served<C>, Option<Open<C>>)
 where
     C: Clock,
@@ -116,7 +116,7 @@
     plan: &Plan,
     grant: Grant,
     head: &request::Parts,
-    body: outbound_sent::Body,
+    body: sent::Body,
 ) -> (Served<C>, Option<Open<C>>)
 where
     C: Clock,
--- a/crates/node/src/outbound_link.rs
+++ b/crates/node/src/outbound/link.rs
@@ -1,9 +1,9 @@
 //! Links from the outbound proxy to the nodes of other backend servers.
 
 use crate::link::{self, Receiver, Sender, Watch};
-use crate::outbound_peer::Peer;
-use crate::outbound_settle::{Ended, settle_all, sort_out};
-use crate::outbound_try::Try;
+use crate::outbound::attempt::Try;
+use crate::outbound::peer::Peer;
+use crate::outbound::settle::{Ended, settle_all, sort_out};
 use call::{Id, Verdict};
 use parking_lot::{Mutex, RwLock};
 use smol_str::SmolStr;
--- a/crates/node/src/outbound_peer.rs
+++ b/crates/node/src/outbound/peer.rs
@@ -1,6 +1,6 @@
 //! A node that calls are sent to, and the link that is up to it.
 
-use crate::outbound_link::Link;
+use crate::outbound::link::Link;
 use parking_lot::Mutex;
 use std::io;
 use std::net::SocketAddr;
--- a/crates/node/src/outbound_plan.rs
+++ b/crates/node/src/outbound/plan.rs
@@ -1,9 +1,9 @@
 //! What is known of a call before it is tried.
 
-use crate::inbound_run::TIMEOUT_HEADER;
+use crate::inbound::run::TIMEOUT_HEADER;
+use crate::outbound::sent;
+use crate::outbound::service::Service;
 use crate::outbound::{Inner, pick_target};
-use crate::outbound_sent;
-use crate::outbound_service::Service;
 use bytes::{Bytes, BytesMut};
 use call::reserve::Key;
 use clock::Clock;
@@ -153,11 +153,11 @@
 ///
 /// So a call with a short body can be tried again, and one whose caller dies
 /// half way never reaches a backend server.
-pub(crate) async fn take_body(mut body: Incoming) -> Result<outbound_sent::Body, hyper::Error> {
+pub(crate) async fn take_body(mut body: Incoming) -> Result<sent::Body, hyper::Error> {
     let mut ready = Bytes::new();
     while !body.is_end_stream() {
         if ready.len() >= WINDOW {
-            return Ok(outbound_sent::Body {
+            return Ok(sent::Body {
                 ready,
                 rest: Some(body),
             });
@@ -167,7 +167,7 @@
         };
         ready = join(ready, frame?.into_data().unwrap_or_default());
     }
-    Ok(outbound_sent::Body { ready, rest: None })
+    Ok(sent::Body { ready, rest: None })
 }
 
 fn join(first: Bytes, second: Bytes) -> Bytes {
--- a/crates/node/src/outbound_send.rs
+++ b/crates/node/src/outbound/send.rs
@@ -1,12 +1,12 @@
 //! One try of a call: on the own backend server, or over a link.
 
 use crate::header::{put_headers, take_end_to_end};
-use crate::inbound_run::{Refused, Running};
+use crate::inbound::run::{Refused, Running};
 use crate::link;
 use crate::outbound::Inner;
-use crate::outbound_answer::{Body, Local, Remote, VERDICT_HEADER};
-use crate::outbound_plan::{Plan, left};
-use crate::outbound_sent::{self, Sent};
+use crate::outbound::answer::{Body, Local, Remote, VERDICT_HEADER};
+use crate::outbound::plan::{Plan, left};
+use crate::outbound::sent::{self, Sent};
 use crate::upload::{Rest, Upload};
 use bytes::Bytes;
 use call::{Id, Verdict};
@@ -39,7 +39,7 @@
 {
     Answered(Response<Body<C>>, Option<Told>),
     /// No answer; the body is given back when it can be sent again.
-    Refused(Refused, Option<outbound_sent::Body>),
+    Refused(Refused, Option<sent::Body>),
     /// Nothing by the deadline; what was sent may still come to something.
     Late(Late<C>),
 }
@@ -78,7 +78,7 @@
     inner: &Arc<Inner<C>>,
     plan: &Plan,
     head: &request::Parts,
-    body: outbound_sent::Body,
+    body: sent::Body,
     endpoint: &Endpoint,
     tries: u8,
 ) -> Tried<C>
@@ -97,7 +97,7 @@
     inner: &Arc<Inner<C>>,
     plan: &Plan,
     mut request: wire::call::Request,
-    body: outbound_sent::Body,
+    body: sent::Body,
 ) -> Tried<C>
 where
     C: Clock,
@@ -121,7 +121,7 @@
         let call = inner.inbound.call_local(request, upload, plan.deadline);
         call.await
     };
-    let back = whole.then_some(outbound_sent::Body {
+    let back = whole.then_some(sent::Body {
         ready: kept,
         rest: None,
     });
@@ -157,7 +157,7 @@
     inner: &Arc<Inner<C>>,
     plan: &Plan,
     mut request: wire::call::Request,
-    body: outbound_sent::Body,
+    body: sent::Body,
     endpoint: &Endpoint,
 ) -> Tried<C>
 where
--- a/crates/node/src/outbound_sent.rs
+++ b/crates/node/src/outbound/sent.rs
@@ -1,8 +1,8 @@
 //! A try that was sent, and the caller's body that follows it.
 
-use crate::inbound_call::PART;
-use crate::outbound_link::Link;
-use crate::outbound_try::Try;
+use crate::inbound::entry::PART;
+use crate::outbound::attempt::Try;
+use crate::outbound::link::Link;
 use bytes::Bytes;
 use call::Verdict;
 use http_body::Body as _;
--- a/crates/node/src/outbound_call.rs
+++ b/crates/node/src/outbound/serve.rs
@@ -1,15 +1,15 @@
 //! How the outbound proxy serves one call of a caller.
 
-use crate::inbound_run::Refused;
+use crate::inbound::run::Refused;
 use crate::metrics::Ending;
 use crate::outbound::Inner;
-use crate::outbound_answer::{Body, refuse, reject};
-use crate::outbound_hedge::try_first;
-use crate::outbound_keyed::serve_keyed;
-use crate::outbound_plan::{Plan, host_of, left, make_plan, take_body};
-use crate::outbound_send::{Late, Tried, try_once};
-use crate::outbound_sent;
-use crate::outbound_service::{Ask, Picked};
+use crate::outbound::answer::{Body, refuse, reject};
+use crate::outbound::hedge::try_first;
+use crate::outbound::keyed::serve_keyed;
+use crate::outbound::plan::{Plan, host_of, left, make_plan, take_body};
+use crate::outbound::send::{Late, Tried, try_once};
+use crate::outbound::sent;
+use crate::outbound::service::{Ask, Picked};
 use call::Verdict;
 use clock::Clock;
 use config::{Objective, Version, View};
@@ -148,7 +148,7 @@
     inner: &Arc<Inner<C>>,
     plan: &Plan,
     head: &request::Parts,
-    mut body: outbound_sent::Body,
+    mut body: sent::Body,
 ) -> Served<C>
 where
     C: Clock,
--- a/crates/node/src/outbound_settle.rs
+++ b/crates/node/src/outbound/settle.rs
@@ -1,8 +1,8 @@
 //! What became of the tries of a link that ended.
 
-use crate::outbound_link::Links;
-use crate::outbound_peer::Peer;
-use crate::outbound_try::Try;
+use crate::outbound::attempt::Try;
+use crate::outbound::link::Links;
+use crate::outbound::peer::Peer;
 use call::Verdict;
 use std::io;
 use std::sync::{Arc, Weak};
--- a/crates/node/src/reserve.rs
+++ b/crates/node/src/reserve.rs
@@ -5,10 +5,17 @@
 //! is asked, and in the end this node writes the record itself: whom it asks
 //! decides how much work it is, never whether the reservation holds.
 
+pub(crate) mod ages;
+pub(crate) mod journal;
+pub(crate) mod link;
+pub(crate) mod owners;
+pub(crate) mod record;
+pub(crate) mod shard;
+
 use crate::nodes::write_hello;
-use crate::reserve_link::{Peer, pass_note, serve};
-use crate::reserve_owners::{Owners, Way};
-use crate::reserve_shard::{self, Order};
+use crate::reserve::link::{Peer, pass_note, serve};
+use crate::reserve::owners::{Owners, Way};
+use crate::reserve::shard::Order;
 use crate::shared::Shared;
 use call::Id;
 use call::reserve::{Answer, Claim, Entry, Fingerprint, Holder, Key, MAX_ANSWER, Reply, SHARDS};
@@ -100,7 +107,7 @@
     let shards = (0..SHARDS).map(|shard| {
         let name = format_smolstr!("reservations/{shard:02}");
         let journal = Journal::open(store.clone(), shared.clock.clone(), &name);
-        reserve_shard::spawn(journal, shared.clock.clone())
+        shard::spawn(journal, shared.clock.clone())
     });
     let view = shared.view.load_full();
     Handle {
--- a/crates/node/src/reserve_log.rs
+++ b/crates/node/src/reserve/journal.rs
@@ -1,7 +1,7 @@
 //! A shard's table as it follows from its records, and the writing of the next one.
 
-use crate::reserve_ages::Ages;
-use crate::reserve_record::{decode, encode};
+use crate::reserve::ages::Ages;
+use crate::reserve::record::{decode, encode};
 use call::reserve::{Claim, Entry, Holder, Key, MAX_KEYS, Reply, Table};
 use clock::Clock;
 use smol_str::{SmolStr, format_smolstr};
--- a/crates/node/src/reserve_link.rs
+++ b/crates/node/src/reserve/link.rs
@@ -4,7 +4,7 @@
 //! its last question: an owner serves the whole fleet and can't hold a link to
 //! each of its nodes.
 
-use crate::reserve_shard::Order;
+use crate::reserve::shard::Order;
 use call::reserve::{Claim, Entry, Reply};
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/crates/node/src/reserve_shard.rs
+++ b/crates/node/src/reserve/shard.rs
@@ -5,7 +5,7 @@
 //! Without that, every keyed call would cost a write, and a few hundred a
 //! second would be all that the whole fleet could take.
 
-use crate::reserve_log::Log;
+use crate::reserve::journal::Log;
 use call::reserve::{Claim, Entry, Key, MAX_KEYS, Reply, SHARDS};
 use clock::Clock;
 use rand::Rng;
--- a/crates/node/src/upload.rs
+++ b/crates/node/src/upload.rs
@@ -1,6 +1,6 @@
 //! The body of a request on its way to a backend server.
 
-use crate::inbound_call::Call;
+use crate::inbound::entry::Call;
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
