--- a/crates/node/src/inbound/run.rs
+++ b/crates/node/src/inbound/run.rs
@@ -5,12 +5,14 @@
 use crate::inbound::entry::{Call, PART};
 use crate::inbound::gate::{Offer, Permit};
 use crate::inbound::{Active, Inner};
+use crate::outbound::answer::name_of;
 use crate::upload::{Rest, Upload};
 use bytes::Bytes;
 use call::{Id, Verdict};
 use clock::Clock;
 use config::Class;
 use http::{HeaderName, HeaderValue, Method, Response, StatusCode, Uri};
+use log::info;
 use platform::header;
 use policy::admission;
 use policy::balance::Told;
@@ -253,10 +255,35 @@
             admission::Reason::Deadline => Reason::Deadline,
         };
         let wait = u32::try_from(refusal.retry_after.as_millis()).unwrap_or(u32::MAX);
-        Refused::not_run(reason, wait.max(1))
+        let refused = Refused::not_run(reason, wait.max(1));
+        tell_gate(inner, request, refused, left(inner, deadline));
+        refused
     })
 }
 
+/// Tells that the gate turned a call away, and how full it was.
+fn tell_gate<C>(inner: &Inner<C>, request: &Request, refused: Refused, left: Duration)
+where
+    C: Clock,
+{
+    let shared = &inner.shared;
+    let elapsed = shared.metrics.counted(shared.clock.now());
+    if let Some(left_out) = shared.lines.gate.take(elapsed) {
+        let load = inner.gate.load();
+        info!(
+            id = request.caller.as_str(),
+            call:% = request.id,
+            service = request.service.as_str(),
+            reason = name_of(refused.reason),
+            load,
+            retry_after_ms = refused.retry_after_ms,
+            left_ms = left.as_millis(),
+            left_out;
+            "call_turned_away"
+        );
+    }
+}
+
 /// Tells what an answer's status says of the backend server's load.
 fn outcome_of(status: StatusCode) -> Outcome {
     match status {
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -40,7 +40,7 @@
             "SIGTERM stops it gracefully: no new work, and what is in flight ends first. A second \
              one ends it at once. Exit codes: 0 stopped gracefully; 1 could not start, or ended \
              before what was in flight; 2 wrong command line or settings. The log goes to \
-             standard error; BLUEBELLPICK_LOG sets its level.",
+             standard output; BLUEBELLPICK_LOG sets its level.",
         )
 }
 
@@ -63,14 +63,15 @@
     if options.check {
         return ExitCode::SUCCESS;
     }
-    node::logs::open();
-    match start(settings, &options.settings) {
-        Ok(code) => code,
-        Err(error) => {
-            error!(error:%; "failed");
-            ExitCode::FAILURE
-        }
-    }
+    let logs = node::logs::open();
+    let code = start(settings, &options.settings).unwrap_or_else(|error| {
+        error!(error:%; "failed");
+        // Whoever starts it by hand looks here, also with the log sent elsewhere.
+        eprintln!("{error}");
+        ExitCode::FAILURE
+    });
+    logs.close();
+    code
 }
 
 fn start(settings: Settings, path: &Path) -> std::io::Result<ExitCode> {
--- a/crates/node/src/outbound/answer.rs
+++ b/crates/node/src/outbound/answer.rs
@@ -189,7 +189,7 @@
     response
 }
 
-fn name_of(reason: Reason) -> &'static str {
+pub(crate) fn name_of(reason: Reason) -> &'static str {
     match reason {
         Reason::Leaving => "leaving",
         Reason::Full => "full",
--- a/crates/node/src/outbound/plan.rs
+++ b/crates/node/src/outbound/plan.rs
@@ -34,6 +34,8 @@
 /// A call, as its tries need it.
 #[derive(Debug)]
 pub(crate) struct Plan {
+    /// Names the call in the log: by its caller's name for it, or its caller's own.
+    pub(crate) id: SmolStr,
     pub(crate) service: SmolStr,
     pub(crate) known: Arc<Service>,
     pub(crate) class: Class,
@@ -94,15 +96,17 @@
     let timeout = timeout.min(longest.unwrap_or(LONGEST_TIMEOUT));
     let target = view.service(pick_target(&route.targets));
     let repeatable = is_repeatable(route.repeat, &head.method);
+    let caller = if inner.shared.is_on_platform() {
+        platform::header::name_caller(&head.headers)
+    } else {
+        caller_of(&head.headers, peer)
+    };
     let plan = Plan {
+        id: caller.clone(),
         service: target.name.clone(),
         known: inner.services.get(&target.name, now),
         class: route.class,
-        caller: if inner.shared.is_on_platform() {
-            platform::header::name_caller(&head.headers)
-        } else {
-            caller_of(&head.headers, peer)
-        },
+        caller,
         route: policy::hash(&route.prefix) ^ policy::hash(head.method.as_str()),
         rule: route.retry.clone(),
         deadline: now + timeout.min(LONGEST_TIMEOUT),
--- a/crates/node/src/outbound/serve.rs
+++ b/crates/node/src/outbound/serve.rs
@@ -10,6 +10,7 @@
 use crate::outbound::send::{Late, Tried, try_once};
 use crate::outbound::sent;
 use crate::outbound::service::{Ask, Picked};
+use crate::outbound::tell::{tell_end, tell_try, tell_unrouted};
 use call::Verdict;
 use clock::Clock;
 use config::{Objective, Version, View};
@@ -63,12 +64,16 @@
     C: Clock,
 {
     // A node that has just started knows no routes yet; that is not the caller's fault.
+    let (host, path) = (host_of(head), head.uri.path());
     if view.version() == Version::ZERO {
+        tell_unrouted(inner, host, path, "no-version");
         return refuse(Refused::not_run(Reason::NoRoutes, 0));
     }
-    let Some(withheld) = view.find_withheld(host_of(head), head.uri.path()) else {
+    let Some(withheld) = view.find_withheld(host, path) else {
+        tell_unrouted(inner, host, path, "no-route");
         return reject(StatusCode::NOT_FOUND, "no-route");
     };
+    tell_unrouted(inner, host, path, "no-endpoint");
     drop(Count {
         inner,
         service: &withheld.service,
@@ -153,6 +158,7 @@
 where
     C: Clock,
 {
+    let started = inner.shared.clock.now();
     let mut tried = Vec::new();
     let mut reached = 0;
     // What the caller is told in the end: one try that may have run weighs more than any that did not.
@@ -180,6 +186,8 @@
             Tried::Refused(refused, back) => (refused, back),
             Tried::Late(late) => {
                 picked.outcome = Outcome::Failed;
+                let refused = Refused::may_have_run(Reason::Deadline);
+                tell_try(inner, plan, &picked.endpoint.node, refused, tries);
                 return Served {
                     late: Some(late),
                     ..Refused::may_have_run(Reason::Deadline).into()
@@ -189,6 +197,7 @@
         let cause = cause_of(refused);
         reached += u8::from(!matches!(cause, Cause::Full | Cause::Leaving));
         picked.outcome = refused_outcome(cause);
+        tell_try(inner, plan, &picked.endpoint.node, refused, tries);
         drop(picked);
         if told.verdict == Verdict::NotRun {
             told = refused;
@@ -216,6 +225,8 @@
             Decision::Stop(_) => break,
         }
     }
+    let tries = u8::try_from(tried.len()).unwrap_or(u8::MAX);
+    tell_end(inner, plan, told, started, tries);
     told.into()
 }
 
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -1,5 +1,6 @@
 //! What the parts of a node share.
 
+use crate::logs::Budget;
 use crate::metrics::Metrics;
 use arc_swap::ArcSwap;
 use clock::Clock;
@@ -52,6 +53,19 @@
     pub distribution: ArcSwap<status::Distribution>,
     /// What the node counts.
     pub metrics: Metrics,
+    /// How many lines about calls the log takes.
+    pub lines: Lines,
+}
+
+/// How many lines a second the log takes, by what they are about.
+#[derive(Debug, Default)]
+pub struct Lines {
+    /// Tries without an answer.
+    pub tries: Budget,
+    /// Calls without an answer.
+    pub calls: Budget,
+    /// Calls that the own backend server's gate turned away.
+    pub gate: Budget,
 }
 
 impl<C> Shared<C>
@@ -80,6 +94,7 @@
             listening: AtomicBool::new(false),
             distribution: ArcSwap::default(),
             metrics,
+            lines: Lines::default(),
         })
     }
 }
--- a/crates/node/tests/program.rs
+++ b/crates/node/tests/program.rs
@@ -52,7 +52,7 @@
             .arg("--settings")
             .arg(settings)
             .stdin(Stdio::null())
-            .stderr(log)
+            .stdout(log)
             .spawn()
             .unwrap();
         let node = Self { child, ip, folder };
