--- a/crates/node/src/logs.rs
+++ b/crates/node/src/logs.rs
@@ -86,13 +86,13 @@
 }
 
 impl Write for Outlet {
-    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
         self.pending.fetch_add(1, Ordering::AcqRel);
-        if self.lines.try_send(line.to_vec()).is_err() {
+        if self.lines.try_send(buf.to_vec()).is_err() {
             self.pending.fetch_sub(1, Ordering::AcqRel);
             self.left_out.fetch_add(1, Ordering::Relaxed);
         }
-        Ok(line.len())
+        Ok(buf.len())
     }
 
     fn flush(&mut self) -> io::Result<()> {
--- a/crates/node/src/outbound/answer.rs
+++ b/crates/node/src/outbound/answer.rs
@@ -194,6 +194,7 @@
         Reason::Leaving => "leaving",
         Reason::Full => "full",
         Reason::Shed => "shed",
+        Reason::Unreached => "unreached",
         Reason::Deadline => "deadline",
         Reason::Backend => "backend",
         Reason::NoService => "no-service",
--- a/crates/node/src/outbound/send.rs
+++ b/crates/node/src/outbound/send.rs
@@ -32,6 +32,13 @@
 /// both ends, and room for a busy machine.
 const VERDICT_MARGIN: Duration = Duration::from_millis(10);
 
+/// Longest wait of a call for a connection to another node.
+///
+/// Within a region one takes about 1 ms, between regions 70 ms. A VM without
+/// power answers nothing at all: calls that waited for it as long as their
+/// deadline allowed were lost, although other backend servers had room.
+const CONNECT_PATIENCE: Duration = Duration::from_millis(150);
+
 /// How a try ended.
 pub(crate) enum Tried<C>
 where
@@ -164,13 +171,14 @@
     C: Clock,
 {
     let connecting = inner.links.link(endpoint.address);
-    let link = match tokio::time::timeout(left(inner, plan.deadline), connecting).await {
+    let patience = left(inner, plan.deadline).min(CONNECT_PATIENCE);
+    let link = match tokio::time::timeout(patience, connecting).await {
         Ok(Ok(link)) if link.node == endpoint.node && !link.is_leaving() => link,
         Ok(Ok(_)) => {
             return Tried::Refused(Refused::not_run(Reason::Leaving, 0), Some(body));
         }
         Ok(Err(_)) | Err(_) => {
-            return Tried::Refused(Refused::not_run(Reason::Backend, 0), Some(body));
+            return Tried::Refused(Refused::not_run(Reason::Unreached, 0), Some(body));
         }
     };
     let kept = body.ready.clone();
--- a/crates/node/src/outbound/serve.rs
+++ b/crates/node/src/outbound/serve.rs
@@ -195,7 +195,7 @@
             }
         };
         let cause = cause_of(refused);
-        reached += u8::from(!matches!(cause, Cause::Full | Cause::Leaving));
+        reached += u8::from(matches!(cause, Cause::Shed | Cause::Failed));
         picked.outcome = refused_outcome(cause);
         tell_try(inner, plan, &picked.endpoint.node, refused, tries);
         drop(picked);
@@ -225,8 +225,8 @@
             Decision::Stop(_) => break,
         }
     }
-    let tries = u8::try_from(tried.len()).unwrap_or(u8::MAX);
-    tell_end(inner, plan, told, started, tries);
+    let count = u8::try_from(tried.len()).unwrap_or(u8::MAX);
+    tell_end(inner, plan, told, started, count);
     told.into()
 }
 
@@ -261,6 +261,7 @@
         (Verdict::NotRun, Reason::Leaving) => Cause::Leaving,
         (Verdict::NotRun, Reason::Full | Reason::Deadline) => Cause::Full,
         (Verdict::NotRun, Reason::Shed) => Cause::Shed,
+        (Verdict::NotRun, Reason::Unreached) => Cause::Unreached,
         _ => Cause::Failed,
     }
 }
@@ -270,6 +271,6 @@
         Cause::Leaving => Outcome::Leaving,
         Cause::Full => Outcome::Full,
         Cause::Shed => Outcome::Shed,
-        Cause::Failed => Outcome::Failed,
+        Cause::Unreached | Cause::Failed => Outcome::Failed,
     }
 }
--- a/crates/node/tests/logs.rs
+++ b/crates/node/tests/logs.rs
@@ -3,41 +3,44 @@
 use node::logs::{Budget, Outlet};
 use std::io::{self, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+/// What an output has taken, and whether it takes more.
+#[derive(Default)]
+struct Taken {
+    is_open: bool,
+    bytes: Vec<u8>,
+}
+
 /// An output that takes nothing until it is opened.
 #[derive(Clone, Default)]
 struct Pipe {
-    state: Arc<(Mutex<(bool, Vec<u8>)>, Condvar)>,
+    taken: Arc<Mutex<Taken>>,
+    opened: Arc<Condvar>,
 }
 
 impl Pipe {
+    fn lock(&self) -> MutexGuard<'_, Taken> {
+        self.taken.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn open(&self) {
-        self.state
-            .0
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .0 = true;
-        self.state.1.notify_all();
+        self.lock().is_open = true;
+        self.opened.notify_all();
     }
 
     fn text(&self) -> String {
-        let state = self.state.0.lock().unwrap_or_else(PoisonError::into_inner);
-        String::from_utf8_lossy(&state.1).into_owned()
+        String::from_utf8_lossy(&self.lock().bytes).into_owned()
     }
 }
 
 impl Write for Pipe {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        let state = self.state.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut state = self
-            .state
-            .1
-            .wait_while(state, |state| !state.0)
-            .unwrap_or_else(PoisonError::into_inner);
-        state.1.extend_from_slice(bytes);
-        Ok(bytes.len())
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        let opened = self.opened.wait_while(self.lock(), |taken| !taken.is_open);
+        let mut taken = opened.unwrap_or_else(PoisonError::into_inner);
+        taken.bytes.extend_from_slice(buf);
+        Ok(buf.len())
     }
 
     fn flush(&mut self) -> io::Result<()> {
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -29,6 +29,8 @@
     Full,
     /// The backend server refused it.
     Shed,
+    /// Its node could not be reached; another one will take it.
+    Unreached,
     /// The try failed.
     Failed,
 }
@@ -137,16 +139,17 @@
             return Decision::Stop(stop);
         }
         let wait = match tried.cause {
-            Cause::Leaving | Cause::Full | Cause::Shed => Duration::ZERO,
+            Cause::Leaving | Cause::Unreached | Cause::Full | Cause::Shed => Duration::ZERO,
             Cause::Failed => draw_wait(tried.tries, rng),
         };
         if now + wait + tried.expected > tried.deadline {
             return Decision::Stop(Stop::Late);
         }
-        // Refused at the door, by one that leaves or is full, the call has cost
-        // no backend server anything: a rolling restart, or one that is slow
+        // Refused at the door, by one that leaves, is full or is not there, the
+        // call has cost no backend server anything: a rolling restart, or one that is slow
         // while the others have room, must not use up the budget.
-        if matches!(tried.cause, Cause::Leaving | Cause::Full) || self.spend(now) {
+        let is_free = matches!(tried.cause, Cause::Leaving | Cause::Unreached | Cause::Full);
+        if is_free || self.spend(now) {
             Decision::Again(wait)
         } else {
             Decision::Stop(Stop::Budget)
@@ -178,7 +181,7 @@
         return Some(Stop::Unsafe);
     }
     let is_used_up = match tried.cause {
-        Cause::Leaving => false,
+        Cause::Leaving | Cause::Unreached => false,
         // Turned away at the door, it has cost no backend server anything.
         Cause::Full => tried.tries >= DOORS.max(tried.attempts),
         Cause::Shed | Cause::Failed => tried.reached >= tried.attempts,
--- a/crates/policy/tests/retry.rs
+++ b/crates/policy/tests/retry.rs
@@ -40,6 +40,8 @@
     repeatable = { |tried| tried.repeatable = true, Verdict::MayHaveRun, Cause::Failed, None },
     attempts_used = { |tried| tried.reached = 3, Verdict::NotRun, Cause::Shed, Some(Stop::Exhausted) },
     full_attempts = { |tried| tried.reached = 3, Verdict::NotRun, Cause::Full, None },
+    unreached_is_free = { |tried| tried.reached = 3, Verdict::NotRun, Cause::Unreached, None },
+    unreached_late = { |tried| tried.expected = Duration::from_secs(2), Verdict::NotRun, Cause::Unreached, Some(Stop::Late) },
     doors_used = { |tried| tried.tries = 3, Verdict::NotRun, Cause::Full, Some(Stop::Exhausted) },
     leaving_is_free = { |tried| tried.tries = 3, Verdict::NotRun, Cause::Leaving, None },
     all_tried = { |tried| tried.untried = false, Verdict::NotRun, Cause::Leaving, Some(Stop::Exhausted) },
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -63,6 +63,8 @@
     Deadline,
     /// The backend server can't be reached, or broke off.
     Backend,
+    /// No connection to the node came about.
+    Unreached,
     /// It has no backend server of that service.
     NoService,
     /// The caller went away.
