Keep the living process of a backend server through late words of others

Found by reading: after a restart of the node, a late announcement of a process that it had not heard of took the place of the living one, whose heartbeats were then taken for late ones for good. The test fails without the change.

--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -117,18 +117,37 @@
     instance: Option<SmolStr>,
     sequence: u64,
     left: bool,
-    former: VecDeque<SmolStr>,
+    former: VecDeque<Former>,
 }
 
+/// A process of the backend server that is taken for gone.
+struct Former {
+    instance: SmolStr,
+    /// Whether it said so itself; otherwise another one took its place.
+    left: bool,
+    /// Announcements that came from it since.
+    heard: u8,
+}
+
+/// Announcements after which one whose place was taken is the living one after
+/// all: what a cut has held up comes once, a heartbeat goes on.
+const ALIVE: u8 = 2;
+
 impl Known {
     /// Tells whether a notice of the process `instance` is newer than what is known.
     ///
     /// Guards against an announcement that a cut has held up: it may come after
     /// its sender has left or crashed and another process has its address, and
     /// calls would be addressed to a process that is gone.
-    fn is_news(&self, instance: &SmolStr, sequence: Option<u64>) -> bool {
-        if self.former.contains(instance) {
-            return false;
+    fn is_news(&mut self, instance: &SmolStr, sequence: Option<u64>) -> bool {
+        let place = self.former.iter().position(|one| one.instance == *instance);
+        if let Some(place) = place {
+            let former = &mut self.former[place];
+            former.heard = former.heard.saturating_add(1);
+            if former.left || former.heard < ALIVE {
+                return false;
+            }
+            self.former.remove(place);
         }
         if self.instance.as_ref() != Some(instance) {
             return true;
@@ -139,16 +158,20 @@
     fn note(&mut self, instance: &SmolStr, sequence: Option<u64>) {
         if self.instance.as_ref() != Some(instance) {
             if let Some(former) = self.instance.replace(instance.clone()) {
-                self.forget(former);
+                self.forget(former, self.left);
             }
             self.left = false;
         }
         self.sequence = sequence.unwrap_or(self.sequence);
     }
 
-    /// Takes nothing more of a process.
-    fn forget(&mut self, instance: SmolStr) {
-        self.former.push_back(instance);
+    /// Takes a process for gone.
+    fn forget(&mut self, instance: SmolStr, left: bool) {
+        self.former.push_back(Former {
+            instance,
+            left,
+            heard: 0,
+        });
         if self.former.len() > MAX_FORMER {
             self.former.pop_front();
         }
@@ -217,10 +240,12 @@
     if !known.is_news(&notice.instance, sequence) {
         return;
     }
-    if notice.announcement.is_none() && known.instance.as_ref() != Some(&notice.instance) {
-        // This process has not heard of it before, perhaps as it is new itself;
-        // an announcement that comes late must not bring it back.
-        known.forget(notice.instance);
+    let leaves = notice.announcement.as_ref().is_none_or(|one| one.leaving);
+    if leaves && known.instance.as_ref() != Some(&notice.instance) {
+        // This node has not heard of it before, perhaps as it is new itself: an
+        // announcement that comes late must not bring it back, nor may its
+        // departure end the one that is here.
+        known.forget(notice.instance, true);
         return;
     }
     known.note(&notice.instance, sequence);
