--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -161,7 +161,7 @@
     let page = Page {
         items: list.items.into_iter().map(make_item).collect(),
         has_more: list.more,
-        store_revision: list.revision.0,
+        revision: list.revision.0,
     };
     Ok(answer_json(StatusCode::OK, &page))
 }
@@ -212,14 +212,14 @@
     let mut watch = memory.watch(&format!("{kind}/"), from).await?;
     let mut changes = Changes {
         events: Vec::new(),
-        store_revision: from.0,
+        revision: from.0,
     };
     while changes.events.is_empty() {
         let Ok(event) = tokio::time::timeout_at(until, watch.next()).await else {
             break;
         };
         let event = event?;
-        changes.store_revision = event.revision().0;
+        changes.revision = event.revision().0;
         changes.events.extend(make_change(event));
     }
     Ok(answer_json(StatusCode::OK, &changes))
