Tell what a hedged look-up got when it is not what is wanted

The known failure showed a status alone. Its whole test binary ran 11 more times beside ten busy processes and did not fail, so that its cause stays open.

--- a/crates/node/tests/calls/hedge.rs
+++ b/crates/node/tests/calls/hedge.rs
@@ -78,7 +78,8 @@
         held.spawn(look_up());
     }
     for answer in held.join_all().await {
-        assert_eq!(answer.unwrap().status, StatusCode::OK);
+        let answer = answer.unwrap();
+        assert_eq!(answer.status, StatusCode::OK, "{:?}", answer.body);
     }
     assert!(start.elapsed() < Duration::from_millis(500));
     // The second one answered all, those that went to the first one included.
