Ask a backend server again that had no room when the first try falls silent

Cause: hedge::copy_answers failed beside load with 502. A copy that is turned away at the second node's full gate counted as a visit; when the first try's link was found silent a second later, no backend server was left to try. Ruled out: the hedge's own wait and budget (the copy was sent), the link's silence (found as before). A test with the second one's only slot taken failed with 502 before and passes now.

--- a/crates/node/src/outbound.rs
+++ b/crates/node/src/outbound.rs
@@ -13,6 +13,7 @@
 pub(crate) mod service;
 pub(crate) mod settle;
 pub(crate) mod tell;
+pub(crate) mod visited;
 
 use crate::inbound;
 use crate::listener::Ended;
--- a/crates/node/src/outbound/hedge.rs
+++ b/crates/node/src/outbound/hedge.rs
@@ -6,10 +6,11 @@
 use crate::outbound::sent;
 use crate::outbound::serve::{cause_of, pick, refused_outcome};
 use crate::outbound::service::Picked;
+use crate::outbound::visited::Visited;
 use call::Verdict;
 use clock::Clock;
 use http::request;
-use policy::balance::{Key, Outcome};
+use policy::balance::Outcome;
 use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -25,7 +26,7 @@
 
 /// Tries a call for the first time; once it is late, a copy of it elsewhere as well.
 ///
-/// Gives the try that counts and where it went. `tried` gets the copy's
+/// Gives the try that counts and where it went. `visited` gets the copy's
 /// backend server.
 pub(crate) async fn try_first<C>(
     inner: &Arc<Inner<C>>,
@@ -33,7 +34,7 @@
     head: &request::Parts,
     body: sent::Body,
     first: Picked<C>,
-    tried: &mut Vec<Key>,
+    visited: &mut Visited,
 ) -> (Tried<C>, Picked<C>)
 where
     C: Clock,
@@ -51,9 +52,9 @@
         match tokio::time::timeout(wait, one.as_mut()).await {
             Ok(result) => return (note(inner, plan, started, result), first),
             Err(_late) => {
-                if let Some(picked) = pick_copy(inner, plan, tried) {
+                if let Some(picked) = pick_copy(inner, plan, visited) {
                     let second = Second { picked, body: copy };
-                    return race(inner, plan, head, one, first, second).await;
+                    return race(inner, plan, head, one, first, second, visited).await;
                 }
             }
         }
@@ -70,6 +71,7 @@
     mut one: Pin<&mut F>,
     mut first: Picked<C>,
     second: Second<C>,
+    visited: &mut Visited,
 ) -> (Tried<C>, Picked<C>)
 where
     C: Clock,
@@ -100,6 +102,9 @@
                 return (result, second);
             }
             second.outcome = outcome_of(&result);
+            if second.outcome == Outcome::Full {
+                visited.note_full(second.key);
+            }
             drop(second);
             let last = note(inner, plan, started, one.await);
             (pick_final(result, last), first)
@@ -136,15 +141,15 @@
     }
 }
 
-fn pick_copy<C>(inner: &Arc<Inner<C>>, plan: &Plan, tried: &mut Vec<Key>) -> Option<Picked<C>>
+fn pick_copy<C>(inner: &Arc<Inner<C>>, plan: &Plan, visited: &mut Visited) -> Option<Picked<C>>
 where
     C: Clock,
 {
-    let second = pick(inner, plan, tried)?;
+    let second = pick(inner, plan, visited.all())?;
     if !plan.known.spend(inner.shared.clock.now()) {
         return None;
     }
-    tried.push(second.key);
+    visited.add(second.key);
     Some(second)
 }
 
--- a/crates/node/src/outbound/serve.rs
+++ b/crates/node/src/outbound/serve.rs
@@ -11,6 +11,7 @@
 use crate::outbound::sent;
 use crate::outbound::service::{Ask, Picked};
 use crate::outbound::tell::{tell_end, tell_try, tell_unrouted};
+use crate::outbound::visited::Visited;
 use call::Verdict;
 use clock::Clock;
 use config::{Objective, Version, View};
@@ -159,17 +160,18 @@
     C: Clock,
 {
     let started = inner.shared.clock.now();
-    let mut tried = Vec::new();
+    let mut visited = Visited::default();
     let mut reached = 0;
+    let mut last = None;
     // What the caller is told in the end: one try that may have run weighs more than any that did not.
     let mut told = Refused::not_run(Reason::NoService, 0);
     for tries in 1.. {
-        let Some(mut picked) = pick(inner, plan, &tried) else {
+        let Some(mut picked) = pick_next(inner, plan, &mut visited, last) else {
             break;
         };
-        tried.push(picked.key);
+        visited.add(picked.key);
         let tried_once = if tries == 1 {
-            let (result, winner) = try_first(inner, plan, head, body, picked, &mut tried).await;
+            let (result, winner) = try_first(inner, plan, head, body, picked, &mut visited).await;
             picked = winner;
             result
         } else {
@@ -198,6 +200,10 @@
         reached += u8::from(matches!(cause, Cause::Shed | Cause::Failed));
         picked.outcome = refused_outcome(cause);
         tell_try(inner, plan, &picked.endpoint.node, refused, tries);
+        if cause == Cause::Full {
+            visited.note_full(picked.key);
+        }
+        last = Some(cause);
         drop(picked);
         if told.verdict == Verdict::NotRun {
             told = refused;
@@ -215,7 +221,7 @@
             reached,
             attempts: plan.attempts(),
             retried_above: plan.retried_above,
-            untried: cause != Cause::Full || plan.known.has_room(now, &tried),
+            untried: cause != Cause::Full || plan.known.has_room(now, visited.all()),
             deadline: plan.deadline,
             expected: plan.known.expect(plan.route),
         };
@@ -225,11 +231,27 @@
             Decision::Stop(_) => break,
         }
     }
-    let count = u8::try_from(tried.len()).unwrap_or(u8::MAX);
-    tell_end(inner, plan, told, started, count);
+    tell_end(inner, plan, told, started, visited.count());
     told.into()
 }
 
+/// Picks where a call goes next; after a try that failed, also one that had no room before.
+fn pick_next<C>(
+    inner: &Inner<C>,
+    plan: &Plan,
+    visited: &mut Visited,
+    last: Option<Cause>,
+) -> Option<Picked<C>>
+where
+    C: Clock,
+{
+    let fresh = pick(inner, plan, visited.all());
+    if fresh.is_none() && last != Some(Cause::Full) && visited.forget_full() {
+        return pick(inner, plan, visited.all());
+    }
+    fresh
+}
+
 pub(crate) fn pick<C>(inner: &Inner<C>, plan: &Plan, tried: &[Key]) -> Option<Picked<C>>
 where
     C: Clock,
--- a/crates/node/tests/calls/hedge.rs
+++ b/crates/node/tests/calls/hedge.rs
@@ -4,7 +4,7 @@
 // copy the fitter waits until the silence of the link is noticed.
 
 use crate::forward::{Forwarder, Mode};
-use crate::mesh::{call, spawn_node, spawn_server};
+use crate::mesh::{Node, call, spawn_node, spawn_server};
 use bytes::Bytes;
 use config::{Class, Mesh, Repeat, Retry, Route, Service, Target, Version, View};
 use http::{Method, StatusCode};
@@ -18,6 +18,10 @@
 /// Calls while the first backend server is held up.
 const HELD: usize = 8;
 
+/// Work of the call that takes the second one's slot: longer than a look-up
+/// waits at a gate (0.3 s), shorter than a silent link goes unnoticed (1 s).
+const OCCUPIED_MS: &str = "500";
+
 fn hedged_mesh() -> Mesh {
     let mut mesh = Mesh::default();
     mesh.services.insert("desk".into(), Service::default());
@@ -85,3 +89,47 @@
     // The second one answered all, those that went to the first one included.
     assert_eq!(records[1].entries().len() - before, HELD);
 }
+
+// A fitter looks up a teardown history; the link to the first backend server
+// has gone silent, and the copy finds the second one's only slot taken. By the
+// time the silence is noticed that slot is free, and the fitter must get an
+// answer. Cause: a door that was full once counted as a try that was used up.
+#[tokio::test(flavor = "multi_thread")]
+async fn copy_turned_away() {
+    let (caller, first, second) = tokio::join!(
+        spawn_node("caller"),
+        spawn_node("first"),
+        spawn_node("second")
+    );
+    let forwarder = Forwarder::spawn(first.nodes).await;
+    for (node, slots) in [(&first, 6), (&second, 1)] {
+        let (address, _record) = spawn_server(slots).await;
+        node.announce("desk", address, slots);
+    }
+    let mut near = first.endpoint("desk", forwarder.address);
+    near.zone = caller.shared.settings.zone.clone();
+    let far = second.endpoint("desk", second.nodes);
+    let view = View::build(Version(1), &hedged_mesh(), &[near, far.clone()]);
+    caller.shared.view.store(Arc::new(view));
+    second
+        .shared
+        .view
+        .store(Arc::new(View::build(Version(1), &hedged_mesh(), &[far])));
+    let look_up = |node: &Node, work_ms: &'static str| {
+        let entry = node.outbound.address();
+        async move {
+            let headers = [("x-work-ms", work_ms)];
+            call(entry, Method::GET, "/desk/history", &headers, Bytes::new())
+                .await
+                .unwrap()
+        }
+    };
+    for _ in 0..WARM_UP {
+        assert_eq!(look_up(&caller, "0").await.status, StatusCode::OK);
+    }
+    let occupant = tokio::spawn(look_up(&second, OCCUPIED_MS));
+    forwarder.set(Mode::Hold, Mode::Hold);
+    let answer = look_up(&caller, "0").await;
+    assert_eq!(answer.status, StatusCode::OK, "{:?}", answer.body);
+    assert_eq!(occupant.await.unwrap().status, StatusCode::OK);
+}
