Let calls that a running call waits for go before fresh ones

The calls stood in the other service's queue by their parent's rank, behind its own work. Ruled out: refusals for want of budget or routes (none in the lines). Change: a call whose name tells of a parent that runs on this VM now goes with the class of commits, has no target and tries further doors.

--- a/crates/node/src/inbound.rs
+++ b/crates/node/src/inbound.rs
@@ -6,12 +6,14 @@
 pub(crate) mod entry;
 pub(crate) mod gate;
 pub(crate) mod link;
+pub(crate) mod parents;
 pub(crate) mod run;
 
 use crate::backend::Pool;
 use crate::inbound::entry::Call;
 use crate::inbound::gate::Gate;
 use crate::inbound::link::run_link;
+use crate::inbound::parents::Parents;
 use crate::inbound::run::{Refused, Running};
 use crate::link::Sender;
 use crate::shared::{Backend, Shared};
@@ -53,6 +55,8 @@
     tables: [Mutex<Table<Arc<Call>>>; SHARDS],
     links: Mutex<Vec<Weak<Sender>>>,
     pub(crate) gate: Arc<Gate<C>>,
+    /// The calls that the backend server runs.
+    pub(crate) parents: Arc<Parents>,
 }
 
 /// Starts the inbound proxy.
@@ -67,6 +71,7 @@
         shared,
         tables: Default::default(),
         links: Mutex::default(),
+        parents: Arc::default(),
     });
     tokio::spawn(forget(Arc::downgrade(&inner)));
     tokio::spawn(announce_leaving(Arc::downgrade(&inner)));
@@ -96,6 +101,11 @@
         Ok(())
     }
 
+    /// Tells whether the backend server runs a call of that name now.
+    pub(crate) fn is_running(&self, name: &str) -> bool {
+        self.inner.parents.has(policy::hash(name))
+    }
+
     /// Runs a call that entered on this VM, without a link.
     pub(crate) async fn call_local(
         &self,
--- a/crates/node/src/inbound/run.rs
+++ b/crates/node/src/inbound/run.rs
@@ -4,6 +4,7 @@
 use crate::header::{put_headers, take_end_to_end};
 use crate::inbound::entry::{Call, PART};
 use crate::inbound::gate::{Offer, Permit};
+use crate::inbound::parents::Parent;
 use crate::inbound::{Active, Inner};
 use crate::outbound::answer::name_of;
 use crate::upload::{Rest, Upload};
@@ -48,6 +49,7 @@
     /// How long it waited for its slot.
     waited: Duration,
     _active: Active<C>,
+    _parent: Parent,
 }
 
 impl Refused {
@@ -166,6 +168,7 @@
     let came = inner.shared.clock.now();
     let mut permit = enter(inner, &request, deadline, find()?.slots).await?;
     let waited = inner.shared.clock.now().saturating_duration_since(came);
+    let parent_name = name_parent(inner, &request);
     let backend = find()?;
     let mut request = make_request(request, upload, left(inner, deadline))
         .ok_or(Refused::not_run(Reason::Backend, 0))?;
@@ -177,6 +180,7 @@
     if !start() {
         return Err(Refused::not_run(Reason::Cancelled, 0));
     }
+    let parent = inner.parents.enter(parent_name);
     match inner.pool.exchange(backend.address, request).await {
         Ok(response) => {
             if inner.shared.is_on_platform()
@@ -194,6 +198,7 @@
                 permit,
                 waited,
                 _active: active,
+                _parent: parent,
             }))
         }
         Err(Error::Connect) => Err(Refused::not_run(Reason::Backend, 0)),
@@ -201,6 +206,18 @@
     }
 }
 
+/// Gives the name by which the calls that the backend server makes for a request know it.
+fn name_parent<C>(inner: &Inner<C>, request: &Request) -> u64
+where
+    C: Clock,
+{
+    if inner.shared.is_on_platform() {
+        policy::hash(&request.caller)
+    } else {
+        policy::hash(&request.id.to_string())
+    }
+}
+
 /// Tells why an answer is not the backend server's to this request, and what it says of its load.
 fn check_answer<B>(
     attempt: Option<&HeaderValue>,
@@ -238,6 +255,7 @@
         route: request.route,
         deadline,
         target: request.target_ms.map(|target| deadline_of(inner, target)),
+        nested: request.nested,
     };
     let decided = match inner.gate.offer(slots, &asked) {
         Offer::Run(permit) => Ok(permit),
--- a/crates/node/src/outbound/plan.rs
+++ b/crates/node/src/outbound/plan.rs
@@ -22,6 +22,10 @@
 /// Header with the name of the caller on whose behalf a call is made; its IP address stands in.
 const CALLER_HEADER: &str = "bluebellpick-caller";
 
+/// Header in which a backend server passes on the [`CALL_HEADER`](super::send::CALL_HEADER)
+/// of the request that it makes a call for.
+const PARENT_HEADER: &str = "bluebellpick-parent";
+
 /// Header that names a request through all its repeats (IETF draft `idempotency-key-header`).
 const KEY_HEADER: &str = "idempotency-key";
 
@@ -52,6 +56,8 @@
     pub(crate) key: Option<Key>,
     /// Whether a layer above tries it again already.
     pub(crate) retried_above: bool,
+    /// Whether a call that runs on the own backend server waits for it.
+    pub(crate) nested: bool,
 }
 
 impl Plan {
@@ -116,6 +122,7 @@
         repeatable,
         key: key_of(&head.headers, &target.name).filter(|_| !repeatable),
         retried_above: head.headers.contains_key(retry::HEADER),
+        nested: is_nested(inner, &head.headers),
     };
     Some((plan, target.service.objective))
 }
@@ -136,6 +143,23 @@
     }
 }
 
+/// Tells whether the own backend server makes a call for one that it runs.
+///
+/// What a caller says of that is believed only if such a call runs now.
+fn is_nested<C>(inner: &Inner<C>, headers: &HeaderMap) -> bool
+where
+    C: Clock,
+{
+    let parent = if inner.shared.is_on_platform() {
+        platform::header::find_parent(headers)
+    } else {
+        headers
+            .get(PARENT_HEADER)
+            .and_then(|name| name.to_str().ok())
+    };
+    parent.is_some_and(|name| inner.inbound.is_running(name))
+}
+
 fn timeout_of(headers: &HeaderMap) -> Option<Duration> {
     let value = headers.get(TIMEOUT_HEADER)?.to_str().ok()?;
     value.parse().ok().map(Duration::from_millis)
--- a/crates/node/src/outbound/send.rs
+++ b/crates/node/src/outbound/send.rs
@@ -23,7 +23,7 @@
 use wire::call::{Frame, Header, Reason, WINDOW};
 
 /// Header that names a try to the backend server, for its logs.
-const CALL_HEADER: &str = "bluebellpick-call";
+pub(crate) const CALL_HEADER: &str = "bluebellpick-call";
 
 /// Time that is kept back from the inbound proxy's share of a deadline.
 ///
@@ -282,6 +282,7 @@
             .target
             .map(|target| whole_ms(self::left(inner, target))),
         class: plan.class,
+        nested: plan.nested,
         caller: plan.caller.clone(),
         route: plan.route,
         end: false,
--- a/crates/node/src/outbound/serve.rs
+++ b/crates/node/src/outbound/serve.rs
@@ -221,7 +221,7 @@
             reached,
             attempts: plan.attempts(),
             retried_above: plan.retried_above,
-            untried: cause != Cause::Full || plan.known.has_room(now, visited.all()),
+            untried: cause != Cause::Full || plan.nested || plan.known.has_room(now, visited.all()),
             deadline: plan.deadline,
             expected: plan.known.expect(plan.route),
         };
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -36,6 +36,8 @@
     pub deadline: Instant,
     /// Until when an answer is worth most, if that is known.
     pub target: Option<Instant>,
+    /// Whether a call that runs elsewhere waits for it, and holds a slot there.
+    pub nested: bool,
 }
 
 /// The right to run one call; handed back to [`Admission::finish`].
@@ -207,6 +209,7 @@
         R: Rng,
     {
         self.limit.end_probe(now);
+        let request = &raise_nested(*request);
         let cost = self.durations.expect(request.route);
         let long = self.durations.is_long(request.route);
         let rank = rank_of(request.class);
@@ -415,6 +418,26 @@
     }
 }
 
+/// Puts a call that a running call waits for before fresh ones, whatever its class.
+///
+/// *Load pattern:* a service whose backend servers call another one, both at
+/// their limits. *Without it* the calls of look-ups queue as look-ups, behind
+/// the other service's own work; one that is turned away fails its parent, and
+/// the slot-seconds that the parent has had are lost: a quarter of all runs at
+/// 1.3 times the capacity. *Grounds:* there are never more of them than their
+/// parents' slots, so that they can't crowd out what is fresh for long; they
+/// have no target of their own, as late is better than failing the parent.
+fn raise_nested(request: Request) -> Request {
+    if !request.nested {
+        return request;
+    }
+    Request {
+        class: Class::Commit,
+        target: None,
+        ..request
+    }
+}
+
 /// Brings the latest start of a call forward to where its answer is worth most.
 ///
 /// *Load pattern:* a lasting overload of calls whose answers lose most of
--- a/crates/policy/tests/load/main.rs
+++ b/crates/policy/tests/load/main.rs
@@ -7,6 +7,7 @@
 mod hot_key;
 mod in_time;
 mod long_jobs;
+mod nested;
 mod report;
 mod retry_storm;
 mod same_figures;
--- a/crates/policy/tests/load/scenario.rs
+++ b/crates/policy/tests/load/scenario.rs
@@ -35,6 +35,8 @@
     pub timeout: f64,
     /// Seconds within which an answer is worth most, if callers say so.
     pub target: Option<f64>,
+    /// Whether a call that runs elsewhere waits for them.
+    pub nested: bool,
 }
 
 impl Flow {
@@ -55,6 +57,7 @@
             mean: MEAN,
             timeout: 1.0,
             target: None,
+            nested: false,
         }
     }
 
--- a/crates/policy/tests/load/sim.rs
+++ b/crates/policy/tests/load/sim.rs
@@ -344,6 +344,7 @@
             route: policy::hash(&format!("route-{}", flow.route)),
             deadline: self.at(call.deadline),
             target: flow.target.map(|target| self.at(call.born + target)),
+            nested: flow.nested,
         };
         let now = self.at(self.now);
         let inbound = &mut self.inbound[server];
--- a/crates/policy/tests/probe.rs
+++ b/crates/policy/tests/probe.rs
@@ -33,6 +33,7 @@
             route: 1,
             deadline: clock.now() + Duration::from_mins(1),
             target: None,
+            nested: false,
         };
         match admission.offer(clock.now(), &request, &mut rng) {
             Decision::Run(ticket) => tickets.push(ticket),
