--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -38,7 +38,7 @@
 /// what they leave goes to look-ups and refreshes at four to one, and none of
 /// them ever gets nothing. Measured in `tests/load/sustained_overload.rs`.
 /// What is late already gets next to nothing while others are still in time.
-const WEIGHTS: [f64; 4] = [90.0, 8.0, 2.0, 0.5];
+const WEIGHTS: [f64; 4] = [90.0, 8.0, 2.0, 0.05];
 
 /// Lanes: a short and a long one for each tier.
 pub(crate) const LANES: usize = 8;
