--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -8,9 +8,6 @@
 use tokio::runtime::{Builder, Handle, Runtime};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
-#[global_allocator]
-static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
-
 /// Exit code for a command line or settings that can't be used.
 const BAD_SETTINGS: u8 = 2;
 
