Bound the repeats of all nodes together

Change: settings bound the fleet; each node has the share of its own callers' requests and an equal part of the rest, earned over a span after its start, by the highest number of nodes seen of late. Doors stay free, as no backend server sees those calls. Test: policy allowance, 748 repeats in the worst span before where 312 are allowed, within them now; also cut off alone, and restarted again and again.

--- a/crates/node/src/inbound.rs
+++ b/crates/node/src/inbound.rs
@@ -101,9 +101,9 @@
         Ok(())
     }
 
-    /// Tells whether the backend server runs a call of that name now.
-    pub(crate) fn is_running(&self, name: &str) -> bool {
-        self.inner.parents.has(policy::hash(name))
+    /// Tells of a call that the backend server runs now whether it is a repeat.
+    pub(crate) fn find_running(&self, name: &str) -> Option<bool> {
+        self.inner.parents.find(policy::hash(name))
     }
 
     /// Runs a call that entered on this VM, without a link.
--- a/crates/node/src/inbound/parents.rs
+++ b/crates/node/src/inbound/parents.rs
@@ -7,7 +7,15 @@
 /// The calls that the own backend server runs, by the hash of their name.
 #[derive(Debug, Default)]
 pub(crate) struct Parents {
-    running: Mutex<HashMap<u64, u32>>,
+    running: Mutex<HashMap<u64, Running>>,
+}
+
+/// How a call runs.
+#[derive(Debug, Clone, Copy, Default)]
+struct Running {
+    count: u32,
+    /// Whether it had been sent to another backend server before.
+    is_repeat: bool,
 }
 
 /// Counts a call as running until it is dropped.
@@ -19,26 +27,31 @@
 
 impl Parents {
     /// Counts a call as running.
-    pub(crate) fn enter(self: &Arc<Self>, name: u64) -> Parent {
-        *self.running.lock().entry(name).or_default() += 1;
+    pub(crate) fn enter(self: &Arc<Self>, name: u64, is_repeat: bool) -> Parent {
+        let mut running = self.running.lock();
+        let entry = running.entry(name).or_default();
+        entry.count += 1;
+        entry.is_repeat |= is_repeat;
+        drop(running);
         Parent {
             parents: Arc::clone(self),
             name,
         }
     }
 
-    /// Tells whether a call runs.
-    pub(crate) fn has(&self, name: u64) -> bool {
-        self.running.lock().contains_key(&name)
+    /// Tells of a call that runs whether it is a repeat.
+    pub(crate) fn find(&self, name: u64) -> Option<bool> {
+        let running = self.running.lock();
+        running.get(&name).map(|entry| entry.is_repeat)
     }
 }
 
 impl Drop for Parent {
     fn drop(&mut self) {
         let mut running = self.parents.running.lock();
-        if let Some(count) = running.get_mut(&self.name) {
-            *count -= 1;
-            if *count == 0 {
+        if let Some(entry) = running.get_mut(&self.name) {
+            entry.count -= 1;
+            if entry.count == 0 {
                 running.remove(&self.name);
             }
         }
--- a/crates/node/src/inbound/run.rs
+++ b/crates/node/src/inbound/run.rs
@@ -18,6 +18,7 @@
 use policy::admission;
 use policy::balance::Told;
 use policy::limit::Outcome;
+use policy::retry;
 use std::future::poll_fn;
 use std::sync::Arc;
 use std::task::{Context, Poll};
@@ -169,6 +170,10 @@
     let mut permit = enter(inner, &request, deadline, find()?.slots).await?;
     let waited = inner.shared.clock.now().saturating_duration_since(came);
     let parent_name = name_parent(inner, &request);
+    let is_repeat = request
+        .headers
+        .iter()
+        .any(|header| header.name == retry::HEADER);
     let backend = find()?;
     let mut request = make_request(request, upload, left(inner, deadline))
         .ok_or(Refused::not_run(Reason::Backend, 0))?;
@@ -180,7 +185,7 @@
     if !start() {
         return Err(Refused::not_run(Reason::Cancelled, 0));
     }
-    let parent = inner.parents.enter(parent_name);
+    let parent = inner.parents.enter(parent_name, is_repeat);
     match inner.pool.exchange(backend.address, request).await {
         Ok(response) => {
             if inner.shared.is_on_platform()
--- a/crates/node/src/outbound.rs
+++ b/crates/node/src/outbound.rs
@@ -211,9 +211,10 @@
         zone: shared.settings.zone.clone(),
         region: shared.settings.region.clone(),
     };
+    let services = Services::new(&shared.settings);
     let inner = Arc::new(Inner {
         shared,
-        services: Services::default(),
+        services,
         place,
         inbound,
         links: Links::spawn(hello),
--- a/crates/node/src/outbound/hedge.rs
+++ b/crates/node/src/outbound/hedge.rs
@@ -47,7 +47,7 @@
         rest: None,
     };
     let endpoint = first.endpoint.clone();
-    let mut one = pin!(try_once(inner, plan, head, body, &endpoint, 1));
+    let mut one = pin!(try_once(inner, plan, head, body, &endpoint, false));
     if let Some(wait) = plan.known.hedge_wait(started, may) {
         match tokio::time::timeout(wait, one.as_mut()).await {
             Ok(result) => return (note(inner, plan, started, result), first),
@@ -83,7 +83,7 @@
         body,
     } = second;
     let endpoint = second.endpoint.clone();
-    let mut two = pin!(try_once(inner, plan, head, body, &endpoint, 2));
+    let mut two = pin!(try_once(inner, plan, head, body, &endpoint, true));
     tokio::select! {
         result = one.as_mut() => {
             let result = note(inner, plan, started, result);
--- a/crates/node/src/outbound/plan.rs
+++ b/crates/node/src/outbound/plan.rs
@@ -2,7 +2,7 @@
 
 use crate::inbound::run::TIMEOUT_HEADER;
 use crate::outbound::sent;
-use crate::outbound::service::Service;
+use crate::outbound::service::{Origin, Service};
 use crate::outbound::{Inner, pick_target};
 use bytes::{Bytes, BytesMut};
 use call::reserve::Key;
@@ -108,7 +108,9 @@
         caller_of(&head.headers, peer)
     };
     let known = inner.services.get(&target.name, now);
-    let nested = is_nested(inner, &head.headers);
+    let origin = find_origin(inner, &head.headers);
+    let nested = origin != Origin::Caller;
+    known.count(now, origin);
     let hash = policy::hash(&route.prefix) ^ policy::hash(head.method.as_str());
     // What a running call has left says nothing of when it made this one.
     let elapsed = told
@@ -153,7 +155,7 @@
 /// Tells whether the own backend server makes a call for one that it runs.
 ///
 /// What a caller says of that is believed only if such a call runs now.
-fn is_nested<C>(inner: &Inner<C>, headers: &HeaderMap) -> bool
+fn find_origin<C>(inner: &Inner<C>, headers: &HeaderMap) -> Origin
 where
     C: Clock,
 {
@@ -164,7 +166,11 @@
             .get(PARENT_HEADER)
             .and_then(|name| name.to_str().ok())
     };
-    parent.is_some_and(|name| inner.inbound.is_running(name))
+    match parent.and_then(|name| inner.inbound.find_running(name)) {
+        None => Origin::Caller,
+        Some(false) => Origin::Run,
+        Some(true) => Origin::Repeat,
+    }
 }
 
 fn timeout_of(headers: &HeaderMap) -> Option<Duration> {
--- a/crates/node/src/outbound/send.rs
+++ b/crates/node/src/outbound/send.rs
@@ -87,12 +87,12 @@
     head: &request::Parts,
     body: sent::Body,
     endpoint: &Endpoint,
-    tries: u8,
+    is_repeat: bool,
 ) -> Tried<C>
 where
     C: Clock,
 {
-    let draft = make_request(inner, plan, head, tries);
+    let draft = make_request(inner, plan, head, is_repeat);
     if endpoint.node == inner.shared.settings.name {
         try_local(inner, plan, draft, body).await
     } else {
@@ -249,7 +249,7 @@
     inner: &Inner<C>,
     plan: &Plan,
     head: &request::Parts,
-    tries: u8,
+    is_repeat: bool,
 ) -> wire::call::Request
 where
     C: Clock,
@@ -262,7 +262,7 @@
         let origin = inner.shared.settings.service.as_deref().unwrap_or_default();
         mark_origin(&mut headers, origin);
     }
-    if tries > 1 && !plan.retried_above {
+    if is_repeat && !plan.retried_above {
         headers.push(Header {
             name: SmolStr::new_static(retry::HEADER),
             value: Bytes::from_static(b"1"),
--- a/crates/node/src/outbound/serve.rs
+++ b/crates/node/src/outbound/serve.rs
@@ -175,7 +175,7 @@
             picked = winner;
             result
         } else {
-            try_once(inner, plan, head, body, &picked.endpoint, tries).await
+            try_once(inner, plan, head, body, &picked.endpoint, reached > 0).await
         };
         let (refused, back) = match tried_once {
             Tried::Answered(response, told) => {
--- a/crates/node/src/outbound/service.rs
+++ b/crates/node/src/outbound/service.rs
@@ -3,12 +3,14 @@
 use clock::Clock;
 use config::{Endpoint, Retry, ServiceKey, View};
 use parking_lot::{Mutex, RwLock};
+use policy::allowance::Bounds;
 use policy::balance::{self, Balance, Candidate, Distance, Identity, Key, Outcome};
 use policy::elapsed;
 use policy::hedge::Hedge;
 use policy::retry::{Budget, Decision, Try};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use settings::node::Settings;
 use smol_str::SmolStr;
 use std::collections::HashMap;
 use std::fmt;
@@ -19,9 +21,11 @@
 const DEFAULT_BUDGET_PERCENT: u8 = 20;
 
 /// The services that an outbound proxy sends calls to.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Services {
     known: RwLock<HashMap<SmolStr, Arc<Service>>>,
+    /// What the whole fleet may repeat, where that is bounded.
+    bounds: Option<Bounds>,
 }
 
 /// One service.
@@ -41,6 +45,17 @@
     rng: SmallRng,
 }
 
+/// Who makes a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Origin {
+    /// A caller.
+    Caller,
+    /// The own backend server, for a call that it runs.
+    Run,
+    /// The same, for a call that had been sent to another one before.
+    Repeat,
+}
+
 /// Where the node itself is.
 #[derive(Debug, Clone)]
 pub(crate) struct Place {
@@ -71,17 +86,34 @@
 }
 
 impl Services {
+    /// Knows no service yet.
+    pub(crate) fn new(settings: &Settings) -> Self {
+        Self {
+            known: RwLock::default(),
+            bounds: settings.repeat_share.map(|share| Bounds {
+                share: share.get(),
+                extra: settings.repeat_extra.into(),
+                window: settings.repeat_window,
+            }),
+        }
+    }
+
     /// Gives what is known of a service.
     pub(crate) fn get(&self, name: &str, now: Instant) -> Arc<Service> {
         if let Some(known) = self.known.read().get(name) {
             return Arc::clone(known);
         }
+        let budget = Budget::new(now, DEFAULT_BUDGET_PERCENT);
+        let budget = match self.bounds {
+            Some(bounds) => budget.within(now, bounds),
+            None => budget,
+        };
         let mut services = self.known.write();
         let made = services.entry(name.into()).or_insert_with(|| {
             Arc::new(Service {
                 state: Mutex::new(State {
                     balance: Balance::new(),
-                    budget: Budget::new(now, DEFAULT_BUDGET_PERCENT),
+                    budget,
                     hedge: Hedge::new(now),
                     elapsed: elapsed::Table::new(),
                     synced: Weak::new(),
@@ -110,6 +142,7 @@
             }
         });
         self.balance.sync(now, candidates);
+        self.budget.tell_nodes(now, view.endpoints().len());
     }
 }
 
@@ -151,6 +184,16 @@
         self.state.lock().elapsed.take(route, left)
     }
 
+    /// Counts a call for the fleet's bound on repeats.
+    pub(crate) fn count(&self, now: Instant, origin: Origin) {
+        let mut state = self.state.lock();
+        match origin {
+            Origin::Caller => state.budget.request(now),
+            Origin::Run => {}
+            Origin::Repeat => state.budget.charge(now),
+        }
+    }
+
     /// Gives how long a call of `route` is expected to take.
     pub(crate) fn expect(&self, route: u64) -> Duration {
         self.state.lock().balance.expect(route)
--- /dev/null
+++ b/crates/policy/src/allowance.rs
@@ -0,0 +1,124 @@
+//! A node's part of the repeats that the whole fleet may send to a service.
+//!
+//! *Load pattern:* backend servers of a service shed half of their calls, and
+//! each of 68 nodes repeats within a budget of its own. *Without it* every node
+//! starts with ten repeats saved up, 680 in all, and sends them at once to a
+//! service that is in trouble. *Grounds:* operators bound the fleet as a whole,
+//! by a share of the requests and a number on top in any span of some seconds.
+//! The share needs no agreement, as shares of parts add up; of the number each
+//! node has an equal part. A node doesn't know what its former process spent,
+//! so that a new one earns its part over a whole span. Nodes are counted by
+//! their highest number of late: one that is cut off sees few others, and would
+//! take the whole number for itself.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+/// Parts that a span is counted in; what is just over one old may count on for that long.
+const PARTS: u32 = 20;
+
+/// Share of the number on top that is used: nodes that have just joined are not
+/// yet known to all, and spans are counted in parts.
+const CAUTION: f64 = 0.8;
+
+/// Time for which the highest number of nodes counts.
+const NODES_MEMORY: Duration = Duration::from_mins(1);
+
+/// What the fleet as a whole may repeat.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Bounds {
+    /// Repeats as a share of the requests.
+    pub share: f64,
+    /// Repeats on top of that.
+    pub extra: f64,
+    /// Span in which both are counted.
+    pub window: Duration,
+}
+
+/// What one node has sent to a service within a span.
+#[derive(Debug, Clone)]
+pub struct Allowance {
+    bounds: Bounds,
+    started: Instant,
+    nodes: f64,
+    nodes_at: Instant,
+    parts: VecDeque<Part>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Part {
+    since: Instant,
+    requests: u32,
+    repeats: u32,
+}
+
+impl Allowance {
+    /// Starts with nothing earned.
+    #[must_use]
+    pub fn new(now: Instant, bounds: Bounds) -> Self {
+        Self {
+            bounds,
+            started: now,
+            nodes: 1.0,
+            nodes_at: now,
+            parts: VecDeque::new(),
+        }
+    }
+
+    /// Takes in how many nodes there are, as this one sees it.
+    pub fn tell_nodes(&mut self, now: Instant, nodes: usize) {
+        let nodes = f64::from(u32::try_from(nodes).unwrap_or(u32::MAX)).max(1.0);
+        let is_old = now.saturating_duration_since(self.nodes_at) > NODES_MEMORY;
+        if nodes >= self.nodes || is_old {
+            self.nodes = nodes;
+            self.nodes_at = now;
+        }
+    }
+
+    /// Counts a request of a caller's.
+    pub fn request(&mut self, now: Instant) {
+        self.part(now).requests += 1;
+    }
+
+    /// Counts a repeat that nobody asks about: a call made by a run that was itself a repeat.
+    pub fn charge(&mut self, now: Instant) {
+        self.part(now).repeats += 1;
+    }
+
+    /// Counts a repeat, if there is one left.
+    pub fn spend(&mut self, now: Instant) -> bool {
+        let age = now.saturating_duration_since(self.started).as_secs_f64();
+        let earned = (age / self.bounds.window.as_secs_f64()).min(1.0);
+        let on_top = CAUTION * earned * self.bounds.extra / self.nodes;
+        self.part(now);
+        let (mut requests, mut repeats) = (0.0, 0.0);
+        for part in &self.parts {
+            requests += f64::from(part.requests);
+            repeats += f64::from(part.repeats);
+        }
+        if repeats + 1.0 > self.bounds.share * requests + on_top {
+            return false;
+        }
+        self.charge(now);
+        true
+    }
+
+    /// Gives the part of the present, and drops those that are over a span old.
+    fn part(&mut self, now: Instant) -> &mut Part {
+        let length = self.bounds.window / PARTS;
+        let is_over =
+            |part: &Part| now.saturating_duration_since(part.since) > self.bounds.window + length;
+        while self.parts.front().is_some_and(is_over) {
+            self.parts.pop_front();
+        }
+        let is_new = |part: &Part| now.saturating_duration_since(part.since) >= length;
+        if self.parts.back().is_none_or(is_new) {
+            self.parts.push_back(Part {
+                since: now,
+                requests: 0,
+                repeats: 0,
+            });
+        }
+        self.parts.back_mut().expect("one was put there")
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -38,6 +38,7 @@
 //! ```
 
 pub mod admission;
+pub mod allowance;
 pub mod backoff;
 pub mod balance;
 mod choice;
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -10,6 +10,7 @@
 //! when a call fails deep down, just the layer next to the failure tries
 //! again. Measured in `tests/load/retry_storm.rs`.
 
+use crate::allowance::{Allowance, Bounds};
 use crate::backoff;
 use call::Verdict;
 use rand::Rng;
@@ -101,12 +102,14 @@
 /// Ceilings of the wait before a try of a call that failed.
 const WAIT: (Duration, Duration) = (Duration::from_millis(5), Duration::from_millis(200));
 
-/// Retries of one service as a share of its successes.
-#[derive(Debug, Clone, Copy)]
+/// Retries of one service: a share of its successes, and within the part of the
+/// fleet's allowance where operators bound the fleet.
+#[derive(Debug, Clone)]
 pub struct Budget {
     tokens: f64,
     share: f64,
     at: Instant,
+    allowance: Option<Allowance>,
 }
 
 impl Budget {
@@ -117,6 +120,37 @@
             tokens: if percent == 0 { 0.0 } else { MOST },
             share: f64::from(percent) / 100.0,
             at: now,
+            allowance: None,
+        }
+    }
+
+    /// Holds it within this node's part of what the whole fleet may repeat.
+    #[must_use]
+    pub fn within(self, now: Instant, bounds: Bounds) -> Self {
+        Self {
+            allowance: Some(Allowance::new(now, bounds)),
+            ..self
+        }
+    }
+
+    /// Takes in how many nodes the fleet has.
+    pub fn tell_nodes(&mut self, now: Instant, nodes: usize) {
+        if let Some(allowance) = &mut self.allowance {
+            allowance.tell_nodes(now, nodes);
+        }
+    }
+
+    /// Takes in a caller's request for the service.
+    pub fn request(&mut self, now: Instant) {
+        if let Some(allowance) = &mut self.allowance {
+            allowance.request(now);
+        }
+    }
+
+    /// Takes in a repeat that can't be left out: a call made by a run that is one.
+    pub fn charge(&mut self, now: Instant) {
+        if let Some(allowance) = &mut self.allowance {
+            allowance.charge(now);
         }
     }
 
@@ -165,6 +199,11 @@
         if self.tokens < 1.0 {
             return false;
         }
+        if let Some(allowance) = &mut self.allowance
+            && !allowance.spend(now)
+        {
+            return false;
+        }
         self.tokens -= 1.0;
         true
     }
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -1,6 +1,6 @@
 //! Settings of `bluebellpick-node`.
 
-pub use crate::value::{Distribution, Interface, Token};
+pub use crate::value::{Distribution, Interface, Share, Token};
 
 use crate::document::{Document, read_file};
 use crate::error::Error;
@@ -50,6 +50,12 @@
         [limits] head_timeout: Duration = "30 s";
         /// How long a new process takes no connections of callers while it has no routes yet, so that they go to other nodes; then it tells them to come back.
         [limits] routes_wait: Duration = "5 s";
+        /// Repeats of all nodes together that may reach a service in `repeat_window`, as a share of callers' requests for it; empty for no bound on the fleet.
+        [limits] repeat_share: Option<Share> = "";
+        /// Repeats on top of `repeat_share`, of all nodes together.
+        [limits] repeat_extra: u32 = "50";
+        /// Span in which the repeats of all nodes are counted.
+        [limits] repeat_window: Duration = "10 s";
         /// Threads that serve calls, beside the one that distributes; one is enough for some thousand calls a second.
         [limits] threads: u16 = "1";
         /// Token that operators' writes must carry.
--- a/crates/settings/src/value.rs
+++ b/crates/settings/src/value.rs
@@ -176,6 +176,36 @@
     }
 }
 
+/// A share, in thousandths.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Share(u16);
+
+impl Share {
+    /// Gives the share as a fraction.
+    #[must_use]
+    pub fn get(self) -> f64 {
+        f64::from(self.0) / 1_000.0
+    }
+}
+
+impl Value for Share {
+    const FORM: &str = "a share from 0 to 1, such as 0.2";
+
+    fn read(text: &str) -> Result<Self, Rejection> {
+        let share = text.parse::<f64>().ok().ok_or(Rejection::Form)?;
+        if !(0.0..=1.0).contains(&share) {
+            return Err(Rejection::Form);
+        }
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "from 0 to 1,000 by the check above"
+        )]
+        let thousandths = (share * 1_000.0).round() as u16;
+        Ok(Self(thousandths))
+    }
+}
+
 impl Value for Token {
     const FORM: &str =
         "a secret of at least 16 characters without spaces, or none to refuse operators' writes";
