Serve the shares of a route whose services are there

Cause, found by reading: a route split between two services was withheld whole while one of them had no endpoint, so that operators who move a route by shares lost all of its calls until the first backend server of the new service was up. Change: a share whose service is absent is refused with a sure "not run", the others are served by their weights; a route none of whose services is there is withheld as before.

--- a/crates/bench/src/converge.rs
+++ b/crates/bench/src/converge.rs
@@ -354,7 +354,7 @@
         let metrics: Metrics = node::read_metrics(vm).await?;
         let is_known = |route: &config::Route| {
             let mut targets = route.targets.iter();
-            targets.all(|target| status.endpoints.contains_key(&target.service))
+            targets.any(|target| status.endpoints.contains_key(&target.service))
         };
         let known = self
             .proposer
--- a/crates/config/src/view.rs
+++ b/crates/config/src/view.rs
@@ -8,7 +8,7 @@
 };
 use smol_str::SmolStr;
 use std::borrow::Cow;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
 /// Names a service of one view.
@@ -32,6 +32,8 @@
     pub service: Service,
     /// Its endpoints that take new work.
     pub endpoints: Vec<EndpointKey>,
+    /// Whether it has endpoints at all, be it some that take no new work.
+    pub is_known: bool,
 }
 
 /// A route whose services are all in the view.
@@ -94,7 +96,7 @@
 }
 
 impl View {
-    /// Joins a configuration with endpoints; routes to services without any endpoint are withheld.
+    /// Joins a configuration with endpoints; routes none of whose services has an endpoint are withheld.
     #[must_use]
     pub fn build<I>(version: Version, mesh: &Mesh, endpoints: I) -> Self
     where
@@ -142,7 +144,11 @@
         view
     }
 
-    /// Adds the services that have endpoints, in the order of their names.
+    /// Adds the services that have endpoints, in the order of their names, and
+    /// those that share a route with one.
+    ///
+    /// A share of a route whose service has no endpoint is refused, and the
+    /// other shares are served: they are none of its business.
     fn add_services(&mut self, mesh: &Mesh) {
         let mut takers: HashMap<&str, Vec<EndpointKey>> = HashMap::new();
         for (index, endpoint) in (0..).zip(&self.endpoints) {
@@ -151,13 +157,22 @@
                 keys.push(EndpointKey(index));
             }
         }
+        let mut absent = HashSet::new();
+        for route in mesh.routes.values().filter(|route| route.targets.len() > 1) {
+            let targets = || route.targets.iter().map(|target| target.service.as_str());
+            if targets().any(|service| takers.get(service).is_some_and(|keys| !keys.is_empty())) {
+                absent.extend(targets().filter(|service| !takers.contains_key(service)));
+            }
+        }
         let mut services = Vec::with_capacity(takers.len().min(mesh.services.len()));
         for (name, service) in &mesh.services {
-            if let Some(endpoints) = takers.remove(name.as_str()) {
+            let endpoints = takers.remove(name.as_str());
+            if endpoints.is_some() || absent.contains(name.as_str()) {
                 services.push(ServiceEntry {
                     name: name.clone(),
                     service: service.clone(),
-                    endpoints,
+                    is_known: endpoints.is_some(),
+                    endpoints: endpoints.unwrap_or_default(),
                 });
             }
         }
@@ -199,6 +214,10 @@
             .iter()
             .map(|target| Some((self.find_service(&target.service)?, target.percent)))
             .collect::<Option<Vec<_>>>()?;
+        let is_known = |key: &ServiceKey| self.service(*key).is_known;
+        if !targets.iter().any(|(key, _)| is_known(key)) {
+            return None;
+        }
         let retry = match &route.retry {
             Some(name) => Some(mesh.retries.get(name)?.clone()),
             None => None,
