Soak the fleet under faults that overlap

`bluebellpick-bench soak` starts real processes, harms them from outside by signals, forwarders and the platform's stand-in, several faults at once and graceful stops among them, and checks what callers and backend servers noted. From time to time all faults end: then every node must serve within 15 s and hold a version that is written then within 6 s. The faults of `faults` grew by silence both ways, lag, resets, SIGHUP, a slow platform and silent watches.

--- a/crates/bench/src/faults.rs
+++ b/crates/bench/src/faults.rs
@@ -19,19 +19,19 @@
 pub(crate) const SERVICES: [&str; 3] = ["claims", "jobs", "records"];
 
 /// Callers at once.
-const CALLERS: usize = 16;
+pub(crate) const CALLERS: usize = 16;
 
 /// How long faults are in force, in milliseconds.
-const FAULT_MS: std::ops::Range<u64> = 300..2_500;
+pub(crate) const FAULT_MS: std::ops::Range<u64> = 300..2_500;
 
 /// Pause in which calls that met a fault come to their end.
-const SETTLE: Duration = Duration::from_millis(TIMEOUT_MS + 1_500);
+pub(crate) const SETTLE: Duration = Duration::from_millis(TIMEOUT_MS + 1_500);
 
 /// Pause after each restart of a rolling one: a node and its backend server are back well within it.
 const ROLLING_PAUSE: Duration = Duration::from_millis(1_500);
 
 /// Time in which late requests and repeats could still do harm before the records are read.
-const AFTERMATH: Duration = Duration::from_secs(5);
+pub(crate) const AFTERMATH: Duration = Duration::from_secs(5);
 
 /// Longest wait for the fleet to serve.
 const START_LIMIT: Duration = Duration::from_secs(30);
@@ -96,7 +96,7 @@
 ///
 /// When a program can't be started, or the fleet doesn't come to serve.
 pub async fn run(plot: Plot) -> Result<Report, Error> {
-    let mut target = spawn().await?;
+    let mut target = spawn(1).await?;
     let notes = Notes::default();
     let end = Instant::now() + plot.duration;
     let addresses: Vec<_> = target.deployment.vms.iter().map(Vm::callers).collect();
@@ -136,11 +136,16 @@
     })
 }
 
-async fn spawn() -> Result<Target, Error> {
+/// Starts a fleet with so many VMs of each service a zone, a forwarder in front of each node.
+///
+/// # Errors
+///
+/// When a program can't be started, or the fleet doesn't come to serve.
+pub async fn spawn(per_zone: usize) -> Result<Target, Error> {
     let mut deployment = Deployment::spawn(Vec::new(), &[]).await?;
     let mut forwarders = Vec::new();
     let mut files = Vec::new();
-    for (index, mut plan) in plan_services(&SERVICES, 1).into_iter().enumerate() {
+    for (index, mut plan) in plan_services(&SERVICES, per_zone).into_iter().enumerate() {
         let file = record_file(deployment.folder(), index, 0);
         plan.backend_arguments = record_arguments(&file);
         let front = SocketAddr::new(deployment.next_ip(), FORWARDER_PORT);
--- a/crates/bench/src/faults_forward.rs
+++ b/crates/bench/src/faults_forward.rs
@@ -3,6 +3,7 @@
 use crate::error::Error;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -17,8 +18,13 @@
     Lose,
     /// They wait.
     Hold,
+    /// They arrive late, each chunk after [`LAG`].
+    Lag,
 }
 
+/// How late bytes arrive: as between far regions.
+const LAG: Duration = Duration::from_millis(40);
+
 type Way = watch::Sender<Mode>;
 
 /// A forwarder in front of one node; clones share it.
@@ -50,6 +56,12 @@
         }
     }
 
+    /// Closes all connections of now.
+    pub fn reset(&self) {
+        let mut lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        lines.clear();
+    }
+
     /// Closes the connections that have lost bytes, as if what lost track of them had been replaced.
     pub fn sever(&self) {
         let mut lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
@@ -99,9 +111,13 @@
             () = severed(mode.clone()) => return,
         };
         let decided = mode.wait_for(|mode| *mode != Mode::Hold).await;
-        let Ok(lost) = decided.map(|mode| *mode == Mode::Lose) else {
+        let Ok(decided) = decided.map(|mode| *mode) else {
             return;
         };
+        let lost = decided == Mode::Lose;
+        if decided == Mode::Lag {
+            tokio::time::sleep(LAG).await;
+        }
         if count == 0 && lost {
             // The end of a lost connection is lost as well, until it is severed.
             while mode.changed().await.is_ok() {}
--- a/crates/bench/src/faults_inject.rs
+++ b/crates/bench/src/faults_inject.rs
@@ -36,6 +36,18 @@
     LoseDown(usize),
     /// Connections to a node hold what goes towards it, and deliver it late.
     HoldUp(usize),
+    /// Connections to a node lose what goes either way.
+    Silence(usize),
+    /// Connections to a node are slow either way.
+    Lag(usize),
+    /// Connections to a node are closed; new ones work.
+    Reset(usize),
+    /// SIGHUP of a node.
+    Hangup(usize),
+    /// The platform answers after 0.8 s.
+    PlatformSlow,
+    /// The platform's watches stay open and say nothing more.
+    SilentWatches,
     /// The platform loses answers after the effect.
     LoseAnswers,
     /// The platform is down.
@@ -59,6 +71,12 @@
             Self::LoseAnswers,
             Self::PlatformDown,
             Self::Race,
+            Self::Silence(vm),
+            Self::Lag(vm),
+            Self::Reset(vm),
+            Self::Hangup(vm),
+            Self::PlatformSlow,
+            Self::SilentWatches,
         ];
         faults[rng.random_range(0..faults.len())]
     }
@@ -71,8 +89,16 @@
             | Self::FreezeServer(vm)
             | Self::LoseUp(vm)
             | Self::LoseDown(vm)
-            | Self::HoldUp(vm) => Some(vm),
-            Self::LoseAnswers | Self::PlatformDown | Self::Race => None,
+            | Self::HoldUp(vm)
+            | Self::Silence(vm)
+            | Self::Lag(vm)
+            | Self::Reset(vm)
+            | Self::Hangup(vm) => Some(vm),
+            Self::LoseAnswers
+            | Self::PlatformDown
+            | Self::PlatformSlow
+            | Self::SilentWatches
+            | Self::Race => None,
         }
     }
 
@@ -146,6 +172,21 @@
                 self.forwarders[vm].set(Mode::Hold, Mode::Pass);
                 Ok(())
             }
+            Fault::Silence(vm) => {
+                self.forwarders[vm].set(Mode::Lose, Mode::Lose);
+                Ok(())
+            }
+            Fault::Lag(vm) => {
+                self.forwarders[vm].set(Mode::Lag, Mode::Lag);
+                Ok(())
+            }
+            Fault::Reset(vm) => {
+                self.forwarders[vm].reset();
+                Ok(())
+            }
+            Fault::Hangup(vm) => self.deployment.vms[vm].node.signal(Signal::HUP),
+            Fault::PlatformSlow => self.set_platform(r#"{"slow_ms":800}"#).await,
+            Fault::SilentWatches => self.set_platform(r#"{"silent_watches":true}"#).await,
             Fault::LoseAnswers => self.set_platform(r#"{"lose_percent":50}"#).await,
             Fault::PlatformDown => self.set_platform(r#"{"down":true}"#).await,
             Fault::Race => self.race(),
@@ -163,12 +204,20 @@
             Fault::FreezeNode(vm) => self.deployment.vms[vm].node.signal(Signal::CONT),
             Fault::KillServer(vm) => self.restart_server(vm),
             Fault::FreezeServer(vm) => self.server(vm)?.signal(Signal::CONT),
-            Fault::HoldUp(vm) => {
+            Fault::HoldUp(vm) | Fault::Lag(vm) => {
                 self.forwarders[vm].set(Mode::Pass, Mode::Pass);
                 Ok(())
             }
-            Fault::LoseUp(_) | Fault::LoseDown(_) | Fault::Race => Ok(()),
-            Fault::LoseAnswers | Fault::PlatformDown => self.set_platform("{}").await,
+            Fault::LoseUp(_)
+            | Fault::LoseDown(_)
+            | Fault::Silence(_)
+            | Fault::Reset(_)
+            | Fault::Hangup(_)
+            | Fault::Race => Ok(()),
+            Fault::LoseAnswers
+            | Fault::PlatformDown
+            | Fault::PlatformSlow
+            | Fault::SilentWatches => self.set_platform("{}").await,
         }
     }
 
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -26,4 +26,5 @@
 pub mod proposer;
 pub mod relay;
 pub mod rolling;
+pub mod soak;
 pub mod state;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,7 +3,7 @@
 //! Every experiment prints one JSON object with its figures as its last line.
 
 use bench::error::Error;
-use bench::{converge, demo, faults, overload, path, rolling, state};
+use bench::{converge, demo, faults, overload, path, rolling, soak, state};
 use bpaf::{Parser, construct};
 use std::process::ExitCode;
 use tokio::signal::unix::{SignalKind, signal};
@@ -18,6 +18,7 @@
     State(state::Plot),
     Overload(overload::Plot),
     Rolling(rolling::Plot),
+    Soak(soak::Plot),
 }
 
 fn parse_command() -> impl Parser<Command> {
@@ -55,7 +56,12 @@
         .to_options()
         .descr("Restarts every VM in turn under load, which must lose no call")
         .command("rolling");
-    construct!([demo, path, converge, faults, state, overload, rolling])
+    let soak = soak::parse()
+        .map(Command::Soak)
+        .to_options()
+        .descr("Checks what must hold while seeded faults overlap, and after they end")
+        .command("soak");
+    construct!([demo, path, converge, faults, state, overload, rolling, soak])
 }
 
 // One thread: the pacer must see the sockets of its own calls at once.
@@ -114,6 +120,10 @@
             let report = rolling::run(plot).await?;
             Ok((print_json(&report)?, report.is_clean()))
         }
+        Command::Soak(plot) => {
+            let report = soak::run(plot).await?;
+            Ok((print_json(&report)?, report.is_clean()))
+        }
         Command::Converge(plot) => Ok((print_json(&converge::run(plot).await?)?, true)),
     }
 }
