--- a/crates/cli/tests/docs.rs
+++ b/crates/cli/tests/docs.rs
@@ -33,6 +33,8 @@
     let service = metrics.service("records");
     service.record(Instant::now(), Ending::Answered(200), Duration::ZERO, None);
     metrics.bad_requests("backend").inc();
+    metrics.causes.count_try("full");
+    metrics.causes.count_turned_away("full");
     metrics.control_sent().inc();
     let text = metrics.render(&Reading::default());
     let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
--- a/crates/node/src/inbound/run.rs
+++ b/crates/node/src/inbound/run.rs
@@ -169,6 +169,7 @@
     let came = inner.shared.clock.now();
     let mut permit = enter(inner, &request, deadline, find()?.slots).await?;
     let waited = inner.shared.clock.now().saturating_duration_since(came);
+    inner.shared.metrics.causes.see_wait(waited);
     let parent_name = name_parent(inner, &request);
     let is_repeat = request
         .headers
@@ -290,6 +291,8 @@
     C: Clock,
 {
     let shared = &inner.shared;
+    let reason = name_of(refused.reason);
+    shared.metrics.causes.count_turned_away(reason);
     let elapsed = shared.metrics.counted(shared.clock.now());
     if let Some(left_out) = shared.lines.gate.take(elapsed) {
         let load = inner.gate.load();
@@ -297,7 +300,7 @@
             id = request.caller.as_str(),
             call:% = request.id,
             service = request.service.as_str(),
-            reason = name_of(refused.reason),
+            reason,
             load,
             retry_after_ms = refused.retry_after_ms,
             left_ms = left.as_millis(),
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -4,10 +4,12 @@
 //! and then only touches atomics and one short lock. Label values come from
 //! the configuration alone; beyond [`MAX_SERVICES`] they share one.
 
+pub(crate) mod cause;
 pub(crate) mod control;
 pub(crate) mod reserve;
 pub(crate) mod service;
 
+pub use crate::metrics::cause::Causes;
 pub use crate::metrics::control::Control;
 pub use crate::metrics::reserve::Reserve;
 pub use crate::metrics::service::{Ending, Service};
@@ -103,6 +105,8 @@
     durations: Family<ServiceLabel, Histogram, fn() -> Histogram>,
     bad_requests: Family<ListenerLabel, Counter>,
     control_bytes: Family<DirectionLabel, Counter>,
+    /// Why calls got no answer, and how long they waited.
+    pub causes: Causes,
     /// What is counted of distribution.
     pub control: Control,
     /// What is counted of reservations.
@@ -124,6 +128,7 @@
             durations: Family::new_with_constructor(new_histogram),
             bad_requests: Family::default(),
             control_bytes: Family::default(),
+            causes: Causes::default(),
             control: Control::default(),
             reserve: Reserve::default(),
             gauges: Gauges::default(),
@@ -147,6 +152,7 @@
         let help = "Bytes of configuration, endpoints and status between nodes, by direction";
         let bytes = self.control_bytes.clone();
         registry.register_with_unit("control", help, Unit::Bytes, bytes);
+        self.causes.register(&mut self.registry);
         self.control.register(&mut self.registry);
         self.reserve.register(&mut self.registry);
     }
--- /dev/null
+++ b/crates/node/src/metrics/cause.rs
@@ -0,0 +1,61 @@
+//! Why calls got no answer here, and how long they waited.
+
+use crate::metrics::DURATION_BOUNDS;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::{Registry, Unit};
+use std::time::Duration;
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReasonLabel {
+    reason: &'static str,
+}
+
+/// Why calls got no answer, and how long they waited.
+#[derive(Debug)]
+pub struct Causes {
+    tries: Family<ReasonLabel, Counter>,
+    turned_away: Family<ReasonLabel, Counter>,
+    gate_wait: Histogram,
+}
+
+impl Default for Causes {
+    fn default() -> Self {
+        Self {
+            tries: Family::default(),
+            turned_away: Family::default(),
+            gate_wait: Histogram::new(DURATION_BOUNDS),
+        }
+    }
+}
+
+impl Causes {
+    pub(crate) fn register(&self, registry: &mut Registry) {
+        let help = "Tries of this node's callers' calls that got no answer, by reason";
+        registry.register("tries_without_answer", help, self.tries.clone());
+        let help = "Calls that the own backend server's gate turned away, by reason";
+        registry.register("gate_turned_away", help, self.turned_away.clone());
+        let help = "Time that calls waited at the own backend server's gate before they ran";
+        let wait = self.gate_wait.clone();
+        registry.register_with_unit("gate_wait", help, Unit::Seconds, wait);
+    }
+
+    /// Counts a try that got no answer.
+    pub fn count_try(&self, reason: &'static str) {
+        self.tries.get_or_create(&ReasonLabel { reason }).inc();
+    }
+
+    /// Counts a call that the gate turned away.
+    pub fn count_turned_away(&self, reason: &'static str) {
+        self.turned_away
+            .get_or_create(&ReasonLabel { reason })
+            .inc();
+    }
+
+    /// Takes in how long a call waited at the gate.
+    pub(crate) fn see_wait(&self, waited: Duration) {
+        self.gate_wait.observe(waited.as_secs_f64());
+    }
+}
--- a/crates/node/src/outbound/tell.rs
+++ b/crates/node/src/outbound/tell.rs
@@ -15,6 +15,7 @@
     C: Clock,
 {
     let shared = &inner.shared;
+    shared.metrics.causes.count_try(name_of(refused.reason));
     let now = shared.clock.now();
     let Some(left_out) = shared.lines.tries.take(shared.metrics.counted(now)) else {
         return;
