Tell a backend server that it leaves, also when its node had not heard of it

All nodes had been killed; the backend server was told to stop before its next heartbeat, and the new node's status said leaving = false for good, as it held no backend server that could leave. The backend server waits for that word, 30 s here. Ruled out: calls in flight (the node was 0.4 s old), the backend server's own connections. Test: node announce leaves_unheard, which failed before.

--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -193,14 +193,14 @@
         return refuse(StatusCode::NOT_FOUND, "only /v1/announce is here");
     }
     match *request.method() {
-        Method::GET => answer_json(StatusCode::OK, &read_status(shared)),
+        Method::GET => answer_json(StatusCode::OK, &read_status(desk)),
         Method::DELETE => {
             leave(desk);
-            answer_json(StatusCode::OK, &read_status(shared))
+            answer_json(StatusCode::OK, &read_status(desk))
         }
         Method::PUT => match take_announcement(request, desk.limits).await {
             Ok(announcement) if enter(desk, &announcement) => {
-                answer_json(StatusCode::OK, &read_status(shared))
+                answer_json(StatusCode::OK, &read_status(desk))
             }
             Ok(_) => refuse(
                 StatusCode::CONFLICT,
@@ -364,16 +364,13 @@
     }
 }
 
-fn read_status<C>(shared: &Shared<C>) -> Status
+fn read_status<C>(desk: &Desk<C>) -> Status
 where
     C: Clock,
 {
     Status {
-        in_flight: *shared.in_flight.borrow(),
-        leaving: shared
-            .backend
-            .borrow()
-            .as_ref()
-            .is_some_and(|backend| backend.leaving),
+        in_flight: *desk.shared.in_flight.borrow(),
+        // Also one that left before it was heard of, by a node that is new itself.
+        leaving: desk.known.lock().left,
     }
 }
--- a/crates/node/tests/announce.rs
+++ b/crates/node/tests/announce.rs
@@ -56,6 +56,21 @@
     assert!(!shared.backend.borrow().as_ref().unwrap().leaving);
 }
 
+// A node is killed and started again, and its backend server is told to stop
+// before the next heartbeat. The stop took 30 s, until whoever asked for it lost
+// patience. Cause: the departure of one that the new node had not heard of left
+// no trace, and the backend server waited for its node to say that it leaves.
+#[tokio::test]
+async fn leaves_unheard() {
+    let shared = make_shared();
+    let handle = announce::spawn(bind().await, std::sync::Arc::clone(&shared)).unwrap();
+    let wanted = r#"{"in_flight":0,"leaving":true}"#;
+    for question in ["DELETE /v1/announce", "GET /v1/announce"] {
+        let (_, text) = request(handle.address(), question, "").await;
+        assert_eq!(text.trim(), wanted, "{question}");
+    }
+}
+
 #[parameterized(
     not_json = { "records", "expected value" },
     unknown_field = { r#"{"service":"a","address":"127.0.0.1:9","slots":1,"zone":"b"}"#, "unknown field `zone`" },
