--- a/crates/policy/src/elapsed.rs
+++ b/crates/policy/src/elapsed.rs
@@ -5,12 +5,12 @@
 //! slot goes to an answer that is late in place of one that would have been in
 //! time. *Grounds:* callers of one route start with the same time and name what
 //! is left of it, so that what one lacks to the longest seen has gone by. A
-//! caller that starts with less is taken for one that came back; it is then
-//! served after the others, and refused no sooner than they would be.
+//! caller that starts with less is taken for one that came back, and is then
+//! served after the others.
 
 use std::time::Duration;
 
-/// Rows: 0.8 KB a service, as many as of [`crate::duration::SERVICE_ROWS`].
+/// Rows: 0.5 KB a service, as many as of [`crate::duration::SERVICE_ROWS`].
 const ROWS: usize = 32;
 
 /// Share of the difference to a shorter time by which the longest seen fades
