--- a/crates/bench/src/faults_inject.rs
+++ b/crates/bench/src/faults_inject.rs
@@ -286,7 +286,7 @@
         files
             .map(|(file, left)| {
                 Ok(Record {
-                    runs: read_runs(&std::fs::read_to_string(file)?)?,
+                    runs: read_runs(&read_record(file)?)?,
                     left: left.clone(),
                 })
             })
@@ -331,6 +331,14 @@
     }
 }
 
+/// Reads a record; a process that was killed before its first line of code left none, and ran nothing.
+fn read_record(file: &std::path::Path) -> Result<String, Error> {
+    match std::fs::read_to_string(file) {
+        Err(error) if error.kind() == std::io::ErrorKind::NotFound => Ok(String::new()),
+        read => Ok(read?),
+    }
+}
+
 /// Names the file of a backend server's record.
 #[must_use]
 pub fn record_file(folder: &std::path::Path, vm: usize, process: usize) -> PathBuf {
