--- a/crates/bench/src/faults.rs
+++ b/crates/bench/src/faults.rs
@@ -18,9 +18,6 @@
 /// Services of the fleet: bookings that must run at most once, and look-ups.
 pub(crate) const SERVICES: [&str; 3] = ["claims", "jobs", "records"];
 
-/// Callers at once.
-pub(crate) const CALLERS: usize = 16;
-
 /// How long faults are in force, in milliseconds.
 pub(crate) const FAULT_MS: std::ops::Range<u64> = 300..2_500;
 
@@ -74,11 +71,7 @@
 /// Reads what to try from the command line.
 #[must_use]
 pub fn parse() -> impl Parser<Plot> {
-    let seed = long("seed")
-        .help("Seed of all faults and calls")
-        .argument::<u64>("SEED")
-        .fallback(1)
-        .display_fallback();
+    let seed = options::parse_seed();
     let duration = options::parse_seconds(60);
     let rolling = long("rolling")
         .help("Restart every node and backend server in turn instead, which must cut nothing off")
@@ -100,12 +93,7 @@
     let notes = Notes::default();
     let end = Instant::now() + plot.duration;
     let addresses: Vec<_> = target.deployment.vms.iter().map(Vm::callers).collect();
-    let callers: Vec<_> = (0..CALLERS)
-        .map(|index| {
-            let run = faults_callers::run(index, plot.seed, addresses.clone(), end, notes.clone());
-            tokio::spawn(run)
-        })
-        .collect();
+    let callers = faults_callers::spawn(plot.seed, &addresses, end, &notes);
     let mut harm = Harm::new(plot.seed);
     while Instant::now() + SETTLE < end {
         if plot.rolling {
@@ -114,11 +102,7 @@
             harm.go_on(&mut target).await?;
         }
     }
-    for caller in callers {
-        if caller.await.is_err() {
-            return Err(Error::Unexpected("a caller failed".to_owned()));
-        }
-    }
+    faults_callers::join(callers).await?;
     tokio::time::sleep(AFTERMATH).await;
     let history = History {
         invocations: notes.take(),
--- a/crates/bench/src/faults_callers.rs
+++ b/crates/bench/src/faults_callers.rs
@@ -11,6 +11,10 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::task::JoinHandle;
+
+/// Callers at once.
+const CALLERS: usize = 16;
 
 /// Requests of one key at most.
 const MAX_REQUESTS: u32 = 6;
@@ -67,8 +71,37 @@
     })
 }
 
+/// Starts all callers, which call until `end`.
+pub(crate) fn spawn(
+    seed: u64,
+    addresses: &[SocketAddr],
+    end: Instant,
+    notes: &Notes,
+) -> Vec<JoinHandle<()>> {
+    (0..CALLERS)
+        .map(|index| {
+            let run = run(index, seed, addresses.to_vec(), end, notes.clone());
+            tokio::spawn(run)
+        })
+        .collect()
+}
+
+/// Waits until all callers have ended.
+///
+/// # Errors
+///
+/// When one of them failed.
+pub(crate) async fn join(callers: Vec<JoinHandle<()>>) -> Result<(), Error> {
+    for caller in callers {
+        if caller.await.is_err() {
+            return Err(Error::Unexpected("a caller failed".to_owned()));
+        }
+    }
+    Ok(())
+}
+
 /// Calls until `end`, at nodes drawn anew for each request.
-pub async fn run(index: usize, seed: u64, addresses: Vec<SocketAddr>, end: Instant, notes: Notes) {
+async fn run(index: usize, seed: u64, addresses: Vec<SocketAddr>, end: Instant, notes: Notes) {
     let mut one = One {
         index,
         rng: SmallRng::seed_from_u64(seed.wrapping_add(index as u64)),
--- a/crates/bench/src/options.rs
+++ b/crates/bench/src/options.rs
@@ -29,3 +29,12 @@
         .fallback(SERVICES)
         .display_fallback()
 }
+
+/// Reads the seed of an experiment, 1 where none is given.
+pub(crate) fn parse_seed() -> impl Parser<u64> {
+    long("seed")
+        .help("Seed of all faults and calls")
+        .argument::<u64>("SEED")
+        .fallback(1)
+        .display_fallback()
+}
--- a/crates/bench/src/soak.rs
+++ b/crates/bench/src/soak.rs
@@ -8,7 +8,7 @@
 
 use crate::deployment::{Vm, put_service};
 use crate::error::Error;
-use crate::faults::{AFTERMATH, CALLERS, FAULT_MS, SETTLE, spawn};
+use crate::faults::{AFTERMATH, FAULT_MS, SETTLE, spawn};
 use crate::faults_callers::{self, Notes, now_us};
 use crate::faults_forward::Forwarder;
 use crate::faults_history::{History, Verdict, check};
@@ -97,11 +97,7 @@
 /// Reads what to try from the command line.
 #[must_use]
 pub fn parse() -> impl Parser<Plot> {
-    let seed = long("seed")
-        .help("Seed of all faults and calls")
-        .argument::<u64>("SEED")
-        .fallback(1)
-        .display_fallback();
+    let seed = options::parse_seed();
     let per_zone = long("per-zone")
         .help("VMs of each of three services in each of three zones")
         .argument::<usize>("COUNT")
@@ -131,19 +127,10 @@
     let notes = Notes::default();
     let end = Instant::now() + plot.duration;
     let addresses: Vec<_> = target.deployment.vms.iter().map(Vm::callers).collect();
-    let callers: Vec<_> = (0..CALLERS)
-        .map(|index| {
-            let run = faults_callers::run(index, plot.seed, addresses.clone(), end, notes.clone());
-            tokio::spawn(run)
-        })
-        .collect();
+    let callers = faults_callers::spawn(plot.seed, &addresses, end, &notes);
     let mut storm = Storm::new(plot.seed, target);
     let ended = storm.run_until(end).await;
-    for caller in callers {
-        if caller.await.is_err() {
-            return Err(Error::Unexpected("a caller failed".to_owned()));
-        }
-    }
+    faults_callers::join(callers).await?;
     tokio::time::sleep(AFTERMATH).await;
     let report = ended.and_then(|()| storm.report(plot.seed, &notes));
     let is_clean = report.as_ref().is_ok_and(Report::is_clean);
