--- a/crates/fleet/src/duty.rs
+++ b/crates/fleet/src/duty.rs
@@ -6,6 +6,7 @@
 use crate::node::Node;
 use crate::parent::Source;
 use config::{Digest, Mesh, Patch, Version};
+use smol_str::SmolStr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use wire::control::Frame;
@@ -215,6 +216,13 @@
         self.settle_step(now, taken, &step);
     }
 
+    /// Notes a version that can't be taken, once; operators see it in the node's status.
+    pub(crate) fn on_unreadable(&mut self, version: Version, reason: SmolStr) {
+        if self.holder.refuse(version, reason) {
+            self.counters.refusals += 1;
+        }
+    }
+
     pub(crate) fn on_platform_whole(&mut self, now: Instant, version: Version, mesh: Mesh) {
         match self.holder.take_newest(version, mesh) {
             (taken, Some(step)) => self.settle_step(now, taken, &step),
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -100,6 +100,13 @@
         /// The configuration.
         mesh: Mesh,
     },
+    /// A version that can't be taken; what is held stays in force.
+    Unreadable {
+        /// Its number.
+        version: Version,
+        /// What is wrong with it, and where.
+        reason: SmolStr,
+    },
 }
 
 /// The own backend server, as it announced itself.
--- a/crates/fleet/src/holder.rs
+++ b/crates/fleet/src/holder.rs
@@ -100,6 +100,16 @@
         self.refused.as_ref()
     }
 
+    /// Notes that a version can't be read; gives false when that is known, or no matter any more.
+    pub fn refuse(&mut self, version: Version, reason: SmolStr) -> bool {
+        let known = self.refused.as_ref().map(|(at, _)| *at);
+        if version <= self.version() || known >= Some(version) {
+            return false;
+        }
+        self.refused = Some((version, reason));
+        true
+    }
+
     /// Takes a step, if it is the next one.
     pub fn take_step(&mut self, step: Step) -> Taken {
         let result = self
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -310,6 +310,7 @@
                 digest,
             } => self.on_platform_step(now, version, patch, digest),
             Answer::Whole { version, mesh } => self.on_platform_whole(now, version, mesh),
+            Answer::Unreadable { version, reason } => self.on_unreadable(version, reason),
         }
     }
 
--- a/crates/fleet/tests/refusal.rs
+++ b/crates/fleet/tests/refusal.rs
@@ -53,6 +53,28 @@
     }
 }
 
+// The platform holds a version that the root can't read. Operators saw that it was
+// not in force, and nothing that said why. It is held as refused, with its reason,
+// until a version above it is in force; reading it again tells nothing new.
+#[test]
+fn unreadable() {
+    let (all, _) = steps(3);
+    let mut holder = Holder::default();
+    holder.take_step(all[0].clone());
+    assert!(!holder.refuse(Version(1), "in force".into()));
+    assert!(holder.refuse(Version(2), "route shop: odd timeout".into()));
+    assert!(!holder.refuse(Version(2), "route shop: odd timeout".into()));
+    let refused = holder.refused().expect("kept");
+    assert_eq!(
+        (refused.0, refused.1.as_str()),
+        (Version(2), "route shop: odd timeout")
+    );
+    assert_eq!(holder.version(), Version(1), "what is held stays in force");
+    holder.take_step(all[1].clone());
+    holder.take_step(all[2].clone());
+    assert_eq!(holder.refused(), None);
+}
+
 // A frame is damaged on its way, or a node's software can't read a version.
 // The node must hold none of it, say so, and come back by the whole of a
 // later version instead of staying behind for good.
--- a/crates/node/src/control/desk.rs
+++ b/crates/node/src/control/desk.rs
@@ -6,7 +6,7 @@
 use clock::Clock;
 use fleet::{Answer, Peer, Request, Seat};
 use log::warn;
-use smol_str::{SmolStr, format_smolstr};
+use smol_str::{SmolStr, ToSmolStr, format_smolstr};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Instant;
@@ -117,9 +117,7 @@
             if version <= after {
                 return Ok(Answer::Head(version));
             }
-            let (version, mesh) = platform::mesh::parse(&text).map_err(as_invalid)?;
-            self.tell(Answer::Head(version)).await;
-            return Ok(Answer::Whole { version, mesh });
+            return Ok(self.take_text(version, &text).await);
         }
         let journal = Journal::open(self.store.clone(), self.shared.clock.clone(), JOURNAL);
         let last = match journal.read(after.0).await? {
@@ -134,8 +132,8 @@
     async fn read_newest(&self, after: config::Version) -> Result<Answer, Error> {
         let mut answers = if self.shared.is_on_platform() {
             let text = self.read_text().await?;
-            let (version, mesh) = platform::mesh::parse(&text).map_err(as_invalid)?;
-            vec![Answer::Head(version), Answer::Whole { version, mesh }]
+            let version = platform::mesh::parse_version(&text).map_err(as_invalid)?;
+            vec![self.take_text(version, &text).await]
         } else {
             let journal = Journal::open(self.store.clone(), self.shared.clock.clone(), JOURNAL);
             read_after(&journal, after).await?
@@ -147,6 +145,17 @@
         Ok(last)
     }
 
+    /// Reads the whole of a version, and tells of its number first if it can be taken.
+    async fn take_text(&self, version: config::Version, text: &str) -> Answer {
+        match platform::mesh::parse(text) {
+            Ok((version, mesh)) => {
+                self.tell(Answer::Head(version)).await;
+                Answer::Whole { version, mesh }
+            }
+            Err(error) => tell_unreadable(version, &error),
+        }
+    }
+
     async fn tell(&self, answer: Answer) {
         // An error means that the node has left.
         drop(self.inbox.send(Input::Answer(answer)).await);
@@ -238,8 +247,27 @@
     }
 }
 
-fn read_whole(object: &Object) -> Result<(config::Version, config::Mesh), Error> {
-    platform::mesh::decode(&object.value).map_err(as_invalid)
+/// Reads an operators' configuration into what the state machine is told of it.
+///
+/// # Errors
+///
+/// When it has not even a version.
+fn read_whole(object: &Object) -> Result<Vec<Answer>, Error> {
+    match platform::mesh::decode(&object.value) {
+        Ok((version, mesh)) => Ok(vec![Answer::Head(version), Answer::Whole { version, mesh }]),
+        Err(error) => {
+            let version = platform::mesh::read_version_of(&object.value).map_err(as_invalid)?;
+            Ok(vec![tell_unreadable(version, &error)])
+        }
+    }
+}
+
+fn tell_unreadable(version: config::Version, error: &platform::Error) -> Answer {
+    warn!(version = version.0, error:%; "version_unreadable");
+    Answer::Unreadable {
+        version,
+        reason: error.to_smolstr(),
+    }
 }
 
 #[expect(
@@ -278,14 +306,14 @@
 {
     loop {
         let object = latest.next().await;
-        let (version, mesh) = match read_whole(&object) {
-            Ok(read) => read,
+        let answers = match read_whole(&object) {
+            Ok(answers) => answers,
             Err(error) => {
                 warn!(revision = object.revision.0, error:%; "version_unreadable");
                 continue;
             }
         };
-        for answer in [Answer::Head(version), Answer::Whole { version, mesh }] {
+        for answer in answers {
             if inbox.send(Input::Answer(answer)).await.is_err() {
                 return;
             }
