Tell a backend server that starts again under its name from the one before

Cause: announcements were told apart by name and number alone. A process that starts again under its name counts anew, so that its heartbeats passed for late ones of the former process: it got no call, and once that one had left, none ever. Other nodes took it for warm, as its node had not been restarted.

Change: name and start make a process. One that seems older than the one that is here is believed after its second word, as its clock may have been set back. A farewell ends the process that it is of.

--- a/crates/bench/src/state.rs
+++ b/crates/bench/src/state.rs
@@ -246,6 +246,7 @@
         region: format!("region-{}", index % 4).into(),
         address,
         slots: 6,
+        process: 0,
         cold_ms: None,
         state: State::Serving,
     }
--- a/crates/config/src/endpoint.rs
+++ b/crates/config/src/endpoint.rs
@@ -38,6 +38,8 @@
     pub address: SocketAddr,
     /// Calls that the backend server says it runs at once.
     pub slots: u16,
+    /// Names the process of the backend server, while the node's stays the same: another one is cold.
+    pub process: u64,
     /// How long it is slow from when it was announced on, in milliseconds, if it said so.
     pub cold_ms: Option<u32>,
     /// Whether it takes new work.
--- a/crates/config/tests/view.rs
+++ b/crates/config/tests/view.rs
@@ -33,6 +33,7 @@
         region: "r".into(),
         address: ([127, 0, 0, 1], 1).into(),
         slots: 6,
+        process: 0,
         cold_ms: None,
         state,
     }
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -116,6 +116,8 @@
     pub service: SmolStr,
     /// Calls that it says it runs at once.
     pub slots: u16,
+    /// Names its process.
+    pub process: u64,
     /// How long it is slow from now on, in milliseconds, if it says so.
     pub cold_ms: Option<u32>,
     /// Whether it takes new work.
--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -247,6 +247,7 @@
             region: settings.region.clone(),
             address: settings.own.address,
             slots: backend.slots,
+            process: backend.process,
             cold_ms: backend.cold_ms,
             state: backend.state,
         };
--- a/crates/fleet/tests/endpoints.rs
+++ b/crates/fleet/tests/endpoints.rs
@@ -22,6 +22,7 @@
         region: "r".into(),
         address: ([127, 0, 0, 1], 1).into(),
         slots: 6,
+        process: 0,
         cold_ms: None,
         state,
     })
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -494,6 +494,7 @@
             Item::Own => Event::Own(Backend {
                 service: self.vms[vm].service.clone().into(),
                 slots: 6,
+                process: 0,
                 cold_ms: None,
                 state: self.vms[vm].backend,
             }),
--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -111,11 +111,35 @@
 /// Former processes of the backend server that are remembered: restarts within an hour, at most.
 const MAX_FORMER: usize = 32;
 
+/// What names a process of the backend server on the platform.
+///
+/// A backend server may start again under the name that it had, and then counts
+/// its announcements anew: by its name alone, its heartbeats would pass for late
+/// ones of the former process, and a departure of that one would end it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Process {
+    instance: SmolStr,
+    /// When it started, by its VM's clock, if it says so.
+    born: Option<u64>,
+}
+
+impl Process {
+    /// Tells whether it started before another, as far as both say when.
+    ///
+    /// The clock may have been set back in between: it is a hint, not a proof.
+    fn is_older(&self, other: &Self) -> bool {
+        match (self.born, other.born) {
+            (Some(born), Some(others)) => born < others,
+            _ => false,
+        }
+    }
+}
+
 /// The backend server's process that announced itself last.
 #[derive(Default)]
 struct Known {
     incarnation: Option<u64>,
-    instance: Option<SmolStr>,
+    process: Option<Process>,
     sequence: u64,
     left: bool,
     former: VecDeque<Former>,
@@ -123,7 +147,7 @@
 
 /// A process of the backend server that is taken for gone.
 struct Former {
-    instance: SmolStr,
+    process: Process,
     /// Whether it said so itself; otherwise another one took its place.
     left: bool,
     /// Announcements that came from it since.
@@ -135,14 +159,13 @@
 const ALIVE: u8 = 2;
 
 impl Known {
-    /// Tells whether a notice of the process `instance` is newer than what is known.
+    /// Tells whether a notice of a process is newer than what is known.
     ///
     /// Guards against an announcement that a cut has held up: it may come after
     /// its sender has left or crashed and another process has its address, and
     /// calls would be addressed to a process that is gone.
-    fn is_news(&mut self, instance: &SmolStr, sequence: Option<u64>) -> bool {
-        let place = self.former.iter().position(|one| one.instance == *instance);
-        if let Some(place) = place {
+    fn is_news(&mut self, process: &Process, sequence: Option<u64>) -> bool {
+        if let Some(place) = self.former.iter().position(|one| one.process == *process) {
             let former = &mut self.former[place];
             former.heard = former.heard.saturating_add(1);
             if former.left || former.heard < ALIVE {
@@ -150,28 +173,55 @@
             }
             self.former.remove(place);
         }
-        if self.instance.as_ref() != Some(instance) {
-            return true;
+        match &self.process {
+            Some(known) if known == process => {
+                !self.left && sequence.is_none_or(|sequence| sequence > self.sequence)
+            }
+            _ => true,
         }
-        !self.left && sequence.is_none_or(|sequence| sequence > self.sequence)
     }
 
-    fn note(&mut self, instance: &SmolStr, sequence: Option<u64>) {
-        if self.instance.as_ref() != Some(instance) {
-            if let Some(former) = self.instance.replace(instance.clone()) {
-                self.forget(former, self.left);
+    /// Tells whether a process that was not heard of before seems to be of the past.
+    ///
+    /// It is then heard a second time before it is believed: a word of the former
+    /// process that comes late is alone, the heartbeats of one whose clock was set
+    /// back before it started go on.
+    fn is_past(&self, process: &Process) -> bool {
+        let known = self.process.as_ref();
+        known.is_some_and(|known| known != process && process.is_older(known))
+            && !self.former.iter().any(|one| one.process == *process)
+    }
+
+    /// Names the process that a notice is from.
+    ///
+    /// A farewell that doesn't say when its sender started is of the process of
+    /// that name which is here: not to believe it would send calls to one that leaves.
+    fn identify(&self, notice: &Notice) -> Process {
+        let unnamed = notice.announcement.is_none() && notice.born.is_none();
+        let here = self.process.as_ref();
+        let here = here.filter(|known| unnamed && known.instance == notice.instance);
+        here.cloned().unwrap_or_else(|| Process {
+            instance: notice.instance.clone(),
+            born: notice.born,
+        })
+    }
+
+    fn note(&mut self, process: &Process, sequence: Option<u64>) {
+        if self.process.as_ref() != Some(process) {
+            if let Some(former) = self.process.replace(process.clone()) {
+                self.forget(former, self.left, 0);
             }
             self.left = false;
         }
         self.sequence = sequence.unwrap_or(self.sequence);
     }
 
-    /// Takes a process for gone.
-    fn forget(&mut self, instance: SmolStr, left: bool) {
+    /// Takes a process for gone that was `heard` so often since.
+    fn forget(&mut self, process: Process, left: bool, heard: u8) {
         self.former.push_back(Former {
-            instance,
+            process,
             left,
-            heard: 0,
+            heard,
         });
         if self.former.len() > MAX_FORMER {
             self.former.pop_front();
@@ -238,23 +288,29 @@
 {
     let mut known = desk.known.lock();
     let sequence = notice.announcement.as_ref().map(|one| one.sequence);
-    if !known.is_news(&notice.instance, sequence) {
+    let leaves = notice.announcement.as_ref().is_none_or(|one| one.leaving);
+    let process = known.identify(&notice);
+    if known.is_past(&process) {
+        known.forget(process, leaves, 1);
         return;
     }
-    let leaves = notice.announcement.as_ref().is_none_or(|one| one.leaving);
-    if leaves && known.instance.as_ref() != Some(&notice.instance) {
+    if !known.is_news(&process, sequence) {
+        return;
+    }
+    if leaves && known.process.as_ref() != Some(&process) {
         // This node has not heard of it before, perhaps as it is new itself: an
         // announcement that comes late must not bring it back, nor may its
         // departure end the one that is here.
-        known.forget(notice.instance, true);
+        known.forget(process, true, 0);
         return;
     }
-    known.note(&notice.instance, sequence);
+    known.note(&process, sequence);
     match notice.announcement {
         Some(announcement) if !announcement.leaving => {
             let backend = Backend {
                 service: announcement.service,
                 instance: Some(notice.instance),
+                born: notice.born,
                 address: announcement.address,
                 slots: announcement.slots.max(1),
                 cold_ms: announcement.cold_for.map(whole_ms),
@@ -315,6 +371,7 @@
     let backend = Backend {
         service: announcement.service.clone(),
         instance: None,
+        born: None,
         address: announcement.address,
         slots: announcement.slots,
         cold_ms: None,
--- a/crates/node/src/control/tree.rs
+++ b/crates/node/src/control/tree.rs
@@ -239,6 +239,7 @@
         };
         let is_leaving = own.leaving || *self.shared.leaving.borrow();
         self.handle(Event::Own(fleet::Backend {
+            process: own.process(),
             service: own.service,
             slots: own.slots,
             cold_ms: own.cold_ms,
--- a/crates/node/src/control/watch.rs
+++ b/crates/node/src/control/watch.rs
@@ -209,6 +209,7 @@
         incarnation: shared.incarnation,
         started_ms: started.map_or(0, |age| u64::try_from(age.as_millis()).unwrap_or(0)),
         sequence,
+        process: backend.process(),
         service: backend.service,
         zone: settings.zone.clone(),
         region: settings.region.clone(),
--- a/crates/node/src/outbound/service.rs
+++ b/crates/node/src/outbound/service.rs
@@ -139,6 +139,7 @@
                 identity: identity_of(endpoint),
                 distance: distance_of(endpoint, place),
                 slots: endpoint.slots,
+                process: endpoint.process,
                 cold: endpoint
                     .cold_ms
                     .map(|cold| Duration::from_millis(cold.into())),
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -17,6 +17,8 @@
     pub service: smol_str::SmolStr,
     /// Name of its process, if it has one that calls are to be addressed to.
     pub instance: Option<smol_str::SmolStr>,
+    /// When that process started, in milliseconds since the Unix epoch, if it said so.
+    pub born: Option<u64>,
     /// Where it takes calls, on this VM.
     pub address: std::net::SocketAddr,
     /// Calls that it says it runs at once.
@@ -27,6 +29,15 @@
     pub leaving: bool,
 }
 
+impl Backend {
+    /// Names its process among those that this node's backend server has had.
+    #[must_use]
+    pub fn process(&self) -> u64 {
+        let instance = self.instance.as_deref().unwrap_or_default();
+        policy::hash(instance) ^ self.born.unwrap_or_default()
+    }
+}
+
 /// What the parts of a node share.
 #[derive(Debug)]
 pub struct Shared<C>
--- a/crates/node/tests/calls/mesh.rs
+++ b/crates/node/tests/calls/mesh.rs
@@ -100,6 +100,7 @@
             service: service.into(),
             address,
             slots,
+            born: None,
             cold_ms: None,
             leaving: false,
         }));
@@ -117,6 +118,7 @@
             region: "kl".into(),
             address,
             slots: 6,
+            process: 0,
             cold_ms: None,
             state: State::Serving,
         }
--- a/crates/node/tests/control.rs
+++ b/crates/node/tests/control.rs
@@ -26,6 +26,7 @@
         service: "records".into(),
         address: "127.0.0.1:9000".parse().unwrap(),
         slots: 6,
+        born: None,
         cold_ms: None,
         leaving: false,
     }));
--- a/crates/node/tests/operate.rs
+++ b/crates/node/tests/operate.rs
@@ -34,6 +34,7 @@
         region: "kl".into(),
         address: "127.0.0.1:3".parse().unwrap(),
         slots: 6,
+        process: 0,
         cold_ms: None,
         state: State::Serving,
     };
--- a/crates/node/tests/reserve.rs
+++ b/crates/node/tests/reserve.rs
@@ -92,6 +92,7 @@
             region: "kl".into(),
             address: self.forwarder.address(),
             slots: 6,
+            process: 0,
             cold_ms: None,
             state: State::Serving,
         }
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -53,6 +53,8 @@
     pub distance: Distance,
     /// Calls that it says it runs at once.
     pub slots: u16,
+    /// Names the process of the backend server behind the node.
+    pub process: u64,
     /// How long it is slow from now on, if it says so.
     pub cold: Option<Duration>,
 }
@@ -152,6 +154,7 @@
             };
             let server = &mut self.servers[index as usize];
             server.present = true;
+            server.meet(now, &candidate);
             server.distance = candidate.distance;
             server.slots = f64::from(candidate.slots.max(1));
         }
--- a/crates/policy/src/server.rs
+++ b/crates/policy/src/server.rs
@@ -48,6 +48,8 @@
 pub(crate) struct Server {
     pub(crate) identity: Identity,
     pub(crate) generation: u32,
+    /// The process behind its node, as it was last told.
+    process: u64,
     pub(crate) present: bool,
     pub(crate) leaving: bool,
     pub(crate) distance: Distance,
@@ -73,6 +75,7 @@
         Self {
             identity: candidate.identity.clone(),
             generation: 0,
+            process: candidate.process,
             present: true,
             leaving: false,
             distance: candidate.distance,
@@ -92,6 +95,21 @@
         }
     }
 
+    /// Starts again if another process of the backend server is behind the same node.
+    ///
+    /// Its node was not restarted, so that nothing else tells it from the former
+    /// one: it would get a warm one's share of the calls while it is cold, and be
+    /// judged by what the other did.
+    pub(crate) fn meet(&mut self, now: Instant, candidate: &Candidate) {
+        if self.process == candidate.process {
+            return;
+        }
+        self.process = candidate.process;
+        self.health = Health::new(now);
+        self.restart(now);
+        self.slow_start = candidate.cold.unwrap_or(SLOW_START);
+    }
+
     /// Starts again as it is back from an ejection.
     pub(crate) fn restart(&mut self, now: Instant) {
         self.warm_from = Some(now);
--- a/crates/policy/tests/balance.rs
+++ b/crates/policy/tests/balance.rs
@@ -28,6 +28,7 @@
         },
         distance: Distance::Zone,
         slots: 6,
+        process: 1,
         cold: None,
     };
     (0..count).map(make).collect()
@@ -42,6 +43,40 @@
     }
 }
 
+// A backend server crashes and starts again behind a node that goes on, and
+// says that it is cold for 4 s. It was at once sent as many calls as the warm
+// ones, and look-ups waited behind them. Cause: only a new node counted as a
+// new backend server.
+#[test]
+fn restarted_behind_node() {
+    let clock = Manual::new();
+    let mut rng = SmallRng::seed_from_u64(3);
+    let mut balance = Balance::new();
+    balance.sync(clock.now(), list_candidates(4));
+    clock.advance(Duration::from_secs(20));
+    let mut candidates = list_candidates(4);
+    candidates[2].process = 2;
+    candidates[2].cold = Some(Duration::from_secs(4));
+    balance.sync(clock.now(), candidates.clone());
+    let mut share = |clock: &Manual| {
+        let mut to_restarted = 0;
+        for _ in 0..CALLS {
+            let key = balance
+                .pick(clock.now(), &ask(&[], true), &mut rng)
+                .unwrap();
+            to_restarted += u32::from(balance.identity(key) == Some(&candidates[2].identity));
+            let done = Outcome::Answered(None);
+            balance.finish(clock.now(), key, 1, USUAL, done, &mut rng);
+        }
+        f64::from(to_restarted) / f64::from(CALLS)
+    };
+    let at_start = share(&clock);
+    assert!(at_start < 0.1, "{at_start}");
+    clock.advance(Duration::from_secs(4));
+    let warm = share(&clock);
+    assert!((0.15..0.35).contains(&warm), "{warm}");
+}
+
 // One of four backend servers is ten times slower, and copies of its late
 // look-ups are answered elsewhere after three times the usual. It went on to
 // get one call in twenty, commits among them. Cause: a call that was overtaken
--- a/crates/policy/tests/load/sim.rs
+++ b/crates/policy/tests/load/sim.rs
@@ -214,6 +214,7 @@
                         Distance::Region
                     },
                     slots: server.told,
+                    process: 0,
                     cold: None,
                 }),
             );
