--- a/crates/node/benches/reserve.rs
+++ b/crates/node/benches/reserve.rs
@@ -162,6 +162,7 @@
         region: "r".into(),
         address: *address,
         slots: 6,
+        process: 0,
         cold_ms: None,
         state: State::Serving,
     }
--- a/crates/node/src/inbound.rs
+++ b/crates/node/src/inbound.rs
@@ -3,6 +3,7 @@
 //! It alone talks to that backend server, and holds the table of calls that
 //! settles what became of one when a link has gone silent.
 
+pub(crate) mod bodies;
 pub(crate) mod entry;
 pub(crate) mod gate;
 pub(crate) mod link;
@@ -10,6 +11,7 @@
 pub(crate) mod run;
 
 use crate::backend::Pool;
+use crate::inbound::bodies::Bodies;
 use crate::inbound::entry::Call;
 use crate::inbound::gate::Gate;
 use crate::inbound::link::run_link;
@@ -21,6 +23,7 @@
 use call::{Id, Table, Verdict};
 use clock::Clock;
 use parking_lot::Mutex;
+use settings::node::Rate;
 use std::io;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Weak};
@@ -55,6 +58,7 @@
     tables: [Mutex<Table<Arc<Call>>>; SHARDS],
     links: Mutex<Vec<Weak<Sender>>>,
     pub(crate) gate: Arc<Gate<C>>,
+    pub(crate) bodies: Arc<Bodies<C>>,
     /// The calls that the backend server runs.
     pub(crate) parents: Arc<Parents>,
 }
@@ -65,9 +69,11 @@
 where
     C: Clock,
 {
+    let rate = shared.settings.link_mbps.map(Rate::bytes_per_second);
     let inner = Arc::new(Inner {
         pool: Pool::new(shared.clock.clone()),
         gate: Gate::spawn(shared.clock.clone(), shared.incarnation),
+        bodies: Bodies::spawn(shared.clock.clone(), rate, shared.incarnation),
         shared,
         tables: Default::default(),
         links: Mutex::default(),
@@ -118,7 +124,8 @@
             started.store(true, Ordering::Relaxed);
             true
         };
-        let run = run::run(&self.inner, request, upload, deadline, start);
+        let came = self.inner.shared.clock.now();
+        let run = run::run(&self.inner, request, upload, deadline, came, start);
         tokio::select! {
             biased;
             ended = run => ended,
@@ -140,7 +147,8 @@
         let (mut sender, receiver) = oneshot::channel();
         let inner = Arc::clone(&self.inner);
         tokio::spawn(async move {
-            let run = run::run(&inner, request, upload, deadline, || true);
+            let came = inner.shared.clock.now();
+            let run = run::run(&inner, request, upload, deadline, came, || true);
             let overdue = async {
                 run::sleep_until(&inner, deadline).await;
                 tokio::time::sleep(run::LATE_LIMIT).await;
--- a/crates/node/src/inbound/entry.rs
+++ b/crates/node/src/inbound/entry.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 use std::task::{Context, Poll, Waker};
 use tokio::sync::Notify;
-use wire::call::{Answer, Frame, Reason, Refusal, WINDOW};
+use wire::call::{Answer, EAGER, Frame, Reason, Refusal, WINDOW};
 
 /// Bytes of an answer's body in one frame: small enough that calls on one link take turns.
 pub(crate) const PART: usize = 16 << 10;
@@ -53,12 +53,18 @@
     ended: bool,
     broken: bool,
     over: bool,
+    /// Bytes that its sender may send, of which so many have come.
+    allowed: u64,
+    came: u64,
     taken: usize,
     reader: Option<Waker>,
 }
 
 impl Call {
-    pub(crate) fn new(id: Id, link: Arc<Sender>, whole: bool) -> Arc<Self> {
+    /// Makes a call whose request has a body of so many bytes, as far as is known, or none.
+    pub(crate) fn new(id: Id, link: Arc<Sender>, whole: bool, length: u64) -> Arc<Self> {
+        // A short body comes unasked, with its head.
+        let eager = if length <= EAGER as u64 { EAGER } else { 0 };
         Arc::new(Self {
             id,
             answer: Mutex::new(Outgoing {
@@ -75,6 +81,7 @@
             }),
             upload: Mutex::new(Incoming {
                 ended: whole,
+                allowed: eager as u64,
                 ..Incoming::default()
             }),
             cancel: Notify::new(),
@@ -84,8 +91,8 @@
     /// Takes a part of the request's body; false when it breaks the protocol.
     pub(crate) fn take_part(&self, bytes: Bytes, end: bool) -> bool {
         let mut upload = self.upload.lock();
-        let held: usize = upload.parts.iter().map(Bytes::len).sum();
-        if upload.ended || held + bytes.len() > WINDOW {
+        upload.came += bytes.len() as u64;
+        if upload.ended || upload.came > upload.allowed {
             return false;
         }
         if upload.over {
@@ -99,6 +106,14 @@
         true
     }
 
+    /// Asks for more of the request's body.
+    pub(crate) fn ask_more(&self, bytes: u32) {
+        self.upload.lock().allowed += u64::from(bytes);
+        let credit = Frame::Credit { id: self.id, bytes };
+        // A closed link breaks the body off by itself.
+        drop(self.answer.lock().link.send([credit]));
+    }
+
     /// Lets go of what is left of the request's body: its call is over.
     ///
     /// A call that is refused early leaves a window of it unread, which would
@@ -130,6 +145,12 @@
         !upload.ended && !upload.over
     }
 
+    /// Tells whether a body is to be asked for: none of it has come, and it has not ended.
+    pub(crate) fn has_unasked(&self) -> bool {
+        let upload = self.upload.lock();
+        !upload.ended && upload.allowed == 0
+    }
+
     /// Gives the request's body when it has come whole already.
     pub(crate) fn take_whole(&self) -> Option<Upload> {
         let mut upload = self.upload.lock();
@@ -151,9 +172,7 @@
                 let bytes = u32::try_from(upload.taken).unwrap_or(u32::MAX);
                 upload.taken = 0;
                 drop(upload);
-                let credit = Frame::Credit { id: self.id, bytes };
-                // A closed link breaks the body off by itself.
-                drop(self.answer.lock().link.send([credit]));
+                self.ask_more(bytes);
             }
             return Poll::Ready(Some(Ok(part)));
         }
--- a/crates/node/src/inbound/gate.rs
+++ b/crates/node/src/inbound/gate.rs
@@ -137,6 +137,19 @@
         }
     }
 
+    /// Refuses a call that would be refused now, before its body is asked for.
+    pub(crate) fn foresee(&self, request: &Request) -> Option<Refusal> {
+        let now = self.clock.now();
+        let mut state = self.state.lock();
+        let state = &mut *state;
+        state.admission.foresee(now, request, &mut state.rng)
+    }
+
+    /// Gives how long a call of `route` is expected to run.
+    pub(crate) fn expect(&self, route: u64) -> Duration {
+        self.state.lock().admission.expect(route)
+    }
+
     /// Gives calls running and waiting over slots.
     pub(crate) fn load(&self) -> f64 {
         self.state.lock().admission.load()
--- a/crates/node/src/inbound/link.rs
+++ b/crates/node/src/inbound/link.rs
@@ -31,6 +31,7 @@
         .await;
     for upload in reader.uploads {
         upload.break_upload();
+        inner.bodies.break_off(upload.id);
     }
 }
 
@@ -119,7 +120,7 @@
         if id.origin != self.origin {
             return ControlFlow::Break(());
         }
-        let call = Call::new(id, Arc::clone(self.sender), request.end);
+        let call = Call::new(id, Arc::clone(self.sender), request.end, request.length);
         let now = self.inner.shared.clock.now();
         let arrival = self
             .inner
@@ -138,10 +139,15 @@
     }
 
     fn take_part(&mut self, id: Id, bytes: bytes::Bytes, end: bool) -> ControlFlow<()> {
-        match self.uploads.iter().find(|upload| upload.id == id) {
-            Some(upload) if !upload.take_part(bytes, end) => ControlFlow::Break(()),
-            _ => ControlFlow::Continue(()),
+        let Some(upload) = self.uploads.iter().find(|upload| upload.id == id) else {
+            return ControlFlow::Continue(());
+        };
+        let length = bytes.len();
+        if !upload.take_part(bytes, end) {
+            return ControlFlow::Break(());
         }
+        self.inner.bodies.take(id, length, end);
+        ControlFlow::Continue(())
     }
 
     /// Says what became of a call that was sent over an earlier link.
--- a/crates/node/src/inbound/run.rs
+++ b/crates/node/src/inbound/run.rs
@@ -5,7 +5,7 @@
 use crate::inbound::entry::{Call, PART};
 use crate::inbound::gate::{Offer, Permit};
 use crate::inbound::parents::Parent;
-use crate::inbound::{Active, Inner};
+use crate::inbound::{Active, Inner, bodies};
 use crate::outbound::answer::name_of;
 use crate::upload::{Rest, Upload};
 use bytes::Bytes;
@@ -17,13 +17,14 @@
 use platform::header;
 use policy::admission;
 use policy::balance::Told;
+use policy::intake;
 use policy::limit::Outcome;
 use policy::retry;
 use std::future::poll_fn;
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
-use wire::call::{Answer, Reason, Request};
+use wire::call::{Answer, EAGER, Reason, Request};
 
 /// Header with the time that a call has left, in milliseconds; from callers, and to backend servers.
 pub const TIMEOUT_HEADER: HeaderName = HeaderName::from_static("bluebellpick-timeout-ms");
@@ -47,9 +48,11 @@
 {
     reply: Reply<C>,
     permit: Permit<C>,
-    /// How long it waited for its slot.
-    waited: Duration,
-    _active: Active<C>,
+    /// How long it waited for its body and its slot, in milliseconds.
+    waited_ms: u32,
+    /// Whether its body was asked for.
+    is_heavy: bool,
+    active: Active<C>,
     _parent: Parent,
 }
 
@@ -131,6 +134,12 @@
 where
     C: Clock,
 {
+    let came = inner.shared.clock.now();
+    if call.has_unasked()
+        && let Err(refused) = pull(inner, call, &request, deadline).await
+    {
+        return call.refuse(refused.verdict, refused.reason, refused.retry_after_ms);
+    }
     let upload = match call.take_whole() {
         Some(upload) => upload,
         None => Upload {
@@ -139,14 +148,55 @@
         },
     };
     let start = || inner.table(call.id.origin).lock().start(call.id);
-    match run(inner, request, upload, deadline, start).await {
+    match run(inner, request, upload, deadline, came, start).await {
         Ok(response) => send_answer(call, response).await,
         Err(refused) => call.refuse(refused.verdict, refused.reason, refused.retry_after_ms),
     }
 }
 
+/// Longest part of a body that is held here before its call gets a slot.
+///
+/// A slot that is taken earlier is held while the body trickles in: at 8 Mbit/s
+/// a photograph of 60 kB takes as long as the work on it. Longer bodies than this
+/// are streams, which no VM of 160 MB can hold by the dozen.
+const MOST_HELD: u64 = 1 << 20;
+
+/// Waits until the body of a call is here, if the call may get a slot after it.
+async fn pull<C>(
+    inner: &Arc<Inner<C>>,
+    call: &Arc<Call>,
+    request: &Request,
+    deadline: Instant,
+) -> Result<(), Refused>
+where
+    C: Clock,
+{
+    inner
+        .find_backend(&request.service)
+        .map_err(|reason| Refused::not_run(reason, 0))?;
+    let asked = ask_gate(inner, request, deadline);
+    if let Some(refusal) = inner.gate.foresee(&asked) {
+        return Err(turn_away(inner, request, deadline, refusal));
+    }
+    let ask = intake::Ask {
+        call: asked,
+        length: request.length.min(MOST_HELD),
+        run: inner.gate.expect(request.route),
+    };
+    let pulled = tokio::select! {
+        biased;
+        pulled = inner.bodies.pull(call, &ask) => pulled,
+        () = inner.left() => return Err(Refused::not_run(Reason::Leaving, 0)),
+    };
+    pulled.map_err(|error| match error {
+        bodies::Error::Refused(refusal) => turn_away(inner, request, deadline, refusal),
+        bodies::Error::BrokenOff => Refused::not_run(Reason::Cancelled, 0),
+    })
+}
+
 /// Waits for a slot and gives a request to the backend server.
 ///
+/// What a call has waited is counted from when it `came`.
 /// `start` is asked right before: it is false for a call that was withdrawn
 /// while it waited.
 pub(crate) async fn run<C, S>(
@@ -154,6 +204,7 @@
     request: Request,
     upload: Upload,
     deadline: Instant,
+    came: Instant,
     start: S,
 ) -> Result<Response<Running<C>>, Refused>
 where
@@ -166,11 +217,14 @@
             .map_err(|reason| Refused::not_run(reason, 0))
     };
     let active = inner.count_in();
-    let came = inner.shared.clock.now();
+    let asked = inner.shared.clock.now();
     let mut permit = enter(inner, &request, deadline, find()?.slots).await?;
-    let waited = inner.shared.clock.now().saturating_duration_since(came);
-    inner.shared.metrics.causes.see_wait(waited);
+    let entered = inner.shared.clock.now();
+    let waited = entered.saturating_duration_since(came);
+    let at_gate = entered.saturating_duration_since(asked);
+    inner.shared.metrics.causes.see_wait(at_gate);
     let parent_name = name_parent(inner, &request);
+    let is_heavy = request.length > EAGER as u64;
     let is_repeat = request
         .headers
         .iter()
@@ -202,8 +256,9 @@
             Ok(response.map(|reply| Running {
                 reply,
                 permit,
-                waited,
-                _active: active,
+                waited_ms: u32::try_from(waited.as_millis()).unwrap_or(u32::MAX),
+                is_heavy,
+                active,
                 _parent: parent,
             }))
         }
@@ -253,16 +308,7 @@
 where
     C: Clock,
 {
-    let path = request.path.split('?').next().unwrap_or_default();
-    let asked = admission::Request {
-        class: request.class,
-        caller: policy::hash(&request.caller),
-        key: policy::hash(path),
-        route: request.route,
-        deadline,
-        target: request.target_ms.map(|target| deadline_of(inner, target)),
-        nested: request.nested,
-    };
+    let asked = ask_gate(inner, request, deadline);
     let decided = match inner.gate.offer(slots, &asked) {
         Offer::Run(permit) => Ok(permit),
         Offer::Refuse(refusal) => Err(refusal),
@@ -273,16 +319,44 @@
             () = inner.left() => return Err(Refused::not_run(Reason::Leaving, 0)),
         },
     };
-    decided.map_err(|refusal| {
-        let reason = match refusal.reason {
-            admission::Reason::Full => Reason::Full,
-            admission::Reason::Deadline => Reason::Deadline,
-        };
-        let wait = u32::try_from(refusal.retry_after.as_millis()).unwrap_or(u32::MAX);
-        let refused = Refused::not_run(reason, wait.max(1));
-        tell_gate(inner, request, refused, left(inner, deadline));
-        refused
-    })
+    decided.map_err(|refusal| turn_away(inner, request, deadline, refusal))
+}
+
+fn ask_gate<C>(inner: &Inner<C>, request: &Request, deadline: Instant) -> admission::Request
+where
+    C: Clock,
+{
+    let path = request.path.split('?').next().unwrap_or_default();
+    let target = request.target_ms.map(|target| deadline_of(inner, target));
+    admission::Request {
+        class: request.class,
+        caller: policy::hash(&request.caller),
+        key: policy::hash(path),
+        route: request.route,
+        deadline,
+        target,
+        nested: request.nested,
+    }
+}
+
+/// Tells that a call was refused, and gives what its sender is told.
+fn turn_away<C>(
+    inner: &Inner<C>,
+    request: &Request,
+    deadline: Instant,
+    refusal: admission::Refusal,
+) -> Refused
+where
+    C: Clock,
+{
+    let reason = match refusal.reason {
+        admission::Reason::Full => Reason::Full,
+        admission::Reason::Deadline => Reason::Deadline,
+    };
+    let wait = u32::try_from(refusal.retry_after.as_millis()).unwrap_or(u32::MAX);
+    let refused = Refused::not_run(reason, wait.max(1));
+    tell_gate(inner, request, refused, left(inner, deadline));
+    refused
 }
 
 /// Tells that the gate turned a call away, and how full it was.
@@ -339,9 +413,15 @@
 
     /// Gives what the outbound proxy is told along with the answer.
     pub(crate) fn told(&self) -> Told {
+        let slots = self.permit.load();
+        let link = if self.is_heavy {
+            self.active.inner.bodies.load()
+        } else {
+            0.0
+        };
         Told {
-            load: self.permit.load(),
-            waited: self.waited,
+            load: slots.max(link),
+            waited: Duration::from_millis(self.waited_ms.into()),
         }
     }
 }
--- a/crates/node/src/outbound/attempt.rs
+++ b/crates/node/src/outbound/attempt.rs
@@ -61,7 +61,14 @@
 }
 
 impl Try {
-    pub(crate) fn new(id: Id, repeatable: bool, sent_over: u64, link: Arc<Sender>) -> Arc<Self> {
+    /// Makes a try whose request has a body of which so many bytes may go unasked.
+    pub(crate) fn new(
+        id: Id,
+        repeatable: bool,
+        sent_over: u64,
+        link: Arc<Sender>,
+        credit: usize,
+    ) -> Arc<Self> {
         Arc::new(Self {
             id,
             repeatable,
@@ -76,7 +83,7 @@
                 taken: 0,
                 ended: false,
                 refusal: None,
-                credit: WINDOW,
+                credit,
                 abandoned: false,
                 reader: None,
                 writer: None,
--- a/crates/node/src/outbound/link.rs
+++ b/crates/node/src/outbound/link.rs
@@ -246,7 +246,8 @@
         Ok((Arc::new(link), receiver))
     }
 
-    /// Sends a request over a link; `make` builds it from its identity.
+    /// Sends a request over a link; `make` builds it from its identity, with the
+    /// start of its body, of which `credit` bytes may go before more is asked for.
     ///
     /// # Errors
     ///
@@ -255,6 +256,7 @@
         &self,
         link: &Link,
         repeatable: bool,
+        credit: usize,
         make: F,
     ) -> Result<Arc<Try>, link::Error>
     where
@@ -266,7 +268,13 @@
             // order of their numbers, by which the inbound proxy can tell
             // those that it never got from those that it has forgotten.
             let id = self.next_id();
-            let one = Try::new(id, repeatable, link.number, Arc::clone(&link.sender));
+            let one = Try::new(
+                id,
+                repeatable,
+                link.number,
+                Arc::clone(&link.sender),
+                credit,
+            );
             link.shard(id).lock().insert(id.sequence, Arc::clone(&one));
             kept = Some(one);
             let (request, body) = make(id);
--- a/crates/node/src/outbound/plan.rs
+++ b/crates/node/src/outbound/plan.rs
@@ -2,7 +2,7 @@
 
 use crate::inbound::run::TIMEOUT_HEADER;
 use crate::outbound::sent;
-use crate::outbound::service::{Origin, Service};
+use crate::outbound::service::{Origin, Service, Weight};
 use crate::outbound::{Inner, pick_target};
 use bytes::{Bytes, BytesMut};
 use call::reserve::Key;
@@ -58,6 +58,8 @@
     pub(crate) retried_above: bool,
     /// Whether a call that runs on the own backend server waits for it.
     pub(crate) nested: bool,
+    /// What it takes of the way; known once the start of its body has come.
+    pub(crate) weight: Weight,
 }
 
 impl Plan {
@@ -132,6 +134,7 @@
         key: key_of(&head.headers, &target.name).filter(|_| !repeatable),
         retried_above: head.headers.contains_key(retry::HEADER),
         nested,
+        weight: Weight::Light,
     };
     Some((plan, target.service.objective))
 }
--- a/crates/node/src/outbound/send.rs
+++ b/crates/node/src/outbound/send.rs
@@ -20,7 +20,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::oneshot;
-use wire::call::{Frame, Header, Reason, WINDOW};
+use wire::call::{EAGER, Frame, Header, Reason};
 
 /// Header that names a try to the backend server, for its logs.
 pub(crate) const CALL_HEADER: &str = "bluebellpick-call";
@@ -182,10 +182,13 @@
         }
     };
     let kept = body.ready.clone();
-    let first = kept.slice(..kept.len().min(WINDOW));
+    let length = body.length();
+    let credit = if length > EAGER as u64 { 0 } else { EAGER };
+    let first = kept.slice(..kept.len().min(credit));
     let end = body.rest.is_none() && first.len() == kept.len();
-    let sent = inner.links.send(&link, plan.repeatable, |id| {
+    let sent = inner.links.send(&link, plan.repeatable, credit, |id| {
         name_try(&mut request, id);
+        request.length = length;
         request.end = first.is_empty() && end;
         let part = (!first.is_empty()).then(|| Frame::Body {
             id,
@@ -285,6 +288,7 @@
         nested: plan.nested,
         caller: plan.caller.clone(),
         route: plan.route,
+        length: 0,
         end: false,
     }
 }
--- a/crates/node/src/outbound/sent.rs
+++ b/crates/node/src/outbound/sent.rs
@@ -34,6 +34,17 @@
     pub(crate) rest: Option<Incoming>,
 }
 
+impl Body {
+    /// Gives its length, as far as it is known: all of it, or what is held.
+    pub(crate) fn length(&self) -> u64 {
+        let rest = self
+            .rest
+            .as_ref()
+            .map_or(0, |rest| rest.size_hint().lower());
+        self.ready.len() as u64 + rest
+    }
+}
+
 impl Sent {
     /// Follows a try whose request went out with the first `gone` bytes of `body.ready`.
     pub(crate) fn new(one: Arc<Try>, link: Arc<Link>, mut body: Body, gone: usize) -> Self {
--- a/crates/node/src/outbound/serve.rs
+++ b/crates/node/src/outbound/serve.rs
@@ -9,7 +9,7 @@
 use crate::outbound::plan::{Plan, host_of, left, make_plan, take_body};
 use crate::outbound::send::{Late, Tried, try_once};
 use crate::outbound::sent;
-use crate::outbound::service::{Ask, Picked};
+use crate::outbound::service::{Ask, Picked, Weight};
 use crate::outbound::tell::{Answered, tell_answer, tell_end, tell_try, tell_unrouted};
 use crate::outbound::visited::Visited;
 use call::Verdict;
@@ -22,7 +22,7 @@
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use wire::call::Reason;
+use wire::call::{EAGER, Reason};
 
 /// A call's answer, and how it counts.
 pub(crate) struct Served<C>
@@ -97,14 +97,14 @@
     let (head, body) = request.into_parts();
     let started = inner.shared.clock.now();
     let view = inner.shared.view.load_full();
-    let Some((plan, objective)) = make_plan(inner, &view, &head, peer) else {
+    let Some((mut plan, objective)) = make_plan(inner, &view, &head, peer) else {
         return refuse_unrouted(inner, &view, &head);
     };
     drop(view);
-    let plan = Arc::new(plan);
+    let service = plan.service.clone();
     let mut count = Count {
         inner,
-        service: &plan.service,
+        service: &service,
         objective,
         started,
         ending: Ending::Cancelled,
@@ -115,6 +115,10 @@
         Ok(Err(_)) => return reject(StatusCode::BAD_REQUEST, "body-cut-off"),
         Err(_) => return reject(StatusCode::REQUEST_TIMEOUT, "body-late"),
     };
+    if body.length() > EAGER as u64 {
+        plan.weight = Weight::Heavy;
+    }
+    let plan = Arc::new(plan);
     let served = match plan.key {
         Some(key) => serve_keyed(inner, &plan, key, head, body).await,
         None => serve_plan(inner, &plan, &head, body).await,
@@ -230,9 +234,11 @@
             reached,
             attempts: plan.attempts(),
             retried_above: plan.retried_above,
-            untried: cause != Cause::Full || plan.nested || plan.known.has_room(now, visited.all()),
+            untried: cause != Cause::Full
+                || plan.nested
+                || plan.known.has_room(now, plan.weight, visited.all()),
             deadline: plan.deadline,
-            expected: plan.known.expect(plan.route),
+            expected: plan.known.expect(plan.route, plan.weight),
         };
         match plan.known.decide(now, &failed) {
             Decision::Again(Duration::ZERO) => {}
@@ -268,6 +274,7 @@
     let view = inner.shared.view.load_full();
     let ask = Ask {
         place: &inner.place,
+        weight: plan.weight,
         call: balance::Ask {
             tried,
             repeatable: plan.repeatable,
--- a/crates/node/src/outbound/service.rs
+++ b/crates/node/src/outbound/service.rs
@@ -1,7 +1,7 @@
 //! What the outbound proxy knows of each service: runs `policy::balance` and `policy::retry`.
 
 use clock::Clock;
-use config::{Endpoint, Retry, ServiceKey, View};
+use config::{Endpoint, EndpointKey, Retry, ServiceKey, View};
 use parking_lot::{Mutex, RwLock};
 use policy::allowance::Bounds;
 use policy::balance::{self, Balance, Candidate, Distance, Identity, Key, Outcome};
@@ -35,7 +35,8 @@
 
 #[derive(Debug)]
 struct State {
-    balance: Balance,
+    /// Of small calls, and of those with large bodies.
+    balances: [Balance; 2],
     budget: Budget,
     hedge: Hedge,
     /// The longest times that callers start with.
@@ -45,6 +46,19 @@
     rng: SmallRng,
 }
 
+/// What a call takes of the way to its backend server.
+///
+/// *Load pattern:* links that uploads fill, while slots are idle. *Without telling
+/// them apart* a VM whose link is full counts as full for small calls too, which it
+/// would answer at once, and one whose slots are full for uploads.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Weight {
+    /// Its body goes with its head.
+    Light,
+    /// Its body is asked for.
+    Heavy,
+}
+
 /// Who makes a call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Origin {
@@ -74,6 +88,7 @@
     clock: C,
     pub(crate) started: Instant,
     route: u64,
+    weight: Weight,
     pub(crate) key: Key,
     pub(crate) endpoint: Endpoint,
     pub(crate) outcome: Outcome,
@@ -112,7 +127,7 @@
         let made = services.entry(name.into()).or_insert_with(|| {
             Arc::new(Service {
                 state: Mutex::new(State {
-                    balance: Balance::new(),
+                    balances: [Balance::new(), Balance::new()],
                     budget,
                     hedge: Hedge::new(now),
                     elapsed: elapsed::Table::new(),
@@ -132,24 +147,33 @@
             return;
         }
         self.synced = Arc::downgrade(view);
-        let endpoints = view.service(service).endpoints.iter();
-        let candidates = endpoints.map(|key| {
-            let endpoint = view.endpoint(*key);
-            Candidate {
-                identity: identity_of(endpoint),
-                distance: distance_of(endpoint, place),
-                slots: endpoint.slots,
-                process: endpoint.process,
-                cold: endpoint
-                    .cold_ms
-                    .map(|cold| Duration::from_millis(cold.into())),
-            }
-        });
-        self.balance.sync(now, candidates);
+        let endpoints = &view.service(service).endpoints;
+        for balance in &mut self.balances {
+            balance.sync(now, list_candidates(view, endpoints, place));
+        }
         self.budget.tell_nodes(now, view.endpoints().len());
     }
 }
 
+fn list_candidates<'a>(
+    view: &'a View,
+    endpoints: &'a [EndpointKey],
+    place: &'a Place,
+) -> impl Iterator<Item = Candidate> + 'a {
+    endpoints.iter().map(|key| {
+        let endpoint = view.endpoint(*key);
+        Candidate {
+            identity: identity_of(endpoint),
+            distance: distance_of(endpoint, place),
+            slots: endpoint.slots,
+            process: endpoint.process,
+            cold: endpoint
+                .cold_ms
+                .map(|cold| Duration::from_millis(cold.into())),
+        }
+    })
+}
+
 impl Service {
     /// Picks an endpoint of the service that has not been tried.
     pub(crate) fn pick<C>(
@@ -167,8 +191,9 @@
         let mut state = self.state.lock();
         let state = &mut *state;
         state.sync(now, view, service, ask.place);
-        let key = state.balance.pick(now, &ask.call, &mut state.rng)?;
-        let identity = state.balance.identity(key);
+        let balance = &mut state.balances[ask.weight as usize];
+        let key = balance.pick(now, &ask.call, &mut state.rng)?;
+        let identity = balance.identity(key);
         let endpoints = &view.service(service).endpoints;
         let mut found = endpoints.iter().map(|key| view.endpoint(*key));
         let found = found.find(|endpoint| identity == Some(&identity_of(endpoint)))?;
@@ -177,6 +202,7 @@
             clock: clock.clone(),
             started: now,
             route: ask.call.route,
+            weight: ask.weight,
             key,
             endpoint: found.clone(),
             outcome: Outcome::Cancelled,
@@ -199,13 +225,13 @@
     }
 
     /// Gives how long a call of `route` is expected to take.
-    pub(crate) fn expect(&self, route: u64) -> Duration {
-        self.state.lock().balance.expect(route)
+    pub(crate) fn expect(&self, route: u64, weight: Weight) -> Duration {
+        self.state.lock().balances[weight as usize].expect(route)
     }
 
     /// Tells whether an endpoint that has not refused the call may have room.
-    pub(crate) fn has_room(&self, now: Instant, tried: &[Key]) -> bool {
-        self.state.lock().balance.has_room(now, tried)
+    pub(crate) fn has_room(&self, now: Instant, weight: Weight, tried: &[Key]) -> bool {
+        self.state.lock().balances[weight as usize].has_room(now, tried)
     }
 
     /// Counts a first try that was answered.
@@ -253,6 +279,7 @@
 #[derive(Debug)]
 pub(crate) struct Ask<'a> {
     pub(crate) place: &'a Place,
+    pub(crate) weight: Weight,
     pub(crate) call: balance::Ask<'a>,
 }
 
@@ -265,7 +292,7 @@
         let took = now.saturating_duration_since(self.started);
         let mut state = self.service.state.lock();
         let state = &mut *state;
-        state.balance.finish(
+        state.balances[self.weight as usize].finish(
             now,
             self.key,
             self.route,
--- a/crates/node/tests/calls/whole.rs
+++ b/crates/node/tests/calls/whole.rs
@@ -1,11 +1,14 @@
 //! Calls through both proxies: whole answers, to the right caller.
 
 use crate::mesh::{bind, call, spawn_node, spawn_server, wait_recorded};
+use ::call::Verdict;
 use bytes::Bytes;
 use config::Repeat;
 use http::{Method, StatusCode};
 use node::nodes::write_hello;
 use standin::backend;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -267,11 +270,20 @@
         let mut length = 0;
         loop {
             let frame = codec::read(&mut stream, &mut Vec::new()).await.unwrap();
-            if let wire::Frame::Call(Frame::Body { bytes, end, .. }) = frame {
-                length += bytes.len();
-                if end {
-                    return length;
+            match frame {
+                wire::Frame::Call(Frame::Request(request)) => {
+                    // Room for what is known of the body, and for nothing more.
+                    let (id, bytes) = (request.id, u32::try_from(request.length).unwrap());
+                    let credit = wire::Frame::Call(Frame::Credit { id, bytes });
+                    codec::write(&mut stream, &credit).await.unwrap();
                 }
+                wire::Frame::Call(Frame::Body { bytes, end, .. }) => {
+                    length += bytes.len();
+                    if end {
+                        return length;
+                    }
+                }
+                _ => {}
             }
         }
     });
@@ -286,6 +298,69 @@
     assert_eq!(taken.expect("the end comes").unwrap(), 0x10000);
 }
 
+// A visitor's photograph is sent to a backend server that has no room for it, and
+// then to one that has. What is refused must have cost its head alone: with the
+// bodies of all that it refuses, a slow link carries nothing else.
+#[tokio::test]
+async fn refused_without_body() {
+    let near = spawn_node("near").await;
+    let (listener, address) = bind().await;
+    let far = spawn_node("far").await;
+    let other = spawn_node("other").await;
+    let (server, record) = spawn_server(6).await;
+    other.announce("photos", server, 6);
+    let mut full = far.endpoint("photos", address);
+    full.zone = near.shared.settings.zone.clone();
+    let roomy = other.endpoint("photos", other.nodes);
+    near.serve_by("photos", Repeat::Never, &[full, roomy]);
+    let bodies = Arc::new(AtomicUsize::new(0));
+    let refused = Arc::new(AtomicUsize::new(0));
+    let (seen, turned_away) = (Arc::clone(&bodies), Arc::clone(&refused));
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let theirs = codec::read_hello(&mut stream).await.unwrap();
+        let own = Hello {
+            node: "far".into(),
+            incarnation: 2,
+            ..theirs
+        };
+        codec::write(&mut stream, &own).await.unwrap();
+        loop {
+            match codec::read(&mut stream, &mut Vec::new()).await.unwrap() {
+                wire::Frame::Call(Frame::Request(request)) => {
+                    turned_away.fetch_add(1, Ordering::Relaxed);
+                    let refusal = wire::call::Refusal {
+                        id: request.id,
+                        verdict: Verdict::NotRun,
+                        reason: wire::call::Reason::Full,
+                        retry_after_ms: 100,
+                    };
+                    let frame = wire::Frame::Call(Frame::Refusal(refusal));
+                    codec::write(&mut stream, &frame).await.unwrap();
+                }
+                wire::Frame::Call(Frame::Body { bytes, .. }) => {
+                    seen.fetch_add(bytes.len(), Ordering::Relaxed);
+                }
+                _ => {}
+            }
+        }
+    });
+    let photo = Bytes::from(vec![7; 60_000]);
+    for _ in 0..20 {
+        let answer = call(
+            near.outbound.address(),
+            Method::POST,
+            "/photos/1",
+            &[],
+            photo.clone(),
+        );
+        assert_eq!(answer.await.unwrap().status, StatusCode::OK);
+    }
+    assert_eq!(record.entries().len(), 20);
+    assert!(refused.load(Ordering::Relaxed) > 0);
+    assert_eq!(bodies.load(Ordering::Relaxed), 0);
+}
+
 // A peer that has gone wrong asks and asks, and reads nothing of what it is
 // told. The node must close that link rather than keep the answers for ever,
 // and serve the others. Seen as a node that grows until it is killed.
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -209,56 +209,85 @@
         R: Rng,
     {
         self.limit.end_probe(now);
+        let entry = self.entry_of(now, request);
+        if self.is_free(now, request, &entry) {
+            self.in_order_at[queue::lane_of(entry.tier, entry.long)] = now;
+            self.charge(now, entry.tier, entry.caller, entry.key, entry.cost);
+            return Decision::Run(self.start(now, &entry));
+        }
+        if let Some(reason) = self.find_fault(now, request, &entry) {
+            return Decision::Refuse(self.refuse(now, &entry, reason, rng));
+        }
+        let patience = now + seconds(PATIENCE * BURST * target_of(&entry));
+        // Charged as it begins to wait: a hot caller's burst would otherwise
+        // fill the queue before any of it counts.
+        self.charge(now, entry.tier, entry.caller, entry.key, entry.cost);
+        Decision::Wait(self.queue.push(Entry {
+            start_by: entry.start_by.min(patience),
+            ..entry
+        }))
+    }
+
+    /// Refuses a call that would be refused now, before its body is asked for.
+    pub fn foresee<R>(&mut self, now: Instant, request: &Request, rng: &mut R) -> Option<Refusal>
+    where
+        R: Rng,
+    {
+        self.limit.end_probe(now);
+        let entry = self.entry_of(now, request);
+        if self.is_free(now, request, &entry) {
+            return None;
+        }
+        let reason = self.find_fault(now, request, &entry)?;
+        Some(self.refuse(now, &entry, reason, rng))
+    }
+
+    /// Gives how long a call of `route` is expected to run.
+    #[must_use]
+    pub fn expect(&self, route: u64) -> Duration {
+        seconds(self.durations.expect(route))
+    }
+
+    /// Gives what is known of a call, with the latest moment at which it may start.
+    fn entry_of(&mut self, now: Instant, request: &Request) -> Entry {
         let cost = self.durations.expect(request.route);
-        let long = self.durations.is_long(request.route);
         let tier = find_tier(now, request);
         let rank = rank_of(tier);
-        let caller = self.callers[rank].ask(now, request.caller);
-        let key = self.keys[rank].ask(now, request.key);
-        let left = request
-            .deadline
-            .saturating_duration_since(now)
-            .as_secs_f64();
+        let left = left_of(now, request);
         let entry = Entry {
             tier,
-            caller,
-            key,
+            caller: self.callers[rank].ask(now, request.caller),
+            key: self.keys[rank].ask(now, request.key),
             route: request.route,
-            long,
+            long: self.durations.is_long(request.route),
             cost,
             start_by: now + seconds((left - MARGIN * cost).max(0.0)),
         };
-        let entry = aim(now, request, entry);
-        // A free slot is tried whatever the call is expected to take: else a
-        // backend server that was once slower than the deadlines would never be
-        // given a call again to show that it no longer is.
-        if self.has_room(long) && !self.queue.has(long) && left > 0.0 {
-            self.in_order_at[queue::lane_of(tier, long)] = now;
-            self.charge(now, entry.tier, caller, key, cost);
-            return Decision::Run(self.start(now, &entry));
-        }
-        if !self.queue.has_lane(entry.tier, long) {
+        aim(now, request, entry)
+    }
+
+    /// Tells whether a call may run without waiting.
+    ///
+    /// A free slot is tried whatever the call is expected to take: else a
+    /// backend server that was once slower than the deadlines would never be
+    /// given a call again to show that it no longer is.
+    fn is_free(&self, now: Instant, request: &Request, entry: &Entry) -> bool {
+        self.has_room(entry.long) && !self.queue.has(entry.long) && left_of(now, request) > 0.0
+    }
+
+    /// Tells why a call that would have to wait is to be refused, if it is.
+    fn find_fault(&mut self, now: Instant, request: &Request, entry: &Entry) -> Option<Reason> {
+        if !self.queue.has_lane(entry.tier, entry.long) {
             let whole = self.drain_rate(now);
-            self.rates[queue::lane_of(entry.tier, long)].idle(now, whole);
+            self.rates[queue::lane_of(entry.tier, entry.long)].idle(now, whole);
         }
-        let wait = self.predict_wait(now, &entry);
-        let is_aimed = !matches!(tier, Tier::Commit | Tier::Nested | Tier::Overdue);
+        let wait = self.predict_wait(now, entry);
+        let is_aimed = !matches!(entry.tier, Tier::Commit | Tier::Nested | Tier::Overdue);
         let has_target = request.target.is_some_and(|target| target > now) && is_aimed;
-        let bound = self.bound(now, &entry, has_target);
-        if wait > bound {
-            return Decision::Refuse(self.refuse(now, &entry, Reason::Full, rng));
-        }
-        if wait + MARGIN * cost > left {
-            return Decision::Refuse(self.refuse(now, &entry, Reason::Deadline, rng));
+        if wait > self.bound(now, entry, has_target) {
+            return Some(Reason::Full);
         }
-        let patience = now + seconds(PATIENCE * BURST * target_of(&entry));
-        // Charged as it begins to wait: a hot caller's burst would otherwise
-        // fill the queue before any of it counts.
-        self.charge(now, entry.tier, caller, key, cost);
-        Decision::Wait(self.queue.push(Entry {
-            start_by: entry.start_by.min(patience),
-            ..entry
-        }))
+        (wait + MARGIN * entry.cost > left_of(now, request)).then_some(Reason::Deadline)
     }
 
     /// Takes in the end of a call.
@@ -434,7 +463,7 @@
 /// fresh call that is then late as well: of the answers, four in ten were late.
 /// *Grounds:* a late answer is worth a fraction of one in time, whatever its
 /// class, and a slot serves one of the two.
-fn find_tier(now: Instant, request: &Request) -> Tier {
+pub(crate) fn find_tier(now: Instant, request: &Request) -> Tier {
     let is_late = request.target.is_some_and(|target| target <= now);
     match request.class {
         Class::Lookup | Class::Refresh if request.nested => Tier::Nested,
@@ -476,6 +505,12 @@
     (TARGETS[rank_of(entry.tier)] * entry.cost).max(LEAST_TARGET)
 }
 
+/// Gives the seconds until nobody waits for a call's answer any more.
+fn left_of(now: Instant, request: &Request) -> f64 {
+    let left = request.deadline.saturating_duration_since(now);
+    left.as_secs_f64()
+}
+
 fn seconds(seconds: f64) -> Duration {
     Duration::try_from_secs_f64(seconds).unwrap_or(Duration::ZERO)
 }
--- /dev/null
+++ b/crates/policy/src/intake.rs
@@ -0,0 +1,425 @@
+//! Which requests' bodies come in over a VM's link, and in what order.
+//!
+//! *Load pattern:* uploads that are more bytes than the link of their backend
+//! server's VM carries, while its slots are idle, beside small calls with short
+//! deadlines. *Without it* every outbound proxy sends its bodies at once: megabytes
+//! stand in front of the link, small calls wait behind them for seconds (5 in 100
+//! were answered in time), and the uploads themselves are whole after their
+//! deadlines. *Grounds:* the receiver is the one that knows all who send to it,
+//! so it asks for bodies piece by piece, as in receiver-driven transports (`pHost`,
+//! Gao et al. 2015; `Homa`, Montazeri et al. 2018). What has been asked for and
+//! has not come is kept at a few milliseconds of the link, so that the queue in
+//! front of it is never longer; a body that could not be whole in time is refused
+//! before a byte of it is sent, as a call is at the slots
+//! (see [`crate::admission`]). Measured in `tests/intake.rs`.
+
+use crate::admission::{Reason, Refusal, Request, find_tier};
+use crate::backoff;
+use crate::drain::Promise;
+use crate::queue::{self, Entry, Queue, TIERS, Tier, rank_of};
+use crate::share::Place;
+use rand::Rng;
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+/// Time's worth of the link that may be asked for and not have come: several times the
+/// way there and back within a region with a sender that wakes late (1 ms and some
+/// ms on a tenth of a core), and a twelfth of the shortest deadlines seen, 250 ms.
+const AHEAD: f64 = 0.02;
+
+/// Bounds of what may be asked for and not have come, in bytes: two small pieces,
+/// and the window of the bodies that nobody bounds by their link.
+const AHEAD_BYTES: (f64, f64) = (8_192.0, 262_144.0);
+
+/// Pieces that fit into what may be asked for: one that comes makes room for the next.
+const PIECES: u64 = 4;
+
+/// Pieces that may be asked of one body at once. The one whose turn it is goes nearly as
+/// fast as the link, as bodies that share it evenly are all late together; what is left
+/// keeps the link in use while a sender is slow.
+const OF_ONE: u64 = 3;
+
+/// Bodies that come in at once: a sender that is slow must not leave the link idle,
+/// and each further body only makes all of them late together.
+const MOST_MOVING: usize = 4;
+
+/// Time after which what was asked for counts as lost: its sender is gone or held up,
+/// and would keep the others from the link. A healthy one answers within 20 ms.
+const STALL: Duration = Duration::from_millis(100);
+
+/// Time over which the rate that is seen is averaged: some dozens of bodies at most.
+const RATE_MEMORY: f64 = 2.0;
+
+/// Time at the rate that was told with which an intake starts.
+const RATE_PRIOR: f64 = 0.2;
+
+/// Share of the rate that was told under which the rate seen is not believed: senders
+/// that are all slow look like a slow link, and asking them for less would make it so.
+const LEAST_RATE: f64 = 0.1;
+
+/// Times what a call is expected to take that must be left after its body, until its
+/// target and until its deadline: as for calls that wait for a slot.
+const MARGIN: (f64, f64) = (1.3, 1.5);
+
+/// Least wait, in times of the call with its body, that any may begin with.
+const LEAST_SLACK: f64 = 0.25;
+
+/// Bodies of mean length in front of a further one at which the link counts as full.
+const FULL: f64 = 6.0;
+
+/// Rate that is assumed of a link when nobody tells it, in bytes a second: 100 Mbit/s,
+/// of which a tenth may be all that there is.
+const USUAL_RATE: f64 = 12.5e6;
+
+/// Names a body.
+pub type Key = u64;
+
+/// A body that asks to be sent.
+#[derive(Debug, Clone, Copy)]
+pub struct Ask {
+    /// The call that it is of.
+    pub call: Request,
+    /// Its length in bytes.
+    pub length: u64,
+    /// How long the call is expected to take once its body is there.
+    pub run: Duration,
+}
+
+/// What becomes of a body that asked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Next {
+    /// So many further bytes of it are to be sent.
+    Send(Key, u32),
+    /// It is given up, as it can't be whole in time any more.
+    Refuse(Key, Refusal),
+}
+
+/// A body of which nothing was asked for yet.
+#[derive(Debug, Clone, Copy)]
+struct Waiting {
+    key: Key,
+    length: u64,
+}
+
+/// A body that comes in.
+#[derive(Debug, Clone, Copy)]
+struct Moving {
+    key: Key,
+    /// Bytes that were not asked for.
+    left: u64,
+    /// Bytes that were asked for and have not come.
+    due: u64,
+    /// When some of it last came or was asked for.
+    at: Instant,
+}
+
+impl Moving {
+    fn is_stalled(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.at) >= STALL
+    }
+
+    fn bytes(&self) -> u64 {
+        self.left + self.due
+    }
+}
+
+/// Bytes a second that come in while some are due.
+#[derive(Debug, Clone, Copy)]
+struct Rate {
+    told: f64,
+    bytes: f64,
+    seconds: f64,
+    /// Since when bytes are due, or when some last came.
+    since: Option<Instant>,
+}
+
+impl Rate {
+    fn new(told: f64) -> Self {
+        Self {
+            told,
+            bytes: told * RATE_PRIOR,
+            seconds: RATE_PRIOR,
+            since: None,
+        }
+    }
+
+    /// Takes in that bytes came, and whether more are due.
+    fn take(&mut self, now: Instant, bytes: f64, more: bool) {
+        let Some(since) = self.since else {
+            return;
+        };
+        let took = now.saturating_duration_since(since).as_secs_f64();
+        let fade = (-took / RATE_MEMORY).exp();
+        self.bytes = self.bytes * fade + bytes;
+        self.seconds = self.seconds * fade + took;
+        self.since = more.then_some(now);
+    }
+
+    fn get(&self) -> f64 {
+        (self.bytes / self.seconds).clamp(self.told * LEAST_RATE, self.told)
+    }
+}
+
+/// The bodies that come in over one VM's link.
+#[derive(Debug)]
+pub struct Intake {
+    rate: Rate,
+    queue: Queue,
+    waiting: HashMap<queue::Key, Waiting>,
+    moving: Vec<Moving>,
+    promises: [Promise; TIERS.len()],
+    mean_length: f64,
+    next_key: Key,
+}
+
+impl Intake {
+    /// Makes the intake of a link of so many bytes a second, if that is known.
+    #[must_use]
+    pub fn new(now: Instant, rate: Option<f64>) -> Self {
+        Self {
+            rate: Rate::new(rate.unwrap_or(USUAL_RATE)),
+            queue: Queue::new(),
+            waiting: HashMap::new(),
+            moving: Vec::new(),
+            promises: [Promise::new(now); TIERS.len()],
+            mean_length: 0.0,
+            next_key: 0,
+        }
+    }
+
+    /// Gives the bytes a second that are reckoned with.
+    #[must_use]
+    pub fn rate(&self) -> f64 {
+        self.rate.get()
+    }
+
+    /// Gives bodies that wait or come in over those that make the link count as full.
+    #[must_use]
+    pub fn load(&self) -> f64 {
+        if self.mean_length < 1.0 {
+            return 0.0;
+        }
+        let waiting: u64 = self.waiting.values().map(|body| body.length).sum();
+        to_f64(waiting + self.moving_bytes()) / (self.mean_length * FULL)
+    }
+
+    /// Decides on a body that asks to be sent; [`Intake::next`] names what is to come of it.
+    ///
+    /// # Errors
+    ///
+    /// When it could not be whole in time.
+    pub fn offer<R>(&mut self, now: Instant, ask: &Ask, rng: &mut R) -> Result<Key, Refusal>
+    where
+        R: Rng,
+    {
+        self.mean_length += (to_f64(ask.length) - self.mean_length) / 16.0;
+        let entry = self.entry_of(now, ask);
+        let ahead = self
+            .queue
+            .work_before(entry.tier, entry.long, entry.start_by)
+            + to_f64(self.moving_bytes()) / self.rate();
+        if now + seconds(ahead) > entry.start_by {
+            let left = ask.call.deadline.saturating_duration_since(now);
+            let takes = ahead + entry.cost + MARGIN.1 * ask.run.as_secs_f64();
+            let reason = if takes > left.as_secs_f64() {
+                Reason::Deadline
+            } else {
+                Reason::Full
+            };
+            return Err(self.refuse(now, &entry, reason, rng));
+        }
+        let key = self.next_key;
+        self.next_key += 1;
+        let place = self.queue.push(entry);
+        let length = ask.length;
+        self.waiting.insert(place, Waiting { key, length });
+        Ok(key)
+    }
+
+    /// Gives what is to come of the bodies, one at a time: to be called until it gives
+    /// none, after each of the other calls and at [`Intake::wake_at`].
+    pub fn next<R>(&mut self, now: Instant, rng: &mut R) -> Option<Next>
+    where
+        R: Rng,
+    {
+        while let Some((place, entry)) = self.queue.expire(now) {
+            let refusal = self.refuse(now, &entry, Reason::Deadline, rng);
+            if let Some(body) = self.waiting.remove(&place) {
+                return Some(Next::Refuse(body.key, refusal));
+            }
+        }
+        loop {
+            if let Some(next) = self.ask_on(now) {
+                return Some(next);
+            }
+            if !self.begin_next(now) {
+                return None;
+            }
+        }
+    }
+
+    /// Takes in that bytes of a body came.
+    pub fn take(&mut self, now: Instant, key: Key, bytes: u64) {
+        let Some(body) = self.moving.iter_mut().find(|body| body.key == key) else {
+            return;
+        };
+        body.due = body.due.saturating_sub(bytes);
+        body.at = now;
+        let is_whole = body.bytes() == 0;
+        let more = self.moving.iter().any(|body| body.due > 0);
+        self.rate.take(now, to_f64(bytes), more);
+        if is_whole {
+            self.end(key);
+        }
+    }
+
+    /// Forgets a body that is whole, or that nobody waits for any more.
+    pub fn end(&mut self, key: Key) {
+        self.moving.retain(|body| body.key != key);
+        let place = self.waiting.iter().find(|(_, body)| body.key == key);
+        if let Some(place) = place.map(|(place, _)| *place) {
+            self.waiting.remove(&place);
+            self.queue.remove(place);
+        }
+        if self.moving.iter().all(|body| body.due == 0) {
+            self.rate.since = None;
+        }
+    }
+
+    /// Tells whether more of a body is to come.
+    #[must_use]
+    pub fn has(&self, key: Key) -> bool {
+        self.moving.iter().any(|body| body.key == key)
+            || self.waiting.values().any(|body| body.key == key)
+    }
+
+    /// Gives when [`Intake::next`] is next worth a call, if nothing comes before.
+    #[must_use]
+    pub fn wake_at(&mut self, now: Instant) -> Option<Instant> {
+        // What has stalled already waits for nothing that the time alone brings.
+        let stalls = self.moving.iter().filter(|body| body.due > 0);
+        let stalls_at = stalls
+            .map(|body| body.at + STALL)
+            .filter(|at| *at > now)
+            .min();
+        let expires_at = self.queue.wake_at();
+        stalls_at.into_iter().chain(expires_at).min()
+    }
+
+    /// Gives what is known of a body, with the latest moment at which it may begin to come.
+    fn entry_of(&self, now: Instant, ask: &Ask) -> Entry {
+        let cost = to_f64(ask.length) / self.rate();
+        let run = ask.run.as_secs_f64();
+        let tier = find_tier(now, &ask.call);
+        let until = |end: Instant, margin: f64| {
+            let left = end.saturating_duration_since(now).as_secs_f64();
+            left - cost - margin * run
+        };
+        let mut slack = until(ask.call.deadline, MARGIN.1);
+        let is_aimed = !matches!(tier, Tier::Commit | Tier::Nested | Tier::Overdue);
+        if let Some(target) = ask.call.target.filter(|_| is_aimed) {
+            let least = LEAST_SLACK * (cost + run);
+            slack = slack.min(until(target, MARGIN.0).max(least));
+        }
+        Entry {
+            tier,
+            caller: Place::default(),
+            key: Place::default(),
+            route: ask.call.route,
+            long: false,
+            cost,
+            // One without any time left is refused unless nothing is before it.
+            start_by: now + seconds(slack.max(0.0)),
+        }
+    }
+
+    /// Asks for the next piece of the bodies that come in, the first of them first.
+    fn ask_on(&mut self, now: Instant) -> Option<Next> {
+        let most = (self.rate() * AHEAD).clamp(AHEAD_BYTES.0, AHEAD_BYTES.1);
+        let piece = (to_u64(most) / PIECES).max(1);
+        let due = |body: &Moving| if body.is_stalled(now) { 0 } else { body.due };
+        let all: u64 = self.moving.iter().map(due).sum();
+        if all + piece > to_u64(most) {
+            return None;
+        }
+        let is_idle = all == 0;
+        let body = self
+            .moving
+            .iter_mut()
+            .find(|body| body.left > 0 && body.due + piece.min(body.left) <= OF_ONE * piece)?;
+        let bytes = piece.min(body.left);
+        body.left -= bytes;
+        body.due += bytes;
+        body.at = now;
+        let key = body.key;
+        if is_idle {
+            self.rate.since = Some(now);
+        }
+        Some(Next::Send(key, u32::try_from(bytes).unwrap_or(u32::MAX)))
+    }
+
+    /// Lets the body come in whose turn it is; gives false when there is none, or no room.
+    fn begin_next(&mut self, now: Instant) -> bool {
+        let stalled = self.moving.iter().filter(|body| body.is_stalled(now));
+        if self.moving.len() - stalled.count() >= MOST_MOVING {
+            return false;
+        }
+        let most = (self.rate() * AHEAD).clamp(AHEAD_BYTES.0, AHEAD_BYTES.1);
+        let due = |body: &Moving| if body.is_stalled(now) { 0 } else { body.due };
+        let all: u64 = self.moving.iter().map(due).sum();
+        if all + to_u64(most) / PIECES > to_u64(most) {
+            return false;
+        }
+        let Some((place, _)) = self.queue.pop(false) else {
+            return false;
+        };
+        let Some(body) = self.waiting.remove(&place) else {
+            return true;
+        };
+        self.moving.push(Moving {
+            key: body.key,
+            left: body.length,
+            due: 0,
+            at: now,
+        });
+        true
+    }
+
+    fn moving_bytes(&self) -> u64 {
+        self.moving.iter().map(Moving::bytes).sum()
+    }
+
+    /// Refuses, with the time until the link has carried all that was refused before.
+    fn refuse<R>(&mut self, now: Instant, entry: &Entry, reason: Reason, rng: &mut R) -> Refusal
+    where
+        R: Rng,
+    {
+        // Counted in seconds of the link, of which it carries one a second.
+        let wait = self.promises[rank_of(entry.tier)].add(now, entry.cost, 1.0);
+        Refusal {
+            reason,
+            retry_after: backoff::spread(seconds(wait), rng),
+        }
+    }
+}
+
+fn seconds(seconds: f64) -> Duration {
+    Duration::try_from_secs_f64(seconds).unwrap_or(Duration::ZERO)
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "lengths of bodies stay far below 2^53"
+)]
+fn to_f64(bytes: u64) -> f64 {
+    bytes as f64
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "bounded by the bytes that may be asked for"
+)]
+fn to_u64(bytes: f64) -> u64 {
+    bytes as u64
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,7 +7,7 @@
 //! lock.
 //!
 //! In front of a backend server, an inbound proxy holds one
-//! [`admission::Admission`]. Towards each service, an outbound proxy holds one
+//! [`admission::Admission`] and one [`intake::Intake`]. Towards each service, an outbound proxy holds one
 //! [`balance::Balance`], one [`retry::Budget`] and one [`hedge::Hedge`].
 //!
 //! ```
@@ -46,6 +46,7 @@
 pub mod duration;
 pub mod elapsed;
 pub mod hedge;
+pub mod intake;
 pub mod limit;
 pub mod outlier;
 pub mod queue;
--- a/crates/policy/src/share.rs
+++ b/crates/policy/src/share.rs
@@ -27,7 +27,7 @@
 const TOLERANCE: f64 = 2.0;
 
 /// A caller's place in a table.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Place([u16; 2]);
 
 /// What each caller of a class has had lately.
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -1,6 +1,6 @@
 //! Settings of `bluebellpick-node`.
 
-pub use crate::value::{Distribution, Interface, Share, Token};
+pub use crate::value::{Distribution, Interface, Rate, Share, Token};
 
 use crate::document::{Document, read_file};
 use crate::error::Error;
@@ -56,6 +56,8 @@
         [limits] repeat_extra: u32 = "50";
         /// Span in which the repeats of all nodes are counted.
         [limits] repeat_window: Duration = "10 s";
+        /// What the VM's link carries, in Mbit/s; bodies of requests come in no faster, so that small calls find it free. Empty for what is seen of it.
+        [limits] link_mbps: Option<Rate> = "";
         /// Threads that serve calls, beside the one that distributes; one is enough for some thousand calls a second.
         [limits] threads: u16 = "1";
         /// Token that operators' writes must carry.
--- a/crates/settings/src/value.rs
+++ b/crates/settings/src/value.rs
@@ -206,6 +206,41 @@
     }
 }
 
+/// A rate of a link, in kilobits a second.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Rate(u64);
+
+impl Rate {
+    /// Gives the rate in bytes a second.
+    #[must_use]
+    pub fn bytes_per_second(self) -> f64 {
+        #[expect(clippy::cast_precision_loss, reason = "far below 2^53")]
+        let kilobits = self.0 as f64;
+        kilobits * 125.0
+    }
+}
+
+impl Value for Rate {
+    const FORM: &str = "megabits a second from 0.001 to 1000000, such as 1000 or 8.4";
+
+    fn read(text: &str) -> Result<Self, Rejection> {
+        let megabits = text.parse::<f64>().ok().ok_or(Rejection::Form)?;
+        if megabits == 0.0 {
+            return Err(Rejection::Zero);
+        }
+        if !(0.001..=1e6).contains(&megabits) {
+            return Err(Rejection::Form);
+        }
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "from 1 to 1e9 by the check above"
+        )]
+        let kilobits = (megabits * 1_000.0).round() as u64;
+        Ok(Self(kilobits))
+    }
+}
+
 impl Value for Token {
     const FORM: &str =
         "a secret of at least 16 characters without spaces, or none to refuse operators' writes";
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -31,6 +31,8 @@
     pub caller: SmolStr,
     /// Hash of its route and method: calls of one take about as long.
     pub route: u64,
+    /// Bytes of body that follow, as far as its sender knows: all, or those it has read.
+    pub length: u64,
     /// Whether no body follows.
     pub end: bool,
 }
@@ -145,7 +147,14 @@
     Leaving(bool),
 }
 
-/// Bytes of a body that its sender may send before the first [`Frame::Credit`].
+/// Longest body of a request that goes with its head; of a longer one nothing is sent
+/// before the first [`Frame::Credit`].
+///
+/// Refused, it has cost its head alone. Forms and searches are some hundred bytes,
+/// for which to ask first would only be a trip more.
+pub const EAGER: usize = 4 << 10;
+
+/// Bytes of an answer's body that its sender may send before the first [`Frame::Credit`].
 ///
 /// One trip and back within a region is about 1 ms, so that a body still moves
 /// at 64 MB a second, and a thousand calls that nobody reads hold 64 MB at most.
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -56,6 +56,7 @@
             class: config::Class::Commit,
             caller: caller.into(),
             route,
+            length: route >> 32,
             end,
         },
     )
