--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -249,5 +249,5 @@
     let (found, _) = decode::<Hello>(&buffer).unwrap().unwrap();
     assert_eq!(found.protocol, PROTOCOL + 1);
     let error = Error::Protocol(found.protocol).to_string();
-    assert_eq!(error, "peer speaks protocol 3, this node speaks 2");
+    assert_eq!(error, "peer speaks protocol 4, this node speaks 3");
 }
