Let a node that stops take the calls of other nodes for as long as those of its callers

Ruled out: a probe of the backend server at the start of a node, in place of waiting for its heartbeat (a refused heartbeat comes again within 0.3 s).

Change: other nodes are sent away a second later, with the node's own callers.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -128,9 +128,8 @@
     /// The drain timeout of the settings bounds the wait; what it cuts off is logged.
     pub async fn stop(self) {
         let limit = self.hand_over().await;
-        self.shared.leaving.send_replace(true);
         info!(stop_limit_s = limit.as_secs_f64(); "leaving");
-        let (callers, calls) = tokio::join!(self.outbound.drain(limit), self.inbound.drain(limit));
+        let (callers, calls) = end_calls(&self.shared, &self.inbound, &self.outbound, limit).await;
         if callers + calls > 0 {
             warn!(callers, calls; "cut_off");
         }
@@ -143,6 +142,30 @@
     }
 }
 
+/// Ends the calls of callers and of other nodes; gives how many of each are left at `limit`.
+///
+/// Other nodes are sent away once this node's own callers are: the backend server
+/// stays, and each second for which its node refuses others is one without it. With
+/// both at once, a restart of the node beside the last backend server of a service
+/// took 1.6 s to 2.5 s of that service from everybody, of which this gives one back.
+pub async fn end_calls<C>(
+    shared: &Shared<C>,
+    inbound: &inbound::Handle<C>,
+    outbound: &outbound::Handle<C>,
+    limit: Duration,
+) -> (usize, usize)
+where
+    C: Clock,
+{
+    let wait = outbound::lame_duck(limit);
+    let calls = async {
+        tokio::time::sleep(wait).await;
+        shared.leaving.send_replace(true);
+        inbound.drain(limit.saturating_sub(wait)).await
+    };
+    tokio::join!(outbound.drain(limit), calls)
+}
+
 /// Binds an address without taking connections yet, so that a taken one is found at the start.
 fn bind_unheard(address: SocketAddr) -> io::Result<TcpSocket> {
     let bound = || {
--- a/crates/node/src/outbound.rs
+++ b/crates/node/src/outbound.rs
@@ -67,6 +67,12 @@
 /// Pause after a failed accept, so that running out of sockets does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Gives how long a node that has `timeout` to leave goes on taking calls of its callers.
+#[must_use]
+pub fn lame_duck(timeout: Duration) -> Duration {
+    LAME_DUCK.min(timeout / 2)
+}
+
 /// The outbound proxy.
 #[derive(Debug)]
 pub struct Handle<C>
@@ -241,7 +247,7 @@
         self.inner.advance(Stage::LameDuck);
         let all = u32::from(self.inner.shared.settings.connections);
         let ended = async {
-            tokio::time::sleep(LAME_DUCK.min(timeout / 2)).await;
+            tokio::time::sleep(lame_duck(timeout)).await;
             self.inner.advance(Stage::Closing);
             // Waiting for all permits keeps every further one from the listener.
             let mut stage = self.inner.stage.subscribe();
--- a/crates/node/tests/calls/ending.rs
+++ b/crates/node/tests/calls/ending.rs
@@ -46,6 +46,31 @@
     }
 }
 
+// The node beside the last backend server of a service is restarted, and the backend
+// server stays. Callers of all other nodes were refused from the first instant on,
+// though the node went on for another second with its own callers. It must take
+// the calls of others for as long, and end with none cut off.
+#[tokio::test]
+async fn last_of_service_restarts() {
+    let (near, far, record) = spawn_pair().await;
+    let limit = Duration::from_secs(4);
+    let ending = node::node::end_calls(&far.shared, &far.inbound, &far.outbound, limit);
+    let calling = async {
+        let mut answered = 0;
+        while !*far.shared.leaving.borrow() {
+            let answer = post(near.outbound.address(), "r", "10", "1000").await;
+            answered += u32::from(answer.status == StatusCode::OK);
+        }
+        let late = post(near.outbound.address(), "late", "10", "1000").await;
+        (answered, late)
+    };
+    let (left, (answered, late)) = tokio::join!(ending, calling);
+    assert_eq!(left, (0, 0));
+    assert!(answered > 20, "{answered}");
+    assert_eq!(late.verdict(), "not-run");
+    assert!(record.entries().iter().all(|run| run.request == "r"));
+}
+
 // A clerk closes the page while a job is being booked. The backend server must
 // learn of it and stop, whichever node the clerk's call came in by.
 #[yare::parameterized(remote = { Entry::Near }, local = { Entry::Far })]
