--- a/crates/standin/tests/drain.rs
+++ b/crates/standin/tests/drain.rs
@@ -88,7 +88,14 @@
     let (mut child, address) = spawn_backend(&node).await;
     let (method, body) = timeout(LIMIT, came.recv()).await.unwrap().unwrap();
     let announced: Value = serde_json::from_str(&body).unwrap();
-    let expected = json!({"service": "claims", "address": address, "slots": 3});
+    let process = announced["incarnation"].as_u64().expect("it names itself");
+    let expected = json!({
+        "service": "claims",
+        "address": address,
+        "slots": 3,
+        "incarnation": process,
+        "sequence": 1,
+    });
     assert_eq!((method.as_str(), announced), ("put", expected));
     let mut caller = TcpStream::connect(&address).await.unwrap();
     caller
@@ -112,12 +119,32 @@
             .unwrap()
             .success()
     );
-    let mut methods = Vec::new();
-    while let Ok((method, _)) = came.try_recv() {
-        methods.push(method);
+    let mut words = Vec::new();
+    while let Ok(word) = came.try_recv() {
+        words.push(word);
+    }
+    words.retain(|(method, _)| method != "put");
+    assert_eq!(words[0].0, "delete");
+    assert_eq!(words[1].0, "get");
+    let farewell: Value = serde_json::from_str(&words[0].1).unwrap();
+    assert_eq!(farewell, json!({"incarnation": process}));
+}
+
+// A backend server's stop took until its limit: the node that had heard the farewell was
+// killed, and the one that followed it answered each question with `leaving: false`,
+// since nobody told it.
+#[tokio::test]
+async fn farewell_again() {
+    let (node, mut came) = spawn_node(json!({"in_flight": 0, "leaving": false})).await;
+    let (mut child, _) = spawn_backend(&node).await;
+    timeout(LIMIT, came.recv()).await.unwrap().unwrap();
+    terminate(&child);
+    let mut told = 0;
+    while told < 3 {
+        let (method, _) = timeout(LIMIT, came.recv()).await.unwrap().unwrap();
+        told += u32::from(method == "delete");
     }
-    methods.retain(|method| method != "put");
-    assert_eq!(methods[..2], ["delete", "get"]);
+    child.kill().await.unwrap();
 }
 
 async fn wait_for_work(address: &str) {
