Tell an older word of a backend server from a newer one, by process and number

Cause: a heartbeat that waited in a socket while the node was paused was read after the farewell, over another connection (log: backend_leaving, 1 ms later backend_announced). The product's own announcements carried nothing to tell them apart; the number of the process was optional, and a farewell had none. Ruled out: operators' drain (one way, no later word undoes it), leases of roots (conditional on a revision), endpoints between nodes (ranked by process and number). The same fault stood in what a node tells its links: one accepted while its backend server came back could hear of that first and of the leaving after it; both are told under one lock now. Change: words carry process and number; one module orders them for the product's and the platform's words. A farewell names its process. The stand-in names itself and repeats its farewell to a node that has not heard it.

--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -4,6 +4,8 @@
 //! and how many at once; it is repeated as a heartbeat. `DELETE /v1/announce`
 //! says that it is leaving: from that instant it gets no new call. `GET`
 //! tells it how many calls are still in flight, so that it knows when to end.
+//! Words come over several connections, and a pause of the node may turn their
+//! order: [`process`] tells an older one from a newer one.
 //! With `interface = platform` it announces itself in the platform's words as
 //! well, which [`platform::announce`] reads.
 //!
@@ -11,6 +13,9 @@
 //! moment would otherwise lose all its work at once; one that is really gone
 //! refuses connections, which the inbound proxy sees at its next call.
 
+mod process;
+
+use crate::announce::process::{Known, Process, Word};
 use crate::listener::{self, Answer, Handle, Limits, answer_json, refuse};
 use crate::shared::{Backend, Shared};
 use clock::Clock;
@@ -21,7 +26,6 @@
 use platform::announce::Notice;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
-use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -50,6 +54,18 @@
     /// Number of its process; a restart gives a new one.
     #[serde(default)]
     pub incarnation: Option<u64>,
+    /// Grows with each announcement of one process, so that a late one shows.
+    #[serde(default)]
+    pub sequence: Option<u64>,
+}
+
+/// What a backend server says when it leaves, if it says whose farewell it is.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Farewell {
+    /// Number of its process.
+    #[serde(default)]
+    pub incarnation: Option<u64>,
 }
 
 /// What a backend server is told.
@@ -108,127 +124,6 @@
     known: Mutex<Known>,
 }
 
-/// Former processes of the backend server that are remembered: restarts within an hour, at most.
-const MAX_FORMER: usize = 32;
-
-/// What names a process of the backend server on the platform.
-///
-/// A backend server may start again under the name that it had, and then counts
-/// its announcements anew: by its name alone, its heartbeats would pass for late
-/// ones of the former process, and a departure of that one would end it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-struct Process {
-    instance: SmolStr,
-    /// When it started, by its VM's clock, if it says so.
-    born: Option<u64>,
-}
-
-impl Process {
-    /// Tells whether it started before another, as far as both say when.
-    ///
-    /// The clock may have been set back in between: it is a hint, not a proof.
-    fn is_older(&self, other: &Self) -> bool {
-        match (self.born, other.born) {
-            (Some(born), Some(others)) => born < others,
-            _ => false,
-        }
-    }
-}
-
-/// The backend server's process that announced itself last.
-#[derive(Default)]
-struct Known {
-    incarnation: Option<u64>,
-    process: Option<Process>,
-    sequence: u64,
-    left: bool,
-    former: VecDeque<Former>,
-}
-
-/// A process of the backend server that is taken for gone.
-struct Former {
-    process: Process,
-    /// Whether it said so itself; otherwise another one took its place.
-    left: bool,
-    /// Announcements that came from it since.
-    heard: u8,
-}
-
-/// Announcements after which one whose place was taken is the living one after
-/// all: what a cut has held up comes once, a heartbeat goes on.
-const ALIVE: u8 = 2;
-
-impl Known {
-    /// Tells whether a notice of a process is newer than what is known.
-    ///
-    /// Guards against an announcement that a cut has held up: it may come after
-    /// its sender has left or crashed and another process has its address, and
-    /// calls would be addressed to a process that is gone.
-    fn is_news(&mut self, process: &Process, sequence: Option<u64>) -> bool {
-        if let Some(place) = self.former.iter().position(|one| one.process == *process) {
-            let former = &mut self.former[place];
-            former.heard = former.heard.saturating_add(1);
-            if former.left || former.heard < ALIVE {
-                return false;
-            }
-            self.former.remove(place);
-        }
-        match &self.process {
-            Some(known) if known == process => {
-                !self.left && sequence.is_none_or(|sequence| sequence > self.sequence)
-            }
-            _ => true,
-        }
-    }
-
-    /// Tells whether a process that was not heard of before seems to be of the past.
-    ///
-    /// It is then heard a second time before it is believed: a word of the former
-    /// process that comes late is alone, the heartbeats of one whose clock was set
-    /// back before it started go on.
-    fn is_past(&self, process: &Process) -> bool {
-        let known = self.process.as_ref();
-        known.is_some_and(|known| known != process && process.is_older(known))
-            && !self.former.iter().any(|one| one.process == *process)
-    }
-
-    /// Names the process that a notice is from.
-    ///
-    /// A farewell that doesn't say when its sender started is of the process of
-    /// that name which is here: not to believe it would send calls to one that leaves.
-    fn identify(&self, notice: &Notice) -> Process {
-        let unnamed = notice.announcement.is_none() && notice.born.is_none();
-        let here = self.process.as_ref();
-        let here = here.filter(|known| unnamed && known.instance == notice.instance);
-        here.cloned().unwrap_or_else(|| Process {
-            instance: notice.instance.clone(),
-            born: notice.born,
-        })
-    }
-
-    fn note(&mut self, process: &Process, sequence: Option<u64>) {
-        if self.process.as_ref() != Some(process) {
-            if let Some(former) = self.process.replace(process.clone()) {
-                self.forget(former, self.left, 0);
-            }
-            self.left = false;
-        }
-        self.sequence = sequence.unwrap_or(self.sequence);
-    }
-
-    /// Takes a process for gone that was `heard` so often since.
-    fn forget(&mut self, process: Process, left: bool, heard: u8) {
-        self.former.push_back(Former {
-            process,
-            left,
-            heard,
-        });
-        if self.former.len() > MAX_FORMER {
-            self.former.pop_front();
-        }
-    }
-}
-
 async fn answer<C>(request: Request<Incoming>, desk: &Desk<C>) -> Answer
 where
     C: Clock,
@@ -245,17 +140,17 @@
     }
     match *request.method() {
         Method::GET => answer_json(StatusCode::OK, &read_status(desk)),
-        Method::DELETE => {
-            leave(desk);
-            answer_json(StatusCode::OK, &read_status(desk))
-        }
+        Method::DELETE => match take_farewell(request, desk.limits).await {
+            Ok(farewell) => answer_json(StatusCode::OK, &leave(desk, farewell)),
+            Err(refusal) => refusal,
+        },
         Method::PUT => match take_announcement(request, desk.limits).await {
             Ok(announcement) if enter(desk, &announcement) => {
                 answer_json(StatusCode::OK, &read_status(desk))
             }
             Ok(_) => refuse(
                 StatusCode::CONFLICT,
-                "this incarnation has said that it leaves",
+                "an older announcement, or one of a process that has left",
             ),
             Err(refusal) => refusal,
         },
@@ -286,25 +181,24 @@
 where
     C: Clock,
 {
+    let said = notice.announcement.as_ref();
+    let leaves = said.is_none_or(|one| one.leaving);
     let mut known = desk.known.lock();
-    let sequence = notice.announcement.as_ref().map(|one| one.sequence);
-    let leaves = notice.announcement.as_ref().is_none_or(|one| one.leaving);
-    let process = known.identify(&notice);
-    if known.is_past(&process) {
-        known.forget(process, leaves, 1);
-        return;
-    }
-    if !known.is_news(&process, sequence) {
-        return;
-    }
-    if leaves && known.process.as_ref() != Some(&process) {
-        // This node has not heard of it before, perhaps as it is new itself: an
-        // announcement that comes late must not bring it back, nor may its
-        // departure end the one that is here.
-        known.forget(process, true, 0);
+    let process = Process::on_platform(notice.instance.clone(), notice.born);
+    let is_unnamed = said.is_none() && notice.born.is_none();
+    let process = if is_unnamed {
+        known.find_namesake(process)
+    } else {
+        process
+    };
+    let word = Word {
+        sequence: said.map(|one| one.sequence),
+        leaves,
+        at: desk.shared.clock.now(),
+    };
+    if !known.take(&process, &word) {
         return;
     }
-    known.note(&process, sequence);
     match notice.announcement {
         Some(announcement) if !announcement.leaving => {
             let backend = Backend {
@@ -318,11 +212,17 @@
             };
             install(desk, &backend);
         }
-        Some(_) | None => {
-            known.left = true;
-            begin_leave(desk);
-        }
+        Some(_) | None => begin_leave(desk),
+    }
+}
+
+async fn take_farewell(request: Request<Incoming>, limits: Limits) -> Result<Farewell, Answer> {
+    let body = listener::read_body(request.into_body(), limits).await?;
+    if body.is_empty() {
+        return Ok(Farewell::default());
     }
+    serde_json::from_slice(&body)
+        .map_err(|error| refuse(StatusCode::BAD_REQUEST, &error.to_string()))
 }
 
 async fn take_announcement(
@@ -351,23 +251,25 @@
     None
 }
 
-/// Takes an announcement, or gives false for one of a process that has left.
-///
-/// Guards against a heartbeat that overtakes or trails the departure on another
-/// connection: it would send new work to a process that is about to end. A
-/// process that names its incarnation can't come back once it has left.
+/// Takes an announcement, or gives false for one that is not news.
 fn enter<C>(desk: &Desk<C>, announcement: &Announcement) -> bool
 where
     C: Clock,
 {
+    let word = Word {
+        sequence: announcement.sequence,
+        leaves: false,
+        at: desk.shared.clock.now(),
+    };
     let mut known = desk.known.lock();
-    let is_same =
-        announcement.incarnation.is_some() && announcement.incarnation == known.incarnation;
-    if is_same && known.left {
+    if !known.take(&Process::of_product(announcement.incarnation), &word) {
+        info!(
+            incarnation:? = announcement.incarnation,
+            sequence:? = announcement.sequence;
+            "announcement_late"
+        );
         return false;
     }
-    known.incarnation = announcement.incarnation;
-    known.left = false;
     let backend = Backend {
         service: announcement.service.clone(),
         instance: None,
@@ -412,12 +314,29 @@
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
 
-fn leave<C>(desk: &Desk<C>)
+/// Takes a farewell, and gives what its sender is told: it leaves, whoever is here now.
+fn leave<C>(desk: &Desk<C>, farewell: Farewell) -> Status
 where
     C: Clock,
 {
-    desk.known.lock().left = true;
-    begin_leave(desk);
+    let word = Word {
+        sequence: None,
+        leaves: true,
+        at: desk.shared.clock.now(),
+    };
+    let mut known = desk.known.lock();
+    let process = match farewell.incarnation {
+        Some(_) => Process::of_product(farewell.incarnation),
+        None => known.find_present(),
+    };
+    if known.take(&process, &word) {
+        begin_leave(desk);
+    }
+    drop(known);
+    Status {
+        leaving: true,
+        ..read_status(desk)
+    }
 }
 
 fn begin_leave<C>(desk: &Desk<C>)
@@ -443,6 +362,6 @@
     Status {
         in_flight: *desk.shared.in_flight.borrow(),
         // Also one that left before it was heard of, by a node that is new itself.
-        leaving: desk.known.lock().left,
+        leaving: desk.known.lock().has_left(),
     }
 }
--- a/crates/node/src/inbound.rs
+++ b/crates/node/src/inbound.rs
@@ -99,10 +99,13 @@
         let mut links = self.inner.links.lock();
         links.retain(|known| known.strong_count() > 0);
         links.push(Arc::downgrade(&sender));
-        drop(links);
+        // Looked at under the lock, as by the task that tells of changes: a server
+        // that came back in between would be told of first, and count as leaving
+        // at this peer for as long as the link lives.
         if self.inner.is_leaving() {
             drop(sender.send([Frame::Leaving(true)]));
         }
+        drop(links);
         let origin = hello.incarnation;
         tokio::spawn(run_link(Arc::clone(&self.inner), sender, receiver, origin));
         Ok(())
@@ -312,11 +315,11 @@
         let Some(inner) = inner.upgrade().filter(|_| changed.is_ok()) else {
             return;
         };
+        let links = inner.links.lock();
         let leaving = inner.is_leaving();
         if std::mem::replace(&mut told, leaving) == leaving {
             continue;
         }
-        let links = inner.links.lock().clone();
         for sender in links.iter().filter_map(Weak::upgrade) {
             drop(sender.send([Frame::Leaving(leaving)]));
         }
--- a/crates/standin/src/announce.rs
+++ b/crates/standin/src/announce.rs
@@ -33,6 +33,17 @@
     pub address: SocketAddr,
     /// Calls that it runs at once.
     pub slots: u16,
+    /// Number of its process.
+    pub incarnation: u64,
+    /// Grows with each announcement, by which the node tells a late one.
+    pub sequence: u64,
+}
+
+/// What it says when it leaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Farewell {
+    /// Number of its process.
+    pub incarnation: u64,
 }
 
 /// What the node tells of the backend server's calls.
@@ -62,24 +73,31 @@
     }
 
     /// Announces again and again, for as long as the task lives.
-    pub async fn announce(&self, announcement: Announcement) {
-        let body = serde_json::to_vec(&announcement).unwrap_or_default();
+    pub async fn announce(&self, mut announcement: Announcement) {
         loop {
             // A node that is not there yet hears the next heartbeat.
-            drop(self.call(Method::PUT, body.clone().into()).await);
+            drop(self.call(Method::PUT, encode(&announcement)).await);
+            announcement.sequence += 1;
             sleep(HEARTBEAT).await;
         }
     }
 
     /// Tells that no new work is wanted, and waits until the node has none in flight.
-    pub async fn leave(&self, limit: Duration) {
+    ///
+    /// The node may be killed once it knows; the next one says that nobody leaves,
+    /// and is told again.
+    pub async fn leave(&self, farewell: Farewell, limit: Duration) {
         let end = Instant::now() + limit;
         let mut told = false;
         while Instant::now() < end {
-            if !told {
-                told = self.call(Method::DELETE, Bytes::new()).await.is_some();
-            } else if self.read_status().await.is_some_and(is_done) {
-                return;
+            if told {
+                match self.read_status().await {
+                    Some(status) if is_done(status) => return,
+                    Some(status) => told = status.leaving,
+                    None => {}
+                }
+            } else {
+                told = self.call(Method::DELETE, encode(&farewell)).await.is_some();
             }
             sleep(DRAIN_INTERVAL).await;
         }
@@ -107,6 +125,13 @@
     }
 }
 
+fn encode<T>(word: &T) -> Bytes
+where
+    T: Serialize,
+{
+    serde_json::to_vec(word).unwrap_or_default().into()
+}
+
 fn is_done(status: Status) -> bool {
     status.leaving && status.in_flight == 0
 }
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -2,7 +2,7 @@
 
 use bpaf::{Parser, construct, long};
 use smol_str::SmolStr;
-use standin::announce::{Announcement, Node};
+use standin::announce::{Announcement, Farewell, Node};
 use standin::backend::{Backend, Plan};
 use standin::platform::Rates;
 use standin::record::Record;
@@ -179,6 +179,8 @@
                 service,
                 address: listener.local_addr()?,
                 slots: plan.slots,
+                incarnation: rand::random(),
+                sequence: 1,
             };
             let backend = Backend::spawn(listener, plan, record, seed);
             serve_backend(&backend, announce, announcement, &mut stop, drain_timeout).await;
@@ -196,6 +198,9 @@
     drain_timeout: Duration,
 ) {
     let node = announce.map(Node::open);
+    let farewell = Farewell {
+        incarnation: announcement.incarnation,
+    };
     let heartbeat = async {
         match &node {
             Some(node) => node.announce(announcement).await,
@@ -207,7 +212,7 @@
         _ = stop.recv() => {}
     }
     if let Some(node) = &node {
-        node.leave(drain_timeout).await;
+        node.leave(farewell, drain_timeout).await;
     }
     if tokio::time::timeout(drain_timeout, backend.drain())
         .await
