Let a backend server go when its answer has come, and give up on readers that take nothing

Cause: looked into live, the node held exactly one connection with bytes unread, 65,296 of them, to its own backend server, and the last byte had come at the kill of another node. The answer's reader was that node. Only its word makes room for more; the wait for it ended with the deadline and the 30 s that a commit may run on. Change: what the reader has no room for waits here, 256 kB of an answer and 16 answers at once, so that the slot is free when the backend server is done. A reader that takes nothing for 5 s is given up, log and metric say so. An answer that is whole here is delivered also after its deadline. A commit whose body has not come by its deadline has no 30 s more. A stop waits for answers as for calls, and 5 s at most for links nobody reads. Before: 8 tests of calls/unread failed (no slot within 2, 7 and 12 s). After: a slot after 2 ms for 200 kB, 5.01 s for 40 MB, whether the reader was killed or stands still.

--- a/crates/node/src/inbound.rs
+++ b/crates/node/src/inbound.rs
@@ -7,6 +7,7 @@
 pub(crate) mod entry;
 pub(crate) mod gate;
 pub(crate) mod link;
+pub(crate) mod outgoing;
 pub(crate) mod parents;
 pub(crate) mod run;
 
@@ -29,7 +30,7 @@
 use std::sync::{Arc, Weak};
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
-use tokio::sync::oneshot;
+use tokio::sync::{Semaphore, oneshot, watch};
 use wire::Hello;
 use wire::call::{Frame, Reason, Request};
 
@@ -39,6 +40,9 @@
 /// Time between two rounds of forgetting peers and outcomes.
 const FORGET_INTERVAL: Duration = Duration::from_secs(10);
 
+/// Longest wait at a stop for links whose peers read nothing; one that lives reads within milliseconds.
+const FLUSH_LIMIT: Duration = Duration::from_secs(5);
+
 /// The inbound proxy.
 #[derive(Debug, Clone)]
 pub struct Handle<C>
@@ -61,6 +65,10 @@
     pub(crate) bodies: Arc<Bodies<C>>,
     /// The calls that the backend server runs.
     pub(crate) parents: Arc<Parents>,
+    /// Calls of other nodes whose answers have not been taken.
+    answers: watch::Sender<usize>,
+    /// A permit is out for each answer that is held ahead of its reader.
+    pub(crate) ahead: Arc<Semaphore>,
 }
 
 /// Starts the inbound proxy.
@@ -79,6 +87,8 @@
         tables: Default::default(),
         links: Mutex::default(),
         parents: Arc::default(),
+        answers: watch::Sender::new(0),
+        ahead: Arc::new(Semaphore::new(run::MAX_AHEAD)),
     });
     tokio::spawn(forget(Arc::downgrade(&inner)));
     tokio::spawn(announce_leaving(Arc::downgrade(&inner)));
@@ -174,27 +184,53 @@
     /// Waits until nothing is in flight, and gives what is left of it at `timeout`.
     pub async fn drain(&self, timeout: Duration) -> usize {
         let mut active = self.inner.shared.in_flight.subscribe();
+        let mut answers = self.inner.answers.subscribe();
         let ended = async {
             drop(active.wait_for(|count| *count == 0).await);
-            let links = self.inner.links.lock().clone();
-            for sender in links.iter().filter_map(Weak::upgrade) {
-                sender.flushed().await;
-            }
+            drop(answers.wait_for(|count| *count == 0).await);
+            // A peer that reads nothing is given up as its answers are.
+            drop(tokio::time::timeout(FLUSH_LIMIT, self.flush()).await);
         };
-        match tokio::time::timeout(timeout, ended).await {
-            Ok(()) => 0,
-            Err(_) => (*self.inner.shared.in_flight.borrow()).max(1),
+        if tokio::time::timeout(timeout, ended).await.is_ok() {
+            return 0;
+        }
+        let in_flight = *self.inner.shared.in_flight.borrow();
+        in_flight.max(*self.inner.answers.borrow()).max(1)
+    }
+
+    /// Waits until the sockets of all links have taken what was sent.
+    async fn flush(&self) {
+        let links = self.inner.links.lock().clone();
+        for sender in links.iter().filter_map(Weak::upgrade) {
+            sender.flushed().await;
         }
     }
 }
 
-/// Counts a call as in flight until it is dropped.
+/// Counts a call until it is dropped.
 #[derive(Debug)]
 pub(crate) struct Active<C>
 where
     C: Clock,
 {
     inner: Arc<Inner<C>>,
+    counter: fn(&Inner<C>) -> &watch::Sender<usize>,
+}
+
+impl<C> Active<C>
+where
+    C: Clock,
+{
+    fn enter(inner: &Arc<Inner<C>>, counter: fn(&Inner<C>) -> &watch::Sender<usize>) -> Self {
+        counter(inner).send_if_modified(|count| {
+            *count += 1;
+            false
+        });
+        Self {
+            inner: Arc::clone(inner),
+            counter,
+        }
+    }
 }
 
 impl<C> Drop for Active<C>
@@ -202,7 +238,7 @@
     C: Clock,
 {
     fn drop(&mut self) {
-        self.inner.shared.in_flight.send_if_modified(|count| {
+        (self.counter)(&self.inner).send_if_modified(|count| {
             *count -= 1;
             *count == 0
         });
@@ -213,14 +249,14 @@
 where
     C: Clock,
 {
+    /// Counts a call that waits for the backend server or runs on it.
     pub(crate) fn count_in(self: &Arc<Self>) -> Active<C> {
-        self.shared.in_flight.send_if_modified(|count| {
-            *count += 1;
-            false
-        });
-        Active {
-            inner: Arc::clone(self),
-        }
+        Active::enter(self, |inner| &inner.shared.in_flight)
+    }
+
+    /// Counts a call of another node until its answer is taken.
+    pub(crate) fn count_answer(self: &Arc<Self>) -> Active<C> {
+        Active::enter(self, |inner| &inner.answers)
     }
 
     /// Tells whether new work is refused.
--- a/crates/node/src/inbound/entry.rs
+++ b/crates/node/src/inbound/entry.rs
@@ -1,5 +1,6 @@
 //! One call from another node, as the inbound proxy sees it.
 
+use crate::inbound::outgoing::Outgoing;
 use crate::link::Sender;
 use crate::link::wake;
 use crate::upload::{self, Rest, Upload};
@@ -10,11 +11,26 @@
 use std::future::poll_fn;
 use std::sync::Arc;
 use std::task::{Context, Poll, Waker};
+use std::time::Duration;
 use tokio::sync::Notify;
+use tokio::time::timeout;
 use wire::call::{Answer, EAGER, Frame, Reason, Refusal, WINDOW};
 
-/// Bytes of an answer's body in one frame: small enough that calls on one link take turns.
-pub(crate) const PART: usize = 16 << 10;
+/// Time between two looks at whether an answer's reader takes anything.
+const TAKE_TICK: Duration = Duration::from_secs(1);
+
+/// Looks in a row without progress after which an answer is given up.
+///
+/// Five seconds bear a reader whose VM stands still for some seconds, a lost
+/// link that is made again within two, and three lost packets in a row, which
+/// TCP sends again after 0.2, 0.6 and 1.4 s. They are counted rather than
+/// timed: a node that itself was stopped finds one look gone by, and reads first
+/// what has come meanwhile.
+const TAKE_TICKS: u32 = 5;
+
+/// The reader of an answer has taken nothing for too long.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Untaken;
 
 /// One call from another node.
 #[derive(Debug)]
@@ -25,27 +41,6 @@
     cancel: Notify,
 }
 
-/// The answer, on its way to the outbound proxy.
-///
-/// What the outbound proxy has not confirmed is kept, as TCP would, so that
-/// the answer can go on over another link when this one falls silent.
-#[derive(Debug)]
-struct Outgoing {
-    link: Arc<Sender>,
-    head: Option<Answer>,
-    kept: VecDeque<Bytes>,
-    /// Bytes of the body before those in `kept`.
-    start: u64,
-    /// Bytes of the body that were given to the link.
-    sent: u64,
-    /// Bytes of the body that the outbound proxy has room for.
-    limit: u64,
-    ended: bool,
-    refusal: Option<Refusal>,
-    cancelled: bool,
-    writer: Option<Waker>,
-}
-
 /// The request's body, on its way to the backend server.
 #[derive(Debug, Default)]
 struct Incoming {
@@ -67,18 +62,7 @@
         let eager = if length <= EAGER as u64 { EAGER } else { 0 };
         Arc::new(Self {
             id,
-            answer: Mutex::new(Outgoing {
-                link,
-                head: None,
-                kept: VecDeque::new(),
-                start: 0,
-                sent: 0,
-                limit: WINDOW as u64,
-                ended: false,
-                refusal: None,
-                cancelled: false,
-                writer: None,
-            }),
+            answer: Mutex::new(Outgoing::new(id, link)),
             upload: Mutex::new(Incoming {
                 ended: whole,
                 allowed: eager as u64,
@@ -111,7 +95,7 @@
         self.upload.lock().allowed += u64::from(bytes);
         let credit = Frame::Credit { id: self.id, bytes };
         // A closed link breaks the body off by itself.
-        drop(self.answer.lock().link.send([credit]));
+        drop(self.answer.lock().link().send([credit]));
     }
 
     /// Lets go of what is left of the request's body: its call is over.
@@ -136,7 +120,7 @@
 
     /// Tells whether the answer goes over `link`.
     pub(crate) fn is_on(&self, link: &Arc<Sender>) -> bool {
-        Arc::ptr_eq(&self.answer.lock().link, link)
+        Arc::ptr_eq(self.answer.lock().link(), link)
     }
 
     /// Tells whether more of the request's body is wanted.
@@ -188,11 +172,7 @@
 
     /// Notes that the outbound proxy has room for more of the answer.
     pub(crate) fn add_credit(&self, bytes: u32) {
-        let mut answer = self.answer.lock();
-        answer.limit += u64::from(bytes);
-        let confirmed = answer.limit.saturating_sub(WINDOW as u64);
-        answer.drop_confirmed(confirmed);
-        wake(&mut answer.writer);
+        self.answer.lock().add_credit(bytes);
     }
 
     /// Asks the call to end; whoever runs it says how it ended.
@@ -210,68 +190,56 @@
 
     /// Ends the call without an answer, or without the rest of one.
     pub(crate) fn refuse(&self, verdict: Verdict, reason: Reason, retry_after_ms: u32) {
-        let refusal = Refusal {
+        self.answer.lock().refuse(Refusal {
             id: self.id,
             verdict,
             reason,
             retry_after_ms,
-        };
-        let mut answer = self.answer.lock();
-        if !answer.ended && answer.refusal.is_none() {
-            answer.refusal = Some(refusal.clone());
-            // On a closed link nobody listens; the refusal is kept for the asking.
-            drop(answer.link.send([Frame::Refusal(refusal)]));
-        }
+        });
     }
 
     /// Sends the head of the answer, with the first part of its body if it is there.
     pub(crate) fn send_head(&self, head: Answer, first: Option<Bytes>, end: bool) {
-        let mut answer = self.answer.lock();
-        answer.head = Some(head.clone());
-        answer.ended = head.end;
-        let Some(bytes) = first else {
-            drop(answer.link.send([Frame::Answer(head)]));
-            return;
-        };
-        answer.keep(bytes.clone());
-        answer.ended = end;
-        let id = self.id;
-        let body = Frame::Body { id, bytes, end };
-        drop(answer.link.send([Frame::Answer(head), body]));
+        self.answer.lock().send_head(head, first, end);
     }
 
-    /// Sends a part of the answer's body as there is room for it.
-    pub(crate) async fn send_part(&self, mut bytes: Bytes) {
-        while !bytes.is_empty() {
-            let room = poll_fn(|cx| self.poll_room(cx)).await;
-            let part = bytes.split_to(bytes.len().min(room).min(PART));
-            let mut answer = self.answer.lock();
-            answer.keep(part.clone());
-            let id = self.id;
-            let body = Frame::Body {
-                id,
-                bytes: part,
-                end: false,
-            };
-            drop(answer.link.send([body]));
-        }
+    /// Takes in a part of the answer's body, and sends what the outbound proxy has room for.
+    pub(crate) fn add_part(&self, bytes: Bytes) {
+        self.answer.lock().add_part(bytes);
     }
 
     /// Ends the answer's body.
-    pub(crate) fn send_end(&self) {
-        let mut answer = self.answer.lock();
-        answer.ended = true;
-        drop(answer.link.send([end_of(self.id)]));
+    pub(crate) fn end_answer(&self) {
+        self.answer.lock().end();
     }
 
-    fn poll_room(&self, cx: &mut Context<'_>) -> Poll<usize> {
-        let mut answer = self.answer.lock();
-        let room = answer.limit.saturating_sub(answer.sent);
-        if room > 0 {
-            return Poll::Ready(usize::try_from(room).unwrap_or(PART));
+    /// Gives the bytes of the answer that wait for room at the outbound proxy.
+    pub(crate) fn count_waiting(&self) -> usize {
+        self.answer.lock().count_waiting()
+    }
+
+    /// Waits until no more than `most` bytes of the answer wait for room at the outbound proxy.
+    ///
+    /// Guards against a reader that is gone or stands still: only its own word makes
+    /// room, and a process that was killed never says one. Waited for as long as a
+    /// commit may run on, its answer held a slot of the backend server for up to 32 s.
+    ///
+    /// # Errors
+    ///
+    /// When it took nothing for five seconds.
+    pub(crate) async fn wait_taken(&self, most: usize) -> Result<(), Untaken> {
+        let mut idle = 0;
+        let mut sent = self.answer.lock().sent();
+        while idle < TAKE_TICKS {
+            let taken = poll_fn(|cx| self.answer.lock().poll_waiting(cx, most));
+            if timeout(TAKE_TICK, taken).await.is_ok() {
+                return Ok(());
+            }
+            let now = self.answer.lock().sent();
+            idle = if now == sent { idle + 1 } else { 0 };
+            sent = now;
         }
-        answer.writer = Some(cx.waker().clone());
-        Poll::Pending
+        Err(Untaken)
     }
 
     /// Goes on over another link, from where the outbound proxy says that it is.
@@ -279,65 +247,6 @@
     /// Gives false when what it still needs is no longer kept.
     pub(crate) fn resume(&self, link: Arc<Sender>, head: bool, received: u64, room: u32) -> bool {
         self.break_upload();
-        let mut answer = self.answer.lock();
-        if received < answer.start || received > answer.sent {
-            return false;
-        }
-        answer.link = link;
-        answer.drop_confirmed(received);
-        answer.limit = received + u64::from(room);
-        let mut frames = Vec::new();
-        if !head && let Some(sent) = &answer.head {
-            frames.push(Frame::Answer(sent.clone()));
-        }
-        let id = self.id;
-        let skip = usize::try_from(received - answer.start).unwrap_or(usize::MAX);
-        frames.extend(bytes_after(&answer.kept, skip).map(|bytes| Frame::Body {
-            id,
-            bytes,
-            end: false,
-        }));
-        if answer.ended && answer.head.as_ref().is_some_and(|sent| !sent.end) {
-            frames.push(end_of(id));
-        }
-        if let Some(refusal) = &answer.refusal {
-            frames.push(Frame::Refusal(refusal.clone()));
-        }
-        drop(answer.link.send(frames));
-        wake(&mut answer.writer);
-        true
-    }
-}
-
-impl Outgoing {
-    fn keep(&mut self, bytes: Bytes) {
-        self.sent += bytes.len() as u64;
-        self.kept.push_back(bytes);
+        self.answer.lock().resume(link, head, received, room)
     }
-
-    fn drop_confirmed(&mut self, confirmed: u64) {
-        while let Some(first) = self.kept.front()
-            && self.start + first.len() as u64 <= confirmed
-        {
-            self.start += first.len() as u64;
-            self.kept.pop_front();
-        }
-    }
-}
-
-fn end_of(id: Id) -> Frame {
-    Frame::Body {
-        id,
-        bytes: Bytes::new(),
-        end: true,
-    }
-}
-
-/// Gives the parts of a body after its first `skip` bytes.
-fn bytes_after(kept: &VecDeque<Bytes>, mut skip: usize) -> impl Iterator<Item = Bytes> {
-    kept.iter().filter_map(move |part| {
-        let cut = skip.min(part.len());
-        skip -= cut;
-        (cut < part.len()).then(|| part.slice(cut..))
-    })
 }
--- a/crates/node/src/inbound/run.rs
+++ b/crates/node/src/inbound/run.rs
@@ -3,18 +3,19 @@
 use crate::backend::{Error, Reply};
 use crate::header::{put_headers, take_end_to_end};
 use crate::inbound::bodies::Held;
-use crate::inbound::entry::{Call, PART};
+use crate::inbound::entry::{Call, Untaken};
 use crate::inbound::gate::{Offer, Permit};
+use crate::inbound::outgoing::PART;
 use crate::inbound::parents::{Parent, Run};
 use crate::inbound::{Active, Inner, bodies};
 use crate::outbound::answer::name_of;
 use crate::upload::{Rest, Upload};
 use bytes::Bytes;
-use call::{Id, Verdict};
+use call::Verdict;
 use clock::Clock;
 use config::Class;
 use http::{HeaderName, HeaderValue, Method, Response, StatusCode, Uri};
-use log::info;
+use log::{info, warn};
 use platform::header;
 use policy::admission;
 use policy::balance::Told;
@@ -25,6 +26,7 @@
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
+use tokio::sync::OwnedSemaphorePermit;
 use wire::call::{Answer, EAGER, Header, Reason, Request};
 
 /// Header with the time that a call has left, in milliseconds; from callers, and to backend servers.
@@ -77,6 +79,17 @@
     }
 }
 
+/// Bytes of an answer that are taken from the backend server beyond what its reader has room for.
+///
+/// *Load pattern:* readers whose process was killed, or that stand still in the midst
+/// of an answer. *Without it* each such answer over 64 kB holds a slot of the backend
+/// server until its reader is given up: with six slots, six callers of one dead node
+/// are a server less for 5 s. Pages and lists of 320 kB are held whole this way.
+const AHEAD: usize = 256 << 10;
+
+/// Answers that may be held ahead of their readers at once: 4 MB of the 32 MB of a node.
+pub(crate) const MAX_AHEAD: usize = 16;
+
 /// Runs a call that came over a link.
 pub(crate) fn spawn<C>(inner: Arc<Inner<C>>, call: Arc<Call>, request: Request)
 where
@@ -84,32 +97,73 @@
 {
     tokio::spawn(async move {
         let id = call.id;
+        let _counted = inner.count_answer();
         let deadline = deadline_of(&inner, request.timeout_ms);
-        tokio::select! {
+        let ahead = tokio::select! {
             biased;
-            () = call.cancelled() => end_early(&inner, &call, Reason::Cancelled),
-            () = overdue(&inner, id, request.class, deadline) => {
+            () = call.cancelled() => {
+                end_early(&inner, &call, Reason::Cancelled);
+                None
+            }
+            () = overdue(&inner, &call, request.class, deadline) => {
                 end_early(&inner, &call, Reason::Deadline);
+                None
             }
-            () = serve(&inner, &call, request, deadline) => {}
-        }
+            ahead = serve(&inner, &call, request, deadline) => ahead,
+        };
         call.drop_upload();
+        deliver(&inner, &call).await;
+        drop(ahead);
         inner.finish(id);
     });
 }
 
+/// Waits until the outbound proxy has room for what is left of an answer.
+///
+/// The backend server is done with it, so that no deadline counts any more: an
+/// answer that was ready in time is delivered, also late.
+async fn deliver<C>(inner: &Inner<C>, call: &Call)
+where
+    C: Clock,
+{
+    let taken = tokio::select! {
+        biased;
+        () = call.cancelled() => return end_early(inner, call, Reason::Cancelled),
+        taken = call.wait_taken(0) => taken,
+    };
+    if taken == Err(Untaken) {
+        give_up(inner, call);
+    }
+}
+
+/// Gives up on an answer whose reader takes nothing.
+fn give_up<C>(inner: &Inner<C>, call: &Call)
+where
+    C: Clock,
+{
+    let shared = &inner.shared;
+    shared.metrics.causes.count_untaken();
+    let elapsed = shared.metrics.counted(shared.clock.now());
+    if let Some(left_out) = shared.lines.gate.take(elapsed) {
+        warn!(call:% = call.id, waiting_bytes = call.count_waiting(), left_out; "answer_untaken");
+    }
+    call.refuse(Verdict::Ran, Reason::Cancelled, 0);
+}
+
 /// Waits until a call's time is over.
 ///
 /// A commit that runs has some time more: its caller is told by the outbound
 /// proxy, which cancels it then, unless it asks on for the sake of the call's
-/// key. Cut off here, nobody could ever say whether it took effect.
-async fn overdue<C>(inner: &Inner<C>, id: Id, class: Class, deadline: Instant)
+/// key. Cut off here, nobody could ever say whether it took effect. One whose
+/// body has not come whole by then waits for its sender, not for the backend
+/// server, and has none.
+async fn overdue<C>(inner: &Inner<C>, call: &Call, class: Class, deadline: Instant)
 where
     C: Clock,
 {
     sleep_until(inner, deadline).await;
-    let runs = inner.table(id.origin).lock().is_running(id);
-    if runs && class == Class::Commit {
+    let runs = inner.table(call.id.origin).lock().is_running(call.id);
+    if runs && class == Class::Commit && !call.wants_more() {
         tokio::time::sleep(LATE_LIMIT).await;
     }
 }
@@ -131,7 +185,15 @@
     call.refuse(verdict, reason, 0);
 }
 
-async fn serve<C>(inner: &Arc<Inner<C>>, call: &Arc<Call>, request: Request, deadline: Instant)
+/// Runs a call and sends its answer, until the backend server is done with it.
+///
+/// Gives what allows the answer to be ahead of its reader, if it is.
+async fn serve<C>(
+    inner: &Arc<Inner<C>>,
+    call: &Arc<Call>,
+    request: Request,
+    deadline: Instant,
+) -> Option<OwnedSemaphorePermit>
 where
     C: Clock,
 {
@@ -139,7 +201,8 @@
     let held = match pull(inner, call, &request, deadline).await {
         Ok(held) => held,
         Err(refused) => {
-            return call.refuse(refused.verdict, refused.reason, refused.retry_after_ms);
+            call.refuse(refused.verdict, refused.reason, refused.retry_after_ms);
+            return None;
         }
     };
     let upload = match call.take_whole() {
@@ -150,11 +213,15 @@
         },
     };
     let start = || inner.table(call.id.origin).lock().start(call.id);
-    match run(inner, request, upload, deadline, came, start).await {
-        Ok(response) => send_answer(call, response).await,
-        Err(refused) => call.refuse(refused.verdict, refused.reason, refused.retry_after_ms),
-    }
+    let ahead = match run(inner, request, upload, deadline, came, start).await {
+        Ok(response) => send_answer(inner, call, response).await,
+        Err(refused) => {
+            call.refuse(refused.verdict, refused.reason, refused.retry_after_ms);
+            None
+        }
+    };
     drop(held);
+    ahead
 }
 
 /// Longest part of a body that is held here before its call gets a slot.
@@ -454,7 +521,12 @@
     Some(made)
 }
 
-async fn send_answer<C>(call: &Call, response: Response<Running<C>>)
+/// Sends an answer as it comes from the backend server, which is let go at its end.
+async fn send_answer<C>(
+    inner: &Inner<C>,
+    call: &Call,
+    response: Response<Running<C>>,
+) -> Option<OwnedSemaphorePermit>
 where
     C: Clock,
 {
@@ -480,17 +552,32 @@
     };
     call.send_head(head, first, end);
     if end {
-        return;
+        return None;
     }
+    let mut ahead = None;
     loop {
         let part = match std::mem::replace(&mut next, Poll::Pending) {
             Poll::Ready(part) => part,
             Poll::Pending => poll_fn(|cx| running.poll_part(cx)).await,
         };
         match part {
-            Some(Ok(bytes)) => call.send_part(bytes).await,
-            Some(Err(_)) => return call.refuse(Verdict::Ran, Reason::Backend, 0),
-            None => return call.send_end(),
+            Some(Ok(bytes)) => call.add_part(bytes),
+            Some(Err(_)) => {
+                call.refuse(Verdict::Ran, Reason::Backend, 0);
+                return ahead;
+            }
+            None => {
+                call.end_answer();
+                return ahead;
+            }
+        }
+        if call.count_waiting() > 0 && ahead.is_none() {
+            ahead = Arc::clone(&inner.ahead).try_acquire_owned().ok();
+        }
+        let most = if ahead.is_some() { AHEAD } else { 0 };
+        if call.wait_taken(most).await == Err(Untaken) {
+            give_up(inner, call);
+            return ahead;
         }
     }
 }
--- a/crates/node/src/metrics/cause.rs
+++ b/crates/node/src/metrics/cause.rs
@@ -19,6 +19,7 @@
     tries: Family<ReasonLabel, Counter>,
     turned_away: Family<ReasonLabel, Counter>,
     gate_wait: Histogram,
+    untaken: Counter,
 }
 
 impl Default for Causes {
@@ -27,6 +28,7 @@
             tries: Family::default(),
             turned_away: Family::default(),
             gate_wait: Histogram::new(DURATION_BOUNDS),
+            untaken: Counter::default(),
         }
     }
 }
@@ -40,6 +42,8 @@
         let help = "Time that calls waited at the own backend server's gate before they ran";
         let wait = self.gate_wait.clone();
         registry.register_with_unit("gate_wait", help, Unit::Seconds, wait);
+        let help = "Answers given up because their readers took nothing for 5 s";
+        registry.register("answers_untaken", help, self.untaken.clone());
     }
 
     /// Counts a try that got no answer.
@@ -54,6 +58,11 @@
             .inc();
     }
 
+    /// Counts an answer that was given up because its reader took nothing.
+    pub(crate) fn count_untaken(&self) {
+        self.untaken.inc();
+    }
+
     /// Takes in how long a call waited at the gate.
     pub(crate) fn see_wait(&self, waited: Duration) {
         self.gate_wait.observe(waited.as_secs_f64());
--- a/crates/node/src/outbound/sent.rs
+++ b/crates/node/src/outbound/sent.rs
@@ -1,6 +1,6 @@
 //! A try that was sent, and the caller's body that follows it.
 
-use crate::inbound::entry::PART;
+use crate::inbound::outgoing::PART;
 use crate::outbound::attempt::Try;
 use crate::outbound::link::Link;
 use bytes::Bytes;
