End the connection of a caller that takes nothing of its answer for 5 s

Symptom: a caller that stands still in the midst of an answer kept the slot of the backend server on the same VM for as long as its connection lived; nothing bounded it. Found by looking for the same wait elsewhere. Change: writes to callers time out (tokio-io-timeout). Before: calls/unread caller_reads_nothing failed (no slot within 12 s); after: a slot after 5.0 s, here and over a link.

--- a/crates/node/src/outbound.rs
+++ b/crates/node/src/outbound.rs
@@ -36,6 +36,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use tokio_io_timeout::TimeoutStream;
 use wire::{Hello, Link, PROTOCOL};
 
 /// Name of this listener in settings and metrics.
@@ -58,6 +59,13 @@
 /// closed at once, its caller can't tell whether that ran.
 const FIRST_REQUEST: Duration = Duration::from_millis(250);
 
+/// Longest time for which a caller may take nothing of its answer.
+///
+/// Guards against a caller that stands still in the midst of an answer: the slot
+/// of the backend server on the same VM was held for as long as its connection
+/// lived. Five seconds, as for the readers of answers at other nodes.
+const CALLER_STALL: Duration = Duration::from_secs(5);
+
 /// Time between two looks for the first routes: short beside the start of a process.
 const ROUTES_POLL: Duration = Duration::from_millis(10);
 
@@ -329,6 +337,8 @@
     if stream.set_nodelay(true).is_err() {
         return;
     }
+    let mut stream = TimeoutStream::new(stream);
+    stream.set_write_timeout(Some(CALLER_STALL));
     let head_timeout = inner.shared.settings.head_timeout;
     let bad_requests = inner.shared.metrics.bad_requests(LISTENER);
     let mut stage = inner.stage.subscribe();
@@ -352,7 +362,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(head_timeout)
         .max_buf_size(MAX_HEAD)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(Box::pin(stream)), service);
     let mut early = tokio::select! {
         ended = &mut connection => Some(ended),
         () = wait_closing(&mut stage) => None,
