Say what a stop waits for, and bound each of its steps

Change: while a node is stopped, a line every 3 s, a gauge by kind and status tell what it waits for; a backend server that leaves has a line of its own. Each step after the calls has a bound, the calls leave an eighth of the stop's time, 2 s at most, and the sum stays under the limit. Callers' connections and keyed calls are counted as what they are: the permits of a semaphore that is waited on as a whole read as all taken. Ruled out: leaving the tail on top of the limit; with a kill after 6 s it had 0.5 s for steps of 2 s, 1 s and two without a bound.

--- a/crates/cli/src/status_report.rs
+++ b/crates/cli/src/status_report.rs
@@ -129,10 +129,17 @@
 
 fn describe_state(node: &Status) -> String {
     if node.not_ready.is_empty() {
-        "ready".to_owned()
-    } else {
-        node.not_ready.join("; ")
+        return "ready".to_owned();
+    }
+    let waits = node.waits.kinds().into_iter();
+    let waits = waits.filter(|(_, count)| node.leaving && *count > 0);
+    let waits = waits.map(|(kind, count)| format!("{count} {kind}"));
+    let waits = waits.collect::<Vec<_>>().join(", ");
+    let state = node.not_ready.join("; ");
+    if waits.is_empty() {
+        return state;
     }
+    format!("{state}, waits for {waits}")
 }
 
 fn describe_backend(node: &Status) -> String {
--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -116,6 +116,11 @@
     let ended = desk.run(&["drain", &address, &right, "--wait=1"]);
     assert_eq!(ended.code, 1, "{ended:?}");
     assert_eq!(ended.output, "jobs-1 takes no new calls; 2 in flight\n");
+
+    one.shared.answers.send_replace(1);
+    let ended = desk.run(&["status", &nodes[0]]);
+    let waits = "is leaving, waits for 2 calls, 1 answers";
+    assert!(ended.output.contains(waits), "{ended:?}");
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -18,6 +18,7 @@
 use crate::announce::process::{Known, Process, Word};
 use crate::listener::{self, Answer, Handle, Limits, answer_json, refuse};
 use crate::shared::{Backend, Shared};
+use crate::stop::tell_backend_waits;
 use clock::Clock;
 use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
@@ -103,6 +104,7 @@
     C: Clock,
 {
     let bad_requests = shared.metrics.bad_requests(LISTENER);
+    tokio::spawn(tell_backend_waits(Arc::downgrade(&shared)));
     let desk = Arc::new(Desk {
         shared,
         limits,
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -27,9 +27,6 @@
 /// Inputs that wait for the state machine; readers of links wait when it is full.
 const INBOX: usize = 1_024;
 
-/// Longest wait for the others to be told that this node leaves.
-const FAREWELL: Duration = Duration::from_secs(1);
-
 /// The running control part of a node; clones share it.
 #[derive(Debug, Clone)]
 pub struct Handle<C>
@@ -92,10 +89,13 @@
         }
     }
 
-    /// Ends, once the others have been told that this node has left.
-    pub async fn leave(&self) {
+    /// Ends, once the others have been told that this node has left, or after `limit`.
+    pub async fn leave(&self, limit: Duration) {
         match &self.inbox {
-            None => watch::announce_gone(&self.shared).await,
+            None => {
+                let farewell = watch::announce_gone(&self.shared);
+                drop(tokio::time::timeout(limit, farewell).await);
+            }
             Some(inbox) => {
                 let (done, told) = oneshot::channel();
                 let farewell = async {
@@ -104,7 +104,7 @@
                         drop(told.await);
                     }
                 };
-                drop(tokio::time::timeout(FAREWELL, farewell).await);
+                drop(tokio::time::timeout(limit, farewell).await);
             }
         }
         self.task.abort();
--- a/crates/node/src/inbound.rs
+++ b/crates/node/src/inbound.rs
@@ -30,7 +30,7 @@
 use std::sync::{Arc, Weak};
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
-use tokio::sync::{Semaphore, oneshot, watch};
+use tokio::sync::{Semaphore, oneshot};
 use wire::Hello;
 use wire::call::{Frame, Reason, Request};
 
@@ -65,8 +65,6 @@
     pub(crate) bodies: Arc<Bodies<C>>,
     /// The calls that the backend server runs.
     pub(crate) parents: Arc<Parents>,
-    /// Calls of other nodes whose answers have not been taken.
-    answers: watch::Sender<usize>,
     /// A permit is out for each answer that is held ahead of its reader.
     pub(crate) ahead: Arc<Semaphore>,
 }
@@ -87,7 +85,6 @@
         tables: Default::default(),
         links: Mutex::default(),
         parents: Arc::default(),
-        answers: watch::Sender::new(0),
         ahead: Arc::new(Semaphore::new(run::MAX_AHEAD)),
     });
     tokio::spawn(forget(Arc::downgrade(&inner)));
@@ -184,7 +181,7 @@
     /// Waits until nothing is in flight, and gives what is left of it at `timeout`.
     pub async fn drain(&self, timeout: Duration) -> usize {
         let mut active = self.inner.shared.in_flight.subscribe();
-        let mut answers = self.inner.answers.subscribe();
+        let mut answers = self.inner.shared.answers.subscribe();
         let ended = async {
             drop(active.wait_for(|count| *count == 0).await);
             drop(answers.wait_for(|count| *count == 0).await);
@@ -195,7 +192,7 @@
             return 0;
         }
         let in_flight = *self.inner.shared.in_flight.borrow();
-        in_flight.max(*self.inner.answers.borrow()).max(1)
+        in_flight.max(*self.inner.shared.answers.borrow()).max(1)
     }
 
     /// Waits until the sockets of all links have taken what was sent.
@@ -207,58 +204,10 @@
     }
 }
 
-/// Counts a call until it is dropped.
-#[derive(Debug)]
-pub(crate) struct Active<C>
-where
-    C: Clock,
-{
-    inner: Arc<Inner<C>>,
-    counter: fn(&Inner<C>) -> &watch::Sender<usize>,
-}
-
-impl<C> Active<C>
-where
-    C: Clock,
-{
-    fn enter(inner: &Arc<Inner<C>>, counter: fn(&Inner<C>) -> &watch::Sender<usize>) -> Self {
-        counter(inner).send_if_modified(|count| {
-            *count += 1;
-            false
-        });
-        Self {
-            inner: Arc::clone(inner),
-            counter,
-        }
-    }
-}
-
-impl<C> Drop for Active<C>
-where
-    C: Clock,
-{
-    fn drop(&mut self) {
-        (self.counter)(&self.inner).send_if_modified(|count| {
-            *count -= 1;
-            *count == 0
-        });
-    }
-}
-
 impl<C> Inner<C>
 where
     C: Clock,
 {
-    /// Counts a call that waits for the backend server or runs on it.
-    pub(crate) fn count_in(self: &Arc<Self>) -> Active<C> {
-        Active::enter(self, |inner| &inner.shared.in_flight)
-    }
-
-    /// Counts a call of another node until its answer is taken.
-    pub(crate) fn count_answer(self: &Arc<Self>) -> Active<C> {
-        Active::enter(self, |inner| &inner.answers)
-    }
-
     /// Tells whether new work is refused.
     pub(crate) fn is_leaving(&self) -> bool {
         *self.shared.leaving.borrow()
--- a/crates/node/src/inbound/run.rs
+++ b/crates/node/src/inbound/run.rs
@@ -7,8 +7,9 @@
 use crate::inbound::gate::{Offer, Permit};
 use crate::inbound::outgoing::PART;
 use crate::inbound::parents::{Parent, Run};
-use crate::inbound::{Active, Inner, bodies};
+use crate::inbound::{Inner, bodies};
 use crate::outbound::answer::name_of;
+use crate::shared::Counted;
 use crate::upload::{Rest, Upload};
 use bytes::Bytes;
 use call::Verdict;
@@ -53,9 +54,9 @@
     permit: Permit<C>,
     /// How long it waited for its body and its slot, in milliseconds.
     waited_ms: u32,
-    /// Whether its body was asked for.
-    is_heavy: bool,
-    active: Active<C>,
+    /// How full the VM's link is, in per cent, for a call whose body was asked for; else nought.
+    link_percent: u16,
+    _counted: Counted<C>,
     _parent: Parent,
 }
 
@@ -97,7 +98,7 @@
 {
     tokio::spawn(async move {
         let id = call.id;
-        let _counted = inner.count_answer();
+        let _counted = inner.shared.count(|shared| &shared.answers);
         let deadline = deadline_of(&inner, request.timeout_ms);
         let ahead = tokio::select! {
             biased;
@@ -290,7 +291,7 @@
             .find_backend(&request.service)
             .map_err(|reason| Refused::not_run(reason, 0))
     };
-    let active = inner.count_in();
+    let counted = inner.shared.count(|shared| &shared.in_flight);
     let asked = inner.shared.clock.now();
     let mut permit = enter(inner, &request, deadline, find()?.slots).await?;
     let entered = inner.shared.clock.now();
@@ -332,8 +333,12 @@
                 reply,
                 permit,
                 waited_ms: u32::try_from(waited.as_millis()).unwrap_or(u32::MAX),
-                is_heavy,
-                active,
+                link_percent: if is_heavy {
+                    percent_of(inner.bodies.load())
+                } else {
+                    0
+                },
+                _counted: counted,
                 _parent: parent,
             }))
         }
@@ -488,14 +493,8 @@
 
     /// Gives what the outbound proxy is told along with the answer.
     pub(crate) fn told(&self) -> Told {
-        let slots = self.permit.load();
-        let link = if self.is_heavy {
-            self.active.inner.bodies.load()
-        } else {
-            0.0
-        };
         Told {
-            load: slots.max(link),
+            load: self.permit.load().max(f64::from(self.link_percent) / 100.0),
             waited: Duration::from_millis(self.waited_ms.into()),
         }
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,3 +22,4 @@
 pub mod process;
 pub mod reserve;
 pub mod shared;
+pub mod stop;
--- a/crates/node/src/listener.rs
+++ b/crates/node/src/listener.rs
@@ -69,11 +69,16 @@
         self.address
     }
 
-    /// Ends the listener once the requests in flight are answered.
-    pub async fn stop(mut self) {
+    /// Ends the listener once the requests in flight are answered, or after `limit`.
+    ///
+    /// Guards against a peer that stops in the midst of its request or reads nothing
+    /// of its answer: the stop of the node waited for it.
+    pub async fn stop(mut self, limit: Duration) {
         drop(self.stop.take());
         // The task ends by itself; a panic in it has already been reported.
-        let _ended = (&mut self.task).await;
+        if let Err(_elapsed) = tokio::time::timeout(limit, &mut self.task).await {
+            log::info!(listener:% = self.address; "listener_cut_off");
+        }
     }
 }
 
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -61,6 +61,11 @@
     direction: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct KindLabel {
+    kind: &'static str,
+}
+
 /// What is read from the node's state when somebody asks.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Reading {
@@ -78,6 +83,8 @@
     pub ready: bool,
     /// Whether the node or its backend server leaves.
     pub leaving: bool,
+    /// What the node's stop waits for, or would if it came now.
+    pub waits: status::Waits,
     /// What the process has taken.
     pub process: crate::process::Usage,
 }
@@ -92,6 +99,7 @@
     in_flight: Gauge,
     ready: Gauge,
     leaving: Gauge,
+    waits: Family<KindLabel, Gauge>,
     resident: Gauge,
     cpu: Counter<f64, AtomicU64>,
 }
@@ -195,6 +203,9 @@
         for (name, help, gauge) in plain {
             self.registry.register(name, help, gauge.clone());
         }
+        let help = "What the node's stop waits for, or would if it came now, by kind";
+        self.registry
+            .register("stop_waits", help, gauges.waits.clone());
         let help = "Memory of the process that is in RAM";
         let resident = gauges.resident.clone();
         self.registry
@@ -292,6 +303,12 @@
         gauges.in_flight.set(clamp(reading.in_flight));
         gauges.ready.set(i64::from(reading.ready));
         gauges.leaving.set(i64::from(reading.leaving));
+        for (kind, count) in reading.waits.kinds() {
+            gauges
+                .waits
+                .get_or_create(&KindLabel { kind })
+                .set(clamp(count));
+        }
         gauges.resident.set(clamp(reading.process.resident_bytes));
         let cpu = reading.process.cpu.as_secs_f64();
         gauges.cpu.inc_by((cpu - gauges.cpu.get()).max(0.0));
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,6 +1,7 @@
 //! A whole node: its listeners and parts, from start to graceful stop.
 
 use crate::shared::Shared;
+use crate::stop::{Plan, Step, read_waits, tell_waits};
 use crate::{announce, control, inbound, listener, nodes, operate, outbound, reserve};
 use clock::Clock;
 use log::{info, warn};
@@ -14,9 +15,6 @@
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::runtime;
 
-/// Longest wait for the platform to take the outcomes of keyed calls at a stop.
-const FLUSH_TIMEOUT: Duration = Duration::from_secs(2);
-
 /// A running node.
 #[derive(Debug)]
 pub struct Handle<C>
@@ -129,16 +127,36 @@
     pub async fn stop(self) {
         let limit = self.hand_over().await;
         info!(stop_limit_s = limit.as_secs_f64(); "leaving");
-        let (callers, calls) = end_calls(&self.shared, &self.inbound, &self.outbound, limit).await;
+        let shared = Arc::clone(&self.shared);
+        tokio::select! {
+            biased;
+            () = self.end(limit) => {}
+            never = tell_waits(&shared) => match never {},
+        }
+        info!("stopped");
+    }
+
+    /// Ends the calls and then the parts, each within its time.
+    async fn end(self, limit: Duration) {
+        let shared = Arc::clone(&self.shared);
+        let now = || shared.clock.now();
+        let plan = Plan::new(now(), limit);
+        let begin = |step| {
+            *shared.step.lock() = Some(step);
+            plan.step(step, now())
+        };
+        let time = plan.calls(now());
+        let (callers, calls) = end_calls(&self.shared, &self.inbound, &self.outbound, time).await;
         if callers + calls > 0 {
-            warn!(callers, calls; "cut_off");
+            let waits = read_waits(&shared);
+            let (answers, keyed) = (waits.answers, waits.keyed);
+            warn!(callers, calls, answers, keyed; "cut_off");
         }
-        self.reserve.flush(FLUSH_TIMEOUT).await;
-        self.control.leave().await;
+        self.reserve.flush(begin(Step::Outcomes)).await;
+        self.control.leave(begin(Step::Farewell)).await;
         drop(self.nodes);
-        self.announce.stop().await;
-        self.operate.stop().await;
-        info!("stopped");
+        let time = begin(Step::Listeners);
+        tokio::join!(self.announce.stop(time), self.operate.stop(time));
     }
 }
 
--- a/crates/node/src/operate.rs
+++ b/crates/node/src/operate.rs
@@ -8,6 +8,7 @@
 use crate::metrics::Reading;
 use crate::process::read_usage;
 use crate::shared::Shared;
+use crate::stop::read_waits;
 use clock::Clock;
 use config::Version;
 use http::{Method, Request, StatusCode, header};
@@ -146,6 +147,7 @@
         in_flight: *shared.in_flight.borrow(),
         ready: find_obstacles(shared).is_empty(),
         leaving: backend_leaves || *shared.leaving.borrow(),
+        waits: read_waits(shared),
         process: read_usage(),
     }
 }
@@ -177,6 +179,7 @@
         not_ready: find_obstacles(shared),
         leaving: *shared.leaving.borrow(),
         in_flight: *shared.in_flight.borrow(),
+        waits: read_waits(shared),
         backend,
         endpoints,
         withheld_routes: view
--- a/crates/node/src/outbound.rs
+++ b/crates/node/src/outbound.rs
@@ -21,7 +21,7 @@
 use crate::outbound::link::Links;
 use crate::outbound::service::{Place, Services};
 use crate::reserve;
-use crate::shared::Shared;
+use crate::shared::{Counted, Shared};
 use clock::Clock;
 use config::{ServiceKey, Version};
 use hyper::server::conn::http1;
@@ -108,6 +108,16 @@
     stage: watch::Sender<Stage>,
 }
 
+/// A keyed call that runs, as long as it is held.
+#[derive(Debug)]
+pub(crate) struct Keyed<C>
+where
+    C: Clock,
+{
+    _permit: OwnedSemaphorePermit,
+    _counted: Counted<C>,
+}
+
 /// How far the proxy has come in leaving.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Stage {
@@ -275,8 +285,13 @@
     C: Clock,
 {
     /// Counts a keyed call until the permit is dropped; none is given while too many run.
-    pub(crate) fn count_keyed(&self) -> Option<OwnedSemaphorePermit> {
-        Arc::clone(&self.keyed).try_acquire_owned().ok()
+    pub(crate) fn count_keyed(&self) -> Option<Keyed<C>> {
+        let permit = Arc::clone(&self.keyed).try_acquire_owned().ok()?;
+        let counted = self.shared.count(|shared| &shared.keyed);
+        Some(Keyed {
+            _permit: permit,
+            _counted: counted,
+        })
     }
 
     fn advance(&self, stage: Stage) {
@@ -284,9 +299,8 @@
     }
 
     fn count_open(&self) -> usize {
-        let all = usize::from(self.shared.settings.connections);
-        let taken = |limit: &Semaphore| all - limit.available_permits();
-        taken(&self.connections).max(taken(&self.keyed)).max(1)
+        let callers = *self.shared.callers.borrow();
+        callers.max(*self.shared.keyed.borrow()).max(1)
     }
 }
 
@@ -318,8 +332,9 @@
             Ok((stream, peer)) => {
                 let inner = Arc::clone(inner);
                 tokio::spawn(async move {
+                    let counted = inner.shared.count(|shared| &shared.callers);
                     serve_connection(stream, peer.ip(), inner).await;
-                    drop(permit);
+                    drop((counted, permit));
                 });
             }
             Err(error) => {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -2,9 +2,11 @@
 
 use crate::logs::Budget;
 use crate::metrics::Metrics;
+use crate::stop;
 use arc_swap::ArcSwap;
 use clock::Clock;
 use config::View;
+use parking_lot::Mutex;
 use settings::node::{Interface, Settings};
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -60,6 +62,14 @@
     pub leaving: watch::Sender<bool>,
     /// Calls that wait for the own backend server or run on it.
     pub in_flight: watch::Sender<usize>,
+    /// Calls of other nodes whose answers have not been taken.
+    pub answers: watch::Sender<usize>,
+    /// Connections of callers.
+    pub callers: watch::Sender<usize>,
+    /// Keyed calls that run, be their callers there or not.
+    pub keyed: watch::Sender<usize>,
+    /// How far a stop has come once its calls have ended.
+    pub step: Mutex<Option<stop::Step>>,
     /// Whether all listeners run.
     pub listening: AtomicBool,
     /// The node's part in distribution.
@@ -83,10 +93,47 @@
     pub gate: Budget,
 }
 
+/// One of the counts of what is there now.
+type Counter<C> = fn(&Shared<C>) -> &watch::Sender<usize>;
+
+/// Counts one thing as there until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Counted<C>
+where
+    C: Clock,
+{
+    shared: Arc<Shared<C>>,
+    counter: Counter<C>,
+}
+
+impl<C> Drop for Counted<C>
+where
+    C: Clock,
+{
+    fn drop(&mut self) {
+        (self.counter)(&self.shared).send_if_modified(|count| {
+            *count -= 1;
+            *count == 0
+        });
+    }
+}
+
 impl<C> Shared<C>
 where
     C: Clock,
 {
+    /// Counts one more thing of those that `counter` counts.
+    pub(crate) fn count(self: &Arc<Self>, counter: Counter<C>) -> Counted<C> {
+        counter(self).send_if_modified(|count| {
+            *count += 1;
+            false
+        });
+        Counted {
+            shared: Arc::clone(self),
+            counter,
+        }
+    }
+
     /// Tells whether callers and backend servers speak the platform's words.
     #[must_use]
     pub fn is_on_platform(&self) -> bool {
@@ -106,6 +153,10 @@
             stopping: AtomicBool::new(false),
             leaving: watch::Sender::new(false),
             in_flight: watch::Sender::new(0),
+            answers: watch::Sender::new(0),
+            callers: watch::Sender::new(0),
+            keyed: watch::Sender::new(0),
+            step: Mutex::default(),
             listening: AtomicBool::new(false),
             distribution: ArcSwap::default(),
             metrics,
--- a/crates/node/tests/announce.rs
+++ b/crates/node/tests/announce.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use node::announce;
+use std::time::Duration;
 use support::{bind, make_shared, request};
 use yare::parameterized;
 
@@ -33,7 +34,7 @@
     assert!(news.borrow_and_update().as_ref().unwrap().leaving);
     let (_, text) = request(address, "GET /v1/announce", "").await;
     assert_eq!(text.trim(), r#"{"in_flight":2,"leaving":true}"#);
-    handle.stop().await;
+    handle.stop(Duration::from_secs(1)).await;
 }
 
 // A backend server says that it leaves, and ends; a clerk's next call is still
--- a/crates/node/tests/calls/unread.rs
+++ b/crates/node/tests/calls/unread.rs
@@ -132,7 +132,7 @@
         .write_all(&encode(Frame::Request(request)))
         .await
         .unwrap();
-    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
     let room = encode(Frame::Credit {
         id,
         bytes: u32::try_from(SHORT).unwrap(),
--- a/crates/node/tests/listener.rs
+++ b/crates/node/tests/listener.rs
@@ -31,7 +31,7 @@
     let head = b"PUT / HTTP/1.1\r\nhost: node\r\ncontent-length: 4\r\n\r\nab";
     stream.write_all(head).await.unwrap();
     entered.notified().await;
-    let stopping = tokio::spawn(handle.stop());
+    let stopping = tokio::spawn(handle.stop(limits.body_timeout));
     while TcpStream::connect(address).await.is_ok() {
         tokio::task::yield_now().await;
     }
--- a/crates/node/tests/operate.rs
+++ b/crates/node/tests/operate.rs
@@ -69,7 +69,7 @@
         request(address, "GET /readyz", "").await,
         (503, "is leaving\n".into())
     );
-    handle.stop().await;
+    handle.stop(Duration::from_secs(1)).await;
 }
 
 #[tokio::test]
--- a/crates/status/src/lib.rs
+++ b/crates/status/src/lib.rs
@@ -77,6 +77,41 @@
     pub fleet: Fleet,
 }
 
+/// What a node's stop waits for.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Waits {
+    /// Connections of callers.
+    pub callers: usize,
+    /// Calls that wait for the own backend server or run on it.
+    pub calls: usize,
+    /// Calls of other nodes whose answers have not been taken.
+    pub answers: usize,
+    /// Calls with a key that run, be their callers there or not.
+    pub keyed: usize,
+    /// 1 while outcomes of keyed calls go to the platform at last.
+    pub outcomes: usize,
+    /// 1 while other nodes are told that it leaves.
+    pub farewell: usize,
+    /// 1 while the listeners for the backend server and operators end.
+    pub listeners: usize,
+}
+
+impl Waits {
+    /// Gives each count with its name in metrics and logs.
+    #[must_use]
+    pub fn kinds(&self) -> [(&'static str, usize); 7] {
+        [
+            ("callers", self.callers),
+            ("calls", self.calls),
+            ("answers", self.answers),
+            ("keyed", self.keyed),
+            ("outcomes", self.outcomes),
+            ("farewell", self.farewell),
+            ("listeners", self.listeners),
+        ]
+    }
+}
+
 /// How a node stands.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Status {
@@ -98,6 +133,9 @@
     pub leaving: bool,
     /// Calls that wait for the own backend server or run on it.
     pub in_flight: usize,
+    /// What its stop waits for, or would if it came now.
+    #[serde(default)]
+    pub waits: Waits,
     /// The own backend server, once announced.
     pub backend: Option<Backend>,
     /// Endpoints that take new work, by service.
