Bound the writes of control and reservation links

Found by looking for waits without an end: a peer that lives and reads nothing held a link's writer and socket for as long as it stood still. No test replays it: the socket's own buffers take megabytes first.

--- a/crates/node/src/control/link.rs
+++ b/crates/node/src/control/link.rs
@@ -8,6 +8,7 @@
 use prometheus_client::metrics::counter::Counter;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -27,6 +28,13 @@
 /// Buffer that is kept between frames; a longer one is given back.
 const KEPT: usize = 16 << 10;
 
+/// Longest wait for a link's socket to take one batch of frames.
+///
+/// Guards against a node that lives and reads nothing: the state machine has long
+/// closed its link, and its writer stayed with the socket. The longest frame, of
+/// 1 MB, takes 1.7 s at 5 Mbit/s.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// The sending side of a link.
 #[derive(Debug)]
 pub(crate) struct Sender {
@@ -148,7 +156,10 @@
     buffer: &mut Vec<u8>,
     sent: &Counter,
 ) -> std::io::Result<()> {
-    sink.write_all(buffer).await?;
+    match tokio::time::timeout(WRITE_TIMEOUT, sink.write_all(buffer)).await {
+        Ok(written) => written?,
+        Err(_elapsed) => return Err(std::io::ErrorKind::TimedOut.into()),
+    }
     sent.inc_by(buffer.len() as u64);
     buffer.clear();
     buffer.shrink_to(KEPT);
--- a/crates/node/src/reserve/link.rs
+++ b/crates/node/src/reserve/link.rs
@@ -27,6 +27,12 @@
 /// Time without questions after which a link is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Longest wait for the other side's socket to take a frame.
+///
+/// Guards against a node that lives and reads nothing: the link to it, and what
+/// waited for it, were held for as long as it stood still.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Questions that wait for a link to open; more go another way.
 const MAX_WAITING: usize = 1_024;
 
@@ -156,13 +162,13 @@
                 used = Instant::now();
                 serial += 1;
                 if let Some(frame) = put_question(question, serial, sent) {
-                    codec::write(writer, &wire::Frame::Reserve(frame)).await?;
+                    write(writer, frame, HEARD_TIMEOUT).await?;
                 }
             }
             frame = came.recv() => {
                 let Some(frame) = frame else { return Ok(()) };
                 if let Some(release) = take_frame(frame, sent) {
-                    codec::write(writer, &wire::Frame::Reserve(release)).await?;
+                    write(writer, release, HEARD_TIMEOUT).await?;
                 }
             }
             () = tokio::time::sleep_until(end) => {
@@ -282,9 +288,22 @@
 
 async fn write_frames(mut writer: OwnedWriteHalf, mut waiting: mpsc::Receiver<Frame>) {
     while let Some(frame) = waiting.recv().await {
-        let written = codec::write(&mut writer, &wire::Frame::Reserve(frame)).await;
-        if written.is_err() {
+        if let Err(error) = write(&mut writer, frame, WRITE_TIMEOUT).await {
+            log::debug!(error:%; "reserve_link_ended");
             return;
         }
     }
 }
+
+/// Writes a frame, if the other side takes it in time.
+async fn write(
+    writer: &mut OwnedWriteHalf,
+    frame: Frame,
+    limit: Duration,
+) -> Result<(), wire::Error> {
+    let frame = wire::Frame::Reserve(frame);
+    match timeout(limit, codec::write(writer, &frame)).await {
+        Ok(written) => written,
+        Err(_elapsed) => Err(std::io::Error::from(std::io::ErrorKind::TimedOut).into()),
+    }
+}
