Draw a soak's faults whole before the first one, keep them, and play them again

Both check more: no run begins over 2 s after its server's farewell was answered, stops end in time, no socket is half closed 2 s after a calm, nobody holds a call once nobody calls. Ruled out: playing in one process; its stderr and loopback blocks mix.

--- a/crates/bench/src/faults.rs
+++ b/crates/bench/src/faults.rs
@@ -93,7 +93,8 @@
     let notes = Notes::default();
     let end = Instant::now() + plot.duration;
     let addresses: Vec<_> = target.deployment.vms.iter().map(Vm::callers).collect();
-    let callers = faults_callers::spawn(plot.seed, &addresses, end, &notes);
+    let callers =
+        faults_callers::spawn(plot.seed, &addresses, move || Instant::now() < end, &notes);
     let mut harm = Harm::new(plot.seed);
     while Instant::now() + SETTLE < end {
         if plot.rolling {
--- a/crates/bench/src/faults_callers.rs
+++ b/crates/bench/src/faults_callers.rs
@@ -10,12 +10,23 @@
 use standin::backend::fingerprint;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
 /// Callers at once.
 const CALLERS: usize = 16;
 
+/// Callers that read nothing, in a plan.
+const UNREADING: u64 = 2;
+
+/// How long such a caller holds its connection, in milliseconds.
+const UNREAD_MS: std::ops::Range<u64> = 500..7_000;
+
+/// Bytes of an answer that no socket on the way holds.
+const UNREAD_BYTES: usize = 20 << 20;
+
 /// Requests of one key at most.
 const MAX_REQUESTS: u32 = 6;
 
@@ -71,21 +82,61 @@
     })
 }
 
-/// Starts all callers, which call until `end`.
-pub(crate) fn spawn(
+/// Starts all callers, which call as long as `goes_on` holds.
+pub(crate) fn spawn<F>(
     seed: u64,
     addresses: &[SocketAddr],
-    end: Instant,
+    goes_on: F,
     notes: &Notes,
-) -> Vec<JoinHandle<()>> {
+) -> Vec<JoinHandle<()>>
+where
+    F: Fn() -> bool + Clone + Send + 'static,
+{
     (0..CALLERS)
         .map(|index| {
-            let run = run(index, seed, addresses.to_vec(), end, notes.clone());
+            let goes_on = goes_on.clone();
+            let run = run(index, seed, addresses.to_vec(), goes_on, notes.clone());
             tokio::spawn(run)
         })
         .collect()
 }
 
+/// Starts callers that ask for long answers and take nothing of them.
+pub(crate) fn spawn_unreading<F>(
+    seed: u64,
+    addresses: &[SocketAddr],
+    goes_on: &F,
+) -> Vec<JoinHandle<()>>
+where
+    F: Fn() -> bool + Clone + Send + 'static,
+{
+    (0..UNREADING)
+        .map(|index| {
+            let rng = SmallRng::seed_from_u64(seed.wrapping_sub(index + 1));
+            tokio::spawn(read_nothing(rng, addresses.to_vec(), goes_on.clone()))
+        })
+        .collect()
+}
+
+async fn read_nothing<F>(mut rng: SmallRng, addresses: Vec<SocketAddr>, goes_on: F)
+where
+    F: Fn() -> bool,
+{
+    while goes_on() {
+        let address = addresses[rng.random_range(0..addresses.len())];
+        let held = Duration::from_millis(rng.random_range(UNREAD_MS));
+        if let Ok(mut stream) = TcpStream::connect(address).await {
+            let request = format!(
+                "GET /records/unread HTTP/1.1\r\nhost: mesh\r\nx-answer-bytes: {UNREAD_BYTES}\r\n\r\n"
+            );
+            // A node that is being killed may not take it.
+            drop(stream.write_all(request.as_bytes()).await);
+            tokio::time::sleep(held).await;
+        }
+        tokio::time::sleep(held / 2).await;
+    }
+}
+
 /// Waits until all callers have ended.
 ///
 /// # Errors
@@ -100,8 +151,11 @@
     Ok(())
 }
 
-/// Calls until `end`, at nodes drawn anew for each request.
-async fn run(index: usize, seed: u64, addresses: Vec<SocketAddr>, end: Instant, notes: Notes) {
+/// Calls as long as `goes_on` holds, at nodes drawn anew for each request.
+async fn run<F>(index: usize, seed: u64, addresses: Vec<SocketAddr>, goes_on: F, notes: Notes)
+where
+    F: Fn() -> bool,
+{
     let mut one = One {
         index,
         rng: SmallRng::seed_from_u64(seed.wrapping_add(index as u64)),
@@ -110,7 +164,7 @@
         notes,
     };
     let mut calls = 0;
-    while Instant::now() < end {
+    while goes_on() {
         calls += 1;
         one.make_call(calls).await;
         one.pause(PAUSE_MS).await;
--- a/crates/bench/src/faults_inject.rs
+++ b/crates/bench/src/faults_inject.rs
@@ -9,6 +9,7 @@
 use rand::Rng;
 use rand::rngs::SmallRng;
 use rustix::process::Signal;
+use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
@@ -20,7 +21,7 @@
 const POLL: Duration = Duration::from_millis(10);
 
 /// What is done to the fleet; numbers name VMs.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Fault {
     /// SIGKILL of a node.
     KillNode(usize),
@@ -81,7 +82,8 @@
         faults[rng.random_range(0..faults.len())]
     }
 
-    fn vm(self) -> Option<usize> {
+    /// Gives the VM that it is done to, if it is one.
+    pub(crate) fn vm(self) -> Option<usize> {
         match self {
             Self::KillNode(vm)
             | Self::FreezeNode(vm)
@@ -114,7 +116,7 @@
 }
 
 /// What is stopped gracefully; numbers name VMs.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Stop {
     /// A node.
     Node(usize),
@@ -122,6 +124,32 @@
     Server(usize),
 }
 
+/// A graceful stop under way.
+#[derive(Debug, Clone, Copy)]
+pub struct Ending {
+    /// What was told to stop.
+    pub stop: Stop,
+    since: Instant,
+    from_us: u64,
+}
+
+impl Stop {
+    /// Gives the VM whose process it stops.
+    #[must_use]
+    pub fn vm(self) -> usize {
+        let (Self::Node(vm) | Self::Server(vm)) = self;
+        vm
+    }
+}
+
+impl Ending {
+    /// Tells whether it should have ended.
+    #[must_use]
+    pub fn is_late(&self) -> bool {
+        self.since.elapsed() > STOP_LIMIT
+    }
+}
+
 /// A running fleet with the means to harm it.
 #[derive(Debug)]
 pub struct Target {
@@ -237,24 +265,75 @@
     ///
     /// When it does not end in time.
     pub async fn end(&mut self, stop: Stop) -> Result<(), Error> {
-        let (Stop::Node(vm) | Stop::Server(vm)) = stop;
-        let from_us = now_us();
-        self.process(stop)?.signal(Signal::TERM)?;
-        let start = Instant::now();
-        while self.process(stop)?.is_running() {
-            if start.elapsed() > STOP_LIMIT {
+        let ending = self.tell(stop)?;
+        while !self.has_ended(&ending)? {
+            if ending.is_late() {
                 return Err(Error::Timeout(format!("{stop:?} to end")));
             }
             tokio::time::sleep(POLL).await;
         }
+        Ok(())
+    }
+
+    /// Tells a process to stop gracefully.
+    ///
+    /// # Errors
+    ///
+    /// When it has ended already.
+    pub fn tell(&mut self, stop: Stop) -> Result<Ending, Error> {
+        self.process(stop)?.signal(Signal::TERM)?;
+        Ok(Ending {
+            stop,
+            since: Instant::now(),
+            from_us: now_us(),
+        })
+    }
+
+    /// Tells whether a process that was told to stop has ended, and notes when.
+    ///
+    /// # Errors
+    ///
+    /// When there is no such process.
+    pub fn has_ended(&mut self, ending: &Ending) -> Result<bool, Error> {
+        if self.process(ending.stop)?.is_running() {
+            return Ok(false);
+        }
         let span = Span {
-            from_us,
+            from_us: ending.from_us,
             to_us: now_us(),
         };
-        if let Some((_, left)) = self.records.entry(vm).or_default().last_mut() {
+        let records = self.records.entry(ending.stop.vm()).or_default();
+        if let Some((_, left)) = records.last_mut() {
             left.push(span);
         }
-        Ok(())
+        Ok(true)
+    }
+
+    /// Kills a process that did not stop.
+    ///
+    /// # Errors
+    ///
+    /// When the system refuses.
+    pub fn kill(&mut self, stop: Stop) -> Result<(), Error> {
+        self.process(stop)?.kill()
+    }
+
+    /// Gives the files of all records.
+    pub fn record_files(&self) -> impl Iterator<Item = &std::path::Path> {
+        self.records
+            .values()
+            .flatten()
+            .map(|(file, _)| file.as_path())
+    }
+
+    /// Kills a backend server and starts it again at once.
+    ///
+    /// # Errors
+    ///
+    /// When it can't be killed or started.
+    pub fn bounce(&mut self, vm: usize) -> Result<(), Error> {
+        self.server(vm)?.kill()?;
+        self.restart_server(vm)
     }
 
     /// Starts a process again that has ended.
@@ -332,7 +411,7 @@
 }
 
 /// Reads a record; a process that was killed before its first line of code left none, and ran nothing.
-fn read_record(file: &std::path::Path) -> Result<String, Error> {
+pub(crate) fn read_record(file: &std::path::Path) -> Result<String, Error> {
     match std::fs::read_to_string(file) {
         Err(error) if error.kind() == std::io::ErrorKind::NotFound => Ok(String::new()),
         read => Ok(read?),
@@ -358,7 +437,7 @@
 }
 
 /// Reads a record's lines; the last one of each run tells the most, and a killed process may leave half a line.
-fn read_runs(text: &str) -> Result<Vec<Run>, Error> {
+pub(crate) fn read_runs(text: &str) -> Result<Vec<Run>, Error> {
     let whole = text.rsplit_once('\n').map_or("", |(whole, _)| whole);
     let mut runs: HashMap<usize, Run> = HashMap::new();
     for line in whole.lines() {
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -27,4 +27,8 @@
 pub mod relay;
 pub mod rolling;
 pub mod soak;
+pub mod soak_left;
+pub mod soak_plan;
+pub mod soak_repeat;
+pub mod soak_storm;
 pub mod state;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,7 +3,7 @@
 //! Every experiment prints one JSON object with its figures as its last line.
 
 use bench::error::Error;
-use bench::{converge, demo, faults, overload, path, rolling, soak, state};
+use bench::{converge, demo, faults, overload, path, rolling, soak, soak_repeat, state};
 use bpaf::{Parser, construct};
 use std::process::ExitCode;
 use tokio::signal::unix::{SignalKind, signal};
@@ -120,6 +120,14 @@
             let report = rolling::run(plot).await?;
             Ok((print_json(&report)?, report.is_clean()))
         }
+        Command::Soak(plot) if plot.shrink => {
+            let tally = soak_repeat::shrink(&plot).await?;
+            Ok((print_json(&tally)?, tally.failed == 0))
+        }
+        Command::Soak(plot) if plot.repeat > 1 => {
+            let tally = soak_repeat::run(&plot).await?;
+            Ok((print_json(&tally)?, tally.failed == 0))
+        }
         Command::Soak(plot) => {
             let report = soak::run(plot).await?;
             Ok((print_json(&report)?, report.is_clean()))
--- a/crates/bench/src/soak.rs
+++ b/crates/bench/src/soak.rs
@@ -6,47 +6,23 @@
 //! killed and started in series that overlap. From time to time all faults end;
 //! then every node must serve, and hold the version that is written then.
 
-use crate::deployment::{Vm, put_service};
+use crate::deployment::Vm;
 use crate::error::Error;
-use crate::faults::{AFTERMATH, FAULT_MS, SETTLE, spawn};
-use crate::faults_callers::{self, Notes, now_us};
-use crate::faults_forward::Forwarder;
-use crate::faults_history::{History, Verdict, check};
-use crate::faults_inject::{Fault, Stop, Target};
-use crate::node::{read_metrics, read_status};
+use crate::faults::{AFTERMATH, spawn};
+use crate::faults_callers::{self, Notes};
+use crate::faults_history::Verdict;
 use crate::options;
+use crate::soak_plan::{Head, Plan};
+use crate::soak_storm::Storm;
 use bpaf::{Parser, construct, long};
-use rand::rngs::SmallRng;
-use rand::{Rng, SeedableRng};
-use rustix::process::Signal;
 use serde::Serialize;
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-/// Pause between the beginnings of two faults, in milliseconds: with faults of
-/// up to 2.5 s some three are in force at once.
-const GAP_MS: std::ops::Range<u64> = 100..900;
-
-/// One in so many events is a graceful stop in place of a fault.
-const STOPS: u32 = 6;
-
-/// One in so many events kills all nodes at once.
-const HERDS: u32 = 40;
-
-/// Time between two calms.
-const STORM: Duration = Duration::from_secs(12);
-
-/// Longest time after all faults until every node serves, as callers are promised.
-const SERVED: Duration = Duration::from_secs(15);
-
-/// Longest time until a version is in force everywhere.
-const IN_FORCE: Duration = Duration::from_secs(6);
-
-/// Tries of a write against other operators.
-const WRITES: u32 = 5;
-
-/// Time between two looks at the nodes.
-const POLL: Duration = Duration::from_millis(50);
+/// Time for which a plan has one storm: 12 s of faults and what the calm takes.
+const STORM: Duration = Duration::from_secs(20);
 
 /// What to try.
 #[derive(Debug, Clone)]
@@ -57,6 +33,20 @@
     pub duration: Duration,
     /// VMs of each service in each zone: nine VMs for each.
     pub per_zone: usize,
+    /// Whether the faults are drawn whole before the first one, with the kinds that only plans have.
+    pub planned: bool,
+    /// A plan to play in place of one that is drawn.
+    pub plan: Option<PathBuf>,
+    /// Where the plan that is played is written.
+    pub write_plan: Option<PathBuf>,
+    /// How often.
+    pub repeat: usize,
+    /// Runs side by side.
+    pub jobs: usize,
+    /// Whether each run takes the next seed.
+    pub next_seeds: bool,
+    /// Whether faults are left out of the plan as long as it fails.
+    pub shrink: bool,
     /// Where the logs go when something is wrong.
     pub keep: Option<PathBuf>,
 }
@@ -81,6 +71,14 @@
     pub reverts: u64,
     /// Nodes that ended by themselves.
     pub ended_by_themselves: usize,
+    /// Stops that did not end within their limit.
+    pub stops_late: usize,
+    /// Sockets that nodes held half closed 2 s after a calm.
+    pub half_closed: usize,
+    /// Runs that began over 2 s after their backend server's farewell was answered.
+    pub late_runs: usize,
+    /// Kinds of calls that nodes still held when nobody called any more.
+    pub unended: usize,
 }
 
 impl Report {
@@ -90,7 +88,8 @@
         let found = &self.verdict;
         let wrong = found.double_runs + found.false_not_run + found.mixed_answers;
         let wrong = wrong + self.not_served + self.not_in_force + self.ended_by_themselves;
-        wrong == 0 && self.reverts == 0
+        let left = self.stops_late + self.half_closed + self.late_runs + self.unended;
+        wrong + left == 0 && self.reverts == 0
     }
 }
 
@@ -109,30 +108,115 @@
         .argument::<PathBuf>("FOLDER")
         .optional();
     let duration = options::parse_seconds(60);
+    let planned = long("planned")
+        .help("Draw all faults before the first one, with the kinds that only plans have")
+        .switch();
+    let plan = long("plan")
+        .help("Play the plan in this file; seed, size and length are its own")
+        .argument::<PathBuf>("FILE")
+        .optional();
+    let write_plan = long("write-plan")
+        .help("Write the plan that is played, or what is left of it by --shrink, to this file")
+        .argument::<PathBuf>("FILE")
+        .optional();
+    let repeat = long("repeat")
+        .help("Run so often, each in a process of its own, and count what was violated")
+        .argument::<usize>("COUNT")
+        .guard(|count| (1..=1_000).contains(count), "between 1 and 1000")
+        .fallback(1)
+        .display_fallback();
+    let jobs = long("jobs")
+        .help("Runs side by side")
+        .argument::<usize>("COUNT")
+        .guard(|count| (1..=12).contains(count), "between 1 and 12")
+        .fallback(1)
+        .display_fallback();
+    let next_seeds = long("next-seeds")
+        .help("Each run of --repeat takes the next seed")
+        .switch();
+    let shrink = long("shrink")
+        .help("Leave faults out of the plan as long as one of --repeat runs of it fails")
+        .switch();
     construct!(Plot {
         seed,
         per_zone,
         keep,
+        planned,
+        plan,
+        write_plan,
+        repeat,
+        jobs,
+        next_seeds,
+        shrink,
         duration
     })
 }
 
+impl Plot {
+    /// Gives the plan to play, if the faults are not drawn as time goes by.
+    ///
+    /// # Errors
+    ///
+    /// When its file can't be read.
+    pub fn find_plan(&self) -> Result<Option<Plan>, Error> {
+        if let Some(file) = &self.plan {
+            return Plan::open(file).map(Some);
+        }
+        let storms = self.duration.div_duration_f64(STORM).round().max(1.0);
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "some storms, and at least one"
+        )]
+        let head = Head {
+            seed: self.seed,
+            per_zone: self.per_zone,
+            storms: storms as usize,
+        };
+        Ok(self.planned.then(|| Plan::draw(head)))
+    }
+}
+
 /// Starts the fleet, harms it while callers call, and checks what must hold.
 ///
 /// # Errors
 ///
-/// When a program can't be started, or the fleet doesn't come to serve at first.
+/// When a program can't be started, the fleet doesn't come to serve at first, or the
+/// plan can't be read.
 pub async fn run(plot: Plot) -> Result<Report, Error> {
-    let target = spawn(plot.per_zone).await?;
+    let plan = plot.find_plan()?;
+    if let Some((plan, file)) = plan.as_ref().zip(plot.write_plan.as_ref()) {
+        plan.write(file)?;
+    }
+    let head = plan.as_ref().map(|plan| plan.head);
+    let seed = head.map_or(plot.seed, |head| head.seed);
+    let target = spawn(head.map_or(plot.per_zone, |head| head.per_zone)).await?;
     let notes = Notes::default();
     let end = Instant::now() + plot.duration;
     let addresses: Vec<_> = target.deployment.vms.iter().map(Vm::callers).collect();
-    let callers = faults_callers::spawn(plot.seed, &addresses, end, &notes);
-    let mut storm = Storm::new(plot.seed, target);
-    let ended = storm.run_until(end).await;
+    let ends = Arc::new(AtomicBool::new(false));
+    let is_planned = plan.is_some();
+    let goes_on = {
+        let ends = Arc::clone(&ends);
+        move || !ends.load(Ordering::Relaxed) && (is_planned || Instant::now() < end)
+    };
+    let mut callers = faults_callers::spawn(seed, &addresses, goes_on.clone(), &notes);
+    let mut storm = Storm::new(seed, target);
+    let ended = match &plan {
+        Some(plan) => {
+            eprint!("{}", plan.to_lines()?);
+            callers.extend(faults_callers::spawn_unreading(seed, &addresses, &goes_on));
+            storm.play(plan).await
+        }
+        None => storm.run_until(end).await,
+    };
+    ends.store(is_planned || ended.is_err(), Ordering::Relaxed);
     faults_callers::join(callers).await?;
     tokio::time::sleep(AFTERMATH).await;
-    let report = ended.and_then(|()| storm.report(plot.seed, &notes));
+    let report = match ended {
+        Ok(()) => storm.report(seed, &notes).await,
+        Err(error) => Err(error),
+    };
     let is_clean = report.as_ref().is_ok_and(Report::is_clean);
     if let Some(folder) = plot.keep.filter(|_| !is_clean) {
         copy_files(storm.target.deployment.folder(), &folder)?;
@@ -151,242 +235,3 @@
     }
     Ok(())
 }
-
-/// The faults in force, and what the calms between them showed.
-struct Storm {
-    rng: SmallRng,
-    target: Target,
-    in_force: Vec<(Instant, Fault)>,
-    injected: usize,
-    calms: usize,
-    not_served: usize,
-    not_in_force: usize,
-    reverts: u64,
-    ended: usize,
-}
-
-impl Storm {
-    fn new(seed: u64, target: Target) -> Self {
-        Self {
-            rng: SmallRng::seed_from_u64(seed),
-            target,
-            in_force: Vec::new(),
-            injected: 0,
-            calms: 0,
-            not_served: 0,
-            not_in_force: 0,
-            reverts: 0,
-            ended: 0,
-        }
-    }
-
-    async fn run_until(&mut self, end: Instant) -> Result<(), Error> {
-        while Instant::now() + SETTLE + IN_FORCE < end {
-            self.rage(end.min(Instant::now() + STORM)).await?;
-            self.calm().await?;
-        }
-        Ok(())
-    }
-
-    /// Begins and ends faults until `until`.
-    async fn rage(&mut self, until: Instant) -> Result<(), Error> {
-        while Instant::now() < until {
-            self.end_due(Instant::now()).await?;
-            self.revive()?;
-            if self.rng.random_ratio(1, HERDS) {
-                self.kill_all().await?;
-            } else if self.rng.random_ratio(1, STOPS) {
-                self.stop_one().await?;
-            } else {
-                self.begin_one().await?;
-            }
-            let gap = Duration::from_millis(self.rng.random_range(GAP_MS));
-            tokio::time::sleep(gap).await;
-        }
-        Ok(())
-    }
-
-    /// Starts nodes again that have ended by themselves, as a platform does.
-    ///
-    /// A SIGHUP that meets a process before its first line of code ends it, and
-    /// no code can help that; any other end is a violation.
-    fn revive(&mut self) -> Result<(), Error> {
-        for (index, vm) in self.target.deployment.vms.iter_mut().enumerate() {
-            let kill = Fault::KillNode(index);
-            let is_killed = self.in_force.iter().any(|(_, fault)| *fault == kill);
-            if is_killed || vm.node.is_running() {
-                continue;
-            }
-            if !vm.node.was_ended_by(Signal::HUP) {
-                eprintln!("violation: {} ended by itself", vm.plan.name);
-                self.ended += 1;
-            }
-            vm.restart_node()?;
-        }
-        Ok(())
-    }
-
-    async fn begin_one(&mut self) -> Result<(), Error> {
-        let fault = Fault::draw(&mut self.rng, self.target.deployment.vms.len());
-        let lasts = Duration::from_millis(self.rng.random_range(FAULT_MS));
-        if !self
-            .in_force
-            .iter()
-            .all(|(_, other)| fault.goes_with(*other))
-        {
-            return Ok(());
-        }
-        eprintln!("{} inject {fault:?}", now_us());
-        self.target.inject(fault).await?;
-        self.injected += 1;
-        self.in_force.push((Instant::now() + lasts, fault));
-        Ok(())
-    }
-
-    /// Kills the nodes of all VMs that nothing else is done to.
-    async fn kill_all(&mut self) -> Result<(), Error> {
-        let until = Instant::now() + Duration::from_millis(FAULT_MS.start);
-        for vm in 0..self.target.deployment.vms.len() {
-            let fault = Fault::KillNode(vm);
-            if self
-                .in_force
-                .iter()
-                .all(|(_, other)| fault.goes_with(*other))
-            {
-                self.target.inject(fault).await?;
-                self.in_force.push((until, fault));
-            }
-        }
-        eprintln!("{} kill all", now_us());
-        self.injected += 1;
-        Ok(())
-    }
-
-    /// Stops a process gracefully, on a VM that nothing else is done to, and starts it again.
-    async fn stop_one(&mut self) -> Result<(), Error> {
-        let vm = self.rng.random_range(0..self.target.deployment.vms.len());
-        let is_free = |(_, other): &(Instant, Fault)| Fault::KillNode(vm).goes_with(*other);
-        if !self.in_force.iter().all(is_free) {
-            return Ok(());
-        }
-        let stop = if self.rng.random_bool(0.5) {
-            Stop::Node(vm)
-        } else {
-            Stop::Server(vm)
-        };
-        eprintln!("{} stop {stop:?}", now_us());
-        self.injected += 1;
-        self.target.stop(stop).await
-    }
-
-    async fn end_due(&mut self, now: Instant) -> Result<(), Error> {
-        let due: Vec<_> = self.in_force.extract_if(.., |(at, _)| *at <= now).collect();
-        for (_, fault) in due {
-            self.target.recover(fault).await?;
-        }
-        Ok(())
-    }
-
-    /// Ends all faults, and looks whether every node serves and takes a version in time.
-    async fn calm(&mut self) -> Result<(), Error> {
-        for (_, fault) in std::mem::take(&mut self.in_force) {
-            self.target.recover(fault).await?;
-        }
-        self.target.forwarders.iter().for_each(Forwarder::sever);
-        self.revive()?;
-        self.calms += 1;
-        eprintln!("{} calm", now_us());
-        let deployment = &self.target.deployment;
-        if let Err(error) = deployment.wait_served("/records/calm", SERVED).await {
-            eprintln!("violation: {error}");
-            self.not_served += 1;
-        }
-        let version = self.write_version()?;
-        let written = Instant::now();
-        while !self.holds(version).await {
-            if written.elapsed() > IN_FORCE {
-                eprintln!("violation: version {version} is not in force everywhere");
-                self.not_in_force += 1;
-                break;
-            }
-            tokio::time::sleep(POLL).await;
-        }
-        self.count_reverts().await;
-        Ok(())
-    }
-
-    /// Writes a version as an operator does, and gives its number.
-    ///
-    /// Two operators may still be racing, and win against this one.
-    fn write_version(&self) -> Result<u64, Error> {
-        let deployment = &self.target.deployment;
-        let change = put_service(&format!("calm-{}", self.calms));
-        let mut outcome = Err(Error::Unexpected("never tried".to_owned()));
-        for _ in 0..WRITES {
-            let last = self.read_last()?;
-            outcome = deployment.propose(std::slice::from_ref(&change), last);
-            if outcome.is_ok() {
-                return Ok(last + 1);
-            }
-        }
-        outcome.map(|_| 0)
-    }
-
-    /// Reads the number of the last version.
-    fn read_last(&self) -> Result<u64, Error> {
-        let deployment = &self.target.deployment;
-        let platform = deployment.platform_address.to_string();
-        let arguments = ["log", "--limit=1", "--json", "--platform", &platform];
-        let (_, output) = deployment.operate(&arguments, SERVED)?;
-        let unexpected = || Error::Unexpected(format!("log: {output}"));
-        let listed: serde_json::Value =
-            serde_json::from_str(&output).map_err(|_no_json| unexpected())?;
-        listed[0]["version"].as_u64().ok_or_else(unexpected)
-    }
-
-    /// Tells whether every node serves by a version, or a later one.
-    async fn holds(&self, version: u64) -> bool {
-        for vm in &self.target.deployment.vms {
-            let held = read_status(vm).await.map(|status| status.version.0);
-            if !held.is_ok_and(|held| held >= version) {
-                return false;
-            }
-        }
-        true
-    }
-
-    async fn count_reverts(&mut self) {
-        for vm in &self.target.deployment.vms {
-            if let Ok(metrics) = read_metrics(vm).await {
-                let reverts = metrics.get("bluebellpick_config_reverts_total");
-                if reverts > 0.0 {
-                    eprintln!("violation: {} was offered an older view", vm.plan.name);
-                    self.reverts += 1;
-                }
-            }
-        }
-    }
-
-    fn report(&self, seed: u64, notes: &Notes) -> Result<Report, Error> {
-        let history = History {
-            invocations: notes.take(),
-            records: self.target.read_records()?,
-            // Faults overlap all the while: what a stop alone may cut is for `faults` and `rolling`.
-            graceful: Vec::new(),
-        };
-        let verdict = check(&history);
-        for line in &verdict.violations {
-            eprintln!("violation: {line}");
-        }
-        Ok(Report {
-            seed,
-            verdict,
-            faults_injected: self.injected,
-            calms: self.calms,
-            not_served: self.not_served,
-            not_in_force: self.not_in_force,
-            reverts: self.reverts,
-            ended_by_themselves: self.ended,
-        })
-    }
-}
--- a/crates/standin/src/announce.rs
+++ b/crates/standin/src/announce.rs
@@ -86,7 +86,12 @@
     ///
     /// The node may be killed once it knows; the next one says that nobody leaves,
     /// and is told again.
-    pub async fn leave(&self, farewell: Farewell, limit: Duration) {
+    ///
+    /// `told_at` hears each time that a node has answered the farewell.
+    pub async fn leave<F>(&self, farewell: Farewell, limit: Duration, mut told_at: F)
+    where
+        F: FnMut(),
+    {
         let end = Instant::now() + limit;
         let mut told = false;
         while Instant::now() < end {
@@ -98,6 +103,9 @@
                 }
             } else {
                 told = self.call(Method::DELETE, encode(&farewell)).await.is_some();
+                if told {
+                    told_at();
+                }
             }
             sleep(DRAIN_INTERVAL).await;
         }
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -182,8 +182,10 @@
                 incarnation: rand::random(),
                 sequence: 1,
             };
-            let backend = Backend::spawn(listener, plan, record, seed);
-            serve_backend(&backend, announce, announcement, &mut stop, drain_timeout).await;
+            let backend = Backend::spawn(listener, plan, record.clone(), seed);
+            let way = announce.map(Node::open);
+            let announcing = (way, announcement, record);
+            serve_backend(&backend, announcing, &mut stop, drain_timeout).await;
         }
     }
     Ok(())
@@ -192,12 +194,10 @@
 /// Serves until SIGTERM, then until nothing is in flight here or at the node.
 async fn serve_backend(
     backend: &Backend,
-    announce: Option<SocketAddr>,
-    announcement: Announcement,
+    (node, announcement, record): (Option<Node>, Announcement, Record),
     stop: &mut tokio::signal::unix::Signal,
     drain_timeout: Duration,
 ) {
-    let node = announce.map(Node::open);
     let farewell = Farewell {
         incarnation: announcement.incarnation,
     };
@@ -212,7 +212,8 @@
         _ = stop.recv() => {}
     }
     if let Some(node) = &node {
-        node.leave(farewell, drain_timeout).await;
+        let told_at = || record.note_farewell();
+        node.leave(farewell, drain_timeout, told_at).await;
     }
     if tokio::time::timeout(drain_timeout, backend.drain())
         .await
--- a/crates/standin/src/record.rs
+++ b/crates/standin/src/record.rs
@@ -5,7 +5,7 @@
 use smol_str::SmolStr;
 use std::fs::File;
 use std::io::Write;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
 
@@ -53,6 +53,8 @@
 pub struct Record {
     entries: Arc<Mutex<Vec<Entry>>>,
     file: Option<Arc<Mutex<File>>>,
+    /// Where the time of the farewell is written.
+    left: Option<Arc<PathBuf>>,
 }
 
 /// A run that goes on; dropped before its end, it counts as cancelled.
@@ -66,17 +68,32 @@
 impl Record {
     /// Makes an empty record; with a file, each start and end is also a line there.
     ///
+    /// Beside it, in a file with the extension `left`, stands when the first node
+    /// answered the farewell.
+    ///
     /// # Errors
     ///
     /// When the file can't be made.
     pub fn open(file: Option<&Path>) -> std::io::Result<Self> {
+        let left = file.map(|file| Arc::new(file.with_extension("left")));
         let file = file.map(File::create).transpose()?;
         Ok(Self {
             entries: Arc::default(),
             file: file.map(|file| Arc::new(Mutex::new(file))),
+            left,
         })
     }
 
+    /// Notes that a node has answered the farewell; only the first time counts.
+    pub fn note_farewell(&self) {
+        let Some(left) = self.left.as_deref().filter(|left| !left.exists()) else {
+            return;
+        };
+        if let Err(error) = std::fs::write(left, now_us().to_string()) {
+            log::error!(error:%; "record_failed");
+        }
+    }
+
     /// Notes that a run begins; `entry.run` and its times are set here.
     #[must_use]
     pub fn start(&self, mut entry: Entry) -> Run {
