--- a/crates/bench/src/soak_storm.rs
+++ b/crates/bench/src/soak_storm.rs
@@ -238,11 +238,7 @@
         let until = Instant::now() + Duration::from_millis(FAULT_MS.start);
         for vm in 0..self.target.deployment.vms.len() {
             let fault = Fault::KillNode(vm);
-            if self
-                .in_force
-                .iter()
-                .all(|(_, other)| fault.goes_with(*other))
-            {
+            if self.is_free(Action::Fault(fault)) {
                 self.target.inject(fault).await?;
                 self.in_force.push((until, fault));
             }
