--- a/crates/bench/src/deployment.rs
+++ b/crates/bench/src/deployment.rs
@@ -100,6 +100,7 @@
     /// The backend server.
     pub backend: Option<Process>,
     settings: PathBuf,
+    programs: PathBuf,
 }
 
 impl Vm {
@@ -139,7 +140,7 @@
     ///
     /// When the program can't be started.
     pub fn restart_node(&mut self) -> Result<(), Error> {
-        self.node = spawn_node(&self.settings, &self.node.log)?;
+        self.node = spawn_node(&self.programs, &self.settings, &self.node.log)?;
         Ok(())
     }
 
@@ -151,7 +152,8 @@
     pub fn restart_backend(&mut self) -> Result<(), Error> {
         if let Some(service) = &self.plan.service {
             let log = self.settings.with_extension("backend.log");
-            self.backend = Some(spawn_backend(self.ip, service, &self.plan, &log)?);
+            let programs = &self.programs;
+            self.backend = Some(spawn_backend(programs, self.ip, service, &self.plan, &log)?);
         }
         Ok(())
     }
@@ -168,6 +170,8 @@
     /// The VMs, in the order of their plans.
     pub vms: Vec<Vm>,
     base: [u8; 2],
+    /// Where the programs are; empty for beside this one.
+    programs: PathBuf,
 }
 
 impl Deployment {
@@ -177,17 +181,32 @@
     ///
     /// When a program can't be started.
     pub async fn spawn(plans: Vec<Plan>, platform_arguments: &[&str]) -> Result<Self, Error> {
+        Self::spawn_from(Path::new(""), plans, platform_arguments).await
+    }
+
+    /// Starts a fleet as [`Deployment::spawn`] does, from the programs in another folder.
+    ///
+    /// # Errors
+    ///
+    /// When a program can't be started.
+    pub async fn spawn_from(
+        programs: &Path,
+        plans: Vec<Plan>,
+        platform_arguments: &[&str],
+    ) -> Result<Self, Error> {
         let folder = tempfile::Builder::new().prefix("bluebellpick-").tempdir()?;
         // Deployments that run side by side each take their own block of loopback addresses.
         let base = [rand::random_range(1..=254), rand::random_range(0..=250)];
         let address = SocketAddr::new(ip_of(base, 0), PLATFORM);
-        let platform = spawn_platform(address, platform_arguments, folder.path())?;
+        let programs = programs.to_owned();
+        let platform = spawn_platform(&programs, address, platform_arguments, folder.path())?;
         let mut deployment = Self {
             folder,
             platform,
             platform_address: address,
             vms: Vec::new(),
             base,
+            programs,
         };
         deployment.wait_platform().await?;
         for plan in plans {
@@ -220,14 +239,13 @@
                 &seeds,
             ),
         )?;
-        let node = spawn_node(&settings, &settings.with_extension("node.log"))?;
+        let log = settings.with_extension("node.log");
+        let node = spawn_node(&self.programs, &settings, &log)?;
         let backend = match &plan.service {
-            Some(service) => Some(spawn_backend(
-                ip,
-                service,
-                &plan,
-                &settings.with_extension("backend.log"),
-            )?),
+            Some(service) => {
+                let log = settings.with_extension("backend.log");
+                Some(spawn_backend(&self.programs, ip, service, &plan, &log)?)
+            }
             None => None,
         };
         self.vms.push(Vm {
@@ -236,6 +254,7 @@
             node,
             backend,
             settings,
+            programs: self.programs.clone(),
         });
         Ok(())
     }
@@ -431,7 +450,13 @@
     text.join("\n")
 }
 
+/// Names a program in a folder, or beside this one where that is empty.
+fn name_program(programs: &Path, name: &str) -> String {
+    programs.join(name).display().to_string()
+}
+
 fn spawn_platform(
+    programs: &Path,
     address: SocketAddr,
     arguments: &[&str],
     folder: &Path,
@@ -439,19 +464,28 @@
     let listen = address.to_string();
     let mut all = vec!["platform", "--listen", &listen];
     all.extend(arguments);
-    Process::spawn("bluebellpick-standin", all, &folder.join("platform.log"))
+    let program = name_program(programs, "bluebellpick-standin");
+    Process::spawn(&program, all, &folder.join("platform.log"))
 }
 
-fn spawn_node(settings: &Path, log: &Path) -> Result<Process, Error> {
+fn spawn_node(programs: &Path, settings: &Path, log: &Path) -> Result<Process, Error> {
     let settings = settings.display().to_string();
-    Process::spawn("bluebellpick-node", ["--settings", &settings], log)
+    let program = name_program(programs, "bluebellpick-node");
+    Process::spawn(&program, ["--settings", &settings], log)
 }
 
-fn spawn_backend(ip: IpAddr, service: &str, plan: &Plan, log: &Path) -> Result<Process, Error> {
+fn spawn_backend(
+    programs: &Path,
+    ip: IpAddr,
+    service: &str,
+    plan: &Plan,
+    log: &Path,
+) -> Result<Process, Error> {
     let listen = SocketAddr::new(ip, SERVER).to_string();
     let announce = SocketAddr::new(ip, BACKEND).to_string();
     let mut arguments = vec!["backend", "--listen", &listen, "--announce", &announce];
     arguments.extend(["--service", service]);
     arguments.extend(plan.backend_arguments.iter().map(String::as_str));
-    Process::spawn("bluebellpick-standin", arguments, log)
+    let program = name_program(programs, "bluebellpick-standin");
+    Process::spawn(&program, arguments, log)
 }
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -109,7 +109,13 @@
 async fn run(command: Command) -> Result<(String, bool), Error> {
     match command {
         Command::Demo => Ok((print_json(&demo::run().await?)?, true)),
-        Command::Path(plot) => Ok((print_json(&path::run(plot).await?)?, true)),
+        Command::Path(plot) => {
+            let report = match &plot.against {
+                Some(against) => print_json(&path::run_pair(&plot, against).await?)?,
+                None => print_json(&path::run(&plot).await?)?,
+            };
+            Ok((report, true))
+        }
         Command::Faults(plot) => {
             let report = faults::run(plot).await?;
             Ok((print_json(&report)?, report.is_clean()))
--- a/crates/bench/src/path.rs
+++ b/crates/bench/src/path.rs
@@ -3,6 +3,10 @@
 //! Three series run interleaved: direct calls to a backend server, calls that
 //! enter at the node on its own VM, and calls that enter at the node of
 //! another VM. Whatever the machine does meanwhile, it does to all three.
+//!
+//! On a shared machine one run proves little: the same programs added 0.6 and 4.9 ms
+//! within minutes. With `--against` a second fleet of other programs stands beside
+//! the first, and both are measured by turns.
 
 use crate::caller::{Call, Caller};
 use crate::count::to_f64;
@@ -14,10 +18,11 @@
 use bpaf::{Parser, construct, long};
 use config::{Change, Class, Repeat};
 use serde::Serialize;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 /// What to measure.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct Plot {
     /// Calls a second of each series and VM.
     pub rate: u32,
@@ -25,6 +30,29 @@
     pub duration: Duration,
     /// VMs with a backend server each.
     pub vms: usize,
+    /// Folder of other programs that are measured by turns with those beside this one.
+    pub against: Option<PathBuf>,
+    /// Turns.
+    pub turns: u32,
+}
+
+/// What was measured of both, and the first over the second.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+pub struct Pair {
+    /// The programs beside this one.
+    pub here: Report,
+    /// Those of the other folder.
+    pub there: Report,
+    /// Processor time for a call here over there, as the median of the turns.
+    pub cpu_ratio: f64,
+    /// Least and largest of the turns.
+    pub cpu_ratio_range: [f64; 2],
+    /// What both nodes add at the median here over there, as the median of the turns.
+    pub added_remote_p50_ratio: f64,
+    /// The same at the 99th percentile.
+    pub added_remote_p99_ratio: f64,
+    /// Calls without a good answer, of both.
+    pub errors: u64,
 }
 
 /// What was measured.
@@ -48,6 +76,8 @@
     pub added_remote_p99_ms: f64,
     /// Processor time of all nodes for one call through them, in microseconds.
     pub node_cpu_us_a_call: f64,
+    /// Times that a thread of all nodes waited, for one call through them.
+    pub node_switches_a_call: f64,
     /// Largest resident memory of a node, in megabytes.
     pub node_rss_mb_max: f64,
     /// Calls answered.
@@ -85,10 +115,22 @@
         .guard(|vms| (2..=50).contains(vms), "between 2 and 50 VMs")
         .fallback(3)
         .display_fallback();
+    let against = long("against")
+        .help("Folder of other programs, which are measured by turns with these")
+        .argument::<PathBuf>("FOLDER")
+        .optional();
+    let turns = long("turns")
+        .help("Turns that a pair is measured in, each as long as told")
+        .argument::<u32>("COUNT")
+        .guard(|turns| (1..=100).contains(turns), "between 1 and 100")
+        .fallback(5)
+        .display_fallback();
     construct!(Plot {
         rate,
         duration,
-        vms
+        vms,
+        against,
+        turns
     })
 }
 
@@ -97,9 +139,42 @@
 /// # Errors
 ///
 /// When a program can't be started, or the fleet doesn't come to serve.
-pub async fn run(plot: Plot) -> Result<Report, Error> {
+pub async fn run(plot: &Plot) -> Result<Report, Error> {
+    let deployment = start(plot, Path::new("")).await?;
+    measure(&deployment, plot).await
+}
+
+/// Measures the programs beside this one and those of another folder by turns.
+///
+/// # Errors
+///
+/// When a program can't be started, or a fleet doesn't come to serve.
+pub async fn run_pair(plot: &Plot, against: &Path) -> Result<Pair, Error> {
+    let here = start(plot, Path::new("")).await?;
+    let there = start(plot, against).await?;
+    let mut turns = Vec::new();
+    for turn in 0..plot.turns {
+        // Whoever comes first meets other caches: that goes by turns, too.
+        let is_first = turn % 2 == 0;
+        let (first, second) = if is_first {
+            (&here, &there)
+        } else {
+            (&there, &here)
+        };
+        let first = measure(first, plot).await?;
+        let second = measure(second, plot).await?;
+        turns.push(if is_first {
+            (first, second)
+        } else {
+            (second, first)
+        });
+    }
+    Ok(compare(&turns))
+}
+
+async fn start(plot: &Plot, programs: &Path) -> Result<Deployment, Error> {
     let plans = (0..plot.vms).map(plan_vm).collect();
-    let deployment = Deployment::spawn(plans, &[]).await?;
+    let deployment = Deployment::spawn_from(programs, plans, &[]).await?;
     deployment.propose(&plan_changes(plot.vms), 0)?;
     for index in 0..plot.vms {
         deployment
@@ -107,9 +182,13 @@
             .await?;
     }
     send_planned(plan_calls(&deployment, plot, WARM_UP), CALL_LIMIT).await;
-    let before = read_usage(&deployment)?;
-    let outcomes = send_planned(plan_calls(&deployment, plot, plot.duration), CALL_LIMIT).await;
-    let after = read_usage(&deployment)?;
+    Ok(deployment)
+}
+
+async fn measure(deployment: &Deployment, plot: &Plot) -> Result<Report, Error> {
+    let before = read_usage(deployment)?;
+    let outcomes = send_planned(plan_calls(deployment, plot, plot.duration), CALL_LIMIT).await;
+    let after = read_usage(deployment)?;
     let mut series = [Series::new(), Series::new(), Series::new()];
     for outcome in outcomes {
         match outcome.answer {
@@ -121,21 +200,51 @@
     }
     let mut report = report(&series);
     let spent = after.processor.saturating_sub(before.processor);
-    let through = series[LOCAL].answers() + series[REMOTE].answers();
-    report.node_cpu_us_a_call = spent.as_secs_f64() * 1e6 / to_f64(through.max(1));
+    let through = to_f64((series[LOCAL].answers() + series[REMOTE].answers()).max(1));
+    report.node_cpu_us_a_call = spent.as_secs_f64() * 1e6 / through;
+    report.node_switches_a_call = to_f64(after.switches - before.switches) / through;
     report.node_rss_mb_max = to_f64(after.resident) / f64::from(1 << 20);
     Ok(report)
 }
 
+fn compare(turns: &[(Report, Report)]) -> Pair {
+    let ratios = |of: fn(&Report) -> f64| {
+        let ratios = turns.iter().map(|(here, there)| of(here) / of(there));
+        let mut ratios: Vec<_> = ratios.collect();
+        ratios.sort_by(f64::total_cmp);
+        ratios
+    };
+    let middle = |mut reports: Vec<Report>| {
+        reports.sort_by(|one, other| one.node_cpu_us_a_call.total_cmp(&other.node_cpu_us_a_call));
+        reports[reports.len() / 2]
+    };
+    let cpu = ratios(|report| report.node_cpu_us_a_call);
+    let median = |of| ratios(of)[turns.len() / 2];
+    Pair {
+        here: middle(turns.iter().map(|turn| turn.0).collect()),
+        there: middle(turns.iter().map(|turn| turn.1).collect()),
+        cpu_ratio: cpu[turns.len() / 2],
+        cpu_ratio_range: [cpu[0], cpu[turns.len() - 1]],
+        added_remote_p50_ratio: median(|report| report.remote_p50_ms - report.direct_p50_ms),
+        added_remote_p99_ratio: median(|report| report.added_remote_p99_ms),
+        errors: turns
+            .iter()
+            .map(|(here, there)| here.errors + there.errors)
+            .sum(),
+    }
+}
+
 /// Gives the processor time of all nodes, and the largest resident memory of one.
 fn read_usage(deployment: &Deployment) -> Result<Usage, Error> {
     let mut all = Usage {
         resident: 0,
         processor: Duration::ZERO,
+        switches: 0,
     };
     for vm in &deployment.vms {
         let one = vm.node.usage()?;
         all.processor += one.processor;
+        all.switches += one.switches;
         all.resident = all.resident.max(one.resident);
     }
     Ok(all)
@@ -160,7 +269,7 @@
     changes
 }
 
-fn plan_calls(deployment: &Deployment, plot: Plot, duration: Duration) -> Vec<Planned> {
+fn plan_calls(deployment: &Deployment, plot: &Plot, duration: Duration) -> Vec<Planned> {
     let period = Duration::from_secs(1) / plot.rate;
     let mut planned = Vec::new();
     for (index, vm) in deployment.vms.iter().enumerate() {
@@ -201,6 +310,7 @@
         added_local_p99_ms: p99(LOCAL) - p99(DIRECT),
         added_remote_p99_ms: p99(REMOTE) - p99(DIRECT),
         node_cpu_us_a_call: 0.0,
+        node_switches_a_call: 0.0,
         node_rss_mb_max: 0.0,
         calls: series.iter().map(Series::answers).sum(),
         errors: series.iter().map(|one| one.errors).sum(),
--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -33,6 +33,8 @@
     pub resident: u64,
     /// Processor time since its start.
     pub processor: Duration,
+    /// Times that one of its threads gave the processor up since its start.
+    pub switches: u64,
 }
 
 impl Process {
@@ -128,9 +130,38 @@
             usage.ok_or_else(|| Error::Unexpected("unreadable process status".to_owned()))?;
         Ok(Usage {
             resident,
-            processor: Duration::from_secs_f64(ticks / TICKS_PER_SECOND),
+            processor: self.read_scheduled().unwrap_or_else(|| {
+                // The kernel may not keep nanoseconds.
+                Duration::from_secs_f64(ticks / TICKS_PER_SECOND)
+            }),
+            switches: self.count_switches()?,
         })
     }
+
+    /// Reads the processor time of all threads, to the nanosecond.
+    fn read_scheduled(&self) -> Option<Duration> {
+        let tasks = std::fs::read_dir(format!("/proc/{}/task", self.id())).ok()?;
+        let mut all = Duration::ZERO;
+        for task in tasks.flatten() {
+            let text = std::fs::read_to_string(task.path().join("schedstat")).ok()?;
+            let nanos = text.split_whitespace().next()?.parse().ok()?;
+            all += Duration::from_nanos(nanos);
+        }
+        Some(all).filter(|time| !time.is_zero())
+    }
+
+    /// Counts the times that a thread of the process waited for something.
+    fn count_switches(&self) -> Result<u64, Error> {
+        let mut all = 0;
+        for task in std::fs::read_dir(format!("/proc/{}/task", self.id()))? {
+            // A thread may end between the listing and the look at it.
+            let Ok(status) = std::fs::read_to_string(task?.path().join("status")) else {
+                continue;
+            };
+            all += scan_switches(&status).unwrap_or_default();
+        }
+        Ok(all)
+    }
 }
 
 impl Drop for Process {
@@ -151,6 +182,13 @@
     Some(user + system)
 }
 
+fn scan_switches(status: &str) -> Option<u64> {
+    let line = status
+        .lines()
+        .find(|line| line.starts_with("voluntary_ctxt_switches:"))?;
+    line.split_whitespace().nth(1)?.parse().ok()
+}
+
 fn scan_resident(status: &str) -> Option<u64> {
     let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
     let kilobytes = line.split_whitespace().nth(1)?.parse::<u64>().ok()?;
