--- a/crates/bench/src/deployment.rs
+++ b/crates/bench/src/deployment.rs
@@ -275,7 +275,8 @@
             .folder
             .path()
             .join(format!("operate-{:016x}.log", rand::random::<u64>()));
-        let mut process = Process::spawn("bluebellpick", arguments, &log)?;
+        let program = name_program(&self.programs, "bluebellpick");
+        let mut process = Process::spawn(&program, arguments, &log)?;
         let status = process.wait(limit)?;
         let output = std::fs::read_to_string(&log)?;
         Ok((status.code().unwrap_or(-1), output))
