Take up a lease whose holder had this node's address

A zone refused its calls for 10 s after a loss of power of all VMs. Cause, from two traced plays: the zone's lease was of a VM that had been replaced, and another VM had its address. It could be reached there, so nobody took the lease until it ran out after 10 s. Change: the node at the address of a lease's holder takes it up.

--- a/crates/fleet/src/duty.rs
+++ b/crates/fleet/src/duty.rs
@@ -34,9 +34,9 @@
         }
         let candidates = &self.candidates;
         let own = &self.settings.own;
-        let opening = self.lease.opening(&own.zone, &own.node, |holder| {
-            candidates.is_unreached(holder.address)
-        });
+        let opening = self
+            .lease
+            .opening(own, |holder| candidates.is_unreached(holder.address));
         match opening {
             Some(slot) if self.search.is_on() && !self.is_leaving => {
                 self.take_seat(slot, true);
--- a/crates/fleet/src/root.rs
+++ b/crates/fleet/src/root.rs
@@ -227,20 +227,26 @@
     /// even one root may answer needs no new one from here: its roots nominate.
     /// A lease of this node's former process is taken up again: after the
     /// restart of a whole zone all holders can be reached, and none is a root.
-    pub fn opening<F>(&self, zone: &str, own: &SmolStr, is_unreached: F) -> Option<u8>
+    /// So is one whose holder had this node's address: that VM is gone, and
+    /// whoever looks for it finds this node, which is no root. Left to run out,
+    /// it kept a zone that was restarted whole without configuration for 10 s.
+    pub fn opening<F>(&self, own: &Peer, is_unreached: F) -> Option<u8>
     where
         F: Fn(&Peer) -> bool,
     {
-        let is_usable =
-            |seat: &&Seat| seat.is_live && seat.holder.node != *own && !is_unreached(&seat.holder);
-        let mine = self.seats.iter().filter(|seat| seat.holder.zone == zone);
-        let former = mine.clone().find(|seat| seat.holder.node == *own);
+        let is_former = |holder: &Peer| holder.node == own.node || holder.address == own.address;
+        let mine = self
+            .seats
+            .iter()
+            .filter(|seat| seat.holder.zone == own.zone);
+        let former = mine.clone().find(|seat| is_former(&seat.holder));
         if let Some(former) = former {
             return Some(former.slot);
         }
+        let is_usable = |seat: &&Seat| seat.is_live && !is_unreached(&seat.holder);
         mine.clone().find(is_usable).is_none().then(|| {
             // Any lease will do; different nodes try different ones.
-            let hash = crate::endpoints::hash(own.as_bytes());
+            let hash = crate::endpoints::hash(own.node.as_bytes());
             let slot = crate::endpoints::pick(hash, SEATS.into());
             u8::try_from(slot).unwrap_or_default()
         })
--- a/crates/fleet/tests/joining.rs
+++ b/crates/fleet/tests/joining.rs
@@ -4,6 +4,7 @@
 use fleet::bootstrap::Gate;
 use fleet::bucket::Bucket;
 use fleet::parent::{Candidates, Source};
+use fleet::root::Lease;
 use fleet::{Action, Answer, Event, LinkKey, Node, Peer, Request, Seat, Settings};
 use policy::backoff::Backoff;
 use rand::SeedableRng;
@@ -47,6 +48,30 @@
     assert!((0..20).all(|_| door.take(start, 4 * MS).is_ok()));
 }
 
+// A zone loses power, and refuses all calls for 10 s after it is back, though the platform
+// answers. Its only lease was of a VM that had been replaced: another VM had its address
+// since, could be reached there, and was no root. The log had `started` of all nodes at
+// 40.5 to 40.7 s and the first `version_installed` at 51.0 s, as the lease ran out.
+#[test]
+fn address_used_again() {
+    let peer = |node: &str, port| Peer {
+        node: node.into(),
+        zone: "kl-a".into(),
+        address: address(port),
+    };
+    let mut lease = Lease::new(Instant::now());
+    lease.read(vec![Seat {
+        slot: 1,
+        holder: peer("kl-a-2", 2),
+        is_live: true,
+    }]);
+    let reached = |_: &Peer| false;
+    assert_eq!(lease.opening(&peer("kl-a-9", 2), reached), Some(1));
+    assert_eq!(lease.opening(&peer("kl-a-2", 5), reached), Some(1));
+    assert_eq!(lease.opening(&peer("kl-a-3", 3), reached), None);
+    assert!(lease.opening(&peer("kl-a-3", 3), |_| true).is_some());
+}
+
 // A fleet grows until one child alone costs more than the door lets in at
 // once. It must still be let in, when nothing else is on the way.
 #[test]
