--- a/crates/bench/src/deployment.rs
+++ b/crates/bench/src/deployment.rs
@@ -374,13 +374,23 @@
 pub fn write_patch(changes: &[Change]) -> Result<String, Error> {
     let mut text = String::new();
     for change in changes {
-        let line = serde_json::to_string(change);
-        text += &line.map_err(|error| Error::Unexpected(error.to_string()))?;
+        let as_error = |error: serde_json::Error| Error::Unexpected(error.to_string());
+        let mut line = serde_json::to_value(change).map_err(as_error)?;
+        drop_nulls(&mut line);
+        text += &line.to_string();
         text.push('\n');
     }
     Ok(text)
 }
 
+/// Leaves out what is not set: programs of an earlier build may not know its name.
+fn drop_nulls(value: &mut serde_json::Value) {
+    if let serde_json::Value::Object(fields) = value {
+        fields.retain(|_, field| !field.is_null());
+        fields.values_mut().for_each(drop_nulls);
+    }
+}
+
 /// Gives the change that adds a service without objectives.
 #[must_use]
 pub fn put_service(name: &str) -> Change {
