Take no farewell of a former process for a sign of life

Symptom, found by reading: a process that another one has replaced says farewell, and two words of it in any order had it back: the farewell and one late heartbeat. New calls then went to a process that leaves. Cause: what is heard of a former process was counted without looking at what it says. Also, a process that follows inherited the number of the former one's last word until it named one of its own. Before: farewell former_has_left and counts_anew failed; after: pass.

--- a/crates/node/src/announce/process.rs
+++ b/crates/node/src/announce/process.rs
@@ -148,6 +148,9 @@
         if let Some(place) = self.former.iter().position(|one| one.process == *process) {
             let former = &mut self.former[place];
             former.heard = former.heard.saturating_add(1);
+            // A farewell is no sign of life: with it counted as one, a late heartbeat
+            // was the second, and had the process back that leaves.
+            former.left |= word.leaves;
             if former.left || former.heard < ALIVE {
                 return false;
             }
@@ -183,6 +186,7 @@
             && let Some(former) = self.process.replace(process.clone())
         {
             self.forget(former, self.left.is_some(), 0);
+            self.sequence = 0;
         }
         self.left = word.leaves.then(|| self.left.unwrap_or(word.at));
         self.sequence = word.sequence.unwrap_or(self.sequence);
--- a/crates/node/tests/farewell.rs
+++ b/crates/node/tests/farewell.rs
@@ -117,6 +117,34 @@
     assert_eq!(desk.serving(), Some(6));
 }
 
+// Calls go to a process that has said that it leaves, as above, with another one in its
+// place: its farewell was taken for one more sign of life, and a heartbeat that came late,
+// the second sign, had it back.
+#[tokio::test]
+async fn former_has_left() {
+    let desk = Desk::open().await;
+    desk.put(Some(1), 1, 6).await;
+    desk.put(Some(2), 1, 4).await;
+    desk.delete(Some(1)).await;
+    for sequence in 2..5 {
+        let status = desk.put(Some(1), sequence, 6).await;
+        assert_eq!((status, desk.serving()), (409, Some(4)));
+    }
+}
+
+// A backend server that numbers its heartbeats follows one that did, and its own first word
+// has no number: its second one must not be measured by those of the process before.
+#[tokio::test]
+async fn counts_anew() {
+    let desk = Desk::open().await;
+    desk.put(Some(1), 30, 6).await;
+    let unnumbered =
+        json!({"service": "records", "address": "127.0.0.1:9000", "slots": 4, "incarnation": 2});
+    request(desk.address, "PUT /v1/announce", &unnumbered.to_string()).await;
+    assert_eq!(desk.put(Some(2), 1, 3).await, 200);
+    assert_eq!(desk.serving(), Some(3));
+}
+
 // A node is killed while its backend server leaves; the new node takes a heartbeat that
 // was on its way for the word of a living server. The farewell comes again, since the
 // server repeats it until its node has heard it, and no heartbeat may undo it.
