--- a/crates/bench/src/soak_repeat.rs
+++ b/crates/bench/src/soak_repeat.rs
@@ -4,6 +4,7 @@
 use crate::process::Process;
 use crate::soak::Plot;
 use crate::soak_plan::Plan;
+use rustix::process::Signal;
 use serde::Serialize;
 use std::collections::BTreeMap;
 use std::path::Path;
@@ -12,6 +13,9 @@
 /// Time between two looks at the runs.
 const POLL: Duration = Duration::from_millis(100);
 
+/// Longest wait for a run that is ended early.
+const END: Duration = Duration::from_secs(5);
+
 /// Words of a violation by which it is counted.
 const WORDS: usize = 4;
 
@@ -33,6 +37,17 @@
     process: Process,
 }
 
+impl Drop for Run {
+    /// Ends a run so that it ends the processes that it started; killed, it leaves them behind.
+    fn drop(&mut self) {
+        if self.process.is_running() {
+            // What goes wrong here is told as the process handle kills what is left.
+            drop(self.process.signal(Signal::TERM));
+            drop(self.process.wait(END));
+        }
+    }
+}
+
 /// Runs a soak as often as the plot says, and counts what was violated.
 ///
 /// # Errors
