--- a/crates/node/src/inbound.rs
+++ b/crates/node/src/inbound.rs
@@ -4,6 +4,7 @@
 //! settles what became of one when a link has gone silent.
 
 pub(crate) mod bodies;
+pub(crate) mod deliver;
 pub(crate) mod entry;
 pub(crate) mod gate;
 pub(crate) mod link;
@@ -85,7 +86,7 @@
         tables: Default::default(),
         links: Mutex::default(),
         parents: Arc::default(),
-        ahead: Arc::new(Semaphore::new(run::MAX_AHEAD)),
+        ahead: Arc::new(Semaphore::new(deliver::MAX_AHEAD)),
     });
     tokio::spawn(forget(Arc::downgrade(&inner)));
     tokio::spawn(announce_leaving(Arc::downgrade(&inner)));
--- a/crates/node/src/inbound/run.rs
+++ b/crates/node/src/inbound/run.rs
@@ -1,11 +1,11 @@
 //! How one call is run on the node's own backend server.
 
 use crate::backend::{Error, Reply};
-use crate::header::{put_headers, take_end_to_end};
+use crate::header::put_headers;
 use crate::inbound::bodies::Held;
-use crate::inbound::entry::{Call, Untaken};
+use crate::inbound::deliver::{deliver, send_answer};
+use crate::inbound::entry::Call;
 use crate::inbound::gate::{Offer, Permit};
-use crate::inbound::outgoing::PART;
 use crate::inbound::parents::{Parent, Run};
 use crate::inbound::{Inner, bodies};
 use crate::outbound::answer::name_of;
@@ -16,19 +16,18 @@
 use clock::Clock;
 use config::Class;
 use http::{HeaderName, HeaderValue, Method, Response, StatusCode, Uri};
-use log::{info, warn};
+use log::info;
 use platform::header;
 use policy::admission;
 use policy::balance::Told;
 use policy::intake;
 use policy::limit::Outcome;
 use policy::retry;
-use std::future::poll_fn;
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 use tokio::sync::OwnedSemaphorePermit;
-use wire::call::{Answer, EAGER, Header, Reason, Request};
+use wire::call::{EAGER, Header, Reason, Request};
 
 /// Header with the time that a call has left, in milliseconds; from callers, and to backend servers.
 pub const TIMEOUT_HEADER: HeaderName = HeaderName::from_static("bluebellpick-timeout-ms");
@@ -80,17 +79,6 @@
     }
 }
 
-/// Bytes of an answer that are taken from the backend server beyond what its reader has room for.
-///
-/// *Load pattern:* readers whose process was killed, or that stand still in the midst
-/// of an answer. *Without it* each such answer over 64 kB holds a slot of the backend
-/// server until its reader is given up: with six slots, six callers of one dead node
-/// are a server less for 5 s. Pages and lists of 320 kB are held whole this way.
-const AHEAD: usize = 256 << 10;
-
-/// Answers that may be held ahead of their readers at once: 4 MB of the 32 MB of a node.
-pub(crate) const MAX_AHEAD: usize = 16;
-
 /// Runs a call that came over a link.
 pub(crate) fn spawn<C>(inner: Arc<Inner<C>>, call: Arc<Call>, request: Request)
 where
@@ -119,38 +107,6 @@
     });
 }
 
-/// Waits until the outbound proxy has room for what is left of an answer.
-///
-/// The backend server is done with it, so that no deadline counts any more: an
-/// answer that was ready in time is delivered, also late.
-async fn deliver<C>(inner: &Inner<C>, call: &Call)
-where
-    C: Clock,
-{
-    let taken = tokio::select! {
-        biased;
-        () = call.cancelled() => return end_early(inner, call, Reason::Cancelled),
-        taken = call.wait_taken(0) => taken,
-    };
-    if taken == Err(Untaken) {
-        give_up(inner, call);
-    }
-}
-
-/// Gives up on an answer whose reader takes nothing.
-fn give_up<C>(inner: &Inner<C>, call: &Call)
-where
-    C: Clock,
-{
-    let shared = &inner.shared;
-    shared.metrics.causes.count_untaken();
-    let elapsed = shared.metrics.counted(shared.clock.now());
-    if let Some(left_out) = shared.lines.gate.take(elapsed) {
-        warn!(call:% = call.id, waiting_bytes = call.count_waiting(), left_out; "answer_untaken");
-    }
-    call.refuse(Verdict::Ran, Reason::Cancelled, 0);
-}
-
 /// Waits until a call's time is over.
 ///
 /// A commit that runs has some time more: its caller is told by the outbound
@@ -170,7 +126,7 @@
 }
 
 /// Refuses a call that nobody waits for any more; dropping its exchange has told the backend server.
-fn end_early<C>(inner: &Inner<C>, call: &Call, reason: Reason)
+pub(super) fn end_early<C>(inner: &Inner<C>, call: &Call, reason: Reason)
 where
     C: Clock,
 {
@@ -505,7 +461,7 @@
     clippy::cast_sign_loss,
     reason = "clamped to what fits"
 )]
-fn percent_of(load: f64) -> u16 {
+pub(super) fn percent_of(load: f64) -> u16 {
     (load * 100.0).clamp(0.0, f64::from(u16::MAX)) as u16
 }
 
@@ -520,75 +476,6 @@
     Some(made)
 }
 
-/// Sends an answer as it comes from the backend server, which is let go at its end.
-async fn send_answer<C>(
-    inner: &Inner<C>,
-    call: &Call,
-    response: Response<Running<C>>,
-) -> Option<OwnedSemaphorePermit>
-where
-    C: Clock,
-{
-    let (parts, mut running) = response.into_parts();
-    let told = running.told();
-    // What is there already of the body goes with the head, in one write.
-    let mut next = take_ready(&mut running).await;
-    let mut first = None;
-    if let Poll::Ready(Some(Ok(bytes))) = &next
-        && bytes.len() <= PART
-    {
-        first = Some(bytes.clone());
-        next = take_ready(&mut running).await;
-    }
-    let end = matches!(next, Poll::Ready(None));
-    let head = Answer {
-        id: call.id,
-        status: parts.status.as_u16(),
-        headers: take_end_to_end(&parts.headers),
-        load_percent: percent_of(told.load),
-        waited_ms: u32::try_from(told.waited.as_millis()).unwrap_or(u32::MAX),
-        end: end && first.is_none(),
-    };
-    call.send_head(head, first, end);
-    if end {
-        return None;
-    }
-    let mut ahead = None;
-    loop {
-        let part = match std::mem::replace(&mut next, Poll::Pending) {
-            Poll::Ready(part) => part,
-            Poll::Pending => poll_fn(|cx| running.poll_part(cx)).await,
-        };
-        match part {
-            Some(Ok(bytes)) => call.add_part(bytes),
-            Some(Err(_)) => {
-                call.refuse(Verdict::Ran, Reason::Backend, 0);
-                return ahead;
-            }
-            None => {
-                call.end_answer();
-                return ahead;
-            }
-        }
-        if call.count_waiting() > 0 && ahead.is_none() {
-            ahead = Arc::clone(&inner.ahead).try_acquire_owned().ok();
-        }
-        let most = if ahead.is_some() { AHEAD } else { 0 };
-        if call.wait_taken(most).await == Err(Untaken) {
-            give_up(inner, call);
-            return ahead;
-        }
-    }
-}
-
-/// Gives the next part of a body if it is there now.
-async fn take_ready<C>(running: &mut Running<C>) -> Poll<Option<Result<Bytes, Error>>>
-where
-    C: Clock,
-{
-    poll_fn(|cx| Poll::Ready(running.poll_part(cx))).await
-}
-
 pub(crate) fn deadline_of<C>(inner: &Inner<C>, timeout_ms: u32) -> Instant
 where
     C: Clock,
