--- a/crates/bench/src/soak_plan.rs
+++ b/crates/bench/src/soak_plan.rs
@@ -32,7 +32,7 @@
 const NEW_KINDS: u32 = 6;
 
 /// Availability zones of a soak's fleet.
-const ZONES: usize = 3;
+pub(crate) const ZONES: usize = 3;
 
 /// Services of a soak's fleet.
 const SERVICES: usize = 3;
--- a/crates/bench/src/soak_storm.rs
+++ b/crates/bench/src/soak_storm.rs
@@ -10,7 +10,7 @@
 use crate::node::{read_metrics, read_status};
 use crate::soak::Report;
 use crate::soak_left::{count_half_closed, count_late_runs, count_unended};
-use crate::soak_plan::{Action, Event, GAP_MS, HERDS, Plan, STOPS, STORM_MS};
+use crate::soak_plan::{Action, Event, GAP_MS, HERDS, Plan, STOPS, STORM_MS, ZONES};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rustix::process::Signal;
@@ -144,7 +144,7 @@
 
     async fn silence_zone(&mut self, zone: usize) -> Result<(), Error> {
         let vms = self.target.deployment.vms.len();
-        let a_zone = vms / 3;
+        let a_zone = vms / ZONES;
         for vm in zone * a_zone..(zone + 1) * a_zone {
             self.target.inject(Fault::Silence(vm)).await?;
         }
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -183,21 +183,38 @@
                 sequence: 1,
             };
             let backend = Backend::spawn(listener, plan, record.clone(), seed);
-            let way = announce.map(Node::open);
-            let announcing = (way, announcement, record);
-            serve_backend(&backend, announcing, &mut stop, drain_timeout).await;
+            let announcer = Announcer {
+                node: announce.map(Node::open),
+                announcement,
+                record,
+            };
+            serve_backend(&backend, announcer, &mut stop, drain_timeout).await;
         }
     }
     Ok(())
 }
 
+/// What announces a backend server, and where.
+struct Announcer {
+    /// The node on the same VM, if there is one.
+    node: Option<Node>,
+    announcement: Announcement,
+    /// Where it is noted that the node has answered the farewell.
+    record: Record,
+}
+
 /// Serves until SIGTERM, then until nothing is in flight here or at the node.
 async fn serve_backend(
     backend: &Backend,
-    (node, announcement, record): (Option<Node>, Announcement, Record),
+    announcer: Announcer,
     stop: &mut tokio::signal::unix::Signal,
     drain_timeout: Duration,
 ) {
+    let Announcer {
+        node,
+        announcement,
+        record,
+    } = announcer;
     let farewell = Farewell {
         incarnation: announcement.incarnation,
     };
