Close an owner's end of a reservation link with the asking node's

Cause: the owner of a key waited for the reservation, and so for the platform, to tell a node that had closed its link. The test replays it with a platform that takes a minute. Ruled out: call links, whose sockets go with them (calls/unread).

--- a/crates/node/src/reserve/link.rs
+++ b/crates/node/src/reserve/link.rs
@@ -254,8 +254,9 @@
         }
     }
     reader.abort();
-    drop(replies);
-    drop(writer.await);
+    // What is still to be told waits for the platform, for longer than the node
+    // that asked stays: its socket stood half closed meanwhile.
+    writer.abort();
 }
 
 async fn serve_claim(
--- a/crates/node/tests/reserve.rs
+++ b/crates/node/tests/reserve.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use call::Id;
-use call::reserve::{Answer, Fingerprint, Key, MAX_KEYS, Reply};
+use call::reserve::{Answer, Claim, Fingerprint, Holder, Key, MAX_KEYS, Reply};
 use clock::{Clock, Manual, System};
 use config::{Endpoint, Mesh, Service, State, Version, View};
 use node::nodes::write_hello;
@@ -18,7 +18,8 @@
 use std::time::Duration;
 use store::Memory;
 use store::memory::Faults;
-use tokio::net::TcpListener;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
 use wire::{Link, codec};
 
@@ -324,6 +325,46 @@
     let _grant = granted(claim_past(&node, "k1", refused).await);
 }
 
+// A node is cut off from the owner of a key, whose platform answers slowly. The owner kept
+// its end of the link half closed (CLOSE-WAIT) for as long as the reservation was open: 1
+// to 6 sockets at a node 2 s after all faults had ended, since a reply that nobody can
+// hear was still waited for.
+#[tokio::test]
+async fn asker_gone() {
+    let memory = Memory::new();
+    let owner = spawn_node("own", &memory).await;
+    memory.set_faults(Faults {
+        slow_ms: 60_000,
+        ..Faults::default()
+    });
+    let mut stream = TcpStream::connect(owner.forwarder.address()).await.unwrap();
+    let hello = write_hello(&owner.shared, Link::Reserve);
+    codec::write(&mut stream, &hello).await.unwrap();
+    codec::read_hello(&mut stream).await.unwrap();
+    let claim = Claim {
+        key: Key::of("claims", "k1"),
+        fingerprint: Fingerprint::of("POST", "k1", b""),
+        holder: Holder {
+            call: Id {
+                origin: 1,
+                sequence: 1,
+            },
+            attempt: 0,
+        },
+    };
+    let claim = wire::reserve::Frame::Claim { serial: 1, claim };
+    codec::write(&mut stream, &wire::Frame::Reserve(claim))
+        .await
+        .unwrap();
+    let heard: wire::Frame = codec::read(&mut stream, &mut Vec::new()).await.unwrap();
+    let wanted = wire::reserve::Frame::Heard { serial: 1 };
+    assert_eq!(heard, wire::Frame::Reserve(wanted));
+    stream.shutdown().await.unwrap();
+    let mut rest = Vec::new();
+    let ended = tokio::time::timeout(Duration::from_secs(1), stream.read_to_end(&mut rest));
+    ended.await.expect("the owner closes its end").unwrap();
+}
+
 // The platform takes a minute for each call. One claim may have to wait to find
 // that out; the others must be refused at once, and not wait as long each.
 #[tokio::test(start_paused = true)]
