Take numbers with fractions in what the platform fills in

Cause: limits and times took whole numbers alone, shares thousandths, links kilobits at least; the platform writes whatever is left of a budget. Ruled out: rounding in the template (it has no arithmetic). Change: times, shares, links and the number of repeats take fractions and exponents, rounded down but never to nothing; what is no number, below zero or beyond all is told as before, with file, line, key and what would be right.

--- a/crates/node/src/outbound/service.rs
+++ b/crates/node/src/outbound/service.rs
@@ -106,7 +106,7 @@
             known: RwLock::default(),
             bounds: settings.repeat_share.map(|share| Bounds {
                 share: share.get(),
-                extra: settings.repeat_extra.into(),
+                extra: settings.repeat_extra.get(),
                 window: settings.repeat_window,
             }),
         }
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -1,6 +1,6 @@
 //! Settings of `bluebellpick-node`.
 
-pub use crate::value::{Distribution, Interface, Rate, Share, Token};
+pub use crate::value::{Distribution, Interface, Quota, Rate, Share, Token};
 
 use crate::document::{Document, read_file};
 use crate::error::Error;
@@ -53,7 +53,7 @@
         /// Repeats of all nodes together that may reach a service in `repeat_window`, as a share of callers' requests for it; empty for no bound on the fleet.
         [limits] repeat_share: Option<Share> = "";
         /// Repeats on top of `repeat_share`, of all nodes together.
-        [limits] repeat_extra: u32 = "50";
+        [limits] repeat_extra: Quota = "50";
         /// Span in which the repeats of all nodes are counted.
         [limits] repeat_window: Duration = "10 s";
         /// What the VM's link carries, in Mbit/s; bodies of requests come in no faster, so that small calls find it free. Empty for what is seen of it.
--- a/crates/settings/src/value.rs
+++ b/crates/settings/src/value.rs
@@ -163,28 +163,30 @@
 }
 
 impl Value for Duration {
-    const FORM: &str = "a whole number above zero with a unit (ms, s, min or h), such as 30 s";
+    const FORM: &str = "a number above zero with a unit (ms, s, min or h), such as 30 s";
 
     fn read(text: &str) -> Result<Self, Rejection> {
         let (digits, factor) = UNITS
             .iter()
             .find_map(|(unit, factor)| Some((text.strip_suffix(unit)?.trim_end(), factor)))
             .ok_or(Rejection::Form)?;
-        let count = read_count(digits)?;
-        let millis = count.checked_mul(*factor).ok_or(Rejection::Form)?;
-        Ok(Self::from_millis(millis))
+        let nanos = read_fraction(digits, factor * NANOS_PER_MS)?;
+        if nanos == 0 {
+            return Err(Rejection::Zero);
+        }
+        Ok(Self::from_nanos(nanos))
     }
 }
 
-/// A share, in thousandths.
+/// A share, in millionths.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Share(u16);
+pub struct Share(u64);
 
 impl Share {
     /// Gives the share as a fraction.
     #[must_use]
     pub fn get(self) -> f64 {
-        f64::from(self.0) / 1_000.0
+        millionths_to_f64(self.0)
     }
 }
 
@@ -192,17 +194,33 @@
     const FORM: &str = "a share from 0 to 1, such as 0.2";
 
     fn read(text: &str) -> Result<Self, Rejection> {
-        let share = text.parse::<f64>().ok().ok_or(Rejection::Form)?;
-        if !(0.0..=1.0).contains(&share) {
+        let millionths = read_fraction(text, MILLION)?;
+        if millionths > MILLION {
             return Err(Rejection::Form);
         }
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "from 0 to 1,000 by the check above"
-        )]
-        let thousandths = (share * 1_000.0).round() as u16;
-        Ok(Self(thousandths))
+        Ok(Self(millionths))
+    }
+}
+
+/// A number of things that a part of a fleet may do, in millionths.
+///
+/// A part of a fleet has a part of its budget, which mostly is no whole number.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Quota(u64);
+
+impl Quota {
+    /// Gives the number.
+    #[must_use]
+    pub fn get(self) -> f64 {
+        millionths_to_f64(self.0)
+    }
+}
+
+impl Value for Quota {
+    const FORM: &str = "a number from 0, such as 50 or 30.7";
+
+    fn read(text: &str) -> Result<Self, Rejection> {
+        read_fraction(text, MILLION).map(Self)
     }
 }
 
@@ -220,24 +238,21 @@
     }
 }
 
+/// Kilobits in a megabit.
+const KILO: u64 = 1_000;
+
+/// Fastest link that settings can tell: a terabit a second.
+const MOST_KILOBITS: u64 = 1_000_000_000;
+
 impl Value for Rate {
-    const FORM: &str = "megabits a second from 0.001 to 1000000, such as 1000 or 8.4";
+    const FORM: &str = "megabits a second above zero, at most 1000000, such as 1000 or 8.4";
 
     fn read(text: &str) -> Result<Self, Rejection> {
-        let megabits = text.parse::<f64>().ok().ok_or(Rejection::Form)?;
-        if megabits == 0.0 {
-            return Err(Rejection::Zero);
-        }
-        if !(0.001..=1e6).contains(&megabits) {
-            return Err(Rejection::Form);
+        match read_fraction(text, KILO)? {
+            0 => Err(Rejection::Zero),
+            kilobits if kilobits > MOST_KILOBITS => Err(Rejection::Form),
+            kilobits => Ok(Self(kilobits)),
         }
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "from 1 to 1e9 by the check above"
-        )]
-        let kilobits = (megabits * 1_000.0).round() as u64;
-        Ok(Self(kilobits))
     }
 }
 
@@ -296,6 +311,51 @@
     }
 }
 
+/// Millionths in one.
+const MILLION: u64 = 1_000_000;
+
+/// Nanoseconds in a millisecond, the unit that [`UNITS`] are told in.
+const NANOS_PER_MS: u64 = 1_000_000;
+
+/// Reads a number that may have a fraction, in parts of which one has so many.
+///
+/// What is finer than a part is rounded down, as these numbers are limits, but not to nothing:
+/// a little that is allowed must not come to none at all.
+fn read_fraction(text: &str, parts: u64) -> Result<u64, Rejection> {
+    if let Ok(count) = read_count(text) {
+        return count.checked_mul(parts).ok_or(Rejection::Form);
+    }
+    let is_number = |c: char| c.is_ascii_digit() || matches!(c, '.' | 'e' | 'E' | '-' | '+');
+    if !text.starts_with(|c: char| c.is_ascii_digit()) || !text.chars().all(is_number) {
+        return Err(Rejection::Form);
+    }
+    let number = text.parse::<f64>().ok().ok_or(Rejection::Form)?;
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "parts are round and far below 2^53"
+    )]
+    let scaled = number * parts as f64;
+    if scaled >= MOST_PARTS {
+        return Err(Rejection::Form);
+    }
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "rounded down on purpose; from 0 to 2^63 by the checks above"
+    )]
+    let whole = scaled as u64;
+    Ok(if number > 0.0 { whole.max(1) } else { 0 })
+}
+
+/// Number of parts, 2^63, from which on a number is refused as too large.
+const MOST_PARTS: f64 = 9_223_372_036_854_775_808.0;
+
+fn millionths_to_f64(millionths: u64) -> f64 {
+    #[expect(clippy::cast_precision_loss, reason = "a limit needs no more digits")]
+    let millionths = millionths as f64;
+    millionths / 1e6
+}
+
 /// Reads a count of digits alone; every count in settings is a limit, so zero is refused.
 fn read_count(text: &str) -> Result<u64, Rejection> {
     if text.is_empty() || !text.chars().all(|c| c.is_ascii_digit()) {
