Look for roots first in the platform's recent word, for a tenth of the price

Cause: every start read them exactly, though what is some seconds old nearly always names the roots that are there still. Ruled out: leaving the read out (a node has no other list), and reading the version as it was (a restarted VM must not fall behind what it served). Change: the first look is of the recent word; a seat that looks free, or a round in which no node answered, is followed by an exact one. Test: fleet joining recent_word_first (the interface is as before; it fails on the code before, which asks exactly at once).

--- a/crates/fleet/src/duty.rs
+++ b/crates/fleet/src/duty.rs
@@ -38,6 +38,8 @@
             .lease
             .opening(own, |holder| candidates.is_unreached(holder.address));
         match opening {
+            // A seat that looked free some seconds ago is mostly taken by now.
+            Some(_) if self.search.doubt(now) => {}
             Some(slot) if self.search.is_on() && !self.is_leaving => {
                 self.take_seat(slot, true);
                 let wait = self.draw(SPREAD);
--- a/crates/fleet/src/search.rs
+++ b/crates/fleet/src/search.rs
@@ -30,6 +30,17 @@
 /// Time that a parent may be without a root before its children look elsewhere.
 const PATIENCE: (Duration, Duration) = (Duration::from_secs(3), Duration::from_mins(1));
 
+/// How new the platform's word on the leases is to be.
+///
+/// The first look does with what stood some seconds ago, which the platform gives for a tenth of
+/// the price: nearly always the roots that are there still. What rests on a root's being gone
+/// is decided by an exact one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Freshness {
+    Recent,
+    Exact,
+}
+
 /// The search for a parent.
 #[derive(Debug)]
 pub(crate) struct Search {
@@ -42,6 +53,8 @@
     is_answered: bool,
     /// Whether the platform is to be asked before the next try.
     wants_leases: bool,
+    /// What it is asked for.
+    freshness: Freshness,
     dialled: Option<(LinkKey, SocketAddr)>,
     leave_at: Option<Instant>,
     patience: Duration,
@@ -61,6 +74,7 @@
             tries: 0,
             is_answered: false,
             wants_leases: true,
+            freshness: Freshness::Recent,
             dialled: None,
             leave_at: None,
             patience: PATIENCE.0,
@@ -118,7 +132,19 @@
         }
     }
 
+    /// Asks the platform again, for what stands now, if its last word may have been old.
+    pub(crate) fn doubt(&mut self, now: Instant) -> bool {
+        if self.freshness == Freshness::Exact || !self.is_on() {
+            return false;
+        }
+        self.freshness = Freshness::Exact;
+        self.wants_leases = true;
+        self.try_at = Some(now);
+        true
+    }
+
     pub(crate) fn stop(&mut self) {
+        self.freshness = Freshness::Recent;
         self.try_at = None;
         self.leave_at = None;
         self.tries = 0;
@@ -150,8 +176,8 @@
         if self.search.wants_leases {
             self.search.wants_leases = false;
             self.search.try_at = Some(now + LEASES);
-            self.actions
-                .push(Action::Ask(Request::Leases { is_exact: true }));
+            let is_exact = self.search.freshness == Freshness::Exact;
+            self.actions.push(Action::Ask(Request::Leases { is_exact }));
             return;
         }
         let name = self.settings.own.node.clone();
@@ -183,6 +209,7 @@
         self.search.tries = 0;
         self.search.try_at = Some(now + wait);
         self.search.wants_leases = !is_answered;
+        self.search.freshness = Freshness::Exact;
     }
 
     pub(crate) fn is_candidate(&self, address: SocketAddr) -> bool {
--- a/crates/fleet/tests/joining.rs
+++ b/crates/fleet/tests/joining.rs
@@ -318,3 +318,42 @@
         assert!(installs(&actions), "the wait has a limit");
     }
 }
+
+// Every VM that starts asks the platform who its zone's roots are, and a fleet of hundreds is
+// restarted day by day. A word that is some seconds old does, and costs a tenth; but a seat
+// that looks free in it may be taken by now, and is taken only on the platform's exact word.
+#[yare::parameterized(
+    roots_there = { 3, true },
+    none_seen = { 0, false },
+)]
+fn recent_word_first(roots: u8, goes_on: bool) {
+    let start = Instant::now();
+    let mut node = searching(start);
+    let names = ["vm-2", "vm-3", "vm-4"];
+    let seats = || {
+        let seats = (0..roots).zip(names).map(|(slot, name)| Seat {
+            slot,
+            holder: peer(name, 2 + u16::from(slot)),
+            is_live: true,
+        });
+        Event::Platform(Answer::Leases(seats.collect()))
+    };
+    let now = start + Duration::from_secs(1);
+    let later = now + 100 * MS;
+    let mut actions = node.handle(now, seats());
+    actions.extend(node.handle(later, Event::Wake));
+    let asks = |actions: &[Action], wanted: Request| {
+        let is_wanted = |action: &Action| matches!(action, Action::Ask(asked) if *asked == wanted);
+        actions.iter().any(is_wanted)
+    };
+    let exact = Request::Leases { is_exact: true };
+    let takes = |action: &Action| matches!(action, Action::Ask(Request::Take { .. }));
+    let dials = |action: &Action| matches!(action, Action::Connect { .. });
+    assert_eq!(actions.iter().any(dials), goes_on, "{actions:?}");
+    assert_eq!(asks(&actions, exact), !goes_on, "{actions:?}");
+    assert!(!actions.iter().any(takes), "{actions:?}");
+    if !goes_on {
+        let actions = node.handle(later, seats());
+        assert!(actions.iter().any(takes), "{actions:?}");
+    }
+}
