Let links rest and hold no read buffer while nothing goes over them

Cause: each of its 150 and more links kept 16 kB to read into and up to 16 kB to write from, and was looked at four times a second whether or not anything was due. Change: room to read is made when the socket has something, and given back when nothing is left; 1 kB is kept for writing; a link that nothing is due on is looked at each 5 s, and whoever sends what is to be answered wakes its reader. Silence is found as fast as before.

--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -9,14 +9,15 @@
 use quick_error::quick_error;
 use std::io;
 use std::ops::ControlFlow;
+use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::Waker;
 use std::time::Duration;
-use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::Notify;
-use tokio::time::MissedTickBehavior;
+use tokio::time::{Instant, sleep};
 use wire::call::Frame;
 use wire::codec;
 
@@ -33,9 +34,12 @@
 /// peer that asks and never listens, and would grow without end.
 const MAX_UNREAD: usize = 8 << 20;
 
-/// Bytes that a reader takes from the socket at once.
+/// Bytes that a reader takes from the socket at once; held only while it does.
 const READ_CHUNK: usize = 16 << 10;
 
+/// Bytes of room that a link keeps for what is sent next: the heads of a few calls.
+const WRITE_KEPT: usize = 1 << 10;
+
 /// Time between two looks at a link's progress.
 ///
 /// With [`SILENT_TICKS`] a silent link is found within a second; a ping and its
@@ -54,8 +58,14 @@
 /// while, and what comes after that is of use as long as its caller waits.
 const BODY_TICKS: u32 = 20;
 
-/// Ticks in a row without a byte after which a link that nothing is due on is closed: a minute.
-const IDLE_TICKS: u32 = 240;
+/// Time between two looks at a link that nothing is due on.
+///
+/// A node of a large fleet has hundreds of links; looked at as often as those that an answer is
+/// due on, they cost it a thousand wake-ups a second for nothing.
+const IDLE_TICK: Duration = Duration::from_secs(5);
+
+/// Such looks in a row without a byte after which a link that nothing is due on is closed: a minute.
+const IDLE_TICKS: u32 = 12;
 
 /// What a link's reader may expect of its peer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -105,6 +115,10 @@
     outbox: Mutex<Outbox>,
     blocked: Notify,
     closed: Notify,
+    /// Whether the reader looks at the link rarely, as nothing is due.
+    resting: AtomicBool,
+    /// Tells a resting reader that something is due from now on.
+    due: Notify,
 }
 
 #[derive(Debug)]
@@ -148,7 +162,7 @@
             }
         }
         self.buffer.clear();
-        self.buffer.shrink_to(READ_CHUNK);
+        self.buffer.shrink_to(WRITE_KEPT);
         self.taken = 0;
         self.blocked = false;
         Ok(())
@@ -219,6 +233,13 @@
         Ok(end)
     }
 
+    /// Has the reader look for silence from now on: what has just been sent is to be answered.
+    pub fn expect_answer(&self) {
+        if self.resting.swap(false, Ordering::AcqRel) {
+            self.due.notify_one();
+        }
+    }
+
     /// Closes the link: its reader ends and nothing more is sent.
     pub fn close(&self) {
         self.close_locked(&mut self.outbox.lock());
@@ -310,6 +331,8 @@
         outbox: Mutex::new(outbox),
         blocked: Notify::new(),
         closed: Notify::new(),
+        resting: AtomicBool::new(false),
+        due: Notify::new(),
     });
     tokio::spawn(write_blocked(Arc::clone(&sender)));
     let receiver = Receiver {
@@ -321,41 +344,89 @@
 
 impl Receiver {
     /// Hands each frame to `take` until the link closes, fails, falls silent or `take` breaks off.
-    pub async fn run<T, W>(mut self, mut take: T, watch: W)
+    pub async fn run<T, W>(self, mut take: T, watch: W)
     where
         T: FnMut(Frame) -> ControlFlow<()>,
         W: Fn() -> Watch,
     {
-        let mut buffer = BytesMut::with_capacity(READ_CHUNK);
-        let mut ticks = tokio::time::interval(TICK);
-        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut buffer = BytesMut::new();
+        let mut tick = pin!(sleep(TICK));
         let mut silent = 0;
         let mut watched = Watch::Idle;
         loop {
             tokio::select! {
                 biased;
                 () = self.sender.closed.notified() => break,
-                read = self.socket.read_buf(&mut buffer) => {
-                    silent = 0;
-                    if !matches!(read, Ok(1..)) || self.take_frames(&mut buffer, &mut take).is_break() {
-                        break;
+                ready = self.socket.readable() => {
+                    let read = self.read(&mut buffer, &mut take);
+                    match read {
+                        ControlFlow::Continue(has_come) if ready.is_ok() => {
+                            silent = if has_come { 0 } else { silent };
+                        }
+                        _ => break,
+                    }
+                    if watched == Watch::Idle && watch() != Watch::Idle {
+                        self.sender.expect_answer();
                     }
-                    buffer.reserve(READ_CHUNK);
                 }
-                _ = ticks.tick() => {
-                    let now = watch();
+                () = self.sender.due.notified() => {
+                    silent = 0;
+                    watched = watch();
+                    tick.as_mut().reset(Instant::now() + TICK);
+                }
+                () = &mut tick => {
+                    let now = self.look(&watch);
                     // Time in which nothing was due does not count as silence.
                     silent = if now == watched { silent + 1 } else { 0 };
                     watched = now;
                     if self.check_progress(silent, now).is_break() {
                         break;
                     }
+                    let pause = if now == Watch::Idle { IDLE_TICK } else { TICK };
+                    tick.as_mut().reset(Instant::now() + pause);
                 }
             }
         }
         self.sender.close();
     }
 
+    /// Gives what the link is watched for now; with nothing due, the reader rests.
+    fn look<W>(&self, watch: &W) -> Watch
+    where
+        W: Fn() -> Watch,
+    {
+        // Set first: whoever makes something due after the look wakes the reader.
+        self.sender.resting.store(true, Ordering::Release);
+        let now = watch();
+        if now != Watch::Idle {
+            self.sender.resting.store(false, Ordering::Release);
+        }
+        now
+    }
+
+    /// Reads what has come, and hands on the whole frames of it.
+    ///
+    /// Room is made only now, and given back when nothing is left in it: a node of a large
+    /// fleet has hundreds of links, most of which are silent at any moment.
+    ///
+    /// Tells whether anything has come.
+    fn read<T>(&self, buffer: &mut BytesMut, take: &mut T) -> ControlFlow<(), bool>
+    where
+        T: FnMut(Frame) -> ControlFlow<()>,
+    {
+        buffer.reserve(READ_CHUNK);
+        let has_come = match self.socket.try_read_buf(buffer) {
+            Ok(1..) => true,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => false,
+            Ok(_) | Err(_) => return ControlFlow::Break(()),
+        };
+        self.take_frames(buffer, take)?;
+        if buffer.is_empty() {
+            *buffer = BytesMut::new();
+        }
+        ControlFlow::Continue(has_come)
+    }
+
     /// Gives the link up when it has been silent for too long.
     ///
     /// A connection that something on the way has lost track of takes writes
--- a/crates/node/src/outbound/link.rs
+++ b/crates/node/src/outbound/link.rs
@@ -98,6 +98,7 @@
             self.forget(id);
             one.fail(Verdict::MayHaveRun, Reason::Backend);
         }
+        self.sender.expect_answer();
     }
 
     /// Tells whether nothing can be sent over it any more.
@@ -287,6 +288,7 @@
         });
         match (result, kept) {
             (Ok(end), Some(one)) => {
+                link.sender.expect_answer();
                 one.set_end(end);
                 Ok(one)
             }
