Ask a few backend servers before a call is sent, where the service is busy

Cause: a node sends to each backend server every few seconds, and what it knows of it (load for 0.3 s, durations after three answers) is older than any queue there. Change: policy::outlook. While the load told is above 0.4, or for 5 s after a failure, three of the zone are asked what would become of the call (wait, run, whether it is taken) and the one that ends it soonest gets it; two of another zone are asked if it would be late in its own; who doesn't answer within 15 ms is passed over. Calls are counted for nobody's share by the question.

--- a/crates/node/src/inbound.rs
+++ b/crates/node/src/inbound.rs
@@ -8,6 +8,7 @@
 pub(crate) mod entry;
 pub(crate) mod gate;
 pub(crate) mod link;
+pub(crate) mod look;
 pub(crate) mod outgoing;
 pub(crate) mod parents;
 pub(crate) mod run;
@@ -25,6 +26,7 @@
 use call::{Id, Table, Verdict};
 use clock::Clock;
 use parking_lot::Mutex;
+use policy::outlook::Outlook;
 use settings::node::Rate;
 use std::io;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -33,7 +35,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::{Semaphore, oneshot};
 use wire::Hello;
-use wire::call::{Frame, Reason, Request};
+use wire::call::{Frame, Look, Reason, Request};
 
 /// Parts of the table of calls, each under its own lock; a peer's calls are all in one.
 const SHARDS: usize = 16;
@@ -124,6 +126,11 @@
         self.inner.parents.find(policy::hash(name))
     }
 
+    /// Gives what would become of a call that enters on this VM.
+    pub(crate) fn find_outlook(&self, look: &Look) -> Outlook {
+        look::find_outlook(&self.inner, look)
+    }
+
     /// Runs a call that entered on this VM, without a link.
     pub(crate) async fn call_local(
         &self,
--- a/crates/node/src/inbound/gate.rs
+++ b/crates/node/src/inbound/gate.rs
@@ -4,6 +4,7 @@
 use parking_lot::Mutex;
 use policy::admission::{Admission, Decision, Next, Refusal, Request, Ticket};
 use policy::limit::Outcome;
+use policy::outlook::Outlook;
 use policy::queue::Key;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -73,6 +74,13 @@
 }
 
 impl State {
+    fn tell_slots(&mut self, slots: u16) {
+        if self.slots != slots {
+            self.slots = slots;
+            self.admission.tell_slots(slots);
+        }
+    }
+
     /// Lets the calls run that may, and refuses those that are given up on.
     fn advance(&mut self, now: Instant) {
         while let Some(next) = self.admission.next(now, &mut self.rng) {
@@ -117,10 +125,7 @@
         let now = self.clock.now();
         let mut state = self.state.lock();
         let state = &mut *state;
-        if state.slots != slots {
-            state.slots = slots;
-            state.admission.tell_slots(slots);
-        }
+        state.tell_slots(slots);
         match state.admission.offer(now, request, &mut state.rng) {
             Decision::Run(ticket) => Offer::Run(self.permit(ticket)),
             Decision::Refuse(refusal) => Offer::Refuse(refusal),
@@ -137,6 +142,14 @@
         }
     }
 
+    /// Gives what would become of a call at the backend server, which says that it has `slots`.
+    pub(crate) fn outlook(&self, slots: u16, request: &Request) -> Outlook {
+        let now = self.clock.now();
+        let mut state = self.state.lock();
+        state.tell_slots(slots);
+        state.admission.outlook(now, request)
+    }
+
     /// Refuses a call that would be refused now, before its body is asked for.
     pub(crate) fn foresee(&self, request: &Request) -> Option<Refusal> {
         let now = self.clock.now();
--- a/crates/node/src/inbound/link.rs
+++ b/crates/node/src/inbound/link.rs
@@ -2,7 +2,7 @@
 
 use crate::inbound::Inner;
 use crate::inbound::entry::Call;
-use crate::inbound::run;
+use crate::inbound::{look, run};
 use crate::link::{Receiver, Sender, Watch};
 use call::{Arrival, Id, Outcome, Verdict};
 use clock::Clock;
@@ -106,6 +106,12 @@
                 self.answer(id, link, head, received, room);
                 ControlFlow::Continue(())
             }
+            Frame::Look(look) => {
+                let outlook = Frame::Outlook(look::tell_outlook(self.inner, &look));
+                // Whoever asked sees by the end of the link that no answer comes.
+                drop(self.sender.send([outlook]));
+                ControlFlow::Continue(())
+            }
             _ => ControlFlow::Break(()),
         }
     }
--- /dev/null
+++ b/crates/node/src/inbound/look.rs
@@ -0,0 +1,51 @@
+//! Says what would become of a call that has not been sent here.
+
+use crate::inbound::Inner;
+use crate::inbound::run::deadline_of;
+use clock::Clock;
+use policy::admission;
+use policy::outlook::Outlook;
+use std::time::Duration;
+use wire::call::Look;
+
+/// Answers another node's question.
+pub(crate) fn tell_outlook<C>(inner: &Inner<C>, look: &Look) -> wire::call::Outlook
+where
+    C: Clock,
+{
+    let outlook = find_outlook(inner, look);
+    let whole_ms = |time: Duration| u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
+    wire::call::Outlook {
+        serial: look.serial,
+        takes: outlook.takes,
+        wait_ms: whole_ms(outlook.wait),
+        run_ms: outlook.run.map(whole_ms),
+        load_percent: super::run::percent_of(outlook.load),
+    }
+}
+
+/// Gives what would become of a call; one that is refused whatever the load is not taken.
+pub(crate) fn find_outlook<C>(inner: &Inner<C>, look: &Look) -> Outlook
+where
+    C: Clock,
+{
+    let Ok(backend) = inner.find_backend(&look.service) else {
+        return Outlook {
+            takes: false,
+            wait: Duration::ZERO,
+            run: None,
+            load: 0.0,
+        };
+    };
+    let asked = admission::Request {
+        class: look.class,
+        // Nobody in particular: the shares of callers are kept when the call is here.
+        caller: 0,
+        key: 0,
+        route: look.route,
+        deadline: deadline_of(inner, look.timeout_ms),
+        target: look.target_ms.map(|target| deadline_of(inner, target)),
+        nested: look.nested,
+    };
+    inner.gate.outlook(backend.slots, &asked)
+}
--- a/crates/node/src/outbound.rs
+++ b/crates/node/src/outbound.rs
@@ -12,6 +12,7 @@
 pub(crate) mod serve;
 pub(crate) mod service;
 pub(crate) mod settle;
+pub(crate) mod survey;
 pub(crate) mod tell;
 pub(crate) mod visited;
 
--- a/crates/node/src/outbound/hedge.rs
+++ b/crates/node/src/outbound/hedge.rs
@@ -4,8 +4,9 @@
 use crate::outbound::plan::Plan;
 use crate::outbound::send::{Tried, try_once};
 use crate::outbound::sent;
-use crate::outbound::serve::{cause_of, pick, refused_outcome};
+use crate::outbound::serve::{cause_of, refused_outcome};
 use crate::outbound::service::Picked;
+use crate::outbound::survey::pick_unasked;
 use crate::outbound::visited::Visited;
 use call::Verdict;
 use clock::Clock;
@@ -145,7 +146,7 @@
 where
     C: Clock,
 {
-    let second = pick(inner, plan, visited.all())?;
+    let second = pick_unasked(inner, plan, visited.all(), &[])?;
     if !plan.known.spend(inner.shared.clock.now()) {
         return None;
     }
--- a/crates/node/src/outbound/link.rs
+++ b/crates/node/src/outbound/link.rs
@@ -15,8 +15,8 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
-use wire::call::{Frame, Reason, Request};
+use tokio::sync::{mpsc, oneshot};
+use wire::call::{Frame, Look, Outlook, Reason, Request};
 use wire::{Hello, codec};
 
 /// Longest wait for a connection and the peer's hello.
@@ -55,10 +55,34 @@
     sender: Arc<Sender>,
     tries: [Mutex<HashMap<u64, Arc<Try>>>; SHARDS],
     leaving: AtomicBool,
+    look_serial: AtomicU64,
+    /// Questions that are not answered yet.
+    looks: Mutex<HashMap<u64, oneshot::Sender<Outlook>>>,
     /// Tries that are over, of which the peer has not been told.
     done: Mutex<Vec<u64>>,
 }
 
+/// A question to a peer; dropping it takes it back.
+#[derive(Debug)]
+pub(crate) struct Question<'a> {
+    link: &'a Link,
+    serial: u64,
+    receiver: oneshot::Receiver<Outlook>,
+}
+
+impl Question<'_> {
+    /// Waits for the answer; none comes when the link ends.
+    pub(crate) async fn answer(mut self) -> Option<Outlook> {
+        (&mut self.receiver).await.ok()
+    }
+}
+
+impl Drop for Question<'_> {
+    fn drop(&mut self) {
+        self.link.looks.lock().remove(&self.serial);
+    }
+}
+
 impl Link {
     fn shard(&self, id: Id) -> &Mutex<HashMap<u64, Arc<Try>>> {
         #[expect(
@@ -69,7 +93,24 @@
     }
 
     fn is_idle(&self) -> bool {
-        self.tries.iter().all(|shard| shard.lock().is_empty())
+        self.tries.iter().all(|shard| shard.lock().is_empty()) && self.looks.lock().is_empty()
+    }
+
+    /// Asks the peer what would become of a call; nothing comes when the link ends first.
+    pub(crate) fn look(&self, mut look: Look) -> Option<Question<'_>> {
+        let serial = self.look_serial.fetch_add(1, Ordering::Relaxed);
+        look.serial = serial;
+        let (sender, receiver) = oneshot::channel();
+        self.looks.lock().insert(serial, sender);
+        let question = Question {
+            link: self,
+            serial,
+            receiver,
+        };
+        // Dropped, the question is taken back.
+        self.sender.send([Frame::Look(look)]).ok()?;
+        self.sender.expect_answer();
+        Some(question)
     }
 
     /// Tells whether the peer has said that it refuses new work.
@@ -118,6 +159,13 @@
     /// Tries are named by a number that is never used twice, so a late or
     /// doubled frame finds nothing here and reaches no other caller.
     fn take(&self, frame: Frame) -> ControlFlow<()> {
+        if let Frame::Outlook(outlook) = frame {
+            if let Some(sender) = self.looks.lock().remove(&outlook.serial) {
+                // Whoever asked may have gone on without it.
+                drop(sender.send(outlook));
+            }
+            return ControlFlow::Continue(());
+        }
         let id = match &frame {
             Frame::Leaving(leaving) => {
                 self.leaving.store(*leaving, Ordering::Relaxed);
@@ -179,6 +227,11 @@
         Arc::clone(made)
     }
 
+    /// Gives the link to a node, if there is one.
+    pub(crate) fn live(&self, address: SocketAddr) -> Option<Arc<Link>> {
+        self.peers.read().get(&address)?.live()
+    }
+
     /// Gives the link to a node, made anew when there is none.
     ///
     /// # Errors
@@ -242,6 +295,8 @@
             sender,
             tries: Default::default(),
             leaving: AtomicBool::new(false),
+            look_serial: AtomicU64::new(1),
+            looks: Mutex::default(),
             done: Mutex::default(),
         };
         Ok((Arc::new(link), receiver))
@@ -318,6 +373,8 @@
         }
     };
     receiver.run(|frame| link.take(frame), watch).await;
+    // Whoever waits for an outlook goes on without it.
+    link.looks.lock().clear();
     let open = sort_out(link.take_all());
     if !open.is_empty() {
         let incarnation = link.incarnation;
--- a/crates/node/src/outbound/serve.rs
+++ b/crates/node/src/outbound/serve.rs
@@ -9,7 +9,8 @@
 use crate::outbound::plan::{Plan, host_of, left, make_plan, take_body};
 use crate::outbound::send::{Late, Tried, try_once};
 use crate::outbound::sent;
-use crate::outbound::service::{Ask, Picked, Weight};
+use crate::outbound::service::{Picked, Weight};
+use crate::outbound::survey::pick;
 use crate::outbound::tell::{Answered, tell_answer, tell_end, tell_try, tell_unrouted};
 use crate::outbound::visited::Visited;
 use call::Verdict;
@@ -17,7 +18,7 @@
 use config::{Objective, Version, View};
 use http::{Request, Response, StatusCode, request};
 use hyper::body::Incoming;
-use policy::balance::{self, Key, Outcome, Told};
+use policy::balance::{Outcome, Told};
 use policy::retry::{self, Cause, Decision};
 use std::net::IpAddr;
 use std::sync::Arc;
@@ -170,7 +171,7 @@
     // What the caller is told in the end: one try that may have run weighs more than any that did not.
     let mut told = Refused::not_run(Reason::NoService, 0);
     for tries in 1.. {
-        let Some(mut picked) = pick_next(inner, plan, &mut visited, last) else {
+        let Some(mut picked) = pick_next(inner, plan, &mut visited, last).await else {
             break;
         };
         visited.add(picked.key);
@@ -251,8 +252,8 @@
 }
 
 /// Picks where a call goes next; after a try that failed, also one that had no room before.
-fn pick_next<C>(
-    inner: &Inner<C>,
+async fn pick_next<C>(
+    inner: &Arc<Inner<C>>,
     plan: &Plan,
     visited: &mut Visited,
     last: Option<Cause>,
@@ -260,35 +261,13 @@
 where
     C: Clock,
 {
-    let fresh = pick(inner, plan, visited.all());
+    let fresh = pick(inner, plan, visited.all()).await;
     if fresh.is_none() && last != Some(Cause::Full) && visited.forget_full() {
-        return pick(inner, plan, visited.all());
+        return pick(inner, plan, visited.all()).await;
     }
     fresh
 }
 
-pub(crate) fn pick<C>(inner: &Inner<C>, plan: &Plan, tried: &[Key]) -> Option<Picked<C>>
-where
-    C: Clock,
-{
-    let view = inner.shared.view.load_full();
-    let ask = Ask {
-        place: &inner.place,
-        weight: plan.weight,
-        call: balance::Ask {
-            tried,
-            repeatable: plan.repeatable,
-            route: plan.route,
-            // Once it has gone by, none is sooner than another.
-            target: plan
-                .target
-                .filter(|target| *target > inner.shared.clock.now()),
-        },
-    };
-    plan.known
-        .pick(&inner.shared.clock, &view, &plan.service, &ask)
-}
-
 fn answered(status: StatusCode, told: Option<Told>) -> Outcome {
     match status {
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => Outcome::Full,
--- a/crates/node/src/outbound/service.rs
+++ b/crates/node/src/outbound/service.rs
@@ -8,6 +8,7 @@
 use policy::balance::{self, Balance, Candidate, Distance, Identity, Key, Outcome};
 use policy::elapsed;
 use policy::hedge::Hedge;
+use policy::outlook::Seen;
 use policy::retry::{Budget, Decision, Try};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -174,13 +175,44 @@
 }
 
 impl Service {
-    /// Picks an endpoint of the service that has not been tried.
+    /// Gives the endpoints to ask about a call before it is sent, further than those `seen`.
+    pub(crate) fn survey<C>(
+        &self,
+        clock: &C,
+        view: &Arc<View>,
+        name: &str,
+        ask: &Ask<'_>,
+        seen: &[Seen],
+    ) -> Vec<(Key, Endpoint)>
+    where
+        C: Clock,
+    {
+        let now = clock.now();
+        let Some(service) = view.find_service(name) else {
+            return Vec::new();
+        };
+        let mut state = self.state.lock();
+        let state = &mut *state;
+        state.sync(now, view, service, ask.place);
+        let balance = &state.balances[ask.weight as usize];
+        let keys = if seen.is_empty() {
+            balance.survey(now, &ask.call, &mut state.rng)
+        } else {
+            balance.survey_further(now, &ask.call, seen, &mut state.rng)
+        };
+        let endpoint =
+            |key: Key| Some((key, find_endpoint(view, service, balance.identity(key)?)?));
+        keys.into_iter().filter_map(endpoint).collect()
+    }
+
+    /// Picks an endpoint of the service that has not been tried, by what those `seen` have told.
     pub(crate) fn pick<C>(
         self: &Arc<Self>,
         clock: &C,
         view: &Arc<View>,
         name: &str,
         ask: &Ask<'_>,
+        seen: &[Seen],
     ) -> Option<Picked<C>>
     where
         C: Clock,
@@ -191,11 +223,8 @@
         let state = &mut *state;
         state.sync(now, view, service, ask.place);
         let balance = &mut state.balances[ask.weight as usize];
-        let key = balance.pick(now, &ask.call, &mut state.rng)?;
-        let identity = balance.identity(key);
-        let endpoints = &view.service(service).endpoints;
-        let mut found = endpoints.iter().map(|key| view.endpoint(*key));
-        let found = found.find(|endpoint| identity == Some(&identity_of(endpoint)))?;
+        let key = balance.pick_seen(now, &ask.call, seen, &mut state.rng)?;
+        let endpoint = find_endpoint(view, service, balance.identity(key)?)?;
         Some(Picked {
             service: Arc::clone(self),
             clock: clock.clone(),
@@ -203,7 +232,7 @@
             route: ask.call.route,
             weight: ask.weight,
             key,
-            endpoint: found.clone(),
+            endpoint,
             outcome: Outcome::Cancelled,
         })
     }
@@ -302,6 +331,14 @@
     }
 }
 
+fn find_endpoint(view: &View, service: ServiceKey, identity: &Identity) -> Option<Endpoint> {
+    let endpoints = &view.service(service).endpoints;
+    let mut found = endpoints.iter().map(|key| view.endpoint(*key));
+    found
+        .find(|endpoint| identity_of(endpoint) == *identity)
+        .cloned()
+}
+
 fn identity_of(endpoint: &Endpoint) -> Identity {
     Identity {
         node: endpoint.node.clone(),
--- /dev/null
+++ b/crates/node/src/outbound/survey.rs
@@ -0,0 +1,125 @@
+//! Asks some backend servers about a call before it is sent: runs `policy::outlook`.
+
+use crate::outbound::Inner;
+use crate::outbound::plan::{Plan, left};
+use crate::outbound::service::{Ask, Picked};
+use clock::Clock;
+use config::Endpoint;
+use futures_util::future::join_all;
+use policy::balance::{self, Key};
+use policy::outlook::{Outlook, Seen};
+use std::sync::Arc;
+use std::time::Duration;
+use wire::call::Look;
+
+/// Longest wait for what backend servers tell.
+///
+/// Within a region an answer takes about a millisecond, some more from a VM with little of a
+/// processor; one that is gone would be waited for in vain.
+const PATIENCE: Duration = Duration::from_millis(15);
+
+/// Picks where a call goes, after asking some backend servers where that pays.
+pub(crate) async fn pick<C>(inner: &Arc<Inner<C>>, plan: &Plan, tried: &[Key]) -> Option<Picked<C>>
+where
+    C: Clock,
+{
+    let mut seen = Vec::new();
+    loop {
+        let asked = survey(inner, plan, tried, &seen);
+        if asked.is_empty() {
+            return pick_unasked(inner, plan, tried, &seen);
+        }
+        let answers = asked.into_iter().map(|(key, endpoint)| async move {
+            let outlook = ask_one(inner, plan, &endpoint);
+            let outlook = tokio::time::timeout(PATIENCE, outlook).await;
+            Seen {
+                key,
+                outlook: outlook.ok().flatten(),
+            }
+        });
+        seen.extend(join_all(answers).await);
+    }
+}
+
+/// Picks where a call goes by what those `seen` have told.
+pub(crate) fn pick_unasked<C>(
+    inner: &Inner<C>,
+    plan: &Plan,
+    tried: &[Key],
+    seen: &[Seen],
+) -> Option<Picked<C>>
+where
+    C: Clock,
+{
+    let view = inner.shared.view.load_full();
+    let ask = make_ask(inner, plan, tried);
+    plan.known
+        .pick(&inner.shared.clock, &view, &plan.service, &ask, seen)
+}
+
+fn survey<C>(inner: &Inner<C>, plan: &Plan, tried: &[Key], seen: &[Seen]) -> Vec<(Key, Endpoint)>
+where
+    C: Clock,
+{
+    let view = inner.shared.view.load_full();
+    let ask = make_ask(inner, plan, tried);
+    plan.known
+        .survey(&inner.shared.clock, &view, &plan.service, &ask, seen)
+}
+
+fn make_ask<'a, C>(inner: &'a Inner<C>, plan: &Plan, tried: &'a [Key]) -> Ask<'a>
+where
+    C: Clock,
+{
+    Ask {
+        place: &inner.place,
+        weight: plan.weight,
+        call: balance::Ask {
+            tried,
+            repeatable: plan.repeatable,
+            route: plan.route,
+            // Once it has gone by, none is sooner than another.
+            target: plan
+                .target
+                .filter(|target| *target > inner.shared.clock.now()),
+        },
+    }
+}
+
+/// Asks one backend server about a call; nothing comes from one that can't be reached or leaves.
+async fn ask_one<C>(inner: &Arc<Inner<C>>, plan: &Plan, endpoint: &Endpoint) -> Option<Outlook>
+where
+    C: Clock,
+{
+    let whole_ms = |time: Duration| u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
+    let look = Look {
+        serial: 0,
+        service: plan.service.clone(),
+        route: plan.route,
+        class: plan.class,
+        nested: plan.nested,
+        timeout_ms: whole_ms(left(inner, plan.deadline)),
+        target_ms: plan.target.map(|target| whole_ms(left(inner, target))),
+    };
+    if endpoint.node == inner.shared.settings.name {
+        return Some(inner.inbound.find_outlook(&look));
+    }
+    // Goes on when nobody waits any more, so that the next call finds the link made.
+    let (links, address) = (Arc::clone(&inner.links), endpoint.address);
+    let link = if let Some(link) = links.live(address) {
+        link
+    } else {
+        let made = tokio::spawn(async move { links.link(address).await });
+        made.await.ok()?.ok()?
+    };
+    if link.node != endpoint.node || link.is_leaving() {
+        return None;
+    }
+    let told = link.look(look)?.answer().await?;
+    Some(Outlook {
+        takes: told.takes,
+        wait: Duration::from_millis(told.wait_ms.into()),
+        run: told.run_ms.map(|run| Duration::from_millis(run.into())),
+        load: f64::from(told.load_percent) / 100.0,
+    })
+}
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -15,6 +15,7 @@
 use crate::drain::{Promise, Rate, Speed};
 use crate::duration;
 use crate::limit::{Limit, Outcome};
+use crate::outlook::Outlook;
 use crate::queue::{self, Entry, Queue, TIERS, Tier, rank_of};
 use crate::share::{self, Place};
 use config::Class;
@@ -242,22 +243,54 @@
         Some(self.refuse(now, &entry, reason, rng))
     }
 
+    /// Gives what would become of a call that is not here yet; it counts for nobody's share.
+    pub fn outlook(&mut self, now: Instant, request: &Request) -> Outlook {
+        self.limit.end_probe(now);
+        let rank = rank_of(find_tier(now, request));
+        let places = [
+            self.callers[rank].place(request.caller),
+            self.keys[rank].place(request.key),
+        ];
+        let entry = self.make_entry(now, request, places);
+        let is_free = self.is_free(now, request, &entry);
+        let wait = if is_free {
+            0.0
+        } else {
+            self.predict_wait(now, &entry)
+        };
+        Outlook {
+            takes: is_free || self.find_fault(now, request, &entry).is_none(),
+            wait: seconds(wait),
+            run: self.durations.find_expected(request.route).map(seconds),
+            load: self.load(),
+        }
+    }
+
     /// Gives how long a call of `route` is expected to run.
     #[must_use]
     pub fn expect(&self, route: u64) -> Duration {
         seconds(self.durations.expect(route))
     }
 
-    /// Gives what is known of a call, with the latest moment at which it may start.
+    /// Takes in that a call asks to be served, and gives what is known of it.
     fn entry_of(&mut self, now: Instant, request: &Request) -> Entry {
+        let rank = rank_of(find_tier(now, request));
+        let places = [
+            self.callers[rank].ask(now, request.caller),
+            self.keys[rank].ask(now, request.key),
+        ];
+        self.make_entry(now, request, places)
+    }
+
+    /// Gives what is known of a call, with the latest moment at which it may start.
+    fn make_entry(&self, now: Instant, request: &Request, places: [Place; 2]) -> Entry {
         let cost = self.durations.expect(request.route);
-        let tier = find_tier(now, request);
-        let rank = rank_of(tier);
         let left = left_of(now, request);
+        let [caller, key] = places;
         let entry = Entry {
-            tier,
-            caller: self.callers[rank].ask(now, request.caller),
-            key: self.keys[rank].ask(now, request.key),
+            tier: find_tier(now, request),
+            caller,
+            key,
             route: request.route,
             long: self.durations.is_long(request.route),
             cost,
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -16,6 +16,7 @@
 use crate::choice::Call;
 use crate::duration;
 use crate::outlier::{self, Others, Phase, Sample};
+use crate::outlook::Pressure;
 use crate::server::Server;
 use rand::Rng;
 use smol_str::SmolStr;
@@ -120,6 +121,7 @@
     pub(crate) tiers: [Vec<u32>; 4],
     pub(crate) durations: duration::Table,
     probe_due: Option<Instant>,
+    pub(crate) pressure: Pressure,
 }
 
 impl Balance {
@@ -133,6 +135,7 @@
             tiers: Default::default(),
             durations: duration::Table::new(duration::SERVICE_ROWS),
             probe_due: None,
+            pressure: Pressure::default(),
         }
     }
 
@@ -193,14 +196,7 @@
     where
         R: Rng,
     {
-        let left = |target: Instant| target.saturating_duration_since(now).as_secs_f64();
-        let call = Call {
-            now,
-            tried: ask.tried,
-            repeatable: ask.repeatable,
-            route: ask.route,
-            left: ask.target.map(left),
-        };
+        let call = Call::new(now, ask);
         let probe = ask
             .repeatable
             .then(|| self.find_probe(now, ask.tried))
@@ -222,6 +218,9 @@
     ) where
         R: Rng,
     {
+        if outcome == Outcome::Failed {
+            self.pressure.alarm(now);
+        }
         let Some(server) = self.get_mut(key) else {
             return;
         };
@@ -230,6 +229,7 @@
             Outcome::Answered(told) => {
                 if let Some(told) = told {
                     server.tell_load(now, told.load);
+                    self.pressure.tell_load(told.load);
                 }
                 // A wait is told by the load. Counted as slowness as well, it
                 // would keep calls away long after the queue is gone.
@@ -249,7 +249,10 @@
                 self.servers[key.index as usize].see(now, stretch);
                 self.weigh(now, key.index, Sample::Answered(stretch), rng);
             }
-            Outcome::Full => server.tell_load(now, FULL),
+            Outcome::Full => {
+                server.tell_load(now, FULL);
+                self.pressure.tell_load(FULL);
+            }
             // Refused although there was room: that is no load but a fault, and
             // one that the others don't have puts it out of the choice.
             Outcome::Failed | Outcome::Shed => self.weigh(now, key.index, Sample::Failed, rng),
@@ -329,6 +332,33 @@
         found
     }
 
+    /// Tells whether the call is to probe one that was ejected.
+    pub(crate) fn has_probe(&mut self, now: Instant, ask: &Ask<'_>) -> bool {
+        ask.repeatable && self.find_probe(now, ask.tried).is_some()
+    }
+
+    pub(crate) fn start(&mut self, now: Instant, key: Key) {
+        if let Some(server) = self.get_mut(key) {
+            server.start(now);
+        }
+    }
+
+    pub(crate) fn tell_load(&mut self, now: Instant, key: Key, load: f64) {
+        if let Some(server) = self.get_mut(key) {
+            server.tell_load(now, load);
+        }
+    }
+
+    pub(crate) fn distance(&self, key: Key) -> Option<Distance> {
+        self.get(key).map(|server| server.distance)
+    }
+
+    /// Gives how many times its cost a call to one is weighed for its failures.
+    pub(crate) fn failure_factor(&self, key: Key, repeatable: bool) -> Option<f64> {
+        self.get(key)
+            .map(|server| server.failure_factor(repeatable))
+    }
+
     fn next_probe(&self) -> Option<Instant> {
         self.present()
             .filter_map(|index| self.servers[index as usize].health.out_until())
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -2,7 +2,7 @@
 //!
 //! The load patterns and grounds stand in [`crate::balance`].
 
-use crate::balance::{Balance, Distance, Key};
+use crate::balance::{Ask, Balance, Distance, Key};
 use crate::outlier::Phase;
 use rand::Rng;
 use std::time::Instant;
@@ -15,12 +15,12 @@
 const SPILL_COST: f64 = 1.5;
 
 /// Times sooner that a backend server elsewhere must answer for calls with one.
-const SOONER: f64 = 1.25;
+pub(crate) const SOONER: f64 = 1.25;
 
 /// Times the expected time of an answer that must be left until its target for
 /// the nearer one to do: durations vary by half of their mean, and bytes
 /// between availability zones are paid for.
-const AMPLE: f64 = 1.1;
+pub(crate) const AMPLE: f64 = 1.1;
 
 /// Draws before one that is cold or already tried is taken as it is.
 const DRAWS: usize = 8;
@@ -35,6 +35,19 @@
     pub(crate) left: Option<f64>,
 }
 
+impl<'a> Call<'a> {
+    pub(crate) fn new(now: Instant, ask: &Ask<'a>) -> Self {
+        let left = |target: Instant| target.saturating_duration_since(now).as_secs_f64();
+        Self {
+            now,
+            tried: ask.tried,
+            repeatable: ask.repeatable,
+            route: ask.route,
+            left: ask.target.map(left),
+        }
+    }
+}
+
 impl Balance {
     /// Chooses for one call: the better of two in the nearest tier, or further away as the near ones fill.
     pub(crate) fn choose<R>(&self, call: &Call<'_>, rng: &mut R) -> Option<u32>
--- a/crates/policy/src/duration.rs
+++ b/crates/policy/src/duration.rs
@@ -66,9 +66,13 @@
     /// Gives the seconds that a call of `route` is expected to take.
     #[must_use]
     pub fn expect(&self, route: u64) -> f64 {
-        self.find(route)
-            .and_then(|row| row.took.get())
-            .unwrap_or_else(|| self.mean())
+        self.find_expected(route).unwrap_or_else(|| self.mean())
+    }
+
+    /// Gives the seconds that a call of `route` is expected to take, if any has run.
+    #[must_use]
+    pub fn find_expected(&self, route: u64) -> Option<f64> {
+        self.find(route).and_then(|row| row.took.get())
     }
 
     /// Gives the seconds that a call of any route takes, on average.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod intake;
 pub mod limit;
 pub mod outlier;
+pub mod outlook;
 pub mod queue;
 pub mod retry;
 mod server;
--- a/crates/policy/src/server.rs
+++ b/crates/policy/src/server.rs
@@ -132,13 +132,18 @@
     }
 
     fn slowness(&self, now: Instant, usual: f64, repeatable: bool) -> f64 {
+        let slowness = self.stretch(now).max(self.mean_age(now) / usual);
+        slowness * self.failure_factor(repeatable)
+    }
+
+    /// Gives how many times its cost a call to it is weighed for its failures.
+    pub(crate) fn failure_factor(&self, repeatable: bool) -> f64 {
         let cost = if repeatable {
             FAILURE_COST
         } else {
             UNSAFE_FAILURE_COST
         };
-        let failures = 1.0 + cost * self.health.failures();
-        self.stretch(now).max(self.mean_age(now) / usual) * failures
+        1.0 + cost * self.health.failures()
     }
 
     /// Counts a call to it.
--- a/crates/policy/src/share.rs
+++ b/crates/policy/src/share.rs
@@ -81,7 +81,8 @@
         }
     }
 
-    fn place(&self, caller: u64) -> Place {
+    /// Gives the caller's place.
+    pub(crate) fn place(&self, caller: u64) -> Place {
         // The finalizer of SplitMix64 spreads neighbouring hashes.
         let mut mixed = caller ^ self.seed;
         mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
--- a/crates/policy/tests/load/main.rs
+++ b/crates/policy/tests/load/main.rs
@@ -6,6 +6,7 @@
 mod hot_caller;
 mod hot_key;
 mod in_time;
+mod large_fleet;
 mod long_jobs;
 mod nested;
 mod report;
--- a/crates/policy/tests/load/scenario.rs
+++ b/crates/policy/tests/load/scenario.rs
@@ -95,6 +95,8 @@
     pub slow: fn(f64) -> f64,
     /// Whether a call that starts at a second is broken off at once.
     pub broken: fn(f64) -> bool,
+    /// Whether it is without power at a second: what reaches it is lost.
+    pub dark: fn(f64) -> bool,
     /// Seconds between which it is in the outbound proxies' views.
     pub seen: (f64, f64),
 }
@@ -107,6 +109,7 @@
             slots: 6,
             slow: |_| 1.0,
             broken: |_| false,
+            dark: |_| false,
             seen: (0.0, f64::MAX),
         }
     }
@@ -129,6 +132,10 @@
     pub try_timeout: f64,
     /// Whether late calls get a second copy.
     pub hedge: bool,
+    /// Whether backend servers are asked before a call is sent.
+    pub asks: bool,
+    /// Whether durations vary by half of their mean at most, in place of exponentially.
+    pub steady: bool,
 }
 
 impl Default for Scenario {
@@ -143,6 +150,8 @@
             comeback: Comeback::Fresh,
             try_timeout: f64::MAX,
             hedge: false,
+            asks: true,
+            steady: false,
         }
     }
 }
--- a/crates/policy/tests/load/sim.rs
+++ b/crates/policy/tests/load/sim.rs
@@ -8,6 +8,7 @@
 use policy::balance::{self, Balance, Candidate, Distance, Identity};
 use policy::hedge::Hedge;
 use policy::limit;
+use policy::outlook::Seen;
 use policy::queue;
 use policy::retry::{Budget, Cause, Decision, Try};
 use rand::rngs::SmallRng;
@@ -33,6 +34,8 @@
 enum Event {
     Arrive(usize),
     Send(usize),
+    Look(usize),
+    Seen(usize),
     Reach(usize),
     End(usize, usize),
     Wake(usize),
@@ -55,6 +58,8 @@
     tries: u8,
     returns: u32,
     tried: Vec<balance::Key>,
+    /// Those that are asked about it, and what they have told.
+    seen: Vec<Seen>,
     hedged: Option<usize>,
 }
 
@@ -68,6 +73,25 @@
     first: bool,
 }
 
+/// What a call asks of a backend server, but for those that it has been to.
+#[derive(Clone, Copy)]
+struct Asked {
+    repeatable: bool,
+    route: u64,
+    target: Option<Instant>,
+}
+
+impl Asked {
+    fn lend(self, tried: &[balance::Key]) -> balance::Ask<'_> {
+        balance::Ask {
+            tried,
+            repeatable: self.repeatable,
+            route: self.route,
+            target: self.target,
+        }
+    }
+}
+
 struct Inbound {
     admission: Admission,
     waiting: HashMap<queue::Key, usize>,
@@ -183,7 +207,9 @@
                 self.schedule_arrival(flow, self.now);
                 self.begin(flow);
             }
-            Event::Send(call) => self.send(call),
+            Event::Send(call) => self.survey(call),
+            Event::Look(call) => self.look(call),
+            Event::Seen(call) => self.survey_further(call),
             Event::Reach(attempt) => self.reach(attempt),
             Event::End(attempt, server) => self.end(attempt, server),
             Event::Wake(server) => self.settle(server),
@@ -244,6 +270,7 @@
             tries: 0,
             returns,
             tried: Vec::new(),
+            seen: Vec::new(),
             hedged: None,
         });
         self.schedule(born, Event::Send(call));
@@ -265,6 +292,59 @@
         }
     }
 
+    /// Asks backend servers about a call before it is sent, where the policy does.
+    fn survey(&mut self, call: usize) {
+        self.calls[call].seen.clear();
+        if self.system == System::Baseline || !self.scenario.asks {
+            self.send(call);
+            return;
+        }
+        let now = self.at(self.now);
+        let (ask, proxy) = (self.ask_of(call, now), self.calls[call].proxy);
+        let ask = ask.lend(&self.calls[call].tried);
+        let balance = &self.outbound[proxy].balance;
+        let keys = balance.survey(now, &ask, &mut self.rng);
+        self.ask_all(call, keys);
+    }
+
+    fn survey_further(&mut self, call: usize) {
+        let now = self.at(self.now);
+        let (ask, proxy) = (self.ask_of(call, now), self.calls[call].proxy);
+        let ask = ask.lend(&self.calls[call].tried);
+        let balance = &self.outbound[proxy].balance;
+        let keys = balance.survey_further(now, &ask, &self.calls[call].seen, &mut self.rng);
+        self.ask_all(call, keys);
+    }
+
+    fn ask_all(&mut self, call: usize, keys: Vec<balance::Key>) {
+        if keys.is_empty() {
+            self.send(call);
+            return;
+        }
+        let unanswered = keys.into_iter().map(|key| Seen { key, outlook: None });
+        self.calls[call].seen.extend(unanswered);
+        self.schedule(self.now + WIRE, Event::Look(call));
+    }
+
+    /// The questions reach the inbound proxies.
+    fn look(&mut self, call: usize) {
+        let now = self.at(self.now);
+        let request = self.request_of(call);
+        let proxy = self.calls[call].proxy;
+        for index in 0..self.calls[call].seen.len() {
+            let one = self.calls[call].seen[index];
+            let identity = self.outbound[proxy].balance.identity(one.key);
+            let server = identity.and_then(|known| usize::try_from(known.incarnation).ok());
+            let is_lit = |server: &usize| !(self.scenario.servers[*server].dark)(self.now);
+            let Some(server) = server.filter(is_lit).filter(|_| one.outlook.is_none()) else {
+                continue;
+            };
+            let outlook = self.inbound[server].admission.outlook(now, &request);
+            self.calls[call].seen[index].outlook = Some(outlook);
+        }
+        self.schedule(self.now + WIRE, Event::Seen(call));
+    }
+
     fn send(&mut self, call: usize) {
         let first = self.calls[call].tries == 0;
         self.calls[call].tries += 1;
@@ -306,14 +386,20 @@
         Some(self.at(from + target))
     }
 
+    /// Gives what a call asks of a backend server.
+    fn ask_of(&self, call: usize, now: Instant) -> Asked {
+        let flow = &self.scenario.flows[self.calls[call].flow];
+        Asked {
+            repeatable: flow.class != Class::Commit,
+            route: policy::hash(&format!("route-{}", flow.route)),
+            target: self.target_of(call).filter(|target| *target > now),
+        }
+    }
+
     fn choose(&mut self, call: usize) -> Option<(usize, Option<balance::Key>)> {
         let now = self.at(self.now);
-        let repeatable = self.scenario.flows[self.calls[call].flow].class != Class::Commit;
-        let proxy = self.calls[call].proxy;
-        let flow = &self.scenario.flows[self.calls[call].flow];
-        let route = policy::hash(&format!("route-{}", flow.route));
-        let target = self.target_of(call).filter(|target| *target > now);
-        let outbound = &mut self.outbound[proxy];
+        let asked = self.ask_of(call, now);
+        let outbound = &mut self.outbound[self.calls[call].proxy];
         match self.system {
             System::Baseline => {
                 let seen = |server: &Server| server.seen.0 <= self.now && self.now < server.seen.1;
@@ -327,14 +413,9 @@
                 None
             }
             System::Policy => {
-                let tried = &self.calls[call].tried;
-                let ask = balance::Ask {
-                    tried,
-                    repeatable,
-                    route,
-                    target,
-                };
-                let key = outbound.balance.pick(now, &ask, &mut self.rng)?;
+                let ask = asked.lend(&self.calls[call].tried);
+                let seen = &self.calls[call].seen;
+                let key = outbound.balance.pick_seen(now, &ask, seen, &mut self.rng)?;
                 let identity = outbound.balance.identity(key)?;
                 let server = usize::try_from(identity.incarnation).ok()?;
                 self.calls[call].tried.push(key);
@@ -343,23 +424,31 @@
         }
     }
 
-    fn reach(&mut self, attempt: usize) {
-        let server = self.attempts[attempt].server;
-        if self.system == System::Baseline {
-            self.enter(attempt, server);
-            return;
-        }
-        let call = &self.calls[self.attempts[attempt].call];
+    fn request_of(&self, call: usize) -> admission::Request {
+        let target = self.target_of(call);
+        let call = &self.calls[call];
         let flow = &self.scenario.flows[call.flow];
-        let request = admission::Request {
+        admission::Request {
             class: flow.class,
             caller: policy::hash(&format!("caller-{}", flow.caller)),
             key: policy::hash(&format!("key-{}", flow.key)),
             route: policy::hash(&format!("route-{}", flow.route)),
             deadline: self.at(call.deadline),
-            target: self.target_of(self.attempts[attempt].call),
+            target,
             nested: flow.nested,
-        };
+        }
+    }
+
+    fn reach(&mut self, attempt: usize) {
+        let server = self.attempts[attempt].server;
+        if (self.scenario.servers[server].dark)(self.now) {
+            return;
+        }
+        if self.system == System::Baseline {
+            self.enter(attempt, server);
+            return;
+        }
+        let request = self.request_of(self.attempts[attempt].call);
         let now = self.at(self.now);
         let inbound = &mut self.inbound[server];
         match inbound.admission.offer(now, &request, &mut self.rng) {
@@ -392,7 +481,12 @@
         self.inbound[server].running += 1;
         let call = &self.calls[self.attempts[attempt].call];
         let (mean, deadline) = (self.scenario.flows[call.flow].mean, call.deadline);
-        let took = self.exponential(mean) * (spec.slow)(self.now);
+        let work = if self.scenario.steady {
+            mean * self.rng.random_range(0.5..1.5)
+        } else {
+            self.exponential(mean)
+        };
+        let took = work * (spec.slow)(self.now);
         let end = self.now + took;
         // A deadline that is passed on ends the work; the baseline passes none.
         let end = match self.system {
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -145,6 +145,44 @@
     Pong,
     /// Inbound to outbound: whether new work is refused from here on.
     Leaving(bool),
+    /// Outbound to inbound: what would become of a call that is not sent yet?
+    Look(Look),
+    /// Inbound to outbound: answers [`Frame::Look`].
+    Outlook(Outlook),
+}
+
+/// A question about a call that its sender has not sent.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Look {
+    /// Names the question among those of its link.
+    pub serial: u64,
+    /// Service that the call is for.
+    pub service: SmolStr,
+    /// Hash of its route and method.
+    pub route: u64,
+    /// What it is worth.
+    pub class: config::Class,
+    /// What the call is worth that waits for it on the sender's own backend server.
+    pub nested: Option<config::Class>,
+    /// Time left, in milliseconds.
+    pub timeout_ms: u32,
+    /// Time left until which an answer is worth most, in milliseconds.
+    pub target_ms: Option<u32>,
+}
+
+/// What an inbound proxy expects of a call that it was asked about.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Outlook {
+    /// The question that is answered.
+    pub serial: u64,
+    /// Whether the call would be let in.
+    pub takes: bool,
+    /// How long it would wait for a slot, in milliseconds.
+    pub wait_ms: u32,
+    /// How long calls of its route run, in milliseconds, if any has.
+    pub run_ms: Option<u32>,
+    /// Calls that run and wait, in per cent of the slots.
+    pub load_percent: u16,
 }
 
 /// Longest body of a request that goes with its head; of a longer one nothing is sent
