--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -38,7 +38,7 @@
 /// Bytes of an endpoint on its way to a new child.
 const ENDPOINT_BYTES: u32 = 60;
 
-/// Bytes of a route, compressed; 6 measured, and names may be longer.
+/// Bytes of a route, compressed: names of one host differ in a few characters.
 const ROUTE_BYTES: u32 = 6;
 
 /// Wait given by a node that has no room; it will not have any soon.
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -9,7 +9,7 @@
 //! bound is refused before it waits, so a refusal costs no waiting. The bound
 //! shrinks when a queue stands (`CoDel`, Nichols and Jacobson 2012, as
 //! Facebook's "Fail at Scale", 2015, has it for requests): a queue is there
-//! for bursts. Figures: `cargo test -p bluebellpick-policy`.
+//! for bursts.
 
 use crate::backoff;
 use crate::drain::{Promise, Rate, Speed};
@@ -128,10 +128,8 @@
 
 /// Share of the slots that long jobs may not take, rounded down: two of six.
 ///
-/// With long jobs that would fill all slots, short calls are answered to 0.20
-/// with none held back, 0.54 with one, 0.88 with two and 1.00 with three, and
-/// long ones to 0.92, 0.83, 0.60 and 0.45; three leave a seventh of the slots
-/// idle (`tests/load/long_jobs.rs`).
+/// With none held back, long jobs fill all slots and short calls wait for one of them to end;
+/// with half of them held back, slots stand idle while long jobs wait.
 const RESERVE: f64 = 1.0 / 3.0;
 
 /// Admission in front of one backend server.
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -10,8 +10,7 @@
 //! Old Information?", 2000). Scores come from calls in flight, from what the
 //! inbound proxies say of their queues, and from durations seen; health
 //! reported by backend servers is not used at all. There is no affinity by
-//! key, so a hot key spreads over all. Measured in `tests/load/slow_server.rs`,
-//! `tests/load/zone_return.rs` and `tests/load/same_figures.rs`.
+//! key, so a hot key spreads over all.
 
 use crate::choice::Call;
 use crate::duration;
--- a/crates/policy/src/duration.rs
+++ b/crates/policy/src/duration.rs
@@ -23,8 +23,7 @@
 const LIGHT_MEMORY: u32 = 128;
 
 /// Calls under light load before others are compared to them. With none
-/// required, a chance first few cut the limit of healthy backend servers to
-/// two thirds (`tests/load/sustained_overload.rs`).
+/// required, a chance first few would cut the limit of healthy backend servers.
 const LIGHT_ENOUGH: u32 = 32;
 
 /// What an unknown route is taken for while nothing at all is known.
--- a/crates/policy/src/hedge.rs
+++ b/crates/policy/src/hedge.rs
@@ -5,10 +5,7 @@
 //! Dean and Barroso, "The Tail at Scale", 2013, send the second copy at the
 //! 95th percentile; only calls that may be repeated are copied, each copy is
 //! paid for by the retry budget, and copies stop while they don't win or while
-//! there is too much load, as they are load themselves. With one of four
-//! backend servers ten times slower and few calls, the 99th percentile is 1.77
-//! times the healthy one without copies and 1.49 times with them
-//! (`tests/load/slow_server.rs`).
+//! there is too much load, as they are load themselves.
 
 use std::time::{Duration, Instant};
 
--- a/crates/policy/src/intake.rs
+++ b/crates/policy/src/intake.rs
@@ -11,7 +11,7 @@
 //! has not come is kept at a few milliseconds of the link, so that the queue in
 //! front of it is never longer; a body that could not be whole in time is refused
 //! before a byte of it is sent, as a call is at the slots
-//! (see [`crate::admission`]). Measured in `tests/intake.rs`.
+//! (see [`crate::admission`]).
 
 use crate::admission::{Reason, Refusal, Request, find_tier, seconds};
 use crate::backoff;
--- a/crates/policy/src/outlier.rs
+++ b/crates/policy/src/outlier.rs
@@ -7,8 +7,7 @@
 //! backend server is compared with the others of its service, so that a fault
 //! common to all ejects none. Never more than half are out (Envoy's outlier
 //! detection has such a floor as well): with too few left the rest would be
-//! pushed over in turn. Measured in `tests/load/gray_failure.rs` and
-//! `tests/load/slow_server.rs`.
+//! pushed over in turn.
 
 use rand::Rng;
 use std::time::{Duration, Instant};
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -54,13 +54,12 @@
 ///
 /// Commits that alone fit must all get in, up to nine tenths of the capacity;
 /// what they leave goes to look-ups and refreshes at four to one, and none of
-/// them ever gets nothing. Measured in `tests/load/sustained_overload.rs`.
+/// them ever gets nothing.
 /// Nested calls of refreshes get as much as fresh look-ups: with all of it, a service
 /// that has one backend server left ran 761 of them within 14 s and not one claim
 /// release. Those of commits and look-ups get three times as much: each that is
 /// turned away wastes what its parent has had of another service, and they are short
-/// beside the work of their own service. With as much as fresh look-ups 0.61 of them
-/// are answered at eight tenths of the capacity, with this 0.97 (`tests/load/nested.rs`).
+/// beside the work of their own service.
 /// What is late already gets next to nothing while others are still in time.
 const WEIGHTS: [f64; TIERS.len()] = [90.0, 24.0, 8.0, 8.0, 2.0, 0.05];
 
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -8,7 +8,7 @@
 //! of all there are next to none. Only this hop's own failures are tried
 //! again: an answer of the backend server's, error or not, is passed up. So
 //! when a call fails deep down, just the layer next to the failure tries
-//! again. Measured in `tests/load/retry_storm.rs`.
+//! again.
 
 use crate::allowance::{Allowance, Bounds};
 use crate::backoff;
