--- a/crates/node/tests/program.rs
+++ b/crates/node/tests/program.rs
@@ -141,6 +141,18 @@
     assert_eq!(output.status.code(), Some(0), "{output:?}");
 }
 
+// A deployment is set up at a part of its size, and its platform writes what is left of each
+// budget into the nodes' settings. No node started: one budget was no whole number.
+#[parameterized(
+    fourteenth = { 9, "repeat_share = 0.2\nrepeat_extra = 30.714285714285715\nrepeat_window = 10s\nlink_mbps = 0.7142857142857143\nkill_timeout = 10s\n" },
+    third = { 10, "repeat_share = 1e-05\nrepeat_extra = 0.3\nrepeat_window = 3333.3333333333335ms\nlink_mbps = 3.3333333333333335\nkill_timeout = 2.5s\n" },
+)]
+fn part_of_deployment(number: u8, limits: &str) {
+    let mut node = Node::spawn_limited(number, limits);
+    node.signal(Signal::TERM);
+    assert_eq!(node.wait_code(), Some(0));
+}
+
 #[parameterized(
     wrong_file = { &["--settings", "../../Cargo.toml", "--check"], "Cargo.toml:1: [workspace]: unknown section" },
     no_file = { &["--settings", "no-such-file"], "no-such-file: can't be read" },
