--- a/crates/fleet/src/link.rs
+++ b/crates/fleet/src/link.rs
@@ -21,9 +21,9 @@
 /// Longest wait for the connection alone, to a parent in the own zone.
 ///
 /// A VM without power answers nothing, and its name stands in leases and lists
-/// for some seconds more: after a restart of all, a
-/// node would spend most of its time on one. A VM of a tenth of a core that starts up
-/// itself answers within a fraction of this.
+/// for some seconds more: after a restart of all, a node would spend most of its time
+/// on one. A VM of a tenth of a core that starts up itself answers within a fraction
+/// of this.
 const NEAR_CONNECT: Duration = Duration::from_millis(500);
 
 /// Names a link of this process.
--- a/crates/policy/src/outlook.rs
+++ b/crates/policy/src/outlook.rs
@@ -6,8 +6,8 @@
 //! as good as blindly: calls wait in front of the slow ones while slots of the fast ones stand
 //! idle. *Grounds:* a few that are drawn at random are asked when the call is there, and the one
 //! that would end it soonest gets it (Sparrow's batch sampling, Ousterhout et al., 2013), so that
-//! figures are one trip old however small a proxy's part of the traffic is. Each call asks the
-//! same few, so that the cost doesn't grow with the fleet. What doesn't answer is passed over: a
+//! figures are one trip old however small a proxy's part of the traffic is. Each call asks a
+//! fixed number of them, so that the cost doesn't grow with the fleet. What doesn't answer is passed over: a
 //! VM without power says nothing, and a commit that is sent there is lost.
 
 use crate::balance::{Ask, Balance, Distance, Key};
@@ -66,7 +66,7 @@
 /// Share of its duration up to which a wait at a near one is no reason to ask further away.
 const SHORT_WAIT: f64 = 0.5;
 
-/// When backend servers are asked, and by what.
+/// What tells whether backend servers are to be asked.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Pressure {
     load: f64,
@@ -226,6 +226,7 @@
         R: Rng,
     {
         let servers = &self.tiers[tier as usize];
+        // Twice as many, as some are out, have been tried, or are cold.
         let drawn = servers.choose_multiple(rng, 2 * count).copied();
         let drawn: Vec<_> = drawn
             .filter(|index| {
