--- a/crates/bench/src/soak_left.rs
+++ b/crates/bench/src/soak_left.rs
@@ -21,12 +21,13 @@
 /// Time between two looks at the nodes.
 const POLL: Duration = Duration::from_millis(100);
 
-/// Counts the sockets of a process that their peers have closed and it has not.
+/// Names the sockets of a process that their peers have closed and it has not, by the ports of
+/// both ends: the own one tells the listener, the other one whose it was.
 ///
 /// # Errors
 ///
 /// When the process has ended.
-pub fn count_half_closed(process: u32) -> Result<usize, Error> {
+pub fn list_half_closed(process: u32) -> Result<Vec<String>, Error> {
     let mut sockets = HashSet::new();
     for entry in std::fs::read_dir(format!("/proc/{process}/fd"))? {
         // A descriptor may be closed between the listing and the look at it.
@@ -39,12 +40,20 @@
         }
     }
     let table = std::fs::read_to_string(format!("/proc/{process}/net/tcp"))?;
-    let half_closed = table.lines().skip(1).filter(|line| {
+    let half_closed = table.lines().skip(1).filter_map(|line| {
         let fields: Vec<_> = line.split_whitespace().collect();
         let is_state = fields.get(3).is_some_and(|state| *state == CLOSE_WAIT);
-        is_state && fields.get(9).is_some_and(|inode| sockets.contains(*inode))
+        let is_own = fields.get(9).is_some_and(|inode| sockets.contains(*inode));
+        (is_state && is_own).then(|| [1, 2].map(|end| name_port(fields[end])).join("-"))
     });
-    Ok(half_closed.count())
+    Ok(half_closed.collect())
+}
+
+/// Gives the port of an address in `/proc/net/tcp`, which is in hexadecimal digits there.
+fn name_port(address: &str) -> String {
+    let port = address.rsplit(':').next();
+    let port = port.and_then(|port| u16::from_str_radix(port, 16).ok());
+    port.map_or_else(|| address.to_owned(), |port| port.to_string())
 }
 
 /// Counts the runs that began at backend servers after their farewells had been answered.
--- a/crates/bench/src/soak_storm.rs
+++ b/crates/bench/src/soak_storm.rs
@@ -9,7 +9,7 @@
 use crate::faults_inject::{Ending, Fault, Stop, Target};
 use crate::node::{read_metrics, read_status};
 use crate::soak::Report;
-use crate::soak_left::{count_half_closed, count_late_runs, count_unended};
+use crate::soak_left::{count_late_runs, count_unended, list_half_closed};
 use crate::soak_plan::{Action, Event, GAP_MS, HERDS, Plan, STOPS, STORM_MS, ZONES};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -305,13 +305,15 @@
     /// Counts the sockets of nodes that their peers have closed and they have not.
     fn count_half_closed(&mut self) -> Result<(), Error> {
         for vm in &self.target.deployment.vms {
-            let sockets = count_half_closed(vm.node.id())?;
-            if sockets > 0 {
+            let sockets = list_half_closed(vm.node.id())?;
+            if !sockets.is_empty() {
+                let (name, count) = (&vm.plan.name, sockets.len());
+                eprintln!("violation: {name} holds {count} half-closed sockets");
                 eprintln!(
-                    "violation: {} holds {sockets} half-closed sockets",
-                    vm.plan.name
+                    "half closed, by ports here and there: {}",
+                    sockets.join(" ")
                 );
-                self.half_closed += sockets;
+                self.half_closed += count;
             }
         }
         Ok(())
--- a/crates/bench/tests/plan.rs
+++ b/crates/bench/tests/plan.rs
@@ -1,6 +1,6 @@
 //! Plans of faults: drawn alike from a seed, kept in files, and what a calm must find gone.
 
-use bench::soak_left::count_half_closed;
+use bench::soak_left::list_half_closed;
 use bench::soak_plan::{Action, Head, Plan};
 use std::io::Write;
 use std::net::{TcpListener, TcpStream};
@@ -71,7 +71,7 @@
 // The check for half-closed sockets must see one: a peer that closes, and we don't.
 #[test]
 fn half_closed_seen() {
-    let before = count_half_closed(std::process::id()).unwrap();
+    let before = list_half_closed(std::process::id()).unwrap().len();
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let near = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
     let (far, _) = listener.accept().unwrap();
@@ -79,9 +79,12 @@
     // The close is there once the read ends.
     let mut buffer = [0];
     assert_eq!(std::io::Read::read(&mut (&near), &mut buffer).unwrap(), 0);
-    assert_eq!(count_half_closed(std::process::id()).unwrap(), before + 1);
+    let during = list_half_closed(std::process::id()).unwrap();
+    assert_eq!(during.len(), before + 1);
+    let far_port = format!("-{}", listener.local_addr().unwrap().port());
+    assert!(during.iter().any(|ports| ports.ends_with(&far_port)));
     drop(near);
-    assert_eq!(count_half_closed(std::process::id()).unwrap(), before);
+    assert_eq!(list_half_closed(std::process::id()).unwrap().len(), before);
 }
 
 #[test]
