Notice a backend server that was killed and came back with nothing else changed

Cause: on the product's own interface a restarted process differs from the former one by its incarnation alone, and that was left out of what the node holds. Nothing seemed to change, so idle connections to the former process stayed, and other nodes took the cold one for warm. The test that was there, calls unread::idle_closed, announced other slots the second time, which hid it. Ruled out: links (their readers see an end at once); the users' platform, whose announcements name instance and start.

--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -206,6 +206,7 @@
             let backend = Backend {
                 service: announcement.service,
                 instance: Some(notice.instance),
+                incarnation: None,
                 born: notice.born,
                 address: announcement.address,
                 slots: announcement.slots.max(1),
@@ -275,6 +276,7 @@
     let backend = Backend {
         service: announcement.service.clone(),
         instance: None,
+        incarnation: announcement.incarnation,
         born: None,
         address: announcement.address,
         slots: announcement.slots,
--- a/crates/node/src/outbound/survey.rs
+++ b/crates/node/src/outbound/survey.rs
@@ -51,20 +51,18 @@
 where
     C: Clock,
 {
-    let view = inner.shared.view.load_full();
-    let ask = make_ask(inner, plan, tried);
-    plan.known
-        .pick(&inner.shared.clock, &view, &plan.service, &ask, seen)
+    let (view, ask) = (inner.shared.view.load_full(), make_ask(inner, plan, tried));
+    let clock = &inner.shared.clock;
+    plan.known.pick(clock, &view, &plan.service, &ask, seen)
 }
 
 fn survey<C>(inner: &Inner<C>, plan: &Plan, tried: &[Key], seen: &[Seen]) -> Vec<(Key, Endpoint)>
 where
     C: Clock,
 {
-    let view = inner.shared.view.load_full();
-    let ask = make_ask(inner, plan, tried);
-    plan.known
-        .survey(&inner.shared.clock, &view, &plan.service, &ask, seen)
+    let (view, ask) = (inner.shared.view.load_full(), make_ask(inner, plan, tried));
+    let clock = &inner.shared.clock;
+    plan.known.survey(clock, &view, &plan.service, &ask, seen)
 }
 
 fn make_ask<'a, C>(inner: &'a Inner<C>, plan: &Plan, tried: &'a [Key]) -> Ask<'a>
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -19,6 +19,12 @@
     pub service: smol_str::SmolStr,
     /// Name of its process, if it has one that calls are to be addressed to.
     pub instance: Option<smol_str::SmolStr>,
+    /// Random number of its process, if it gave one.
+    ///
+    /// Guards against a restart that goes unnoticed: a process that was killed and comes back at
+    /// its address says the same of itself but for this. Connections to the former one would
+    /// stay, and the whole fleet would take the cold one for warm.
+    pub incarnation: Option<u64>,
     /// When that process started, in milliseconds since the Unix epoch, if it said so.
     pub born: Option<u64>,
     /// Where it takes calls, on this VM.
@@ -36,7 +42,8 @@
     #[must_use]
     pub fn process(&self) -> u64 {
         let instance = self.instance.as_deref().unwrap_or_default();
-        policy::hash(instance) ^ self.born.unwrap_or_default()
+        let start = self.born.unwrap_or_default();
+        policy::hash(instance) ^ self.incarnation.unwrap_or_default() ^ start
     }
 }
 
--- a/crates/node/tests/calls/mesh.rs
+++ b/crates/node/tests/calls/mesh.rs
@@ -97,6 +97,7 @@
     pub fn announce(&self, service: &str, address: SocketAddr, slots: u16) {
         self.shared.backend.send_replace(Some(Backend {
             instance: None,
+            incarnation: None,
             service: service.into(),
             address,
             slots,
--- a/crates/node/tests/control.rs
+++ b/crates/node/tests/control.rs
@@ -23,6 +23,7 @@
     let shared = Shared::new(Settings::parse(SETTINGS, "test").unwrap(), 7, System);
     shared.backend.send_replace(Some(Backend {
         instance: None,
+        incarnation: None,
         service: "records".into(),
         address: "127.0.0.1:9000".parse().unwrap(),
         slots: 6,
--- a/crates/node/tests/farewell.rs
+++ b/crates/node/tests/farewell.rs
@@ -48,6 +48,12 @@
         text.trim().to_owned()
     }
 
+    /// Names the process that is here, as other nodes are told.
+    fn process(&self) -> Option<u64> {
+        let held = self.shared.backend.borrow();
+        held.as_ref().map(node::shared::Backend::process)
+    }
+
     /// Gives the slots of the backend server that takes work.
     fn serving(&self) -> Option<u16> {
         let held = self.shared.backend.borrow();
@@ -158,3 +164,22 @@
     assert_eq!(desk.put(Some(2), 1, 4).await, 200);
     assert_eq!(desk.serving(), Some(4));
 }
+
+// A backend server is killed and comes back at its address, with the slots it had. Its node
+// holds the connections to the former process half closed until calls come again, and the
+// whole fleet sends the cold one a warm one's share. Cause: but for its number the new process
+// says what the former one said, and the number was left out, so that nothing seemed to change.
+#[tokio::test]
+async fn same_but_restarted() {
+    let desk = Desk::open().await;
+    desk.put(Some(1), 1, 6).await;
+    let former = desk.process();
+    let mut changes = desk.shared.backend.subscribe();
+    desk.put(Some(1), 2, 6).await;
+    assert!(!changes.has_changed().unwrap(), "a heartbeat is no change");
+    desk.put(Some(2), 1, 6).await;
+    assert!(changes.has_changed().unwrap());
+    changes.mark_unchanged();
+    assert_ne!(desk.process(), former);
+    assert_eq!(desk.serving(), Some(6));
+}
