Tell whole milliseconds in one place; a node that takes no call is not told as idle

The same conversion stood in nine places. A node that leaves or has no such backend server told an outlook with a load of nought, which the choice among those nobody is asked about took for an idle one; it is told as full. 'does' is 'suffices' now.

--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -17,6 +17,7 @@
 
 use crate::announce::process::{Known, Process, Word};
 use crate::listener::{self, Answer, Handle, Limits, answer_json, refuse};
+use crate::millis::whole_ms;
 use crate::shared::{Backend, Shared};
 use crate::stop::tell_backend_waits;
 use clock::Clock;
@@ -30,7 +31,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 use tokio::net::TcpListener;
 
 /// Path of the announcements.
@@ -314,10 +314,6 @@
     }
 }
 
-fn whole_ms(time: Duration) -> u32 {
-    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
-}
-
 /// Takes a farewell, and gives what its sender is told: it leaves, whoever is here now.
 fn leave<C>(desk: &Desk<C>, farewell: Farewell) -> Status
 where
--- a/crates/node/src/inbound/deliver.rs
+++ b/crates/node/src/inbound/deliver.rs
@@ -6,6 +6,7 @@
 use crate::inbound::entry::{Call, Untaken};
 use crate::inbound::outgoing::PART;
 use crate::inbound::run::{Running, end_early, percent_of};
+use crate::millis::whole_ms;
 use bytes::Bytes;
 use call::Verdict;
 use clock::Clock;
@@ -54,7 +55,7 @@
         status: parts.status.as_u16(),
         headers: take_end_to_end(&parts.headers),
         load_percent: percent_of(told.load),
-        waited_ms: u32::try_from(told.waited.as_millis()).unwrap_or(u32::MAX),
+        waited_ms: whole_ms(told.waited),
         end: end && first.is_none(),
     };
     call.send_head(head, first, end);
--- a/crates/node/src/inbound/look.rs
+++ b/crates/node/src/inbound/look.rs
@@ -1,7 +1,8 @@
 //! Says what would become of a call that has not been sent here.
 
 use crate::inbound::Inner;
-use crate::inbound::run::deadline_of;
+use crate::inbound::run::{deadline_of, percent_of};
+use crate::millis::whole_ms;
 use clock::Clock;
 use policy::admission;
 use policy::outlook::Outlook;
@@ -14,13 +15,12 @@
     C: Clock,
 {
     let outlook = find_outlook(inner, look);
-    let whole_ms = |time: Duration| u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
     wire::call::Outlook {
         serial: look.serial,
         takes: outlook.takes,
         wait_ms: whole_ms(outlook.wait),
         run_ms: outlook.run.map(whole_ms),
-        load_percent: super::run::percent_of(outlook.load),
+        load_percent: percent_of(outlook.load),
     }
 }
 
@@ -34,7 +34,8 @@
             takes: false,
             wait: Duration::ZERO,
             run: None,
-            load: 0.0,
+            // As good as full: told as idle, it would draw the calls that nobody is asked about.
+            load: 1.0,
         };
     };
     let asked = admission::Request {
--- a/crates/node/src/inbound/run.rs
+++ b/crates/node/src/inbound/run.rs
@@ -8,6 +8,7 @@
 use crate::inbound::gate::{Offer, Permit};
 use crate::inbound::parents::{Parent, Run};
 use crate::inbound::{Inner, bodies};
+use crate::millis::whole_ms;
 use crate::outbound::answer::name_of;
 use crate::shared::Counted;
 use crate::upload::{Rest, Upload};
@@ -288,7 +289,7 @@
             Ok(response.map(|reply| Running {
                 reply,
                 permit,
-                waited_ms: u32::try_from(waited.as_millis()).unwrap_or(u32::MAX),
+                waited_ms: whole_ms(waited),
                 link_percent: if is_heavy {
                     percent_of(inner.bodies.load())
                 } else {
@@ -389,7 +390,7 @@
         admission::Reason::Full => Reason::Full,
         admission::Reason::Deadline => Reason::Deadline,
     };
-    let wait = u32::try_from(refusal.retry_after.as_millis()).unwrap_or(u32::MAX);
+    let wait = whole_ms(refusal.retry_after);
     let refused = Refused::not_run(reason, wait.max(1));
     tell_gate(inner, request, refused, left(inner, deadline));
     refused
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod backend;
 mod header;
+mod millis;
 mod upload;
 
 pub mod announce;
--- a/crates/node/src/outbound/answer.rs
+++ b/crates/node/src/outbound/answer.rs
@@ -2,6 +2,7 @@
 
 use crate::backend;
 use crate::inbound::run::{Refused, Running};
+use crate::millis::whole_ms;
 use crate::outbound::sent::Sent;
 use bytes::Bytes;
 use call::Verdict;
@@ -145,7 +146,7 @@
 /// Draws a wait, so that those who were refused together don't come back together.
 fn draw_wait() -> u32 {
     let wait = policy::backoff::spread(RETRY_AFTER, &mut rand::rng());
-    u32::try_from(wait.as_millis()).unwrap_or(u32::MAX)
+    whole_ms(wait)
 }
 
 /// Answers a call that was not tried, with the fault that the caller can mend.
--- a/crates/node/src/outbound/send.rs
+++ b/crates/node/src/outbound/send.rs
@@ -3,6 +3,7 @@
 use crate::header::{put_headers, take_end_to_end};
 use crate::inbound::run::{Refused, Running};
 use crate::link;
+use crate::millis::whole_ms;
 use crate::outbound::Inner;
 use crate::outbound::answer::{Body, Local, Remote, VERDICT_HEADER};
 use crate::outbound::plan::{Plan, left};
@@ -293,10 +294,6 @@
     }
 }
 
-fn whole_ms(time: Duration) -> u32 {
-    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
-}
-
 /// Says on which service's VM a request began, whatever its sender says.
 fn mark_origin(headers: &mut Vec<Header>, service: &str) {
     headers.retain(|header| !platform::header::is_reserved(&header.name));
--- a/crates/node/src/outbound/survey.rs
+++ b/crates/node/src/outbound/survey.rs
@@ -1,5 +1,6 @@
 //! Asks some backend servers about a call before it is sent: runs `policy::outlook`.
 
+use crate::millis::whole_ms;
 use crate::outbound::Inner;
 use crate::outbound::plan::{Plan, left};
 use crate::outbound::service::{Ask, Picked};
@@ -89,7 +90,6 @@
 where
     C: Clock,
 {
-    let whole_ms = |time: Duration| u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
     let look = Look {
         serial: 0,
         service: plan.service.clone(),
--- a/crates/node/src/reserve.rs
+++ b/crates/node/src/reserve.rs
@@ -12,6 +12,7 @@
 pub(crate) mod record;
 pub(crate) mod shard;
 
+use crate::millis::whole_ms;
 use crate::nodes::write_hello;
 use crate::reserve::link::{Peer, pass_note, serve};
 use crate::reserve::owners::{Owners, Way};
@@ -357,6 +358,6 @@
 fn refuse() -> Reply {
     let wait = RETRY_AFTER.mul_f64(rand::rng().random_range(1.0..2.0));
     Reply::Refused {
-        retry_after_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+        retry_after_ms: whole_ms(wait),
     }
 }
--- a/crates/node/src/reserve/shard.rs
+++ b/crates/node/src/reserve/shard.rs
@@ -5,6 +5,7 @@
 //! Without that, every keyed call would cost a write, and a few hundred a
 //! second would be all that the whole fleet could take.
 
+use crate::millis::whole_ms;
 use crate::reserve::journal::Log;
 use call::reserve::{Claim, Entry, Key, MAX_KEYS, Reply, SHARDS};
 use clock::Clock;
@@ -346,6 +347,6 @@
 
 fn refuse_for(wait: Duration) -> Reply {
     Reply::Refused {
-        retry_after_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+        retry_after_ms: whole_ms(wait),
     }
 }
--- a/crates/policy/src/outlook.rs
+++ b/crates/policy/src/outlook.rs
@@ -7,8 +7,8 @@
 //! idle. *Grounds:* a few that are drawn at random are asked when the call is there, and the one
 //! that would end it soonest gets it (Sparrow's batch sampling, Ousterhout et al., 2013), so that
 //! figures are one trip old however small a proxy's part of the traffic is. Each call asks a
-//! fixed number of them, so that the cost doesn't grow with the fleet. What doesn't answer is passed over: a
-//! VM without power says nothing, and a commit that is sent there is lost.
+//! fixed number of them, so that the cost doesn't grow with the fleet. What doesn't answer is
+//! passed over: a VM without power says nothing, and a commit that is sent there is lost.
 
 use crate::balance::{Ask, Balance, Distance, Key};
 use crate::choice::{AMPLE, Call, SOONER};
@@ -45,7 +45,7 @@
 /// draw costs two messages a call.
 const NEAR: usize = 3;
 
-/// Backend servers of a further tier that are asked once no near one does.
+/// Backend servers of a further tier that are asked when no near one suffices.
 const FAR: usize = 2;
 
 /// Mean load told from which backend servers are asked before a call is sent.
@@ -109,7 +109,7 @@
         keys
     }
 
-    /// Gives further ones to ask, in the next tier, when none of those `seen` does.
+    /// Gives further ones to ask, in the next tier, when none of those `seen` suffices.
     pub fn survey_further<R>(
         &self,
         now: Instant,
@@ -123,7 +123,7 @@
         let call = Call::new(now, ask);
         if self
             .find_best(seen, &call)
-            .is_some_and(|best| Self::does(&best, &call))
+            .is_some_and(|best| Self::suffices(&best, &call))
         {
             return Vec::new();
         }
@@ -153,7 +153,10 @@
             self.take_outlook(now, one);
         }
         let call = Call::new(now, ask);
-        let is_near = |one: &&Seen| self.distance(one.key) <= Some(Distance::Zone);
+        let is_near = |one: &&Seen| {
+            self.distance(one.key)
+                .is_some_and(|distance| distance <= Distance::Zone)
+        };
         let near: Vec<_> = seen.iter().filter(is_near).copied().collect();
         let near = self.find_best(&near, &call);
         let best = self.find_best(seen, &call);
@@ -161,7 +164,7 @@
             return self.pick(now, ask, rng);
         };
         let chosen = match near {
-            Some(near) if Self::does(&near, &call) => near,
+            Some(near) if Self::suffices(&near, &call) => near,
             Some(near) if best.takes == near.takes && best.time * SOONER >= near.time => near,
             _ => best,
         };
@@ -205,7 +208,7 @@
     }
 
     /// Tells whether a near one answers well enough that no further one need be asked.
-    fn does(one: &Prospect, call: &Call<'_>) -> bool {
+    fn suffices(one: &Prospect, call: &Call<'_>) -> bool {
         let in_time = match call.left {
             Some(left) => one.time * AMPLE <= left,
             None => one.wait <= SHORT_WAIT * one.run,
