--- a/crates/node/tests/calls/main.rs
+++ b/crates/node/tests/calls/main.rs
@@ -5,6 +5,7 @@
 mod forward;
 mod hedge;
 mod keyed;
+mod look;
 mod mesh;
 mod peer;
 mod reuse;
