Name requests by content in the log, and tell when the backend server breaks off

Callers saw 502 for a look-up under which server after server ended, and no line told what a call asks for: attempt ids are new with each repeat. Lines about tries and refusals now name the request by a digest of method, host, path and body, the same at every node, and the node beside a backend server tells which request's connection broke and whether anybody still listens: a process that ended is told from one lost answer. No decision changes.

--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -6,11 +6,13 @@
 pub mod owner;
 pub mod reserve;
 
+mod digest;
 mod header;
 mod id;
 mod table;
 mod verdict;
 
+pub use digest::{Digest, MAX_BODY};
 pub use header::Header;
 pub use id::Id;
 pub use table::{Arrival, MAX_OUTCOMES, OUTCOME_RETENTION, Outcome, PEER_RETENTION, Table};
--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -162,6 +162,12 @@
         }))
     }
 
+    /// Tells whether anybody listens at an address on this VM.
+    pub(crate) async fn is_listening(&self, address: SocketAddr) -> bool {
+        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+        connecting.await.is_ok_and(|connected| connected.is_ok())
+    }
+
     fn wrap(
         self: &Arc<Self>,
         response: Response<Incoming>,
--- a/crates/node/src/inbound/run.rs
+++ b/crates/node/src/inbound/run.rs
@@ -10,10 +10,10 @@
 use crate::inbound::{Inner, bodies};
 use crate::millis::whole_ms;
 use crate::outbound::answer::name_of;
-use crate::shared::Counted;
+use crate::shared::{Backend, Counted};
 use crate::upload::{Rest, Upload};
 use bytes::Bytes;
-use call::Verdict;
+use call::{Digest, Verdict};
 use clock::Clock;
 use config::Class;
 use http::{HeaderName, HeaderValue, Method, Response, StatusCode, Uri};
@@ -263,6 +263,7 @@
         is_repeat: request.headers.iter().any(is_repeat),
     };
     let backend = find()?;
+    let digest = request.digest;
     let mut request = make_request(request, upload, left(inner, deadline))
         .ok_or(Refused::not_run(Reason::Backend, 0))?;
     let attempt = platform::header::find_attempt(request.headers());
@@ -300,7 +301,31 @@
             }))
         }
         Err(Error::Connect) => Err(Refused::not_run(Reason::Backend, 0)),
-        Err(Error::Broken) => Err(Refused::may_have_run(Reason::Backend)),
+        Err(Error::Broken) => {
+            tell_broken(inner, &backend, digest).await;
+            Err(Refused::may_have_run(Reason::Backend))
+        }
+    }
+}
+
+/// Tells that the backend server broke off a call, and whether anybody still listens there.
+async fn tell_broken<C>(inner: &Inner<C>, backend: &Backend, request: Digest)
+where
+    C: Clock,
+{
+    let is_listening = inner.pool.is_listening(backend.address).await;
+    let shared = &inner.shared;
+    let elapsed = shared.metrics.counted(shared.clock.now());
+    if let Some(left_out) = shared.lines.gate.take(elapsed) {
+        info!(
+            request:%,
+            service = backend.service.as_str(),
+            process = backend.process(),
+            is_listening,
+            in_flight = *shared.in_flight.borrow(),
+            left_out;
+            "backend_broke_off"
+        );
     }
 }
 
--- a/crates/node/src/outbound/plan.rs
+++ b/crates/node/src/outbound/plan.rs
@@ -5,6 +5,7 @@
 use crate::outbound::service::{Origin, Service, Weight};
 use crate::outbound::{Inner, pick_target};
 use bytes::{Bytes, BytesMut};
+use call::Digest;
 use call::reserve::Key;
 use clock::Clock;
 use config::{Class, Objective, Repeat, Retry, View};
@@ -32,6 +33,9 @@
 /// Longest time for a call. The inbound proxy remembers a peer's links for longer.
 const LONGEST_TIMEOUT: Duration = Duration::from_mins(5);
 
+// A digest is the same at every node only if what it covers is held.
+const _: () = assert!(call::MAX_BODY <= WINDOW);
+
 /// Tries of a call whose route has no rule, the first included.
 const DEFAULT_ATTEMPTS: u8 = 3;
 
@@ -60,6 +64,8 @@
     pub(crate) nested: Option<Class>,
     /// What it takes of the way; known once the start of its body has come.
     pub(crate) weight: Weight,
+    /// Names the request through all its repeats; known once the start of its body has come.
+    pub(crate) digest: Digest,
 }
 
 impl Plan {
@@ -138,6 +144,7 @@
         retried_above: head.headers.contains_key(retry::HEADER),
         nested,
         weight: Weight::Light,
+        digest: Digest::default(),
     };
     Some((plan, target.service.objective))
 }
@@ -162,6 +169,12 @@
     whole.or_else(named).unwrap_or_default()
 }
 
+/// Names a request through all its repeats, by its head and the start of its body.
+pub(crate) fn digest_of(head: &request::Parts, body: &sent::Body) -> Digest {
+    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+    Digest::of(head.method.as_str(), host_of(head), path, &body.ready)
+}
+
 /// Tells whether a call may run more than once; one that nothing is said of may if its method is safe (RFC 9110).
 fn is_repeatable(repeat: Repeat, method: &Method) -> bool {
     match repeat {
--- a/crates/node/src/outbound/send.rs
+++ b/crates/node/src/outbound/send.rs
@@ -291,6 +291,7 @@
         route: plan.route,
         length: 0,
         end: false,
+        digest: plan.digest,
     }
 }
 
--- a/crates/node/src/outbound/serve.rs
+++ b/crates/node/src/outbound/serve.rs
@@ -6,7 +6,7 @@
 use crate::outbound::answer::{Body, refuse, reject};
 use crate::outbound::hedge::try_first;
 use crate::outbound::keyed::serve_keyed;
-use crate::outbound::plan::{Plan, host_of, left, make_plan, take_body};
+use crate::outbound::plan::{Plan, digest_of, host_of, left, make_plan, take_body};
 use crate::outbound::send::{Late, Tried, try_once};
 use crate::outbound::sent;
 use crate::outbound::service::{Picked, Weight};
@@ -119,6 +119,7 @@
     if body.length() > EAGER as u64 {
         plan.weight = Weight::Heavy;
     }
+    plan.digest = digest_of(&head, &body);
     let plan = Arc::new(plan);
     let served = match plan.key {
         Some(key) => serve_keyed(inner, &plan, key, head, body).await,
--- a/crates/node/src/outbound/tell.rs
+++ b/crates/node/src/outbound/tell.rs
@@ -23,6 +23,7 @@
     info!(
         id = plan.id.as_str(),
         service = plan.service.as_str(),
+        request:% = plan.digest,
         node,
         attempt = tries,
         verdict = refused.verdict.as_str(),
@@ -51,6 +52,7 @@
     info!(
         id = plan.id.as_str(),
         service = plan.service.as_str(),
+        request:% = plan.digest,
         version = shared.view.load().version().0,
         tries,
         verdict = refused.verdict.as_str(),
--- a/crates/node/tests/calls/peer.rs
+++ b/crates/node/tests/calls/peer.rs
@@ -58,5 +58,6 @@
         route: 1,
         length: 0,
         end: true,
+        digest: ::call::Digest::default(),
     }
 }
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 pub use call::Header;
-use call::{Id, Verdict};
+use call::{Digest, Id, Verdict};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -35,6 +35,8 @@
     pub length: u64,
     /// Whether no body follows.
     pub end: bool,
+    /// Names the request through all its repeats, by whatever node it enters.
+    pub digest: Digest,
 }
 
 /// The head of an answer.
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -58,6 +58,7 @@
             route,
             length: route >> 32,
             end,
+            digest: call::Digest::of(&timeout_ms.to_string(), "mesh", "/", &[]),
         },
     )
 }
