--- a/crates/bench/src/faults_inject.rs
+++ b/crates/bench/src/faults_inject.rs
@@ -6,6 +6,7 @@
 use crate::faults_forward::{Forwarder, Mode};
 use crate::faults_history::{Record, Run, Span};
 use crate::process::Process;
+use crate::soak_deadly;
 use rand::Rng;
 use rand::rngs::SmallRng;
 use rustix::process::Signal;
@@ -187,7 +188,7 @@
             Fault::KillNode(vm) => self.deployment.vms[vm].node.kill(),
             Fault::FreezeNode(vm) => self.deployment.vms[vm].node.signal(Signal::STOP),
             Fault::KillServer(vm) => self.server(vm)?.kill(),
-            Fault::FreezeServer(vm) => self.server(vm)?.signal(Signal::STOP),
+            Fault::FreezeServer(vm) => self.signal_server(vm, Signal::STOP),
             Fault::LoseUp(vm) => {
                 self.forwarders[vm].set(Mode::Lose, Mode::Pass);
                 Ok(())
@@ -231,7 +232,7 @@
             Fault::KillNode(vm) => self.deployment.vms[vm].restart_node(),
             Fault::FreezeNode(vm) => self.deployment.vms[vm].node.signal(Signal::CONT),
             Fault::KillServer(vm) => self.restart_server(vm),
-            Fault::FreezeServer(vm) => self.server(vm)?.signal(Signal::CONT),
+            Fault::FreezeServer(vm) => self.signal_server(vm, Signal::CONT),
             Fault::HoldUp(vm) | Fault::Lag(vm) => {
                 self.forwarders[vm].set(Mode::Pass, Mode::Pass);
                 Ok(())
@@ -279,9 +280,13 @@
     ///
     /// # Errors
     ///
-    /// When it has ended already.
+    /// When there is no such process.
     pub fn tell(&mut self, stop: Stop) -> Result<Ending, Error> {
-        self.process(stop)?.signal(Signal::TERM)?;
+        let process = self.process(stop)?;
+        // A request may have crashed it.
+        if process.is_running() {
+            process.signal(Signal::TERM)?;
+        }
         Ok(Ending {
             stop,
             since: Instant::now(),
@@ -372,17 +377,26 @@
             .collect()
     }
 
-    fn server(&mut self, vm: usize) -> Result<&mut Process, Error> {
+    pub(crate) fn server(&mut self, vm: usize) -> Result<&mut Process, Error> {
         let server = self.deployment.vms[vm].backend.as_mut();
         server.ok_or_else(|| Error::Unexpected(format!("VM {vm} has no backend server")))
     }
 
+    /// Signals a backend server, unless a request has crashed it.
+    fn signal_server(&mut self, vm: usize, signal: Signal) -> Result<(), Error> {
+        let server = self.server(vm)?;
+        if server.is_running() {
+            server.signal(signal)?;
+        }
+        Ok(())
+    }
+
     async fn set_platform(&self, fault: &str) -> Result<(), Error> {
         self.deployment.set_platform_fault(fault).await.map(drop)
     }
 
     /// A killed process leaves its record behind; the next one gets a file of its own.
-    fn restart_server(&mut self, vm: usize) -> Result<(), Error> {
+    pub(crate) fn restart_server(&mut self, vm: usize) -> Result<(), Error> {
         let files = self.records.entry(vm).or_default();
         let file = record_file(self.deployment.folder(), vm, files.len());
         files.push((file.clone(), Vec::new()));
@@ -433,6 +447,8 @@
         file,
         "--work-ms".to_owned(),
         "8".to_owned(),
+        "--deadly-path".to_owned(),
+        soak_deadly::MARK.to_owned(),
     ]
 }
 
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod relay;
 pub mod rolling;
 pub mod soak;
+pub mod soak_deadly;
 pub mod soak_left;
 pub mod soak_plan;
 pub mod soak_repeat;
--- a/crates/bench/src/soak.rs
+++ b/crates/bench/src/soak.rs
@@ -79,6 +79,10 @@
     pub late_runs: usize,
     /// Kinds of calls that nodes still held when nobody called any more.
     pub unended: usize,
+    /// Runs of deadly requests later than 3 s after the third crash, beyond three of each.
+    pub deadly_runs: usize,
+    /// Requests of other callers that were refused as deadly ones are.
+    pub innocents_held: usize,
 }
 
 impl Report {
@@ -89,7 +93,8 @@
         let wrong = found.double_runs + found.false_not_run + found.mixed_answers;
         let wrong = wrong + self.not_served + self.not_in_force + self.ended_by_themselves;
         let left = self.stops_late + self.half_closed + self.late_runs + self.unended;
-        wrong + left == 0 && self.reverts == 0
+        let deadly = self.deadly_runs + self.innocents_held;
+        wrong + left + deadly == 0 && self.reverts == 0
     }
 }
 
--- a/crates/bench/src/soak_plan.rs
+++ b/crates/bench/src/soak_plan.rs
@@ -7,6 +7,7 @@
 use crate::error::Error;
 use crate::faults::FAULT_MS;
 use crate::faults_inject::{Fault, Stop};
+use crate::soak_deadly::Kind;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use serde::{Deserialize, Serialize};
@@ -28,6 +29,10 @@
 /// Time that a stop is planned with: most have ended by then.
 const STOP_MS: u64 = 3_000;
 
+/// Time for which a deadly request comes again: a server that it has crashed is back
+/// twice by then.
+const DEADLY_MS: u64 = 9_000;
+
 /// One in so many events is of the kinds that only plans have.
 const NEW_KINDS: u32 = 6;
 
@@ -64,6 +69,8 @@
     StopBoth(usize),
     /// Kills a backend server and starts it again at once, at the same address.
     Bounce(usize),
+    /// A request that crashes what runs it comes again and again, at all nodes in turn.
+    Deadly(Kind),
 }
 
 /// One thing that is done to the fleet, and when.
@@ -100,6 +107,7 @@
                 let action = draw_action(&mut rng, head.per_zone);
                 let for_ms = match action {
                     Action::Stop(_) | Action::StopBoth(_) => STOP_MS,
+                    Action::Deadly(_) => DEADLY_MS,
                     _ => rng.random_range(FAULT_MS),
                 };
                 let event = Event {
@@ -201,7 +209,7 @@
             Self::Fault(fault) => fault.vm(),
             Self::Stop(stop) => Some(stop.vm()),
             Self::StopBoth(vm) | Self::Bounce(vm) => Some(vm),
-            Self::KillAll | Self::SilenceZone(_) => None,
+            Self::KillAll | Self::SilenceZone(_) | Self::Deadly(_) => None,
         }
     }
 }
@@ -213,10 +221,11 @@
         return Action::KillAll;
     }
     if rng.random_ratio(1, NEW_KINDS) {
-        return match rng.random_range(0..3) {
+        return match rng.random_range(0..4) {
             0 => Action::SilenceZone(rng.random_range(0..ZONES)),
             1 => Action::StopBoth(vm),
-            _ => Action::Bounce(vm),
+            2 => Action::Bounce(vm),
+            _ => Action::Deadly(draw_kind(rng)),
         };
     }
     if rng.random_ratio(1, STOPS) {
@@ -229,6 +238,11 @@
     Action::Fault(Fault::draw(rng, vms))
 }
 
+fn draw_kind(rng: &mut SmallRng) -> Kind {
+    let kinds = [Kind::Lookup, Kind::Booking, Kind::Keyed];
+    kinds[rng.random_range(0..kinds.len())]
+}
+
 /// Tells whether two events can be in force at once without one undoing the other.
 fn goes_with(one: &Event, other: &Event) -> bool {
     let is_apart = one.storm != other.storm
--- a/crates/bench/src/soak_storm.rs
+++ b/crates/bench/src/soak_storm.rs
@@ -1,6 +1,6 @@
 //! The faults of a soak, as they begin and end, and the looks at the fleet between them.
 
-use crate::deployment::put_service;
+use crate::deployment::{Vm, put_service};
 use crate::error::Error;
 use crate::faults::{FAULT_MS, SETTLE};
 use crate::faults_callers::{Notes, now_us};
@@ -9,12 +9,14 @@
 use crate::faults_inject::{Ending, Fault, Stop, Target};
 use crate::node::{read_metrics, read_status};
 use crate::soak::Report;
+use crate::soak_deadly::{DOWN, Kind, Series, count_further_runs, count_innocents_held};
 use crate::soak_left::{count_late_runs, count_unended, list_half_closed};
 use crate::soak_plan::{Action, Event, GAP_MS, HERDS, Plan, STOPS, STORM_MS, ZONES};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rustix::process::Signal;
 use std::time::{Duration, Instant};
+use tokio::task::JoinHandle;
 
 /// Time between two calms.
 const STORM: Duration = Duration::from_millis(STORM_MS);
@@ -51,6 +53,11 @@
     not_in_force: usize,
     reverts: u64,
     ended: usize,
+    /// Deadly requests that come again and again.
+    deadly: Vec<JoinHandle<()>>,
+    deadly_count: usize,
+    /// Backend servers that have crashed, and when they are to be started again.
+    crashed: Vec<(Instant, usize)>,
 }
 
 impl Storm {
@@ -68,6 +75,9 @@
             not_in_force: 0,
             reverts: 0,
             ended: 0,
+            deadly: Vec::new(),
+            deadly_count: 0,
+            crashed: Vec::new(),
         }
     }
 
@@ -96,6 +106,7 @@
             self.end_due(now).await?;
             self.end_stops()?;
             self.revive()?;
+            self.revive_crashed(now)?;
             if now >= at {
                 return Ok(());
             }
@@ -125,6 +136,41 @@
                 }
             }
             Action::Bounce(vm) => self.target.bounce(vm)?,
+            Action::Deadly(kind) => self.begin_deadly(kind, end),
+        }
+        Ok(())
+    }
+
+    fn begin_deadly(&mut self, kind: Kind, end: Instant) {
+        self.deadly_count += 1;
+        let name = format!("{kind:?}-{}", self.deadly_count).to_lowercase();
+        let vms = &self.target.deployment.vms;
+        let addresses = vms.iter().map(Vm::callers).collect();
+        let series = Series { kind, name };
+        self.deadly.push(tokio::spawn(series.send(addresses, end)));
+    }
+
+    /// Starts backend servers again some time after a request has crashed them.
+    fn revive_crashed(&mut self, now: Instant) -> Result<(), Error> {
+        for vm in 0..self.target.deployment.vms.len() {
+            let kill = Fault::KillServer(vm);
+            let is_killed = self.in_force.iter().any(|(_, fault)| *fault == kill);
+            let stop = Stop::Server(vm);
+            let is_stopping = self.stopping.iter().any(|ending| ending.stop == stop);
+            let is_known = self.crashed.iter().any(|(_, known)| *known == vm);
+            if !is_killed && !is_stopping && !is_known && !self.target.server(vm)?.is_running() {
+                eprintln!("{} crashed {vm}", now_us());
+                self.crashed.push((now + DOWN, vm));
+            }
+        }
+        for (_, vm) in self
+            .crashed
+            .extract_if(.., |(at, _)| *at <= now)
+            .collect::<Vec<_>>()
+        {
+            if !self.target.server(vm)?.is_running() {
+                self.target.restart_server(vm)?;
+            }
         }
         Ok(())
     }
@@ -279,7 +325,13 @@
             self.target.recover(fault).await?;
         }
         self.target.forwarders.iter().for_each(Forwarder::sever);
+        for series in std::mem::take(&mut self.deadly) {
+            series.abort();
+        }
         self.revive()?;
+        let now = Instant::now();
+        self.revive_crashed(now)?;
+        self.revive_crashed(now + DOWN)?;
         self.calms += 1;
         eprintln!("{} calm", now_us());
         let deployment = &self.target.deployment;
@@ -375,8 +427,11 @@
     pub(crate) async fn report(&self, seed: u64, notes: &Notes) -> Result<Report, Error> {
         let unended = count_unended(&self.target.deployment.vms).await;
         let late_runs = count_late_runs(&self.target)?;
+        let deadly_runs = count_further_runs(&self.target)?;
+        let invocations = notes.take();
+        let innocents_held = count_innocents_held(&invocations);
         let history = History {
-            invocations: notes.take(),
+            invocations,
             records: self.target.read_records()?,
             // Faults overlap all the while: what a stop alone may cut is for `faults` and `rolling`.
             graceful: Vec::new(),
@@ -398,6 +453,8 @@
             half_closed: self.half_closed,
             late_runs,
             unended,
+            deadly_runs,
+            innocents_held,
         })
     }
 }
--- a/crates/call/src/digest.rs
+++ b/crates/call/src/digest.rs
@@ -12,19 +12,11 @@
 
 /// Names a request by what its caller chose of it: method, host, path with query, and body.
 ///
-/// Headers don't count: a caller that repeats a request changes some of them.
+/// Headers don't count: a caller that repeats a request changes some of them. The host is the
+/// one of the request's route, empty for a route of all hosts: callers may name each node by
+/// its address.
 #[derive(
-    Debug,
-    Clone,
-    Copy,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize,
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
 pub struct Digest([u8; 16]);
 
--- a/crates/node/src/outbound/plan.rs
+++ b/crates/node/src/outbound/plan.rs
@@ -50,6 +50,8 @@
     pub(crate) caller: SmolStr,
     /// Hash of the route and method.
     pub(crate) route: u64,
+    /// Host of the route; empty for a route of all hosts.
+    host: SmolStr,
     pub(crate) rule: Option<Retry>,
     pub(crate) deadline: Instant,
     /// Until when an answer is worth most.
@@ -134,6 +136,7 @@
         class: route.class,
         caller,
         route: hash,
+        host: route.prefix.split('/').next().unwrap_or_default().into(),
         rule: route.retry.clone(),
         deadline: now + timeout.min(LONGEST_TIMEOUT),
         target: route
@@ -170,9 +173,9 @@
 }
 
 /// Names a request through all its repeats, by its head and the start of its body.
-pub(crate) fn digest_of(head: &request::Parts, body: &sent::Body) -> Digest {
+pub(crate) fn digest_of(plan: &Plan, head: &request::Parts, body: &sent::Body) -> Digest {
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
-    Digest::of(head.method.as_str(), host_of(head), path, &body.ready)
+    Digest::of(head.method.as_str(), &plan.host, path, &body.ready)
 }
 
 /// Tells whether a call may run more than once; one that nothing is said of may if its method is safe (RFC 9110).
--- a/crates/node/src/outbound/serve.rs
+++ b/crates/node/src/outbound/serve.rs
@@ -119,7 +119,7 @@
     if body.length() > EAGER as u64 {
         plan.weight = Weight::Heavy;
     }
-    plan.digest = digest_of(&head, &body);
+    plan.digest = digest_of(&plan, &head, &body);
     let plan = Arc::new(plan);
     let served = match plan.key {
         Some(key) => serve_keyed(inner, &plan, key, head, body).await,
--- a/crates/node/tests/calls/main.rs
+++ b/crates/node/tests/calls/main.rs
@@ -1,5 +1,6 @@
 //! Calls through nodes in one process: whole answers, silent links, early ends.
 
+mod deadly;
 mod ending;
 mod feed;
 mod forward;
--- a/crates/node/tests/calls/mesh.rs
+++ b/crates/node/tests/calls/mesh.rs
@@ -107,6 +107,14 @@
         }));
     }
 
+    /// Announces a further process of the backend server.
+    pub fn announce_process(&self, service: &str, address: SocketAddr, process: u64) {
+        self.announce(service, address, 6);
+        self.shared.backend.send_modify(|own| {
+            own.as_mut().unwrap().incarnation = Some(process);
+        });
+    }
+
     /// Gives the endpoint that other nodes see, reached at `address`.
     pub fn endpoint(&self, service: &str, address: SocketAddr) -> Endpoint {
         Endpoint {
@@ -163,6 +171,7 @@
         long_percent: 0,
         long_work: Duration::ZERO,
         cold: Duration::ZERO,
+        deadly: None,
     };
     // It serves as long as the runtime; only its record is looked at.
     let _running = Server::spawn(listener, plan, record.clone(), 1);
--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -3,7 +3,8 @@
 //! Every path is a call, but for `/health`, `/load`, `/record` and `/fault`.
 //! An answer tells of its request, so that a checker sees whose it is. Of a
 //! request's headers, `x-work-ms` sets the work, `x-answer-bytes` lengthens
-//! the answer, and [`TIMEOUT`] ends the work early.
+//! the answer, and [`TIMEOUT`] ends the work early. A request that the plan
+//! calls deadly ends the process, or what stands for it in a test.
 
 use crate::http::{Body, Error, answer_bytes, answer_json, read_json};
 use crate::record::{Entry, Outcome, Record};
@@ -53,6 +54,40 @@
     pub long_work: Duration,
     /// Time after the start in which work takes [`COLD_FACTOR`] times as long.
     pub cold: Duration,
+    /// Requests that end the process, if there are any.
+    pub deadly: Option<Deadly>,
+}
+
+/// Which requests end the process that runs them.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Deadly {
+    /// Part of a request that makes it deadly.
+    pub mark: Mark,
+    /// Time from the start of the work to the end of the process.
+    pub after: Duration,
+}
+
+/// Part of a request that makes it deadly.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Mark {
+    /// The path contains this.
+    Path(String),
+    /// There is a header of this name.
+    Header(String),
+    /// The body contains this.
+    Body(String),
+}
+
+impl Mark {
+    fn is_on(&self, head: &http::request::Parts, body: &[u8]) -> bool {
+        match self {
+            Self::Path(part) => path_of(head).contains(part),
+            Self::Header(name) => head.headers.contains_key(name.as_str()),
+            Self::Body(part) => body
+                .windows(part.len().max(1))
+                .any(|window| window == part.as_bytes()),
+        }
+    }
 }
 
 /// Faults that are in force.
@@ -107,6 +142,8 @@
     Serving,
     Draining,
     Drained,
+    /// The listener and all connections are gone.
+    Crashed,
 }
 
 /// Counts a call as in flight until it is dropped.
@@ -149,9 +186,18 @@
     /// Takes no more connections, and waits until all answers are written.
     pub async fn drain(&self) {
         self.0.stage.send_replace(Stage::Draining);
+        self.wait_stage(Stage::Drained).await;
+    }
+
+    /// Waits until a deadly request has been run.
+    pub async fn crashed(&self) {
+        self.wait_stage(Stage::Crashed).await;
+    }
+
+    async fn wait_stage(&self, wanted: Stage) {
         let mut stages = self.0.stage.subscribe();
         // The sender lives as long as this does.
-        drop(stages.wait_for(|stage| *stage == Stage::Drained).await);
+        drop(stages.wait_for(|stage| *stage == wanted).await);
     }
 
     /// Tells how many calls are waiting or running.
@@ -223,6 +269,14 @@
             return Err(Error::NoAnswer);
         };
         let run = shared.record.start(entry_of(&head));
+        if let Some(deadly) = &shared.plan.deadly
+            && deadly.mark.is_on(&head, &body)
+        {
+            sleep(deadly.after).await;
+            run.end(Outcome::Crashed);
+            shared.stage.send_replace(Stage::Crashed);
+            return Err(Error::NoAnswer);
+        }
         if self.draw_failure() {
             run.end(Outcome::Failed);
             return Ok(answer_bytes(
@@ -275,7 +329,7 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = stages.wait_for(|stage| *stage == Stage::Draining) => break,
+            _ = stages.wait_for(|stage| *stage != Stage::Serving) => break,
         };
         let Ok((stream, _)) = accepted else {
             // Out of descriptors: those in use must end first.
@@ -291,14 +345,21 @@
             .timer(TokioTimer::new())
             .serve_connection(TokioIo::new(stream), service);
         let connection = connections.watch(connection);
+        let backend = backend.clone();
         tokio::spawn(async move {
-            if let Err(error) = connection.await {
-                log::debug!(error:%; "connection_ended");
+            tokio::select! {
+                biased;
+                () = backend.crashed() => {}
+                ended = connection => if let Err(error) = ended {
+                    log::debug!(error:%; "connection_ended");
+                },
             }
         });
     }
-    connections.shutdown().await;
-    stage.send_replace(Stage::Drained);
+    if *stage.borrow() == Stage::Draining {
+        connections.shutdown().await;
+        stage.send_replace(Stage::Drained);
+    }
 }
 
 fn text_of<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -3,7 +3,7 @@
 use bpaf::{Parser, construct, long};
 use smol_str::SmolStr;
 use standin::announce::{Announcement, Farewell, Node};
-use standin::backend::{Backend, Plan};
+use standin::backend::{Backend, Deadly, Mark, Plan};
 use standin::platform::Rates;
 use standin::record::Record;
 use std::net::SocketAddr;
@@ -13,6 +13,9 @@
 use store::Memory;
 use tokio::signal::unix::{SignalKind, signal};
 
+/// Exit status of a backend server that a request has crashed.
+const CRASHED: i32 = 70;
+
 /// What to stand in for.
 #[derive(Debug, Clone)]
 enum Command {
@@ -89,16 +92,40 @@
         .fallback(0);
     let long_work = parse_ms("long-ms", "Work of a long call", 200);
     let cold = parse_ms("cold-ms", "Time after the start in which work is slow", 0);
+    let deadly = parse_deadly();
     construct!(Plan {
         slots,
         queue,
         work,
         long_percent,
         long_work,
-        cold
+        cold,
+        deadly
     })
 }
 
+fn parse_deadly() -> impl Parser<Option<Deadly>> {
+    let path = long("deadly-path")
+        .help("Requests whose path contains this end the process")
+        .argument::<String>("TEXT")
+        .map(Mark::Path);
+    let header = long("deadly-header")
+        .help("Requests with a header of this name end the process")
+        .argument::<String>("NAME")
+        .map(|name| Mark::Header(name.to_ascii_lowercase()));
+    let body = long("deadly-body")
+        .help("Requests whose body contains this end the process")
+        .argument::<String>("TEXT")
+        .map(Mark::Body);
+    let mark = construct!([path, header, body]).optional();
+    let after = parse_ms(
+        "deadly-after-ms",
+        "Time from the start of a deadly request to the end",
+        30,
+    );
+    construct!(mark, after).map(|(mark, after)| mark.map(|mark| Deadly { mark, after }))
+}
+
 fn parse_backend() -> impl Parser<Command> {
     let listen = parse_listen();
     let announce = long("announce")
@@ -188,7 +215,10 @@
                 announcement,
                 record,
             };
-            serve_backend(&backend, announcer, &mut stop, drain_timeout).await;
+            tokio::select! {
+                () = serve_backend(&backend, announcer, &mut stop, drain_timeout) => {}
+                () = backend.crashed() => std::process::exit(CRASHED),
+            }
         }
     }
     Ok(())
--- a/crates/standin/src/record.rs
+++ b/crates/standin/src/record.rs
@@ -23,6 +23,8 @@
     Expired,
     /// It failed as the stand-in was told to.
     Failed,
+    /// It ended the process.
+    Crashed,
 }
 
 /// A call that was run.
--- a/crates/standin/tests/backend_server.rs
+++ b/crates/standin/tests/backend_server.rs
@@ -7,7 +7,7 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use serde_json::{Value, json};
-use standin::backend::{Backend, Plan, fingerprint};
+use standin::backend::{Backend, Deadly, Mark, Plan, fingerprint};
 use standin::record::{Outcome, Record};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -23,6 +23,7 @@
     long_percent: 0,
     long_work: Duration::ZERO,
     cold: Duration::ZERO,
+    deadly: None,
 };
 
 async fn open() -> (SocketAddr, Record, Backend, Caller) {
@@ -145,3 +146,41 @@
     assert!(text.starts_with("HTTP/1.1 200"), "{text}");
     assert_eq!(backend.in_flight(), 0);
 }
+
+/// A deadly request must end the server with all that it runs, and no other request may.
+#[yare::parameterized(
+    path = { Mark::Path("deadly".to_owned()), "/deadly", None, "" },
+    header = { Mark::Header("x-deadly".to_owned()), "/a", Some(("x-deadly", "1")), "" },
+    body = { Mark::Body("deadly".to_owned()), "/a", None, "a deadly one" },
+)]
+#[test_macro(tokio::test)]
+async fn deadly_request(mark: Mark, path: &str, header: Option<(&str, &str)>, body: &str) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let record = Record::open(None).unwrap();
+    let after = Duration::from_millis(5);
+    let plan = Plan {
+        deadly: Some(Deadly { mark, after }),
+        ..PLAN
+    };
+    let backend = Backend::spawn(listener, plan, record.clone(), 1);
+    let caller = Client::builder(TokioExecutor::new()).build_http();
+    let (status, _) = post(&caller, address, "/a", &[], "harmless").await;
+    assert_eq!(status, StatusCode::OK);
+    let headers: Vec<_> = header.into_iter().collect();
+    let mut request = Request::post(format!("http://{address}{path}"));
+    for (name, value) in headers {
+        request = request.header(name, value);
+    }
+    let request = request
+        .body(Full::new(Bytes::from(body.to_owned())))
+        .unwrap();
+    caller.request(request).await.unwrap_err();
+    backend.crashed().await;
+    wait_until(|| record.entries().len() == 2).await;
+    assert_eq!(record.entries()[1].outcome, Outcome::Crashed);
+    let refused = async { while TcpStream::connect(address).await.is_ok() {} };
+    tokio::time::timeout(Duration::from_secs(5), refused)
+        .await
+        .expect("nobody listens any more");
+}
