--- a/crates/call/src/digest.rs
+++ b/crates/call/src/digest.rs
@@ -1,8 +1,12 @@
 //! What names a request through all its repeats.
 
-use serde::{Deserialize, Serialize};
+use serde::de::Error as _;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use sha2::{Digest as _, Sha256};
+use std::borrow::Cow;
 use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
 
 /// Bytes of a body that count; longer ones are told apart by their start.
 ///
@@ -15,9 +19,7 @@
 /// Headers don't count: a caller that repeats a request changes some of them. The host is the
 /// one of the request's route, empty for a route of all hosts: callers may name each node by
 /// its address.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Digest([u8; 16]);
 
 impl Digest {
@@ -41,3 +43,39 @@
         write!(f, "{:032x}", u128::from_be_bytes(self.0))
     }
 }
+
+impl FromStr for Digest {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIntError> {
+        u128::from_str_radix(text, 16).map(|number| Self(number.to_be_bytes()))
+    }
+}
+
+/// As text where people read it, else as its bytes.
+impl Serialize for Digest {
+    fn serialize<S>(&self, serializer: S) -> Result<S::Ok, S::Error>
+    where
+        S: Serializer,
+    {
+        if serializer.is_human_readable() {
+            serializer.collect_str(self)
+        } else {
+            self.0.serialize(serializer)
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for Digest {
+    fn deserialize<D>(deserializer: D) -> Result<Self, D::Error>
+    where
+        D: Deserializer<'de>,
+    {
+        if deserializer.is_human_readable() {
+            let text = <Cow<'de, str>>::deserialize(deserializer)?;
+            text.parse().map_err(D::Error::custom)
+        } else {
+            <[u8; 16]>::deserialize(deserializer).map(Self)
+        }
+    }
+}
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -6,12 +6,14 @@
 pub mod owner;
 pub mod reserve;
 
+mod crash;
 mod digest;
 mod header;
 mod id;
 mod table;
 mod verdict;
 
+pub use crash::{Crash, shorten};
 pub use digest::{Digest, MAX_BODY};
 pub use header::Header;
 pub use id::Id;
--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -158,6 +158,13 @@
         (_, "not-run", "no-service") => {
             "no backend server of the service is known, or takes it".into()
         }
+        (_, "not-run", "held") => format!(
+            "its request {} has crashed the backend servers that ran it, and is held",
+            end.get("request")
+        ),
+        (_, "may-have-run", "crashed") => {
+            format!("the backend server at {last_node} ended while it ran the call")
+        }
         (_, "may-have-run", "deadline") => {
             format!("{last_node} gave no answer before the deadline")
         }
--- /dev/null
+++ b/crates/fleet/src/crashes.rs
@@ -0,0 +1,113 @@
+//! News of requests that crashed backend servers.
+//!
+//! Each node floods what is news to it over all its links but the one that it came by,
+//! at once: a request that crashes what runs it comes again within milliseconds. A new
+//! link begins with all that is remembered, so that a process that starts knows it
+//! before it serves. Zones that are cut from each other, and a fleet that restarts whole,
+//! learn it by way of the platform: roots write what comes from their own part of the
+//! fleet there, and read what others wrote.
+
+use crate::event::{Action, Request};
+use crate::link::{Link, LinkKey, Role};
+use crate::node::Node;
+use call::Crash;
+use policy::quarantine::Ledger;
+use std::time::{Duration, Instant};
+use wire::control::{Frame, MAX_CRASHES};
+
+/// Time that a root gathers crashes for before it writes them to the platform.
+const GATHER: Duration = Duration::from_millis(200);
+
+/// Who tells of crashes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Teller {
+    /// The inbound proxy of this node.
+    Own,
+    /// A neighbour.
+    Link(LinkKey),
+    /// The platform.
+    Platform,
+}
+
+/// What a node knows of crashes.
+#[derive(Debug, Default)]
+pub(crate) struct Crashes {
+    ledger: Ledger,
+    /// When a root writes what it knows to the platform.
+    post_at: Option<Instant>,
+}
+
+impl Crashes {
+    pub(crate) fn deadline(&self) -> Option<Instant> {
+        self.post_at
+    }
+}
+
+impl Node {
+    /// Takes crashes in, and hands on what is news.
+    pub(crate) fn on_crashes(&mut self, now: Instant, teller: Teller, list: &[Crash]) {
+        let ledger = &mut self.crashes.ledger;
+        let list = list.iter().take(MAX_CRASHES);
+        let news: Vec<_> = list
+            .filter(|crash| ledger.take(now, crash))
+            .cloned()
+            .collect();
+        if news.is_empty() {
+            return;
+        }
+        for link in self.find_links(Link::is_settled) {
+            if teller != Teller::Link(link) {
+                self.send(link, Frame::Crashes(news.clone()));
+            }
+        }
+        if self.is_from_below(teller) {
+            self.post_crashes(now);
+        }
+        if teller != Teller::Own {
+            self.actions.push(Action::Quarantine(news));
+        }
+    }
+
+    /// Writes what is remembered to the platform soon, if this is a root.
+    pub(crate) fn post_crashes(&mut self, now: Instant) {
+        if self.lease.slot().is_some() && !self.crashes.ledger.is_empty() {
+            self.crashes.post_at.get_or_insert(now + GATHER);
+        }
+    }
+
+    /// Tells whether nobody but this root brings it to the platform.
+    fn is_from_below(&self, teller: Teller) -> bool {
+        match teller {
+            Teller::Own => true,
+            Teller::Link(key) => {
+                let link = self.links.get(&key);
+                link.is_some_and(|link| link.role == Role::Child)
+            }
+            Teller::Platform => false,
+        }
+    }
+
+    /// Tells a new neighbour all that is remembered.
+    pub(crate) fn send_crashes(&mut self, now: Instant, key: LinkKey) {
+        for part in self.crashes.ledger.list(now).chunks(MAX_CRASHES) {
+            self.send(key, Frame::Crashes(part.to_vec()));
+        }
+    }
+
+    pub(crate) fn step_crashes(&mut self, now: Instant) {
+        if self.crashes.post_at.is_none_or(|at| now < at) {
+            return;
+        }
+        self.crashes.post_at = None;
+        let mut list = self.crashes.ledger.list(now);
+        list.truncate(MAX_CRASHES);
+        if let Some(slot) = self.lease.slot() {
+            self.actions.push(Action::Post { slot, list });
+        }
+    }
+
+    /// Asks the platform, for a node that hears from no root.
+    pub(crate) fn ask_crashes(&mut self) {
+        self.actions.push(Action::Ask(Request::Crashes));
+    }
+}
--- a/crates/fleet/src/duty.rs
+++ b/crates/fleet/src/duty.rs
@@ -138,6 +138,7 @@
             Version::ZERO
         };
         self.follow(after);
+        self.post_crashes(now);
     }
 
     fn follow(&mut self, after: Version) {
@@ -184,7 +185,8 @@
             | Request::Release { .. }
             | Request::Newest { .. }
             | Request::Follow { .. }
-            | Request::Unfollow => {}
+            | Request::Unfollow
+            | Request::Crashes => {}
         }
     }
 
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -1,6 +1,7 @@
 //! What goes into the state machine and what comes out.
 
 use crate::{LinkKey, Peer};
+use call::Crash;
 use config::{Digest, Mesh, Patch, Version, View};
 use smol_str::SmolStr;
 use std::net::SocketAddr;
@@ -52,6 +53,8 @@
     },
     /// Send no more versions.
     Unfollow,
+    /// Tell the crashes that roots have written.
+    Crashes,
 }
 
 /// The lease of a root as it was read.
@@ -107,6 +110,8 @@
         /// What is wrong with it, and where.
         reason: SmolStr,
     },
+    /// Crashes that roots have written, told when following begins and as they come.
+    Crashes(Vec<Crash>),
 }
 
 /// The own backend server, as it announced itself.
@@ -150,6 +155,8 @@
     Platform(Answer),
     /// The own backend server announced itself.
     Own(Backend),
+    /// Requests crashed the own backend server, or were answered since.
+    Crashes(Vec<Crash>),
     /// The time that [`crate::Node::next_wake`] gave has come.
     Wake,
     /// The node is to leave: the links are closed in order.
@@ -182,4 +189,13 @@
     Ask(Request),
     /// Serve by this view from now on.
     Install(Arc<View>),
+    /// Take in what other nodes know of crashes.
+    Quarantine(Vec<Crash>),
+    /// Write crashes to the platform.
+    Post {
+        /// The lease of the root that writes.
+        slot: u8,
+        /// All that it remembers, or the worst of it.
+        list: Vec<Crash>,
+    },
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,7 +11,8 @@
 //! on. Nodes find their [`parent`] among those named to them, serve once the
 //! [`bootstrap`] gate is open, and sum up their [`status`] for their parent.
 //! [`endpoints`] flow both ways over the same links; the [`departure`] guard
-//! says when silence means that one has gone.
+//! says when silence means that one has gone. So does what is known of requests that crash
+//! backend servers.
 //!
 //! ```
 //! use fleet::{Action, Event, Node, Request, Settings};
@@ -38,6 +39,7 @@
 pub mod status;
 
 mod beat;
+mod crashes;
 mod duty;
 mod event;
 mod lookout;
--- a/crates/fleet/src/lookout.rs
+++ b/crates/fleet/src/lookout.rs
@@ -19,7 +19,7 @@
 /// Least time between two questions: a version then comes within a second.
 const AGAIN: Duration = Duration::from_secs(1);
 
-/// Questions a second of all nodes of a zone: 15 zones without any root then
+/// Rounds of questions a second of all nodes of a zone: 15 zones without any root then
 /// take 750 of the platform's 2,000 reads a second.
 const ZONE_RATE: u32 = 50;
 
@@ -85,5 +85,6 @@
         self.lookout.again = share_rate(nodes);
         let after = self.version();
         self.actions.push(Action::Ask(Request::Newest { after }));
+        self.ask_crashes();
     }
 }
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -2,6 +2,7 @@
 
 use crate::bootstrap::Gate;
 use crate::bucket::Bucket;
+use crate::crashes::{Crashes, Teller};
 use crate::departure::Guard;
 use crate::endpoints::Table;
 use crate::event::{Action, Answer, Event};
@@ -75,6 +76,7 @@
     pub(crate) lookout: Lookout,
     pub(crate) outage: Outage,
     pub(crate) news: sync::News,
+    pub(crate) crashes: Crashes,
     pub(crate) own: Option<Endpoint>,
     pub(crate) is_synced: bool,
     pub(crate) is_leaving: bool,
@@ -115,6 +117,7 @@
             lookout: Lookout::new(now),
             outage: Outage::default(),
             news: sync::News::default(),
+            crashes: Crashes::default(),
             own: None,
             is_synced: false,
             is_leaving: false,
@@ -145,6 +148,7 @@
             Event::Frame { link, frame } => self.on_frame(now, link, frame),
             Event::Platform(answer) => self.on_answer(now, answer),
             Event::Own(backend) => self.announce(now, &backend),
+            Event::Crashes(list) => self.on_crashes(now, Teller::Own, &list),
             Event::Leave => self.leave(now),
             Event::Wake => {}
         }
@@ -164,6 +168,7 @@
             self.gate.deadline(),
             self.next_look(),
             self.outage.deadline(),
+            self.crashes.deadline(),
         ];
         let links = self.links.values().map(Link::deadline);
         let first = others.into_iter().flatten().chain(links).min();
@@ -245,6 +250,7 @@
             self.refresh(now);
         }
         self.step_news(now);
+        self.step_crashes(now);
     }
 
     fn on_frame(&mut self, now: Instant, key: LinkKey, frame: Frame) {
@@ -282,6 +288,7 @@
             Frame::Sums { sums, is_reply } => self.on_sums(key, &sums, is_reply),
             Frame::Path(path) => self.on_path(now, key, path),
             Frame::Nominate { slot } => self.on_nominate(key, slot),
+            Frame::Crashes(list) => self.on_crashes(now, Teller::Link(key), &list),
             Frame::Leave { parents } => {
                 self.learn_hints(now, parents);
                 self.lose_link(now, key, true);
@@ -311,6 +318,7 @@
             } => self.on_platform_step(now, version, patch, digest),
             Answer::Whole { version, mesh } => self.on_platform_whole(now, version, mesh),
             Answer::Unreadable { version, reason } => self.on_unreadable(version, reason),
+            Answer::Crashes(list) => self.on_crashes(now, Teller::Platform, &list),
         }
     }
 
--- a/crates/fleet/src/tree.rs
+++ b/crates/fleet/src/tree.rs
@@ -49,6 +49,7 @@
             self.end_recall(&name);
         }
         self.hear_version(now, key, version);
+        self.send_crashes(now, key);
     }
 
     pub(crate) fn learn_hints(&mut self, now: Instant, hints: Vec<Peer>) {
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -5,8 +5,10 @@
 
 pub use platform::Platform;
 
+use call::{Crash, Digest};
 use config::{Change, Patch, Service, State, Version, View};
 use fleet::{Action, Answer, Backend, Event, LinkKey, Node, Peer, Request, Settings};
+use policy::quarantine::{Ledger, Standing};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::cmp::Reverse;
@@ -28,6 +30,7 @@
     Closed { conn: usize },
     Frame { conn: usize, frame: Box<Frame> },
     Answer(Answer),
+    Crashes(Vec<Crash>),
     Own,
     Wake,
 }
@@ -71,6 +74,8 @@
     /// When it began to serve by each version.
     pub installed: BTreeMap<Version, Duration>,
     frozen: Option<VecDeque<(u64, Item)>>,
+    /// What the process knows of crashes.
+    quarantine: Ledger,
     pub backend: State,
     /// How far the VM's time of day is behind.
     skew: Duration,
@@ -156,6 +161,7 @@
                 served: Version::ZERO,
                 installed: BTreeMap::new(),
                 frozen: None,
+                quarantine: Ledger::default(),
                 backend: State::Serving,
                 skew: Duration::ZERO,
                 wake_at: Duration::MAX,
@@ -196,6 +202,7 @@
         slot.node = Some(Node::new(settings, seed, now));
         slot.view = None;
         slot.frozen = None;
+        slot.quarantine = Ledger::default();
         slot.backend = State::Serving;
         slot.wake_at = Duration::MAX;
         self.push(vm, Duration::ZERO, Item::Own);
@@ -491,6 +498,7 @@
                 None => return,
             },
             Item::Answer(answer) => Event::Platform(answer),
+            Item::Crashes(list) => Event::Crashes(list),
             Item::Own => Event::Own(Backend {
                 service: self.vms[vm].service.clone().into(),
                 slots: 6,
@@ -593,10 +601,66 @@
                 }
                 Action::Ask(request) => self.ask(vm, request),
                 Action::Install(view) => self.install(vm, view),
+                Action::Quarantine(list) => self.learn(vm, &list),
+                Action::Post { slot, list } => self.post(vm, slot, list),
             }
         }
     }
 
+    /// Has a VM's backend server crash under a request; `id` names the crash.
+    pub fn crash(&mut self, vm: usize, request: Digest, id: u64) {
+        let crash = Crash {
+            id,
+            request,
+            node: self.vms[vm].own.node.clone(),
+            service: self.vms[vm].service.clone().into(),
+            method: "GET".into(),
+            path: "/s0/deadly".into(),
+            age_ms: 0,
+            is_alone: true,
+            is_cleared: false,
+        };
+        self.learn(vm, std::slice::from_ref(&crash));
+        self.push(vm, Duration::ZERO, Item::Crashes(vec![crash]));
+    }
+
+    /// Has a VM's backend server answer a request.
+    pub fn answer(&mut self, vm: usize, request: Digest) {
+        let now = self.instant();
+        let cleared = self.vms[vm].quarantine.clear(now, request);
+        self.push(vm, Duration::ZERO, Item::Crashes(cleared));
+    }
+
+    /// Tells how a request stands at a VM.
+    pub fn judge(&self, vm: usize, request: Digest) -> Standing {
+        self.vms[vm].quarantine.judge(self.instant(), request)
+    }
+
+    /// Tells whether all running processes stand so to a request.
+    pub fn all_judge<F>(&self, request: Digest, is_it: F) -> bool
+    where
+        F: Fn(Standing) -> bool,
+    {
+        let running = |vm: &usize| self.vms[*vm].node.is_some() && self.vms[*vm].frozen.is_none();
+        let mut vms = (0..self.vms.len()).filter(running);
+        vms.all(|vm| is_it(self.judge(vm, request)))
+    }
+
+    fn learn(&mut self, vm: usize, list: &[Crash]) {
+        let now = self.instant();
+        for crash in list {
+            self.vms[vm].quarantine.take(now, crash);
+        }
+    }
+
+    fn post(&mut self, vm: usize, slot: u8, list: Vec<Crash>) {
+        let zone = self.vms[vm].own.zone.to_string();
+        for reader in self.platform.post(&zone, slot, list) {
+            let crashes = self.platform.crashes();
+            self.push(reader, 3 * MS, Item::Answer(Answer::Crashes(crashes)));
+        }
+    }
+
     fn dial(&mut self, vm: usize, link: LinkKey, address: SocketAddr) {
         let Some(to) = self.by_address.get(&address).copied() else {
             return;
--- a/crates/fleet/tests/world/platform.rs
+++ b/crates/fleet/tests/world/platform.rs
@@ -1,5 +1,6 @@
 //! The platform: versions and leases, with outages, lost answers and silent watches.
 
+use call::Crash;
 use config::{Digest, Held, Mesh, Patch, Version};
 use fleet::{Answer, Peer, Request, Seat};
 use std::collections::{BTreeMap, BTreeSet};
@@ -32,6 +33,8 @@
     /// Who follows, in which zone, and what it was sent.
     followers: BTreeMap<usize, (String, Version)>,
     writes: u64,
+    /// Crashes as the holders of leases wrote them.
+    posts: BTreeMap<(String, u8), Vec<Crash>>,
     /// Revisions of all leases as each VM last read them.
     seen: BTreeMap<usize, BTreeMap<(String, u8), u64>>,
 }
@@ -72,6 +75,24 @@
         version
     }
 
+    /// Takes what the holder of a lease writes; gives those whom it reaches at once.
+    pub fn post(&mut self, zone: &str, slot: u8, list: Vec<Crash>) -> Vec<usize> {
+        self.calls += 1;
+        if self.is_out || self.cuts.contains(zone) {
+            return Vec::new();
+        }
+        self.posts.insert((zone.to_owned(), slot), list);
+        let followers = self.followers.iter();
+        let reached = followers
+            .filter(|(vm, (zone, _))| !self.silent.contains(vm) && !self.cuts.contains(zone));
+        reached.map(|(vm, _)| *vm).collect()
+    }
+
+    /// Gives all that was written of crashes.
+    pub fn crashes(&self) -> Vec<Crash> {
+        self.posts.values().flatten().cloned().collect()
+    }
+
     pub fn unfollow(&mut self, vm: usize) {
         self.followers.remove(&vm);
         self.silent.remove(&vm);
@@ -155,9 +176,11 @@
             Request::Follow { after, .. } => {
                 self.followers.insert(vm, (zone, self.head()));
                 self.silent.remove(&vm);
-                let steps = self.steps_after(after);
+                let mut steps = self.steps_after(after);
+                steps.push(Answer::Crashes(self.crashes()));
                 return steps.into_iter().map(|step| (3 * MS, step)).collect();
             }
+            Request::Crashes => Answer::Crashes(self.crashes()),
             Request::Newest { after } => {
                 let steps = self.steps_after(after);
                 return steps.into_iter().map(|step| (3 * MS, step)).collect();
--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -15,6 +15,7 @@
 use parking_lot::Mutex;
 use quick_error::quick_error;
 use std::future::poll_fn;
+use std::io;
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::sync::Arc;
@@ -162,10 +163,11 @@
         }))
     }
 
-    /// Tells whether anybody listens at an address on this VM.
-    pub(crate) async fn is_listening(&self, address: SocketAddr) -> bool {
+    /// Tells whether nobody listens at an address on this VM.
+    pub(crate) async fn is_deserted(&self, address: SocketAddr) -> bool {
         let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
-        connecting.await.is_ok_and(|connected| connected.is_ok())
+        let refused = |error: &io::Error| error.kind() == io::ErrorKind::ConnectionRefused;
+        matches!(connecting.await, Ok(Err(error)) if refused(&error))
     }
 
     fn wrap(
--- a/crates/node/src/control/desk.rs
+++ b/crates/node/src/control/desk.rs
@@ -3,48 +3,73 @@
 use crate::control::removal;
 use crate::control::tree::Input;
 use crate::shared::Shared;
+use call::Crash;
 use clock::Clock;
 use fleet::{Answer, Peer, Request, Seat};
 use log::warn;
+use policy::backoff::Backoff;
 use smol_str::{SmolStr, ToSmolStr, format_smolstr};
 use std::collections::BTreeMap;
+use std::future::pending;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+use store::board;
 use store::follow::News;
 use store::lease::{self, Standing};
 use store::version::{self, JOURNAL};
-use store::{Error, Follower, Journal, Latest, Lease, Object, Revision, Store};
+use store::{Board, Error, Follower, Journal, Latest, Lease, Object, Revision, Store};
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
 /// Prefix of the names of roots' leases.
 const ROOTS: &str = "roots/";
 
-/// Carries out requests until their sender is gone.
+/// Bounds of the wait before crashes are written again: zones that are cut from each other
+/// are to know them within 3 s.
+const FIRST_WAIT: Duration = Duration::from_millis(100);
+const LAST_WAIT: Duration = Duration::from_millis(800);
+
+/// Carries out orders until their sender is gone.
 pub(crate) async fn run<C, S>(
     shared: Arc<Shared<C>>,
     store: S,
-    mut requests: mpsc::UnboundedReceiver<Request>,
+    mut orders: mpsc::UnboundedReceiver<Order>,
     inbox: mpsc::Sender<Input>,
 ) where
     C: Clock,
     S: Store,
 {
     let mut desk = Desk {
+        board: Board::open(store.clone(), shared.clock.clone()),
         shared,
         store,
         inbox,
         leases: BTreeMap::new(),
         seen: BTreeMap::new(),
         follower: None,
+        poster: None,
     };
-    while let Some(request) = requests.recv().await {
-        if let Some(answer) = desk.carry_out(request).await {
-            drop(desk.inbox.send(Input::Answer(answer)).await);
+    while let Some(order) = orders.recv().await {
+        match order {
+            Order::Ask(request) => {
+                if let Some(answer) = desk.carry_out(request).await {
+                    drop(desk.inbox.send(Input::Answer(answer)).await);
+                }
+            }
+            Order::Post { slot, list } => desk.post(slot, list),
         }
     }
 }
 
+/// What the state machine wants of the platform.
+#[derive(Debug)]
+pub(crate) enum Order {
+    /// An answer to this.
+    Ask(Request),
+    /// That these crashes stand there, as those that the holder of a lease remembers.
+    Post { slot: u8, list: Vec<Crash> },
+}
+
 /// A task that ends with its handle.
 #[derive(Debug)]
 struct Task(JoinHandle<()>);
@@ -74,6 +99,9 @@
     leases: BTreeMap<u8, Lease<S, C>>,
     seen: BTreeMap<SmolStr, Seen>,
     follower: Option<Task>,
+    board: Board<S, C>,
+    /// What writes crashes; the next list replaces one that could not be written yet.
+    poster: Option<Task>,
 }
 
 impl<C, S> Desk<C, S>
@@ -103,6 +131,7 @@
                 self.follower = None;
                 return None;
             }
+            Request::Crashes => self.board.list().await.map(Answer::Crashes),
         };
         Some(outcome.unwrap_or(Answer::Failed(request)))
     }
@@ -231,17 +260,54 @@
             };
             let latest = Latest::open(store, platform::mesh::NAME);
             let follow = follow_latest(latest, self.inbox.clone());
-            self.follower = Some(Task(tokio::spawn(follow)));
+            let crashes = self.follow_crashes(is_first);
+            self.follower = Some(Task(tokio::spawn(async move {
+                tokio::join!(follow, crashes);
+            })));
             return;
         }
         let journal = Journal::open(self.store.clone(), self.shared.clock.clone(), JOURNAL);
         let position = (after > config::Version::ZERO).then_some(after.0);
         let follower = Follower::open(journal.clone(), position);
         let inbox = self.inbox.clone();
+        let crashes = self.follow_crashes(is_first);
         self.follower = Some(Task(tokio::spawn(async move {
             tokio::select! {
                 () = pass_on(follower, inbox) => {}
                 () = removal::run(journal) => {}
+                () = async { crashes.await; pending().await } => {}
+            }
+        })));
+    }
+
+    /// Passes on what roots write of crashes; one reader a zone does, as its links reach the others.
+    fn follow_crashes(&self, is_first: bool) -> impl Future<Output = ()> + use<C, S> {
+        let (board, inbox) = (self.board.clone(), self.inbox.clone());
+        let mut objects = Latest::open_all(self.store.relaxed(), board::FOLDER);
+        async move {
+            if !is_first {
+                return;
+            }
+            loop {
+                let crashes = board.read(&objects.next().await);
+                let answer = Input::Answer(Answer::Crashes(crashes));
+                if inbox.send(answer).await.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Writes crashes to the platform, again and again until they stand there.
+    fn post(&mut self, slot: u8, list: Vec<Crash>) {
+        let board = self.board.clone();
+        let seat = format!("{}.{slot}", self.shared.settings.zone);
+        self.poster = Some(Task(tokio::spawn(async move {
+            let mut backoff = Backoff::new(FIRST_WAIT, LAST_WAIT);
+            while let Err(error) = board.post(&seat, &list).await {
+                warn!(seat = seat.as_str(), error:%; "board_not_written");
+                let wait = backoff.next(&mut rand::rng());
+                tokio::time::sleep(wait).await;
             }
         })));
     }
--- a/crates/node/src/control/tree.rs
+++ b/crates/node/src/control/tree.rs
@@ -1,11 +1,11 @@
 //! Runs the state machine of distribution: sockets, timers and the platform around it.
 
-use crate::control::desk;
+use crate::control::desk::{self, Order};
 use crate::control::link::{self, Sender};
 use crate::shared::Shared;
 use clock::Clock;
 use config::{State, View};
-use fleet::{Action, Answer, Event, LinkKey, Node, Peer, Request, Role, Settings};
+use fleet::{Action, Answer, Event, LinkKey, Node, Peer, Role, Settings};
 use log::{error, info, warn};
 use settings::node::Distribution;
 use std::collections::BTreeMap;
@@ -52,15 +52,15 @@
     C: Clock,
     S: Store,
 {
-    let (requests, asked) = mpsc::unbounded_channel();
-    let desk = desk::run(Arc::clone(&shared), store, asked, sender.clone());
+    let (orders, ordered) = mpsc::unbounded_channel();
+    let desk = desk::run(Arc::clone(&shared), store, ordered, sender.clone());
     let desk = tokio::spawn(desk);
     let mut backend = shared.backend.subscribe();
     // A backend server may have announced itself before this task ran; what
     // stands at the subscription counts as seen, and it would never be told.
     backend.mark_changed();
     let mut leaving = shared.leaving.subscribe();
-    let mut tree = Tree::new(shared, requests, sender);
+    let mut tree = Tree::new(Arc::clone(&shared), orders, sender);
     let done = loop {
         let wait = tree.wait();
         tokio::select! {
@@ -74,6 +74,7 @@
                 leaving.mark_unchanged();
                 tree.announce(&mut backend);
             },
+            crashes = shared.quarantine.news() => tree.handle(Event::Crashes(crashes)),
             () = tokio::time::sleep(wait) => tree.handle(Event::Wake),
         }
         tree.tell();
@@ -95,7 +96,7 @@
     shared: Arc<Shared<C>>,
     node: Node,
     links: BTreeMap<LinkKey, Sender>,
-    requests: mpsc::UnboundedSender<Request>,
+    orders: mpsc::UnboundedSender<Order>,
     inbox: mpsc::Sender<Input>,
     told_at: Instant,
     finished: Vec<tokio::task::JoinHandle<()>>,
@@ -107,7 +108,7 @@
 {
     fn new(
         shared: Arc<Shared<C>>,
-        requests: mpsc::UnboundedSender<Request>,
+        orders: mpsc::UnboundedSender<Order>,
         inbox: mpsc::Sender<Input>,
     ) -> Self {
         let now = shared.clock.now();
@@ -131,7 +132,7 @@
             shared,
             node,
             links: BTreeMap::new(),
-            requests,
+            orders,
             inbox,
             told_at: now,
             finished: Vec::new(),
@@ -196,7 +197,14 @@
                 }
             }
             // The desk ends after this task.
-            Action::Ask(request) => drop(self.requests.send(request)),
+            Action::Ask(request) => drop(self.orders.send(Order::Ask(request))),
+            Action::Post { slot, list } => drop(self.orders.send(Order::Post { slot, list })),
+            Action::Quarantine(list) => {
+                let shared = &self.shared;
+                shared
+                    .quarantine
+                    .take(&shared.clock, &shared.metrics, &list);
+            }
             Action::Install(view) => self.install(view),
         }
     }
--- a/crates/node/src/inbound.rs
+++ b/crates/node/src/inbound.rs
@@ -4,6 +4,7 @@
 //! settles what became of one when a link has gone silent.
 
 pub(crate) mod bodies;
+pub(crate) mod crash;
 pub(crate) mod deliver;
 pub(crate) mod entry;
 pub(crate) mod gate;
@@ -26,6 +27,7 @@
 use call::{Id, Table, Verdict};
 use clock::Clock;
 use parking_lot::Mutex;
+use policy::aboard::Aboard;
 use policy::outlook::Outlook;
 use settings::node::Rate;
 use std::io;
@@ -68,6 +70,10 @@
     pub(crate) bodies: Arc<Bodies<C>>,
     /// The calls that the backend server runs.
     pub(crate) parents: Arc<Parents>,
+    /// The calls that are at the backend server, and may be there as it ends.
+    pub(crate) aboard: Mutex<Aboard>,
+    /// The permit is out while a request under suspicion is at the backend server.
+    pub(crate) alone: Arc<Semaphore>,
     /// A permit is out for each answer that is held ahead of its reader.
     pub(crate) ahead: Arc<Semaphore>,
 }
@@ -88,6 +94,8 @@
         tables: Default::default(),
         links: Mutex::default(),
         parents: Arc::default(),
+        aboard: Mutex::default(),
+        alone: Arc::new(Semaphore::new(1)),
         ahead: Arc::new(Semaphore::new(deliver::MAX_AHEAD)),
     });
     tokio::spawn(forget(Arc::downgrade(&inner)));
@@ -300,6 +308,7 @@
         return;
     };
     let mut told = false;
+    let mut here = None;
     loop {
         let changed = tokio::select! {
             changed = node.changed() => changed,
@@ -310,6 +319,9 @@
         };
         // One that is back is another process; what the former one closed goes.
         inner.pool.drop_ended();
+        let now_here = inner.shared.backend.borrow().clone();
+        note_replaced(&inner, here.as_ref(), now_here.as_ref());
+        here = now_here;
         let links = inner.links.lock();
         let leaving = inner.is_leaving();
         if std::mem::replace(&mut told, leaving) == leaving {
@@ -320,3 +332,16 @@
         }
     }
 }
+
+/// Takes in that a process of the backend server has another in its place, and said no farewell.
+fn note_replaced<C>(inner: &Inner<C>, former: Option<&Backend>, present: Option<&Backend>)
+where
+    C: Clock,
+{
+    if let (Some(former), Some(present)) = (former, present)
+        && former.process() != present.process()
+        && !former.leaving
+    {
+        crash::note_end(inner, former);
+    }
+}
--- /dev/null
+++ b/crates/node/src/inbound/crash.rs
@@ -0,0 +1,229 @@
+//! Which calls were at the own backend server as its process ended: runs `policy::aboard`.
+
+use crate::inbound::Inner;
+use crate::inbound::parents::Parent;
+use crate::inbound::run::Refused;
+use crate::shared::Backend;
+use call::{Crash, shorten};
+use clock::Clock;
+use log::warn;
+use policy::aboard::{self, Found, Key, Leave};
+use policy::quarantine::Standing;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::OwnedSemaphorePermit;
+use wire::call::{Reason, Request};
+
+/// Time between two looks at a backend server that broke off a call and still listens:
+/// the system takes the sockets of a process that ends one by one.
+const LOOK_AGAIN: Duration = Duration::from_millis(50);
+
+/// When a request under suspicion may come back if another one is at the backend server.
+const BUSY_WAIT_MS: u32 = 100;
+
+/// Counts a call as at the backend server until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Seat<C>
+where
+    C: Clock,
+{
+    inner: Arc<Inner<C>>,
+    backend: Backend,
+    key: Key,
+    request: call::Digest,
+    how: Leave,
+    _alone: Alone,
+    /// What the calls that the backend server makes for this one find, while it runs.
+    parent: Option<Parent>,
+}
+
+/// The right of one request under suspicion to be at the backend server.
+#[derive(Debug)]
+pub(crate) struct Alone(Option<OwnedSemaphorePermit>);
+
+impl Alone {
+    /// Waits until no other request under suspicion is at the backend server, if this one is
+    /// under suspicion.
+    ///
+    /// Guards against an innocent request that is held: beside one that crashes what runs
+    /// it, it would be in as many crashes. A crash with one suspect on board shows which.
+    pub(crate) async fn wait<C>(inner: &Inner<C>, request: &Request) -> Result<Self, Refused>
+    where
+        C: Clock,
+    {
+        if !(is_suspected(inner, request)? || request.is_suspect) {
+            return Ok(Self(None));
+        }
+        let permit = tokio::select! {
+            biased;
+            permit = Arc::clone(&inner.alone).acquire_owned() => permit.ok(),
+            () = inner.left() => return Err(Refused::not_run(Reason::Leaving, 0)),
+        };
+        // What ran before may have been the same request.
+        is_suspected(inner, request)?;
+        Ok(Self(permit))
+    }
+
+    /// Looks again after a wait for a slot, in which the request may have come under suspicion.
+    pub(crate) fn confirm<C>(self, inner: &Inner<C>, request: &Request) -> Result<Self, Refused>
+    where
+        C: Clock,
+    {
+        if !is_suspected(inner, request)? || self.0.is_some() {
+            return Ok(self);
+        }
+        match Arc::clone(&inner.alone).try_acquire_owned() {
+            Ok(permit) => Ok(Self(Some(permit))),
+            Err(_another) => Err(Refused::not_run(Reason::Full, BUSY_WAIT_MS)),
+        }
+    }
+}
+
+/// Tells whether a request is under suspicion, and refuses one that is held.
+pub(crate) fn is_suspected<C>(inner: &Inner<C>, request: &Request) -> Result<bool, Refused>
+where
+    C: Clock,
+{
+    let shared = &inner.shared;
+    match shared.quarantine.judge(shared.clock.now(), request.digest) {
+        Standing::Clear => Ok(false),
+        Standing::Suspect => Ok(true),
+        Standing::Held { wait } => Err(Refused::held(wait)),
+    }
+}
+
+impl<C> Seat<C>
+where
+    C: Clock,
+{
+    /// Counts a call as about to be given to the backend server.
+    pub(crate) fn take(
+        inner: &Arc<Inner<C>>,
+        backend: &Backend,
+        request: &Request,
+        alone: Alone,
+    ) -> Self {
+        let boarding = aboard::Request {
+            digest: request.digest,
+            method: request.method.clone(),
+            path: shorten(&request.path),
+            is_suspect: alone.0.is_some(),
+        };
+        let now = inner.shared.clock.now();
+        let key = inner.aboard.lock().enter(now, backend.process(), boarding);
+        Self {
+            inner: Arc::clone(inner),
+            backend: backend.clone(),
+            key,
+            request: request.digest,
+            how: Leave::NotRun,
+            _alone: alone,
+            parent: None,
+        }
+    }
+
+    /// Notes that the backend server gets the call now, and may run it.
+    pub(crate) fn begin(&mut self, parent: Parent) {
+        self.parent = Some(parent);
+        self.how = Leave::Unanswered;
+    }
+
+    /// Says how the call leaves; until then it leaves without an answer.
+    pub(crate) fn leave_as(&mut self, how: Leave) {
+        self.how = how;
+    }
+
+    /// Leaves a connection that broke; tells whether the process has ended.
+    pub(crate) async fn leave_broken(self) -> bool {
+        let (inner, backend) = (Arc::clone(&self.inner), self.backend.clone());
+        drop(self);
+        let has_ended = look(&inner, &backend).await;
+        if !has_ended {
+            look_later(inner, backend);
+        }
+        has_ended
+    }
+
+    /// Looks after a process that broke off in the midst of an answer.
+    pub(crate) fn look_later(&self) {
+        look_later(Arc::clone(&self.inner), self.backend.clone());
+    }
+}
+
+impl<C> Drop for Seat<C>
+where
+    C: Clock,
+{
+    fn drop(&mut self) {
+        let shared = &self.inner.shared;
+        let now = shared.clock.now();
+        self.inner.aboard.lock().leave(now, self.key, self.how);
+        if self.how == Leave::Answered {
+            shared
+                .quarantine
+                .answer(&shared.clock, &shared.metrics, self.request);
+        }
+    }
+}
+
+fn look_later<C>(inner: Arc<Inner<C>>, backend: Backend)
+where
+    C: Clock,
+{
+    tokio::spawn(async move {
+        tokio::time::sleep(LOOK_AGAIN).await;
+        look(&inner, &backend).await;
+    });
+}
+
+/// Looks whether a process that broke off a call has ended, and if so takes in what ran on it.
+pub(crate) async fn look<C>(inner: &Inner<C>, backend: &Backend) -> bool
+where
+    C: Clock,
+{
+    let now = inner.shared.clock.now();
+    let is_doubted = inner.aboard.lock().has_unanswered(now, backend.process());
+    if !is_doubted || !inner.pool.is_deserted(backend.address).await {
+        return false;
+    }
+    note_end(inner, backend);
+    true
+}
+
+/// Takes in that a process of the backend server has ended without a farewell.
+pub(crate) fn note_end<C>(inner: &Inner<C>, backend: &Backend)
+where
+    C: Clock,
+{
+    let shared = &inner.shared;
+    let found = inner
+        .aboard
+        .lock()
+        .end(shared.clock.now(), backend.process());
+    // One that leaves may end as it likes once its time is over.
+    if found.is_empty() || inner.is_leaving() {
+        return;
+    }
+    warn!(
+        service = backend.service.as_str(),
+        process = backend.process(),
+        requests = found.len();
+        "backend_crashed"
+    );
+    let id = rand::random();
+    let crashes = found.into_iter().map(|Found { request, is_alone }| Crash {
+        id,
+        request: request.digest,
+        node: shared.settings.name.clone(),
+        service: backend.service.clone(),
+        method: request.method,
+        path: request.path,
+        age_ms: 0,
+        is_alone,
+        is_cleared: false,
+    });
+    let crashes = crashes.collect();
+    shared
+        .quarantine
+        .report(&shared.clock, &shared.metrics, crashes);
+}
--- a/crates/node/src/inbound/run.rs
+++ b/crates/node/src/inbound/run.rs
@@ -3,11 +3,12 @@
 use crate::backend::{Error, Reply};
 use crate::header::put_headers;
 use crate::inbound::bodies::Held;
+use crate::inbound::crash::{Alone, Seat, is_suspected};
 use crate::inbound::deliver::{deliver, send_answer};
 use crate::inbound::entry::Call;
 use crate::inbound::gate::{Offer, Permit};
-use crate::inbound::parents::{Parent, Run};
-use crate::inbound::{Inner, bodies};
+use crate::inbound::parents::Run;
+use crate::inbound::{Inner, bodies, crash};
 use crate::millis::whole_ms;
 use crate::outbound::answer::name_of;
 use crate::shared::{Backend, Counted};
@@ -19,6 +20,7 @@
 use http::{HeaderName, HeaderValue, Method, Response, StatusCode, Uri};
 use log::info;
 use platform::header;
+use policy::aboard::Leave;
 use policy::admission;
 use policy::balance::Told;
 use policy::intake;
@@ -56,8 +58,9 @@
     waited_ms: u32,
     /// How full the VM's link is, in per cent, for a call whose body was asked for; else nought.
     link_percent: u16,
+    /// The call's place at the backend server.
+    seat: Box<Seat<C>>,
     _counted: Counted<C>,
-    _parent: Parent,
 }
 
 impl Refused {
@@ -70,6 +73,11 @@
         }
     }
 
+    /// Refuses a request that is held for so long.
+    pub(crate) fn held(wait: Duration) -> Self {
+        Self::not_run(Reason::Held, whole_ms(wait).max(1))
+    }
+
     /// Gives up on a call that may have run.
     pub(crate) fn may_have_run(reason: Reason) -> Self {
         Self {
@@ -203,6 +211,7 @@
     if !call.has_unasked() {
         return Ok(None);
     }
+    is_suspected(inner, request)?;
     inner
         .find_backend(&request.service)
         .map_err(|reason| Refused::not_run(reason, 0))?;
@@ -249,6 +258,7 @@
             .map_err(|reason| Refused::not_run(reason, 0))
     };
     let counted = inner.shared.count(|shared| &shared.in_flight);
+    let alone = Alone::wait(inner, &request).await?;
     let asked = inner.shared.clock.now();
     let mut permit = enter(inner, &request, deadline, find()?.slots).await?;
     let entered = inner.shared.clock.now();
@@ -263,7 +273,9 @@
         is_repeat: request.headers.iter().any(is_repeat),
     };
     let backend = find()?;
+    let alone = alone.confirm(inner, &request)?;
     let digest = request.digest;
+    let mut seat = Seat::take(inner, &backend, &request, alone);
     let mut request = make_request(request, upload, left(inner, deadline))
         .ok_or(Refused::not_run(Reason::Backend, 0))?;
     let attempt = platform::header::find_attempt(request.headers());
@@ -274,7 +286,7 @@
     if !start() {
         return Err(Refused::not_run(Reason::Cancelled, 0));
     }
-    let parent = inner.parents.enter(parent_name, own_run);
+    seat.begin(inner.parents.enter(parent_name, own_run));
     match inner.pool.exchange(backend.address, request).await {
         Ok(response) => {
             if inner.shared.is_on_platform()
@@ -283,6 +295,8 @@
                 permit.outcome = outcome;
                 if refused.verdict == Verdict::MayHaveRun {
                     response.into_body().discard();
+                } else {
+                    seat.leave_as(Leave::NotRun);
                 }
                 return Err(refused);
             }
@@ -296,24 +310,34 @@
                 } else {
                     0
                 },
+                seat: Box::new(seat),
                 _counted: counted,
-                _parent: parent,
             }))
         }
-        Err(Error::Connect) => Err(Refused::not_run(Reason::Backend, 0)),
+        Err(Error::Connect) => {
+            seat.leave_as(Leave::NotRun);
+            drop(seat);
+            crash::look(inner, &backend).await;
+            Err(Refused::not_run(Reason::Backend, 0))
+        }
         Err(Error::Broken) => {
-            tell_broken(inner, &backend, digest).await;
-            Err(Refused::may_have_run(Reason::Backend))
+            let has_ended = seat.leave_broken().await;
+            tell_broken(inner, &backend, digest, has_ended);
+            let reason = if has_ended {
+                Reason::Crashed
+            } else {
+                Reason::Backend
+            };
+            Err(Refused::may_have_run(reason))
         }
     }
 }
 
-/// Tells that the backend server broke off a call, and whether anybody still listens there.
-async fn tell_broken<C>(inner: &Inner<C>, backend: &Backend, request: Digest)
+/// Tells that the backend server broke off a call, and whether nobody listens there any more.
+fn tell_broken<C>(inner: &Inner<C>, backend: &Backend, request: Digest, has_ended: bool)
 where
     C: Clock,
 {
-    let is_listening = inner.pool.is_listening(backend.address).await;
     let shared = &inner.shared;
     let elapsed = shared.metrics.counted(shared.clock.now());
     if let Some(left_out) = shared.lines.gate.take(elapsed) {
@@ -321,7 +345,7 @@
             request:%,
             service = backend.service.as_str(),
             process = backend.process(),
-            is_listening,
+            has_ended,
             in_flight = *shared.in_flight.borrow(),
             left_out;
             "backend_broke_off"
@@ -464,6 +488,7 @@
         let part = self.reply.poll_part(cx);
         if matches!(part, Poll::Ready(Some(Err(_)))) {
             self.permit.outcome = Outcome::Failed;
+            self.seat.look_later();
         }
         part
     }
@@ -482,6 +507,17 @@
     }
 }
 
+impl<C> Drop for Running<C>
+where
+    C: Clock,
+{
+    fn drop(&mut self) {
+        if self.reply.is_end() {
+            self.seat.leave_as(Leave::Answered);
+        }
+    }
+}
+
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod operate;
 pub mod outbound;
 pub mod process;
+pub mod quarantine;
 pub mod reserve;
 pub mod shared;
 pub mod stop;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -6,11 +6,13 @@
 
 pub(crate) mod cause;
 pub(crate) mod control;
+pub(crate) mod quarantine;
 pub(crate) mod reserve;
 pub(crate) mod service;
 
 pub use crate::metrics::cause::Causes;
 pub use crate::metrics::control::Control;
+pub use crate::metrics::quarantine::Quarantine;
 pub use crate::metrics::reserve::Reserve;
 pub use crate::metrics::service::{Ending, Service};
 
@@ -79,6 +81,8 @@
     pub withheld_routes: usize,
     /// Calls that wait for the own backend server or run on it.
     pub in_flight: usize,
+    /// Requests that are held because they crash backend servers.
+    pub held_requests: usize,
     /// Whether the node is ready.
     pub ready: bool,
     /// Whether the node or its backend server leaves.
@@ -97,6 +101,7 @@
     routes: Gauge,
     withheld_routes: Gauge,
     in_flight: Gauge,
+    held_requests: Gauge,
     ready: Gauge,
     leaving: Gauge,
     waits: Family<KindLabel, Gauge>,
@@ -119,6 +124,8 @@
     pub control: Control,
     /// What is counted of reservations.
     pub reserve: Reserve,
+    /// What is counted of requests that crash backend servers.
+    pub quarantine: Quarantine,
     gauges: Gauges,
     services: RwLock<HashMap<SmolStr, Arc<Service>>>,
     rendering: Mutex<()>,
@@ -139,6 +146,7 @@
             causes: Causes::default(),
             control: Control::default(),
             reserve: Reserve::default(),
+            quarantine: Quarantine::default(),
             gauges: Gauges::default(),
             services: RwLock::default(),
             rendering: Mutex::default(),
@@ -163,6 +171,7 @@
         self.causes.register(&mut self.registry);
         self.control.register(&mut self.registry);
         self.reserve.register(&mut self.registry);
+        self.quarantine.register(&mut self.registry);
     }
 
     fn register_gauges(&mut self) {
@@ -189,6 +198,11 @@
                 "Calls that wait for the own backend server or run on it",
                 &gauges.in_flight,
             ),
+            (
+                "held_requests",
+                "Requests that are held because they crash backend servers",
+                &gauges.held_requests,
+            ),
             (
                 "ready",
                 "Whether the node takes calls, 0 or 1",
@@ -301,6 +315,7 @@
         gauges.routes.set(clamp(reading.routes));
         gauges.withheld_routes.set(clamp(reading.withheld_routes));
         gauges.in_flight.set(clamp(reading.in_flight));
+        gauges.held_requests.set(clamp(reading.held_requests));
         gauges.ready.set(i64::from(reading.ready));
         gauges.leaving.set(i64::from(reading.leaving));
         for (kind, count) in reading.waits.kinds() {
--- a/crates/node/src/operate.rs
+++ b/crates/node/src/operate.rs
@@ -145,6 +145,7 @@
         routes: view.routes().len(),
         withheld_routes: view.withheld().len(),
         in_flight: *shared.in_flight.borrow(),
+        held_requests: shared.quarantine.count_held(shared.clock.now()),
         ready: find_obstacles(shared).is_empty(),
         leaving: backend_leaves || *shared.leaving.borrow(),
         waits: read_waits(shared),
--- a/crates/node/src/outbound/answer.rs
+++ b/crates/node/src/outbound/answer.rs
@@ -202,5 +202,7 @@
         Reason::Cancelled => "cancelled",
         Reason::NoRoutes => "no-routes-yet",
         Reason::Reservation => "reservation",
+        Reason::Crashed => "crashed",
+        Reason::Held => "held",
     }
 }
--- a/crates/node/src/outbound/hedge.rs
+++ b/crates/node/src/outbound/hedge.rs
@@ -2,7 +2,7 @@
 
 use crate::outbound::Inner;
 use crate::outbound::plan::Plan;
-use crate::outbound::send::{Tried, try_once};
+use crate::outbound::send::{History, Tried, try_once};
 use crate::outbound::sent;
 use crate::outbound::serve::{cause_of, refused_outcome};
 use crate::outbound::service::Picked;
@@ -36,19 +36,21 @@
     body: sent::Body,
     first: Picked<C>,
     visited: &mut Visited,
+    history: History,
 ) -> (Tried<C>, Picked<C>)
 where
     C: Clock,
 {
     let started = first.started;
-    // Only a body that is held whole can be sent twice.
-    let may = plan.hedges() && body.rest.is_none();
+    // Only a body that is held whole can be sent twice. A copy of a request that crashes
+    // backend servers takes one more down.
+    let may = plan.hedges() && body.rest.is_none() && !history.is_suspect;
     let copy = sent::Body {
         ready: body.ready.clone(),
         rest: None,
     };
     let endpoint = first.endpoint.clone();
-    let mut one = pin!(try_once(inner, plan, head, body, &endpoint, false));
+    let mut one = pin!(try_once(inner, plan, head, body, &endpoint, history));
     if let Some(wait) = plan.known.hedge_wait(started, may) {
         match tokio::time::timeout(wait, one.as_mut()).await {
             Ok(result) => return (note(inner, plan, started, result), first),
@@ -84,7 +86,11 @@
         body,
     } = second;
     let endpoint = second.endpoint.clone();
-    let mut two = pin!(try_once(inner, plan, head, body, &endpoint, true));
+    let copy = History {
+        reached: 1,
+        ..History::default()
+    };
+    let mut two = pin!(try_once(inner, plan, head, body, &endpoint, copy));
     tokio::select! {
         result = one.as_mut() => {
             let result = note(inner, plan, started, result);
--- a/crates/node/src/outbound/send.rs
+++ b/crates/node/src/outbound/send.rs
@@ -81,6 +81,17 @@
     }
 }
 
+/// What the tries of a call before this one have shown.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct History {
+    /// Those that were given to a backend server, or may have been.
+    pub(crate) reached: u8,
+    /// Those whose backend server ended.
+    pub(crate) crashes: u8,
+    /// Whether a backend server ended while it ran the request, in this call or another.
+    pub(crate) is_suspect: bool,
+}
+
 /// Tries a call once.
 pub(crate) async fn try_once<C>(
     inner: &Arc<Inner<C>>,
@@ -88,12 +99,12 @@
     head: &request::Parts,
     body: sent::Body,
     endpoint: &Endpoint,
-    is_repeat: bool,
+    history: History,
 ) -> Tried<C>
 where
     C: Clock,
 {
-    let draft = make_request(inner, plan, head, is_repeat);
+    let draft = make_request(inner, plan, head, history);
     if endpoint.node == inner.shared.settings.name {
         try_local(inner, plan, draft, body).await
     } else {
@@ -253,7 +264,7 @@
     inner: &Inner<C>,
     plan: &Plan,
     head: &request::Parts,
-    is_repeat: bool,
+    history: History,
 ) -> wire::call::Request
 where
     C: Clock,
@@ -266,7 +277,7 @@
         let origin = inner.shared.settings.service.as_deref().unwrap_or_default();
         mark_origin(&mut headers, origin);
     }
-    if is_repeat && !plan.retried_above {
+    if history.reached > 0 && !plan.retried_above {
         headers.push(Header {
             name: SmolStr::new_static(retry::HEADER),
             value: Bytes::from_static(b"1"),
@@ -292,6 +303,7 @@
         length: 0,
         end: false,
         digest: plan.digest,
+        is_suspect: history.is_suspect,
     }
 }
 
--- a/crates/node/src/outbound/serve.rs
+++ b/crates/node/src/outbound/serve.rs
@@ -7,7 +7,7 @@
 use crate::outbound::hedge::try_first;
 use crate::outbound::keyed::serve_keyed;
 use crate::outbound::plan::{Plan, digest_of, host_of, left, make_plan, take_body};
-use crate::outbound::send::{Late, Tried, try_once};
+use crate::outbound::send::{History, Late, Tried, try_once};
 use crate::outbound::sent;
 use crate::outbound::service::{Picked, Weight};
 use crate::outbound::survey::pick;
@@ -19,6 +19,7 @@
 use http::{Request, Response, StatusCode, request};
 use hyper::body::Incoming;
 use policy::balance::{Outcome, Told};
+use policy::quarantine::Standing;
 use policy::retry::{self, Cause, Decision};
 use std::net::IpAddr;
 use std::sync::Arc;
@@ -120,6 +121,13 @@
         plan.weight = Weight::Heavy;
     }
     plan.digest = digest_of(&plan, &head, &body);
+    if let Standing::Held { wait } = judge(inner, &plan) {
+        let refused = Refused::held(wait);
+        inner.shared.metrics.quarantine.count_refused();
+        tell_end(inner, &plan, refused, started, 0);
+        count.ending = Ending::Refused(Verdict::NotRun);
+        return refuse(refused);
+    }
     let plan = Arc::new(plan);
     let served = match plan.key {
         Some(key) => serve_keyed(inner, &plan, key, head, body).await,
@@ -167,7 +175,7 @@
 {
     let started = inner.shared.clock.now();
     let mut visited = Visited::default();
-    let mut reached = 0;
+    let mut history = History::default();
     let mut last = None;
     // What the caller is told in the end: one try that may have run weighs more than any that did not.
     let mut told = Refused::not_run(Reason::NoService, 0);
@@ -176,12 +184,14 @@
             break;
         };
         visited.add(picked.key);
+        history.is_suspect |= judge(inner, plan) != Standing::Clear;
         let tried_once = if tries == 1 {
-            let (result, winner) = try_first(inner, plan, head, body, picked, &mut visited).await;
+            let (result, winner) =
+                try_first(inner, plan, head, body, picked, &mut visited, history).await;
             picked = winner;
             result
         } else {
-            try_once(inner, plan, head, body, &picked.endpoint, reached > 0).await
+            try_once(inner, plan, head, body, &picked.endpoint, history).await
         };
         let (refused, back) = match tried_once {
             Tried::Answered(response, told) => {
@@ -212,7 +222,7 @@
             }
         };
         let cause = cause_of(refused);
-        reached += u8::from(matches!(cause, Cause::Shed | Cause::Failed));
+        history.note(refused, cause);
         picked.outcome = refused_outcome(cause);
         tell_try(inner, plan, &picked.endpoint.node, refused, tries);
         if cause == Cause::Full {
@@ -233,7 +243,8 @@
             cause,
             repeatable: plan.repeats(),
             tries,
-            reached,
+            reached: history.reached,
+            crashes: history.crashes,
             attempts: plan.attempts(),
             retried_above: plan.retried_above,
             untried: cause != Cause::Full
@@ -252,6 +263,25 @@
     told.into()
 }
 
+impl History {
+    /// Takes in a try that came to nothing.
+    fn note(&mut self, refused: Refused, cause: Cause) {
+        self.reached += u8::from(matches!(cause, Cause::Shed | Cause::Failed));
+        let has_crashed = refused.reason == Reason::Crashed;
+        self.crashes += u8::from(has_crashed);
+        self.is_suspect |= has_crashed;
+    }
+}
+
+/// Tells how the request of a call stands.
+fn judge<C>(inner: &Inner<C>, plan: &Plan) -> Standing
+where
+    C: Clock,
+{
+    let shared = &inner.shared;
+    shared.quarantine.judge(shared.clock.now(), plan.digest)
+}
+
 /// Picks where a call goes next; after a try that failed, also one that had no room before.
 async fn pick_next<C>(
     inner: &Arc<Inner<C>>,
@@ -283,6 +313,7 @@
         (Verdict::NotRun, Reason::Full | Reason::Deadline) => Cause::Full,
         (Verdict::NotRun, Reason::Shed) => Cause::Shed,
         (Verdict::NotRun, Reason::Unreached) => Cause::Unreached,
+        (Verdict::NotRun, Reason::Held) => Cause::Held,
         _ => Cause::Failed,
     }
 }
@@ -293,5 +324,7 @@
         Cause::Full => Outcome::Full,
         Cause::Shed => Outcome::Shed,
         Cause::Unreached | Cause::Failed => Outcome::Failed,
+        // It says nothing of the backend server.
+        Cause::Held => Outcome::Cancelled,
     }
 }
--- /dev/null
+++ b/crates/node/src/quarantine.rs
@@ -0,0 +1,128 @@
+//! What this node knows of requests that crash backend servers: runs `policy::quarantine`.
+
+use crate::metrics::Metrics;
+use call::{Crash, Digest};
+use clock::Clock;
+use log::{info, warn};
+use parking_lot::{Mutex, RwLock};
+use policy::quarantine::{Ledger, Standing};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Instant;
+use tokio::sync::Notify;
+
+/// What this node knows of requests that crash backend servers.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    ledger: RwLock<Ledger>,
+    /// Whether anything is known; spares most calls the lock.
+    is_known: AtomicBool,
+    /// What other nodes are to be told.
+    news: Mutex<Vec<Crash>>,
+    /// Told when there is some.
+    has_news: Notify,
+}
+
+impl Quarantine {
+    /// Tells how a request stands.
+    pub(crate) fn judge(&self, now: Instant, request: Digest) -> Standing {
+        if !self.is_known.load(Ordering::Relaxed) {
+            return Standing::Clear;
+        }
+        self.ledger.read().judge(now, request)
+    }
+
+    /// Takes in crashes, or that their requests were answered since.
+    pub(crate) fn take<C>(&self, clock: &C, metrics: &Metrics, crashes: &[Crash])
+    where
+        C: Clock,
+    {
+        let now = clock.now();
+        let mut ledger = self.ledger.write();
+        for crash in crashes {
+            let before = ledger.judge(now, crash.request);
+            if ledger.take(now, crash) {
+                metrics.quarantine.count(crash);
+                tell_change(crash, before, ledger.judge(now, crash.request));
+            }
+        }
+        self.is_known.store(!ledger.is_empty(), Ordering::Relaxed);
+    }
+
+    /// Takes in crashes of the own backend server, and has other nodes told.
+    pub(crate) fn report<C>(&self, clock: &C, metrics: &Metrics, crashes: Vec<Crash>)
+    where
+        C: Clock,
+    {
+        self.take(clock, metrics, &crashes);
+        self.spread(crashes);
+    }
+
+    /// Takes in that the own backend server has answered a request, and has other nodes told.
+    pub(crate) fn answer<C>(&self, clock: &C, metrics: &Metrics, request: Digest)
+    where
+        C: Clock,
+    {
+        let now = clock.now();
+        if self.judge(now, request) == Standing::Clear {
+            return;
+        }
+        let cleared = self.ledger.write().clear(now, request);
+        for crash in &cleared {
+            metrics.quarantine.count(crash);
+        }
+        if !cleared.is_empty() {
+            info!(request:%, crashes = cleared.len(); "request_cleared");
+        }
+        self.spread(cleared);
+    }
+
+    /// Waits for what other nodes are to be told.
+    pub(crate) async fn news(&self) -> Vec<Crash> {
+        loop {
+            let news = std::mem::take(&mut *self.news.lock());
+            if !news.is_empty() {
+                return news;
+            }
+            self.has_news.notified().await;
+        }
+    }
+
+    /// Counts the requests that are held.
+    pub(crate) fn count_held(&self, now: Instant) -> usize {
+        self.ledger.read().count_held(now)
+    }
+
+    fn spread(&self, mut crashes: Vec<Crash>) {
+        if crashes.is_empty() {
+            return;
+        }
+        self.news.lock().append(&mut crashes);
+        self.has_news.notify_one();
+    }
+}
+
+fn tell_change(crash: &Crash, before: Standing, after: Standing) {
+    if crash.is_cleared {
+        return;
+    }
+    info!(
+        request:% = crash.request,
+        node = crash.node.as_str(),
+        service = crash.service.as_str(),
+        method = crash.method.as_str(),
+        path = crash.path.as_str(),
+        is_alone = crash.is_alone,
+        age_ms = crash.age_ms;
+        "request_suspected"
+    );
+    let is_held = |standing: Standing| matches!(standing, Standing::Held { .. });
+    if is_held(after) && !is_held(before) {
+        warn!(
+            request:% = crash.request,
+            service = crash.service.as_str(),
+            method = crash.method.as_str(),
+            path = crash.path.as_str();
+            "request_held"
+        );
+    }
+}
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -2,6 +2,7 @@
 
 use crate::logs::Budget;
 use crate::metrics::Metrics;
+use crate::quarantine::Quarantine;
 use crate::stop;
 use arc_swap::ArcSwap;
 use clock::Clock;
@@ -81,6 +82,8 @@
     pub listening: AtomicBool,
     /// The node's part in distribution.
     pub distribution: ArcSwap<status::Distribution>,
+    /// What is known of requests that crash backend servers.
+    pub quarantine: Quarantine,
     /// What the node counts.
     pub metrics: Metrics,
     /// How many lines about calls the log takes.
@@ -166,6 +169,7 @@
             step: Mutex::default(),
             listening: AtomicBool::new(false),
             distribution: ArcSwap::default(),
+            quarantine: Quarantine::default(),
             metrics,
             lines: Lines::default(),
         })
--- a/crates/node/tests/calls/peer.rs
+++ b/crates/node/tests/calls/peer.rs
@@ -59,5 +59,6 @@
         length: 0,
         end: true,
         digest: ::call::Digest::default(),
+        is_suspect: false,
     }
 }
--- /dev/null
+++ b/crates/policy/src/aboard.rs
@@ -0,0 +1,176 @@
+//! Which requests were at a backend server as its process ended.
+//!
+//! *Load pattern:* a backend server ends in the midst of several calls, one of which
+//! may be to blame. *Without it* nobody could tell a request that crashes servers
+//! from those that it takes down. A call that left without an answer a moment before
+//! counts as well: its caller may have been less patient than the crash took.
+
+use call::Digest;
+use smol_str::SmolStr;
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
+
+/// How long a call that left without an answer still counts.
+const LINGER: Duration = Duration::from_secs(1);
+
+/// Calls that have left and still count, at most.
+const MAX_LEFT: usize = 256;
+
+/// How long an answer speaks for a request: a path that many ask for has had one
+/// moments before any crash that it is in.
+const ANSWERED: Duration = Duration::from_secs(10);
+
+/// Answers that are remembered, at most.
+const MAX_ANSWERED: usize = 256;
+
+/// Names a call that is at the backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Key(u64);
+
+/// A request, as far as evidence against it tells.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Request {
+    /// Names it through all its repeats.
+    pub digest: Digest,
+    /// Its method.
+    pub method: SmolStr,
+    /// Its path, without the query.
+    pub path: SmolStr,
+    /// Whether a backend server ended while it ran before.
+    pub is_suspect: bool,
+}
+
+/// How a call left the backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Leave {
+    /// With its whole answer.
+    Answered,
+    /// The backend server never began with it.
+    NotRun,
+    /// Without an answer: it broke off, or nobody waited any more.
+    Unanswered,
+}
+
+/// A request that was at a backend server as it ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Found {
+    /// The request.
+    pub request: Request,
+    /// Whether no other request is as likely to blame.
+    pub is_alone: bool,
+}
+
+/// The calls at the backend server of this VM.
+#[derive(Debug, Default)]
+pub struct Aboard {
+    runs: BTreeMap<Key, Run>,
+    next: u64,
+    /// Requests that were answered, and when.
+    answered: VecDeque<(Instant, Digest)>,
+}
+
+#[derive(Debug)]
+struct Run {
+    /// Process that it was given to.
+    process: u64,
+    request: Request,
+    /// When it left without an answer.
+    left: Option<Instant>,
+}
+
+impl Aboard {
+    /// Counts a call as given to a process.
+    pub fn enter(&mut self, now: Instant, process: u64, request: Request) -> Key {
+        self.drop_old(now);
+        let key = Key(self.next);
+        self.next += 1;
+        let run = Run {
+            process,
+            request,
+            left: None,
+        };
+        self.runs.insert(key, run);
+        key
+    }
+
+    /// Notes that a call has left.
+    pub fn leave(&mut self, now: Instant, key: Key, how: Leave) {
+        match how {
+            Leave::Answered => {
+                if let Some(run) = self.runs.remove(&key) {
+                    self.note_answer(now, run.request.digest);
+                }
+            }
+            Leave::NotRun => drop(self.runs.remove(&key)),
+            Leave::Unanswered => {
+                if let Some(run) = self.runs.get_mut(&key) {
+                    run.left = Some(now);
+                }
+            }
+        }
+    }
+
+    /// Tells whether a call left a process without an answer a moment ago.
+    #[must_use]
+    pub fn has_unanswered(&self, now: Instant, process: u64) -> bool {
+        let mut runs = self.runs.values();
+        runs.any(|run| run.process == process && run.left.is_some() && run.counts(now))
+    }
+
+    /// Takes out the calls of a process that has ended; gives the requests, each once.
+    pub fn end(&mut self, now: Instant, process: u64) -> Vec<Found> {
+        let ended = self.runs.extract_if(.., |_, run| run.process == process);
+        let counted = ended.map(|(_, run)| run).filter(|run| run.counts(now));
+        let answered = |digest: Digest| {
+            let is_recent = |at: Instant| now.saturating_duration_since(at) < ANSWERED;
+            let mut answers = self.answered.iter();
+            answers.any(|(at, one)| *one == digest && is_recent(*at))
+        };
+        let counted = counted.filter(|run| !answered(run.request.digest));
+        let mut requests: Vec<Request> = Vec::new();
+        for run in counted {
+            match requests
+                .iter_mut()
+                .find(|one| one.digest == run.request.digest)
+            {
+                Some(known) => known.is_suspect |= run.request.is_suspect,
+                None => requests.push(run.request),
+            }
+        }
+        let suspects = requests.iter().filter(|one| one.is_suspect).count();
+        let count = requests.len();
+        let is_alone = |one: &Request| count == 1 || one.is_suspect && suspects == 1;
+        let found = requests.into_iter().map(|request| Found {
+            is_alone: is_alone(&request),
+            request,
+        });
+        found.collect()
+    }
+
+    fn note_answer(&mut self, now: Instant, digest: Digest) {
+        if self.answered.len() == MAX_ANSWERED {
+            self.answered.pop_front();
+        }
+        self.answered.push_back((now, digest));
+    }
+
+    fn drop_old(&mut self, now: Instant) {
+        self.runs.retain(|_, run| run.counts(now));
+        let left: Vec<_> = self
+            .runs
+            .iter()
+            .filter(|(_, run)| run.left.is_some())
+            .map(|(key, _)| *key)
+            .collect();
+        for key in left.iter().take(left.len().saturating_sub(MAX_LEFT)) {
+            self.runs.remove(key);
+        }
+    }
+}
+
+impl Run {
+    fn counts(&self, now: Instant) -> bool {
+        let counts = |left: Instant| now.saturating_duration_since(left) < LINGER;
+        self.left.is_none_or(counts)
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,7 +8,9 @@
 //!
 //! In front of a backend server, an inbound proxy holds one
 //! [`admission::Admission`] and one [`intake::Intake`]. Towards each service, an outbound proxy holds one
-//! [`balance::Balance`], one [`retry::Budget`] and one [`hedge::Hedge`].
+//! [`balance::Balance`], one [`retry::Budget`] and one [`hedge::Hedge`]. What crashes backend
+//! servers is found by [`aboard::Aboard`] beside each, and remembered by all in a
+//! [`quarantine::Ledger`].
 //!
 //! ```
 //! use config::Class;
@@ -37,6 +39,7 @@
 //! assert!(admission.next(later, &mut rng).is_none());
 //! ```
 
+pub mod aboard;
 pub mod admission;
 pub mod allowance;
 pub mod backoff;
@@ -50,6 +53,7 @@
 pub mod limit;
 pub mod outlier;
 pub mod outlook;
+pub mod quarantine;
 pub mod queue;
 pub mod retry;
 mod server;
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -34,6 +34,8 @@
     Unreached,
     /// The try failed.
     Failed,
+    /// The request is held, as it crashes backend servers ([`crate::quarantine`]).
+    Held,
 }
 
 /// A try that came to nothing.
@@ -49,6 +51,8 @@
     pub tries: u8,
     /// Those of them that were given to a backend server, or may have been.
     pub reached: u8,
+    /// Backend servers that ended while they ran the call.
+    pub crashes: u8,
     /// Tries allowed by the retry rule.
     pub attempts: u8,
     /// Whether a layer above marked the call as a retry ([`HEADER`]).
@@ -84,6 +88,8 @@
     Late,
     /// The budget is used up.
     Budget,
+    /// It seems to crash the backend servers that run it.
+    Crashes,
 }
 
 /// Tokens that a budget starts with and can hold: a quiet service may try
@@ -99,6 +105,10 @@
 /// the room that a third of its backend servers have. Each costs a round trip.
 const DOORS: u8 = 3;
 
+/// Backend servers that may end under one call: one may have been taken down by another
+/// call that it ran beside; a second one speaks against the call itself.
+const MAX_CRASHES: u8 = 2;
+
 /// Ceilings of the wait before a try of a call that failed.
 const WAIT: (Duration, Duration) = (Duration::from_millis(5), Duration::from_millis(200));
 
@@ -174,7 +184,7 @@
         }
         let wait = match tried.cause {
             Cause::Leaving | Cause::Unreached | Cause::Full | Cause::Shed => Duration::ZERO,
-            Cause::Failed => draw_wait(tried.tries, rng),
+            Cause::Failed | Cause::Held => draw_wait(tried.tries, rng),
         };
         if now + wait + tried.expected > tried.deadline {
             return Decision::Stop(Stop::Late);
@@ -219,11 +229,14 @@
     if !harmless {
         return Some(Stop::Unsafe);
     }
+    if tried.crashes >= MAX_CRASHES || tried.cause == Cause::Held {
+        return Some(Stop::Crashes);
+    }
     let is_used_up = match tried.cause {
         Cause::Leaving | Cause::Unreached => false,
         // Turned away at the door, it has cost no backend server anything.
         Cause::Full => tried.tries >= DOORS.max(tried.attempts),
-        Cause::Shed | Cause::Failed => tried.reached >= tried.attempts,
+        Cause::Shed | Cause::Failed | Cause::Held => tried.reached >= tried.attempts,
     };
     if is_used_up || !tried.untried {
         return Some(Stop::Exhausted);
--- a/crates/policy/tests/load/sim.rs
+++ b/crates/policy/tests/load/sim.rs
@@ -688,6 +688,7 @@
             repeatable,
             tries,
             reached: if cause == Cause::Full { 0 } else { tries },
+            crashes: 0,
             attempts: 3,
             retried_above: false,
             untried: match cause {
--- a/crates/policy/tests/retry.rs
+++ b/crates/policy/tests/retry.rs
@@ -16,6 +16,7 @@
         repeatable: false,
         tries: 1,
         reached: 1,
+        crashes: 0,
         attempts: 3,
         retried_above: false,
         untried: true,
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -17,6 +17,7 @@
 //! # tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap().block_on(run).unwrap();
 //! ```
 
+pub mod board;
 pub mod follow;
 pub mod journal;
 pub mod latest;
@@ -31,6 +32,7 @@
 mod error;
 mod store;
 
+pub use board::Board;
 pub use error::Error;
 pub use follow::Follower;
 pub use journal::Journal;
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -37,6 +37,8 @@
     pub end: bool,
     /// Names the request through all its repeats, by whatever node it enters.
     pub digest: Digest,
+    /// Whether a backend server ended under it before, as far as the sender knows.
+    pub is_suspect: bool,
 }
 
 /// The head of an answer.
@@ -79,6 +81,10 @@
     NoRoutes,
     /// Its idempotency key could not be reserved.
     Reservation,
+    /// The backend server ended while it ran the call.
+    Crashed,
+    /// The request crashes backend servers, and is held.
+    Held,
 }
 
 /// A try that ended without an answer.
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -5,6 +5,7 @@
 
 use crate::Error;
 use bytes::Bytes;
+use call::Crash;
 use config::{Digest, Endpoint, Mesh, Patch, Version};
 use flate2::Compression;
 use flate2::read::DeflateDecoder;
@@ -26,6 +27,9 @@
 /// Most endpoints in one frame: some 30 KB.
 pub const MAX_ENDPOINTS: usize = 512;
 
+/// Most crashes in one frame: some 50 KB.
+pub const MAX_CRASHES: usize = 256;
+
 /// Parts that a table of endpoints is summed up in, to find what differs.
 pub const BUCKETS: usize = 256;
 
@@ -159,6 +163,8 @@
         /// Others to ask.
         parents: Vec<Peer>,
     },
+    /// News of requests that crashed backend servers.
+    Crashes(Vec<Crash>),
 }
 
 /// Longest whole configuration, in bytes before it is compressed.
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -59,6 +59,7 @@
             length: route >> 32,
             end,
             digest: call::Digest::of(&timeout_ms.to_string(), "mesh", "/", &[]),
+            is_suspect: end,
         },
     )
 }
