Test what holds requests: merges in any order, floods, cuts, restarts, innocent requests

In a model of the fleet with links, cuts and a platform, crashes seen by three nodes hold a request everywhere within 50 ms, within 3 s in zones that are cut from each other and at a node that only the platform reaches, and again after a restart of all; a node that starts knows it before it serves.

--- /dev/null
+++ b/crates/fleet/tests/crashes.rs
@@ -0,0 +1,147 @@
+//! How news of requests that crash backend servers reaches every node.
+
+mod world;
+
+use call::Digest;
+use policy::quarantine::Standing;
+use std::time::Duration;
+use world::{MS, S, World};
+
+/// Time in which a node with a path to the platform must know of a third crash.
+const KNOWN: Duration = Duration::from_secs(3);
+
+fn deadly() -> Digest {
+    Digest::of("GET", "", "/s0/deadly", b"")
+}
+
+fn is_held(standing: Standing) -> bool {
+    matches!(standing, Standing::Held { .. })
+}
+
+fn all_hold(world: &World) -> bool {
+    world.all_judge(deadly(), is_held)
+}
+
+/// Three zones of `per_zone` nodes that serve.
+fn start(per_zone: usize) -> World {
+    let mut world = World::new(3, per_zone, 7);
+    let version = world.propose();
+    world.run_until(20 * S, "to serve", |world| {
+        world.all_serve(version) && world.all_rooted()
+    });
+    world.run(5 * S);
+    world
+}
+
+/// Three crashes that three nodes saw must count as three at every node, within milliseconds.
+#[test]
+fn three_nodes() {
+    let mut world = start(20);
+    for (id, vm) in (1..).zip([3, 22, 44]) {
+        assert!(!all_hold(&world));
+        world.crash(vm, deadly(), id);
+        world.run(S);
+    }
+    world.run(0 * MS);
+    assert!(all_hold(&world), "{}", world.describe());
+    let mut world = start(20);
+    for (id, vm) in (1..).zip([3, 22, 44]) {
+        world.crash(vm, deadly(), id);
+    }
+    let took = world.run_until(KNOWN, "to hold", all_hold);
+    assert!(took <= 50 * MS, "{took:?}");
+}
+
+/// An answer anywhere must lift the suspicion everywhere.
+#[test]
+fn answered() {
+    let mut world = start(8);
+    for (id, vm) in (1..).zip([0, 1, 2]) {
+        world.crash(vm, deadly(), id);
+    }
+    world.run_until(KNOWN, "to hold", all_hold);
+    world.answer(17, deadly());
+    world.run_until(KNOWN, "to clear", |world| {
+        world.all_judge(deadly(), |standing| standing == Standing::Clear)
+    });
+}
+
+/// Zones that are cut from each other and see a crash each must all hold the request.
+#[test]
+fn cut_zones() {
+    for warning in [10 * S, 0 * S] {
+        let mut world = start(6);
+        world.cut(0, 1);
+        world.cut(1, 2);
+        world.cut(0, 2);
+        world.run(warning);
+        for (id, vm) in (1..).zip([0, 1, 2]) {
+            world.crash(vm, deadly(), id);
+        }
+        world.run_until(KNOWN, "to hold", all_hold);
+    }
+}
+
+/// A node that only the platform reaches must not go on by what it knew before.
+#[test]
+fn cut_node() {
+    let mut world = start(6);
+    let cut = 16;
+    world.silence(cut);
+    world.mute(cut);
+    for (id, vm) in (1..).zip([0, 1, 2]) {
+        world.crash(vm, deadly(), id);
+    }
+    world.run_until(KNOWN, "to hold", all_hold);
+}
+
+/// A node that starts again must know what is held before it serves.
+#[test]
+fn restarted() {
+    let mut world = start(6);
+    for (id, vm) in (1..).zip([0, 1, 2]) {
+        world.crash(vm, deadly(), id);
+    }
+    world.run_until(KNOWN, "to hold", all_hold);
+    for vm in [4, 9, 14] {
+        world.kill(vm, false);
+        world.run(100 * MS);
+        world.spawn(vm);
+        let serves = move |world: &World| {
+            let node = world.vms[vm].node.as_ref();
+            node.is_some_and(fleet::Node::is_ready)
+        };
+        while !serves(&world) {
+            world.run(MS);
+        }
+        assert!(is_held(world.judge(vm, deadly())), "{}", world.describe());
+    }
+}
+
+/// A fleet whose nodes are all killed at once must not forget what is held.
+#[test]
+fn all_restarted() {
+    let mut world = start(6);
+    for (id, vm) in (1..).zip([0, 1, 2]) {
+        world.crash(vm, deadly(), id);
+    }
+    world.run(S);
+    for vm in 0..world.vms.len() {
+        world.kill(vm, false);
+    }
+    world.run(S);
+    for vm in 0..world.vms.len() {
+        world.spawn(vm);
+    }
+    world.run_until(5 * S, "to hold again", all_hold);
+}
+
+/// A crash must cost the platform a few writes, not one from each node or each root.
+#[test]
+fn few_writes() {
+    let mut world = start(20);
+    let writes = world.platform.posts_made;
+    world.crash(31, deadly(), 1);
+    world.run(5 * S);
+    assert!(world.platform.posts_made - writes <= 2);
+}
--- a/crates/fleet/tests/world/platform.rs
+++ b/crates/fleet/tests/world/platform.rs
@@ -35,6 +35,9 @@
     writes: u64,
     /// Crashes as the holders of leases wrote them.
     posts: BTreeMap<(String, u8), Vec<Crash>>,
+    pub posts_made: u64,
+    /// Followers that read crashes: one a zone.
+    readers: BTreeSet<usize>,
     /// Revisions of all leases as each VM last read them.
     seen: BTreeMap<usize, BTreeMap<(String, u8), u64>>,
 }
@@ -81,10 +84,12 @@
         if self.is_out || self.cuts.contains(zone) {
             return Vec::new();
         }
+        self.posts_made += 1;
         self.posts.insert((zone.to_owned(), slot), list);
         let followers = self.followers.iter();
-        let reached = followers
-            .filter(|(vm, (zone, _))| !self.silent.contains(vm) && !self.cuts.contains(zone));
+        let reached = followers.filter(|(vm, (zone, _))| {
+            self.readers.contains(vm) && !self.silent.contains(vm) && !self.cuts.contains(zone)
+        });
         reached.map(|(vm, _)| *vm).collect()
     }
 
@@ -96,6 +101,7 @@
     pub fn unfollow(&mut self, vm: usize) {
         self.followers.remove(&vm);
         self.silent.remove(&vm);
+        self.readers.remove(&vm);
     }
 
     /// Gives each follower what it has not got yet.
@@ -173,11 +179,14 @@
                 }
                 return Vec::new();
             }
-            Request::Follow { after, .. } => {
+            Request::Follow { after, is_first } => {
                 self.followers.insert(vm, (zone, self.head()));
                 self.silent.remove(&vm);
                 let mut steps = self.steps_after(after);
-                steps.push(Answer::Crashes(self.crashes()));
+                if is_first {
+                    self.readers.insert(vm);
+                    steps.push(Answer::Crashes(self.crashes()));
+                }
                 return steps.into_iter().map(|step| (3 * MS, step)).collect();
             }
             Request::Crashes => Answer::Crashes(self.crashes()),
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -87,7 +87,9 @@
         let records = self.requests.entry(crash.request).or_default();
         records.push(record);
         if records.len() > MAX_CRASHES {
-            let oldest = (0..records.len()).min_by_key(|index| records[*index].until);
+            // All nodes drop the same one.
+            let order = |index: &usize| (records[*index].until, records[*index].crash.id);
+            let oldest = (0..records.len()).min_by_key(order);
             let dropped = oldest.map(|index| records.remove(index));
             return dropped.is_none_or(|dropped| dropped.crash.id != crash.id);
         }
--- /dev/null
+++ b/crates/policy/tests/aboard.rs
@@ -0,0 +1,133 @@
+//! Which requests were at a backend server as it ended.
+
+use call::Digest;
+use clock::{Clock, Manual};
+use policy::aboard::{Aboard, Found, Key, Leave, Request};
+use std::time::Duration;
+
+fn request(path: &str, is_suspect: bool) -> Request {
+    Request {
+        digest: Digest::of("GET", "", path, b""),
+        method: "GET".into(),
+        path: path.into(),
+        is_suspect,
+    }
+}
+
+struct Server {
+    clock: Manual,
+    aboard: Aboard,
+}
+
+impl Server {
+    fn new() -> Self {
+        Self {
+            clock: Manual::new(),
+            aboard: Aboard::default(),
+        }
+    }
+
+    fn enter(&mut self, path: &str, is_suspect: bool) -> Key {
+        let now = self.clock.now();
+        self.aboard.enter(now, 1, request(path, is_suspect))
+    }
+
+    fn leave(&mut self, key: Key, how: Leave) {
+        self.aboard.leave(self.clock.now(), key, how);
+    }
+
+    /// Ends the process; gives the paths with whether they are alone to blame.
+    fn end(&mut self) -> Vec<(String, bool)> {
+        let found = self.aboard.end(self.clock.now(), 1).into_iter();
+        let tell = |found: Found| (found.request.path.to_string(), found.is_alone);
+        found.map(tell).collect()
+    }
+}
+
+fn paths(found: &[(&str, bool)]) -> Vec<(String, bool)> {
+    let own = found
+        .iter()
+        .map(|(path, alone)| ((*path).to_owned(), *alone));
+    own.collect()
+}
+
+/// A request that ends a server alone must be found, whoever else has left it before.
+#[test]
+fn alone() {
+    let mut server = Server::new();
+    let before = server.enter("/before", false);
+    server.leave(before, Leave::Answered);
+    let refused = server.enter("/refused", false);
+    server.leave(refused, Leave::NotRun);
+    server.enter("/deadly", false);
+    assert_eq!(server.end(), paths(&[("/deadly", true)]));
+    assert!(server.end().is_empty(), "a process ends once");
+}
+
+/// Copies of one request must not hide each other.
+#[test]
+fn copies() {
+    let mut server = Server::new();
+    server.enter("/deadly", false);
+    server.enter("/deadly", true);
+    assert_eq!(server.end(), paths(&[("/deadly", true)]));
+}
+
+/// An innocent request beside a suspect must not be blamed as much as that one.
+#[test]
+fn beside_suspect() {
+    let mut server = Server::new();
+    server.enter("/innocent", false);
+    server.enter("/deadly", true);
+    let found = server.end();
+    assert_eq!(found, paths(&[("/innocent", false), ("/deadly", true)]));
+}
+
+/// Two that nothing is known of must not be blamed alone.
+#[test]
+fn two_fresh() {
+    let mut server = Server::new();
+    server.enter("/a", false);
+    server.enter("/b", false);
+    assert_eq!(server.end(), paths(&[("/a", false), ("/b", false)]));
+}
+
+/// A caller that gives up just before the crash must not take the evidence with it; one that
+/// left long before is none.
+#[test]
+fn gone_before() {
+    let mut server = Server::new();
+    let long_gone = server.enter("/long-gone", false);
+    server.leave(long_gone, Leave::Unanswered);
+    server.clock.advance(Duration::from_secs(2));
+    let gone = server.enter("/deadly", false);
+    server.leave(gone, Leave::Unanswered);
+    assert!(server.aboard.has_unanswered(server.clock.now(), 1));
+    server.clock.advance(Duration::from_millis(300));
+    assert_eq!(server.end(), paths(&[("/deadly", true)]));
+    assert!(!server.aboard.has_unanswered(server.clock.now(), 1));
+}
+
+/// A path that all ask for is on each server that ends, and must not be suspected for it.
+#[test]
+fn hot_path() {
+    let mut server = Server::new();
+    let answered = server.enter("/hot", false);
+    server.leave(answered, Leave::Answered);
+    server.clock.advance(Duration::from_secs(1));
+    server.enter("/hot", false);
+    server.enter("/other", false);
+    assert_eq!(server.end(), paths(&[("/other", true)]));
+}
+
+/// The calls of the process that follows must not count for the one before.
+#[test]
+fn next_process() {
+    let mut server = Server::new();
+    server.enter("/deadly", false);
+    let now = server.clock.now();
+    server.aboard.enter(now, 2, request("/next", false));
+    assert_eq!(server.end(), paths(&[("/deadly", true)]));
+    let next = server.aboard.end(now, 2);
+    assert_eq!(next.len(), 1);
+}
--- /dev/null
+++ b/crates/policy/tests/quarantine.rs
@@ -0,0 +1,243 @@
+//! What is held, what is cleared, and that all nodes come to the same.
+
+use call::{Crash, Digest};
+use clock::{Clock, Manual};
+use policy::quarantine::{HELD_AFTER, HOLD, KEEP, Ledger, MAX_CRASHES, MAX_REQUESTS, Standing};
+use proptest::prelude::*;
+use std::time::{Duration, Instant};
+
+fn request(number: usize) -> Digest {
+    Digest::of("GET", "", &format!("/records/{number}"), b"")
+}
+
+fn crash(id: u64, number: usize, is_alone: bool) -> Crash {
+    Crash {
+        id,
+        request: request(number),
+        node: "vm-1".into(),
+        service: "records".into(),
+        method: "GET".into(),
+        path: "/records".into(),
+        age_ms: 0,
+        is_alone,
+        is_cleared: false,
+    }
+}
+
+fn is_held(ledger: &Ledger, now: Instant, number: usize) -> bool {
+    matches!(ledger.judge(now, request(number)), Standing::Held { .. })
+}
+
+/// A request must be refused once it has crashed three servers, and not before.
+#[test]
+fn third_crash() {
+    let now = Manual::new().now();
+    let mut ledger = Ledger::default();
+    assert_eq!(ledger.judge(now, request(1)), Standing::Clear);
+    for id in 0..3 {
+        assert!(!is_held(&ledger, now, 1));
+        assert!(ledger.take(now, &crash(id, 1, true)));
+        assert_ne!(ledger.judge(now, request(1)), Standing::Clear);
+    }
+    let standing = ledger.judge(now, request(1));
+    assert_eq!(standing, Standing::Held { wait: HOLD });
+    assert_eq!(ledger.judge(now, request(2)), Standing::Clear);
+    assert_eq!(ledger.count_held(now), 1);
+}
+
+/// One crash that three nodes tell of must not count three times.
+#[test]
+fn told_again() {
+    let now = Manual::new().now();
+    let mut ledger = Ledger::default();
+    assert!(ledger.take(now, &crash(7, 1, true)));
+    for _ in 0..5 {
+        assert!(!ledger.take(now, &crash(7, 1, true)));
+    }
+    assert!(!is_held(&ledger, now, 1));
+}
+
+/// What ran beside a deadly request at each crash must not be held with it.
+#[test]
+fn beside_it() {
+    let now = Manual::new().now();
+    let mut ledger = Ledger::default();
+    for id in 0..8 {
+        ledger.take(now, &crash(id, 1, false));
+    }
+    assert_eq!(ledger.judge(now, request(1)), Standing::Suspect);
+}
+
+/// A request that is answered anywhere must be run again as before, also where the answer is
+/// heard of before the crash.
+#[test]
+fn answered() {
+    let now = Manual::new().now();
+    let mut here = Ledger::default();
+    let mut there = Ledger::default();
+    for id in 0..3 {
+        here.take(now, &crash(id, 1, true));
+    }
+    assert!(is_held(&here, now, 1));
+    let cleared = here.clear(now, request(1));
+    assert_eq!(cleared.len(), 3);
+    assert_eq!(here.judge(now, request(1)), Standing::Clear);
+    for one in &cleared {
+        assert!(there.take(now, one));
+    }
+    for id in 0..3 {
+        assert!(!there.take(now, &crash(id, 1, true)));
+    }
+    assert_eq!(there.judge(now, request(1)), Standing::Clear);
+    assert!(here.clear(now, request(1)).is_empty());
+}
+
+/// A hold must end, and one further crash renews it; an hour later nothing is known.
+#[test]
+fn hold_ends() {
+    let clock = Manual::new();
+    let mut ledger = Ledger::default();
+    for id in 0..3 {
+        ledger.take(clock.now(), &crash(id, 1, true));
+    }
+    clock.advance(HOLD);
+    assert_eq!(ledger.judge(clock.now(), request(1)), Standing::Suspect);
+    ledger.take(clock.now(), &crash(3, 1, true));
+    assert!(is_held(&ledger, clock.now(), 1));
+    clock.advance(KEEP);
+    assert_eq!(ledger.judge(clock.now(), request(1)), Standing::Clear);
+    ledger.expire(clock.now());
+    assert!(ledger.is_empty());
+}
+
+/// A crash that is told late must not be held against a request for longer.
+#[test]
+fn old_news() {
+    let now = Manual::new().now();
+    let mut ledger = Ledger::default();
+    let aged = |id: u64, age: Duration| Crash {
+        age_ms: u32::try_from(age.as_millis()).unwrap(),
+        ..crash(id, 1, true)
+    };
+    assert!(!ledger.take(now, &aged(0, KEEP)));
+    for id in 1..4 {
+        assert!(ledger.take(now, &aged(id, HOLD / 2)));
+    }
+    let standing = ledger.judge(now, request(1));
+    assert_eq!(standing, Standing::Held { wait: HOLD / 2 });
+    assert!(ledger.list(now).iter().all(|one| one.age_ms == 300_000));
+}
+
+/// A flood of requests that crash servers must not push out one that is held.
+#[test]
+fn flood() {
+    let clock = Manual::new();
+    let mut ledger = Ledger::default();
+    for id in 0..3 {
+        ledger.take(clock.now(), &crash(id, 0, true));
+    }
+    for number in 1..5 * MAX_REQUESTS {
+        clock.advance(Duration::from_millis(1));
+        ledger.take(clock.now(), &crash(100 + number as u64, number, true));
+    }
+    assert_eq!(ledger.len(), MAX_REQUESTS);
+    assert!(is_held(&ledger, clock.now(), 0));
+    let newest = 5 * MAX_REQUESTS - 1;
+    assert_eq!(
+        ledger.judge(clock.now(), request(newest)),
+        Standing::Suspect
+    );
+    for id in 0..1_000 {
+        ledger.take(clock.now(), &crash(10_000 + id, 0, true));
+    }
+    let kept = ledger.list(clock.now());
+    let kept = kept.iter().filter(|one| one.request == request(0)).count();
+    assert_eq!(kept, MAX_CRASHES);
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Crash {
+        node: usize,
+        number: usize,
+        is_alone: bool,
+    },
+    Answer {
+        node: usize,
+        number: usize,
+    },
+    Tell {
+        from: usize,
+        to: usize,
+    },
+    Restart {
+        node: usize,
+    },
+}
+
+/// Nodes of the model.
+const NODES: usize = 4;
+
+fn draw_step() -> impl Strategy<Value = Step> {
+    let node = 0..NODES;
+    let number = 0..3usize;
+    prop_oneof![
+        4 => (node.clone(), number.clone(), any::<bool>())
+            .prop_map(|(node, number, is_alone)| Step::Crash { node, number, is_alone }),
+        1 => (node.clone(), number).prop_map(|(node, number)| Step::Answer { node, number }),
+        4 => (node.clone(), node.clone()).prop_map(|(from, to)| Step::Tell { from, to }),
+        1 => node.prop_map(|node| Step::Restart { node }),
+    ]
+}
+
+fn sorted(ledger: &Ledger, now: Instant) -> Vec<Crash> {
+    let mut list = ledger.list(now);
+    list.sort_by_key(|one| (one.id, one.request));
+    list
+}
+
+proptest! {
+    /// Nodes that tell each other all they know, in any order and any number of times, must
+    /// come to the same, and to no more crashes than there were.
+    #[test]
+    fn same_everywhere(steps in proptest::collection::vec(draw_step(), 0..60)) {
+        let now = Manual::new().now();
+        let mut nodes: Vec<Ledger> = (0..NODES).map(|_| Ledger::default()).collect();
+        let mut crashes = [0; 3];
+        for (id, step) in (0..).zip(steps) {
+            match step {
+                Step::Crash { node, number, is_alone } => {
+                    crashes[number] += 1;
+                    nodes[node].take(now, &crash(id, number, is_alone));
+                }
+                Step::Answer { node, number } => drop(nodes[node].clear(now, request(number))),
+                Step::Tell { from, to } => {
+                    for one in nodes[from].list(now) {
+                        nodes[to].take(now, &one);
+                    }
+                }
+                Step::Restart { node } => nodes[node] = Ledger::default(),
+            }
+        }
+        // Two rounds bring all that is left to all nodes, the last one backwards.
+        for round in 0..2 {
+            for from in 0..NODES {
+                let mut told = nodes[from].list(now);
+                if round == 1 {
+                    told.reverse();
+                }
+                for to in (0..NODES).rev() {
+                    for one in &told {
+                        nodes[to].take(now, one);
+                    }
+                }
+            }
+        }
+        for node in &nodes {
+            prop_assert_eq!(sorted(node, now), sorted(&nodes[0], now));
+            for (number, crashes) in crashes.iter().enumerate() {
+                prop_assert!(!is_held(node, now, number) || *crashes >= HELD_AFTER);
+            }
+        }
+    }
+}
--- a/crates/policy/tests/retry.rs
+++ b/crates/policy/tests/retry.rs
@@ -93,3 +93,25 @@
     clock.advance(Duration::from_secs(2));
     assert!(hedge.wait(clock.now(), true).is_some());
 }
+
+/// A call must not go on to a third backend server when two have ended under it.
+#[parameterized(
+    first_crash = { 1, Cause::Failed, None },
+    second_crash = { 2, Cause::Failed, Some(Stop::Crashes) },
+    held = { 0, Cause::Held, Some(Stop::Crashes) },
+)]
+fn crashes(crashes: u8, cause: Cause, stop: Option<Stop>) {
+    let clock = Manual::new();
+    let mut rng = SmallRng::seed_from_u64(3);
+    let tried = Try {
+        repeatable: true,
+        crashes,
+        ..make_try(&clock, Verdict::MayHaveRun, cause)
+    };
+    let decided = Budget::new(clock.now(), 10).decide(clock.now(), &tried, &mut rng);
+    let stopped = match decided {
+        Decision::Again(_) => None,
+        Decision::Stop(stop) => Some(stop),
+    };
+    assert_eq!(stopped, stop);
+}
