Send suspected requests to one owner, so that copies wait for each other

What callers would see: a request that crashes what runs it, sent at many nodes in the same instant, took a whole service down before its first crash could hold it, and once the servers were back ran on each of them again: suspects waited for each other on one server only. All outbound proxies now send a suspected request to the backend server that ranks highest for it, among those that are in the choice; what waits there is refused as soon as the one before it has crashed. The end of a process is named after it, so that a call which meets the closing port a moment later doesn't count it twice, and the process that was there before the inbound proxy began to look is known when another takes its place.

--- a/crates/bench/src/soak_deadly.rs
+++ b/crates/bench/src/soak_deadly.rs
@@ -36,6 +36,8 @@
 pub enum Kind {
     /// A look-up, which may run more than once.
     Lookup,
+    /// The same, at all nodes in the same instant.
+    Burst,
     /// A booking without a key.
     Booking,
     /// A release of a claim under a key of its own each time.
@@ -57,7 +59,7 @@
     pub fn make_call(&self, number: usize) -> Call {
         let name = &self.name;
         let call = match self.kind {
-            Kind::Lookup => Call::get(&format!("/records/{MARK}-{name}")),
+            Kind::Lookup | Kind::Burst => Call::get(&format!("/records/{MARK}-{name}")),
             Kind::Booking => Call::new(Method::POST, &format!("/jobs/{MARK}-{name}")),
             Kind::Keyed => Call::new(Method::POST, &format!("/claims/{MARK}-{name}"))
                 .header("idempotency-key", &format!("{MARK}-{name}-{number}")),
@@ -66,19 +68,24 @@
             .header("bluebellpick-timeout-ms", &TIMEOUT_MS.to_string())
     }
 
-    /// Sends the request at all nodes in turn until `end`.
+    /// Sends the request at all nodes in turn, or at once, until `end`.
     pub async fn send(self, addresses: Vec<SocketAddr>, end: Instant) {
-        for (number, address) in (0..).zip(addresses.iter().cycle()) {
-            if Instant::now() >= end {
-                return;
+        let at_once = match self.kind {
+            Kind::Burst => addresses.len(),
+            _ => 1,
+        };
+        let mut next = (0..).zip(addresses.iter().cycle());
+        while Instant::now() < end {
+            for (number, address) in next.by_ref().take(at_once) {
+                let call = self.make_call(number);
+                let caller = Caller::new(*address);
+                tokio::spawn(async move {
+                    let limit = Duration::from_millis(TIMEOUT_MS);
+                    // Whatever it is told, and also by a node that is down: nobody misses
+                    // the answer.
+                    drop(caller.send_within(&call, limit).await);
+                });
             }
-            let call = self.make_call(number);
-            let caller = Caller::new(*address);
-            tokio::spawn(async move {
-                let limit = Duration::from_millis(TIMEOUT_MS);
-                // Whatever it is told, and also by a node that is down: nobody misses the answer.
-                drop(caller.send_within(&call, limit).await);
-            });
             tokio::time::sleep(GAP).await;
         }
     }
--- a/crates/bench/src/soak_plan.rs
+++ b/crates/bench/src/soak_plan.rs
@@ -239,7 +239,7 @@
 }
 
 fn draw_kind(rng: &mut SmallRng) -> Kind {
-    let kinds = [Kind::Lookup, Kind::Booking, Kind::Keyed];
+    let kinds = [Kind::Lookup, Kind::Burst, Kind::Booking, Kind::Keyed];
     kinds[rng.random_range(0..kinds.len())]
 }
 
--- a/crates/call/src/digest.rs
+++ b/crates/call/src/digest.rs
@@ -38,6 +38,14 @@
     }
 }
 
+impl Digest {
+    /// Gives a number that differs between requests, to choose by.
+    #[must_use]
+    pub fn seed(self) -> u64 {
+        u64::from_be_bytes(self.0.first_chunk().copied().unwrap_or_default())
+    }
+}
+
 impl fmt::Display for Digest {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:032x}", u128::from_be_bytes(self.0))
--- a/crates/call/src/owner.rs
+++ b/crates/call/src/owner.rs
@@ -1,7 +1,7 @@
-//! Which node commits a shard's records.
+//! Which node all nodes choose for something, without asking each other.
 //!
-//! That all nodes ask the same one lets its records carry many reservations
-//! each. It saves writes only: two nodes that both think themselves the owner
+//! That all nodes have the same one commit a shard's records lets these carry many
+//! reservations each. It saves writes only: two nodes that both think themselves the owner
 //! meet at the journal's next number, where one of them wins.
 
 /// Owners of a shard by rendezvous hashing: the first, and the next should it be out of reach.
@@ -14,7 +14,7 @@
 {
     let mut best: [Option<(u64, usize)>; 2] = [None; 2];
     for (index, node) in nodes.into_iter().enumerate() {
-        let ranked = Some((rank(shard, node), index));
+        let ranked = Some((rank(u64::from(shard), node), index));
         if ranked > best[0] {
             best = [ranked, best[0]];
         } else if ranked > best[1] {
@@ -24,10 +24,13 @@
     best.map(|ranked| ranked.map(|(_, index)| index))
 }
 
+/// Gives a node's rank for what `seed` names; the highest one owns it.
+///
 /// FNV-1a, then the finaliser of `SplitMix64`: nodes of all builds must agree
 /// on it, and FNV's high bits alone differ too little between short names.
-fn rank(shard: u16, node: &str) -> u64 {
-    let seed = 0xcbf2_9ce4_8422_2325 ^ u64::from(shard);
+#[must_use]
+pub fn rank(seed: u64, node: &str) -> u64 {
+    let seed = 0xcbf2_9ce4_8422_2325 ^ seed;
     let hash = node.bytes().fold(seed, |hash, byte| {
         (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
     });
--- a/crates/node/src/inbound.rs
+++ b/crates/node/src/inbound.rs
@@ -308,7 +308,7 @@
         return;
     };
     let mut told = false;
-    let mut here = None;
+    let mut here = backend.borrow().clone();
     loop {
         let changed = tokio::select! {
             changed = node.changed() => changed,
--- a/crates/node/src/inbound/crash.rs
+++ b/crates/node/src/inbound/crash.rs
@@ -4,7 +4,7 @@
 use crate::inbound::parents::Parent;
 use crate::inbound::run::Refused;
 use crate::shared::Backend;
-use call::{Crash, shorten};
+use call::{Crash, owner, shorten};
 use clock::Clock;
 use log::warn;
 use policy::aboard::{self, Found, Key, Leave};
@@ -200,17 +200,19 @@
         .aboard
         .lock()
         .end(shared.clock.now(), backend.process());
-    // One that leaves may end as it likes once its time is over.
-    if found.is_empty() || inner.is_leaving() {
+    // One that has said farewell may end as it likes once its time is over.
+    let process = backend.process();
+    let has_left = |own: &Backend| own.leaving && own.process() == process;
+    if found.is_empty() || shared.backend.borrow().as_ref().is_some_and(has_left) {
         return;
     }
     warn!(
         service = backend.service.as_str(),
-        process = backend.process(),
+        process,
         requests = found.len();
         "backend_crashed"
     );
-    let id = rand::random();
+    let id = name_end(&shared.settings.name, process);
     let crashes = found.into_iter().map(|Found { request, is_alone }| Crash {
         id,
         request: request.digest,
@@ -227,3 +229,14 @@
         .quarantine
         .report(&shared.clock, &shared.metrics, crashes);
 }
+
+/// Names the end of a process, the same each time that it is found.
+///
+/// A call that meets the closing port a moment later finds it once more: counted as another
+/// end, one crash would be two. A process without a name of its own is told from none.
+fn name_end(node: &str, process: u64) -> u64 {
+    match process {
+        0 => rand::random(),
+        process => owner::rank(process, node),
+    }
+}
--- a/crates/node/src/outbound/serve.rs
+++ b/crates/node/src/outbound/serve.rs
@@ -10,7 +10,7 @@
 use crate::outbound::send::{History, Late, Tried, try_once};
 use crate::outbound::sent;
 use crate::outbound::service::{Picked, Weight};
-use crate::outbound::survey::pick;
+use crate::outbound::survey::{pick, pick_owner};
 use crate::outbound::tell::{Answered, tell_answer, tell_end, tell_try, tell_unrouted};
 use crate::outbound::visited::Visited;
 use call::Verdict;
@@ -177,14 +177,18 @@
     let mut visited = Visited::default();
     let mut history = History::default();
     let mut last = None;
-    // What the caller is told in the end: one try that may have run weighs more than any that did not.
+    // What the caller is told in the end.
     let mut told = Refused::not_run(Reason::NoService, 0);
     for tries in 1.. {
-        let Some(mut picked) = pick_next(inner, plan, &mut visited, last).await else {
-            break;
+        let mut picked = match pick_next(inner, plan, &mut visited, last, &mut history).await {
+            Ok(Some(picked)) => picked,
+            Ok(None) => break,
+            Err(refused) => {
+                told = weigh(told, refused);
+                break;
+            }
         };
         visited.add(picked.key);
-        history.is_suspect |= judge(inner, plan) != Standing::Clear;
         let tried_once = if tries == 1 {
             let (result, winner) =
                 try_first(inner, plan, head, body, picked, &mut visited, history).await;
@@ -230,9 +234,7 @@
         }
         last = Some(cause);
         drop(picked);
-        if told.verdict == Verdict::NotRun {
-            told = refused;
-        }
+        told = weigh(told, refused);
         let Some(back) = back else {
             break;
         };
@@ -282,21 +284,40 @@
     shared.quarantine.judge(shared.clock.now(), plan.digest)
 }
 
+/// Gives what a caller is told of two tries: one that may have run weighs more.
+fn weigh(told: Refused, refused: Refused) -> Refused {
+    match told.verdict {
+        Verdict::NotRun => refused,
+        _ => told,
+    }
+}
+
 /// Picks where a call goes next; after a try that failed, also one that had no room before.
+///
+/// Fails for a request that is held by now.
 async fn pick_next<C>(
     inner: &Arc<Inner<C>>,
     plan: &Plan,
     visited: &mut Visited,
     last: Option<Cause>,
-) -> Option<Picked<C>>
+    history: &mut History,
+) -> Result<Option<Picked<C>>, Refused>
 where
     C: Clock,
 {
+    match judge(inner, plan) {
+        Standing::Clear => {}
+        Standing::Suspect => history.is_suspect = true,
+        Standing::Held { wait } => return Err(Refused::held(wait)),
+    }
+    if history.is_suspect {
+        return Ok(pick_owner(inner, plan, visited.all()));
+    }
     let fresh = pick(inner, plan, visited.all()).await;
     if fresh.is_none() && last != Some(Cause::Full) && visited.forget_full() {
-        return pick(inner, plan, visited.all()).await;
+        return Ok(pick(inner, plan, visited.all()).await);
     }
-    fresh
+    Ok(fresh)
 }
 
 fn answered(status: StatusCode, told: Option<Told>) -> Outcome {
--- a/crates/node/src/outbound/service.rs
+++ b/crates/node/src/outbound/service.rs
@@ -1,6 +1,7 @@
 //! What the outbound proxy knows of each service: runs `policy::balance` and `policy::retry`.
 
 use crate::inbound::parents::Run;
+use call::Digest;
 use clock::Clock;
 use config::{Endpoint, EndpointKey, Retry, ServiceKey, View};
 use parking_lot::{Mutex, RwLock};
@@ -222,6 +223,40 @@
     ) -> Option<Picked<C>>
     where
         C: Clock,
+    {
+        self.pick_by(clock, view, name, ask, |balance, now, rng| {
+            balance.pick_seen(now, &ask.call, seen, rng)
+        })
+    }
+
+    /// Picks the endpoint that has not been tried and that all nodes pick for a request.
+    pub(crate) fn pick_owner<C>(
+        self: &Arc<Self>,
+        clock: &C,
+        view: &Arc<View>,
+        name: &str,
+        ask: &Ask<'_>,
+        request: Digest,
+    ) -> Option<Picked<C>>
+    where
+        C: Clock,
+    {
+        self.pick_by(clock, view, name, ask, |balance, now, _rng| {
+            balance.pick_owner(now, &ask.call, request)
+        })
+    }
+
+    fn pick_by<C, F>(
+        self: &Arc<Self>,
+        clock: &C,
+        view: &Arc<View>,
+        name: &str,
+        ask: &Ask<'_>,
+        choose: F,
+    ) -> Option<Picked<C>>
+    where
+        C: Clock,
+        F: FnOnce(&mut Balance, Instant, &mut SmallRng) -> Option<Key>,
     {
         let now = clock.now();
         let service = view.find_service(name)?;
@@ -229,7 +264,7 @@
         let state = &mut *state;
         state.sync(now, view, service, ask.place);
         let balance = &mut state.balances[ask.weight as usize];
-        let key = balance.pick_seen(now, &ask.call, seen, &mut state.rng)?;
+        let key = choose(balance, now, &mut state.rng)?;
         let endpoint = find_endpoint(view, service, balance.identity(key)?)?;
         Some(Picked {
             service: Arc::clone(self),
--- a/crates/node/src/outbound/survey.rs
+++ b/crates/node/src/outbound/survey.rs
@@ -57,6 +57,17 @@
     plan.known.pick(clock, &view, &plan.service, &ask, seen)
 }
 
+/// Picks where a call of a request under suspicion goes: where all nodes send it.
+pub(crate) fn pick_owner<C>(inner: &Inner<C>, plan: &Plan, tried: &[Key]) -> Option<Picked<C>>
+where
+    C: Clock,
+{
+    let (view, ask) = (inner.shared.view.load_full(), make_ask(inner, plan, tried));
+    let clock = &inner.shared.clock;
+    plan.known
+        .pick_owner(clock, &view, &plan.service, &ask, plan.digest)
+}
+
 fn survey<C>(inner: &Inner<C>, plan: &Plan, tried: &[Key], seen: &[Seen]) -> Vec<(Key, Endpoint)>
 where
     C: Clock,
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -17,6 +17,7 @@
 use crate::outlier::{self, Others, Phase, Sample};
 use crate::outlook::Pressure;
 use crate::server::Server;
+use call::{Digest, owner};
 use rand::Rng;
 use smol_str::SmolStr;
 use std::collections::HashMap;
@@ -205,6 +206,25 @@
         Some(self.key(index))
     }
 
+    /// Chooses the backend server that all outbound proxies choose for a request, as far as
+    /// they know the same ones, and counts a call to it.
+    ///
+    /// *Load pattern:* a request that crashes what runs it comes at many nodes in the same
+    /// instant. *Without one owner* its copies run beside each other, and a whole service is
+    /// down before the first crash can hold it; with one they wait there for each other.
+    pub fn pick_owner(&mut self, now: Instant, ask: &Ask<'_>, request: Digest) -> Option<Key> {
+        let open = self
+            .present()
+            .filter(|index| !ask.tried.contains(&self.key(*index)));
+        let index = open.max_by_key(|index| {
+            let server = &self.servers[*index as usize];
+            let is_in = server.health.phase(now) == Phase::In;
+            (is_in, owner::rank(request.seed(), &server.identity.node))
+        })?;
+        self.servers[index as usize].start(now);
+        Some(self.key(index))
+    }
+
     /// Takes in what a call of [`Balance::pick`] came to.
     pub fn finish<R>(
         &mut self,
--- a/crates/policy/tests/balance.rs
+++ b/crates/policy/tests/balance.rs
@@ -1,9 +1,11 @@
 //! Where calls go.
 
+use call::Digest;
 use clock::{Clock, Manual};
 use policy::balance::{Ask, Balance, Candidate, Distance, Identity, Key, Outcome, Told};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use std::collections::HashSet;
 use std::time::{Duration, Instant};
 
 /// Calls, 6 ms apart.
@@ -184,3 +186,29 @@
     println!("unknown {unknown:.3} warm {warm:.3} cold {cold:.3}");
     assert!(warm > 0.45 && unknown < 0.25 && cold <= unknown);
 }
+
+/// Copies of a request that crashes servers must all go to one, whoever sends them.
+#[test]
+fn one_owner() {
+    let now = Manual::new().now();
+    let request = |number: usize| Digest::of("GET", "", &format!("/records/{number}"), b"");
+    let mut proxies: Vec<Balance> = Vec::new();
+    for turn in 0..5 {
+        let mut balance = Balance::new();
+        let mut candidates = list_candidates(5);
+        candidates.rotate_left(turn);
+        balance.sync(now, candidates);
+        proxies.push(balance);
+    }
+    let mut owners = HashSet::new();
+    for number in 0..50 {
+        let choices = proxies.iter_mut().map(|balance| {
+            let key = balance.pick_owner(now, &ask(&[], true), request(number));
+            balance.identity(key.unwrap()).unwrap().node.clone()
+        });
+        let choices: HashSet<_> = choices.collect();
+        assert_eq!(choices.len(), 1, "{choices:?}");
+        owners.extend(choices);
+    }
+    assert_eq!(owners.len(), 5, "different requests go to different ones");
+}
