Suspect the likeliest requests first, and say it once

A crash on a full server brought 31 requests under suspicion, those of the last second that callers had given up among them, and each of ten nodes logged every one. Calls that left over half a second before no longer count, 64 at most are taken, those first that were under suspicion or still on board; only the node beside the server tells them, eight lines a crash.

--- a/crates/node/src/quarantine.rs
+++ b/crates/node/src/quarantine.rs
@@ -10,6 +10,9 @@
 use std::time::Instant;
 use tokio::sync::Notify;
 
+/// Requests that the log names of those that one crash brings under suspicion.
+const MAX_TOLD: usize = 8;
+
 /// What this node knows of requests that crash backend servers.
 #[derive(Debug, Default)]
 pub struct Quarantine {
@@ -42,7 +45,10 @@
             let before = ledger.judge(now, crash.request);
             if ledger.take(now, crash) {
                 metrics.quarantine.count(crash);
-                tell_change(crash, before, ledger.judge(now, crash.request));
+                let is_held = |standing| matches!(standing, Standing::Held { .. });
+                if is_held(ledger.judge(now, crash.request)) && !is_held(before) {
+                    tell_hold(crash);
+                }
             }
         }
         self.is_known.store(!ledger.is_empty(), Ordering::Relaxed);
@@ -53,6 +59,8 @@
     where
         C: Clock,
     {
+        // The one to blame is among the first, and the others are soon cleared.
+        crashes.iter().take(MAX_TOLD).for_each(tell_suspicion);
         self.take(clock, metrics, &crashes);
         self.spread(crashes);
     }
@@ -101,28 +109,25 @@
     }
 }
 
-fn tell_change(crash: &Crash, before: Standing, after: Standing) {
-    if crash.is_cleared {
-        return;
-    }
+/// Tells of a crash of the own backend server; each node that hears of it would repeat it.
+fn tell_suspicion(crash: &Crash) {
     info!(
         request:% = crash.request,
-        node = crash.node.as_str(),
         service = crash.service.as_str(),
         method = crash.method.as_str(),
         path = crash.path.as_str(),
-        is_alone = crash.is_alone,
-        age_ms = crash.age_ms;
+        is_alone = crash.is_alone;
         "request_suspected"
     );
-    let is_held = |standing: Standing| matches!(standing, Standing::Held { .. });
-    if is_held(after) && !is_held(before) {
-        warn!(
-            request:% = crash.request,
-            service = crash.service.as_str(),
-            method = crash.method.as_str(),
-            path = crash.path.as_str();
-            "request_held"
-        );
-    }
+}
+
+fn tell_hold(crash: &Crash) {
+    warn!(
+        request:% = crash.request,
+        node = crash.node.as_str(),
+        service = crash.service.as_str(),
+        method = crash.method.as_str(),
+        path = crash.path.as_str();
+        "request_held"
+    );
 }
--- a/crates/policy/src/aboard.rs
+++ b/crates/policy/src/aboard.rs
@@ -11,11 +11,14 @@
 use std::time::{Duration, Instant};
 
 /// How long a call that left without an answer still counts.
-const LINGER: Duration = Duration::from_secs(1);
+const LINGER: Duration = Duration::from_millis(500);
 
 /// Calls that have left and still count, at most.
 const MAX_LEFT: usize = 256;
 
+/// Requests that one crash brings under suspicion, at most.
+const MAX_FOUND: usize = 64;
+
 /// How long an answer speaks for a request: a path that many ask for has had one
 /// moments before any crash that it is in.
 const ANSWERED: Duration = Duration::from_secs(10);
@@ -117,36 +120,37 @@
         runs.any(|run| run.process == process && run.left.is_some() && run.counts(now))
     }
 
-    /// Takes out the calls of a process that has ended; gives the requests, each once.
+    /// Takes out the calls of a process that has ended; gives the requests, each once, and
+    /// those first that are the likeliest to blame.
     pub fn end(&mut self, now: Instant, process: u64) -> Vec<Found> {
         let ended = self.runs.extract_if(.., |_, run| run.process == process);
-        let counted = ended.map(|(_, run)| run).filter(|run| run.counts(now));
-        let answered = |digest: Digest| {
-            let is_recent = |at: Instant| now.saturating_duration_since(at) < ANSWERED;
-            let mut answers = self.answered.iter();
-            answers.any(|(at, one)| *one == digest && is_recent(*at))
-        };
-        let counted = counted.filter(|run| !answered(run.request.digest));
+        let mut ended: Vec<_> = ended.map(|(_, run)| run).collect();
+        ended.retain(|run| run.counts(now) && !self.is_answered(now, run.request.digest));
+        ended.sort_by_key(|run| (!run.request.is_suspect, run.since_left(now)));
         let mut requests: Vec<Request> = Vec::new();
-        for run in counted {
-            match requests
-                .iter_mut()
-                .find(|one| one.digest == run.request.digest)
-            {
-                Some(known) => known.is_suspect |= run.request.is_suspect,
-                None => requests.push(run.request),
+        for run in ended {
+            let mut known = requests.iter();
+            if known.all(|one| one.digest != run.request.digest) {
+                requests.push(run.request);
             }
         }
         let suspects = requests.iter().filter(|one| one.is_suspect).count();
         let count = requests.len();
         let is_alone = |one: &Request| count == 1 || one.is_suspect && suspects == 1;
-        let found = requests.into_iter().map(|request| Found {
+        let found = requests.into_iter().take(MAX_FOUND).map(|request| Found {
             is_alone: is_alone(&request),
             request,
         });
         found.collect()
     }
 
+    /// Tells whether a request was answered of late.
+    fn is_answered(&self, now: Instant, digest: Digest) -> bool {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < ANSWERED;
+        let mut answers = self.answered.iter();
+        answers.any(|(at, one)| *one == digest && is_recent(*at))
+    }
+
     fn note_answer(&mut self, now: Instant, digest: Digest) {
         if self.answered.len() == MAX_ANSWERED {
             self.answered.pop_front();
@@ -169,6 +173,12 @@
 }
 
 impl Run {
+    /// Gives how long ago it left; nought for one that is still there.
+    fn since_left(&self, now: Instant) -> Duration {
+        self.left
+            .map_or(Duration::ZERO, |left| now.saturating_duration_since(left))
+    }
+
     fn counts(&self, now: Instant) -> bool {
         let counts = |left: Instant| now.saturating_duration_since(left) < LINGER;
         self.left.is_none_or(counts)
