Let a nested call pass the suspect that waits for it

A call that was on board at a crash runs alone among suspects, and so does a call that it makes, if that was on board too: sent to the same backend server it waited for its parent until its time was over, and both failed. A nested call now waits 50 ms at most.

--- a/crates/node/src/inbound/crash.rs
+++ b/crates/node/src/inbound/crash.rs
@@ -18,6 +18,10 @@
 /// the system takes the sockets of a process that ends one by one.
 const LOOK_AGAIN: Duration = Duration::from_millis(50);
 
+/// Longest wait of a nested call for another suspect: that one may be the call that it is
+/// made for, and wait for it.
+const NESTED_PATIENCE: Duration = Duration::from_millis(50);
+
 /// When a request under suspicion may come back if another one is at the backend server.
 const BUSY_WAIT_MS: u32 = 100;
 
@@ -37,9 +41,13 @@
     parent: Option<Parent>,
 }
 
-/// The right of one request under suspicion to be at the backend server.
+/// The place of one request among those under suspicion.
 #[derive(Debug)]
-pub(crate) struct Alone(Option<OwnedSemaphorePermit>);
+pub(crate) struct Alone {
+    is_suspect: bool,
+    /// Keeps other suspects from the backend server.
+    _permit: Option<OwnedSemaphorePermit>,
+}
 
 impl Alone {
     /// Waits until no other request under suspicion is at the backend server, if this one is
@@ -51,17 +59,29 @@
     where
         C: Clock,
     {
-        if !(is_suspected(inner, request)? || request.is_suspect) {
-            return Ok(Self(None));
+        let is_suspect = is_suspected(inner, request)? || request.is_suspect;
+        if !is_suspect {
+            return Ok(Self {
+                is_suspect,
+                _permit: None,
+            });
         }
+        let patience = match request.nested {
+            Some(_) => NESTED_PATIENCE,
+            None => Duration::MAX,
+        };
+        let permit = Arc::clone(&inner.alone).acquire_owned();
         let permit = tokio::select! {
             biased;
-            permit = Arc::clone(&inner.alone).acquire_owned() => permit.ok(),
+            permit = tokio::time::timeout(patience, permit) => permit.ok().and_then(Result::ok),
             () = inner.left() => return Err(Refused::not_run(Reason::Leaving, 0)),
         };
         // What ran before may have been the same request.
         is_suspected(inner, request)?;
-        Ok(Self(permit))
+        Ok(Self {
+            is_suspect,
+            _permit: permit,
+        })
     }
 
     /// Looks again after a wait for a slot, in which the request may have come under suspicion.
@@ -69,11 +89,14 @@
     where
         C: Clock,
     {
-        if !is_suspected(inner, request)? || self.0.is_some() {
+        if !is_suspected(inner, request)? || self.is_suspect {
             return Ok(self);
         }
         match Arc::clone(&inner.alone).try_acquire_owned() {
-            Ok(permit) => Ok(Self(Some(permit))),
+            Ok(permit) => Ok(Self {
+                is_suspect: true,
+                _permit: Some(permit),
+            }),
             Err(_another) => Err(Refused::not_run(Reason::Full, BUSY_WAIT_MS)),
         }
     }
@@ -107,7 +130,7 @@
             digest: request.digest,
             method: request.method.clone(),
             path: shorten(&request.path),
-            is_suspect: alone.0.is_some(),
+            is_suspect: alone.is_suspect,
         };
         let now = inner.shared.clock.now();
         let key = inner.aboard.lock().enter(now, backend.process(), boarding);
--- a/crates/node/tests/calls/deadly.rs
+++ b/crates/node/tests/calls/deadly.rs
@@ -1,6 +1,6 @@
 //! Requests that crash the backend servers that run them.
 
-use crate::mesh::{Answer, Node, bind, call, spawn_node};
+use crate::mesh::{Answer, Node, bind, call, spawn_node, wait_recorded};
 use bytes::Bytes;
 use config::Repeat;
 use http::{Method, StatusCode};
@@ -289,3 +289,50 @@
         server.wait_back().await;
     }
 }
+
+/// A suspect that waits for a call of its own, which is one too, must not keep that out until
+/// its time is over.
+#[tokio::test]
+async fn nested_suspect() {
+    let (node, server) = spawn_deadly(deadly_path(), Repeat::Never).await;
+    let send = |path: &'static str, headers: Vec<(&'static str, String)>| {
+        let node = Arc::clone(&node);
+        tokio::spawn(async move {
+            let headers: Vec<_> = headers
+                .iter()
+                .map(|(name, value)| (*name, value.as_str()))
+                .collect();
+            let mut call = Call::new(Method::POST, path);
+            call.headers = headers;
+            call.send(&node).await
+        })
+    };
+    let work = |ms: u32| ("x-work-ms", ms.to_string());
+    let beside = [
+        send("/records/parent", vec![work(500)]),
+        send("/records/child", vec![work(500)]),
+    ];
+    wait_recorded(&server.record, |run| run.path == "/records/child").await;
+    wait_recorded(&server.record, |run| run.path == "/records/parent").await;
+    Call::new(Method::POST, "/records/deadly").send(&node).await;
+    for one in beside {
+        one.await.unwrap();
+    }
+    server.wait_back().await;
+    let parent = send(
+        "/records/parent",
+        vec![work(900), ("x-request", "again".to_owned())],
+    );
+    wait_recorded(&server.record, |run| run.request == "again").await;
+    let runs = server.record.entries();
+    let named = runs.iter().find(|run| run.request == "again").unwrap();
+    let started = Instant::now();
+    let headers = vec![work(0), ("bluebellpick-parent", named.call.to_string())];
+    let child = send("/records/child", headers).await.unwrap();
+    assert_eq!(child.status, StatusCode::OK);
+    assert!(
+        started.elapsed() < Duration::from_millis(500),
+        "{started:?}"
+    );
+    assert_eq!(parent.await.unwrap().status, StatusCode::OK);
+}
