Measure what a deadly request costs all others, by fleet size

bluebellpick-bench deadly: look-ups at a steady rate at all nodes, and a request that crashes what runs it four times a second.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod converge;
 pub mod converge_fault;
 pub mod count;
+pub mod deadly;
 pub mod demo;
 pub mod deployment;
 pub mod error;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,7 +3,7 @@
 //! Every experiment prints one JSON object with its figures as its last line.
 
 use bench::error::Error;
-use bench::{converge, demo, faults, overload, path, rolling, soak, soak_repeat, state};
+use bench::{converge, deadly, demo, faults, overload, path, rolling, soak, soak_repeat, state};
 use bpaf::{Parser, construct};
 use std::process::ExitCode;
 use tokio::signal::unix::{SignalKind, signal};
@@ -14,6 +14,7 @@
     Demo,
     Path(path::Plot),
     Converge(converge::Plot),
+    Deadly(deadly::Plot),
     Faults(faults::Plot),
     State(state::Plot),
     Overload(overload::Plot),
@@ -36,6 +37,11 @@
         .to_options()
         .descr("Measures how long versions take to all nodes, and what that costs")
         .command("converge");
+    let deadly = deadly::parse()
+        .map(Command::Deadly)
+        .to_options()
+        .descr("Measures what a request that crashes backend servers costs all others")
+        .command("deadly");
     let faults = faults::parse()
         .map(Command::Faults)
         .to_options()
@@ -61,7 +67,9 @@
         .to_options()
         .descr("Checks what must hold while seeded faults overlap, and after they end")
         .command("soak");
-    construct!([demo, path, converge, faults, state, overload, rolling, soak])
+    construct!([
+        demo, path, converge, deadly, faults, state, overload, rolling, soak
+    ])
 }
 
 // One thread: the pacer must see the sockets of its own calls at once.
@@ -116,6 +124,7 @@
             };
             Ok((report, true))
         }
+        Command::Deadly(plot) => Ok((print_json(&deadly::run(plot).await?)?, true)),
         Command::Faults(plot) => {
             let report = faults::run(plot).await?;
             Ok((print_json(&report)?, report.is_clean()))
--- a/crates/bench/src/soak_deadly.rs
+++ b/crates/bench/src/soak_deadly.rs
@@ -91,12 +91,12 @@
     }
 }
 
-/// Counts the runs of deadly requests beyond what is allowed after the third crash.
+/// Reads the runs of deadly requests from what backend servers recorded, by the series' name.
 ///
 /// # Errors
 ///
 /// When a record can't be read.
-pub fn count_further_runs(target: &Target) -> Result<usize, Error> {
+pub fn read_deadly_runs(target: &Target) -> Result<BTreeMap<String, Vec<Entry>>, Error> {
     let mut all: BTreeMap<String, Vec<Entry>> = BTreeMap::new();
     for file in target.record_files() {
         for entry in read_entries(&read_record(file)?)? {
@@ -108,9 +108,18 @@
             }
         }
     }
+    Ok(all)
+}
+
+/// Counts the runs of deadly requests beyond what is allowed after the third crash.
+///
+/// # Errors
+///
+/// When a record can't be read.
+pub fn count_further_runs(target: &Target) -> Result<usize, Error> {
     let mut further = 0;
-    for (name, runs) in &all {
-        let count = count_after_third(runs);
+    for (name, runs) in read_deadly_runs(target)? {
+        let count = count_after_third(&runs);
         if count > MAX_FURTHER {
             eprintln!(
                 "violation: deadly request {name} ran {count} times later than 3 s after it had crashed the third server"
@@ -121,7 +130,9 @@
     Ok(further)
 }
 
-fn count_after_third(runs: &[Entry]) -> usize {
+/// Counts the runs that began later than 3 s after the third crash.
+#[must_use]
+pub fn count_after_third(runs: &[Entry]) -> usize {
     let ended = runs.iter().filter(|run| run.outcome == Outcome::Crashed);
     let mut crashes: Vec<_> = ended.filter_map(|run| run.end_us).collect();
     crashes.sort_unstable();
@@ -132,6 +143,12 @@
     runs.iter().filter(later).count()
 }
 
+/// Tells whether the words of an answer are those to a held request.
+#[must_use]
+pub fn is_held(words: &str) -> bool {
+    words.contains("\"reason\":\"held\"")
+}
+
 fn read_entries(text: &str) -> Result<Vec<Entry>, Error> {
     let whole = text.rsplit_once('\n').map_or("", |(whole, _)| whole);
     let mut entries = HashMap::new();
@@ -146,8 +163,7 @@
 /// Counts the requests of other callers that were refused as deadly ones are.
 #[must_use]
 pub fn count_innocents_held(invocations: &[Invocation]) -> usize {
-    let is_held = |one: &&Invocation| one.detail.contains("\"reason\":\"held\"");
-    let held = invocations.iter().filter(is_held);
+    let held = invocations.iter().filter(|one| is_held(&one.detail));
     held.inspect(|one| eprintln!("violation: innocent request held: {one:?}"))
         .count()
 }
