--- a/crates/node/src/inbound/crash.rs
+++ b/crates/node/src/inbound/crash.rs
@@ -151,7 +151,7 @@
         self.how = Leave::Unanswered;
     }
 
-    /// Says how the call leaves; until then it leaves without an answer.
+    /// Says how the call leaves: from its beginning on without an answer, unless this is called.
     pub(crate) fn leave_as(&mut self, how: Leave) {
         self.how = how;
     }
