--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -241,3 +241,106 @@
         }
     }
 }
+
+/// Steps of the fleet that is looked at exhaustively.
+const DEPTH: usize = 5;
+
+/// Nodes of that fleet.
+const FEW: usize = 2;
+
+/// A fleet after some steps: what its nodes know, and how often the request crashed a server.
+#[derive(Clone)]
+struct Fleet {
+    nodes: Vec<Vec<Crash>>,
+    crashes: usize,
+}
+
+/// What may happen next to a fleet.
+fn list_steps() -> Vec<Step> {
+    let mut steps = Vec::new();
+    for node in 0..FEW {
+        for is_alone in [false, true] {
+            steps.push(Step::Crash {
+                node,
+                number: 0,
+                is_alone,
+            });
+        }
+        steps.push(Step::Answer { node, number: 0 });
+        steps.push(Step::Restart { node });
+        let others = (0..FEW).filter(|to| *to != node);
+        steps.extend(others.map(|to| Step::Tell { from: node, to }));
+    }
+    steps
+}
+
+fn ledger_of(known: &[Crash], now: Instant) -> Ledger {
+    let mut ledger = Ledger::default();
+    for one in known {
+        ledger.take(now, one);
+    }
+    ledger
+}
+
+fn step(fleet: &Fleet, step: &Step, id: u64, now: Instant) -> Fleet {
+    let mut next = fleet.clone();
+    let change = |known: &mut Vec<Crash>, change: &dyn Fn(&mut Ledger)| {
+        let mut ledger = ledger_of(known, now);
+        change(&mut ledger);
+        *known = ledger.list(now);
+    };
+    match *step {
+        Step::Crash { node, is_alone, .. } => {
+            next.crashes += 1;
+            change(&mut next.nodes[node], &|ledger| {
+                ledger.take(now, &crash(id, 0, is_alone));
+            });
+        }
+        Step::Answer { node, .. } => change(&mut next.nodes[node], &|ledger| {
+            ledger.clear(now, request(0));
+        }),
+        Step::Tell { from, to } => {
+            let told = fleet.nodes[from].clone();
+            change(&mut next.nodes[to], &|ledger| {
+                for one in &told {
+                    ledger.take(now, one);
+                }
+            });
+        }
+        Step::Restart { node } => next.nodes[node].clear(),
+    }
+    next
+}
+
+/// In every order of a few crashes, answers, losses and restarts, no node may hold a request
+/// that crashed fewer than three servers, nor one that it has just seen answered.
+#[test]
+fn every_order() {
+    let now = Manual::new().now();
+    let steps = list_steps();
+    let mut fleets = vec![Fleet {
+        nodes: vec![Vec::new(); FEW],
+        crashes: 0,
+    }];
+    let mut held = 0;
+    for depth in 0..DEPTH {
+        let mut next = Vec::new();
+        for fleet in &fleets {
+            for one in &steps {
+                let after = step(fleet, one, depth as u64, now);
+                for known in &after.nodes {
+                    let is_held = is_held(&ledger_of(known, now), now, 0);
+                    held += usize::from(is_held);
+                    assert!(!is_held || after.crashes >= HELD_AFTER, "{one:?}");
+                }
+                if let Step::Answer { node, .. } = *one {
+                    let ledger = ledger_of(&after.nodes[node], now);
+                    assert_eq!(ledger.judge(now, request(0)), Standing::Clear);
+                }
+                next.push(after);
+            }
+        }
+        fleets = next;
+    }
+    assert!(held > 1_000, "{held} of {} end with a hold", fleets.len());
+}
