--- a/crates/fleet/src/crashes.rs
+++ b/crates/fleet/src/crashes.rs
@@ -18,9 +18,9 @@
 /// Time that a root gathers crashes for before it writes them to the platform.
 const GATHER: Duration = Duration::from_millis(200);
 
-/// Who tells of crashes.
+/// Where news of crashes comes from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Teller {
+pub(crate) enum Origin {
     /// The inbound proxy of this node.
     Own,
     /// A neighbour.
@@ -45,7 +45,7 @@
 
 impl Node {
     /// Takes crashes in, and hands on what is news.
-    pub(crate) fn on_crashes(&mut self, now: Instant, teller: Teller, list: &[Crash]) {
+    pub(crate) fn on_crashes(&mut self, now: Instant, origin: Origin, list: &[Crash]) {
         let ledger = &mut self.crashes.ledger;
         let list = list.iter().take(MAX_CRASHES);
         let news: Vec<_> = list
@@ -56,27 +56,27 @@
             return;
         }
         for link in self.find_links(Link::is_settled) {
-            if teller != Teller::Link(link) {
+            if origin != Origin::Link(link) {
                 self.send(link, Frame::Crashes(news.clone()));
             }
         }
-        if self.lease.slot().is_some() && self.is_from_below(teller) {
+        if self.lease.slot().is_some() && self.is_from_below(origin) {
             self.crashes.post_at.get_or_insert(now + GATHER);
         }
-        if teller != Teller::Own {
+        if origin != Origin::Own {
             self.actions.push(Action::Quarantine(news));
         }
     }
 
     /// Tells whether nobody but this root brings it to the platform.
-    fn is_from_below(&self, teller: Teller) -> bool {
-        match teller {
-            Teller::Own => true,
-            Teller::Link(key) => {
+    fn is_from_below(&self, origin: Origin) -> bool {
+        match origin {
+            Origin::Own => true,
+            Origin::Link(key) => {
                 let link = self.links.get(&key);
                 link.is_some_and(|link| link.role == Role::Child)
             }
-            Teller::Platform => false,
+            Origin::Platform => false,
         }
     }
 
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -2,7 +2,7 @@
 
 use crate::bootstrap::Gate;
 use crate::bucket::Bucket;
-use crate::crashes::{Crashes, Teller};
+use crate::crashes::{Crashes, Origin};
 use crate::departure::Guard;
 use crate::endpoints::Table;
 use crate::event::{Action, Answer, Event};
@@ -148,7 +148,7 @@
             Event::Frame { link, frame } => self.on_frame(now, link, frame),
             Event::Platform(answer) => self.on_answer(now, answer),
             Event::Own(backend) => self.announce(now, &backend),
-            Event::Crashes(list) => self.on_crashes(now, Teller::Own, &list),
+            Event::Crashes(list) => self.on_crashes(now, Origin::Own, &list),
             Event::Leave => self.leave(now),
             Event::Wake => {}
         }
@@ -288,7 +288,7 @@
             Frame::Sums { sums, is_reply } => self.on_sums(key, &sums, is_reply),
             Frame::Path(path) => self.on_path(now, key, path),
             Frame::Nominate { slot } => self.on_nominate(key, slot),
-            Frame::Crashes(list) => self.on_crashes(now, Teller::Link(key), &list),
+            Frame::Crashes(list) => self.on_crashes(now, Origin::Link(key), &list),
             Frame::Leave { parents } => {
                 self.learn_hints(now, parents);
                 self.lose_link(now, key, true);
@@ -318,7 +318,7 @@
             } => self.on_platform_step(now, version, patch, digest),
             Answer::Whole { version, mesh } => self.on_platform_whole(now, version, mesh),
             Answer::Unreadable { version, reason } => self.on_unreadable(version, reason),
-            Answer::Crashes(list) => self.on_crashes(now, Teller::Platform, &list),
+            Answer::Crashes(list) => self.on_crashes(now, Origin::Platform, &list),
         }
     }
 
--- a/crates/node/src/inbound.rs
+++ b/crates/node/src/inbound.rs
@@ -27,7 +27,7 @@
 use call::{Id, Table, Verdict};
 use clock::Clock;
 use parking_lot::Mutex;
-use policy::aboard::Aboard;
+use policy::in_flight;
 use policy::outlook::Outlook;
 use settings::node::Rate;
 use std::io;
@@ -70,10 +70,10 @@
     pub(crate) bodies: Arc<Bodies<C>>,
     /// The calls that the backend server runs.
     pub(crate) parents: Arc<Parents>,
-    /// The calls that are at the backend server, and may be there as it ends.
-    pub(crate) aboard: Mutex<Aboard>,
-    /// The permit is out while a request under suspicion is at the backend server.
-    pub(crate) alone: Arc<Semaphore>,
+    /// The calls that are in flight at the backend server, and may be as it ends.
+    pub(crate) in_flight: Mutex<in_flight::Table>,
+    /// The permit is out while a request under suspicion is in flight.
+    pub(crate) suspects: Arc<Semaphore>,
     /// A permit is out for each answer that is held ahead of its reader.
     pub(crate) ahead: Arc<Semaphore>,
 }
@@ -94,8 +94,8 @@
         tables: Default::default(),
         links: Mutex::default(),
         parents: Arc::default(),
-        aboard: Mutex::default(),
-        alone: Arc::new(Semaphore::new(1)),
+        in_flight: Mutex::default(),
+        suspects: Arc::new(Semaphore::new(1)),
         ahead: Arc::new(Semaphore::new(deliver::MAX_AHEAD)),
     });
     tokio::spawn(forget(Arc::downgrade(&inner)));
--- a/crates/node/src/inbound/crash.rs
+++ b/crates/node/src/inbound/crash.rs
@@ -1,4 +1,5 @@
-//! Which calls were at the own backend server as its process ended: runs `policy::aboard`.
+//! Which calls were in flight at the own backend server as its process ended: runs
+//! `policy::in_flight`.
 
 use crate::inbound::Inner;
 use crate::inbound::parents::Parent;
@@ -7,7 +8,7 @@
 use call::{Crash, owner, shorten};
 use clock::Clock;
 use log::warn;
-use policy::aboard::{self, Found, Key, Leave};
+use policy::in_flight::{self, Key, Outcome, Suspect};
 use policy::quarantine::Standing;
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,12 +23,12 @@
 /// made for, and wait for it.
 const NESTED_PATIENCE: Duration = Duration::from_millis(50);
 
-/// When a request under suspicion may come back if another one is at the backend server.
+/// When a request under suspicion may come back if another one is in flight.
 const BUSY_WAIT_MS: u32 = 100;
 
-/// Counts a call as at the backend server until it is dropped.
+/// Counts a call as in flight at the backend server until it is dropped.
 #[derive(Debug)]
-pub(crate) struct Seat<C>
+pub(crate) struct InFlight<C>
 where
     C: Clock,
 {
@@ -35,26 +36,26 @@
     backend: Backend,
     key: Key,
     request: call::Digest,
-    how: Leave,
-    _alone: Alone,
+    outcome: Outcome,
+    _exclusive: Exclusive,
     /// What the calls that the backend server makes for this one find, while it runs.
     parent: Option<Parent>,
 }
 
-/// The place of one request among those under suspicion.
+/// The right of one request under suspicion to be in flight; the others wait for it.
 #[derive(Debug)]
-pub(crate) struct Alone {
+pub(crate) struct Exclusive {
     is_suspect: bool,
     /// Keeps other suspects from the backend server.
     _permit: Option<OwnedSemaphorePermit>,
 }
 
-impl Alone {
-    /// Waits until no other request under suspicion is at the backend server, if this one is
-    /// under suspicion.
+impl Exclusive {
+    /// Waits until no other request under suspicion is in flight, if this one is under
+    /// suspicion.
     ///
     /// Guards against an innocent request that is held: beside one that crashes what runs
-    /// it, it would be in as many crashes. A crash with one suspect on board shows which.
+    /// it, it would be in as many crashes. A crash with one suspect in flight shows which.
     pub(crate) async fn wait<C>(inner: &Inner<C>, request: &Request) -> Result<Self, Refused>
     where
         C: Clock,
@@ -70,7 +71,7 @@
             Some(_) => NESTED_PATIENCE,
             None => Duration::MAX,
         };
-        let permit = Arc::clone(&inner.alone).acquire_owned();
+        let permit = Arc::clone(&inner.suspects).acquire_owned();
         let permit = tokio::select! {
             biased;
             permit = tokio::time::timeout(patience, permit) => permit.ok().and_then(Result::ok),
@@ -92,7 +93,7 @@
         if !is_suspected(inner, request)? || self.is_suspect {
             return Ok(self);
         }
-        match Arc::clone(&inner.alone).try_acquire_owned() {
+        match Arc::clone(&inner.suspects).try_acquire_owned() {
             Ok(permit) => Ok(Self {
                 is_suspect: true,
                 _permit: Some(permit),
@@ -115,32 +116,35 @@
     }
 }
 
-impl<C> Seat<C>
+impl<C> InFlight<C>
 where
     C: Clock,
 {
     /// Counts a call as about to be given to the backend server.
-    pub(crate) fn take(
+    pub(crate) fn new(
         inner: &Arc<Inner<C>>,
         backend: &Backend,
         request: &Request,
-        alone: Alone,
+        exclusive: Exclusive,
     ) -> Self {
-        let boarding = aboard::Request {
+        let tracked = in_flight::Request {
             digest: request.digest,
             method: request.method.clone(),
             path: shorten(&request.path),
-            is_suspect: alone.is_suspect,
+            is_suspect: exclusive.is_suspect,
         };
         let now = inner.shared.clock.now();
-        let key = inner.aboard.lock().enter(now, backend.process(), boarding);
+        let key = inner
+            .in_flight
+            .lock()
+            .start(now, backend.process(), tracked);
         Self {
             inner: Arc::clone(inner),
             backend: backend.clone(),
             key,
             request: request.digest,
-            how: Leave::NotRun,
-            _alone: alone,
+            outcome: Outcome::NotRun,
+            _exclusive: exclusive,
             parent: None,
         }
     }
@@ -148,16 +152,16 @@
     /// Notes that the backend server gets the call now, and may run it.
     pub(crate) fn begin(&mut self, parent: Parent) {
         self.parent = Some(parent);
-        self.how = Leave::Unanswered;
+        self.outcome = Outcome::Unanswered;
     }
 
-    /// Says how the call leaves: from its beginning on without an answer, unless this is called.
-    pub(crate) fn leave_as(&mut self, how: Leave) {
-        self.how = how;
+    /// Says what the call came to; once begun it is unanswered unless this is called.
+    pub(crate) fn set_outcome(&mut self, outcome: Outcome) {
+        self.outcome = outcome;
     }
 
-    /// Leaves a connection that broke; tells whether the process has ended.
-    pub(crate) async fn leave_broken(self) -> bool {
+    /// Ends a call whose connection broke; tells whether the process has ended.
+    pub(crate) async fn finish_broken(self) -> bool {
         let (inner, backend) = (Arc::clone(&self.inner), self.backend.clone());
         drop(self);
         let has_ended = look(&inner, &backend).await;
@@ -173,15 +177,18 @@
     }
 }
 
-impl<C> Drop for Seat<C>
+impl<C> Drop for InFlight<C>
 where
     C: Clock,
 {
     fn drop(&mut self) {
         let shared = &self.inner.shared;
         let now = shared.clock.now();
-        self.inner.aboard.lock().leave(now, self.key, self.how);
-        if self.how == Leave::Answered {
+        self.inner
+            .in_flight
+            .lock()
+            .finish(now, self.key, self.outcome);
+        if self.outcome == Outcome::Answered {
             shared
                 .quarantine
                 .answer(&shared.clock, &shared.metrics, self.request);
@@ -205,7 +212,10 @@
     C: Clock,
 {
     let now = inner.shared.clock.now();
-    let is_doubted = inner.aboard.lock().has_unanswered(now, backend.process());
+    let is_doubted = inner
+        .in_flight
+        .lock()
+        .has_unanswered(now, backend.process());
     if !is_doubted || !inner.pool.is_deserted(backend.address).await {
         return false;
     }
@@ -220,9 +230,9 @@
 {
     let shared = &inner.shared;
     let found = inner
-        .aboard
+        .in_flight
         .lock()
-        .end(shared.clock.now(), backend.process());
+        .take_ended(shared.clock.now(), backend.process());
     // One that has said farewell may end as it likes once its time is over.
     let process = backend.process();
     let has_left = |own: &Backend| own.leaving && own.process() == process;
@@ -236,17 +246,19 @@
         "backend_crashed"
     );
     let id = name_end(&shared.settings.name, process);
-    let crashes = found.into_iter().map(|Found { request, is_alone }| Crash {
-        id,
-        request: request.digest,
-        node: shared.settings.name.clone(),
-        service: backend.service.clone(),
-        method: request.method,
-        path: request.path,
-        age_ms: 0,
-        is_alone,
-        is_cleared: false,
-    });
+    let crashes = found
+        .into_iter()
+        .map(|Suspect { request, is_alone }| Crash {
+            id,
+            request: request.digest,
+            node: shared.settings.name.clone(),
+            service: backend.service.clone(),
+            method: request.method,
+            path: request.path,
+            age_ms: 0,
+            is_alone,
+            is_cleared: false,
+        });
     let crashes = crashes.collect();
     shared
         .quarantine
--- a/crates/node/src/inbound/run.rs
+++ b/crates/node/src/inbound/run.rs
@@ -3,7 +3,7 @@
 use crate::backend::{Error, Reply};
 use crate::header::put_headers;
 use crate::inbound::bodies::Held;
-use crate::inbound::crash::{Alone, Seat, is_suspected};
+use crate::inbound::crash::{Exclusive, InFlight, is_suspected};
 use crate::inbound::deliver::{deliver, send_answer};
 use crate::inbound::entry::Call;
 use crate::inbound::gate::{Offer, Permit};
@@ -20,9 +20,9 @@
 use http::{HeaderName, HeaderValue, Method, Response, StatusCode, Uri};
 use log::info;
 use platform::header;
-use policy::aboard::Leave;
 use policy::admission;
 use policy::balance::Told;
+use policy::in_flight;
 use policy::intake;
 use policy::limit::Outcome;
 use policy::retry;
@@ -58,8 +58,8 @@
     waited_ms: u32,
     /// How full the VM's link is, in per cent, for a call whose body was asked for; else nought.
     link_percent: u16,
-    /// The call's place at the backend server.
-    seat: Box<Seat<C>>,
+    /// Counts the call as in flight.
+    in_flight: Box<InFlight<C>>,
     _counted: Counted<C>,
 }
 
@@ -258,7 +258,7 @@
             .map_err(|reason| Refused::not_run(reason, 0))
     };
     let counted = inner.shared.count(|shared| &shared.in_flight);
-    let alone = Alone::wait(inner, &request).await?;
+    let exclusive = Exclusive::wait(inner, &request).await?;
     let asked = inner.shared.clock.now();
     let mut permit = enter(inner, &request, deadline, find()?.slots).await?;
     let entered = inner.shared.clock.now();
@@ -273,9 +273,9 @@
         is_repeat: request.headers.iter().any(is_repeat),
     };
     let backend = find()?;
-    let alone = alone.confirm(inner, &request)?;
+    let exclusive = exclusive.confirm(inner, &request)?;
     let digest = request.digest;
-    let mut seat = Seat::take(inner, &backend, &request, alone);
+    let mut in_flight = InFlight::new(inner, &backend, &request, exclusive);
     let mut request = make_request(request, upload, left(inner, deadline))
         .ok_or(Refused::not_run(Reason::Backend, 0))?;
     let attempt = platform::header::find_attempt(request.headers());
@@ -286,7 +286,7 @@
     if !start() {
         return Err(Refused::not_run(Reason::Cancelled, 0));
     }
-    seat.begin(inner.parents.enter(parent_name, own_run));
+    in_flight.begin(inner.parents.enter(parent_name, own_run));
     match inner.pool.exchange(backend.address, request).await {
         Ok(response) => {
             if inner.shared.is_on_platform()
@@ -296,7 +296,7 @@
                 if refused.verdict == Verdict::MayHaveRun {
                     response.into_body().discard();
                 } else {
-                    seat.leave_as(Leave::NotRun);
+                    in_flight.set_outcome(in_flight::Outcome::NotRun);
                 }
                 return Err(refused);
             }
@@ -310,18 +310,18 @@
                 } else {
                     0
                 },
-                seat: Box::new(seat),
+                in_flight: Box::new(in_flight),
                 _counted: counted,
             }))
         }
         Err(Error::Connect) => {
-            seat.leave_as(Leave::NotRun);
-            drop(seat);
+            in_flight.set_outcome(in_flight::Outcome::NotRun);
+            drop(in_flight);
             crash::look(inner, &backend).await;
             Err(Refused::not_run(Reason::Backend, 0))
         }
         Err(Error::Broken) => {
-            let has_ended = seat.leave_broken().await;
+            let has_ended = in_flight.finish_broken().await;
             tell_broken(inner, &backend, digest, has_ended);
             let reason = if has_ended {
                 Reason::Crashed
@@ -488,7 +488,7 @@
         let part = self.reply.poll_part(cx);
         if matches!(part, Poll::Ready(Some(Err(_)))) {
             self.permit.outcome = Outcome::Failed;
-            self.seat.look_later();
+            self.in_flight.look_later();
         }
         part
     }
@@ -513,7 +513,7 @@
 {
     fn drop(&mut self) {
         if self.reply.is_end() {
-            self.seat.leave_as(Leave::Answered);
+            self.in_flight.set_outcome(in_flight::Outcome::Answered);
         }
     }
 }
--- a/crates/policy/src/aboard.rs
+++ b/crates/policy/src/in_flight.rs
@@ -1,4 +1,4 @@
-//! Which requests were at a backend server as its process ended.
+//! Which requests were in flight at a backend server as its process ended.
 //!
 //! *Load pattern:* a backend server ends in the midst of several calls, one of which
 //! may be to blame. *Without it* nobody could tell a request that crashes servers
@@ -17,7 +17,7 @@
 const MAX_LEFT: usize = 256;
 
 /// Requests that one crash brings under suspicion, at most.
-const MAX_FOUND: usize = 64;
+const MAX_SUSPECTS: usize = 64;
 
 /// How long an answer speaks for a request: a path that many ask for has had one
 /// moments before any crash that it is in.
@@ -26,7 +26,7 @@
 /// Answers that are remembered, at most.
 const MAX_ANSWERED: usize = 256;
 
-/// Names a call that is at the backend server.
+/// Names a call that is in flight.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Key(u64);
 
@@ -43,29 +43,29 @@
     pub is_suspect: bool,
 }
 
-/// How a call left the backend server.
+/// What a call came to at the backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Leave {
-    /// With its whole answer.
+pub enum Outcome {
+    /// Its answer came whole.
     Answered,
     /// The backend server never began with it.
     NotRun,
-    /// Without an answer: it broke off, or nobody waited any more.
+    /// It has no answer: it broke off, or nobody waited any more.
     Unanswered,
 }
 
-/// A request that was at a backend server as it ended.
+/// A request that was in flight at a backend server as it ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Found {
+pub struct Suspect {
     /// The request.
     pub request: Request,
     /// Whether no other request is as likely to blame.
     pub is_alone: bool,
 }
 
-/// The calls at the backend server of this VM.
+/// The calls that are in flight at the backend server of this VM.
 #[derive(Debug, Default)]
-pub struct Aboard {
+pub struct Table {
     runs: BTreeMap<Key, Run>,
     next: u64,
     /// Requests that were answered, and when.
@@ -81,9 +81,9 @@
     left: Option<Instant>,
 }
 
-impl Aboard {
+impl Table {
     /// Counts a call as given to a process.
-    pub fn enter(&mut self, now: Instant, process: u64, request: Request) -> Key {
+    pub fn start(&mut self, now: Instant, process: u64, request: Request) -> Key {
         self.drop_old(now);
         let key = Key(self.next);
         self.next += 1;
@@ -96,16 +96,16 @@
         key
     }
 
-    /// Notes that a call has left.
-    pub fn leave(&mut self, now: Instant, key: Key, how: Leave) {
-        match how {
-            Leave::Answered => {
+    /// Takes in what a call came to.
+    pub fn finish(&mut self, now: Instant, key: Key, outcome: Outcome) {
+        match outcome {
+            Outcome::Answered => {
                 if let Some(run) = self.runs.remove(&key) {
                     self.note_answer(now, run.request.digest);
                 }
             }
-            Leave::NotRun => drop(self.runs.remove(&key)),
-            Leave::Unanswered => {
+            Outcome::NotRun => drop(self.runs.remove(&key)),
+            Outcome::Unanswered => {
                 if let Some(run) = self.runs.get_mut(&key) {
                     run.left = Some(now);
                 }
@@ -122,7 +122,7 @@
 
     /// Takes out the calls of a process that has ended; gives the requests, each once, and
     /// those first that are the likeliest to blame.
-    pub fn end(&mut self, now: Instant, process: u64) -> Vec<Found> {
+    pub fn take_ended(&mut self, now: Instant, process: u64) -> Vec<Suspect> {
         let ended = self.runs.extract_if(.., |_, run| run.process == process);
         let mut ended: Vec<_> = ended.map(|(_, run)| run).collect();
         ended.retain(|run| run.counts(now) && !self.is_answered(now, run.request.digest));
@@ -137,10 +137,13 @@
         let suspects = requests.iter().filter(|one| one.is_suspect).count();
         let count = requests.len();
         let is_alone = |one: &Request| count == 1 || one.is_suspect && suspects == 1;
-        let found = requests.into_iter().take(MAX_FOUND).map(|request| Found {
-            is_alone: is_alone(&request),
-            request,
-        });
+        let found = requests
+            .into_iter()
+            .take(MAX_SUSPECTS)
+            .map(|request| Suspect {
+                is_alone: is_alone(&request),
+                request,
+            });
         found.collect()
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,7 +9,7 @@
 //! In front of a backend server, an inbound proxy holds one
 //! [`admission::Admission`] and one [`intake::Intake`]. Towards each service, an outbound proxy holds one
 //! [`balance::Balance`], one [`retry::Budget`] and one [`hedge::Hedge`]. What crashes backend
-//! servers is found by [`aboard::Aboard`] beside each, and remembered by all in a
+//! servers is found by [`in_flight::Table`] beside each, and remembered by all in a
 //! [`quarantine::Ledger`].
 //!
 //! ```
@@ -39,7 +39,6 @@
 //! assert!(admission.next(later, &mut rng).is_none());
 //! ```
 
-pub mod aboard;
 pub mod admission;
 pub mod allowance;
 pub mod backoff;
@@ -49,6 +48,7 @@
 pub mod duration;
 pub mod elapsed;
 pub mod hedge;
+pub mod in_flight;
 pub mod intake;
 pub mod limit;
 pub mod outlier;
--- a/crates/policy/tests/aboard.rs
+++ b/crates/policy/tests/in_flight.rs
@@ -1,8 +1,8 @@
-//! Which requests were at a backend server as it ended.
+//! Which requests were in flight at a backend server as it ended.
 
 use call::Digest;
 use clock::{Clock, Manual};
-use policy::aboard::{Aboard, Found, Key, Leave, Request};
+use policy::in_flight::{Key, Outcome, Request, Suspect, Table};
 use std::time::Duration;
 
 fn request(path: &str, is_suspect: bool) -> Request {
@@ -16,30 +16,30 @@
 
 struct Server {
     clock: Manual,
-    aboard: Aboard,
+    table: Table,
 }
 
 impl Server {
     fn new() -> Self {
         Self {
             clock: Manual::new(),
-            aboard: Aboard::default(),
+            table: Table::default(),
         }
     }
 
     fn enter(&mut self, path: &str, is_suspect: bool) -> Key {
         let now = self.clock.now();
-        self.aboard.enter(now, 1, request(path, is_suspect))
+        self.table.start(now, 1, request(path, is_suspect))
     }
 
-    fn leave(&mut self, key: Key, how: Leave) {
-        self.aboard.leave(self.clock.now(), key, how);
+    fn leave(&mut self, key: Key, outcome: Outcome) {
+        self.table.finish(self.clock.now(), key, outcome);
     }
 
     /// Ends the process; gives the paths with whether they are alone to blame.
     fn end(&mut self) -> Vec<(String, bool)> {
-        let found = self.aboard.end(self.clock.now(), 1).into_iter();
-        let tell = |found: Found| (found.request.path.to_string(), found.is_alone);
+        let found = self.table.take_ended(self.clock.now(), 1).into_iter();
+        let tell = |found: Suspect| (found.request.path.to_string(), found.is_alone);
         found.map(tell).collect()
     }
 }
@@ -56,9 +56,9 @@
 fn alone() {
     let mut server = Server::new();
     let before = server.enter("/before", false);
-    server.leave(before, Leave::Answered);
+    server.leave(before, Outcome::Answered);
     let refused = server.enter("/refused", false);
-    server.leave(refused, Leave::NotRun);
+    server.leave(refused, Outcome::NotRun);
     server.enter("/deadly", false);
     assert_eq!(server.end(), paths(&[("/deadly", true)]));
     assert!(server.end().is_empty(), "a process ends once");
@@ -98,14 +98,14 @@
 fn gone_before() {
     let mut server = Server::new();
     let long_gone = server.enter("/long-gone", false);
-    server.leave(long_gone, Leave::Unanswered);
+    server.leave(long_gone, Outcome::Unanswered);
     server.clock.advance(Duration::from_secs(2));
     let gone = server.enter("/deadly", false);
-    server.leave(gone, Leave::Unanswered);
-    assert!(server.aboard.has_unanswered(server.clock.now(), 1));
+    server.leave(gone, Outcome::Unanswered);
+    assert!(server.table.has_unanswered(server.clock.now(), 1));
     server.clock.advance(Duration::from_millis(300));
     assert_eq!(server.end(), paths(&[("/deadly", true)]));
-    assert!(!server.aboard.has_unanswered(server.clock.now(), 1));
+    assert!(!server.table.has_unanswered(server.clock.now(), 1));
 }
 
 /// A path that all ask for is on each server that ends, and must not be suspected for it.
@@ -113,7 +113,7 @@
 fn hot_path() {
     let mut server = Server::new();
     let answered = server.enter("/hot", false);
-    server.leave(answered, Leave::Answered);
+    server.leave(answered, Outcome::Answered);
     server.clock.advance(Duration::from_secs(1));
     server.enter("/hot", false);
     server.enter("/other", false);
@@ -126,7 +126,7 @@
     let mut server = Server::new();
     for number in 0..100 {
         let gone = server.enter(&format!("/gone/{number}"), false);
-        server.leave(gone, Leave::Unanswered);
+        server.leave(gone, Outcome::Unanswered);
         server.clock.advance(Duration::from_millis(1));
     }
     server.enter("/deadly", false);
@@ -141,8 +141,8 @@
     let mut server = Server::new();
     server.enter("/deadly", false);
     let now = server.clock.now();
-    server.aboard.enter(now, 2, request("/next", false));
+    server.table.start(now, 2, request("/next", false));
     assert_eq!(server.end(), paths(&[("/deadly", true)]));
-    let next = server.aboard.end(now, 2);
+    let next = server.table.take_ended(now, 2);
     assert_eq!(next.len(), 1);
 }
