Teams in the configuration: keys by digest, a class and a limit, public routes

Cause: a new deployment brings keys, quotas and public routes; the configuration knew none, so keys were passed on and unknown ones ran. Change: config::Team with digests of keys, validation (shared, empty and too many keys), diff, and a table that finds a team in constant time; the digest of a configuration without teams stays the same, so that journals are read on. Errors of a line about a team don't repeat what stands in it. `bluebellpick team` reads keys from files or standard input and shows fingerprints.

--- a/crates/bench/src/deployment.rs
+++ b/crates/bench/src/deployment.rs
@@ -434,6 +434,7 @@
             timeout_ms: ROUTE_TIMEOUT_MS,
             limit_ms: None,
             target_ms: None,
+            public: false,
         },
     }
 }
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -48,6 +48,18 @@
         NoSuchNode(name: String) {
             display("none of the nodes that answered is named {:?}; give the address of its operators' listener in place of the name, or add that address with --node", name)
         }
+        /// There is no such team in the last version.
+        NoSuchTeam(name: String) {
+            display("there is no team {:?}; see them with: bluebellpick team list", name)
+        }
+        /// The team does not hold the key.
+        NoSuchKey(team: String, fingerprint: String) {
+            display("team {:?} holds no key with the fingerprint {:?}; see them with: bluebellpick team show {}", team, fingerprint, team)
+        }
+        /// The team holds the key already.
+        KnownKey(team: String, fingerprint: String) {
+            display("team {:?} holds the key already; its fingerprint is {}", team, fingerprint)
+        }
         /// No log line mentions the call.
         NoSuchCall(id: String, lines: usize) {
             display("none of the {} lines read is about call {:?}; calls that were answered in time leave no line", lines, id)
@@ -64,7 +76,13 @@
     #[must_use]
     pub fn exit(&self) -> Exit {
         match self {
-            Self::Settings(_) | Self::Usage(_) | Self::File(..) | Self::Patch(..) => Exit::Usage,
+            Self::Settings(_)
+            | Self::Usage(_)
+            | Self::File(..)
+            | Self::Patch(..)
+            | Self::NoSuchTeam(_)
+            | Self::NoSuchKey(..)
+            | Self::KnownKey(..) => Exit::Usage,
             Self::Platform(_)
             | Self::NoSuchVersion(..)
             | Self::Removed(..)
--- a/crates/cli/src/history.rs
+++ b/crates/cli/src/history.rs
@@ -106,7 +106,10 @@
 /// Returns the state at `version`, or at the last version if `version` is `None`.
 ///
 /// A version before the last snapshot is rebuilt from all records from the first one on.
-async fn find_state(journal: &VersionJournal, version: Option<Version>) -> Result<State, Error> {
+pub(crate) async fn find_state(
+    journal: &VersionJournal,
+    version: Option<Version>,
+) -> Result<State, Error> {
     let mut loaded = journal.load().await?;
     let last = Version(loaded.last_number());
     let version = version.unwrap_or(last);
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,6 +1,6 @@
 //! The operators' command line.
 //!
-//! Configuration verbs (`propose`, `outcome`, `show`, `log`, `diff`, `check`)
+//! Configuration verbs (`propose`, `outcome`, `show`, `log`, `diff`, `check`, `team`)
 //! access the platform, which stores the versions; fleet verbs (`status`, `burn`,
 //! `drain`) send requests to the operators' listeners of nodes; `explain` reads
 //! the logs of nodes. Every verb ends with one of the exit codes in [`Exit`].
@@ -20,6 +20,7 @@
 mod session;
 mod status_report;
 mod table;
+mod team;
 
 pub use error::Error;
 pub use exit::Exit;
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -2,6 +2,7 @@
 
 use bpaf::{OptionParser, Parser, construct, long, positional};
 use config::Version;
+use config::team::Limit;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -63,6 +64,8 @@
         /// The patch file.
         file: PathBuf,
     },
+    /// Shows or changes teams.
+    Team(Team),
     /// Reports the burn rates of error budgets.
     Burn,
     /// Explains what happened to one call, from the logs of nodes.
@@ -89,6 +92,59 @@
     pub file: PathBuf,
 }
 
+/// Flags of `team`.
+#[derive(Debug, Clone)]
+pub struct Team {
+    /// What to do.
+    pub action: TeamAction,
+    /// Author of the proposal.
+    pub author: String,
+    /// Maximum time for retries while the platform does not answer.
+    pub wait: Duration,
+}
+
+/// What to do with teams.
+#[derive(Debug, Clone)]
+pub enum TeamAction {
+    /// Lists all teams.
+    List,
+    /// Shows one team.
+    Show {
+        /// Name of the team.
+        name: String,
+    },
+    /// Sets the limit on a team's calls.
+    Limit {
+        /// Name of the team.
+        name: String,
+        /// The new limit; none if absent.
+        limit: Option<Limit>,
+    },
+    /// Adds a key, and the team with it if it is new.
+    AddKey {
+        /// Name of the team.
+        name: String,
+        /// Where the key is read from.
+        source: KeySource,
+    },
+    /// Takes a key away.
+    RevokeKey {
+        /// Name of the team.
+        name: String,
+        /// Fingerprint of the key.
+        fingerprint: String,
+    },
+}
+
+/// Where a key is read from.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum KeySource {
+    /// Standard input.
+    Input,
+    /// A file.
+    File(PathBuf),
+}
+
 /// The platform and the nodes to access: flags that override the settings file.
 #[derive(Debug, Clone)]
 pub struct Target {
@@ -127,6 +183,7 @@
         parse_diff(),
         parse_drain(),
         parse_check(),
+        parse_team(),
         parse_burn(),
         parse_explain(),
     ]);
@@ -333,6 +390,124 @@
         .help("Checks a patch file")
 }
 
+fn parse_team() -> impl Parser<Options> {
+    let action = construct!([
+        parse_team_list(),
+        parse_team_show(),
+        parse_team_limit(),
+        parse_team_key(),
+    ]);
+    action
+        .to_options()
+        .descr("Shows teams, and changes their keys and limits")
+        .header(
+            "A change is proposed against the last version. Keys are shown by fingerprints, and \
+             read from a file or from standard input.",
+        )
+        .footer(EXIT_CODES_HELP)
+        .command("team")
+        .help("Shows and changes teams")
+}
+
+fn make_team_options<A>(action: A) -> impl Parser<Options>
+where
+    A: Parser<TeamAction>,
+{
+    let author = parse_author();
+    let wait = parse_seconds(
+        "wait",
+        "Longest time of trying while the platform does not answer",
+    )
+    .fallback(Duration::from_secs(DEFAULT_WAIT_S));
+    let verb = construct!(Team {
+        author,
+        wait,
+        action
+    })
+    .map(Verb::Team);
+    make_options(verb)
+}
+
+fn parse_team_name() -> impl Parser<String> {
+    positional("TEAM").help("Name of the team")
+}
+
+fn parse_team_list() -> impl Parser<Options> {
+    make_team_options(bpaf::pure(TeamAction::List))
+        .to_options()
+        .descr("Lists teams with their limits and the fingerprints of their keys")
+        .command("list")
+        .help("Lists teams")
+}
+
+fn parse_team_show() -> impl Parser<Options> {
+    let name = parse_team_name();
+    make_team_options(construct!(TeamAction::Show { name }))
+        .to_options()
+        .descr("Shows one team")
+        .command("show")
+        .help("Shows a team")
+}
+
+fn parse_team_limit() -> impl Parser<Options> {
+    let per_minute = long("per-minute")
+        .help("Calls a minute that the team may make, through all nodes together")
+        .argument("N");
+    let burst = long("burst")
+        .help("Calls that may come at once after a pause")
+        .argument("N");
+    let limit = construct!(Limit { per_minute, burst }).optional();
+    let none = long("none")
+        .help("Takes the limit away")
+        .req_flag(())
+        .optional();
+    let name = parse_team_name();
+    let action = construct!(limit, none, name)
+        .guard(
+            |(limit, none, _)| limit.is_some() != none.is_some(),
+            "want either --per-minute and --burst, or --none",
+        )
+        .map(|(limit, _, name)| TeamAction::Limit { name, limit });
+    make_team_options(action)
+        .to_options()
+        .descr("Sets the limit on a team's calls")
+        .command("limit")
+        .help("Sets a team's limit")
+}
+
+fn parse_team_key() -> impl Parser<Options> {
+    construct!([parse_key_add(), parse_key_revoke()])
+        .to_options()
+        .descr("Adds a key of a team, or takes one away")
+        .command("key")
+        .help("Adds or revokes a key")
+}
+
+fn parse_key_add() -> impl Parser<Options> {
+    let source = long("file")
+        .help("File that holds the key; standard input unless given")
+        .argument("FILE")
+        .map(KeySource::File)
+        .fallback(KeySource::Input);
+    let name = parse_team_name();
+    make_team_options(construct!(TeamAction::AddKey { source, name }))
+        .to_options()
+        .descr("Adds a key; the first one adds the team")
+        .command("add")
+        .help("Adds a key")
+}
+
+fn parse_key_revoke() -> impl Parser<Options> {
+    let name = parse_team_name();
+    let fingerprint =
+        positional("FINGERPRINT").help("Fingerprint of the key, as `team show` has it");
+    make_team_options(construct!(TeamAction::RevokeKey { name, fingerprint }))
+        .to_options()
+        .descr("Takes a key away")
+        .command("revoke")
+        .help("Takes a key away")
+}
+
 fn parse_burn() -> impl Parser<Options> {
     make_options(bpaf::pure(Verb::Burn))
         .to_options()
--- a/crates/cli/src/propose.rs
+++ b/crates/cli/src/propose.rs
@@ -5,7 +5,7 @@
 use crate::exit::Exit;
 use crate::options::Propose;
 use crate::session::{Session, VersionJournal};
-use config::Version;
+use config::{Patch, Version};
 use rand::Rng as _;
 use serde::Serialize;
 use smol_str::SmolStr;
@@ -65,17 +65,43 @@
         ));
     }
     let proposal = Proposal {
-        id: id.clone(),
+        id,
         author: SmolStr::from(flags.author.as_str()),
         patch,
     };
+    let is_new = flags.id.is_none();
+    send_proposal(session, &proposal, flags.wait, is_new).await
+}
+
+/// Proposes a patch against version `base` as a new proposal.
+pub(crate) async fn propose_patch(
+    session: &Session,
+    base: Version,
+    patch: Patch,
+    author: &str,
+    wait: Duration,
+) -> Result<Exit, Error> {
+    let proposal = Proposal {
+        id: Id::generate(base),
+        author: author.into(),
+        patch,
+    };
+    send_proposal(session, &proposal, wait, true).await
+}
+
+async fn send_proposal(
+    session: &Session,
+    proposal: &Proposal,
+    wait: Duration,
+    is_new: bool,
+) -> Result<Exit, Error> {
     let journal = session.open_journal()?;
+    let id = &proposal.id;
     // Printed before anything is sent, so that an operator whose program is interrupted from here
     // on can still find out the outcome.
     eprintln!("proposal {id}");
-    let is_new = flags.id.is_none();
-    let outcome = propose_with_retries(&journal, &proposal, flags.wait, is_new).await;
-    let (report, exit) = describe_outcome(&id, outcome);
+    let outcome = propose_with_retries(&journal, proposal, wait, is_new).await;
+    let (report, exit) = describe_outcome(id, outcome);
     print_report(session, &report);
     Ok(exit)
 }
--- a/crates/cli/src/session.rs
+++ b/crates/cli/src/session.rs
@@ -4,7 +4,7 @@
 use crate::exit::Exit;
 use crate::fetch::{fetch, make_request};
 use crate::options::{Options, Target, Verb};
-use crate::{burn_report, check, drain, explain, history, propose, status_report};
+use crate::{burn_report, check, drain, explain, history, propose, status_report, team};
 use clock::System;
 use http::Method;
 use platform::{Client, client};
@@ -66,6 +66,7 @@
         Verb::Diff { old, new } => history::show_difference(&session, old, new).await,
         Verb::Drain { wait, vm } => drain::drain_vm(&session, &vm, wait).await,
         Verb::Check { base, file } => check::check_file(&session, &file, base).await,
+        Verb::Team(flags) => team::run(&session, &flags).await,
         Verb::Burn => burn_report::report_burn(&session).await,
         Verb::Explain { id, files } => explain::explain_call(&session, &id, &files),
     }
--- a/crates/config/src/diff.rs
+++ b/crates/config/src/diff.rs
@@ -17,6 +17,16 @@
     put_changed(&old.routes, &new.routes, |prefix, route| {
         changes.push(Change::PutRoute { prefix, route });
     });
+    put_changed(&old.teams, &new.teams, |name, team| {
+        changes.push(Change::PutTeam { name, team });
+    });
+    remove_missing(&old.teams, &new.teams, |name| {
+        changes.push(Change::RemoveTeam { name });
+    });
+    let required = new.requires_keys;
+    if required != old.requires_keys && new.teams.is_empty() {
+        changes.push(Change::RequireKeys { required });
+    }
     remove_missing(&old.routes, &new.routes, |prefix| {
         changes.push(Change::RemoveRoute { prefix });
     });
--- a/crates/config/src/error.rs
+++ b/crates/config/src/error.rs
@@ -28,6 +28,22 @@
         NoSuchRetry(name: SmolStr) {
             display("there is no retry rule {:?} to remove", name)
         }
+        /// A change removes a team that does not exist.
+        NoSuchTeam(name: SmolStr) {
+            display("there is no team {:?} to remove", name)
+        }
+        /// Two teams hold the same key, so that its calls belong to neither.
+        SharedKey(one: SmolStr, other: SmolStr) {
+            display("teams {:?} and {:?} hold the same key", one, other)
+        }
+        /// A team holds the digest of the empty key.
+        EmptyKey(team: SmolStr) {
+            display("a key of team {:?} is empty", team)
+        }
+        /// There are teams, but calls need no keys.
+        KeysNotRequired {
+            display("there are teams, so calls must need keys; remove all teams first")
+        }
         /// A route refers to a service that does not exist.
         MissingService(prefix: SmolStr, service: SmolStr) {
             display("route {:?} points at service {:?}, which isn't there", prefix, service)
--- a/crates/config/src/mesh.rs
+++ b/crates/config/src/mesh.rs
@@ -1,5 +1,6 @@
-//! A full configuration: services, routes and retry rules.
+//! A full configuration: services, routes, retry rules and teams.
 
+use crate::Team;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use std::collections::BTreeMap;
@@ -87,6 +88,9 @@
     /// Latency target: time within which an answer has its full value to the caller, in milliseconds.
     #[serde(default)]
     pub target_ms: Option<u32>,
+    /// Whether the calls need no key, also where the configuration requires keys.
+    #[serde(default)]
+    pub public: bool,
 }
 
 /// A rule for retries and hedging.
@@ -118,6 +122,13 @@
     pub routes: BTreeMap<SmolStr, Route>,
     /// Retry rules by name.
     pub retries: BTreeMap<SmolStr, Retry>,
+    /// Teams by name.
+    #[serde(default)]
+    pub teams: BTreeMap<SmolStr, Team>,
+    /// Whether calls need the key of a team, unless their route is public. Always so if there are
+    /// teams; it stays so when the last team is removed, until operators decide otherwise.
+    #[serde(default)]
+    pub requires_keys: bool,
 }
 
 /// Timeout of a call if neither its caller nor its route sets one, in milliseconds.
--- a/crates/config/src/patch.rs
+++ b/crates/config/src/patch.rs
@@ -2,7 +2,8 @@
 
 use crate::error::{Error, Violation};
 use crate::mesh::{Mesh, Retry, Route, Service};
-use crate::validate;
+use crate::{Team, validate};
+use serde::de::Error as _;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -46,6 +47,23 @@
         /// Name of the rule.
         name: SmolStr,
     },
+    /// Adds or replaces a team; calls then need keys.
+    PutTeam {
+        /// Name of the team.
+        name: SmolStr,
+        /// Configuration of the team.
+        team: Team,
+    },
+    /// Removes a team with its keys.
+    RemoveTeam {
+        /// Name of the team.
+        name: SmolStr,
+    },
+    /// Sets whether calls need keys; must stay set while there are teams.
+    RequireKeys {
+        /// Whether calls need keys.
+        required: bool,
+    },
 }
 
 /// The changes that lead from one version to the next, applied all or not at all.
@@ -89,8 +107,8 @@
             if line.is_empty() || line.starts_with('#') {
                 continue;
             }
-            let change =
-                serde_json::from_str(line).map_err(|source| Error::Syntax(number, source))?;
+            let change = serde_json::from_str(line)
+                .map_err(|source| Error::Syntax(number, redact_team(line, source)))?;
             patch.changes.push(change);
             patch.lines.push(number);
         }
@@ -139,6 +157,19 @@
     }
 }
 
+/// Replaces the error of a line about a team, since errors quote what they found, which may be a
+/// key given in place of its digest.
+fn redact_team(line: &str, error: serde_json::Error) -> serde_json::Error {
+    if !line.contains("_team") {
+        return error;
+    }
+    let column = error.column();
+    serde_json::Error::custom(format!(
+        "column {column}: expected a team with `keys` (SHA-256 digests of 64 hexadecimal digits), \
+         `class` and `limit` (`per_minute`, `burst`)"
+    ))
+}
+
 /// Checks a change by itself, without the names of services and retry rules that it refers to.
 fn check_change(change: &Change) -> Result<(), Violation> {
     match change {
@@ -155,9 +186,15 @@
             validate::check_name(name)?;
             validate::check_retry(retry)
         }
-        Change::RemoveService { .. } | Change::RemoveRoute { .. } | Change::RemoveRetry { .. } => {
-            Ok(())
+        Change::PutTeam { name, team } => {
+            validate::check_name(name)?;
+            validate::check_team(name, team)
         }
+        Change::RemoveService { .. }
+        | Change::RemoveRoute { .. }
+        | Change::RemoveRetry { .. }
+        | Change::RemoveTeam { .. }
+        | Change::RequireKeys { .. } => Ok(()),
     }
 }
 
@@ -184,6 +221,15 @@
             let removed = mesh.retries.remove(name);
             removed.ok_or_else(|| Violation::NoSuchRetry(name.clone()))?;
         }
+        Change::PutTeam { name, team } => {
+            mesh.teams.insert(name.clone(), team.clone());
+            mesh.requires_keys = true;
+        }
+        Change::RemoveTeam { name } => {
+            let removed = mesh.teams.remove(name);
+            removed.ok_or_else(|| Violation::NoSuchTeam(name.clone()))?;
+        }
+        Change::RequireKeys { required } => mesh.requires_keys = *required,
     }
     validate::check_sizes(mesh)
 }
@@ -205,6 +251,10 @@
             Violation::MissingService(at, _) | Violation::MissingRetry(at, _) | Violation::ForbiddenRepeat(at, _)
                 if at == prefix
         ),
-        Change::PutService { .. } | Change::RemoveRoute { .. } => false,
+        Change::PutTeam { name, .. } => {
+            matches!(violation, Violation::SharedKey(one, other) if one == name || other == name)
+        }
+        Change::RequireKeys { .. } => matches!(violation, Violation::KeysNotRequired),
+        Change::PutService { .. } | Change::RemoveRoute { .. } | Change::RemoveTeam { .. } => false,
     }
 }
--- a/crates/config/src/validate.rs
+++ b/crates/config/src/validate.rs
@@ -5,8 +5,9 @@
 
 use crate::error::Violation;
 use crate::mesh::{Mesh, Objective, Repeat, Retry, Route};
+use crate::team::{KeyDigest, Team};
 use smol_str::SmolStr;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Longest name, in bytes: the limit of a DNS label, as names become part of DNS names.
 pub const MAX_NAME_BYTES: usize = 63;
@@ -27,8 +28,15 @@
 /// Maximum number of services that a route can split its calls over.
 pub const MAX_TARGETS: usize = 16;
 
+/// Maximum number of teams: twice the planned 4,000.
+pub const MAX_TEAMS: usize = 8_192;
+
+/// Maximum number of keys of a team: callers change keys one after the other, with two in force
+/// meanwhile.
+pub const MAX_KEYS: usize = 64;
+
 /// Maximum number of changes in a patch: enough to replace a full configuration.
-pub const MAX_CHANGES: usize = 2 * (MAX_SERVICES + MAX_ROUTES + MAX_RETRIES);
+pub const MAX_CHANGES: usize = 2 * (MAX_SERVICES + MAX_ROUTES + MAX_RETRIES + MAX_TEAMS);
 
 /// Maximum number of attempts of one call that a retry rule can allow: attempts multiply with each
 /// layer of nested calls.
@@ -58,13 +66,40 @@
         check_prefix(prefix)?;
         check_route(mesh, prefix, route)?;
     }
+    check_teams(mesh)
+}
+
+fn check_teams(mesh: &Mesh) -> Result<(), Violation> {
+    if !mesh.teams.is_empty() && !mesh.requires_keys {
+        return Err(Violation::KeysNotRequired);
+    }
+    let mut holders: BTreeMap<&KeyDigest, &SmolStr> = BTreeMap::new();
+    for (name, team) in &mesh.teams {
+        check_name(name)?;
+        check_team(name, team)?;
+        for key in &team.keys {
+            if let Some(other) = holders.insert(key, name) {
+                return Err(Violation::SharedKey(other.clone(), name.clone()));
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Checks a team by itself.
+pub(crate) fn check_team(name: &SmolStr, team: &Team) -> Result<(), Violation> {
+    check_size("keys of a team", team.keys.len(), MAX_KEYS)?;
+    if team.keys.contains(&KeyDigest::of(b"")) {
+        return Err(Violation::EmptyKey(name.clone()));
+    }
     Ok(())
 }
 
-/// Checks the number of services, routes and retry rules against their limits.
+/// Checks the number of services, routes, retry rules and teams against their limits.
 pub(crate) fn check_sizes(mesh: &Mesh) -> Result<(), Violation> {
     check_size("services", mesh.services.len(), MAX_SERVICES)?;
     check_size("routes", mesh.routes.len(), MAX_ROUTES)?;
+    check_size("teams", mesh.teams.len(), MAX_TEAMS)?;
     check_size("retry rules", mesh.retries.len(), MAX_RETRIES)
 }
 
--- a/crates/config/src/versioned_mesh.rs
+++ b/crates/config/src/versioned_mesh.rs
@@ -1,7 +1,7 @@
 //! A configuration with its version, which only ever increases.
 
 use crate::error::Error;
-use crate::{Digest, Mesh, Patch, Version, validate};
+use crate::{Digest, Mesh, Patch, Version, team, validate};
 use std::sync::Arc;
 
 /// A full configuration with its version and digest; can't return to a lower version.
@@ -15,6 +15,7 @@
     version: Version,
     digest: Digest,
     mesh: Arc<Mesh>,
+    teams: Arc<team::Table>,
 }
 
 impl Default for VersionedMesh {
@@ -25,6 +26,7 @@
             version: Version::ZERO,
             digest: Digest::of(&mesh),
             mesh: Arc::new(mesh),
+            teams: Arc::default(),
         }
     }
 }
@@ -48,6 +50,12 @@
         &self.mesh
     }
 
+    /// Returns the teams of the configuration, to be found by key.
+    #[must_use]
+    pub fn teams(&self) -> &Arc<team::Table> {
+        &self.teams
+    }
+
     /// Applies a patch that leads from version `base` to `version`, which need not be the next number.
     ///
     /// # Errors
@@ -116,6 +124,10 @@
         assert!(version > self.version, "the version only ever increases");
         self.version = version;
         self.digest = digest;
+        // Most versions leave the teams as they are, and hold up to some thousand of them.
+        if mesh.teams != self.mesh.teams || mesh.requires_keys != self.mesh.requires_keys {
+            self.teams = Arc::new(team::Table::build(&mesh));
+        }
         self.mesh = Arc::new(mesh);
     }
 }
--- a/crates/config/src/view.rs
+++ b/crates/config/src/view.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     Class, Digest, Endpoint, Mesh, Objective, Repeat, Retry, Route, Service, State, Version,
-    VersionedMesh,
+    VersionedMesh, team,
 };
 use smol_str::SmolStr;
 use std::borrow::Cow;
@@ -56,6 +56,8 @@
     pub limit_ms: Option<u32>,
     /// Latency target: time within which an answer has its full value, in milliseconds.
     pub target_ms: Option<u32>,
+    /// Whether the calls need no key.
+    pub public: bool,
 }
 
 /// A route that is withheld until its services are available.
@@ -78,6 +80,7 @@
     services: Vec<ServiceEntry>,
     routes: Vec<RouteEntry>,
     withheld: Vec<WithheldEntry>,
+    teams: Arc<team::Table>,
     /// Routes by host and path prefix; those under the empty host apply to all hosts.
     index: HashMap<SmolStr, HashMap<SmolStr, PrefixEntry>>,
 }
@@ -107,7 +110,8 @@
         I: IntoIterator,
         I::Item: Into<Arc<Endpoint>>,
     {
-        Self::assemble(version, Digest::of(mesh), mesh, endpoints)
+        let teams = Arc::new(team::Table::build(mesh));
+        Self::assemble(version, Digest::of(mesh), mesh, teams, endpoints)
     }
 
     /// Joins a node's current configuration with endpoints, as [`View::build`] does.
@@ -124,11 +128,18 @@
             current.version(),
             current.digest(),
             current.mesh(),
+            Arc::clone(current.teams()),
             endpoints,
         )
     }
 
-    fn assemble<I>(version: Version, digest: Digest, mesh: &Mesh, endpoints: I) -> Self
+    fn assemble<I>(
+        version: Version,
+        digest: Digest,
+        mesh: &Mesh,
+        teams: Arc<team::Table>,
+        endpoints: I,
+    ) -> Self
     where
         I: IntoIterator,
         I::Item: Into<Arc<Endpoint>>,
@@ -143,6 +154,7 @@
             services: Vec::new(),
             routes: Vec::new(),
             withheld: Vec::new(),
+            teams,
             index: HashMap::new(),
         };
         view.add_services(mesh);
@@ -242,6 +254,7 @@
             timeout_ms: route.timeout_ms,
             limit_ms: route.limit_ms,
             target_ms: route.target_ms,
+            public: route.public,
         })
     }
 
@@ -323,6 +336,12 @@
         &self.withheld
     }
 
+    /// Returns the teams that may call.
+    #[must_use]
+    pub fn teams(&self) -> &Arc<team::Table> {
+        &self.teams
+    }
+
     /// Returns a service.
     #[must_use]
     pub fn service(&self, key: ServiceKey) -> &ServiceEntry {
--- a/crates/fleet/tests/refusal.rs
+++ b/crates/fleet/tests/refusal.rs
@@ -280,6 +280,7 @@
             timeout_ms: 1_000,
             limit_ms: Some(1_000),
             target_ms: Some(1_000),
+            public: false,
         };
         let prefix = format!("xalo48.example/{:08x}/", name >> 32);
         mesh.routes.insert(prefix.into(), route);
--- a/crates/node/tests/calls/hedge.rs
+++ b/crates/node/tests/calls/hedge.rs
@@ -40,6 +40,7 @@
         timeout_ms: 5_000,
         limit_ms: None,
         target_ms: None,
+        public: false,
     };
     mesh.routes.insert("/desk".into(), route);
     mesh
--- a/crates/node/tests/calls/mesh.rs
+++ b/crates/node/tests/calls/mesh.rs
@@ -44,11 +44,17 @@
 
 /// Starts a node that keeps its reservations in `store`.
 pub async fn spawn_node_with(name: &str, store: &MemoryStore) -> Node {
+    spawn_node_with_limits(name, store, "").await
+}
+
+/// Starts a node with further lines in the section `[limits]` of its settings.
+pub async fn spawn_node_with_limits(name: &str, store: &MemoryStore, limits: &str) -> Node {
     let (listener, nodes) = bind().await;
     let text = format!(
         "[node]\nname = {name}\nzone = zone-{name}\nregion = kl\n\
          [listen]\ncallers = 127.0.0.1:1\nbackend = 127.0.0.1:2\nnodes = {nodes}\noperators = 127.0.0.1:4\n\
-         [fleet]\nplatform = 127.0.0.1:5\n[operators]\ntoken = 0123456789abcdef\n"
+         [fleet]\nplatform = 127.0.0.1:5\n[operators]\ntoken = 0123456789abcdef\n\
+         [limits]\n{limits}\n"
     );
     let settings = Settings::parse(&text, "test").unwrap();
     let incarnation = u64::from(nodes.port());
@@ -162,6 +168,7 @@
             timeout_ms: 5_000,
             limit_ms: None,
             target_ms: None,
+            public: false,
         };
         mesh.routes.insert(format!("/{service}").into(), route);
         let view = View::build(Version(1), &mesh, endpoints);
