--- a/crates/cli/tests/docs.rs
+++ b/crates/cli/tests/docs.rs
@@ -36,6 +36,9 @@
     metrics.bad_requests("backend").inc();
     metrics.failures.count_failed_attempt("full");
     metrics.failures.count_gate_refusal("full");
+    metrics.access.count_denied("unauthorized");
+    metrics.access.count_admitted(&"fitters".into());
+    metrics.access.count_over_limit(&"fitters".into());
     metrics.control_sent().inc();
     let text = metrics.render(&GaugeValues::default());
     let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
@@ -69,7 +72,7 @@
         assert!(PAGE.contains(&format!("\n| `{verb}")), "{verb}");
         count += 1;
     }
-    assert_eq!(count, 10);
+    assert_eq!(count, 11);
 }
 
 /// Path of the manual page.
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -8,6 +8,7 @@
 use smol_str::SmolStr;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Instant;
 use wire::control::Frame;
 
 /// A request to the platform.
@@ -36,16 +37,18 @@
         /// Index of the lease among the leases of this node's zone.
         slot: u8,
     },
-    /// Get the number of the latest version.
-    LatestVersion {
-        /// The highest version known to this node.
-        after: Version,
-    },
     /// Get the latest version, as the steps that lead to it or as a full configuration.
     FetchLatest {
         /// The version held by this node.
         after: Version,
     },
+    /// Get the number of the latest version, and the version itself if it is not held.
+    ConfirmVersion {
+        /// The version held by this node.
+        after: Version,
+        /// Identifies the request.
+        serial: u64,
+    },
     /// Send all versions after `after`: those that exist now, and later ones as they are written.
     Watch {
         /// The version held by this node.
@@ -92,6 +95,13 @@
     Failed(PlatformRequest),
     /// The number of the latest version, sent when a watch starts and repeatedly after that.
     LatestVersion(Version),
+    /// The number of the version that was the latest at a moment after the request was made.
+    Confirmed {
+        /// Identifies the request.
+        serial: u64,
+        /// The latest version.
+        version: Version,
+    },
     /// A version, as the change from the previous version.
     Step {
         /// Number of the version.
@@ -171,6 +181,8 @@
     LocalCrashes(Vec<Crash>),
     /// Call results of roll-outs, as counted by this VM's outbound proxy for each service.
     LocalTallies(Vec<(SmolStr, Tally)>),
+    /// The VM was suspended, for a time that the monotonic clock has not counted.
+    Suspended,
     /// The time returned by [`crate::Node::next_wake`] has been reached.
     Wake,
     /// The node shuts down: links are closed gracefully.
@@ -203,6 +215,9 @@
     QueryPlatform(PlatformRequest),
     /// Use this view for calls from now on.
     InstallView(Arc<View>),
+    /// Record the moment at which the version held was the newest for certain; `None` if there is
+    /// none any more.
+    SetConfirmed(Option<Instant>),
     /// Merge crashes reported by other nodes into the quarantine.
     UpdateQuarantine(Vec<Crash>),
     /// Write crashes to the platform.
--- a/crates/fleet/src/fallback_poll.rs
+++ b/crates/fleet/src/fallback_poll.rs
@@ -84,20 +84,25 @@
         if self.next_fallback_poll().is_none_or(|due| now < due) {
             return;
         }
-        let zone = &self.settings.local.zone;
-        let nodes = self
-            .endpoint_table
-            .iter()
-            .filter(|endpoint| endpoint.zone == *zone)
-            .count();
         self.fallback_poll.polled_at = Some(now);
-        self.fallback_poll.interval = poll_interval(nodes);
-        let after = self.version();
-        self.actions
-            .push(Action::QueryPlatform(PlatformRequest::FetchLatest {
-                after,
-            }));
+        self.fallback_poll.interval = poll_interval(self.count_zone_nodes());
+        if self.renews_confirmations() {
+            self.request_from_platform(now);
+        } else {
+            let after = self.version();
+            self.actions
+                .push(Action::QueryPlatform(PlatformRequest::FetchLatest {
+                    after,
+                }));
+        }
         self.query_crashes();
         self.query_rollouts();
     }
+
+    /// Returns the number of nodes in this node's zone, as far as known.
+    pub(crate) fn count_zone_nodes(&self) -> usize {
+        let zone = &self.settings.local.zone;
+        let endpoints = self.endpoint_table.iter();
+        endpoints.filter(|endpoint| endpoint.zone == *zone).count()
+    }
 }
--- /dev/null
+++ b/crates/fleet/src/freshness.rs
@@ -0,0 +1,479 @@
+//! How old a node's knowledge of the newest version is.
+//!
+//! Two decisions depend on it. A new process serves only once it holds the version that was the
+//! newest after its start, so that its VM never goes back to an older one. And a key that operators
+//! take away must stop working within a bound on every node, also on one that is cut off from all
+//! others. Such a node can't know what it misses, but it does know at which moment its version was
+//! the newest for certain; once that is longer ago than the bound, it refuses calls with keys.
+//!
+//! A *confirmation* says that a version was the newest at a moment. The primary root of each zone
+//! gets one from the platform. Every other node requests one from its parent (roots from the
+//! primary root), which replies once it has one that is young enough and requests a younger one
+//! itself if need be. While a request is pending, further ones wait for the next, so that the
+//! number of reads of the platform depends on the number of zones and not on how many nodes start
+//! at once. A node whose parent does not reply asks the platform.
+//!
+//! No clocks are compared. A reply says how long before the *arrival* of the request the
+//! confirmation was made, and the requester counts that time back from the moment at which it
+//! *sent* the request, which is earlier. A delay on the way makes a confirmation look older than it
+//! is, never younger.
+
+use crate::event::{Action, PlatformRequest};
+use crate::fallback_poll::poll_interval;
+use crate::link::{Link, LinkKey, Role};
+use crate::node::Node;
+use config::Version;
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+use wire::control::Frame;
+
+/// Age of a confirmation at which a node renews it where calls need keys, as a share of the bound.
+/// Renewals may then fail for more than half of the bound before calls are refused.
+const RENEWAL_SHARE: f64 = 0.4;
+
+/// Longest wait for the reply of a parent, after which the platform is asked.
+const REPLY_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time for which the requests of other nodes are collected before the platform is asked.
+const COLLECT_TIME: Duration = Duration::from_millis(50);
+
+/// Time after which the first source is asked again, once one did not reply.
+const RETRIES_TIME: Duration = Duration::from_secs(5);
+
+/// Number of requests whose replies are still accepted.
+const MAX_REQUESTS: usize = 4;
+
+/// Minimum wait after a request that the platform did not answer.
+const RETRY_INTERVAL: Duration = Duration::from_secs(1);
+
+/// That a version was the newest at a moment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Confirmation {
+    version: Version,
+    at: Instant,
+}
+
+/// Order in which sources of confirmations are asked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Rank {
+    /// The parent, or for a root the primary root of its zone.
+    Upstream,
+    Platform,
+    OtherZone,
+    OwnZone,
+}
+
+/// A request of another node that has no reply yet.
+#[derive(Debug, Clone, Copy)]
+struct Waiter {
+    serial: u64,
+    arrived_at: Instant,
+    /// The requester wants a confirmation of this moment or a later one.
+    wanted_at: Instant,
+}
+
+/// A request of this node that has no reply yet.
+#[derive(Debug, Clone, Copy)]
+struct Request {
+    sent_at: Instant,
+    /// Link to the node that is asked; `None` for the platform.
+    link: Option<LinkKey>,
+}
+
+/// What a node knows about the age of its configuration, and who wants to know it.
+#[derive(Debug)]
+pub(crate) struct Freshness {
+    /// Bound on the age where calls need keys, if there is one.
+    max_age: Option<Duration>,
+    /// Start of this process, or the end of the VM's latest suspension.
+    started_at: Instant,
+    /// Version by which this node serves calls.
+    installed: Version,
+    latest: Option<Confirmation>,
+    /// Moment at which the installed version was the newest.
+    confirmed_at: Option<Instant>,
+    /// Whether this process waits for a confirmation of a moment after its start.
+    is_starting: bool,
+    waiters: BTreeMap<LinkKey, Waiter>,
+    /// The latest requests of this node by number; also late replies are of use.
+    requests: BTreeMap<u64, Request>,
+    /// Whether the latest request is still waited for.
+    is_pending: bool,
+    /// Number of the latest request of this node.
+    serial: u64,
+    /// When to send the next request, once one is needed.
+    request_at: Option<Instant>,
+    /// Number of sources that have not replied since the first one was asked last.
+    retries: usize,
+    /// When to ask the first source again.
+    retries_until: Instant,
+    not_before: Instant,
+}
+
+impl Freshness {
+    pub(crate) fn new(max_age: Option<Duration>, now: Instant) -> Self {
+        Self {
+            max_age,
+            started_at: now,
+            installed: Version::ZERO,
+            latest: None,
+            confirmed_at: None,
+            is_starting: false,
+            waiters: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            is_pending: false,
+            serial: 0,
+            request_at: None,
+            retries: 0,
+            retries_until: now,
+            not_before: now,
+        }
+    }
+
+    /// Records that the node serves calls by `version` from now on.
+    pub(crate) fn set_installed(&mut self, version: Version) {
+        self.installed = version;
+    }
+
+    /// Makes the process wait for a confirmation of a moment after its start.
+    pub(crate) fn request_since_start(&mut self) {
+        self.is_starting = true;
+    }
+
+    /// Returns the version that was the newest at some moment after the start of this process.
+    fn version_since_start(&self) -> Option<Version> {
+        let latest = self.latest.filter(|latest| latest.at >= self.started_at);
+        latest.map(|latest| latest.version)
+    }
+
+    /// Returns when the request that is waited for was sent.
+    fn pending_since(&self) -> Option<Instant> {
+        let request = self.requests.get(&self.serial);
+        request
+            .filter(|_| self.is_pending)
+            .map(|request| request.sent_at)
+    }
+
+    /// Updates the moment at which the installed version was the newest; returns whether it has
+    /// changed.
+    fn update_confirmed(&mut self) -> bool {
+        let latest = self.latest;
+        let latest = latest.filter(|latest| latest.version <= self.installed);
+        let at = latest.map(|latest| latest.at);
+        let is_later = at > self.confirmed_at;
+        if is_later {
+            self.confirmed_at = at;
+        }
+        is_later
+    }
+
+    fn is_later_than_known(&self, moment: Instant) -> bool {
+        self.latest.is_none_or(|latest| latest.at < moment)
+    }
+
+    /// Returns whether a confirmation is missing; `renewal` is the age at which one is renewed.
+    fn is_request_needed(&self, now: Instant, renewal: Option<Duration>) -> bool {
+        let needs_renewal = renewal.is_some_and(|renewal| {
+            self.latest
+                .is_none_or(|latest| now.saturating_duration_since(latest.at) >= renewal)
+        });
+        let mut waiters = self.waiters.values();
+        needs_renewal
+            || (self.is_starting && self.version_since_start().is_none())
+            || waiters.any(|waiter| self.is_later_than_known(waiter.wanted_at))
+    }
+}
+
+impl Node {
+    /// Returns the age at which a confirmation is renewed, where calls need keys.
+    fn renewal_age(&self) -> Option<Duration> {
+        let max_age = self.freshness.max_age?;
+        let needs_keys = self.replica.held().mesh().requires_keys;
+        (needs_keys && !self.is_leaving).then(|| max_age.mul_f64(RENEWAL_SHARE))
+    }
+
+    /// Returns whether confirmations are renewed all the time.
+    pub(crate) fn renews_confirmations(&self) -> bool {
+        self.renewal_age().is_some()
+    }
+
+    /// Returns when [`Node::step_freshness`] is due.
+    pub(crate) fn next_freshness_step(&self, now: Instant) -> Option<Instant> {
+        let freshness = &self.freshness;
+        if let Some(sent_at) = freshness.pending_since() {
+            return Some(sent_at + REPLY_TIMEOUT);
+        }
+        let renewal = self.renewal_age();
+        let due_at = if freshness.is_request_needed(now, renewal) {
+            Some(freshness.request_at.unwrap_or(now))
+        } else {
+            let latest = freshness.latest;
+            renewal.and_then(|renewal| latest.map(|latest| latest.at + renewal))
+        };
+        due_at.map(|due_at| due_at.max(freshness.not_before))
+    }
+
+    /// Requests a confirmation if one is needed.
+    pub(crate) fn step_freshness(&mut self, now: Instant) {
+        if self.freshness.update_confirmed() {
+            self.report_confirmation();
+        }
+        if let Some(sent_at) = self.freshness.pending_since() {
+            if now < sent_at + REPLY_TIMEOUT {
+                return;
+            }
+            self.freshness.is_pending = false;
+            self.switch_source(now);
+        }
+        let renewal = self.renewal_age();
+        if now < self.freshness.not_before || !self.freshness.is_request_needed(now, renewal) {
+            self.freshness.request_at = None;
+            return;
+        }
+        let source = self.confirming_source(now);
+        let wait = if source.is_none() && !self.freshness.waiters.is_empty() {
+            COLLECT_TIME
+        } else {
+            Duration::ZERO
+        };
+        let request_at = *self.freshness.request_at.get_or_insert(now + wait);
+        if now < request_at {
+            return;
+        }
+        match source {
+            Some(link) => self.request_from_neighbour(now, link),
+            None => self.request_from_platform(now),
+        }
+    }
+
+    /// Returns the source to ask: the link to a node, or `None` for the platform.
+    fn confirming_source(&self, now: Instant) -> Option<LinkKey> {
+        let sources = self.list_sources();
+        let is_retry = now < self.freshness.retries_until;
+        let index = if is_retry { self.freshness.retries } else { 0 };
+        sources[index % sources.len()]
+    }
+
+    /// Lists the sources of confirmations in the order in which they are asked.
+    ///
+    /// Nodes that wait for a reply of this node are left out, as they would wait in a circle.
+    fn list_sources(&self) -> Vec<Option<LinkKey>> {
+        let zone = &self.settings.local.zone;
+        let primary = self.lease.primary_of(zone);
+        let is_primary = self.lease.is_primary();
+        let rank = |link: &Link| match (link.role, &link.peer) {
+            (Role::Parent, _) => Some(Rank::Upstream),
+            (Role::RootPeer, Some(peer)) if peer.zone != *zone => Some(Rank::OtherZone),
+            (Role::RootPeer, Some(peer)) if !is_primary && Some(&peer.node) == primary.as_ref() => {
+                Some(Rank::Upstream)
+            }
+            (Role::RootPeer, Some(_)) => Some(Rank::OwnZone),
+            _ => None,
+        };
+        let links = self.links.iter();
+        let links = links.filter(|(key, _)| !self.freshness.waiters.contains_key(key));
+        let mut ranked: Vec<_> = links
+            .filter_map(|(key, link)| Some((rank(link)?, Some(*key))))
+            .collect();
+        ranked.push((Rank::Platform, None));
+        ranked.sort_by_key(|(rank, _)| *rank);
+        ranked.into_iter().map(|(_, source)| source).collect()
+    }
+
+    /// Goes on to the next source, because one did not reply.
+    fn switch_source(&mut self, now: Instant) {
+        let is_retry = now < self.freshness.retries_until;
+        self.freshness.retries = if is_retry {
+            self.freshness.retries + 1
+        } else {
+            1
+        };
+        self.freshness.retries_until = now + RETRIES_TIME;
+    }
+
+    fn begin_request(&mut self, now: Instant, link: Option<LinkKey>) -> u64 {
+        self.freshness.serial += 1;
+        self.freshness.request_at = None;
+        self.freshness.is_pending = true;
+        let serial = self.freshness.serial;
+        let requests = &mut self.freshness.requests;
+        requests.insert(serial, Request { sent_at: now, link });
+        if requests.len() > MAX_REQUESTS {
+            requests.pop_first();
+        }
+        serial
+    }
+
+    fn request_from_neighbour(&mut self, now: Instant, link: LinkKey) {
+        let freshness = &self.freshness;
+        let wanted = freshness.waiters.values().map(|waiter| waiter.wanted_at);
+        let since_start = freshness.is_starting.then_some(freshness.started_at);
+        let oldest_wanted = wanted.chain(since_start).max();
+        let renewal = self.renewal_age().map(|renewal| renewal / 2);
+        let max_age = oldest_wanted.map(|at| now.saturating_duration_since(at));
+        let max_age = max_age.into_iter().chain(renewal).min();
+        let max_age = max_age.unwrap_or_default().as_millis();
+        let serial = self.begin_request(now, Some(link));
+        let frame = Frame::RequestConfirmation {
+            serial,
+            max_age_ms: u32::try_from(max_age).unwrap_or(u32::MAX),
+        };
+        self.send(link, frame);
+    }
+
+    /// Requests that the platform confirm the newest version, and send it if it isn't held.
+    pub(crate) fn request_from_platform(&mut self, now: Instant) {
+        let serial = self.begin_request(now, None);
+        let after = self.version();
+        let request = PlatformRequest::ConfirmVersion { after, serial };
+        self.actions.push(Action::QueryPlatform(request));
+    }
+
+    /// Handles the platform's answer to request `serial`: the newest version is `version`.
+    pub(crate) fn on_version_confirmed(&mut self, serial: u64, version: Version) {
+        let Some(request) = self.take_request(serial, None) else {
+            return;
+        };
+        let at = request.sent_at;
+        self.record_confirmation(Confirmation { version, at });
+    }
+
+    /// Handles that the platform did not answer request `serial`.
+    pub(crate) fn on_confirmation_failed(&mut self, now: Instant, serial: u64) {
+        let is_latest = serial == self.freshness.serial;
+        if self.take_request(serial, None).is_none() || !is_latest {
+            return;
+        }
+        self.freshness.is_starting = false;
+        self.readiness_gate.record_platform_failure(now);
+        self.switch_source(now);
+        if self.freshness.retries >= self.list_sources().len() {
+            let interval = RETRY_INTERVAL.max(poll_interval(self.count_zone_nodes()));
+            self.freshness.not_before = now + interval / 2 + self.jitter(interval);
+            for (link, waiter) in std::mem::take(&mut self.freshness.waiters) {
+                let serial = waiter.serial;
+                self.send(link, Frame::Unconfirmed { serial });
+            }
+        }
+    }
+
+    /// Handles a request of a neighbour for a confirmation that was at most `max_age_ms` old when
+    /// the request arrived.
+    pub(crate) fn on_request_confirmation(
+        &mut self,
+        now: Instant,
+        link: LinkKey,
+        serial: u64,
+        max_age_ms: u32,
+    ) {
+        let max_age = Duration::from_millis(max_age_ms.into());
+        let waiter = Waiter {
+            serial,
+            arrived_at: now,
+            wanted_at: now.checked_sub(max_age).unwrap_or(now),
+        };
+        self.freshness.waiters.insert(link, waiter);
+        self.reply_to_waiters();
+    }
+
+    /// Handles a neighbour's reply to request `serial`: `version` was the newest `age_ms` before
+    /// the request arrived.
+    pub(crate) fn on_confirmed(
+        &mut self,
+        link: LinkKey,
+        serial: u64,
+        version: Version,
+        age_ms: u32,
+    ) {
+        let Some(request) = self.take_request(serial, Some(link)) else {
+            return;
+        };
+        let age = Duration::from_millis(age_ms.into());
+        if let Some(at) = request.sent_at.checked_sub(age) {
+            self.record_confirmation(Confirmation { version, at });
+        }
+    }
+
+    /// Handles that a neighbour can't reach the platform.
+    pub(crate) fn on_unconfirmed(&mut self, now: Instant, link: LinkKey, serial: u64) {
+        let is_latest = serial == self.freshness.serial;
+        if self.take_request(serial, Some(link)).is_some() && is_latest {
+            self.switch_source(now);
+        }
+    }
+
+    /// Takes request `serial` if it was sent to the node at `link`, or to the platform.
+    fn take_request(&mut self, serial: u64, link: Option<LinkKey>) -> Option<Request> {
+        let freshness = &mut self.freshness;
+        let request = *freshness.requests.get(&serial)?;
+        if request.link != link {
+            return None;
+        }
+        freshness.is_pending &= serial != freshness.serial;
+        freshness.requests.remove(&serial)
+    }
+
+    fn record_confirmation(&mut self, new: Confirmation) {
+        if !self.freshness.is_later_than_known(new.at) {
+            return;
+        }
+        self.freshness.latest = Some(new);
+        if let Some(version) = self.freshness.version_since_start() {
+            self.freshness.is_starting = false;
+            self.readiness_gate.record_platform_version(version);
+        }
+        if self.freshness.update_confirmed() {
+            self.report_confirmation();
+        }
+        self.reply_to_waiters();
+    }
+
+    fn reply_to_waiters(&mut self) {
+        let Some(latest) = self.freshness.latest else {
+            return;
+        };
+        let waiters = self.freshness.waiters.iter();
+        let served = waiters.filter(|(_, waiter)| waiter.wanted_at <= latest.at);
+        let served: Vec<_> = served.map(|(link, waiter)| (*link, *waiter)).collect();
+        for (link, waiter) in served {
+            self.freshness.waiters.remove(&link);
+            let age = waiter.arrived_at.saturating_duration_since(latest.at);
+            // Rounded up, so that the confirmation does not become younger on the way.
+            let age_ms = age.as_micros().div_ceil(1_000);
+            let frame = Frame::Confirmed {
+                serial: waiter.serial,
+                version: latest.version,
+                age_ms: u32::try_from(age_ms).unwrap_or(u32::MAX),
+            };
+            self.send(link, frame);
+        }
+    }
+
+    /// Forgets the requests over a link that is closed.
+    pub(crate) fn drop_confirmations(&mut self, link: LinkKey) {
+        self.freshness.waiters.remove(&link);
+        let freshness = &mut self.freshness;
+        freshness
+            .requests
+            .retain(|_, request| request.link != Some(link));
+        freshness.is_pending &= freshness.requests.contains_key(&freshness.serial);
+    }
+
+    fn report_confirmation(&mut self) {
+        let confirmed_at = self.freshness.confirmed_at;
+        self.actions.push(Action::SetConfirmed(confirmed_at));
+    }
+
+    /// Drops all confirmations after the VM was suspended.
+    ///
+    /// The monotonic clock does not count that time, so each confirmation is older than it seems.
+    /// Neighbours whose requests wait will ask again.
+    pub(crate) fn on_suspended(&mut self, now: Instant) {
+        self.freshness = Freshness {
+            serial: self.freshness.serial + 1,
+            installed: self.freshness.installed,
+            ..Freshness::new(self.freshness.max_age, now)
+        };
+        self.report_confirmation();
+    }
+}
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -13,6 +13,9 @@
 /// Number of roots of a zone, of which two may be lost at once. 15 zones have 45 roots.
 pub const ROOTS_PER_ZONE: u8 = 3;
 
+/// Slot of the root that reads the platform most often.
+const PRIMARY_SLOT: u8 = 0;
+
 /// Time after which a lease expires unless it is renewed.
 pub const LEASE_DURATION: Duration = Duration::from_secs(10);
 
@@ -86,6 +89,23 @@
         matches!(self.state, State::Held { .. } | State::Acting)
     }
 
+    /// Returns whether this node is the root of its zone that reads the platform most often, or a
+    /// root without a lease.
+    #[must_use]
+    pub fn is_primary(&self) -> bool {
+        self.is_root() && self.slot().is_none_or(|slot| slot == PRIMARY_SLOT)
+    }
+
+    /// Returns the name of the node that holds the primary root's lease of a zone, as last read.
+    #[must_use]
+    pub fn primary_of(&self, zone: &str) -> Option<SmolStr> {
+        let mut leases = self.leases.iter();
+        let found = leases.find(|lease| {
+            lease.is_live && lease.slot == PRIMARY_SLOT && lease.holder.zone == *zone
+        });
+        found.map(|lease| lease.holder.node.clone())
+    }
+
     /// Returns whether this node is a root without a lease.
     #[must_use]
     pub fn is_acting(&self) -> bool {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,7 +11,8 @@
 //! once its readiness gate ([`bootstrap`]) is open, and reports the aggregated [`status`] of its
 //! subtree to its parent. [`endpoints`] are exchanged in both directions over the same links, as are
 //! records of requests that crash backend servers and the progress of roll-outs. The [`departure`]
-//! guard decides when a silent node counts as gone.
+//! guard decides when a silent node counts as gone. Where calls need keys, each node knows how old
+//! its configuration may be.
 //!
 //! ```
 //! use fleet::{Action, Event, Node, PlatformRequest, Settings};
@@ -27,6 +28,7 @@
 //!     seeds: Vec::new(),
 //!     follows_rollouts: false,
 //!     sends_full: false,
+//!     max_config_age: None,
 //! };
 //! let start = Instant::now();
 //! let mut node = Node::new(settings, 42, start);
@@ -48,6 +50,7 @@
 mod crashes;
 mod event;
 mod fallback_poll;
+mod freshness;
 mod heartbeat;
 mod initial_reads;
 mod node;
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -6,6 +6,7 @@
 use crate::endpoints::EndpointTable;
 use crate::event::{Action, Event, PlatformRequest, PlatformResponse};
 use crate::fallback_poll::FallbackPoll;
+use crate::freshness::Freshness;
 use crate::initial_reads::InitialReads;
 use crate::leaky_bucket::LeakyBucket;
 use crate::lease::LeaseClient;
@@ -45,6 +46,8 @@
     pub follows_rollouts: bool,
     /// Whether every version is sent as a full configuration, as a baseline to measure patches against.
     pub sends_full: bool,
+    /// How old the configuration may be where calls need keys; `None` for no bound.
+    pub max_config_age: Option<Duration>,
 }
 
 /// Events counted since the process started.
@@ -79,6 +82,7 @@
     pub(crate) join_limiter: LeakyBucket,
     pub(crate) search: search::ParentSearch,
     pub(crate) fallback_poll: FallbackPoll,
+    pub(crate) freshness: Freshness,
     pub(crate) outage: OutageState,
     pub(crate) sync: sync::SyncState,
     pub(crate) crashes: CrashState,
@@ -108,6 +112,7 @@
         let heartbeat_at = now + HEARTBEAT_INTERVAL.mul_f64(rng.random::<f64>());
         let reannounce_at = now + crate::endpoints::REFRESH_INTERVAL.mul_f64(rng.random::<f64>());
         let search = search::ParentSearch::new(now, &mut rng);
+        let freshness = Freshness::new(settings.max_config_age, now);
         Self {
             settings,
             rng,
@@ -122,6 +127,7 @@
             join_limiter: LeakyBucket::new(children::JOIN_BURST),
             search,
             fallback_poll: FallbackPoll::new(now),
+            freshness,
             outage: OutageState::default(),
             sync: sync::SyncState::default(),
             crashes: CrashState::default(),
@@ -159,6 +165,7 @@
             Event::BackendAnnounced(backend) => self.announce(now, &backend),
             Event::LocalCrashes(list) => self.on_crashes(now, Origin::Local, &list),
             Event::LocalTallies(tallies) => self.on_local_tallies(tallies),
+            Event::Suspended => self.on_suspended(now),
             Event::Leave => self.leave(now),
             Event::Wake => {}
         }
@@ -180,6 +187,7 @@
             self.departure_guard.deadline(now),
             self.readiness_gate.deadline(),
             self.next_fallback_poll(),
+            self.next_freshness_step(now),
             self.outage.deadline(),
             self.crashes.deadline(),
             self.rollouts.deadline(),
@@ -269,6 +277,7 @@
             self.reannounce(now);
         }
         self.step_sync(now);
+        self.step_freshness(now);
         self.step_crashes(now);
         self.step_rollouts(now);
     }
@@ -318,6 +327,15 @@
                 self.on_rollouts(now, rollouts::Origin::Link(key), &list);
             }
             Frame::Tallies(tallies) => self.on_neighbour_tallies(key, tallies),
+            Frame::RequestConfirmation { serial, max_age_ms } => {
+                self.on_request_confirmation(now, key, serial, max_age_ms);
+            }
+            Frame::Confirmed {
+                serial,
+                version,
+                age_ms,
+            } => self.on_confirmed(key, serial, version, age_ms),
+            Frame::Unconfirmed { serial } => self.on_unconfirmed(now, key, serial),
             Frame::Leave { parents } => {
                 self.add_hints(now, parents);
                 self.drop_link(now, key, true);
@@ -341,6 +359,9 @@
             PlatformResponse::LeaseLost { slot } => self.on_lease_lost(now, slot),
             PlatformResponse::Failed(request) => self.on_request_failed(now, request),
             PlatformResponse::LatestVersion(version) => self.on_latest_version(now, version),
+            PlatformResponse::Confirmed { serial, version } => {
+                self.on_version_confirmed(serial, version);
+            }
             PlatformResponse::Step {
                 version,
                 patch,
@@ -386,6 +407,7 @@
 
     pub(crate) fn close(&mut self, link: LinkKey) -> Option<Link> {
         let closed = self.links.remove(&link)?;
+        self.drop_confirmations(link);
         self.actions.push(Action::Close { link });
         Some(closed)
     }
--- a/crates/fleet/src/root_duties.rs
+++ b/crates/fleet/src/root_duties.rs
@@ -147,7 +147,7 @@
     }
 
     fn watch(&mut self, after: Version) {
-        let is_primary = self.lease.slot().is_none_or(|slot| slot == 0);
+        let is_primary = self.lease.is_primary();
         self.actions
             .push(Action::QueryPlatform(PlatformRequest::Watch {
                 after,
@@ -190,8 +190,8 @@
                 let wait = self.jitter(SEARCH_DELAY_JITTER);
                 self.search.retry_at(now + wait);
             }
-            PlatformRequest::LatestVersion { .. } => {
-                self.readiness_gate.record_platform_failure(now);
+            PlatformRequest::ConfirmVersion { serial, .. } => {
+                self.on_confirmation_failed(now, serial);
             }
             // These requests are retried later, and their failure is harmless until then.
             PlatformRequest::RenewLease { .. }
--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -6,7 +6,7 @@
 //! neighbours except the neighbour that they came from.
 
 use crate::endpoints::MergeOutcome;
-use crate::event::{Action, Backend, PlatformRequest};
+use crate::event::{Action, Backend};
 use crate::link::{Link, LinkKey, Role};
 use crate::node::Node;
 use crate::replica::{ApplyOutcome, Step};
@@ -388,10 +388,7 @@
         let was_open = self.readiness_gate.is_open();
         let held = self.version();
         if self.readiness_gate.begin_platform_query(held, now) {
-            self.actions
-                .push(Action::QueryPlatform(PlatformRequest::LatestVersion {
-                    after: held,
-                }));
+            self.freshness.request_since_start();
         }
         if self.readiness_gate.begin_peer_query(now) {
             self.query_version_source(now);
@@ -414,6 +411,7 @@
             self.sync.view_at = None;
             let view = View::join(self.replica.held(), self.endpoint_table.iter().cloned());
             self.counters.built_views += 1;
+            self.freshness.set_installed(view.version());
             self.actions.push(Action::InstallView(Arc::new(view)));
         } else if is_due(self.sync.view_at) {
             self.sync.view_at = Some(now + VIEW_DELAY);
--- a/crates/fleet/tests/joining.rs
+++ b/crates/fleet/tests/joining.rs
@@ -214,6 +214,7 @@
         seeds: vec![address(2)],
         follows_rollouts: false,
         sends_full: false,
+        max_config_age: None,
     };
     let mut node = Node::new(settings, 1, now);
     node.handle(now + Duration::from_secs(1), Event::Wake);
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -26,6 +26,9 @@
 pub const MS: Duration = Duration::from_millis(1);
 pub const S: Duration = Duration::from_secs(1);
 
+/// How old the configuration may be where calls need keys.
+pub const MAX_CONFIG_AGE: Duration = Duration::from_secs(5);
+
 /// An input to the process of a VM.
 #[derive(Debug)]
 enum Input {
@@ -76,6 +79,8 @@
     pub node: Option<Node>,
     pub incarnation: u64,
     pub view: Option<Arc<View>>,
+    /// When the version of `view` was the newest, as far as the process knows.
+    pub confirmed_at: Option<Instant>,
     /// Highest version that the VM ever had in force, across all its processes.
     pub served: Version,
     /// When each version came into force on the VM.
@@ -118,6 +123,8 @@
     pub network_faults: NetworkFaults,
     /// Pairs of zones that can't reach each other.
     pub partitions: BTreeSet<(String, String)>,
+    /// When each version was published, the first version first.
+    pub published_at: Vec<Duration>,
     pub sent_bytes: u64,
     /// Bytes of frames with crashes.
     pub crash_report_bytes: u64,
@@ -195,6 +202,7 @@
             now: Duration::ZERO,
             network_faults: NetworkFaults::default(),
             partitions: BTreeSet::new(),
+            published_at: Vec::new(),
             sent_bytes: 0,
             crash_report_bytes: 0,
             rollout_bytes: 0,
@@ -222,6 +230,7 @@
                 node: None,
                 incarnation: 0,
                 view: None,
+                confirmed_at: None,
                 served: Version::ZERO,
                 installed: BTreeMap::new(),
                 frozen_inputs: None,
@@ -265,9 +274,11 @@
             seeds,
             follows_rollouts: true,
             sends_full: false,
+            max_config_age: Some(MAX_CONFIG_AGE),
         };
         vm_state.node = Some(Node::new(settings, seed, now));
         vm_state.view = None;
+        vm_state.confirmed_at = None;
         vm_state.frozen_inputs = None;
         vm_state.crash_history = CrashHistory::default();
         vm_state.rollouts.clear();
@@ -391,6 +402,7 @@
                 timeout_ms: 1_000,
                 limit_ms: None,
                 target_ms: None,
+                public: false,
             },
         };
         let name = format!("s{}", number % 5);
@@ -405,6 +417,7 @@
     /// Publishes a patch and sends it to the watchers.
     pub fn publish(&mut self, patch: Patch) -> Version {
         let version = self.platform.publish(patch);
+        self.published_at.push(self.now);
         self.notify_watchers();
         version
     }
@@ -476,6 +489,32 @@
             .all(|node| !node.path().is_empty())
     }
 
+    /// Returns how long ago a VM's version was the newest, as far as its process knows.
+    pub fn config_age(&self, vm: usize) -> Option<Duration> {
+        let at = self.vms[vm].confirmed_at?;
+        Some(self.instant().saturating_duration_since(at))
+    }
+
+    /// Checks that no process takes its version for newer than it is: each version that was
+    /// published before the moment of its confirmation must be in force.
+    pub fn check_confirmations(&self) {
+        for vm in self.vms.iter().filter(|vm| vm.node.is_some()) {
+            let (Some(at), Some(view)) = (vm.confirmed_at, &vm.view) else {
+                continue;
+            };
+            let published = self.published_at.iter();
+            let known = published.take_while(|published| self.start + **published <= at);
+            let newest = Version(known.count() as u64);
+            assert!(
+                view.version() >= newest,
+                "{} serves by {} and takes it for the newest at {:?}, when {newest} was",
+                vm.peer.node,
+                view.version(),
+                at.saturating_duration_since(self.start),
+            );
+        }
+    }
+
     /// Returns the number of endpoints in a VM's view that take new work.
     pub fn serving_count(&self, vm: usize) -> usize {
         let view = self.vms[vm].view.as_ref();
@@ -678,6 +717,7 @@
                 }
                 Action::QueryPlatform(request) => self.query_platform(vm, request),
                 Action::InstallView(view) => self.install_view(vm, view),
+                Action::SetConfirmed(at) => self.vms[vm].confirmed_at = at,
                 Action::UpdateQuarantine(list) => self.record_crashes(vm, &list),
                 Action::WriteCrashes { slot, list } => self.write_crashes(vm, slot, list),
                 Action::ApplyRollouts(list) => self.apply_rollouts(vm, list),
--- a/crates/fleet/tests/world/platform.rs
+++ b/crates/fleet/tests/world/platform.rs
@@ -235,7 +235,6 @@
                     .copied();
                 self.acquire_lease(peer, slot, seen.filter(|_| is_forced), now)
             }
-            PlatformRequest::LatestVersion { .. } => PlatformResponse::LatestVersion(self.head()),
             PlatformRequest::RenewLease { slot } => self.renew_lease(peer, slot, now),
             PlatformRequest::ReleaseLease { slot } => {
                 let key = (peer.zone.to_string(), slot);
@@ -265,6 +264,15 @@
                 let steps = self.steps_after(after);
                 return steps.into_iter().map(|step| (3 * MS, step)).collect();
             }
+            PlatformRequest::ConfirmVersion { after, serial } => {
+                let mut responses = self.steps_after(after);
+                responses.push(PlatformResponse::Confirmed {
+                    serial,
+                    version: self.head(),
+                });
+                let responses = responses.into_iter();
+                return responses.map(|response| (3 * MS, response)).collect();
+            }
             PlatformRequest::Unwatch => {
                 self.unwatch(vm);
                 return Vec::new();
--- a/crates/node/src/control/platform_worker.rs
+++ b/crates/node/src/control/platform_worker.rs
@@ -150,8 +150,10 @@
                 self.acquire_lease(slot, is_forced).await
             }
             PlatformRequest::RenewLease { slot } => self.renew_lease(slot).await,
-            PlatformRequest::LatestVersion { after } => self.read_latest_version(after).await,
             PlatformRequest::FetchLatest { after } => self.fetch_latest(after).await,
+            PlatformRequest::ConfirmVersion { after, serial } => {
+                self.confirm_version(after, serial).await
+            }
             PlatformRequest::ReleaseLease { slot } => {
                 if let Some(mut lease) = self.leases.remove(&slot) {
                     // A lease that can't be released expires by itself.
@@ -220,6 +222,33 @@
         Ok(last)
     }
 
+    /// Reads which version is the latest. If it is above `after`, it is sent to the state machine
+    /// before the confirmation.
+    async fn confirm_version(
+        &self,
+        after: config::Version,
+        serial: u64,
+    ) -> Result<PlatformResponse, Error> {
+        let mut version = match self.read_latest_version(after).await? {
+            PlatformResponse::LatestVersion(version) => version,
+            PlatformResponse::Full { version, mesh } => {
+                self.send_response(PlatformResponse::Full { version, mesh })
+                    .await;
+                version
+            }
+            // The latest version can't be read, so this node can't know what it takes away.
+            other => return Ok(other),
+        };
+        if version > after && !self.shared.uses_platform_interface() {
+            let journal = Journal::open(self.store.clone(), self.shared.clock.clone(), JOURNAL);
+            for response in read_journal_after(&journal, after).await? {
+                version = version.max(version_of(&response).unwrap_or_default());
+                self.send_response(response).await;
+            }
+        }
+        Ok(PlatformResponse::Confirmed { serial, version })
+    }
+
     /// Parses and returns a full configuration. If it is valid, its version is sent to the state
     /// machine first.
     async fn parse_configuration(&self, version: config::Version, text: &str) -> PlatformResponse {
@@ -451,6 +480,16 @@
     }
 }
 
+/// Returns the version that a response of the platform announces or contains.
+fn version_of(response: &PlatformResponse) -> Option<config::Version> {
+    match response {
+        PlatformResponse::LatestVersion(version)
+        | PlatformResponse::Step { version, .. }
+        | PlatformResponse::Full { version, .. } => Some(*version),
+        _ => None,
+    }
+}
+
 fn report_invalid_version(version: config::Version, error: &platform::Error) -> PlatformResponse {
     warn!(target: LOG_TARGET, version = version.0, error:%; "version_unreadable");
     PlatformResponse::InvalidVersion {
--- a/crates/node/src/control/tree.rs
+++ b/crates/node/src/control/tree.rs
@@ -2,6 +2,7 @@
 
 use crate::control::link::{self, Sender};
 use crate::control::platform_worker::{self, Command};
+use crate::freshness::SuspensionDetector;
 use crate::shared::Shared;
 use clock::Clock;
 use config::rollout::{Counts, Tally};
@@ -123,6 +124,7 @@
     commands: mpsc::UnboundedSender<Command>,
     inbox: mpsc::Sender<Input>,
     status_updated_at: Instant,
+    suspension: SuspensionDetector,
     closing_writers: Vec<tokio::task::JoinHandle<()>>,
 }
 
@@ -151,8 +153,10 @@
             seeds: node_settings.seeds.clone(),
             follows_rollouts: node_settings.canary_share.is_some(),
             sends_full: node_settings.distribution == Distribution::Full,
+            max_config_age: node_settings.revoke,
         };
         let node = Node::new(settings, rand::random(), now);
+        let suspension = SuspensionDetector::new(&shared.clock);
         Self {
             shared,
             node,
@@ -160,6 +164,7 @@
             commands,
             inbox,
             status_updated_at: now,
+            suspension,
             closing_writers: Vec::new(),
         }
     }
@@ -207,7 +212,15 @@
             _ => None,
         };
         drop(closed.map(Sender::close));
+        if self.suspension.was_suspended(&self.shared.clock) {
+            let actions = self.node.handle(now, Event::Suspended);
+            self.perform_all(actions);
+        }
         let actions = self.node.handle(now, event);
+        self.perform_all(actions);
+    }
+
+    fn perform_all(&mut self, actions: Vec<Action>) {
         for action in actions {
             self.perform(action);
         }
@@ -254,6 +267,7 @@
                 tally,
             } => log_stopped_rollout(&rollout, reason, &tally),
             Action::InstallView(view) => self.install_view(view),
+            Action::SetConfirmed(at) => self.shared.freshness.set(&self.shared.clock, at),
         }
     }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod backend;
 mod forwarded_body;
+pub mod freshness;
 mod header;
 mod millis;
 
@@ -26,3 +27,4 @@
 pub mod rollout;
 pub mod shared;
 pub mod stop;
+pub mod team_limits;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -4,12 +4,14 @@
 //! only atomics and one short lock to record it. Label values come only from the configuration;
 //! services beyond [`MAX_SERVICE_LABELS`] share one label.
 
+pub(crate) mod access;
 pub(crate) mod control;
 pub(crate) mod failures;
 pub(crate) mod quarantine;
 pub(crate) mod reserve;
 pub(crate) mod service;
 
+pub use crate::metrics::access::AccessMetrics;
 pub use crate::metrics::control::ControlMetrics;
 pub use crate::metrics::failures::FailureMetrics;
 pub use crate::metrics::quarantine::QuarantineMetrics;
@@ -124,6 +126,8 @@
     pub control: ControlMetrics,
     /// Metrics of reservations of idempotency keys.
     pub reserve: ReserveMetrics,
+    /// Counters of calls with keys.
+    pub access: AccessMetrics,
     /// Metrics of requests that crash backend servers.
     pub quarantine: QuarantineMetrics,
     gauges: Gauges,
@@ -146,6 +150,7 @@
             failures: FailureMetrics::default(),
             control: ControlMetrics::default(),
             reserve: ReserveMetrics::default(),
+            access: AccessMetrics::default(),
             quarantine: QuarantineMetrics::default(),
             gauges: Gauges::default(),
             services: RwLock::default(),
@@ -171,6 +176,7 @@
         self.failures.register(&mut self.registry);
         self.control.register(&mut self.registry);
         self.reserve.register(&mut self.registry);
+        self.access.register(&mut self.registry);
         self.quarantine.register(&mut self.registry);
     }
 
--- a/crates/node/src/outbound.rs
+++ b/crates/node/src/outbound.rs
@@ -1,5 +1,6 @@
 //! The outbound proxy: accepts calls over HTTP and forwards them to backend servers.
 
+pub(crate) mod access;
 pub(crate) mod attempt;
 pub(crate) mod call_log;
 pub(crate) mod hedge;
--- a/crates/node/src/outbound/call_log.rs
+++ b/crates/node/src/outbound/call_log.rs
@@ -69,6 +69,7 @@
         target: LOG_TARGET,
         id = plan.id.as_str(),
         service = plan.service.as_str(),
+        team = plan.team.name(),
         request:% = plan.digest,
         version = shared.view.load().version().0,
         tries,
--- a/crates/node/src/outbound/link.rs
+++ b/crates/node/src/outbound/link.rs
@@ -6,6 +6,7 @@
 use crate::outbound::resolve::{EndedLink, resolve_all, resolve_known};
 use call::{Id, Verdict};
 use parking_lot::{Mutex, RwLock};
+use policy::team_limit;
 use smol_str::SmolStr;
 use std::collections::HashMap;
 use std::io;
@@ -16,7 +17,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
-use wire::call::{Estimate, Frame, LoadProbe, Reason, Request};
+use wire::call::{Estimate, Frame, LoadProbe, Reason, Request, TokenGrant, TokenRequest};
 use wire::{Hello, codec};
 
 /// Timeout for connecting to a peer and receiving its hello.
@@ -60,6 +61,8 @@
     next_probe_serial: AtomicU64,
     /// Load probes that wait for a reply, by serial number.
     pending_probes: Mutex<HashMap<u64, oneshot::Sender<Estimate>>>,
+    /// Requests for tokens that wait for a reply, by serial number.
+    pending_tokens: Mutex<HashMap<u64, oneshot::Sender<TokenGrant>>>,
     /// Finished attempts that have not been reported to the peer yet.
     finished: Mutex<Vec<u64>>,
 }
@@ -85,6 +88,27 @@
     }
 }
 
+/// A request for tokens that has been sent; dropping it discards the reply.
+#[derive(Debug)]
+pub(crate) struct PendingTokens<'a> {
+    link: &'a Link,
+    serial: u64,
+    receiver: oneshot::Receiver<TokenGrant>,
+}
+
+impl PendingTokens<'_> {
+    /// Waits for the reply; `None` when the link ends first.
+    pub(crate) async fn reply(mut self) -> Option<TokenGrant> {
+        (&mut self.receiver).await.ok()
+    }
+}
+
+impl Drop for PendingTokens<'_> {
+    fn drop(&mut self) {
+        self.link.pending_tokens.lock().remove(&self.serial);
+    }
+}
+
 impl Link {
     fn shard(&self, id: Id) -> &Mutex<HashMap<u64, Arc<Attempt>>> {
         #[expect(
@@ -97,6 +121,7 @@
     fn is_idle(&self) -> bool {
         self.attempts.iter().all(|shard| shard.lock().is_empty())
             && self.pending_probes.lock().is_empty()
+            && self.pending_tokens.lock().is_empty()
     }
 
     /// Sends a load probe for a call; `None` when the link is closed.
@@ -116,6 +141,32 @@
         Some(pending)
     }
 
+    /// Requests tokens of a team's limit; `None` when the link is closed.
+    pub(crate) fn request_tokens(
+        &self,
+        team: SmolStr,
+        request: team_limit::Request,
+    ) -> Option<PendingTokens<'_>> {
+        let serial = self.next_probe_serial.fetch_add(1, Ordering::Relaxed);
+        let (sender, receiver) = oneshot::channel();
+        self.pending_tokens.lock().insert(serial, sender);
+        let pending = PendingTokens {
+            link: self,
+            serial,
+            receiver,
+        };
+        let request = TokenRequest {
+            serial,
+            team,
+            needed: request.needed,
+            advance: request.advance,
+        };
+        // An early return drops `pending`, which unregisters the request.
+        self.sender.send([Frame::TokenRequest(request)]).ok()?;
+        self.sender.expect_answer();
+        Some(pending)
+    }
+
     /// Returns whether the peer has announced that it refuses new work.
     pub(crate) fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
@@ -171,6 +222,13 @@
             }
             return ControlFlow::Continue(());
         }
+        if let Frame::TokenGrant(grant) = frame {
+            if let Some(sender) = self.pending_tokens.lock().remove(&grant.serial) {
+                // Fails if the node no longer waits for the reply.
+                drop(sender.send(grant));
+            }
+            return ControlFlow::Continue(());
+        }
         let id = match &frame {
             Frame::Leaving(leaving) => {
                 self.leaving.store(*leaving, Ordering::Relaxed);
@@ -302,6 +360,7 @@
             leaving: AtomicBool::new(false),
             next_probe_serial: AtomicU64::new(1),
             pending_probes: Mutex::default(),
+            pending_tokens: Mutex::default(),
             finished: Mutex::default(),
         };
         Ok((Arc::new(link), receiver))
@@ -386,6 +445,7 @@
         .await;
     // Wakes pending probes, which continue without a reply.
     link.pending_probes.lock().clear();
+    link.pending_tokens.lock().clear();
     let unresolved = resolve_known(link.take_attempts());
     if !unresolved.is_empty() {
         let incarnation = link.incarnation;
--- a/crates/node/src/outbound/plan.rs
+++ b/crates/node/src/outbound/plan.rs
@@ -1,6 +1,7 @@
 //! What is known of a call before its first attempt: route settings, deadline, target and identity.
 
 use crate::inbound::run::TIMEOUT_HEADER;
+use crate::outbound::access::{self, Denial};
 use crate::outbound::remote_attempt;
 use crate::outbound::service::{BodySize, Origin, ServiceClient};
 use crate::outbound::{Inner, pick_target};
@@ -9,7 +10,7 @@
 use call::reserve::Key;
 use clock::Clock;
 use config::rollout::kind_of;
-use config::{Class, Objective, Repeat, Retry, View};
+use config::{Class, Objective, Repeat, Retry, RouteEntry, View};
 use http::{HeaderMap, Method, header, request};
 use http_body::Body as _;
 use http_body_util::BodyExt;
@@ -52,6 +53,10 @@
     /// Kind of call under which a roll-out counts the call.
     pub(crate) kind: usize,
     pub(crate) caller: SmolStr,
+    /// Who calls, by the key of the call.
+    pub(crate) team: access::Caller,
+    /// Whether the configuration requires keys, so that the call may carry one.
+    pub(crate) requires_keys: bool,
     /// Hash of the route and method.
     pub(crate) route: u64,
     /// Host of the route; empty for a route that matches all hosts.
@@ -93,16 +98,23 @@
     }
 }
 
+/// Makes the plan of a call; `None` if no route leads to its path.
 pub(crate) fn make_plan<C>(
     inner: &Inner<C>,
     view: &View,
     head: &request::Parts,
     peer: IpAddr,
-) -> Option<(Plan, Option<Objective>)>
+) -> Option<Result<(Plan, Option<Objective>), Denial>>
 where
     C: Clock,
 {
     let route = view.route(view.find_route(host_of(head), head.uri.path())?);
+    let origin = find_origin(inner, &head.headers);
+    let is_nested = matches!(origin, Origin::Nested(_));
+    let team = match access::check(inner, view, route, &head.headers, is_nested) {
+        Ok(team) => team,
+        Err(denial) => return Some(Err(denial)),
+    };
     let now = inner.shared.clock.now();
     let route_timeout = Duration::from_millis(route.timeout_ms.into());
     let requested = if inner.shared.uses_platform_interface() {
@@ -123,7 +135,6 @@
         caller_of(&head.headers, peer)
     };
     let client = inner.services.get_or_create(&target.name, now);
-    let origin = find_origin(inner, &head.headers);
     let parent_class = match origin {
         Origin::Caller => None,
         Origin::Nested(parent) => Some(parent.class),
@@ -139,7 +150,9 @@
         id: caller.clone(),
         service: target.name.clone(),
         client,
-        class: route.class,
+        class: class_of(&team, route),
+        team,
+        requires_keys: view.teams().requires_keys(),
         kind: kind_of(route.class, route.repeat),
         caller,
         route: hash,
@@ -156,7 +169,15 @@
         body_size: BodySize::Small,
         digest: Digest::default(),
     };
-    Some((plan, target.service.objective))
+    Some(Ok((plan, target.service.objective)))
+}
+
+/// Returns the class of a call: that of its team, if the team has one, or else the route's.
+fn class_of(team: &access::Caller, route: &RouteEntry) -> Class {
+    match team {
+        access::Caller::Team(team) => team.class.unwrap_or(route.class),
+        access::Caller::Anyone => route.class,
+    }
 }
 
 /// Returns the caller's name for a call that has no plan; empty if the request names no caller.
--- a/crates/node/src/outbound/response.rs
+++ b/crates/node/src/outbound/response.rs
@@ -135,6 +135,7 @@
     C: Clock,
 {
     let status = match (refused.verdict, refused.reason) {
+        (Verdict::NotRun, Reason::OverLimit) => StatusCode::TOO_MANY_REQUESTS,
         (Verdict::NotRun, _) => StatusCode::SERVICE_UNAVAILABLE,
         (_, Reason::Deadline) => StatusCode::GATEWAY_TIMEOUT,
         _ => StatusCode::BAD_GATEWAY,
@@ -208,5 +209,7 @@
         Reason::Reservation => "reservation",
         Reason::Crashed => "crashed",
         Reason::Held => "held",
+        Reason::Unconfirmed => "unconfirmed",
+        Reason::OverLimit => "over-limit",
     }
 }
--- a/crates/node/src/outbound/send.rs
+++ b/crates/node/src/outbound/send.rs
@@ -6,6 +6,7 @@
 use crate::link;
 use crate::millis::whole_ms;
 use crate::outbound::Inner;
+use crate::outbound::access::set_team_header;
 use crate::outbound::plan::{Plan, time_left};
 use crate::outbound::remote_attempt::{self, RemoteAttempt};
 use crate::outbound::response::{Body, Local, Remote, VERDICT_HEADER};
@@ -278,6 +279,7 @@
         let service = inner.shared.settings.service.as_deref().unwrap_or_default();
         set_caller_service(&mut headers, service);
     }
+    set_team_header(inner, &mut headers, &plan.team, plan.requires_keys);
     if history.dispatched > 0 && !plan.retried_by_caller {
         headers.push(Header {
             name: SmolStr::new_static(retry::HEADER),
--- a/crates/node/src/outbound/serve.rs
+++ b/crates/node/src/outbound/serve.rs
@@ -3,6 +3,7 @@
 use crate::inbound::run::Refused;
 use crate::metrics::Ending;
 use crate::outbound::Inner;
+use crate::outbound::access::{Caller, Denial};
 use crate::outbound::call_log::{
     AnsweredCall, log_answer, log_failed_attempt, log_refused_call, log_unrouted_call,
 };
@@ -15,6 +16,7 @@
 use crate::outbound::send::{AttemptHistory, AttemptResult, PendingAttempt, send_attempt};
 use crate::outbound::service::{BodySize, PickedEndpoint};
 use crate::outbound::tried::TriedEndpoints;
+use crate::team_limits;
 use call::Verdict;
 use clock::Clock;
 use config::{Objective, Version, View};
@@ -91,6 +93,16 @@
     refuse(Refused::not_run(Reason::NoService, 0))
 }
 
+/// Refuses a call that carries no valid key, or whose key can't be checked.
+fn deny<C>(inner: &Inner<C>, head: &request::Parts, denial: Denial) -> Response<Body<C>>
+where
+    C: Clock,
+{
+    inner.shared.metrics.access.count_denied(denial.as_str());
+    log_unrouted_call(inner, head, denial.as_str());
+    denial.respond()
+}
+
 /// Serves one call and returns the response for the caller.
 pub(crate) async fn serve<C>(
     inner: &Arc<Inner<C>>,
@@ -103,8 +115,10 @@
     let (head, body) = request.into_parts();
     let started = inner.shared.clock.now();
     let view = inner.shared.view.load_full();
-    let Some((mut plan, objective)) = make_plan(inner, &view, &head, peer) else {
-        return refuse_unrouted(inner, &view, &head);
+    let (mut plan, objective) = match make_plan(inner, &view, &head, peer) {
+        Some(Ok(planned)) => planned,
+        Some(Err(denial)) => return deny(inner, &head, denial),
+        None => return refuse_unrouted(inner, &view, &head),
     };
     drop(view);
     let service = plan.service.clone();
@@ -133,11 +147,21 @@
         record.ending = Ending::Refused(Verdict::NotRun);
         return refuse(refused);
     }
+    if let Caller::Team(team) = &plan.team
+        && let Err(refused) = team_limits::acquire(inner, team).await
+    {
+        log_refused_call(inner, &plan, refused, started, 0);
+        record.ending = Ending::Refused(Verdict::NotRun);
+        return refuse(refused);
+    }
     let plan = Arc::new(plan);
     let served = match plan.key {
         Some(key) => serve_keyed(inner, &plan, key, head, body).await,
         None => serve_plan(inner, &plan, &head, body).await,
     };
+    if let (Caller::Team(team), Ending::Refused(Verdict::NotRun)) = (&plan.team, served.ending) {
+        inner.shared.team_limits.give_back(&team.name);
+    }
     record.ending = served.ending;
     served.response
 }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -1,10 +1,12 @@
 //! State that the components of a node share.
 
+use crate::freshness::Freshness;
 use crate::logs::RateLimiter;
 use crate::metrics::Metrics;
 use crate::quarantine::Quarantine;
 use crate::rollout::Rollouts;
 use crate::stop;
+use crate::team_limits::TeamLimits;
 use arc_swap::ArcSwap;
 use clock::Clock;
 use config::View;
@@ -68,6 +70,8 @@
     pub clock: C,
     /// The view that calls use; replaced as a whole.
     pub view: ArcSwap<View>,
+    /// How old the configuration of `view` may be.
+    pub freshness: Freshness,
     /// The local backend server, once announced.
     pub backend: watch::Sender<Option<Backend>>,
     /// Whether the node will leave soon, and therefore reports that it is not ready.
@@ -90,6 +94,8 @@
     pub distribution: ArcSwap<status::Distribution>,
     /// Requests that crash backend servers.
     pub quarantine: Quarantine,
+    /// Limits on the calls of teams.
+    pub team_limits: TeamLimits,
     /// Roll-outs known to this node.
     pub rollouts: Arc<Rollouts>,
     /// Metrics of the node.
@@ -162,6 +168,7 @@
     #[must_use]
     pub fn new(settings: Settings, incarnation: u64, clock: C) -> Arc<Self> {
         let metrics = Metrics::new(clock.now());
+        let team_limits = TeamLimits::new(clock.now());
         let max_canary_share = settings.canary_share.map_or(0.0, Share::get);
         let rollouts = Arc::new(Rollouts::new(max_canary_share));
         Arc::new(Self {
@@ -169,6 +176,7 @@
             incarnation,
             clock,
             view: ArcSwap::default(),
+            freshness: Freshness::default(),
             backend: watch::Sender::new(None),
             stopping: AtomicBool::new(false),
             leaving: watch::Sender::new(false),
@@ -180,6 +188,7 @@
             callers_listening: AtomicBool::new(false),
             distribution: ArcSwap::default(),
             quarantine: Quarantine::default(),
+            team_limits,
             rollouts,
             metrics,
             log_limits: LogLimits::default(),
--- a/crates/node/tests/calls/main.rs
+++ b/crates/node/tests/calls/main.rs
@@ -1,5 +1,6 @@
 //! Calls through nodes in one process: complete answers, silent links, early ends.
 
+mod access;
 mod early_end;
 mod forward;
 mod hedge;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -57,6 +57,7 @@
 pub mod retry_quota;
 pub mod rollout;
 mod server;
+pub mod team_limit;
 mod throughput;
 
 /// Returns the 64-bit FNV-1a hash of the name of a caller, key or route.
--- /dev/null
+++ b/crates/policy/src/team_limit.rs
@@ -0,0 +1,326 @@
+//! Limits on the calls of a team through all nodes together.
+//!
+//! Load pattern: the callers of one team, spread unevenly over all nodes, send ten times what the
+//! team may. With an equal part of the limit for each node, a team whose callers are all on one VM
+//! is refused far below its limit; with the whole limit on each node, it gets hundreds of times its
+//! limit.
+//!
+//! One node per team, the *owner*, counts what it lends in a sliding window ([`Ledger`]). All others
+//! borrow tokens from it for the calls that wait, and keep a few in advance ([`Wallet`]). What all
+//! wallets together may keep is part of the tolerance of the limit. So in any window the team's
+//! calls are at most what the limit and its tolerance allow, whatever the nodes, their clocks or the
+//! network do, as long as there is one owner. A token bucket spreads the calls over the window:
+//! without it, a hot team would use up its window at once and overload backend servers.
+//!
+//! While a team is over its limit, nodes wait before they ask again, each for as long as it takes
+//! to earn one token for every node that was refused lately. The owner's load is thus bounded by
+//! the number of nodes, not by the callers' impatience.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+/// Part of the tolerance of a limit that is used, for tokens that nodes keep in advance or else for
+/// calls. The rest is for owners that change, and for nodes that know of a lower limit late.
+const TOLERANCE_SHARE: f64 = 0.5;
+
+/// Number of slots that a window is divided into. A slot counts as a whole until all of it has left
+/// the window.
+const SLOTS_PER_WINDOW: u32 = 50;
+
+/// Part of the tokens left in the bucket that one node gets in advance at most, so that one node's
+/// advance does not turn away the calls of another.
+const ADVANCE_PART: f64 = 0.25;
+
+/// Minimum time between two requests for tokens in advance.
+const ADVANCE_PAUSE: Duration = Duration::from_millis(100);
+
+/// Shortest wait until a node may ask for tokens again.
+const MIN_WAIT: Duration = Duration::from_millis(5);
+
+/// Longest wait until a node may ask for tokens again.
+const MAX_WAIT: Duration = Duration::from_secs(1);
+
+/// Time in which refused requests for tokens are counted.
+const REFUSAL_WINDOW: Duration = Duration::from_secs(1);
+
+/// A limit on calls: in any window, `rate` times its length, and `burst` more.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Limit {
+    /// Calls a second.
+    pub rate: f64,
+    /// Calls in addition, in each window.
+    pub burst: f64,
+    /// Length of a window.
+    pub window: Duration,
+    /// Calls in a window by which the limit may be exceeded, to keep the cost of counting low.
+    pub tolerance: f64,
+}
+
+impl Limit {
+    /// Returns the number of tokens that each of `nodes` nodes may keep in advance.
+    #[must_use]
+    pub fn advance_per_node(&self, nodes: usize) -> u32 {
+        let nodes = f64::from(u32::try_from(nodes).unwrap_or(u32::MAX)).max(1.0);
+        to_count(TOLERANCE_SHARE * self.tolerance / nodes)
+    }
+
+    /// Returns the number of tokens that may be lent in a window to `nodes` nodes.
+    fn per_window(&self, nodes: usize) -> f64 {
+        let nodes_count = f64::from(u32::try_from(nodes).unwrap_or(u32::MAX));
+        let kept = f64::from(self.advance_per_node(nodes)) * nodes_count;
+        let tolerance = (TOLERANCE_SHARE * self.tolerance - kept).max(0.0);
+        self.rate * self.window.as_secs_f64() + self.burst + tolerance
+    }
+
+    /// Returns the largest number of calls at once. Without room for one, a team with a burst of
+    /// zero could never call.
+    fn capacity(&self) -> f64 {
+        self.burst.max(1.0)
+    }
+}
+
+/// A request for tokens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Request {
+    /// Number of calls that wait.
+    pub needed: u32,
+    /// Number of tokens to keep in advance.
+    pub advance: u32,
+}
+
+/// The reply to a request for tokens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Grant {
+    /// Number of tokens, at most the number requested.
+    pub tokens: u32,
+    /// Time after which to ask again, if these are less than needed; zero otherwise.
+    pub wait: Duration,
+}
+
+/// What the owner of a team has lent.
+#[derive(Debug, Clone)]
+pub struct Ledger {
+    limit: Limit,
+    /// Number of tokens that may be lent in a window.
+    per_window: f64,
+    /// Tokens of the bucket that spreads calls over the window.
+    tokens: f64,
+    updated_at: Instant,
+    /// Tokens lent in each slot of the window, by the start of the slot.
+    lent: VecDeque<(Instant, u32)>,
+    /// Requests that were refused in the current second and in the one before it.
+    refusals: [u32; 2],
+    refusals_since: Instant,
+}
+
+impl Ledger {
+    /// Creates the ledger of an owner in a fleet of `nodes` nodes, whose process started at
+    /// `start`.
+    ///
+    /// Nobody knows what an earlier owner has lent, so the bucket is empty at the start.
+    #[must_use]
+    pub fn new(start: Instant, limit: Limit, nodes: usize) -> Self {
+        Self {
+            limit,
+            per_window: limit.per_window(nodes),
+            tokens: 0.0,
+            updated_at: start,
+            lent: VecDeque::new(),
+            refusals: [0; 2],
+            refusals_since: start,
+        }
+    }
+
+    /// Sets the limit and the number of nodes from `now` on.
+    pub fn set_limit(&mut self, now: Instant, limit: Limit, nodes: usize) {
+        let per_window = limit.per_window(nodes);
+        if limit != self.limit || per_window.to_bits() != self.per_window.to_bits() {
+            self.refill(now);
+            self.limit = limit;
+            self.per_window = per_window;
+            self.tokens = self.tokens.min(limit.capacity());
+        }
+    }
+
+    /// Lends the tokens that are needed, as far as there are any, and some in advance.
+    pub fn lend(&mut self, now: Instant, request: Request) -> Grant {
+        self.refill(now);
+        let in_window: u32 = self.lent.iter().map(|(_, lent)| lent).sum();
+        let available = (self.per_window - f64::from(in_window)).min(self.tokens);
+        let tokens = request.needed.min(to_count(available));
+        let is_enough = tokens == request.needed;
+        let advance = if is_enough {
+            let rest = available - f64::from(tokens);
+            request.advance.min(to_count(ADVANCE_PART * rest))
+        } else {
+            0
+        };
+        let tokens = tokens + advance;
+        self.record(now, tokens);
+        let wait = if is_enough {
+            Duration::ZERO
+        } else {
+            self.record_refusal(now)
+        };
+        Grant { tokens, wait }
+    }
+
+    fn record(&mut self, now: Instant, tokens: u32) {
+        if tokens == 0 {
+            return;
+        }
+        self.tokens -= f64::from(tokens);
+        let length = self.limit.window / SLOTS_PER_WINDOW;
+        match self.lent.back_mut() {
+            Some((since, lent)) if now.saturating_duration_since(*since) < length => {
+                *lent += tokens;
+            }
+            _ => self.lent.push_back((now, tokens)),
+        }
+    }
+
+    /// Counts a refusal; returns when to ask again.
+    fn record_refusal(&mut self, now: Instant) -> Duration {
+        let age = now.saturating_duration_since(self.refusals_since);
+        if age >= REFUSAL_WINDOW {
+            let previous = self.refusals[0];
+            self.refusals = [
+                0,
+                if age < 2 * REFUSAL_WINDOW {
+                    previous
+                } else {
+                    0
+                },
+            ];
+            self.refusals_since = now;
+        }
+        self.refusals[0] += 1;
+        let refused = f64::from(self.refusals[0].max(self.refusals[1]));
+        let missing = (1.0 - self.tokens).max(refused);
+        let wait = Duration::try_from_secs_f64(missing / self.sustained_rate());
+        wait.map_or(MAX_WAIT, |wait| wait.clamp(MIN_WAIT, MAX_WAIT))
+    }
+
+    /// Returns the highest number of calls a second that can go on.
+    fn sustained_rate(&self) -> f64 {
+        self.per_window / self.limit.window.as_secs_f64()
+    }
+
+    fn refill(&mut self, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.updated_at);
+        self.updated_at = self.updated_at.max(now);
+        let earned = self.sustained_rate() * elapsed.as_secs_f64();
+        self.tokens = (self.tokens + earned).min(self.limit.capacity());
+        let window = self.limit.window + self.limit.window / SLOTS_PER_WINDOW;
+        let is_over = |since: Instant| now.saturating_duration_since(since) > window;
+        while self.lent.front().is_some_and(|(since, _)| is_over(*since)) {
+            self.lent.pop_front();
+        }
+    }
+}
+
+/// What becomes of a call that needs a token.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Decision {
+    /// The call may run.
+    Admit,
+    /// The call waits for the owner's reply.
+    Wait,
+    /// The team is over its limit; its next call has a chance after this time.
+    Refuse(Duration),
+}
+
+/// The tokens of a team on one node, and the calls that wait for some.
+#[derive(Debug, Clone, Default)]
+pub struct Wallet {
+    tokens: u32,
+    /// Number of tokens to keep in advance.
+    advance: u32,
+    waiting: u32,
+    is_requesting: bool,
+    empty_until: Option<Instant>,
+    /// When to request tokens in advance again, after the owner had too few.
+    advance_at: Option<Instant>,
+}
+
+impl Wallet {
+    /// Sets the number of tokens to keep in advance; tokens beyond it are dropped.
+    pub fn set_advance(&mut self, advance: u32) {
+        self.advance = advance;
+        self.tokens = self.tokens.min(advance);
+    }
+
+    /// Takes a token for a call, or lets the call wait for the owner's reply.
+    pub fn take(&mut self, now: Instant) -> Decision {
+        if self.tokens > 0 && self.waiting == 0 {
+            self.tokens -= 1;
+            return Decision::Admit;
+        }
+        if let Some(until) = self.empty_until.filter(|until| now < *until) {
+            return Decision::Refuse(until - now);
+        }
+        self.waiting += 1;
+        Decision::Wait
+    }
+
+    /// Takes back the token of a call that has not run.
+    pub fn give_back(&mut self) {
+        self.tokens = (self.tokens + 1).min(self.advance);
+    }
+
+    /// Records that a waiting call has gone away.
+    pub fn cancel(&mut self) {
+        self.waiting = self.waiting.saturating_sub(1);
+    }
+
+    /// Returns the request to send now, if any; it then counts as sent.
+    ///
+    /// More tokens are requested in advance once half of those kept are used.
+    pub fn next_request(&mut self, now: Instant) -> Option<Request> {
+        let is_short = self.tokens <= self.advance / 2 && self.advance > 0;
+        let is_low = is_short && self.advance_at.is_none_or(|at| now >= at);
+        let is_paused = self.empty_until.is_some_and(|until| now < until);
+        if self.is_requesting || is_paused || (self.waiting == 0 && !is_low) {
+            return None;
+        }
+        self.is_requesting = true;
+        Some(Request {
+            needed: self.waiting,
+            advance: self.advance - self.tokens,
+        })
+    }
+
+    /// Handles the owner's reply. Returns how many waiting calls are admitted, in the order in
+    /// which they came; if the grant has a wait, all others are refused.
+    pub fn on_grant(&mut self, now: Instant, grant: Grant) -> u32 {
+        self.is_requesting = false;
+        let admitted = (self.tokens + grant.tokens).min(self.waiting);
+        self.tokens = (self.tokens + grant.tokens - admitted).min(self.advance);
+        self.waiting -= admitted;
+        // Without the pause, a node would ask an owner that has no tokens left again and again.
+        self.advance_at = Some(now + ADVANCE_PAUSE);
+        if !grant.wait.is_zero() {
+            self.waiting = 0;
+            self.empty_until = Some(now + grant.wait);
+        }
+        admitted
+    }
+
+    /// Handles that no owner replied; all waiting calls are refused.
+    pub fn on_failure(&mut self, now: Instant) {
+        self.is_requesting = false;
+        self.waiting = 0;
+        self.advance_at = Some(now + ADVANCE_PAUSE);
+    }
+}
+
+/// Rounds a count down to a whole number.
+fn to_count(count: f64) -> u32 {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the value is within the bounds"
+    )]
+    let whole = count.clamp(0.0, f64::from(u32::MAX)) as u32;
+    whole
+}
--- /dev/null
+++ b/crates/policy/tests/team_limit.rs
@@ -0,0 +1,258 @@
+//! Limits on the calls of a team over many nodes.
+
+use policy::team_limit::{Decision, Grant, Ledger, Limit, Request, Wallet};
+use proptest::prelude::*;
+use std::time::{Duration, Instant};
+
+/// The wallets of some nodes and the ledger of their owner, which replies after a delay.
+struct Fleet {
+    ledger: Ledger,
+    wallets: Vec<Wallet>,
+    /// Requests on the way: when they are handled, and from which node.
+    requests: Vec<(Instant, usize, Request)>,
+    admitted: Vec<Instant>,
+    refused: usize,
+    delay: Duration,
+}
+
+impl Fleet {
+    fn new(now: Instant, limit: Limit, nodes: usize, delay: Duration) -> Self {
+        let mut wallet = Wallet::default();
+        wallet.set_advance(limit.advance_per_node(nodes));
+        Self {
+            ledger: Ledger::new(now, limit, nodes),
+            wallets: vec![wallet; nodes],
+            requests: Vec::new(),
+            admitted: Vec::new(),
+            refused: 0,
+            delay,
+        }
+    }
+
+    fn call(&mut self, now: Instant, node: usize) {
+        match self.wallets[node].take(now) {
+            Decision::Admit => self.admitted.push(now),
+            Decision::Wait => {}
+            Decision::Refuse(wait) => {
+                assert!(!wait.is_zero(), "a refusal tells when to come back");
+                self.refused += 1;
+            }
+        }
+        self.request(now, node);
+    }
+
+    fn request(&mut self, now: Instant, node: usize) {
+        if let Some(request) = self.wallets[node].next_request(now) {
+            self.requests.push((now + self.delay, node, request));
+        }
+    }
+
+    /// Handles the requests that have arrived by `now`; each reply waits as long again.
+    fn step(&mut self, now: Instant) {
+        let due = self.requests.iter().filter(|(at, ..)| *at <= now);
+        let due: Vec<_> = due.copied().collect();
+        self.requests.retain(|(at, ..)| *at > now);
+        for (_, node, wanted) in due {
+            let grant = self.ledger.lend(now, wanted);
+            assert!(grant.tokens <= wanted.needed + wanted.advance, "{grant:?}");
+            let admitted = self.wallets[node].on_grant(now, grant);
+            self.admitted
+                .extend(std::iter::repeat_n(now, admitted as usize));
+            self.request(now, node);
+        }
+    }
+
+    /// Returns the largest number of calls admitted in any `window`.
+    fn most_in(&self, window: Duration) -> usize {
+        let mut first = 0;
+        let mut most = 0;
+        for (index, at) in self.admitted.iter().enumerate() {
+            while *at - self.admitted[first] > window {
+                first += 1;
+            }
+            most = most.max(index + 1 - first);
+        }
+        most
+    }
+}
+
+fn one_call() -> Request {
+    Request {
+        needed: 1,
+        advance: 0,
+    }
+}
+
+const WINDOW: Duration = Duration::from_secs(5);
+
+/// Part of a limit by which it may be exceeded.
+const OVERAGE: f64 = 0.1;
+
+/// A limit with a tolerance of a tenth and 20 calls.
+fn limit(rate: f64, burst: f64) -> Limit {
+    let per_window = rate * WINDOW.as_secs_f64() + burst;
+    Limit {
+        rate,
+        burst,
+        window: WINDOW,
+        tolerance: OVERAGE * per_window + 20.0,
+    }
+}
+
+/// Runs `calls` a second through random nodes out of the first `spread` for ten seconds.
+fn run_load(limit: Limit, nodes: usize, spread: usize, calls: u32, delay: Duration) -> Fleet {
+    let start = Instant::now();
+    let mut fleet = Fleet::new(start, limit, nodes, delay);
+    let mut state = 7_u64;
+    for step in 0..10_000 {
+        let now = start + Duration::from_millis(step);
+        fleet.step(now);
+        let before = step * u64::from(calls) / 1_000;
+        for _ in before..(step + 1) * u64::from(calls) / 1_000 {
+            state = state
+                .wrapping_mul(6_364_136_223_846_793_005)
+                .wrapping_add(1);
+            fleet.call(now, (state >> 33) as usize % spread);
+        }
+    }
+    fleet
+}
+
+// A team sends ten times its limit through all nodes, or through one: in no window may more calls
+// run than the limit and its tolerance allow, and what it allows must run.
+#[yare::parameterized(
+    all_nodes = { 85, 85 },
+    few_nodes = { 85, 5 },
+    one_node = { 85, 1 },
+    more_nodes_than_burst = { 400, 400 },
+)]
+fn hot_team(nodes: usize, spread: usize) {
+    let limit = limit(40.0, 40.0);
+    let fleet = run_load(limit, nodes, spread, 400, Duration::from_millis(5));
+    let most = fleet.most_in(WINDOW);
+    assert!(most <= 5 * 40 + 40 + 22, "{most} calls in 5 s");
+    let admitted = fleet.admitted.len();
+    assert!(admitted >= 440, "{admitted} of 480 admitted");
+}
+
+// A team stays below its limit, with its callers on all nodes or on a few: hardly a call may be
+// refused.
+#[yare::parameterized(
+    all_nodes = { 85, 85, 40 },
+    few_nodes = { 85, 3, 40 },
+    one_node = { 85, 1, 40 },
+    small_team = { 85, 85, 5 },
+)]
+fn below_limit(nodes: usize, spread: usize, rate: u32) {
+    let limit = limit(f64::from(rate), f64::from(rate));
+    let calls = rate * 5 / 8;
+    let fleet = run_load(limit, nodes, spread, calls, Duration::from_millis(5));
+    let all = fleet.admitted.len() + fleet.refused;
+    assert!(
+        fleet.refused * 100 <= all,
+        "{} of {all} refused",
+        fleet.refused
+    );
+}
+
+// Each of many nodes is refused and asks again at once: the owner would serve nothing else.
+#[test]
+fn bounded_requests() {
+    let limit = limit(5.0, 5.0);
+    let start = Instant::now();
+    let mut ledger = Ledger::new(start, limit, 200);
+    let mut next = vec![start; 200];
+    let mut requests = 0;
+    for step in 0..5_000 {
+        let now = start + Duration::from_millis(step);
+        for at in next.iter_mut().filter(|at| **at <= now) {
+            requests += 1;
+            *at = now
+                + ledger
+                    .lend(now, one_call())
+                    .wait
+                    .max(Duration::from_millis(1));
+        }
+    }
+    assert!(requests <= 5 * 200 + 200, "{requests} requests in 5 s");
+}
+
+#[test]
+fn lower_limit() {
+    let start = Instant::now();
+    let mut ledger = Ledger::new(start, limit(100.0, 100.0), 10);
+    let later = start + Duration::from_secs(10);
+    ledger.set_limit(later, limit(1.0, 2.0), 10);
+    let request = Request {
+        needed: 50,
+        advance: 0,
+    };
+    let grant = ledger.lend(later, request);
+    assert!(grant.tokens <= 2, "{grant:?}");
+    assert!(!grant.wait.is_zero(), "{grant:?}");
+}
+
+// A call that was refused for another reason has not run, and must not count.
+#[test]
+fn returned_token() {
+    let now = Instant::now();
+    let mut wallet = Wallet::default();
+    wallet.set_advance(1);
+    let request = Request {
+        needed: 0,
+        advance: 1,
+    };
+    assert_eq!(wallet.next_request(now), Some(request));
+    let grant = Grant {
+        tokens: 1,
+        wait: Duration::ZERO,
+    };
+    assert_eq!(wallet.on_grant(now, grant), 0);
+    assert_eq!(wallet.take(now), Decision::Admit);
+    wallet.give_back();
+    assert_eq!(wallet.take(now), Decision::Admit);
+    assert_eq!(wallet.take(now), Decision::Wait);
+}
+
+// The owner has no tokens to lend in advance: a node that asks again at once does nothing else.
+#[test]
+fn empty_owner() {
+    let now = Instant::now();
+    let mut wallet = Wallet::default();
+    wallet.set_advance(10);
+    assert!(wallet.next_request(now).is_some());
+    let grant = Grant {
+        tokens: 0,
+        wait: Duration::ZERO,
+    };
+    wallet.on_grant(now, grant);
+    assert_eq!(wallet.next_request(now), None);
+    assert!(wallet.next_request(now + Duration::from_secs(1)).is_some());
+}
+
+proptest! {
+    // Whatever nodes ask for, in no window does an owner lend more than the limit allows.
+    #[test]
+    fn bounded_lending(
+        requests in prop::collection::vec((0_u64..400, 0_u32..20, 0_u32..20), 1..300),
+        rate in 0.5_f64..200.0,
+        burst in 0.0_f64..200.0,
+    ) {
+        let start = Instant::now();
+        let limit = limit(rate, burst);
+        let mut ledger = Ledger::new(start, limit, 200);
+        let mut now = start;
+        let mut lent: Vec<(Instant, u32)> = Vec::new();
+        for (wait, needed, advance) in requests {
+            now += Duration::from_millis(wait);
+            let grant = ledger.lend(now, Request { needed, advance });
+            prop_assert!(grant.tokens <= needed + advance);
+            prop_assert_eq!(grant.wait.is_zero(), grant.tokens >= needed);
+            lent.push((now, grant.tokens));
+            let in_window = lent.iter().filter(|(at, _)| now - *at <= WINDOW);
+            let sum: u32 = in_window.map(|(_, tokens)| tokens).sum();
+            let allowed = (rate * 5.0 + burst).max(1.0) + limit.tolerance / 2.0;
+            prop_assert!(f64::from(sum) <= allowed + 1e-6, "lent {} of {}", sum, allowed);
+        }
+    }
+}
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -58,6 +58,14 @@
         [limits] repeat_window: Duration = "10 s";
         /// Share of a service's calls that may reach a version under trial which turns out to be bad; empty for a node that follows no roll-outs.
         [limits] canary_share: Option<Share> = "";
+        /// Time after which a key that operators have taken away no longer works on any node, also on one that is cut off. Empty for no such bound.
+        [limits] revoke: Option<Duration> = "";
+        /// Time window in which the calls of a team are counted: the team's rate times the window, and its burst, may run in any window. Empty for 5 s.
+        [limits] team_window: Option<Duration> = "";
+        /// Share of a team's limit by which it may be exceeded in a window, such as `0.1`; empty for none.
+        [limits] team_overage: Option<Share> = "";
+        /// Calls in a window by which a team may exceed its limit besides; empty for none.
+        [limits] team_slack: Option<Quota> = "";
         /// Capacity of the VM's network link, in Mbit/s; request bodies are received no faster, so that small calls are not held up. Empty for an estimate from observed traffic.
         [limits] link_mbps: Option<LinkRate> = "";
         /// Memory for the request bodies of calls that wait for a slot, in kilobytes; no further bytes are requested from the sending nodes.
--- a/crates/store/tests/removal_race.rs
+++ b/crates/store/tests/removal_race.rs
@@ -19,6 +19,10 @@
 struct TokioClock(tokio::time::Instant);
 
 impl Clock for TokioClock {
+    fn suspended(&self) -> Duration {
+        Duration::ZERO
+    }
+
     fn now(&self) -> Instant {
         tokio::time::Instant::now().into_std()
     }
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -90,6 +90,10 @@
     Crashed,
     /// The request crashes backend servers and is held in quarantine.
     Held,
+    /// The node can't tell whether the key of the call is in force.
+    Unconfirmed,
+    /// The team has used up its limit.
+    OverLimit,
 }
 
 /// The end of an attempt without a complete answer.
@@ -172,6 +176,34 @@
     /// Inbound to outbound: the reply to [`Frame::LoadProbe`].
     #[serde(rename = "Outlook")]
     Estimate(Estimate),
+    /// Outbound to inbound: requests tokens of a team's limit from the team's owner.
+    TokenRequest(TokenRequest),
+    /// Inbound to outbound: the reply to [`Frame::TokenRequest`].
+    TokenGrant(TokenGrant),
+}
+
+/// Request for tokens of a team's limit, one for each call.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TokenRequest {
+    /// Identifies the request on its link.
+    pub serial: u64,
+    /// Name of the team.
+    pub team: SmolStr,
+    /// Number of calls that wait.
+    pub needed: u32,
+    /// Number of tokens to keep in advance.
+    pub advance: u32,
+}
+
+/// Reply to a request for tokens.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TokenGrant {
+    /// Serial of the request.
+    pub serial: u64,
+    /// Number of tokens granted.
+    pub tokens: u32,
+    /// Time after which to ask again, in milliseconds, if fewer tokens than needed are granted.
+    pub wait_ms: u32,
 }
 
 /// Load probe: a query about a call that has not been sent yet.
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -202,6 +202,29 @@
     /// Call results of the roll-outs in progress, as counted by the sender's part of the fleet;
     /// sent to parents and other roots.
     Tallies(Vec<RolloutTally>),
+    /// Asks which version was the newest, at a moment at most `max_age_ms` before this frame
+    /// arrives or later; replied to once the receiver knows.
+    RequestConfirmation {
+        /// Number of the request on this link.
+        serial: u64,
+        /// Maximum age of the answer, in milliseconds.
+        max_age_ms: u32,
+    },
+    /// The reply to [`Frame::RequestConfirmation`].
+    Confirmed {
+        /// Number of the request.
+        serial: u64,
+        /// The version that was the newest.
+        version: Version,
+        /// Time from the moment at which it was the newest to the arrival of the request, in
+        /// milliseconds, rounded up; zero if that moment came after the arrival.
+        age_ms: u32,
+    },
+    /// The reply to [`Frame::RequestConfirmation`] if the platform does not answer.
+    Unconfirmed {
+        /// Number of the request.
+        serial: u64,
+    },
 }
 
 /// Maximum size of a full configuration before compression, in bytes.
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -256,5 +256,5 @@
     let (found, _) = decode::<Hello>(&buffer).unwrap().unwrap();
     assert_eq!(found.protocol, PROTOCOL_VERSION + 1);
     let error = Error::Protocol(found.protocol).to_string();
-    assert_eq!(error, "peer speaks protocol 6, this node speaks 5");
+    assert_eq!(error, "peer speaks protocol 7, this node speaks 6");
 }
