Starting nodes wait for a parent's confirmation before they ask the platform

Cause: a starting node asked the platform for the newest version as soon as any node had refused it, before it had a parent: 213 reads for 300 nodes in virtual time.

--- a/crates/fleet/src/freshness.rs
+++ b/crates/fleet/src/freshness.rs
@@ -34,6 +34,9 @@
 /// Longest wait for the reply of a parent, after which the platform is asked.
 const REPLY_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Longest wait for a parent, after which the platform is asked.
+const PARENT_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Time for which the requests of other nodes are collected before the platform is asked.
 const COLLECT_TIME: Duration = Duration::from_millis(50);
 
@@ -101,8 +104,8 @@
     is_pending: bool,
     /// Number of the latest request of this node.
     serial: u64,
-    /// When to send the next request, once one is needed.
-    request_at: Option<Instant>,
+    /// Since when a request is needed that is not sent yet.
+    needed_since: Option<Instant>,
     /// Number of sources that have not replied since the first one was asked last.
     retries: usize,
     /// When to ask the first source again.
@@ -123,7 +126,7 @@
             requests: BTreeMap::new(),
             is_pending: false,
             serial: 0,
-            request_at: None,
+            needed_since: None,
             retries: 0,
             retries_until: now,
             not_before: now,
@@ -205,7 +208,8 @@
         }
         let renewal = self.renewal_age();
         let due_at = if freshness.is_request_needed(now, renewal) {
-            Some(freshness.request_at.unwrap_or(now))
+            let since = freshness.needed_since.unwrap_or(now);
+            Some(since + self.request_delay(self.confirming_source(now)))
         } else {
             let latest = freshness.latest;
             renewal.and_then(|renewal| latest.map(|latest| latest.at + renewal))
@@ -227,17 +231,12 @@
         }
         let renewal = self.renewal_age();
         if now < self.freshness.not_before || !self.freshness.is_request_needed(now, renewal) {
-            self.freshness.request_at = None;
+            self.freshness.needed_since = None;
             return;
         }
         let source = self.confirming_source(now);
-        let wait = if source.is_none() && !self.freshness.waiters.is_empty() {
-            COLLECT_TIME
-        } else {
-            Duration::ZERO
-        };
-        let request_at = *self.freshness.request_at.get_or_insert(now + wait);
-        if now < request_at {
+        let since = *self.freshness.needed_since.get_or_insert(now);
+        if now < since + self.request_delay(source) {
             return;
         }
         match source {
@@ -246,6 +245,21 @@
         }
     }
 
+    /// Returns how long a request to a source is delayed, for it to serve more than one node.
+    fn request_delay(&self, source: Option<LinkKey>) -> Duration {
+        let freshness = &self.freshness;
+        if source.is_some() {
+            Duration::ZERO
+        } else if !self.lease.is_root() && freshness.retries == 0 {
+            // The node is looking for a parent, which can reply as well.
+            PARENT_TIMEOUT
+        } else if freshness.waiters.is_empty() {
+            Duration::ZERO
+        } else {
+            COLLECT_TIME
+        }
+    }
+
     /// Returns the source to ask: the link to a node, or `None` for the platform.
     fn confirming_source(&self, now: Instant) -> Option<LinkKey> {
         let sources = self.list_sources();
@@ -293,7 +307,7 @@
 
     fn begin_request(&mut self, now: Instant, link: Option<LinkKey>) -> u64 {
         self.freshness.serial += 1;
-        self.freshness.request_at = None;
+        self.freshness.needed_since = None;
         self.freshness.is_pending = true;
         let serial = self.freshness.serial;
         let requests = &mut self.freshness.requests;
--- a/crates/fleet/tests/freshness.rs
+++ b/crates/fleet/tests/freshness.rs
@@ -61,6 +61,31 @@
     assert!(calls <= 80, "{calls} calls of the platform");
 }
 
+// Each of many nodes that start together asked the platform for the newest version: the platform's
+// load grew with the fleet. Now the roots ask for all nodes that wait.
+#[test]
+fn many_starts() {
+    for per_zone in [20, 100] {
+        let mut world = World::start(3, per_zone, 7, false);
+        world.run(4 * S);
+        let version = world.propose();
+        world.run_until(6 * S, "to serve", |world| world.all_serve(version));
+        let reads = world.platform.confirmations;
+        assert!(
+            reads <= 12,
+            "{reads} reads at the start of {per_zone} a zone"
+        );
+        let vms: Vec<_> = (0..per_zone).map(|index| 3 * index).collect();
+        world.restart(&vms);
+        world.run_until(8 * S, "to serve again", |world| world.all_serve(version));
+        let reads = world.platform.confirmations - reads;
+        assert!(
+            reads <= 12,
+            "{reads} reads at the restart of a zone of {per_zone}"
+        );
+    }
+}
+
 // A key is taken away while a zone is cut off from the platform and from all other zones. Its nodes
 // can't hear of it, and served calls with that key for as long as the cut lasted.
 #[test]
--- a/crates/fleet/tests/world/platform.rs
+++ b/crates/fleet/tests/world/platform.rs
@@ -29,6 +29,8 @@
     /// Watchers that get no more updates, and no error either.
     pub silent_watchers: BTreeSet<usize>,
     pub calls: u64,
+    /// Number of requests for a confirmation of the newest version.
+    pub confirmations: u64,
     history: Vec<(Arc<Patch>, Arc<Mesh>, Digest)>,
     held: VersionedMesh,
     leases: BTreeMap<(String, u8), Lease>,
@@ -209,6 +211,8 @@
         now: Duration,
     ) -> Vec<(Duration, PlatformResponse)> {
         self.calls += 1;
+        let is_confirmation = matches!(request, PlatformRequest::ConfirmVersion { .. });
+        self.confirmations += u64::from(is_confirmation);
         let zone = peer.zone.to_string();
         if self.is_down || self.unreachable_zones.contains(&zone) {
             return match request {
