Confirmations: a starting node falls back to other sources after half a second

Cause: with the platform down, a starting node waited a second for its parent before it counted on the reports of other nodes; a failure of the platform that came after a newer request was not counted at all. Change: 500 ms for other nodes, the client's own time-outs for the platform; each failure of the platform counts for the gate.

--- a/crates/fleet/src/freshness.rs
+++ b/crates/fleet/src/freshness.rs
@@ -31,8 +31,13 @@
 /// Renewals may then fail for more than half of the bound before calls are refused.
 const RENEWAL_SHARE: f64 = 0.4;
 
-/// Longest wait for the reply of a parent, after which the platform is asked.
-const REPLY_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest wait for the reply of a source, after which the next one is asked. A starting node on
+/// a VM whose platform is out of reach waits for as long before it counts on other nodes' reports.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Longest wait for the platform, whose client gives up by itself, unless what it gets can't be
+/// read.
+const PLATFORM_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Longest wait for a parent, after which the platform is asked.
 const PARENT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -149,12 +154,15 @@
         latest.map(|latest| latest.version)
     }
 
-    /// Returns when the request that is waited for was sent.
-    fn pending_since(&self) -> Option<Instant> {
+    /// Returns until when the reply to the latest request is waited for, if it is.
+    fn reply_deadline(&self) -> Option<Instant> {
         let request = self.requests.get(&self.serial);
-        request
-            .filter(|_| self.is_pending)
-            .map(|request| request.sent_at)
+        let request = request.filter(|_| self.is_pending)?;
+        let timeout = match request.link {
+            Some(_) => REPLY_TIMEOUT,
+            None => PLATFORM_TIMEOUT,
+        };
+        Some(request.sent_at + timeout)
     }
 
     /// Updates the moment at which the installed version was the newest; returns whether it has
@@ -203,13 +211,14 @@
     /// Returns when [`Node::step_freshness`] is due.
     pub(crate) fn next_freshness_step(&self, now: Instant) -> Option<Instant> {
         let freshness = &self.freshness;
-        if let Some(sent_at) = freshness.pending_since() {
-            return Some(sent_at + REPLY_TIMEOUT);
+        if let Some(deadline) = freshness.reply_deadline() {
+            return Some(deadline);
         }
         let renewal = self.renewal_age();
         let due_at = if freshness.is_request_needed(now, renewal) {
             let since = freshness.needed_since.unwrap_or(now);
-            Some(since + self.request_delay(self.confirming_source(now)))
+            let source = self.confirming_source(now);
+            Some(since + self.request_delay(now, source))
         } else {
             let latest = freshness.latest;
             renewal.and_then(|renewal| latest.map(|latest| latest.at + renewal))
@@ -222,8 +231,8 @@
         if self.freshness.update_confirmed() {
             self.report_confirmation();
         }
-        if let Some(sent_at) = self.freshness.pending_since() {
-            if now < sent_at + REPLY_TIMEOUT {
+        if let Some(deadline) = self.freshness.reply_deadline() {
+            if now < deadline {
                 return;
             }
             self.freshness.is_pending = false;
@@ -236,7 +245,7 @@
         }
         let source = self.confirming_source(now);
         let since = *self.freshness.needed_since.get_or_insert(now);
-        if now < since + self.request_delay(source) {
+        if now < since + self.request_delay(now, source) {
             return;
         }
         match source {
@@ -246,11 +255,11 @@
     }
 
     /// Returns how long a request to a source is delayed, for it to serve more than one node.
-    fn request_delay(&self, source: Option<LinkKey>) -> Duration {
+    fn request_delay(&self, now: Instant, source: Option<LinkKey>) -> Duration {
         let freshness = &self.freshness;
         if source.is_some() {
             Duration::ZERO
-        } else if !self.lease.is_root() && freshness.retries == 0 {
+        } else if !self.lease.is_root() && now >= freshness.retries_until {
             // The node is looking for a parent, which can reply as well.
             PARENT_TIMEOUT
         } else if freshness.waiters.is_empty() {
@@ -322,9 +331,9 @@
         let freshness = &self.freshness;
         let wanted = freshness.waiters.values().map(|waiter| waiter.wanted_at);
         let since_start = freshness.is_starting.then_some(freshness.started_at);
-        let oldest_wanted = wanted.chain(since_start).max();
+        let latest_wanted = wanted.chain(since_start).max();
         let renewal = self.renewal_age().map(|renewal| renewal / 2);
-        let max_age = oldest_wanted.map(|at| now.saturating_duration_since(at));
+        let max_age = latest_wanted.map(|at| now.saturating_duration_since(at));
         let max_age = max_age.into_iter().chain(renewal).min();
         let max_age = max_age.unwrap_or_default().as_millis();
         let serial = self.begin_request(now, Some(link));
@@ -355,11 +364,14 @@
     /// Handles that the platform did not answer request `serial`.
     pub(crate) fn on_confirmation_failed(&mut self, now: Instant, serial: u64) {
         let is_latest = serial == self.freshness.serial;
-        if self.take_request(serial, None).is_none() || !is_latest {
+        if self.take_request(serial, None).is_none() {
             return;
         }
         self.freshness.is_starting = false;
         self.readiness_gate.record_platform_failure(now);
+        if !is_latest {
+            return;
+        }
         self.switch_source(now);
         if self.freshness.retries >= self.list_sources().len() {
             let interval = RETRY_INTERVAL.max(poll_interval(self.count_zone_nodes()));
