--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -49,6 +49,8 @@
     changed_nodes: BTreeMap<SmolStr, Option<LinkKey>>,
     flush_at: Option<Instant>,
     view_at: Option<Instant>,
+    /// When to send the version held to the neighbours that lack it.
+    propagate_at: Option<Instant>,
     request_at: Option<Instant>,
     request_wait: Duration,
     /// When a root stops waiting for the endpoints that other roots know.
@@ -63,6 +65,7 @@
             changed_nodes: BTreeMap::new(),
             flush_at: None,
             view_at: None,
+            propagate_at: None,
             request_at: None,
             request_wait: REQUEST_RETRY.0,
             endpoint_sync_deadline: None,
@@ -76,6 +79,7 @@
         let all = [
             self.flush_at,
             self.view_at,
+            self.propagate_at,
             self.request_at,
             self.endpoint_sync_deadline,
         ];
@@ -189,6 +193,26 @@
         self.counters.applied_versions += 1;
         self.sync.request_wait = REQUEST_RETRY.0;
         let held = self.version();
+        if self.sync.platform_version > held {
+            // The steps that follow go out together, so that neighbours build one view of them.
+            self.sync.propagate_at.get_or_insert(now + VIEW_DELAY);
+        } else {
+            self.send_version();
+        }
+        let links = self.links.values().filter(|link| link.is_established());
+        let highest = links.map(|link| link.version).max();
+        if self.sync.platform_version.max(highest.unwrap_or_default()) > held {
+            // A higher version exists and will replace the version held shortly.
+            self.sync.view_at.get_or_insert(now + VIEW_DELAY);
+        } else {
+            self.sync.view_at = Some(now);
+        }
+    }
+
+    /// Sends the version held to the neighbours that lack it.
+    fn send_version(&mut self) {
+        self.sync.propagate_at = None;
+        let held = self.version();
         let is_behind = |link: &Link| link.is_established() && link.version < held;
         for key in self.find_links(is_behind) {
             let Some(link) = self.links.get_mut(&key) else {
@@ -201,14 +225,6 @@
             let after = std::mem::replace(&mut link.version, held);
             self.send_updates_after(key, after, false);
         }
-        let links = self.links.values().filter(|link| link.is_established());
-        let highest = links.map(|link| link.version).max();
-        if self.sync.platform_version.max(highest.unwrap_or_default()) > held {
-            // A higher version exists and will replace the version held shortly.
-            self.sync.view_at.get_or_insert(now + VIEW_DELAY);
-        } else {
-            self.sync.view_at = Some(now);
-        }
     }
 
     pub(crate) fn on_endpoints(&mut self, now: Instant, key: LinkKey, list: &[Arc<Endpoint>]) {
@@ -407,6 +423,9 @@
         if is_due(self.sync.request_at) {
             self.request_missing(now);
         }
+        if is_due(self.sync.propagate_at) {
+            self.send_version();
+        }
         if is_due(self.sync.view_at) && self.is_ready() {
             self.sync.view_at = None;
             let view = View::join(self.replica.held(), self.endpoint_table.iter().cloned());
