--- a/crates/fleet/src/freshness.rs
+++ b/crates/fleet/src/freshness.rs
@@ -31,6 +31,10 @@
 /// Renewals may then fail for more than half of the bound before calls are refused.
 const RENEWAL_SHARE: f64 = 0.4;
 
+/// The same share for a primary root, which has to find another source before the nodes that ask it
+/// need one.
+const PRIMARY_RENEWAL_SHARE: f64 = 0.25;
+
 /// Longest wait for the reply of a source, after which the next one is asked. A starting node on
 /// a VM whose platform is out of reach waits for as long before it counts on other nodes' reports.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(500);
@@ -200,7 +204,12 @@
     fn renewal_age(&self) -> Option<Duration> {
         let max_age = self.freshness.max_age?;
         let needs_keys = self.replica.held().mesh().requires_keys;
-        (needs_keys && !self.is_leaving).then(|| max_age.mul_f64(RENEWAL_SHARE))
+        let share = if self.lease.is_primary() {
+            PRIMARY_RENEWAL_SHARE
+        } else {
+            RENEWAL_SHARE
+        };
+        (needs_keys && !self.is_leaving).then(|| max_age.mul_f64(share))
     }
 
     /// Returns whether confirmations are renewed all the time.
