--- a/crates/fleet/src/root_duties.rs
+++ b/crates/fleet/src/root_duties.rs
@@ -41,7 +41,7 @@
         match free_slot {
             // A lease that is free in a stale read is usually taken by now, so an exact read comes
             // first.
-            Some(_) if self.search.require_exact_leases(now, &mut self.rng) => {}
+            Some(_) if self.search.require_exact_leases(now) => {}
             Some(slot) if self.search.is_active() && !self.is_leaving => {
                 self.request_lease(slot, true);
                 let wait = self.jitter(SEARCH_DELAY_JITTER);
--- a/crates/fleet/src/search.rs
+++ b/crates/fleet/src/search.rs
@@ -34,18 +34,6 @@
 /// Bounds of the time that a parent may have no path to a root before its children leave it.
 const ROOTLESS_TIMEOUT: (Duration, Duration) = (Duration::from_secs(3), Duration::from_mins(1));
 
-/// Number of stale reads without any root after which a new process claims a free lease at the
-/// latest. A node claims one at the first read with a chance of one in 8, which doubles with each
-/// further read.
-///
-/// When all nodes of a new fleet start together, none finds a root. Without the wait each of them
-/// would read the leases exactly, and again until the first roots are up.
-const MAX_STALE_READS: u32 = 4;
-
-/// Minimum wait between two stale reads; the maximum is twice as long. Roots are up some 500 ms
-/// after the first claim.
-const STALE_READ_INTERVAL: Duration = Duration::from_millis(500);
-
 /// Consistency of the next read of the leases.
 ///
 /// The first read may be some seconds stale. A stale read costs the platform a tenth of an exact
@@ -71,8 +59,6 @@
     wants_leases: bool,
     /// Consistency required of the next read of the leases.
     freshness: Freshness,
-    /// Number of stale reads since the start of the process.
-    stale_reads: u32,
     pending_dial: Option<(LinkKey, SocketAddr)>,
     /// When to leave a parent that has no path to a root.
     leave_parent_at: Option<Instant>,
@@ -94,7 +80,6 @@
             any_node_answered: false,
             wants_leases: true,
             freshness: Freshness::MaybeStale,
-            stale_reads: 0,
             pending_dial: None,
             leave_parent_at: None,
             rootless_timeout: ROOTLESS_TIMEOUT.0,
@@ -159,27 +144,16 @@
         }
     }
 
-    /// Schedules another read of the leases if the last read may have been stale: an exact one, or a
-    /// stale one later, for other nodes to become roots first.
+    /// Schedules an exact read of the leases if the last read may have been stale.
     ///
     /// Returns whether a read was scheduled.
-    pub(crate) fn require_exact_leases<R>(&mut self, now: Instant, rng: &mut R) -> bool
-    where
-        R: Rng,
-    {
+    pub(crate) fn require_exact_leases(&mut self, now: Instant) -> bool {
         if self.freshness == Freshness::Exact || !self.is_active() {
             return false;
         }
-        self.stale_reads += 1;
-        let odds = 1 << MAX_STALE_READS.saturating_sub(self.stale_reads);
-        let wait = if rng.random_range(0..odds) == 0 {
-            self.freshness = Freshness::Exact;
-            Duration::ZERO
-        } else {
-            STALE_READ_INTERVAL.mul_f64(1.0 + rng.random::<f64>())
-        };
+        self.freshness = Freshness::Exact;
         self.wants_leases = true;
-        self.next_attempt_at = Some(now + wait);
+        self.next_attempt_at = Some(now);
         true
     }
 
