--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -126,6 +126,8 @@
         name: String,
         /// Where the key is read from.
         source: KeySource,
+        /// Whether more was given, which may be the key itself.
+        has_extra: bool,
     },
     /// Takes a key away.
     RevokeKey {
@@ -490,7 +492,17 @@
         .map(KeySource::File)
         .fallback(KeySource::Input);
     let name = parse_team_name();
-    make_team_options(construct!(TeamAction::AddKey { source, name }))
+    // Accepted here and refused later, as the parser's own error would repeat the key.
+    let has_extra = positional::<String>("EXTRA")
+        .many()
+        .map(|extra| !extra.is_empty())
+        .hide();
+    let action = construct!(TeamAction::AddKey {
+        source,
+        name,
+        has_extra
+    });
+    make_team_options(action)
         .to_options()
         .descr("Adds a key; the first one adds the team")
         .command("add")
--- a/crates/cli/src/team.rs
+++ b/crates/cli/src/team.rs
@@ -42,6 +42,17 @@
 }
 
 pub(crate) async fn run(session: &Session, flags: &Team) -> Result<Exit, Error> {
+    if matches!(
+        flags.action,
+        TeamAction::AddKey {
+            has_extra: true,
+            ..
+        }
+    ) {
+        return Err(Error::Usage(
+            "a key is read from a file or from standard input, never from the command line",
+        ));
+    }
     let state = find_state(&session.open_journal()?, None).await?;
     let mut teams = state.mesh.teams;
     let (name, change) = match &flags.action {
@@ -58,7 +69,7 @@
             return Ok(Exit::Done);
         }
         TeamAction::Limit { name, limit } => (name, TeamChange::Limit(*limit)),
-        TeamAction::AddKey { name, source } => (name, TeamChange::Add(read_key(source)?)),
+        TeamAction::AddKey { name, source, .. } => (name, TeamChange::Add(read_key(source)?)),
         TeamAction::RevokeKey { name, fingerprint } => (name, TeamChange::Revoke(fingerprint)),
     };
     let team = match change {
--- a/crates/cli/tests/team.rs
+++ b/crates/cli/tests/team.rs
@@ -40,7 +40,7 @@
     no_limit = { &["team", "limit", "clerks"], "--none" },
     negative_limit = { &["team", "limit", "clerks", "--per-minute=-1", "--burst=1"], "-1" },
     half_limit = { &["team", "limit", "clerks", "--per-minute=1"], "burst" },
-    key_as_argument = { &["team", "key", "add", "clerks", "s3cret"], "s3cret" },
+    key_as_argument = { &["team", "key", "add", "clerks", "s3cret"], "never from the command line" },
     no_such_file = { &["team", "key", "add", "clerks", "--file=/nowhere"], "/nowhere" },
 )]
 #[test_macro(tokio::test(flavor = "multi_thread"))]
@@ -50,6 +50,7 @@
     let result = harness.run(arguments);
     assert_eq!(result.code, 2, "{result:?}");
     assert!(result.errors.contains(message), "{result:?}");
+    assert!(!result.errors.contains("s3cret"), "{result:?}");
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/config/src/team.rs
+++ b/crates/config/src/team.rs
@@ -15,11 +15,10 @@
 /// Number of bytes of a digest that are shown to people.
 const SHOWN_BYTES: usize = 4;
 
-/// SHA-256 of a key. Configurations hold digests only, so that nobody who reads one can call with
-/// its keys.
+/// SHA-256 digest of a key; configurations contain digests in place of keys.
 ///
-/// Text shows the first four bytes, and so does `Debug`: a key that is easy to guess could be found
-/// from its full digest.
+/// `Display` and `Debug` show the first four bytes only, because a key that is easy to guess can be
+/// found from its full digest.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct KeyDigest([u8; DIGEST_BYTES]);
 
--- a/crates/fleet/src/freshness.rs
+++ b/crates/fleet/src/freshness.rs
@@ -107,7 +107,7 @@
     /// Whether this process waits for a confirmation of a moment after its start.
     is_starting: bool,
     waiters: BTreeMap<LinkKey, Waiter>,
-    /// The latest requests of this node by number; also late replies are of use.
+    /// The latest requests of this node by number, for replies that arrive after the next request.
     requests: BTreeMap<u64, Request>,
     /// Whether the latest request is still waited for.
     is_pending: bool,
--- a/crates/fleet/tests/freshness.rs
+++ b/crates/fleet/tests/freshness.rs
@@ -61,8 +61,8 @@
     assert!(calls <= 80, "{calls} calls of the platform");
 }
 
-// Each of many nodes that start together asked the platform for the newest version: the platform's
-// load grew with the fleet. Now the roots ask for all nodes that wait.
+// Each of many nodes that start together asks the platform for the newest version: the platform's
+// load then grows with the fleet.
 #[test]
 fn many_starts() {
     let reads = [20, 100].map(|per_zone| {
--- a/crates/node/tests/calls/access.rs
+++ b/crates/node/tests/calls/access.rs
@@ -10,6 +10,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use node::metrics::GaugeValues;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -229,9 +230,17 @@
         }
     }
     assert_eq!(one.run_count() + received.lock().unwrap().len(), 10);
+    let is_lender = |node: &Node| {
+        let metrics = node.shared.metrics.render(&GaugeValues::default());
+        metrics.contains("team_calls_lent_total 10\n")
+    };
+    assert!(
+        is_lender(&one.node) != is_lender(&other),
+        "one owner lends all"
+    );
 }
 
-// Metrics and status name teams, and never a key.
+// A key reaches the metrics, or the `Debug` output of a view or of the node's state.
 #[tokio::test]
 async fn no_leak() {
     let limit = Limit {
@@ -243,7 +252,12 @@
         setup.call("/jobs/1", &[("bluebellpick-key", key)]).await;
     }
     let view = setup.node.shared.view.load();
-    let shown = format!("{view:?} {:?} {:?}", view.teams(), setup.node.shared);
+    let metrics = setup.node.shared.metrics.render(&GaugeValues::default());
+    let shown = format!(
+        "{view:?} {:?} {:?} {metrics}",
+        view.teams(),
+        setup.node.shared
+    );
     assert!(shown.contains("fitters"));
     assert!(!shown.contains("s3cret"), "{shown}");
 }
