A stopping node serves the connections in its accept queue

Cause: closing a listener resets the connections that the kernel has completed and the process has not accepted. The accept loop relied on the runtime's report that none was waiting, which is as old as its last poll for events; at the limit of connections it closed the listener over a whole queue.

Change: a closing listener drops further SYNs by a packet filter, empties the accept queue by raw accepts and then closes; connections beyond the permits are served too, and the drain waits for the number of open connections in place of all permits. Why it works: after the filter no connection can enter the queue, so that an empty queue stays empty until the close. Also for the listeners of operators and the backend server.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,7 @@
 //! One process has four listeners: for callers, for the backend server on the same VM, for other
 //! nodes and for operators. They share one [`shared::Shared`].
 
+mod accept;
 mod backend;
 mod forwarded_body;
 pub mod freshness;
--- a/crates/node/src/listener.rs
+++ b/crates/node/src/listener.rs
@@ -1,6 +1,7 @@
 //! HTTP listeners with bounds on connections, sizes and times, so that malformed or slow requests
 //! can't block them or exhaust memory.
 
+use crate::accept;
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
@@ -130,6 +131,16 @@
     let stopping = watch::Sender::new(false);
     // Owns the connections, so that aborting the listener closes them.
     let mut tasks = JoinSet::new();
+    let serve_accepted = |stream, permit: Option<OwnedSemaphorePermit>| {
+        let connection = serve(stream, limits, handler.clone(), stopping.subscribe());
+        let bad_requests = bad_requests.clone();
+        async move {
+            if connection.await == ConnectionEnd::BadRequest {
+                bad_requests.inc();
+            }
+            drop(permit);
+        }
+    };
     loop {
         while tasks.try_join_next().is_some() {}
         let accepted = tokio::select! {
@@ -138,20 +149,15 @@
         };
         match accepted {
             Ok((stream, permit)) => {
-                let connection = serve(stream, limits, handler.clone(), stopping.subscribe());
-                let bad_requests = bad_requests.clone();
-                tasks.spawn(async move {
-                    if connection.await == ConnectionEnd::BadRequest {
-                        bad_requests.inc();
-                    }
-                    drop(permit);
-                });
+                tasks.spawn(serve_accepted(stream, Some(permit)));
             }
             Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
         }
     }
-    drop(tcp);
     stopping.send_replace(true);
+    for stream in accept::close(tcp) {
+        tasks.spawn(serve_accepted(stream, None));
+    }
     while tasks.join_next().await.is_some() {}
 }
 
--- a/crates/node/src/outbound.rs
+++ b/crates/node/src/outbound.rs
@@ -17,6 +17,7 @@
 pub(crate) mod service;
 pub(crate) mod tried;
 
+use crate::accept;
 use crate::inbound;
 use crate::listener::ConnectionEnd;
 use crate::outbound::link::LinkPool;
@@ -31,7 +32,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use rand::Rng;
 use std::convert::Infallible;
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -151,7 +152,7 @@
     let handle = new_handle(listener.local_addr()?, shared, inbound, reserve);
     let inner = Arc::clone(&handle.inner);
     tokio::spawn(async move {
-        accept(listener, &inner).await;
+        accept_all(listener, &inner).await;
         inner.advance(ShutdownStage::Closed);
     });
     Ok(handle)
@@ -201,7 +202,7 @@
                 .shared
                 .callers_listening
                 .store(true, Ordering::Release);
-            accept(listener, inner).await;
+            accept_all(listener, inner).await;
         }
         Err(error) => log::error!(error:%; "listen_failed"),
     }
@@ -277,20 +278,14 @@
         let ended = async {
             tokio::time::sleep(lame_duck_duration(timeout)).await;
             self.inner.advance(ShutdownStage::Closing);
-            // A pending request for all permits would starve the accept loop, so the
-            // listener must be closed first.
             let mut stage = self.inner.stage.subscribe();
             drop(
                 stage
                     .wait_for(|stage| *stage == ShutdownStage::Closed)
                     .await,
             );
-            drop(
-                self.inner
-                    .connection_permits
-                    .acquire_many(max_connections)
-                    .await,
-            );
+            let mut connections = self.inner.shared.caller_connections.subscribe();
+            drop(connections.wait_for(|open| *open == 0).await);
             drop(self.inner.keyed_permits.acquire_many(max_connections).await);
         };
         match tokio::time::timeout(timeout, ended).await {
@@ -325,10 +320,7 @@
 }
 
 /// Accepts connections until the proxy closes, including those already in the accept queue.
-///
-/// Closing the listener resets the connections that wait in the kernel's accept queue. A caller
-/// that has already sent its request on such a connection can't tell whether the request ran.
-async fn accept<C>(listener: TcpListener, inner: &Arc<Inner<C>>)
+async fn accept_all<C>(listener: TcpListener, inner: &Arc<Inner<C>>)
 where
     C: Clock,
 {
@@ -337,40 +329,50 @@
         let permit = tokio::select! {
             biased;
             permit = Arc::clone(&inner.connection_permits).acquire_owned() => permit,
-            () = wait_for_closing(&mut stage) => return,
+            () = wait_for_closing(&mut stage) => break,
         };
         let Ok(permit) = permit else {
-            return;
+            break;
         };
         let accepted = tokio::select! {
             biased;
             accepted = listener.accept() => accepted,
-            () = wait_for_closing(&mut stage) => return,
+            () = wait_for_closing(&mut stage) => break,
         };
         match accepted {
-            Ok((stream, peer)) => {
-                let inner = Arc::clone(inner);
-                tokio::spawn(async move {
-                    let counted = inner.shared.count(|shared| &shared.caller_connections);
-                    serve_connection(stream, peer.ip(), inner).await;
-                    drop((counted, permit));
-                });
-            }
+            Ok((tcp, _)) => spawn_connection(tcp, Some(permit), inner),
             Err(error) => {
                 log::warn!(error:%; "accept_failed");
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
+    // The accept queue may hold more connections than there are permits.
+    for tcp in accept::close(listener) {
+        spawn_connection(tcp, None, inner);
+    }
 }
 
-async fn serve_connection<C>(stream: TcpStream, peer: IpAddr, inner: Arc<Inner<C>>)
+fn spawn_connection<C>(tcp: TcpStream, permit: Option<OwnedSemaphorePermit>, inner: &Arc<Inner<C>>)
 where
     C: Clock,
 {
-    if stream.set_nodelay(true).is_err() {
+    let inner = Arc::clone(inner);
+    let counted = inner.shared.count(|shared| &shared.caller_connections);
+    tokio::spawn(async move {
+        serve_connection(tcp, inner).await;
+        drop((counted, permit));
+    });
+}
+
+async fn serve_connection<C>(stream: TcpStream, inner: Arc<Inner<C>>)
+where
+    C: Clock,
+{
+    // Fails if the caller has closed the connection already.
+    let (Ok(peer), Ok(())) = (stream.peer_addr(), stream.set_nodelay(true)) else {
         return;
-    }
+    };
     let mut stream = TimeoutStream::new(stream);
     stream.set_write_timeout(Some(CALLER_WRITE_TIMEOUT));
     let head_timeout = inner.shared.settings.head_timeout;
@@ -382,7 +384,7 @@
         seen.store(true, Ordering::Relaxed);
         let inner = Arc::clone(&inner);
         async move {
-            let mut response = serve::serve(&inner, request, peer).await;
+            let mut response = serve::serve(&inner, request, peer.ip()).await;
             if inner.shared.uses_platform_interface() {
                 set_platform_retry_after(&mut response);
             }
