An idle connection closes with a final response, after what has arrived is served

Cause: the node closed idle connections without a look at what had arrived on them, and said nothing before the close to a request on the wire.

Change: `connection` serves the HTTP/1.1 connections of all listeners. At a close it serves what has arrived on an idle connection as the last request; otherwise it sends 408 with the verdict `not-run`, closes the write side, and reads for up to 250 ms. Why it works: a request is either read before the close and answered, or its sender finds the final response, which is true because nothing is run after it. Both need a connection between two exchanges, so the bodies of requests record whether they are read to their end.

`bad_input idle_connection` compared what a scraper receives up to the close, and that now ends with the final response: the test asks for exactly that response, on a used and on an unused connection, and counts bad requests as before.

--- a/crates/node/src/forwarded_body.rs
+++ b/crates/node/src/forwarded_body.rs
@@ -1,9 +1,9 @@
 //! The body of a request that is forwarded to the local backend server.
 
+use crate::connection::RequestBody;
 use crate::inbound::inbound_call::InboundCall;
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
-use hyper::body::Incoming;
 use quick_error::quick_error;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -41,7 +41,7 @@
     /// Nothing follows the prefix.
     Done,
     /// The caller's connection to this node.
-    Caller(Incoming),
+    Caller(RequestBody),
     /// The link from the outbound proxy of another node.
     Link(Arc<InboundCall>),
 }
--- a/crates/node/src/listener.rs
+++ b/crates/node/src/listener.rs
@@ -2,19 +2,15 @@
 //! can't block them or exhaust memory.
 
 use crate::accept;
+use crate::connection::{self, Closing, RequestBody};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
 use prometheus_client::metrics::counter::Counter;
 use serde::Serialize;
-use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -131,13 +127,11 @@
     let stopping = watch::Sender::new(false);
     // Owns the connections, so that aborting the listener closes them.
     let mut tasks = JoinSet::new();
-    let serve_accepted = |stream, permit: Option<OwnedSemaphorePermit>| {
-        let connection = serve(stream, limits, handler.clone(), stopping.subscribe());
+    let serve_accepted = |tcp, permit: Option<OwnedSemaphorePermit>| {
+        let (handler, stopping) = (handler.clone(), stopping.subscribe());
         let bad_requests = bad_requests.clone();
         async move {
-            if connection.await == ConnectionEnd::BadRequest {
-                bad_requests.inc();
-            }
+            serve(tcp, limits, handler, stopping, &bad_requests).await;
             drop(permit);
         }
     };
@@ -161,56 +155,29 @@
     while tasks.join_next().await.is_some() {}
 }
 
-/// Why a connection ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum ConnectionEnd {
-    /// Closed by either side, or the network failed.
-    Normal,
-    /// The peer sent a malformed or incomplete request.
-    BadRequest,
-}
-
-impl ConnectionEnd {
-    /// Classifies the end of a connection with `unread` bytes of a request head in its buffer.
-    ///
-    /// A timeout without such bytes is an idle connection and not a bad request. If it were one,
-    /// each idle timeout of a scraper's connection would be counted.
-    pub(crate) fn classify(ended: &Result<(), hyper::Error>, unread: usize) -> Self {
-        match ended {
-            Err(error) if error.is_parse() || error.is_incomplete_message() => Self::BadRequest,
-            Err(error) if error.is_timeout() && unread > 0 => Self::BadRequest,
-            _ => Self::Normal,
-        }
-    }
-}
-
 /// Serves one connection until its peer closes it, it times out, or the listener stops.
 async fn serve<H, F>(
-    stream: TcpStream,
+    tcp: TcpStream,
     limits: Limits,
     handler: H,
-    mut stopping: watch::Receiver<bool>,
-) -> ConnectionEnd
-where
+    stopping: watch::Receiver<bool>,
+    bad_requests: &Counter,
+) where
     H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
     F: Future<Output = HttpResponse> + Send + 'static,
 {
-    let service = service_fn(move |request| {
-        let response = handler(request);
-        async move { Ok::<_, Infallible>(response.await) }
-    });
-    let mut connection = build_server(limits).serve_connection(TokioIo::new(stream), service);
-    let ended_first = tokio::select! {
-        ended = &mut connection => Some(ended),
-        () = wait_stop(&mut stopping) => None,
+    let limits = connection::Limits {
+        head_timeout: limits.head_timeout,
+        head_bytes: limits.head_bytes,
+        write_timeout: None,
     };
-    let ended = if let Some(ended) = ended_first {
-        ended
-    } else {
-        Pin::new(&mut connection).graceful_shutdown();
-        (&mut connection).await
+    let mut stopped = stopping.clone();
+    let closing = Closing {
+        is_announced: || *stopping.borrow(),
+        started: wait_stop(&mut stopped),
     };
-    ConnectionEnd::classify(&ended, connection.into_parts().read_buf.len())
+    let handler = |request: Request<RequestBody>| handler(request.map(RequestBody::into_untracked));
+    connection::serve(tcp, limits, handler, closing, bad_requests).await;
 }
 
 async fn wait_stop(stopping: &mut watch::Receiver<bool>) {
@@ -227,24 +194,9 @@
         .await
         .map_err(io::Error::other)?;
     let (stream, _) = tcp.accept().await?;
-    stream.set_nodelay(true)?;
     Ok((stream, permit))
 }
 
-/// Builds the HTTP server of one connection.
-///
-/// Guards against peers that never complete their headers, each of which would
-/// hold a connection and its buffer for ever: the timeout closes the
-/// connection, and headers over the buffer limit are answered with status 431.
-fn build_server(limits: Limits) -> http1::Builder {
-    let mut builder = http1::Builder::new();
-    builder
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.head_timeout)
-        .max_buf_size(limits.head_bytes);
-    builder
-}
-
 /// Reads a whole request body, within the limits on its size and time.
 ///
 /// # Errors
--- a/crates/node/src/outbound.rs
+++ b/crates/node/src/outbound.rs
@@ -18,8 +18,8 @@
 pub(crate) mod tried;
 
 use crate::accept;
+use crate::connection::{self, Closing};
 use crate::inbound;
-use crate::listener::ConnectionEnd;
 use crate::outbound::link::LinkPool;
 use crate::outbound::response::{Body, RETRY_AFTER_HEADER};
 use crate::outbound::service::{Locality, ServiceClients};
@@ -27,19 +27,13 @@
 use crate::shared::{CountGuard, Shared};
 use clock::Clock;
 use config::{ServiceKey, Version};
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
 use rand::Rng;
-use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
-use tokio_io_timeout::TimeoutStream;
 use wire::{Hello, LinkKind, PROTOCOL_VERSION};
 
 /// Name of this listener in settings and metrics.
@@ -55,14 +49,6 @@
 /// this time, and its response tells them that the connection closes.
 const LAME_DUCK_DURATION: Duration = Duration::from_secs(1);
 
-/// How long a closing node waits for the first request on a connection: long
-/// enough for many round trips to the farthest callers, which are 8 ms away.
-///
-/// The first request of a connection that was just accepted is usually already
-/// on the way. If the connection is closed at once, the caller can't tell
-/// whether that request ran.
-const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(250);
-
 /// Maximum time for which a caller may read nothing of its response.
 ///
 /// Without this limit, a caller that stopped reading in the middle of a response
@@ -365,59 +351,36 @@
     });
 }
 
-async fn serve_connection<C>(stream: TcpStream, inner: Arc<Inner<C>>)
+async fn serve_connection<C>(tcp: TcpStream, inner: Arc<Inner<C>>)
 where
     C: Clock,
 {
     // Fails if the caller has closed the connection already.
-    let (Ok(peer), Ok(())) = (stream.peer_addr(), stream.set_nodelay(true)) else {
+    let Ok(peer) = tcp.peer_addr() else {
         return;
     };
-    let mut stream = TimeoutStream::new(stream);
-    stream.set_write_timeout(Some(CALLER_WRITE_TIMEOUT));
-    let head_timeout = inner.shared.settings.head_timeout;
-    let bad_requests = inner.shared.metrics.bad_requests(LISTENER);
+    let limits = connection::Limits {
+        head_timeout: inner.shared.settings.head_timeout,
+        head_bytes: MAX_HEAD_BYTES,
+        write_timeout: Some(CALLER_WRITE_TIMEOUT),
+    };
     let mut stage = inner.stage.subscribe();
-    let request_seen = Arc::new(AtomicBool::new(false));
-    let seen = Arc::clone(&request_seen);
-    let service = service_fn(move |request| {
-        seen.store(true, Ordering::Relaxed);
+    let handler = |request| {
         let inner = Arc::clone(&inner);
         async move {
             let mut response = serve::serve(&inner, request, peer.ip()).await;
             if inner.shared.uses_platform_interface() {
                 set_platform_retry_after(&mut response);
             }
-            if *inner.stage.borrow() >= ShutdownStage::LameDuck {
-                set_connection_close(&mut response);
-            }
-            Ok::<_, Infallible>(response)
+            response
         }
-    });
-    let mut connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(head_timeout)
-        .max_buf_size(MAX_HEAD_BYTES)
-        .serve_connection(TokioIo::new(Box::pin(stream)), service);
-    let mut finished = tokio::select! {
-        ended = &mut connection => Some(ended),
-        () = wait_for_closing(&mut stage) => None,
     };
-    if finished.is_none() && !request_seen.load(Ordering::Relaxed) {
-        let first = tokio::time::timeout(FIRST_REQUEST_TIMEOUT, &mut connection);
-        finished = first.await.ok();
-    }
-    let ended = if let Some(ended) = finished {
-        ended
-    } else {
-        Pin::new(&mut connection).graceful_shutdown();
-        (&mut connection).await
+    let closing = Closing {
+        is_announced: || *inner.stage.borrow() >= ShutdownStage::LameDuck,
+        started: wait_for_closing(&mut stage),
     };
-    if ConnectionEnd::classify(&ended, connection.into_parts().read_buf.len())
-        == ConnectionEnd::BadRequest
-    {
-        bad_requests.inc();
-    }
+    let bad_requests = inner.shared.metrics.bad_requests(LISTENER);
+    connection::serve(tcp, limits, handler, closing, &bad_requests).await;
 }
 
 async fn wait_for_closing(stage: &mut watch::Receiver<ShutdownStage>) {
@@ -441,16 +404,6 @@
     }
 }
 
-fn set_connection_close<C>(response: &mut http::Response<Body<C>>)
-where
-    C: Clock,
-{
-    let close = http::HeaderValue::from_static("close");
-    response
-        .headers_mut()
-        .insert(http::header::CONNECTION, close);
-}
-
 /// Picks one of a route's services at random, weighted by their percentages.
 pub(crate) fn pick_target(targets: &[(ServiceKey, u8)]) -> ServiceKey {
     let mut point = if targets.len() > 1 {
--- a/crates/node/src/outbound/plan.rs
+++ b/crates/node/src/outbound/plan.rs
@@ -1,5 +1,6 @@
 //! What is known of a call before its first attempt: route settings, deadline, target and identity.
 
+use crate::connection;
 use crate::inbound::run::TIMEOUT_HEADER;
 use crate::outbound::access::{self, Denial};
 use crate::outbound::remote_attempt;
@@ -14,7 +15,6 @@
 use http::{HeaderMap, Method, header, request};
 use http_body::Body as _;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use policy::retry;
 use smol_str::SmolStr;
 use std::net::IpAddr;
@@ -260,7 +260,7 @@
 /// A call with a short body can then be retried, and if a caller disconnects while it sends a short
 /// body, its call never reaches a backend server.
 pub(crate) async fn read_body_start(
-    mut body: Incoming,
+    mut body: connection::RequestBody,
 ) -> Result<remote_attempt::RequestBody, hyper::Error> {
     let mut prefix = Bytes::new();
     while !body.is_end_stream() {
--- a/crates/node/src/outbound/remote_attempt.rs
+++ b/crates/node/src/outbound/remote_attempt.rs
@@ -1,12 +1,12 @@
 //! An attempt that was sent over a link, and the request body that is streamed after it.
 
+use crate::connection;
 use crate::inbound::response_stream::MAX_CHUNK_BYTES;
 use crate::outbound::attempt::Attempt;
 use crate::outbound::link::Link;
 use bytes::Bytes;
 use call::Verdict;
 use http_body::Body as _;
-use hyper::body::Incoming;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
@@ -31,7 +31,7 @@
     /// The bytes kept in memory.
     pub(crate) prefix: Bytes,
     /// The caller's stream with the rest of the body, if there is any.
-    pub(crate) rest: Option<Incoming>,
+    pub(crate) rest: Option<connection::RequestBody>,
 }
 
 impl RequestBody {
--- a/crates/node/src/outbound/serve.rs
+++ b/crates/node/src/outbound/serve.rs
@@ -1,5 +1,6 @@
 //! Serves one call: plans it, sends attempts and responds to the caller.
 
+use crate::connection::RequestBody;
 use crate::inbound::run::Refused;
 use crate::metrics::Ending;
 use crate::outbound::Inner;
@@ -21,7 +22,6 @@
 use clock::Clock;
 use config::{Objective, Version, View};
 use http::{Request, Response, StatusCode, request};
-use hyper::body::Incoming;
 use policy::balance::{LoadReport, Outcome};
 use policy::quarantine::RequestStatus;
 use policy::retry::{self, Cause, Decision};
@@ -106,7 +106,7 @@
 /// Serves one call and returns the response for the caller.
 pub(crate) async fn serve<C>(
     inner: &Arc<Inner<C>>,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
     peer: IpAddr,
 ) -> Response<Body<C>>
 where
--- a/crates/node/tests/bad_input.rs
+++ b/crates/node/tests/bad_input.rs
@@ -22,6 +22,12 @@
     body_bytes: 1 << 10,
 };
 
+/// What a listener sends before it closes an idle connection.
+const FINAL_RESPONSE: &str = "HTTP/1.1 408 Request Timeout\r\nconnection: close\r\n\
+    bluebellpick-verdict: not-run\r\ncontent-type: application/json\r\n\
+    content-length: 70\r\n\r\n\
+    {\"verdict\":\"not-run\",\"reason\":\"connection-closed\",\"retry_after_ms\":0}\n";
+
 async fn spawn_listeners(shared: &Arc<Shared<clock::System>>) -> [Handle; 2] {
     [
         announce::spawn_with_limits(bind().await, Arc::clone(shared), LIMITS).unwrap(),
@@ -166,8 +172,9 @@
     let request = b"GET /healthz HTTP/1.1\r\nhost: node\r\n\r\n";
     // `exchange` returns when the listener closes the connection.
     let answer = exchange(handle.address(), request).await;
-    assert_eq!(split_answer(&answer), (200, "alive\n".into()));
-    assert_eq!(exchange(handle.address(), b"").await, "");
+    let answer = answer.strip_suffix(FINAL_RESPONSE).expect(&answer);
+    assert_eq!(split_answer(answer), (200, "alive\n".into()));
+    assert_eq!(exchange(handle.address(), b"").await, FINAL_RESPONSE);
     let text = shared
         .metrics
         .render(&node::metrics::GaugeValues::default());
