A connection that ends with an answer is read on while its caller may still send

What callers saw: a refusal that could not be read because the connection broke while its caller still sent the body, and a long answer cut off at a stop because another request lay behind it.

Cause: closing a socket with unread bytes resets the connection, and the reset destroys what its peer has not received or read.

Why it works: no byte is unread when the socket is closed, and a caller that reads the answer closes its side. A connection whose request was read whole, with nothing behind it, closes at once as before, so that callers that keep their sockets open hold no permit longer.

--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -413,13 +413,27 @@
     }
 
     /// Closes the connection. A peer that may send another request is sent the final response.
-    async fn close(self, exchange: &Mutex<Exchange>) {
-        let awaits_request = self.is_between_exchanges(&exchange.lock());
-        if awaits_request {
-            // After the timeout, the peer takes no part in the close.
-            let closing = self.stream.close(FINAL_RESPONSE);
-            drop(tokio::time::timeout(CLOSE_TIMEOUT, closing).await);
-        }
+    async fn close(mut self, exchange: &Mutex<Exchange>) {
+        let (awaits_request, is_body_read) = {
+            let exchange = exchange.lock();
+            let is_body_read = exchange.request_body == BodyProgress::Complete;
+            (self.is_between_exchanges(&exchange), is_body_read)
+        };
+        // The HTTP server answers malformed requests.
+        let is_answered = self
+            .result
+            .as_ref()
+            .err()
+            .is_none_or(hyper::Error::is_parse);
+        let response = if awaits_request {
+            FINAL_RESPONSE
+        } else if is_answered && (!is_body_read || self.stream.take_arrived()) {
+            &[]
+        } else {
+            return;
+        };
+        // After the timeout, the peer takes no part in the close.
+        drop(tokio::time::timeout(CLOSE_TIMEOUT, self.stream.close(response)).await);
     }
 }
 
--- a/crates/node/tests/calls/connection_close.rs
+++ b/crates/node/tests/calls/connection_close.rs
@@ -39,6 +39,9 @@
 /// Body of a request that exceeds the buffers of the node, but not those of the sockets.
 static UPLOAD: [u8; 400_000] = [b'x'; 400_000];
 
+/// Size of a response that exceeds the buffers of the caller, but not those of both sockets.
+const ANSWER_BYTES: usize = 1_000_000;
+
 /// Number of requests in the body of another one, which together exceed the buffers of the node.
 const BODY_REQUESTS: usize = 8_000;
 
@@ -347,6 +350,26 @@
     assert!(outcome.is_true_answer(), "{outcome:?}");
 }
 
+// A caller whose request is refused before its body has arrived must be able to send the rest.
+#[tokio::test]
+async fn refused_body() {
+    let node = spawn_serving("").await;
+    let mut caller = Caller::open(node.outbound.address());
+    let head = make_upload_head("/nowhere");
+    let (first, rest) = UPLOAD.split_at(UPLOAD.len() / 4);
+    caller.write(head.as_bytes());
+    caller.write(first);
+    // The node has answered.
+    assert!(caller.wait_for_close().await);
+    tokio::time::sleep(TIMER_MARGIN).await;
+    for chunk in rest.chunks(UPLOAD.len() / 4) {
+        caller.write(chunk);
+        tokio::task::yield_now().await;
+    }
+    let outcome = caller.read_answer().await;
+    assert_eq!(outcome, Outcome::Answered(404, "not-run".into()));
+}
+
 // The unread rest of a refused request's body must not be taken for requests.
 #[tokio::test]
 async fn unread_body() {
@@ -373,6 +396,24 @@
     assert!(run_log.entries().is_empty());
 }
 
+// A response must be complete if its caller has sent another request and reads slowly.
+#[tokio::test]
+async fn pipelined_requests() {
+    let node = spawn_serving("").await;
+    let mut caller = Caller::open(node.outbound.address());
+    let first =
+        format!("GET /jobs/1 HTTP/1.1\r\nhost: node\r\nx-answer-bytes: {ANSWER_BYTES}\r\n\r\n");
+    let mut drain = pin!(node.outbound.drain(DRAIN_LIMIT));
+    assert!(poll_once(drain.as_mut()).await.is_pending());
+    caller.write(first.as_bytes());
+    caller.write(make_upload_head("/jobs/1").as_bytes());
+    caller.write(&UPLOAD);
+    // The node writes the whole response to its socket and closes the connection.
+    tokio::time::sleep(CLOSE_TIMEOUT / 2).await;
+    let (outcome, _open) = tokio::join!(caller.read_answer(), drain);
+    assert_eq!(outcome, Outcome::Answered(200, "ran".into()));
+}
+
 /// Starts a backend server that sends the last byte of each response when `finish` is notified.
 async fn spawn_slow_server(finish: Arc<Notify>) -> SocketAddr {
     let (listener, address) = bind().await;
