A stopping node ends only after its peers have confirmed that they send no more calls

Cause: after its lame-duck time, a node sends Leaving over its links, waits until nothing is in flight, and ends. Its peers send calls until they have read Leaving. A call that arrives after the process has ended was written whole, and the attempt table is gone with the process, so its sender can't say "not run". A received call was also counted only when its task first ran.

Why this works: Leaving is followed by a ping, and the node waits for the pong, 1 s at most. The sender checks for Leaving under the link's lock, under which the pong is written: no request follows the pong, and every request before it has been received, is counted and gets its refusal. No frame is new; a peer of the build before answers pings, too, but may send a request between its check and the pong.

The test's forwarder gets close(), which ends its connections as the end of a process does.

--- a/crates/node/src/inbound.rs
+++ b/crates/node/src/inbound.rs
@@ -27,6 +27,7 @@
 use crate::shared::{Backend, Shared};
 use call::{AttemptTable, Id, Verdict};
 use clock::Clock;
+use log::info;
 use parking_lot::Mutex;
 use policy::in_flight;
 use policy::load_probe::Estimate;
@@ -51,6 +52,12 @@
 /// milliseconds.
 const MAX_FLUSH_WAIT: Duration = Duration::from_secs(5);
 
+/// Longest wait at a stop for the peers' confirmations that they send no more calls.
+///
+/// A live peer replies within a round trip, which takes 70 ms between regions. A peer that is
+/// stopped or cut off doesn't reply.
+const MAX_CONFIRMATION_WAIT: Duration = Duration::from_secs(1);
+
 /// Handle to the inbound proxy.
 #[derive(Debug, Clone)]
 pub struct Handle<C>
@@ -206,12 +213,22 @@
     /// Waits until no call is in flight and all responses have been sent; returns 0 then. At
     /// `timeout`, returns the number of calls in flight or that of unread responses, whichever is
     /// larger, but at least 1.
+    ///
+    /// If the node is leaving, also waits until its peers have confirmed that they send no more
+    /// calls. A call that is still on its way when the process ends is lost, and its sender can't
+    /// know that it hasn't run.
     pub async fn drain(&self, timeout: Duration) -> usize {
-        let mut active = self.inner.shared.in_flight.subscribe();
-        let mut answers = self.inner.shared.unread_answers.subscribe();
         let ended = async {
-            drop(active.wait_for(|count| *count == 0).await);
-            drop(answers.wait_for(|count| *count == 0).await);
+            if *self.inner.shared.leaving.borrow() {
+                let max_wait = MAX_CONFIRMATION_WAIT.min(timeout / 2);
+                let confirmed = tokio::time::timeout(max_wait, self.confirm_leaving());
+                let (confirmed, ()) = tokio::join!(confirmed, self.wait_idle());
+                if confirmed.is_err() {
+                    info!("leaving_unconfirmed");
+                }
+            }
+            // Calls that arrived before the last confirmation.
+            self.wait_idle().await;
             // After this wait, peers that read nothing are given up, and their responses with them.
             drop(tokio::time::timeout(MAX_FLUSH_WAIT, self.flush()).await);
         };
@@ -224,6 +241,33 @@
             .max(1)
     }
 
+    /// Waits until no call is in flight and no response is unread.
+    async fn wait_idle(&self) {
+        let mut active = self.inner.shared.in_flight.subscribe();
+        let mut answers = self.inner.shared.unread_answers.subscribe();
+        // The senders live as long as the shared state, so `wait_for` doesn't fail.
+        drop(active.wait_for(|count| *count == 0).await);
+        drop(answers.wait_for(|count| *count == 0).await);
+    }
+
+    /// Waits until every peer has confirmed that it has received `Leaving`, after which it sends no
+    /// more requests.
+    async fn confirm_leaving(&self) {
+        let pings: Vec<_> = {
+            // Under this lock, `announce_leaving` sends nothing older in between.
+            let links = self.inner.links.lock();
+            let open = links.iter().filter_map(Weak::upgrade);
+            open.filter_map(|link| {
+                let ping = link.send_with_ping([Frame::Leaving(true)]).ok()?;
+                Some((link, ping))
+            })
+            .collect()
+        };
+        for (link, ping) in pings {
+            link.wait_pong(ping).await;
+        }
+    }
+
     /// Waits until everything that was sent has been written to the sockets of all links.
     async fn flush(&self) {
         let links = self.inner.links.lock().clone();
--- a/crates/node/src/inbound/run.rs
+++ b/crates/node/src/inbound/run.rs
@@ -95,9 +95,11 @@
 where
     C: Clock,
 {
+    // Counted before the task runs, so that a node that stops doesn't miss the call.
+    let counted = inner.shared.count(|shared| &shared.unread_answers);
     tokio::spawn(async move {
+        let _counted = counted;
         let id = call.id;
-        let _counted = inner.shared.count(|shared| &shared.unread_answers);
         let deadline = deadline_after(&inner, request.timeout_ms);
         let read_ahead = tokio::select! {
             biased;
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep};
 use wire::call::Frame;
 use wire::codec;
@@ -70,6 +70,9 @@
 /// check, after about one minute, the link is closed.
 const MAX_SILENT_IDLE_CHECKS: u32 = 12;
 
+/// Value of [`Sender::pongs`] that ends every wait for a pong.
+const LINK_CLOSED: u64 = u64::MAX;
+
 /// What a link's reader expects from its peer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Expected {
@@ -97,6 +100,10 @@
         Full {
             display("too many unsent bytes on the link")
         }
+        /// The peer refuses new requests.
+        Leaving {
+            display("the peer refuses new requests")
+        }
         /// A frame can't be encoded.
         Encode(source: wire::Error) {
             from()
@@ -123,6 +130,8 @@
     reader_idle: AtomicBool,
     /// Tells an idle reader that something is expected from now on.
     wake_reader: Notify,
+    /// Number of pongs received; [`LINK_CLOSED`] once the link is closed.
+    pongs: watch::Sender<u64>,
 }
 
 #[derive(Debug)]
@@ -138,6 +147,8 @@
     flushed: usize,
     /// Bytes that the socket has accepted since the link opened.
     bytes_written: u64,
+    /// Number of pings sent.
+    pings: u64,
     /// Whether the writer task is waiting for the socket.
     blocked: bool,
 }
@@ -188,14 +199,42 @@
         self.push(&mut write_state, frames)
     }
 
-    /// Sends the frames of a new request, which `make` builds once the link has accepted it.
+    /// Sends frames and a ping; [`Sender::wait_pong`] takes the returned number.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Sender::send`] does.
+    pub fn send_with_ping<I>(&self, frames: I) -> Result<u64, Error>
+    where
+        I: IntoIterator<Item = Frame>,
+    {
+        let mut write_state = self.write_state.lock();
+        let frames = frames.into_iter().chain([Frame::Ping]);
+        self.push(&mut write_state, frames)?;
+        write_state.pings += 1;
+        Ok(write_state.pings)
+    }
+
+    /// Waits for the reply to a ping, or until the link is closed.
+    ///
+    /// Frames keep their order in both directions: the peer has then handled everything that was
+    /// sent before the ping, and everything that it sent before the reply has been handled here.
+    pub async fn wait_pong(&self, ping: u64) {
+        let mut pongs = self.pongs.subscribe();
+        // The sender of the watch channel lives as long as `self`, so the wait doesn't fail.
+        drop(pongs.wait_for(|count| *count >= ping).await);
+    }
+
+    /// Sends the frames of a new request, which `make` builds once the link has accepted it; `make`
+    /// returns `None` if the peer has announced that it refuses new requests.
     ///
     /// # Errors
     ///
-    /// Fails as [`Sender::send`] does, and if too many bytes wait for the socket already.
+    /// Fails as [`Sender::send`] does, if too many bytes wait for the socket already, and if `make`
+    /// returns `None`.
     pub fn send_request<F, I>(&self, make: F) -> Result<u64, Error>
     where
-        F: FnOnce() -> I,
+        F: FnOnce() -> Option<I>,
         I: IntoIterator<Item = Frame>,
     {
         let mut write_state = self.write_state.lock();
@@ -205,7 +244,8 @@
         if write_state.socket.is_none() {
             return Err(Error::Closed);
         }
-        self.push(&mut write_state, make())
+        let frames = make().ok_or(Error::Leaving)?;
+        self.push(&mut write_state, frames)
     }
 
     fn push<I>(&self, write_state: &mut WriteState, frames: I) -> Result<u64, Error>
@@ -256,6 +296,7 @@
             // Frees the buffer, which is not sent any more: references to the link may live long.
             write_state.buffer = Vec::new();
             write_state.flushed = 0;
+            self.pongs.send_replace(LINK_CLOSED);
             self.closed.notify_one();
             self.wake_writer.notify_one();
         }
@@ -335,6 +376,7 @@
         buffer: Vec::new(),
         flushed: 0,
         bytes_written: 0,
+        pings: 0,
         blocked: false,
     };
     let sender = Arc::new(Sender {
@@ -343,6 +385,7 @@
         closed: Notify::new(),
         reader_idle: AtomicBool::new(false),
         wake_reader: Notify::new(),
+        pongs: watch::Sender::new(0),
     });
     tokio::spawn(write_blocked(Arc::clone(&sender)));
     let receiver = Receiver {
@@ -460,7 +503,7 @@
                 ControlFlow::Break(())
             }
             Expected::Answer | Expected::Body
-                if silent_checks > 1 && self.sender.send([Frame::Ping]).is_err() =>
+                if silent_checks > 1 && self.sender.send_with_ping([]).is_err() =>
             {
                 ControlFlow::Break(())
             }
@@ -497,7 +540,12 @@
     {
         match frame {
             Frame::Ping if self.sender.send([Frame::Pong]).is_err() => ControlFlow::Break(()),
-            Frame::Ping | Frame::Pong => ControlFlow::Continue(()),
+            Frame::Ping => ControlFlow::Continue(()),
+            Frame::Pong => {
+                let pongs = &self.sender.pongs;
+                pongs.send_modify(|count| *count = count.saturating_add(1));
+                ControlFlow::Continue(())
+            }
             frame => handle(frame),
         }
     }
--- a/crates/node/src/outbound/link.rs
+++ b/crates/node/src/outbound/link.rs
@@ -385,6 +385,11 @@
     {
         let mut registered = None;
         let result = link.sender.send_request(|| {
+            // The pong that confirms `Leaving` is sent under the link's lock as well. Checked here,
+            // no request follows that pong, and a node that has received it may end.
+            if link.is_leaving() {
+                return None;
+            }
             // The sequence number is assigned under the link's lock, so that requests go out in the
             // order of their sequence numbers. By that order, the inbound proxy distinguishes
             // requests that it never received from those whose outcome it has already evicted.
@@ -404,10 +409,11 @@
             // Finished attempts are reported along with a request, which saves a write.
             let finished = std::mem::take(&mut *link.finished.lock());
             let finished = (!finished.is_empty()).then_some(Frame::Done(finished));
-            finished
+            let frames = finished
                 .into_iter()
                 .chain(std::iter::once(Frame::Request(request)))
-                .chain(body)
+                .chain(body);
+            Some(frames)
         });
         match (result, registered) {
             (Ok(end), Some(attempt)) => {
--- a/crates/node/src/outbound/send.rs
+++ b/crates/node/src/outbound/send.rs
@@ -216,6 +216,9 @@
         Err(link::Error::Full) => {
             return AttemptResult::Refused(Refused::not_run(Reason::Full, 0), Some(body));
         }
+        Err(link::Error::Leaving) => {
+            return AttemptResult::Refused(Refused::not_run(Reason::Leaving, 0), Some(body));
+        }
         Err(_) => {
             return AttemptResult::Refused(Refused::not_run(Reason::Backend, 0), Some(body));
         }
--- a/crates/node/tests/calls/early_end.rs
+++ b/crates/node/tests/calls/early_end.rs
@@ -1,6 +1,7 @@
 //! Calls that end early: cancelled, past the deadline, broken off, or refused by a leaving
 //! server.
 
+use crate::forward::{Forwarder, Mode};
 use crate::mesh::{Answer, Node, bind, call, spawn_node, spawn_server, wait_for_run};
 use bytes::Bytes;
 use config::Repeat;
@@ -82,6 +83,45 @@
     assert!(run_log.entries().iter().all(|run| run.request == "r"));
 }
 
+// A call crosses the announcement that the node it was sent to leaves. It must be refused as "not
+// run" before the process of that node ends; otherwise its sender can't know whether it ran.
+#[tokio::test]
+async fn crosses_announcement() {
+    let (near, far, run_log) = spawn_pair().await;
+    let forwarder = Forwarder::spawn(far.nodes_address).await;
+    let endpoint = far.endpoint("jobs", forwarder.address);
+    near.set_route("jobs", Repeat::Never, &[endpoint]);
+    // Establishes the link.
+    let warm = post(near.outbound.address(), "warm", "0", "3000").await;
+    assert_eq!(warm.status, StatusCode::OK);
+    let ending = async {
+        let limit = Duration::from_secs(4);
+        let ended = node::node::end_calls(&far.shared, &far.inbound, &far.outbound, limit).await;
+        forwarder.close();
+        ended
+    };
+    let arriving = async {
+        let mut leaving = far.shared.leaving.subscribe();
+        leaving.wait_for(|leaving| *leaving).await.unwrap();
+        // A call takes this long from one region to another.
+        tokio::time::sleep(Duration::from_millis(35)).await;
+        forwarder.set_modes(Mode::Pass, Mode::Pass);
+    };
+    let calling = async {
+        // The call is held back for less time than after which its link counts as silent.
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        forwarder.set_modes(Mode::Hold, Mode::Hold);
+        post(near.outbound.address(), "crossing", "0", "3000").await
+    };
+    let (remaining, answer, ()) = tokio::join!(ending, calling, arriving);
+    assert_eq!(
+        (answer.status, answer.verdict()),
+        (StatusCode::SERVICE_UNAVAILABLE, "not-run")
+    );
+    assert_eq!(remaining, (0, 0));
+    assert!(run_log.entries().iter().all(|run| run.request == "warm"));
+}
+
 // A caller disconnects while its call runs. The backend server must be notified and stop the work,
 // whichever node the call entered on.
 #[yare::parameterized(remote = { EntryNode::Near }, local = { EntryNode::Far })]
--- a/crates/node/tests/calls/forward.rs
+++ b/crates/node/tests/calls/forward.rs
@@ -8,6 +8,7 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::watch;
+use tokio::task::AbortHandle;
 
 /// What happens to the bytes of one direction of a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -29,6 +30,7 @@
     pub address: SocketAddr,
     target: Arc<Mutex<SocketAddr>>,
     connections: Arc<Mutex<Vec<(Direction, Direction)>>>,
+    tasks: Arc<Mutex<Vec<AbortHandle>>>,
 }
 
 impl Forwarder {
@@ -39,7 +41,9 @@
         let accepted = Arc::clone(&connections);
         let target = Arc::new(Mutex::new(target));
         let current_target = Arc::clone(&target);
-        tokio::spawn(async move {
+        let tasks = Arc::<Mutex<Vec<AbortHandle>>>::default();
+        let copying = Arc::clone(&tasks);
+        let accepting = tokio::spawn(async move {
             while let Ok((near, _)) = listener.accept().await {
                 let target = *current_target.lock().unwrap();
                 let Ok(far) = TcpStream::connect(target).await else {
@@ -51,15 +55,28 @@
                 let (far_read, far_write) = far.into_split();
                 let up = Direction::new(Mode::Pass);
                 let down = Direction::new(Mode::Pass);
-                tokio::spawn(copy(near_read, far_write, up.subscribe()));
-                tokio::spawn(copy(far_read, near_write, down.subscribe()));
+                let sending = tokio::spawn(copy(near_read, far_write, up.subscribe()));
+                let returning = tokio::spawn(copy(far_read, near_write, down.subscribe()));
+                copying
+                    .lock()
+                    .unwrap()
+                    .extend([sending.abort_handle(), returning.abort_handle()]);
                 accepted.lock().unwrap().push((up, down));
             }
         });
+        tasks.lock().unwrap().push(accepting.abort_handle());
         Self {
             address,
             target,
             connections,
+            tasks,
+        }
+    }
+
+    /// Closes all connections and refuses new ones, as the end of the target's process does.
+    pub fn close(&self) {
+        for task in self.tasks.lock().unwrap().iter() {
+            task.abort();
         }
     }
 
