A stopping node closes its listener for nodes before its last confirmations

Cause: confirmations were requested of the links that were open as the drain began. The listener stayed open through the last steps of the stop, and hello exchanges in progress even beyond the end of the listener; a peer whose hello is answered sends its first request at once.

Evidence: program links_opened_at_end lets four peers call over one new link after the other while a node process ends.

Why this works: as the last step, the node closes its listener and waits until the exchanges in progress have ended: a peer either has no hello, and has sent no call, or its link is known. Then the node drains again, and waits for every link that has not confirmed yet; a link is asked once only. The listeners for the backend server and for operators stop meanwhile.

--- a/crates/node/src/inbound.rs
+++ b/crates/node/src/inbound.rs
@@ -75,7 +75,7 @@
     pub(crate) shared: Arc<Shared<C>>,
     pub(crate) pool: Arc<ConnectionPool<C>>,
     attempt_tables: [Mutex<AttemptTable<Arc<InboundCall>>>; SHARD_COUNT],
-    links: Mutex<Vec<Weak<Sender>>>,
+    links: Mutex<Vec<OpenLink>>,
     pub(crate) gate: Arc<AdmissionGate<C>>,
     pub(crate) body_receiver: Arc<BodyReceiver<C>>,
     /// The calls that the backend server is running, as parents of nested calls.
@@ -88,6 +88,14 @@
     pub(crate) read_ahead_permits: Arc<Semaphore>,
 }
 
+/// A link from the outbound proxy of another node.
+#[derive(Debug)]
+struct OpenLink {
+    sender: Weak<Sender>,
+    /// Number of the ping that followed `Leaving`, once the node has asked for a confirmation.
+    leaving_ping: Option<u64>,
+}
+
 /// Starts the inbound proxy.
 #[must_use]
 pub fn spawn<C>(shared: Arc<Shared<C>>) -> Handle<C>
@@ -130,8 +138,11 @@
     pub fn accept(&self, stream: TcpStream, hello: &Hello) -> io::Result<()> {
         let (sender, receiver) = crate::link::open(stream)?;
         let mut links = self.inner.links.lock();
-        links.retain(|known| known.strong_count() > 0);
-        links.push(Arc::downgrade(&sender));
+        links.retain(|known| known.sender.strong_count() > 0);
+        links.push(OpenLink {
+            sender: Arc::downgrade(&sender),
+            leaving_ping: None,
+        });
         // Checked under the lock that `announce_leaving` also takes. Otherwise, `announce_leaving`
         // could send `Leaving(false)` before this frame, and the peer would take this node for
         // leaving for as long as the link is open.
@@ -251,27 +262,17 @@
     }
 
     /// Waits until every peer has confirmed that it has received `Leaving`, after which it sends no
-    /// more requests.
+    /// more requests. Links that are opened meanwhile are not waited for.
     async fn confirm_leaving(&self) {
-        let pings: Vec<_> = {
-            // Under this lock, `announce_leaving` sends nothing older in between.
-            let links = self.inner.links.lock();
-            let open = links.iter().filter_map(Weak::upgrade);
-            open.filter_map(|link| {
-                let ping = link.send_with_ping([Frame::Leaving(true)]).ok()?;
-                Some((link, ping))
-            })
-            .collect()
-        };
-        for (link, ping) in pings {
+        for (link, ping) in self.inner.request_confirmations() {
             link.wait_pong(ping).await;
         }
     }
 
     /// Waits until everything that was sent has been written to the sockets of all links.
     async fn flush(&self) {
-        let links = self.inner.links.lock().clone();
-        for sender in links.iter().filter_map(Weak::upgrade) {
+        let open = self.inner.open_links();
+        for sender in open {
             sender.wait_flushed().await;
         }
     }
@@ -281,6 +282,30 @@
 where
     C: Clock,
 {
+    fn open_links(&self) -> Vec<Arc<Sender>> {
+        let links = self.links.lock();
+        let senders = links.iter().map(|link| &link.sender);
+        senders.filter_map(Weak::upgrade).collect()
+    }
+
+    /// Sends `Leaving` and a ping over each open link, unless they have been sent before. Returns the
+    /// links with the numbers of these pings.
+    fn request_confirmations(&self) -> Vec<(Arc<Sender>, u64)> {
+        // Under this lock, `announce_leaving` sends nothing older in between.
+        let mut links = self.links.lock();
+        let open = links.iter_mut();
+        open.filter_map(|link| {
+            let sender = link.sender.upgrade()?;
+            let ping = match link.leaving_ping {
+                Some(ping) => ping,
+                None => sender.send_with_ping([Frame::Leaving(true)]).ok()?,
+            };
+            link.leaving_ping = Some(ping);
+            Some((sender, ping))
+        })
+        .collect()
+    }
+
     /// Returns whether the node or its backend server is leaving, so that new calls are refused.
     pub(crate) fn is_leaving(&self) -> bool {
         *self.shared.leaving.borrow()
@@ -386,7 +411,7 @@
         if std::mem::replace(&mut sent_leaving, leaving) == leaving {
             continue;
         }
-        for sender in links.iter().filter_map(Weak::upgrade) {
+        for sender in links.iter().filter_map(|link| link.sender.upgrade()) {
             drop(sender.send([Frame::Leaving(leaving)]));
         }
     }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -155,9 +155,13 @@
         }
         self.reserve.flush(begin(StopStep::Outcomes)).await;
         self.control.leave(begin(StopStep::Farewell)).await;
-        drop(self.nodes);
         let time = begin(StopStep::Listeners);
-        tokio::join!(self.announce.stop(time), self.operate.stop(time));
+        // Calls may still arrive over links that were opened since the calls were drained.
+        let links = async {
+            self.nodes.close().await;
+            self.inbound.drain(time / 2).await
+        };
+        tokio::join!(links, self.announce.stop(time), self.operate.stop(time));
     }
 }
 
--- a/crates/node/src/nodes.rs
+++ b/crates/node/src/nodes.rs
@@ -10,8 +10,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
-use tokio::task::JoinHandle;
+use tokio::sync::{Notify, Semaphore};
+use tokio::task::{JoinHandle, JoinSet};
 use wire::{Error, Hello, LinkKind, PROTOCOL_VERSION, codec};
 
 /// Timeout for a peer's hello, so that connections that never identify themselves
@@ -33,6 +33,19 @@
 #[derive(Debug)]
 pub struct Handle {
     task: JoinHandle<()>,
+    close: Arc<Notify>,
+}
+
+impl Handle {
+    /// Stops the listener and ends the hello exchanges in progress, but keeps established links.
+    ///
+    /// A peer whose hello was answered may send a request at once. After this function has
+    /// returned, the links of all such peers have been passed to their handlers.
+    pub async fn close(mut self) {
+        self.close.notify_one();
+        // Fails only if the runtime is shutting down.
+        drop((&mut self.task).await);
+    }
 }
 
 impl Drop for Handle {
@@ -74,8 +87,19 @@
         control,
         reserve,
     });
-    let task = tokio::spawn(accept(tcp, handlers));
-    Handle { task }
+    let close = Arc::new(Notify::new());
+    let closing = Arc::clone(&close);
+    let task = tokio::spawn(async move {
+        let mut handshakes = JoinSet::new();
+        tokio::select! {
+            biased;
+            () = closing.notified() => {}
+            () = accept(&tcp, handlers, &mut handshakes) => {}
+        }
+        drop(tcp);
+        handshakes.shutdown().await;
+    });
+    Handle { task, close }
 }
 
 #[derive(Debug)]
@@ -89,20 +113,21 @@
     reserve: reserve::Handle<C>,
 }
 
-async fn accept<C>(tcp: TcpListener, handlers: Arc<LinkHandlers<C>>)
+async fn accept<C>(tcp: &TcpListener, handlers: Arc<LinkHandlers<C>>, handshakes: &mut JoinSet<()>)
 where
     C: Clock,
 {
-    let handshakes = Arc::new(Semaphore::new(MAX_HANDSHAKES));
+    let permits = Arc::new(Semaphore::new(MAX_HANDSHAKES));
     let bad_requests = handlers.shared.metrics.bad_requests(LISTENER);
-    while let Ok(permit) = Arc::clone(&handshakes).acquire_owned().await {
+    while let Ok(permit) = Arc::clone(&permits).acquire_owned().await {
         let Ok((stream, _peer)) = tcp.accept().await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
         let handlers = Arc::clone(&handlers);
         let bad_requests = bad_requests.clone();
-        tokio::spawn(async move {
+        while handshakes.try_join_next().is_some() {}
+        handshakes.spawn(async move {
             if let Err(error) = accept_link(stream, &handlers).await {
                 debug!(error:%; "link_refused");
                 bad_requests.inc();
--- a/crates/node/tests/program.rs
+++ b/crates/node/tests/program.rs
@@ -2,12 +2,15 @@
 //! peers.
 
 use rustix::process::{Pid, Signal, kill_process};
+use serde::de::DeserializeOwned;
 use std::fs;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 use tempfile::TempDir;
+use wire::call::Frame;
 use wire::{Hello, LinkKind, PROTOCOL_VERSION, codec};
 use yare::parameterized;
 
@@ -208,6 +211,125 @@
     assert_eq!(node.wait_for_exit_code(), Some(0));
 }
 
+/// Opens the call link `number` of the process `origin`. Returns `None` if the node doesn't answer
+/// its hello.
+fn try_open_link(node: SocketAddr, origin: u64, number: u64) -> Option<Link> {
+    let stream = TcpStream::connect(node).ok()?;
+    stream.set_read_timeout(Some(TIMEOUT)).unwrap();
+    let mut link = Link {
+        stream,
+        received: Vec::new(),
+    };
+    let hello = make_hello_of(origin, PROTOCOL_VERSION, LinkKind::Call);
+    link.stream.write_all(&hello).ok()?;
+    link.try_read::<Hello>()?;
+    link.send(Frame::Open { link: number });
+    Some(link)
+}
+
+/// A call link to a node.
+struct Link {
+    stream: TcpStream,
+    received: Vec<u8>,
+}
+
+impl Link {
+    /// Sends a frame. The node may have closed the link.
+    fn send(&mut self, frame: Frame) {
+        let mut bytes = Vec::new();
+        codec::encode(&wire::Frame::Call(frame), &mut bytes).unwrap();
+        let _sent = self.stream.write_all(&bytes);
+    }
+
+    /// Reads the next frame; `None` if the link ends first.
+    fn try_read<T>(&mut self) -> Option<T>
+    where
+        T: DeserializeOwned,
+    {
+        loop {
+            if let Some((frame, used)) = codec::decode(&self.received).unwrap() {
+                self.received.drain(..used);
+                return Some(frame);
+            }
+            let mut chunk = [0; 512];
+            let count = self
+                .stream
+                .read(&mut chunk)
+                .ok()
+                .filter(|count| *count > 0)?;
+            self.received.extend_from_slice(&chunk[..count]);
+        }
+    }
+
+    /// Reads until a frame matches; returns whether one did before the link ended.
+    fn read_until<F>(&mut self, matches: F) -> bool
+    where
+        F: Fn(&Frame) -> bool,
+    {
+        while let Some(wire::Frame::Call(frame)) = self.try_read() {
+            if matches(&frame) {
+                return true;
+            }
+        }
+        false
+    }
+}
+
+fn make_request(origin: u64, sequence: u64) -> wire::call::Request {
+    wire::call::Request {
+        id: call::Id { origin, sequence },
+        service: "jobs".into(),
+        method: "POST".into(),
+        path: "/jobs/1".into(),
+        headers: Vec::new(),
+        timeout_ms: 5_000,
+        target_ms: None,
+        class: config::Class::Commit,
+        parent_class: None,
+        caller: "caller".into(),
+        route: 1,
+        length: 0,
+        end: true,
+        digest: call::Digest::default(),
+        is_suspect: false,
+    }
+}
+
+/// Calls over one new link after the other until the node answers no hello. Counts the links in
+/// `opened`, and returns the number of calls that were not refused.
+fn call_until_closed(node: SocketAddr, origin: u64, opened: &AtomicUsize) -> usize {
+    let (mut links, mut lost) = (0, 0);
+    while let Some(mut link) = try_open_link(node, origin, links + 1) {
+        links += 1;
+        opened.fetch_add(1, Ordering::Relaxed);
+        link.send(Frame::Request(make_request(origin, links)));
+        lost += usize::from(!link.read_until(|frame| matches!(frame, Frame::Refusal(_))));
+    }
+    lost
+}
+
+// Guards against calls that are lost over links that are opened while the node ends: a node that
+// has answered a peer's hello must refuse the calls that the peer sends.
+#[test]
+fn links_opened_at_end() {
+    let mut node = Node::spawn(11);
+    let address = node.address(NODES_PORT);
+    let mut first = try_open_link(address, 9, 1).unwrap();
+    node.signal(Signal::TERM);
+    assert!(first.read_until(|frame| *frame == Frame::Leaving(true)));
+    let opened = AtomicUsize::new(0);
+    let lost: Vec<_> = std::thread::scope(|scope| {
+        let call = |origin| call_until_closed(address, origin, &opened);
+        let peers = [10, 11, 12, 13].map(|origin| scope.spawn(move || call(origin)));
+        // The node waits for the confirmation of the first link.
+        wait_until("called", || opened.load(Ordering::Relaxed) >= peers.len());
+        first.send(Frame::Pong);
+        peers.map(|peer| peer.join().unwrap()).to_vec()
+    });
+    assert_eq!(node.wait_for_exit_code(), Some(0));
+    assert_eq!(lost, [0; 4], "{}", node.read_log());
+}
+
 // An operator sends SIGHUP after an invalid change of the settings file. The
 // node must neither exit nor drop its current settings, and must log the error
 // with its line.
@@ -259,10 +381,14 @@
 }
 
 fn make_hello(protocol: u16, link: LinkKind) -> Vec<u8> {
+    make_hello_of(9, protocol, link)
+}
+
+fn make_hello_of(incarnation: u64, protocol: u16, link: LinkKind) -> Vec<u8> {
     let hello = Hello {
         protocol,
         node: "records-2".into(),
-        incarnation: 9,
+        incarnation,
         zone: "kl-b".into(),
         link,
     };
