Readmit ejected backend servers once all others fail

Cause: that one had been ejected for the errors of another route, compared with peers that had no calls; then a partition cut off the peers, which can't all be ejected, so the ejected one was left out until its time was over. Evidence: log of sidecar-rawang-1, 19 calls refused after tries=2.

--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -474,6 +474,9 @@
         if server.health.record(now, sample, &peers, rng) {
             server.restart_slow_start(now);
         }
+        if sample == Sample::Failed {
+            self.readmit_if_all_fail(now);
+        }
         let server = &self.servers[index as usize];
         if server.health.state(now) != EjectionState::Active || !server.health.is_outlier(&peers) {
             return;
@@ -490,6 +493,28 @@
         }
     }
 
+    /// Ends all ejections if each of the backend servers that are left fails.
+    ///
+    /// A backend server is ejected in favor of its peers, with which it was compared when they last
+    /// had calls. After a partition, for instance, they may all be unreachable, and the only one
+    /// that would answer is the ejected one.
+    fn readmit_if_all_fail(&mut self, now: Instant) {
+        let can_answer = |index: u32| {
+            let health = &self.servers[index as usize].health;
+            health.state(now) == EjectionState::Active && !health.is_failing()
+        };
+        if self.half_open_at.is_none() || self.tier_members().any(can_answer) {
+            return;
+        }
+        for index in self.tiers.iter().flatten() {
+            let health = &mut self.servers[*index as usize].health;
+            if health.state(now) != EjectionState::Active {
+                health.readmit(now);
+            }
+        }
+        self.half_open_at = None;
+    }
+
     /// Averages over the other backend servers that are not ejected.
     fn peer_averages(&self, index: u32, now: Instant) -> PeerAverages {
         let mut count = 0.0;
--- a/crates/policy/src/outlier.rs
+++ b/crates/policy/src/outlier.rs
@@ -162,20 +162,28 @@
         if now < ejection.until || ejection.good_calls < RECOVERY_CALLS {
             return false;
         }
-        let ejection_count = self.ejection_count;
+        self.readmit(now);
+        true
+    }
+
+    /// Returns whether the last calls have all failed.
+    #[must_use]
+    pub fn is_failing(&self) -> bool {
+        self.consecutive_failures >= MAX_CONSECUTIVE_FAILURES
+    }
+
+    /// Ends an ejection before its time; former samples no longer count.
+    pub fn readmit(&mut self, now: Instant) {
         *self = Self {
-            ejection_count,
+            ejection_count: self.ejection_count,
             ..Self::new(now)
         };
-        true
     }
 
     /// Returns whether the backend server differs widely from its peers.
     #[must_use]
     pub fn is_outlier(&self, peers: &PeerAverages) -> bool {
-        if self.consecutive_failures >= MAX_CONSECUTIVE_FAILURES
-            && peers.failure_rate < EXCESS_FAILURE_RATE
-        {
+        if self.is_failing() && peers.failure_rate < EXCESS_FAILURE_RATE {
             return true;
         }
         if self.consecutive_slow >= MAX_CONSECUTIVE_SLOW && peers.slowdown < SLOW_FACTOR / 2.0 {
--- a/crates/policy/tests/balance.rs
+++ b/crates/policy/tests/balance.rs
@@ -170,6 +170,34 @@
     );
 }
 
+// A backend server is ejected for its errors, and then a partition cuts off all others. Calls must
+// go to the ejected one, which can answer them, instead of failing for the rest of its ejection.
+#[test]
+fn ejected_readmitted() {
+    let clock = Manual::new();
+    let mut rng = SmallRng::seed_from_u64(5);
+    let mut balancer = Balancer::new();
+    let mut candidates = list_candidates(3);
+    for other in &mut candidates[1..] {
+        other.distance = Distance::Region;
+    }
+    balancer.sync(clock.now(), candidates.clone());
+    let mut call = |near: Outcome, far: Outcome| {
+        let key = balancer
+            .pick(clock.now(), &pick_args(&[], false), &mut rng)
+            .unwrap();
+        let is_near = balancer.identity(key) == Some(&candidates[0].identity);
+        clock.advance(NORMAL_DURATION);
+        let outcome = if is_near { near } else { far };
+        balancer.finish(clock.now(), key, 1, NORMAL_DURATION, outcome, &mut rng);
+        is_near
+    };
+    let answered = Outcome::Answered(None);
+    while call(Outcome::Failed, answered) {}
+    let answers = (0..30).filter(|_| call(answered, Outcome::Failed)).count();
+    assert!(answers >= 10, "{answers} of 30 calls answered");
+}
+
 /// Returns the share of calls that a second backend server gets in the first second after it was
 /// added.
 fn first_second_share(warm_up: Option<Duration>) -> f64 {
