Soak of graceful stops: overlapping stops under callers that keep their connections

Nodes and backend servers are stopped and started in series and at once, SIGHUP and new versions in between, while raw HTTP/1.1 callers use their connections until the process is gone. A request that gets an end or a reset in place of an answer is a violation, and so are 502, 504 and an unknown outcome; the histories are checked as for the other experiments.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -35,3 +35,6 @@
 pub mod soak_repeat;
 pub mod soak_runner;
 pub mod state;
+pub mod stops;
+pub mod stops_callers;
+pub mod stops_runner;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,7 +3,9 @@
 //! The last line that an experiment prints is a JSON object with its results.
 
 use bench::error::Error;
-use bench::{converge, deadly, demo, faults, overload, path, rolling, soak, soak_repeat, state};
+use bench::{
+    converge, deadly, demo, faults, overload, path, rolling, soak, soak_repeat, state, stops,
+};
 use bpaf::{Parser, construct};
 use std::process::ExitCode;
 use tokio::signal::unix::{SignalKind, signal};
@@ -20,6 +22,7 @@
     Overload(overload::Options),
     Rolling(rolling::Options),
     Soak(soak::Options),
+    Stops(stops::Options),
 }
 
 fn parse_command() -> impl Parser<Command> {
@@ -67,8 +70,13 @@
         .to_options()
         .descr("Checks what must hold while seeded faults overlap, and after they end")
         .command("soak");
+    let stops = stops::parse()
+        .map(Command::Stops)
+        .to_options()
+        .descr("Checks that overlapping graceful stops leave no request without an answer")
+        .command("stops");
     construct!([
-        demo, path, converge, deadly, faults, state, overload, rolling, soak
+        demo, path, converge, deadly, faults, state, overload, rolling, soak, stops
     ])
 }
 
@@ -149,6 +157,10 @@
             let report = soak::run(options).await?;
             Ok((to_json(&report)?, report.is_clean()))
         }
+        Command::Stops(options) => {
+            let report = stops::run(options).await?;
+            Ok((to_json(&report)?, report.is_clean()))
+        }
         Command::Converge(options) => Ok((to_json(&converge::run(options).await?)?, true)),
     }
 }
--- a/crates/bench/src/rolling.rs
+++ b/crates/bench/src/rolling.rs
@@ -5,7 +5,7 @@
 //! node. Every other call without an answer, or a report that it ran, counts as lost.
 
 use crate::caller::{Call, Caller};
-use crate::deployment::{Deployment, Vm, service_vms};
+use crate::deployment::{Deployment, service_vms};
 use crate::error::Error;
 use crate::faults::{SERVICES, deploy_services};
 use crate::faults_callers::{InvocationLog, classify_answer, now_us, summarize_answer};
@@ -18,13 +18,14 @@
 use serde::Serialize;
 use serde_json::Value;
 use standin::backend::fingerprint;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 use tokio::task::JoinSet;
 
-/// Number of endpoints of each service, one in each availability zone.
-const ENDPOINTS_PER_SERVICE: u64 = 3;
+/// Number of availability zones, each with the same number of endpoints of each service.
+const ZONE_COUNT: usize = 3;
 
 /// Timeout that a caller sends with its call, in milliseconds.
 const CALL_TIMEOUT_MS: u64 = 5_000;
@@ -160,7 +161,7 @@
 ///
 /// When a program can't be started, or doesn't stop or serve in time.
 pub async fn run(options: Options) -> Result<Report, Error> {
-    let mut target = spawn().await?;
+    let mut target = spawn(1).await?;
     let from_us = now_us();
     let load = LoadGenerator::spawn(&target.deployment, &options);
     tokio::time::sleep(LOAD_MARGIN).await;
@@ -220,10 +221,12 @@
     }
 }
 
-async fn spawn() -> Result<Target, Error> {
+/// Starts a fleet with `per_zone` VMs of each service in each availability zone, and waits until
+/// every node knows all endpoints.
+pub(crate) async fn spawn(per_zone: usize) -> Result<Target, Error> {
     let mut deployment = Deployment::spawn(Vec::new(), &[]).await?;
     let mut files = Vec::new();
-    for (index, mut spec) in service_vms(&SERVICES, 1).into_iter().enumerate() {
+    for (index, mut spec) in service_vms(&SERVICES, per_zone).into_iter().enumerate() {
         let file = record_file(deployment.folder(), index, 0);
         spec.backend_args = record_args(&file);
         deployment.add(spec)?;
@@ -233,7 +236,8 @@
     // A new fleet first has to connect its availability zones. A stop before these connections
     // exist would leave nodes without endpoints of a service.
     for vm in &deployment.vms {
-        wait_status(vm, knows_all_endpoints).await?;
+        let is_complete = |status: &Value| knows_all_endpoints(status, per_zone);
+        wait_status(vm.operators_address(), is_complete).await?;
     }
     Ok(Target::new(deployment, Vec::new(), files))
 }
@@ -250,15 +254,20 @@
         Round::Node => target.restart_gracefully(Stop::Node(vm)).await?,
         Round::Server => target.restart_gracefully(Stop::Server(vm)).await?,
     }
-    wait_status(&target.deployment.vms[vm], backend_serves).await
+    wait_status(
+        target.deployment.vms[vm].operators_address(),
+        backend_serves,
+    )
+    .await
 }
 
-/// Waits until the node of a VM is ready and the node's status satisfies `is_wanted`.
-async fn wait_status<F>(vm: &Vm, is_wanted: F) -> Result<(), Error>
+/// Waits until the node with this address for operators is ready and its status satisfies
+/// `is_wanted`.
+pub(crate) async fn wait_status<F>(address: SocketAddr, is_wanted: F) -> Result<(), Error>
 where
     F: Fn(&Value) -> bool,
 {
-    let operators = Caller::new(vm.operators_address());
+    let operators = Caller::new(address);
     let call = Call::get("/v1/status");
     let start = Instant::now();
     while start.elapsed() < READY_TIMEOUT {
@@ -271,19 +280,19 @@
         }
         tokio::time::sleep(POLL_INTERVAL).await;
     }
-    Err(Error::Timeout(format!("{} to serve", vm.spec.name)))
+    Err(Error::Timeout(format!("the node at {address} to serve")))
 }
 
 /// Returns whether the backend server on the node's VM serves, according to the node's status.
-fn backend_serves(status: &Value) -> bool {
+pub(crate) fn backend_serves(status: &Value) -> bool {
     status["backend"]["leaving"] == Value::Bool(false)
 }
 
 /// Returns whether the node knows all endpoints of all services, according to the node's status.
-fn knows_all_endpoints(status: &Value) -> bool {
+fn knows_all_endpoints(status: &Value, per_zone: usize) -> bool {
     SERVICES
         .iter()
-        .all(|service| status["endpoints"][*service] == ENDPOINTS_PER_SERVICE)
+        .all(|service| status["endpoints"][*service] == ZONE_COUNT * per_zone)
 }
 
 /// Load on all nodes, with one [`Pacer`] per node.
--- a/crates/bench/src/soak.rs
+++ b/crates/bench/src/soak.rs
@@ -253,7 +253,7 @@
 }
 
 /// Copies the files of a folder, without its subfolders.
-fn copy_files(from: &Path, to: &Path) -> Result<(), Error> {
+pub(crate) fn copy_files(from: &Path, to: &Path) -> Result<(), Error> {
     std::fs::create_dir_all(to)?;
     for entry in std::fs::read_dir(from)? {
         let entry = entry?;
