--- a/crates/node/tests/calls/connection_close.rs
+++ b/crates/node/tests/calls/connection_close.rs
@@ -8,6 +8,7 @@
 use config::Repeat;
 use node::listener::{self, Limits};
 use node::{announce, operate};
+use socket2::{Domain, Socket, Type};
 use std::future::poll_fn;
 use std::io::{self, Write};
 use std::net::SocketAddr;
@@ -704,6 +705,33 @@
     assert_eq!(open, 0);
 }
 
+// A connection whose handshake is half done when the listener closes must not be reset.
+#[tokio::test]
+async fn handshake_at_close() {
+    let node = spawn_serving("").await;
+    let address = node.outbound.address();
+    let mut drain = pin!(node.outbound.drain(DRAIN_LIMIT));
+    assert!(poll_once(drain.as_mut()).await.is_pending());
+    tokio::time::sleep(node::outbound::lame_duck_duration(DRAIN_LIMIT) + TIMER_MARGIN).await;
+    assert!(poll_once(drain.as_mut()).await.is_pending());
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    // The last packet of the handshake is delayed until the first bytes are written.
+    socket.set_tcp_quickack(false).unwrap();
+    socket.connect(&address.into()).unwrap();
+    socket.set_nonblocking(true).unwrap();
+    let writer = std::net::TcpStream::from(socket);
+    let reader = TcpStream::from_std(writer.try_clone().unwrap()).unwrap();
+    let mut caller = Caller { writer, reader };
+    let asking = async {
+        // Longer than the way to the farthest callers and back.
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        caller.try_write(REQUEST);
+        caller.read_answer().await
+    };
+    let (outcome, _open) = tokio::join!(asking, drain);
+    assert!(outcome.is_true_answer(), "{outcome:?}");
+}
+
 // A response must announce that its connection closes because the body of its request is unread.
 #[tokio::test]
 async fn unread_body_announced() {
