Read as a newcomer: the run of a connection apart from its close, tests of the withheld response in one

`connection::serve` is split; three tests of the withheld final response are one parameterized test that asks for the same ends and never a 408.

--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -15,7 +15,7 @@
 
 mod stream;
 
-use crate::connection::stream::Stream;
+use crate::connection::stream::{Progress, Stream};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Version, header};
 use http_body::{Body, Frame, SizeHint};
@@ -257,30 +257,7 @@
     let stream = Stream::new(tcp, limits.write_timeout);
     let progress = stream.progress();
     let mut connection = build_server(limits).serve_connection(TokioIo::new(stream), &service);
-    let mut ended = tokio::select! {
-        biased;
-        result = &mut connection => Some(result),
-        () = closing.started => None,
-    };
-    // The first request of a connection that was just accepted is usually already on the way.
-    if ended.is_none() && exchange.lock().phase == Phase::New {
-        let first = tokio::time::timeout(CLOSE_TIMEOUT, &mut connection);
-        ended = first.await.ok();
-    }
-    let (result, was_idle) = if let Some(result) = ended {
-        let is_idle_timeout = result.as_ref().is_err_and(hyper::Error::is_timeout);
-        (result, is_idle_timeout)
-    } else {
-        let phase = exchange.lock().phase;
-        if phase == Phase::New {
-            // The HTTP server would wait for the rest of a first head.
-            (Ok(()), true)
-        } else {
-            let is_idle = phase == Phase::Answered && progress.is_flushed();
-            Pin::new(&mut connection).graceful_shutdown();
-            ((&mut connection).await, is_idle)
-        }
-    };
+    let (result, was_idle) = run(&mut connection, &exchange, &progress, closing.started).await;
     let mut socket = OpenSocket::new(result, connection.into_parts());
     if was_idle && socket.take_arrived_request(&exchange.lock()) {
         exchange.lock().closes_after_response = true;
@@ -293,6 +270,46 @@
     socket.close(&exchange).await;
 }
 
+/// Runs the HTTP server of a connection until it ends, or until the connection is to be closed and
+/// no request is running. Returns the result, and whether the connection was idle.
+async fn run<S, B, F>(
+    connection: &mut http1::Connection<TokioIo<Stream>, S>,
+    exchange: &Mutex<Exchange>,
+    progress: &Progress,
+    close_started: F,
+) -> (Result<(), hyper::Error>, bool)
+where
+    S: HttpService<Incoming, ResBody = B>,
+    S::Error: Error + Send + Sync + 'static,
+    B: Body + 'static,
+    B::Error: Error + Send + Sync + 'static,
+    F: Future<Output = ()>,
+{
+    let mut ended = tokio::select! {
+        biased;
+        result = &mut *connection => Some(result),
+        () = close_started => None,
+    };
+    // The first request of a connection that was just accepted is usually already on the way.
+    if ended.is_none() && exchange.lock().phase == Phase::New {
+        let first = tokio::time::timeout(CLOSE_TIMEOUT, &mut *connection);
+        ended = first.await.ok();
+    }
+    if let Some(result) = ended {
+        // The timer runs only while the HTTP server waits for a request head.
+        let is_idle_timeout = result.as_ref().is_err_and(hyper::Error::is_timeout);
+        return (result, is_idle_timeout);
+    }
+    let phase = exchange.lock().phase;
+    if phase == Phase::New {
+        // The HTTP server would wait for the rest of a first head.
+        return (Ok(()), true);
+    }
+    let is_idle = phase == Phase::Answered && progress.is_flushed();
+    Pin::new(&mut *connection).graceful_shutdown();
+    (connection.await, is_idle)
+}
+
 /// What a request says about the end of its connection.
 #[derive(Debug, Clone, Copy)]
 struct PeerRequest {
--- a/crates/node/tests/calls/connection_close.rs
+++ b/crates/node/tests/calls/connection_close.rs
@@ -28,6 +28,9 @@
 /// Timeout of idle connections.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// The same timeout in the settings of a node.
+const IDLE_LIMIT: &str = "head_timeout = 150 ms";
+
 /// Margin around a timer, larger than the resolution of the timers and the delays of a busy machine.
 const TIMER_MARGIN: Duration = Duration::from_millis(40);
 
@@ -228,10 +231,6 @@
     timer.await;
 }
 
-fn idle_limit() -> String {
-    format!("head_timeout = {} ms", IDLE_TIMEOUT.as_millis())
-}
-
 // A stopping node must answer a request that has arrived before the node closes an idle connection.
 #[tokio::test]
 async fn request_before_close() {
@@ -280,7 +279,7 @@
 // A request that arrives as the idle timeout of its connection expires must be answered.
 #[tokio::test]
 async fn request_at_timeout() {
-    let node = spawn_serving(&idle_limit()).await;
+    let node = spawn_serving(IDLE_LIMIT).await;
     let mut caller = Caller::open_used(node.outbound.address()).await;
     pass_idle_timeout().await;
     assert!(caller.is_quiet());
@@ -292,7 +291,7 @@
 // A request that crosses the close after the idle timeout must be answered as not run.
 #[tokio::test]
 async fn crossing_timeout() {
-    let node = spawn_serving(&idle_limit()).await;
+    let node = spawn_serving(IDLE_LIMIT).await;
     let mut caller = Caller::open_used(node.outbound.address()).await;
     // The caller writes without a look at the close, as if that were still on the way.
     caller.wait_for_close().await;
@@ -304,7 +303,7 @@
 // The first request of a connection must be answered if it arrives as the idle timeout expires.
 #[tokio::test]
 async fn first_request_at_timeout() {
-    let node = spawn_serving(&idle_limit()).await;
+    let node = spawn_serving(IDLE_LIMIT).await;
     let mut caller = Caller::open(node.outbound.address());
     // The node accepts connections in order, so it has accepted the first one too.
     drop(Caller::open_used(node.outbound.address()).await);
@@ -503,16 +502,14 @@
 )]
 #[test_macro(tokio::test)]
 async fn listener_stop(side: Side, order: Order) {
-    let connections = match order {
-        Order::Full => 1,
-        Order::Reused | Order::New => 64,
-    };
+    let connections = if matches!(order, Order::Full) { 1 } else { 64 };
     let limits = Limits {
         connections,
         ..Limits::default()
     };
     let handle = spawn_listener(side, limits).await;
     let address = handle.address();
+    // Held open, so that it takes the only permit of a full listener.
     let used = Caller::open_used(address).await;
     let mut caller = match order {
         Order::Full => Caller::open(address),
@@ -579,48 +576,32 @@
     address
 }
 
-/// Sends a request and returns all that arrives until the node closes the connection.
-async fn read_all(server: SocketAddr, request: &[u8]) -> String {
-    let node = spawn_serving_from(server, &idle_limit()).await;
-    let mut caller = Caller::open(node.outbound.address());
-    caller.write(request);
-    let mut received = Vec::new();
-    let _closed = caller.reader.read_to_end(&mut received).await;
-    String::from_utf8(received).unwrap()
-}
-
-// A body that ends with its connection must not be followed by a final response.
-#[tokio::test]
-async fn close_delimited() {
-    let answer = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n";
-    let server = spawn_raw_server(answer).await;
-    let request = b"GET /jobs/1 HTTP/1.0\r\nhost: node\r\nconnection: keep-alive\r\n\r\n";
-    let received = read_all(server, request).await;
-    assert!(received.ends_with("\r\n\r\nhello"), "{received}");
-}
-
-// A truncated response must not be followed by a final response.
+// A response that is truncated or ends with its connection must not be followed by a final response.
 #[yare::parameterized(
-    length = { b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nhello" },
-    chunked = { b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n" },
+    until_close = {
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+        b"GET /jobs/1 HTTP/1.0\r\nhost: node\r\nconnection: keep-alive\r\n\r\n",
+        "\r\n\r\nhello",
+    },
+    short_body = { b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nhello", REQUEST, "" },
+    short_chunks = { b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n", REQUEST, "" },
+    switched = {
+        b"HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n",
+        b"GET /jobs/1 HTTP/1.1\r\nhost: node\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n",
+        "",
+    },
 )]
 #[test_macro(tokio::test)]
-async fn truncated(answer: &'static [u8]) {
-    let server = spawn_raw_server(answer).await;
-    let received = read_all(server, REQUEST).await;
-    assert!(!received.contains("408"), "{received}");
-}
-
-// A response that switches protocols must not be followed by a final response.
-#[tokio::test]
-async fn switched() {
-    let answer = b"HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n";
+async fn no_final_response(answer: &'static [u8], request: &[u8], end: &str) {
     let server = spawn_raw_server(answer).await;
-    let request =
-        b"GET /jobs/1 HTTP/1.1\r\nhost: node\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n";
-    let received = read_all(server, request).await;
+    let node = spawn_serving_from(server, IDLE_LIMIT).await;
+    let mut caller = Caller::open(node.outbound.address());
+    caller.write(request);
+    let mut received = Vec::new();
+    let _closed = caller.reader.read_to_end(&mut received).await;
+    let received = String::from_utf8(received).unwrap();
     assert!(
-        !(received.contains("101") && received.contains("408")),
+        received.ends_with(end) && !received.contains("408"),
         "{received}"
     );
 }
--- a/crates/node/tests/calls/forward.rs
+++ b/crates/node/tests/calls/forward.rs
@@ -57,10 +57,8 @@
                 let down = Direction::new(Mode::Pass);
                 let sending = tokio::spawn(copy(near_read, far_write, up.subscribe()));
                 let returning = tokio::spawn(copy(far_read, near_write, down.subscribe()));
-                copying
-                    .lock()
-                    .unwrap()
-                    .extend([sending.abort_handle(), returning.abort_handle()]);
+                let aborts = [sending.abort_handle(), returning.abort_handle()];
+                copying.lock().unwrap().extend(aborts);
                 accepted.lock().unwrap().push((up, down));
             }
         });
--- a/crates/node/tests/program.rs
+++ b/crates/node/tests/program.rs
@@ -252,11 +252,8 @@
                 return Some(frame);
             }
             let mut chunk = [0; 512];
-            let count = self
-                .stream
-                .read(&mut chunk)
-                .ok()
-                .filter(|count| *count > 0)?;
+            let read = self.stream.read(&mut chunk).ok();
+            let count = read.filter(|count| *count > 0)?;
             self.received.extend_from_slice(&chunk[..count]);
         }
     }
