Read what backend servers report of themselves: rate limit and leaving

Nothing told the three hypotheses of the incident apart: no line and no series named a limit that a backend server gives, and requests to it were not counted beside it.

The node beside a backend server now reads both headers of each response (the product's own names, and the platform's), logs a change (backend_reported) and values that can't be read (backend_report_invalid, bounded), and has metrics: backend_requests, backend_has_rate_limit, backend_rate_limit, backend_reports_invalid. No decision uses them yet. The stand-in adds headers to its responses on request (/fault, headers).

--- a/crates/node/src/inbound.rs
+++ b/crates/node/src/inbound.rs
@@ -14,6 +14,7 @@
 pub(crate) mod response_stream;
 pub(crate) mod run;
 pub(crate) mod running_calls;
+pub(crate) mod server_state;
 
 use crate::backend::ConnectionPool;
 use crate::forwarded_body::ForwardedBody;
@@ -23,6 +24,7 @@
 use crate::inbound::link::run_link;
 use crate::inbound::run::{BackendResponse, Refused};
 use crate::inbound::running_calls::{RunningCall, RunningCalls};
+use crate::inbound::server_state::ServerState;
 use crate::link::Sender;
 use crate::shared::{Backend, Shared};
 use call::{AttemptTable, Id, Verdict};
@@ -86,6 +88,8 @@
     pub(crate) suspect_permits: Arc<Semaphore>,
     /// Each response that is read ahead of its reader takes a permit.
     pub(crate) read_ahead_permits: Arc<Semaphore>,
+    /// What the backend server last reported about itself.
+    pub(crate) server_state: ServerState,
 }
 
 /// A link from the outbound proxy of another node.
@@ -120,6 +124,7 @@
         in_flight: Mutex::default(),
         suspect_permits: Arc::new(Semaphore::new(1)),
         read_ahead_permits: Arc::new(Semaphore::new(deliver::MAX_READ_AHEAD_RESPONSES)),
+        server_state: ServerState::default(),
     });
     tokio::spawn(run_expiry(Arc::downgrade(&inner)));
     tokio::spawn(announce_leaving(Arc::downgrade(&inner)));
--- a/crates/node/src/inbound/run.rs
+++ b/crates/node/src/inbound/run.rs
@@ -9,6 +9,7 @@
 use crate::inbound::deliver::{deliver, send_response};
 use crate::inbound::inbound_call::InboundCall;
 use crate::inbound::running_calls::RunningCall;
+use crate::inbound::server_state::record_response;
 use crate::inbound::{Inner, body_receiver, crash};
 use crate::millis::whole_ms;
 use crate::outbound::response::reason_name;
@@ -293,8 +294,13 @@
         return Err(Refused::not_run(Reason::Cancelled, 0));
     }
     in_flight.mark_begun(inner.running_calls.register(parent_key, running_call));
+    inner.shared.metrics.self_report.count_request();
     match inner.pool.exchange(backend.address, request).await {
         Ok(response) => {
+            if platform::header::is_current(attempt.as_ref(), response.status(), response.headers())
+            {
+                record_response(inner, &backend, response.headers());
+            }
             if inner.shared.uses_platform_interface()
                 && let Err((refused, outcome)) = check_response(attempt.as_ref(), &response)
             {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod freshness;
 mod header;
 mod millis;
+mod self_report;
 
 pub mod announce;
 pub mod control;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -9,6 +9,7 @@
 pub(crate) mod failures;
 pub(crate) mod quarantine;
 pub(crate) mod reserve;
+pub(crate) mod self_report;
 pub(crate) mod service;
 
 pub use crate::metrics::access::AccessMetrics;
@@ -16,6 +17,7 @@
 pub use crate::metrics::failures::FailureMetrics;
 pub use crate::metrics::quarantine::QuarantineMetrics;
 pub use crate::metrics::reserve::ReserveMetrics;
+pub use crate::metrics::self_report::SelfReportMetrics;
 pub use crate::metrics::service::{Ending, ServiceMetrics};
 
 use crate::metrics::service::ENDING_LABELS;
@@ -130,6 +132,8 @@
     pub access: AccessMetrics,
     /// Metrics of requests that crash backend servers.
     pub quarantine: QuarantineMetrics,
+    /// Metrics of what the local backend server reports about itself.
+    pub self_report: SelfReportMetrics,
     gauges: Gauges,
     services: RwLock<HashMap<SmolStr, Arc<ServiceMetrics>>>,
     rendering: Mutex<()>,
@@ -152,6 +156,7 @@
             reserve: ReserveMetrics::default(),
             access: AccessMetrics::default(),
             quarantine: QuarantineMetrics::default(),
+            self_report: SelfReportMetrics::default(),
             gauges: Gauges::default(),
             services: RwLock::default(),
             rendering: Mutex::default(),
@@ -178,6 +183,7 @@
         self.reserve.register(&mut self.registry);
         self.access.register(&mut self.registry);
         self.quarantine.register(&mut self.registry);
+        self.self_report.register(&mut self.registry);
     }
 
     fn register_gauges(&mut self) {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -115,6 +115,8 @@
     pub answers: RateLimiter,
     /// Calls that the local backend server's admission gate refused.
     pub gate: RateLimiter,
+    /// What the local backend server reports about itself.
+    pub reports: RateLimiter,
 }
 
 /// Selects one of the counts in [`Shared`].
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -56,6 +56,7 @@
 pub mod retry;
 pub mod retry_quota;
 pub mod rollout;
+pub mod self_report;
 mod server;
 pub mod team_limit;
 mod throughput;
--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use hyper::header::HeaderMap;
+use hyper::header::{HeaderMap, HeaderName};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
@@ -107,6 +107,8 @@
     pub load: Option<usize>,
     /// Maximum age in milliseconds of the load that `/load` reports.
     pub load_lag_ms: u64,
+    /// Further headers of all responses to calls, as names and values.
+    pub headers: Vec<(String, String)>,
 }
 
 impl Default for Faults {
@@ -117,6 +119,7 @@
             health: None,
             load: None,
             load_lag_ms: 0,
+            headers: Vec::new(),
         }
     }
 }
@@ -225,7 +228,11 @@
                     Err(status) => bytes_response(status, Bytes::new()),
                 }
             }
-            _ => return self.handle_call(request).await,
+            _ => {
+                let mut response = self.handle_call(request).await?;
+                append_headers(response.headers_mut(), &self.0.faults.lock().headers);
+                response
+            }
         })
     }
 
@@ -373,6 +380,15 @@
     }
 }
 
+/// Appends headers to a map. Names and values that are invalid in HTTP are left out.
+fn append_headers(map: &mut HeaderMap, headers: &[(String, String)]) {
+    for (name, value) in headers {
+        if let (Ok(name), Ok(value)) = (name.parse::<HeaderName>(), value.parse()) {
+            map.append(name, value);
+        }
+    }
+}
+
 fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
     let value = headers.get(name).and_then(|value| value.to_str().ok());
     value.unwrap_or_default()
