--- a/crates/node/tests/calls/main.rs
+++ b/crates/node/tests/calls/main.rs
@@ -13,5 +13,6 @@
 mod raw_peer;
 mod reuse;
 mod round_trip;
+mod self_report;
 mod silent_link;
 mod unread_answers;
--- /dev/null
+++ b/crates/node/tests/calls/self_report.rs
@@ -0,0 +1,220 @@
+//! Backend servers that report a rate limit, or that they are leaving, in their responses.
+
+use crate::mesh::{Node, call, spawn_node, spawn_server};
+use bytes::Bytes;
+use config::{Endpoint, Repeat};
+use http::{Method, StatusCode};
+use standin::backend::Faults;
+use standin::record::RunLog;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tokio::task::JoinSet;
+use yare::parameterized;
+
+/// Rate that the limited backend server names, in requests per second.
+const RATE: f64 = 8.0;
+
+/// Time window over which requests to a limited backend server are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+
+/// Time after a report by which all nodes know of it.
+const NOTICE: Duration = Duration::from_millis(500);
+
+/// A VM with a node and a backend server of the service `jobs`.
+struct Vm {
+    node: Node,
+    server: SocketAddr,
+    run_log: RunLog,
+}
+
+impl Vm {
+    async fn spawn(name: &str, process: u64) -> Self {
+        let (server, run_log) = spawn_server(6).await;
+        let node = spawn_node(name).await;
+        node.announce_process("jobs", server, process);
+        Self {
+            node,
+            server,
+            run_log,
+        }
+    }
+
+    fn endpoint(&self) -> Endpoint {
+        let backend = self.node.shared.backend.borrow().clone().unwrap();
+        Endpoint {
+            process: backend.process(),
+            cold_ms: Some(0),
+            ..self.node.endpoint("jobs", self.node.nodes_address)
+        }
+    }
+
+    /// Sets the headers of all further responses of the backend server.
+    async fn set_headers(&self, headers: &[(&str, &str)]) {
+        let pair = |(name, value): &(&str, &str)| ((*name).to_owned(), (*value).to_owned());
+        let faults = Faults {
+            headers: headers.iter().map(pair).collect(),
+            ..Faults::default()
+        };
+        let body = serde_json::to_vec(&faults).unwrap();
+        let answer = call(self.server, Method::POST, "/fault", &[], body.into()).await;
+        assert_eq!(answer.unwrap().status, StatusCode::OK);
+    }
+
+    fn run_count(&self) -> usize {
+        self.run_log.entries().len()
+    }
+
+    /// Returns the number of runs that began in the most crowded window, after the first `skipped`
+    /// runs.
+    fn most_in_window(&self, skipped: usize) -> usize {
+        let runs = self.run_log.entries().into_iter().skip(skipped);
+        let starts: Vec<_> = runs.map(|run| run.start_us).collect();
+        let window = u64::try_from(WINDOW.as_micros()).unwrap();
+        let in_window = |from: &u64| {
+            let within = |at: &&u64| (*from..*from + window).contains(*at);
+            starts.iter().filter(within).count()
+        };
+        starts.iter().map(in_window).max().unwrap_or(0)
+    }
+}
+
+/// Number of requests that may reach a limited backend server in a window.
+fn allowed() -> usize {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a small positive number"
+    )]
+    let requests = (1.5 * RATE * WINDOW.as_secs_f64()) as usize;
+    requests + 5
+}
+
+async fn spawn_vms() -> Vec<Vm> {
+    let mut vms = Vec::new();
+    for (name, process) in [("a", 11), ("b", 12), ("c", 13)] {
+        vms.push(Vm::spawn(name, process).await);
+    }
+    set_routes(&nodes_of(&vms), &vms);
+    vms
+}
+
+/// Starts two nodes on VMs without a backend server of the service.
+async fn spawn_callers(vms: &[Vm]) -> [Node; 2] {
+    let callers = [spawn_node("x").await, spawn_node("y").await];
+    set_routes(&callers.each_ref(), vms);
+    callers
+}
+
+fn nodes_of(vms: &[Vm]) -> Vec<&Node> {
+    vms.iter().map(|vm| &vm.node).collect()
+}
+
+fn set_routes(nodes: &[&Node], vms: &[Vm]) {
+    let endpoints: Vec<_> = vms.iter().map(Vm::endpoint).collect();
+    for node in nodes {
+        node.set_route("jobs", Repeat::Always, &endpoints);
+    }
+}
+
+/// Replaces the node beside the first backend server, as after the end of its process; the backend
+/// server keeps running.
+async fn restart_first_node(vms: &mut [Vm], callers: &[Node; 2]) {
+    let backend = vms[0].node.shared.backend.borrow().clone();
+    vms[0].node = spawn_node("a").await;
+    vms[0].node.shared.backend.send_replace(backend);
+    set_routes(&callers.each_ref(), vms);
+}
+
+/// Sends calls of 40 ms through all `nodes` in turn for `duration`; returns how many were answered
+/// and how many were refused.
+async fn send_calls(nodes: &[&Node], per_second: u32, duration: Duration) -> (usize, usize) {
+    let mut calls = JoinSet::new();
+    let mut ticks = tokio::time::interval(Duration::from_secs(1) / per_second);
+    let end = Instant::now() + duration;
+    for node in nodes.iter().cycle() {
+        ticks.tick().await;
+        if Instant::now() >= end {
+            break;
+        }
+        let address = node.outbound.address();
+        calls.spawn(async move {
+            let headers = [("x-work-ms", "40"), ("bluebellpick-timeout-ms", "1000")];
+            call(address, Method::GET, "/jobs/1", &headers, Bytes::new())
+                .await
+                .is_ok_and(|answer| answer.status == StatusCode::OK)
+        });
+    }
+    let results = calls.join_all().await;
+    let answered = results.iter().filter(|answered| **answered).count();
+    (answered, results.len() - answered)
+}
+
+// A backend server names a rate limit and still gets as many requests as before.
+#[parameterized(
+    one_of_three = { 1 },
+    all = { 3 },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread", worker_threads = 2))]
+async fn named_limit(limited: usize) {
+    let vms = spawn_vms().await;
+    for vm in &vms[..limited] {
+        vm.set_headers(&[("bluebellpick-rate-limit", &RATE.to_string())])
+            .await;
+    }
+    send_calls(&nodes_of(&vms), 120, NOTICE).await;
+    let skipped: Vec<_> = vms.iter().map(Vm::run_count).collect();
+    let (answered, refused) = send_calls(&nodes_of(&vms), 120, Duration::from_secs(6)).await;
+    for (vm, skipped) in vms[..limited].iter().zip(skipped) {
+        let most = vm.most_in_window(skipped);
+        assert!(most <= allowed(), "{most}");
+    }
+    if limited < vms.len() {
+        assert_eq!(refused, 0, "{answered} answered");
+    }
+}
+
+// The node beside a limited backend server restarts and has forgotten the limit, which the other
+// nodes have passed on to their callers.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn limit_after_restart() {
+    let mut vms = spawn_vms().await;
+    let callers = spawn_callers(&vms).await;
+    vms[0]
+        .set_headers(&[("bluebellpick-rate-limit", &RATE.to_string())])
+        .await;
+    send_calls(&callers.each_ref(), 120, NOTICE).await;
+    let skipped = vms[0].run_count();
+    for _ in 0..4 {
+        restart_first_node(&mut vms, &callers).await;
+        send_calls(&callers.each_ref(), 240, Duration::from_secs(1)).await;
+    }
+    let most = vms[0].most_in_window(skipped);
+    assert!(most <= allowed(), "{most}");
+}
+
+// The node beside a leaving backend server restarts and has forgotten that it leaves, which the
+// other nodes have passed on to their callers.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn leaving_after_restart() {
+    let mut vms = spawn_vms().await;
+    let callers = spawn_callers(&vms).await;
+    vms[0].set_headers(&[("bluebellpick-leaving", "1")]).await;
+    send_calls(&callers.each_ref(), 120, NOTICE).await;
+    let skipped = vms[0].run_count();
+    restart_first_node(&mut vms, &callers).await;
+    send_calls(&callers.each_ref(), 120, Duration::from_secs(1)).await;
+    assert_eq!(vms[0].run_count(), skipped);
+}
+
+// A backend server reports that it is leaving while it still announces itself as ready, and keeps
+// getting calls.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn leaving_reported() {
+    let vms = spawn_vms().await;
+    vms[0].set_headers(&[("bluebellpick-leaving", "1")]).await;
+    send_calls(&nodes_of(&vms), 120, NOTICE).await;
+    let skipped = vms[0].run_count();
+    let (answered, refused) = send_calls(&nodes_of(&vms), 120, Duration::from_secs(2)).await;
+    assert_eq!(vms[0].run_count(), skipped);
+    assert_eq!(refused, 0, "{answered} answered");
+}
