--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -14,13 +14,14 @@
 const UNNAMED_NODE: &str = "node";
 
 /// Events of a node, rather than of a call, that can explain the outcome of a call.
-const NODE_EVENTS: [&str; 9] = [
+const NODE_EVENTS: [&str; 10] = [
     "started",
     "stopped",
     "handing_over",
     "leaving",
     "backend_announced",
     "backend_leaving",
+    "backend_reported",
     "link_silent",
     "platform_lost",
     "cut_off",
@@ -158,6 +159,9 @@
         (_, "not-run", "full" | "deadline") => format!(
             "no room: the gates of {turned_away_count} backend servers turned it away, as it could not begin in time"
         ),
+        (_, "not-run", "rate-limit") => format!(
+            "the backend servers take no more calls: the one at {last_node} has named a rate limit"
+        ),
         (_, "not-run", "shed") => {
             format!(
                 "the backend server at {last_node} refused it for load, though its gate had let it in"
--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -12,9 +12,9 @@
 //! would otherwise lose all its work at once. A backend server that is really gone refuses
 //! connections, which the inbound proxy notices at the next call.
 
-mod process;
+pub(crate) mod process;
 
-use crate::announce::process::{Message, Process, ProcessTracker};
+use crate::announce::process::{Message, Process};
 use crate::listener::{self, Handle, HttpResponse, Limits, error_response, json_response};
 use crate::millis::whole_ms;
 use crate::shared::{Backend, Shared};
@@ -23,7 +23,6 @@
 use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
 use log::info;
-use parking_lot::Mutex;
 use platform::announce::InstanceUpdate;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -111,11 +110,7 @@
 {
     let bad_requests = shared.metrics.bad_requests(LISTENER);
     tokio::spawn(log_backend_waits(Arc::downgrade(&shared)));
-    let state = Arc::new(ListenerState {
-        shared,
-        limits,
-        processes: Mutex::default(),
-    });
+    let state = Arc::new(ListenerState { shared, limits });
     listener::spawn(tcp, limits, bad_requests, move |request| {
         let state = Arc::clone(&state);
         async move { handle_request(request, &state).await }
@@ -129,7 +124,6 @@
 {
     shared: Arc<Shared<C>>,
     limits: Limits,
-    processes: Mutex<ProcessTracker>,
 }
 
 async fn handle_request<C>(request: Request<Incoming>, state: &ListenerState<C>) -> HttpResponse
@@ -204,7 +198,7 @@
 {
     let announcement = update.announcement.as_ref();
     let is_leave = announcement.is_none_or(|announcement| announcement.leaving);
-    let mut processes = state.processes.lock();
+    let mut processes = state.shared.processes.lock();
     let process = Process::from_platform(update.instance.clone(), update.process_started_ms);
     let has_only_name = announcement.is_none() && update.process_started_ms.is_none();
     let process = if has_only_name {
@@ -235,7 +229,7 @@
             };
             update_backend(state, &backend);
         }
-        Some(_) | None => mark_leaving(state),
+        Some(_) | None => mark_leaving(&state.shared),
     }
 }
 
@@ -290,7 +284,7 @@
         is_leave: false,
         received_at: state.shared.clock.now(),
     };
-    let mut processes = state.processes.lock();
+    let mut processes = state.shared.processes.lock();
     if !processes.accept(
         &Process::from_incarnation(announcement.incarnation),
         &message,
@@ -356,13 +350,13 @@
         is_leave: true,
         received_at: state.shared.clock.now(),
     };
-    let mut processes = state.processes.lock();
+    let mut processes = state.shared.processes.lock();
     let process = match leave_request.incarnation {
         Some(_) => Process::from_incarnation(leave_request.incarnation),
         None => processes.current(),
     };
     if processes.accept(&process, &message) {
-        mark_leaving(state);
+        mark_leaving(&state.shared);
     }
     drop(processes);
     Status {
@@ -371,20 +365,37 @@
     }
 }
 
-fn mark_leaving<C>(state: &ListenerState<C>)
+/// Applies a response in which a process of the backend server reports that it is leaving, like a
+/// leave request. Later announcements of the process are ignored.
+pub(crate) fn apply_reported_leave<C>(shared: &Shared<C>, backend: &Backend)
 where
     C: Clock,
 {
-    let changed = state
-        .shared
-        .backend
-        .send_if_modified(|current| match current {
-            Some(backend) if !backend.leaving => {
-                backend.leaving = true;
-                true
-            }
-            _ => false,
-        });
+    let message = Message {
+        sequence: None,
+        is_leave: true,
+        received_at: shared.clock.now(),
+    };
+    let mut processes = shared.processes.lock();
+    let is_current = |current: &Backend| current.process() == backend.process();
+    if shared.backend.borrow().as_ref().is_some_and(is_current)
+        && processes.accept(&Process::of_backend(backend), &message)
+    {
+        mark_leaving(shared);
+    }
+}
+
+fn mark_leaving<C>(shared: &Shared<C>)
+where
+    C: Clock,
+{
+    let changed = shared.backend.send_if_modified(|current| match current {
+        Some(backend) if !backend.leaving => {
+            backend.leaving = true;
+            true
+        }
+        _ => false,
+    });
     if changed {
         info!("backend_leaving");
     }
@@ -398,6 +409,6 @@
         in_flight: *state.shared.in_flight.borrow(),
         // Also true for a backend server that sent its leave request before any announcement, to a
         // node that had just started.
-        leaving: state.processes.lock().has_left(),
+        leaving: state.shared.processes.lock().has_left(),
     }
 }
--- a/crates/node/src/announce/process.rs
+++ b/crates/node/src/announce/process.rs
@@ -5,6 +5,7 @@
 //! comes after the leave request would announce the leaving server as ready again. One backend
 //! server got new calls for 25 s in this way, the whole time that it waited to exit.
 
+use crate::shared::Backend;
 use smol_str::{SmolStr, ToSmolStr};
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -31,7 +32,7 @@
 /// late ones of the former process, and a leave request of the former process would remove the new
 /// one.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(super) struct Process {
+pub(crate) struct Process {
     /// Name of the process; empty if it gives none.
     name: SmolStr,
     /// Start time of the process by the clock of its VM, if it is announced.
@@ -40,7 +41,7 @@
 
 impl Process {
     /// Identifies a process that announces itself in the platform's format.
-    pub(super) fn from_platform(instance: SmolStr, started_ms: Option<u64>) -> Self {
+    pub(crate) fn from_platform(instance: SmolStr, started_ms: Option<u64>) -> Self {
         Self {
             name: instance,
             started_ms,
@@ -48,13 +49,21 @@
     }
 
     /// Identifies a process by its incarnation; without one, the process is unnamed.
-    pub(super) fn from_incarnation(incarnation: Option<u64>) -> Self {
+    pub(crate) fn from_incarnation(incarnation: Option<u64>) -> Self {
         Self {
             name: incarnation.map_or_else(SmolStr::default, |number| number.to_smolstr()),
             started_ms: None,
         }
     }
 
+    /// Identifies the process that announced `backend`.
+    pub(crate) fn of_backend(backend: &Backend) -> Self {
+        match &backend.instance {
+            Some(instance) => Self::from_platform(instance.clone(), backend.process_started_ms),
+            None => Self::from_incarnation(backend.incarnation),
+        }
+    }
+
     fn is_unnamed(&self) -> bool {
         self.name.is_empty()
     }
@@ -72,18 +81,18 @@
 
 /// The parts of an announcement or leave request that decide whether the message is current.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct Message {
+pub(crate) struct Message {
     /// Sequence number among the messages of its process, if the message has one.
-    pub(super) sequence: Option<u64>,
+    pub(crate) sequence: Option<u64>,
     /// Whether the process is leaving and takes no more calls.
-    pub(super) is_leave: bool,
+    pub(crate) is_leave: bool,
     /// When the message was read.
-    pub(super) received_at: Instant,
+    pub(crate) received_at: Instant,
 }
 
 /// The current process of the backend server and its former processes.
 #[derive(Debug, Default)]
-pub(super) struct ProcessTracker {
+pub(crate) struct ProcessTracker {
     current: Option<Process>,
     /// Sequence number of the last applied message of the current process that had one.
     last_sequence: u64,
@@ -105,7 +114,7 @@
 impl ProcessTracker {
     /// Records a message; returns whether to apply it, that is, whether it is up to date and its
     /// sender counts as the current process from now on.
-    pub(super) fn accept(&mut self, process: &Process, message: &Message) -> bool {
+    pub(crate) fn accept(&mut self, process: &Process, message: &Message) -> bool {
         if self.seems_outdated(process) {
             self.add_former(process.clone(), message.is_leave, 1);
             return false;
@@ -129,12 +138,12 @@
     }
 
     /// Returns whether the current process has sent a leave request.
-    pub(super) fn has_left(&self) -> bool {
+    pub(crate) fn has_left(&self) -> bool {
         self.left_at.is_some()
     }
 
     /// Returns the current process, or an unnamed one if none is known.
-    pub(super) fn current(&self) -> Process {
+    pub(crate) fn current(&self) -> Process {
         let unnamed = || Process::from_incarnation(None);
         self.current.clone().unwrap_or_else(unnamed)
     }
@@ -143,7 +152,7 @@
     ///
     /// A leave request without a start time is attributed to the current process of that name. If
     /// the request were ignored, calls would still be sent to a process that is leaving.
-    pub(super) fn match_by_name(&self, process: Process) -> Process {
+    pub(crate) fn match_by_name(&self, process: Process) -> Process {
         let current = self.current.as_ref();
         let current = current.filter(|current| current.name == process.name);
         current.cloned().unwrap_or(process)
--- a/crates/node/src/inbound.rs
+++ b/crates/node/src/inbound.rs
@@ -11,10 +11,10 @@
 pub(crate) mod inbound_call;
 pub(crate) mod link;
 pub(crate) mod load_probe;
+pub(crate) mod report;
 pub(crate) mod response_stream;
 pub(crate) mod run;
 pub(crate) mod running_calls;
-pub(crate) mod server_state;
 
 use crate::backend::ConnectionPool;
 use crate::forwarded_body::ForwardedBody;
@@ -24,7 +24,6 @@
 use crate::inbound::link::run_link;
 use crate::inbound::run::{BackendResponse, Refused};
 use crate::inbound::running_calls::{RunningCall, RunningCalls};
-use crate::inbound::server_state::ServerState;
 use crate::link::Sender;
 use crate::shared::{Backend, Shared};
 use call::{AttemptTable, Id, Verdict};
@@ -41,7 +40,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::{Semaphore, oneshot};
 use wire::Hello;
-use wire::call::{Frame, LoadProbe, Reason, Request};
+use wire::call::{Frame, LoadProbe, Reason, Request, ServerReport};
 
 /// Number of shards of the attempt table, each with its own lock; all attempts of a peer are in
 /// one shard.
@@ -88,8 +87,6 @@
     pub(crate) suspect_permits: Arc<Semaphore>,
     /// Each response that is read ahead of its reader takes a permit.
     pub(crate) read_ahead_permits: Arc<Semaphore>,
-    /// What the backend server last reported about itself.
-    pub(crate) server_state: ServerState,
 }
 
 /// A link from the outbound proxy of another node.
@@ -124,7 +121,6 @@
         in_flight: Mutex::default(),
         suspect_permits: Arc::new(Semaphore::new(1)),
         read_ahead_permits: Arc::new(Semaphore::new(deliver::MAX_READ_AHEAD_RESPONSES)),
-        server_state: ServerState::default(),
     });
     tokio::spawn(run_expiry(Arc::downgrade(&inner)));
     tokio::spawn(announce_leaving(Arc::downgrade(&inner)));
@@ -165,6 +161,12 @@
         self.inner.running_calls.find(policy::hash(name))
     }
 
+    /// Returns what other nodes must know of the backend server to call it, if it has reported
+    /// anything.
+    pub(crate) fn report(&self) -> Option<ServerReport> {
+        report::current_report(&self.inner)
+    }
+
     /// Estimates what would happen to a call that enters on this VM.
     pub(crate) fn estimate(&self, probe: &LoadProbe) -> Estimate {
         load_probe::estimate(&self.inner, probe)
--- a/crates/node/src/inbound/admission_gate.rs
+++ b/crates/node/src/inbound/admission_gate.rs
@@ -1,12 +1,14 @@
 //! Admission to the backend server of this node: runs `policy::admission` and holds the calls
 //! that wait.
 
+use crate::shared::Backend;
 use clock::Clock;
 use parking_lot::Mutex;
 use policy::admission::{Admission, Decision, Next, Refusal, Request, Ticket};
 use policy::limit::Outcome;
 use policy::load_probe::Estimate;
 use policy::queue::Key;
+use policy::self_report::{Rate, RateReading, Reading};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use std::collections::HashMap;
@@ -14,6 +16,7 @@
 use std::sync::{Arc, Weak};
 use std::time::{Duration, Instant};
 use tokio::sync::{Notify, oneshot};
+use wire::call::ServerReport;
 
 /// Longest sleep of the timer task while no call waits.
 const IDLE_SLEEP: Duration = Duration::from_mins(1);
@@ -30,10 +33,23 @@
 struct State {
     admission: Admission,
     slots: u16,
+    report: ReportState,
     waiting: HashMap<Key, oneshot::Sender<Result<Ticket, Refusal>>>,
     rng: SmallRng,
 }
 
+/// What the current process of the backend server has reported about itself.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct ReportState {
+    /// Identifies the process.
+    pub(crate) process: u64,
+    pub(crate) rate_limit: Option<Rate>,
+    pub(crate) leaving: bool,
+    /// Whether this node has received a response of the process. Until then, what other nodes know
+    /// of the process is used: it may have run for long before this node started.
+    has_responded: bool,
+}
+
 /// Permission to run one call; dropping it frees the slot for the next call.
 #[derive(Debug)]
 pub(crate) struct Permit<C>
@@ -75,10 +91,40 @@
 }
 
 impl State {
-    fn set_slots(&mut self, slots: u16) {
-        if self.slots != slots {
-            self.slots = slots;
-            self.admission.set_advertised_slots(slots);
+    /// Updates the state to what the backend server advertises.
+    fn set_backend(&mut self, now: Instant, backend: &Backend) {
+        if self.slots != backend.slots {
+            self.slots = backend.slots;
+            self.admission.set_advertised_slots(backend.slots);
+        }
+        if self.report.process != backend.process() {
+            // A limit is that of a process; a new process has named none yet.
+            self.report = ReportState {
+                process: backend.process(),
+                ..ReportState::default()
+            };
+            self.set_rate_limit(now, None);
+        }
+    }
+
+    fn set_rate_limit(&mut self, now: Instant, rate_limit: Option<Rate>) {
+        self.report.rate_limit = rate_limit;
+        self.admission.set_rate_limit(now, rate_limit);
+        self.advance(now);
+    }
+
+    /// Takes over what another node knows of the backend server's process.
+    fn adopt_report(&mut self, now: Instant, known: Option<&ServerReport>) {
+        let known = known.filter(|known| known.process == self.report.process);
+        let known = known
+            .and_then(|known| known.rate_limit)
+            .map(Rate::from_millis);
+        let Some(rate) = known.filter(|_| !self.report.has_responded) else {
+            return;
+        };
+        // Of different rates, the lowest one: which of them is the latest is not known.
+        if self.report.rate_limit.is_none_or(|limit| rate < limit) {
+            self.set_rate_limit(now, Some(rate));
         }
     }
 
@@ -113,6 +159,7 @@
             state: Mutex::new(State {
                 admission: Admission::new(now, 0, seed),
                 slots: 0,
+                report: ReportState::default(),
                 waiting: HashMap::new(),
                 rng: SmallRng::seed_from_u64(seed),
             }),
@@ -122,12 +169,12 @@
         gate
     }
 
-    /// Offers a call to the backend server, which advertises `slots`.
-    pub(crate) fn offer(self: &Arc<Self>, slots: u16, request: &Request) -> GateDecision<C> {
+    /// Offers a call to the backend server.
+    pub(crate) fn offer(self: &Arc<Self>, backend: &Backend, request: &Request) -> GateDecision<C> {
         let now = self.clock.now();
         let mut state = self.state.lock();
         let state = &mut *state;
-        state.set_slots(slots);
+        state.set_backend(now, backend);
         match state.admission.offer(now, request, &mut state.rng) {
             Decision::Run(ticket) => GateDecision::Run(self.permit(ticket)),
             Decision::Refuse(refusal) => GateDecision::Refuse(refusal),
@@ -144,11 +191,11 @@
         }
     }
 
-    /// Estimates what would happen to a call at the backend server, which advertises `slots`.
-    pub(crate) fn estimate(&self, slots: u16, request: &Request) -> Estimate {
+    /// Estimates what would happen to a call at the backend server.
+    pub(crate) fn estimate(&self, backend: &Backend, request: &Request) -> Estimate {
         let now = self.clock.now();
         let mut state = self.state.lock();
-        state.set_slots(slots);
+        state.set_backend(now, backend);
         state.admission.estimate(now, request)
     }
 
@@ -161,6 +208,53 @@
         state.admission.precheck(now, request, &mut state.rng)
     }
 
+    /// Records what a response of the process `process` reports; returns the new state and whether
+    /// it has changed, or `None` for a response of a former process.
+    pub(crate) fn record_report(
+        &self,
+        process: u64,
+        reading: &Reading,
+    ) -> Option<(ReportState, bool)> {
+        let now = self.clock.now();
+        let mut state = self.state.lock();
+        if state.report.process != process {
+            return None;
+        }
+        let previous = state.report;
+        let rate_limit = match reading.rate {
+            RateReading::Absent => None,
+            RateReading::Named(rate) => Some(rate),
+            RateReading::Unreadable => previous.rate_limit,
+        };
+        // What can't be read doesn't override what other nodes know.
+        state.report.has_responded |= reading.rate != RateReading::Unreadable;
+        // A process that leaves doesn't return.
+        state.report.leaving |= reading.leaving;
+        if rate_limit != previous.rate_limit {
+            state.set_rate_limit(now, rate_limit);
+            self.timer_wakeup.notify_one();
+        }
+        let reported = |report: &ReportState| (report.rate_limit, report.leaving);
+        Some((state.report, reported(&state.report) != reported(&previous)))
+    }
+
+    /// Takes over what another node knows of the backend server.
+    pub(crate) fn adopt_report(&self, backend: &Backend, known: Option<&ServerReport>) {
+        if known.is_none() {
+            return;
+        }
+        let now = self.clock.now();
+        let mut state = self.state.lock();
+        state.set_backend(now, backend);
+        state.adopt_report(now, known);
+        self.timer_wakeup.notify_one();
+    }
+
+    /// Returns what the backend server has reported.
+    pub(crate) fn report(&self) -> ReportState {
+        self.state.lock().report
+    }
+
     /// Returns how long a call of `route` is expected to run.
     pub(crate) fn expected_duration(&self, route: u64) -> Duration {
         self.state.lock().admission.expected_duration(route)
@@ -251,7 +345,7 @@
         let wake_at = {
             let mut state = gate.state.lock();
             state.advance(now);
-            state.admission.wake_at()
+            state.admission.wake_at(now)
         };
         let sleep = wake_at.map_or(IDLE_SLEEP, |at| at.saturating_duration_since(now));
         tokio::select! {
--- a/crates/node/src/inbound/deliver.rs
+++ b/crates/node/src/inbound/deliver.rs
@@ -5,6 +5,7 @@
 use crate::header::collect_end_to_end;
 use crate::inbound::Inner;
 use crate::inbound::inbound_call::{InboundCall, ReaderStalled};
+use crate::inbound::report::current_report;
 use crate::inbound::response_stream::MAX_CHUNK_BYTES;
 use crate::inbound::run::{BackendResponse, abandon_call, percent_of};
 use crate::millis::whole_ms;
@@ -60,6 +61,7 @@
         load_percent: percent_of(load_report.load),
         queue_wait_ms: whole_ms(load_report.queue_wait),
         end: end && first.is_none(),
+        report: current_report(inner),
     };
     call.send_head(head, first, end);
     if end {
--- a/crates/node/src/inbound/load_probe.rs
+++ b/crates/node/src/inbound/load_probe.rs
@@ -1,6 +1,7 @@
 //! Answers load probes: estimates what would happen to a call that hasn't been sent to this node.
 
 use crate::inbound::Inner;
+use crate::inbound::report::current_report;
 use crate::inbound::run::{deadline_after, percent_of};
 use crate::millis::whole_ms;
 use clock::Clock;
@@ -21,6 +22,7 @@
         wait_ms: whole_ms(estimate.wait),
         run_ms: estimate.run.map(whole_ms),
         load_percent: percent_of(estimate.load),
+        report: current_report(inner),
     }
 }
 
@@ -50,5 +52,8 @@
         target: probe.target_ms.map(|target| deadline_after(inner, target)),
         parent_class: probe.parent_class,
     };
-    inner.gate.estimate(backend.slots, &request)
+    inner
+        .gate
+        .adopt_report(&backend, probe.known_report.as_ref());
+    inner.gate.estimate(&backend, &request)
 }
--- a/crates/node/src/inbound/run.rs
+++ b/crates/node/src/inbound/run.rs
@@ -8,8 +8,8 @@
 use crate::inbound::crash::{InFlightCall, SuspectPermit, check_quarantine};
 use crate::inbound::deliver::{deliver, send_response};
 use crate::inbound::inbound_call::InboundCall;
+use crate::inbound::report::apply_response;
 use crate::inbound::running_calls::RunningCall;
-use crate::inbound::server_state::record_response;
 use crate::inbound::{Inner, body_receiver, crash};
 use crate::millis::whole_ms;
 use crate::outbound::response::reason_name;
@@ -265,9 +265,12 @@
             .map_err(|reason| Refused::not_run(reason, 0))
     };
     let counted = inner.shared.count(|shared| &shared.in_flight);
+    inner
+        .gate
+        .adopt_report(&find_backend()?, request.known_report.as_ref());
     let suspect_permit = SuspectPermit::acquire(inner, &request).await?;
     let offered_at = inner.shared.clock.now();
-    let mut permit = wait_admission(inner, &request, deadline, find_backend()?.slots).await?;
+    let mut permit = wait_admission(inner, &request, deadline, &find_backend()?).await?;
     let admitted_at = inner.shared.clock.now();
     let queue_wait = admitted_at.saturating_duration_since(received_at);
     let gate_wait = admitted_at.saturating_duration_since(offered_at);
@@ -299,7 +302,7 @@
         Ok(response) => {
             if platform::header::is_current(attempt.as_ref(), response.status(), response.headers())
             {
-                record_response(inner, &backend, response.headers());
+                apply_response(inner, &backend, response.headers());
             }
             if inner.shared.uses_platform_interface()
                 && let Err((refused, outcome)) = check_response(attempt.as_ref(), &response)
@@ -407,13 +410,13 @@
     inner: &Arc<Inner<C>>,
     request: &Request,
     deadline: Instant,
-    slots: u16,
+    backend: &Backend,
 ) -> Result<Permit<C>, Refused>
 where
     C: Clock,
 {
     let gate_request = admission_request(inner, request, deadline);
-    let decided = match inner.gate.offer(slots, &gate_request) {
+    let decided = match inner.gate.offer(backend, &gate_request) {
         GateDecision::Run(permit) => Ok(permit),
         GateDecision::Refuse(refusal) => Err(refusal),
         // A call that waits when the backend server starts to leave is refused immediately.
@@ -462,6 +465,7 @@
     let reason = match refusal.reason {
         admission::Reason::Full => Reason::Full,
         admission::Reason::Deadline => Reason::Deadline,
+        admission::Reason::RateLimit => Reason::RateLimit,
     };
     let wait = whole_ms(refusal.retry_after);
     let refused = Refused::not_run(reason, wait.max(1));
--- a/crates/node/src/outbound.rs
+++ b/crates/node/src/outbound.rs
@@ -10,6 +10,7 @@
 pub(crate) mod pick;
 pub(crate) mod plan;
 pub(crate) mod remote_attempt;
+pub(crate) mod reports;
 pub(crate) mod resolve;
 pub(crate) mod response;
 pub(crate) mod send;
@@ -21,6 +22,7 @@
 use crate::connection::{self, Closing};
 use crate::inbound;
 use crate::outbound::link::LinkPool;
+use crate::outbound::reports::ServerReports;
 use crate::outbound::response::{Body, RETRY_AFTER_HEADER};
 use crate::outbound::service::{Locality, ServiceClients};
 use crate::reserve;
@@ -91,6 +93,8 @@
     pub(crate) inbound: inbound::Handle<C>,
     pub(crate) links: Arc<LinkPool>,
     pub(crate) services: ServiceClients,
+    /// What backend servers have reported about themselves.
+    pub(crate) reports: Arc<ServerReports>,
     pub(crate) locality: Locality,
     pub(crate) reserve: reserve::Handle<C>,
     connection_permits: Arc<Semaphore>,
@@ -230,12 +234,14 @@
         region: shared.settings.region.clone(),
     };
     let services = ServiceClients::new(&shared.settings);
+    let reports = Arc::<ServerReports>::default();
     let inner = Arc::new(Inner {
         shared,
         services,
         locality,
         inbound,
-        links: LinkPool::spawn(hello),
+        links: LinkPool::spawn(hello, Arc::clone(&reports)),
+        reports,
         reserve,
         connection_permits: Arc::new(Semaphore::new(connections)),
         keyed_permits: Arc::new(Semaphore::new(connections)),
--- a/crates/node/src/outbound/hedge.rs
+++ b/crates/node/src/outbound/hedge.rs
@@ -161,6 +161,9 @@
     C: Clock,
 {
     let hedge = pick_without_probes(inner, plan, tried.keys(), &[])?;
+    if hedge.is_rate_limited {
+        return None;
+    }
     if !plan.client.charge_hedge(inner.shared.clock.now()) {
         return None;
     }
--- a/crates/node/src/outbound/link.rs
+++ b/crates/node/src/outbound/link.rs
@@ -3,6 +3,7 @@
 use crate::link::{self, Expected, Receiver, Sender};
 use crate::outbound::attempt::Attempt;
 use crate::outbound::peer::Peer;
+use crate::outbound::reports::ServerReports;
 use crate::outbound::resolve::{EndedLink, resolve_all, resolve_known};
 use call::{Id, Verdict};
 use parking_lot::{Mutex, RwLock};
@@ -17,7 +18,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
-use wire::call::{Estimate, Frame, LoadProbe, Reason, Request, TokenGrant, TokenRequest};
+use wire::call::{Answer, Estimate, Frame, LoadProbe, Reason, Request, TokenGrant, TokenRequest};
 use wire::{Hello, codec};
 
 /// Timeout for connecting to a peer and receiving its hello.
@@ -43,6 +44,7 @@
 #[derive(Debug)]
 pub(crate) struct LinkPool {
     hello: Hello,
+    reports: Arc<ServerReports>,
     next_sequence: AtomicU64,
     next_link_number: AtomicU64,
     peers: RwLock<HashMap<SocketAddr, Arc<Peer>>>,
@@ -65,6 +67,7 @@
     pending_tokens: Mutex<HashMap<u64, oneshot::Sender<TokenGrant>>>,
     /// Finished attempts that have not been reported to the peer yet.
     finished: Mutex<Vec<u64>>,
+    reports: Arc<ServerReports>,
 }
 
 /// A load probe that has been sent; dropping it discards the reply.
@@ -215,6 +218,12 @@
     /// Sequence numbers of attempts are never reused, so a late or duplicate frame matches no
     /// attempt and cannot reach another caller.
     fn handle_frame(&self, frame: Frame) -> ControlFlow<()> {
+        // Recorded even if no call waits for the frame any more.
+        if let Frame::Estimate(Estimate { report, .. }) | Frame::Answer(Answer { report, .. }) =
+            &frame
+        {
+            self.reports.record(&self.node, *report);
+        }
         if let Frame::Estimate(estimate) = frame {
             if let Some(sender) = self.pending_probes.lock().remove(&estimate.serial) {
                 // Fails if the call that sent the probe no longer waits for the reply.
@@ -257,10 +266,11 @@
 }
 
 impl LinkPool {
-    pub(crate) fn spawn(hello: Hello) -> Arc<Self> {
+    pub(crate) fn spawn(hello: Hello, reports: Arc<ServerReports>) -> Arc<Self> {
         let (ended, receiver) = mpsc::unbounded_channel();
         let links = Arc::new(Self {
             hello,
+            reports,
             next_sequence: AtomicU64::new(1),
             next_link_number: AtomicU64::new(1),
             peers: RwLock::default(),
@@ -362,6 +372,7 @@
             pending_probes: Mutex::default(),
             pending_tokens: Mutex::default(),
             finished: Mutex::default(),
+            reports: Arc::clone(&self.reports),
         };
         Ok((Arc::new(link), receiver))
     }
--- a/crates/node/src/outbound/pick.rs
+++ b/crates/node/src/outbound/pick.rs
@@ -127,6 +127,7 @@
         locality: &inner.locality,
         body_size: plan.body_size,
         rollouts: &inner.shared.rollouts,
+        reports: &inner.reports,
         args: balance::PickArgs {
             tried,
             repeatable: plan.repeatable,
@@ -153,6 +154,7 @@
         parent_class: plan.parent_class,
         timeout_ms: whole_ms(time_left(inner, plan.deadline)),
         target_ms: plan.target.map(|target| whole_ms(time_left(inner, target))),
+        known_report: inner.reports.find(&endpoint.node),
     };
     if endpoint.node == inner.shared.settings.name {
         return Some(inner.inbound.estimate(&request));
--- a/crates/node/src/outbound/response.rs
+++ b/crates/node/src/outbound/response.rs
@@ -211,5 +211,6 @@
         Reason::Held => "held",
         Reason::Unconfirmed => "unconfirmed",
         Reason::OverLimit => "over-limit",
+        Reason::RateLimit => "rate-limit",
     }
 }
--- a/crates/node/src/outbound/send.rs
+++ b/crates/node/src/outbound/send.rs
@@ -105,7 +105,8 @@
 where
     C: Clock,
 {
-    let draft = draft_request(inner, plan, head, history);
+    let mut draft = draft_request(inner, plan, head, history);
+    draft.known_report = inner.reports.find(&endpoint.node);
     if endpoint.node == inner.shared.settings.name {
         send_local(inner, plan, draft, body).await
     } else {
@@ -141,6 +142,9 @@
         let call = inner.inbound.call_local(request, forwarded, plan.deadline);
         call.await
     };
+    inner
+        .reports
+        .record(&inner.shared.settings.name, inner.inbound.report());
     let returned = is_buffered.then_some(remote_attempt::RequestBody { prefix, rest: None });
     match result {
         Ok(response) => {
@@ -310,6 +314,7 @@
         end: false,
         digest: plan.digest,
         is_suspect: history.is_suspect,
+        known_report: None,
     }
 }
 
--- a/crates/node/src/outbound/serve.rs
+++ b/crates/node/src/outbound/serve.rs
@@ -405,7 +405,7 @@
 pub(crate) fn cause_of(refused: Refused) -> Cause {
     match (refused.verdict, refused.reason) {
         (Verdict::NotRun, Reason::Leaving) => Cause::Leaving,
-        (Verdict::NotRun, Reason::Full | Reason::Deadline) => Cause::Full,
+        (Verdict::NotRun, Reason::Full | Reason::Deadline | Reason::RateLimit) => Cause::Full,
         (Verdict::NotRun, Reason::Shed) => Cause::Shed,
         (Verdict::NotRun, Reason::Unreached) => Cause::Unreached,
         (Verdict::NotRun, Reason::Held) => Cause::Held,
--- a/crates/node/src/outbound/service.rs
+++ b/crates/node/src/outbound/service.rs
@@ -2,6 +2,7 @@
 //! `policy::balance`, `policy::retry` and `policy::hedge`.
 
 use crate::inbound::running_calls::RunningCall;
+use crate::outbound::reports::ServerReports;
 use crate::rollout::{CallResult, RolloutCall, Rollouts, TrafficSplit};
 use call::Digest;
 use clock::Clock;
@@ -50,8 +51,9 @@
     elapsed: elapsed::Estimator,
     /// View that the balancers were last synchronized with.
     synced_view: Weak<View>,
-    /// Generation of the roll-outs that the balancers were last synchronized with.
-    synced_generation: u64,
+    /// Generations of the roll-outs and of the reports of backend servers that the balancers were
+    /// last synchronized with.
+    synced_generations: (u64, u64),
     rng: SmallRng,
 }
 
@@ -100,6 +102,8 @@
     pub(crate) key: Key,
     pub(crate) endpoint: Endpoint,
     pub(crate) outcome: Outcome,
+    /// Whether the endpoint's backend server has named a limit on the rate of its calls.
+    pub(crate) is_rate_limited: bool,
     rollouts: Arc<Rollouts>,
     /// Counts this attempt in the tally of the service's roll-out; `None` if no roll-out is in
     /// progress.
@@ -144,7 +148,7 @@
                     hedge: HedgePolicy::new(now),
                     elapsed: elapsed::Estimator::new(),
                     synced_view: Weak::new(),
-                    synced_generation: 0,
+                    synced_generations: (0, 0),
                     rng: SmallRng::from_os_rng(),
                 }),
             })
@@ -162,17 +166,17 @@
         service: ServiceKey,
         context: &PickContext<'_>,
     ) {
-        let generation = context.rollouts.generation();
+        let generations = (context.rollouts.generation(), context.reports.generation());
         let is_current = std::ptr::eq(self.synced_view.as_ptr(), Arc::as_ptr(view));
-        if is_current && self.synced_generation == generation {
+        if is_current && self.synced_generations == generations {
             return;
         }
         self.synced_view = Arc::downgrade(view);
-        self.synced_generation = generation;
+        self.synced_generations = generations;
         let endpoints = &view.service(service).endpoints;
         let split = context.rollouts.split(view, service);
         for balancer in &mut self.balancers {
-            let candidates = list_candidates(view, endpoints, context.locality, split.as_ref());
+            let candidates = list_candidates(view, endpoints, context, split.as_ref());
             balancer.sync(now, candidates);
         }
         self.budget.set_node_count(now, view.endpoints().len());
@@ -182,20 +186,25 @@
 fn list_candidates<'a>(
     view: &'a View,
     endpoints: &'a [EndpointKey],
-    locality: &'a Locality,
+    context: &'a PickContext<'_>,
     split: Option<&'a TrafficSplit>,
 ) -> impl Iterator<Item = Candidate> + 'a {
     endpoints.iter().map(move |key| {
         let endpoint = view.endpoint(*key);
+        let report = context
+            .reports
+            .find_process(&endpoint.node, endpoint.process);
         Candidate {
             identity: identity_of(endpoint),
-            distance: distance_of(endpoint, locality),
+            distance: distance_of(endpoint, context.locality),
             slots: endpoint.slots,
             process: endpoint.process,
             warm_up: endpoint
                 .cold_ms
                 .map(|warm_up| Duration::from_millis(warm_up.into())),
             track: split.map_or(Track::Stable, |split| split.track(endpoint)),
+            is_rate_limited: report.is_some_and(|report| report.rate_limit.is_some()),
+            has_left: report.is_some_and(|report| report.leaving),
         }
     })
 }
@@ -203,8 +212,8 @@
 impl ServiceClient {
     /// Returns the endpoints to probe before a call is sent, other than those already `probed`.
     ///
-    /// Returns none for a call with a large body: its bottleneck is the links, which an estimate
-    /// does not cover, and the receiver schedules the body anyway.
+    /// For a call with a large body, only a rate limit is probed for: its bottleneck is the links,
+    /// which an estimate does not cover, and the receiver schedules the body anyway.
     pub(crate) fn probe_targets<C>(
         &self,
         clock: &C,
@@ -217,17 +226,18 @@
         C: Clock,
     {
         let now = clock.now();
-        let Some(service) = view
-            .find_service(name)
-            .filter(|_| context.body_size == BodySize::Small)
-        else {
+        let Some(service) = view.find_service(name) else {
             return Vec::new();
         };
         let mut state = self.state.lock();
         let state = &mut *state;
         state.sync_endpoints(now, view, service, context);
         let balancer = &state.balancers[context.body_size as usize];
-        let keys = if probed.is_empty() {
+        let keys = if context.body_size == BodySize::Large {
+            let drawn = balancer.draw_rate_limited(now, &context.args, &mut state.rng);
+            let drawn = drawn.filter(|_| probed.is_empty());
+            drawn.into_iter().collect()
+        } else if probed.is_empty() {
             balancer.probe_targets(now, &context.args, &mut state.rng)
         } else {
             balancer.further_probe_targets(now, &context.args, probed, &mut state.rng)
@@ -307,6 +317,7 @@
         let balancer = &mut state.balancers[context.body_size as usize];
         let key = choose(balancer, now, &mut state.rng)?;
         let endpoint = find_endpoint(view, service, balancer.identity(key)?)?;
+        let is_rate_limited = balancer.is_rate_limited(key);
         let rollout_call = context.rollouts.begin_call(&endpoint);
         Some(PickedEndpoint {
             client: Arc::clone(self),
@@ -317,6 +328,7 @@
             key,
             endpoint,
             outcome: Outcome::Cancelled,
+            is_rate_limited,
             rollouts: Arc::clone(context.rollouts),
             rollout_call,
         })
@@ -397,6 +409,7 @@
     pub(crate) locality: &'a Locality,
     pub(crate) body_size: BodySize,
     pub(crate) rollouts: &'a Arc<Rollouts>,
+    pub(crate) reports: &'a ServerReports,
     pub(crate) args: balance::PickArgs<'a>,
 }
 
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -1,5 +1,6 @@
 //! State that the components of a node share.
 
+use crate::announce::process::ProcessTracker;
 use crate::freshness::Freshness;
 use crate::logs::RateLimiter;
 use crate::metrics::Metrics;
@@ -74,6 +75,8 @@
     pub freshness: Freshness,
     /// The local backend server, once announced.
     pub backend: watch::Sender<Option<Backend>>,
+    /// The processes of the local backend server, by their announcements and reports.
+    pub(crate) processes: Mutex<ProcessTracker>,
     /// Whether the node will leave soon, and therefore reports that it is not ready.
     pub stopping: AtomicBool,
     /// Whether the node itself (and not only its backend server) is leaving.
@@ -180,6 +183,7 @@
             view: ArcSwap::default(),
             freshness: Freshness::default(),
             backend: watch::Sender::new(None),
+            processes: Mutex::default(),
             stopping: AtomicBool::new(false),
             leaving: watch::Sender::new(false),
             in_flight: watch::Sender::new(0),
--- a/crates/node/tests/calls/load_probe.rs
+++ b/crates/node/tests/calls/load_probe.rs
@@ -20,6 +20,7 @@
         class: Class::Commit,
         parent_class: None,
         timeout_ms: 2_000,
+        known_report: None,
         target_ms: None,
     };
     stream
--- a/crates/node/tests/calls/raw_peer.rs
+++ b/crates/node/tests/calls/raw_peer.rs
@@ -60,5 +60,6 @@
         end: true,
         digest: ::call::Digest::default(),
         is_suspect: false,
+        known_report: None,
     }
 }
--- a/crates/node/tests/calls/round_trip.rs
+++ b/crates/node/tests/calls/round_trip.rs
@@ -139,6 +139,7 @@
             status: 200,
             headers: Vec::new(),
             load_percent: 0,
+            report: None,
             queue_wait_ms: 0,
             end: false,
         })
--- a/crates/node/tests/calls/self_report.rs
+++ b/crates/node/tests/calls/self_report.rs
@@ -1,12 +1,13 @@
 //! Backend servers that report a rate limit, or that they are leaving, in their responses.
 
-use crate::mesh::{Node, call, spawn_node, spawn_server};
+use crate::mesh::{Answer, Node, bind, call, spawn_node, spawn_server};
 use bytes::Bytes;
 use config::{Endpoint, Repeat};
 use http::{Method, StatusCode};
 use standin::backend::Faults;
 use standin::record::RunLog;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::task::JoinSet;
 use yare::parameterized;
@@ -125,6 +126,13 @@
     set_routes(&callers.each_ref(), vms);
 }
 
+/// Sends a call of 40 ms.
+async fn get(address: SocketAddr) -> Answer {
+    let headers = [("x-work-ms", "40"), ("bluebellpick-timeout-ms", "1000")];
+    let answer = call(address, Method::GET, "/jobs/1", &headers, Bytes::new());
+    answer.await.unwrap()
+}
+
 /// Sends calls of 40 ms through all `nodes` in turn for `duration`; returns how many were answered
 /// and how many were refused.
 async fn send_calls(nodes: &[&Node], per_second: u32, duration: Duration) -> (usize, usize) {
@@ -137,12 +145,7 @@
             break;
         }
         let address = node.outbound.address();
-        calls.spawn(async move {
-            let headers = [("x-work-ms", "40"), ("bluebellpick-timeout-ms", "1000")];
-            call(address, Method::GET, "/jobs/1", &headers, Bytes::new())
-                .await
-                .is_ok_and(|answer| answer.status == StatusCode::OK)
-        });
+        calls.spawn(async move { get(address).await.status == StatusCode::OK });
     }
     let results = calls.join_all().await;
     let answered = results.iter().filter(|answered| **answered).count();
@@ -167,6 +170,9 @@
     for (vm, skipped) in vms[..limited].iter().zip(skipped) {
         let most = vm.most_in_window(skipped);
         assert!(most <= allowed(), "{most}");
+        // A backend server that is kept idle is a fault, too.
+        let runs = vm.run_count() - skipped;
+        assert!(runs >= 38, "{runs} of 48");
     }
     if limited < vms.len() {
         assert_eq!(refused, 0, "{answered} answered");
@@ -218,3 +224,109 @@
     assert_eq!(vms[0].run_count(), skipped);
     assert_eq!(refused, 0, "{answered} answered");
 }
+
+// A node takes a failure, or the platform's header, for no report.
+#[parameterized(
+    own = { "bluebellpick-leaving", 0 },
+    platform = { "server-leaving", 0 },
+    failure = { "bluebellpick-leaving", 100 },
+)]
+#[test_macro(tokio::test)]
+async fn leaving_read(header: &'static str, fail_percent: u8) {
+    let vm = Vm::spawn("a", 11).await;
+    set_routes(&[&vm.node], std::slice::from_ref(&vm));
+    let faults = Faults {
+        fail_percent,
+        headers: vec![(header.to_owned(), "1".to_owned())],
+        ..Faults::default()
+    };
+    let body = serde_json::to_vec(&faults).unwrap();
+    call(vm.server, Method::POST, "/fault", &[], body.into())
+        .await
+        .unwrap();
+    let first = get(vm.node.outbound.address()).await;
+    assert_eq!(first.verdict(), "ran");
+    let second = get(vm.node.outbound.address()).await;
+    assert_eq!(second.verdict(), "not-run");
+    assert_eq!(vm.run_count(), 1);
+}
+
+// A heartbeat that says "ready" brings back a process that has reported that it is leaving.
+#[tokio::test]
+async fn announced_while_leaving() {
+    let vm = Vm::spawn("a", 11).await;
+    set_routes(&[&vm.node], std::slice::from_ref(&vm));
+    let (listener, address) = bind().await;
+    let _listening = node::announce::spawn(listener, Arc::clone(&vm.node.shared)).unwrap();
+    let announce = async |incarnation: u64, sequence: u64| {
+        let server = vm.server;
+        let body = format!(
+            r#"{{"service":"jobs","address":"{server}","slots":6,"incarnation":{incarnation},"sequence":{sequence}}}"#
+        );
+        let answer = call(address, Method::PUT, "/v1/announce", &[], body.into());
+        answer.await.unwrap().status
+    };
+    assert_eq!(announce(11, 1).await, StatusCode::OK);
+    vm.set_headers(&[("bluebellpick-leaving", "1")]).await;
+    get(vm.node.outbound.address()).await;
+    assert_eq!(announce(11, 2).await, StatusCode::CONFLICT);
+    assert_eq!(get(vm.node.outbound.address()).await.verdict(), "not-run");
+    vm.set_headers(&[]).await;
+    assert_eq!(announce(12, 1).await, StatusCode::OK);
+    set_routes(&[&vm.node], std::slice::from_ref(&vm));
+    assert_eq!(get(vm.node.outbound.address()).await.verdict(), "ran");
+}
+
+// A limit outlives the responses that named it, or the process.
+#[parameterized(
+    not_named_any_more = { false },
+    other_process = { true },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread", worker_threads = 2))]
+async fn limit_ended(is_replaced: bool) {
+    let vms = spawn_vms().await;
+    vms[0]
+        .set_headers(&[("bluebellpick-rate-limit", "1")])
+        .await;
+    send_calls(&nodes_of(&vms), 120, Duration::from_secs(1)).await;
+    vms[0].set_headers(&[]).await;
+    if is_replaced {
+        vms[0].node.announce_process("jobs", vms[0].server, 21);
+        set_routes(&nodes_of(&vms), &vms);
+    } else {
+        // The limit is that of the responses until one arrives without it.
+        send_calls(&nodes_of(&vms), 120, Duration::from_secs(3)).await;
+    }
+    let skipped = vms[0].run_count();
+    let (answered, refused) = send_calls(&nodes_of(&vms), 120, Duration::from_secs(3)).await;
+    let runs = vms[0].run_count() - skipped;
+    assert!(runs >= 80, "{runs} of {answered}");
+    assert_eq!(refused, 0);
+}
+
+// Calls that can't be served at the named rates wait for their deadlines.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn refused_at_once() {
+    let vms = spawn_vms().await;
+    for vm in &vms {
+        vm.set_headers(&[("bluebellpick-rate-limit", "1")]).await;
+    }
+    send_calls(&nodes_of(&vms), 120, NOTICE).await;
+    let mut refused = 0;
+    for vm in vms.iter().cycle().take(60) {
+        let started = Instant::now();
+        let answer = get(vm.node.outbound.address()).await;
+        if answer.verdict() == "not-run" {
+            refused += 1;
+            assert!(
+                started.elapsed() < Duration::from_millis(400),
+                "{:?}",
+                started.elapsed()
+            );
+            assert!(answer.headers.contains_key("retry-after"));
+            let body = std::str::from_utf8(&answer.body).unwrap();
+            assert!(body.contains("rate-limit"), "{body}");
+        }
+    }
+    assert!(refused > 40, "{refused}");
+}
--- a/crates/node/tests/program.rs
+++ b/crates/node/tests/program.rs
@@ -289,6 +289,7 @@
         end: true,
         digest: call::Digest::default(),
         is_suspect: false,
+        known_report: None,
     }
 }
 
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -18,6 +18,8 @@
 use crate::limit::{ConcurrencyLimit, Outcome};
 use crate::load_probe::Estimate;
 use crate::queue::{self, Entry, Queue, TIERS, Tier, tier_index};
+use crate::rate_limit::RateLimit;
+use crate::self_report::Rate;
 use crate::throughput::{DeferredWork, LaneRate, OfferedWork, SlotSpeed};
 use config::Class;
 use rand::Rng;
@@ -65,6 +67,8 @@
     Full,
     /// The call could not finish before its deadline.
     Deadline,
+    /// The call can't start in time at the rate that the backend server has named.
+    RateLimit,
 }
 
 /// Refusal of a call, which has not run and will not.
@@ -160,6 +164,10 @@
     lane_rates: [LaneRate; queue::LANE_COUNT],
     running: u32,
     running_long: u32,
+    /// Limit on the rate at which calls start, if the backend server has named one.
+    rate_limit: Option<RateLimit>,
+    /// Whether waiting calls may have to be refused because of a new or lower rate limit.
+    must_recheck_queue: bool,
 }
 
 impl Admission {
@@ -182,9 +190,22 @@
             deferred_work: [DeferredWork::new(now); TIERS.len()],
             running: 0,
             running_long: 0,
+            rate_limit: None,
+            must_recheck_queue: false,
         }
     }
 
+    /// Sets or removes the limit on the rate at which calls start. Call [`Admission::next`]
+    /// afterwards, until it returns `None`: waiting calls may start, or can't start in time any
+    /// more.
+    pub fn set_rate_limit(&mut self, now: Instant, rate: Option<Rate>) {
+        match (&mut self.rate_limit, rate) {
+            (Some(limit), Some(rate)) => limit.set_rate(now, rate),
+            (limit, rate) => *limit = rate.map(|rate| RateLimit::new(now, rate)),
+        }
+        self.must_recheck_queue = self.rate_limit.is_some();
+    }
+
     /// Updates the number of slots that the backend server advertises.
     pub fn set_advertised_slots(&mut self, slots: u16) {
         self.limit.set_advertised(slots);
@@ -326,6 +347,7 @@
     /// recovered.
     fn can_run(&self, now: Instant, request: &Request, entry: &Entry) -> bool {
         self.has_free_slot(now, entry.long)
+            && self.token_wait(now).is_zero()
             && !self.queue.has_kind(entry.long)
             && time_left(now, request) > 0.0
     }
@@ -393,7 +415,10 @@
         if let Some((key, entry)) = self.queue.pop_overdue() {
             return Some(self.refuse_waiting(now, key, &entry, Reason::Full, rng));
         }
-        if !self.has_free_slot(now, false) {
+        if let Some((key, entry)) = self.pop_unservable(now) {
+            return Some(self.refuse_waiting(now, key, &entry, Reason::RateLimit, rng));
+        }
+        if !self.has_free_slot(now, false) || !self.token_wait(now).is_zero() {
             return None;
         }
         let (key, entry) = self.queue.pop(self.has_free_slot(now, true))?;
@@ -401,6 +426,18 @@
         Some(Next::Run(key, self.start(now, &entry)))
     }
 
+    /// Removes a waiting call that can't start in time at the rate that the backend server takes
+    /// now. At the rate of before, it could.
+    fn pop_unservable(&mut self, now: Instant) -> Option<(queue::Key, Entry)> {
+        if !self.must_recheck_queue {
+            return None;
+        }
+        let from = now + self.token_wait(now);
+        let found = self.queue.pop_unservable(from, self.service_rate(now));
+        self.must_recheck_queue = found.is_some();
+        found
+    }
+
     fn refuse_waiting<R>(
         &mut self,
         now: Instant,
@@ -417,13 +454,16 @@
     }
 
     /// Returns when [`Admission::next`] must be called even if no call finishes before: when a
-    /// waiting call must be given up, or when a probe of the limit ends and waiting calls may
-    /// start. Returns `None` if no call waits.
+    /// waiting call must be given up, or when a probe of the limit ends or the rate limit allows the
+    /// next call, and waiting calls may start. Returns `None` if no call waits.
     #[must_use]
-    pub fn wake_at(&mut self) -> Option<Instant> {
+    pub fn wake_at(&mut self, now: Instant) -> Option<Instant> {
         let expires_at = self.queue.wake_at()?;
         let probe_ends_at = self.limit.probe_ends_at();
-        Some(probe_ends_at.map_or(expires_at, |at| at.min(expires_at)))
+        let token_wait = Some(self.token_wait(now)).filter(|wait| !wait.is_zero());
+        let token_at = token_wait.map(|wait| now + wait);
+        let earlier = probe_ends_at.into_iter().chain(token_at).min();
+        Some(earlier.map_or(expires_at, |at| at.min(expires_at)))
     }
 
     /// Removes a waiting call that nobody waits for any more; returns whether it was waiting.
@@ -458,7 +498,16 @@
         (work + work.sqrt()).round().min(most)
     }
 
+    /// Returns the time until the rate limit allows a call to start.
+    fn token_wait(&self, now: Instant) -> Duration {
+        let limit = self.rate_limit.as_ref();
+        limit.map_or(Duration::ZERO, |limit| limit.wait(now))
+    }
+
     fn start(&mut self, now: Instant, entry: &Entry) -> Ticket {
+        if let Some(limit) = &mut self.rate_limit {
+            limit.take(now);
+        }
         self.running += 1;
         self.running_long += u32::from(entry.long);
         self.speed.start(now, entry.cost);
@@ -482,20 +531,52 @@
             .queue
             .work_ahead(entry.tier, entry.long, entry.start_by);
         // The call whose slot becomes free next is on average half finished.
-        let slot = self.durations.overall_mean() / 2.0 / self.service_rate(now);
-        slot + work / self.lane_rate(now, entry)
+        let slot = self.durations.overall_mean() / 2.0 / self.slot_rate(now);
+        let start = if self.rate_limit.is_some() && self.has_free_slot(now, entry.long) {
+            self.token_wait(now).as_secs_f64()
+        } else {
+            slot.max(self.token_wait(now).as_secs_f64())
+        };
+        start + work / self.lane_rate(now, entry)
     }
 
     fn lane_rate(&self, now: Instant, entry: &Entry) -> f64 {
-        let min_rate = self.service_rate(now) * self.queue.min_share(entry.tier, entry.long);
+        let total = self.service_rate(now);
+        let min_rate = total * self.queue.min_share(entry.tier, entry.long);
         let lane = queue::lane_index(entry.tier, entry.long);
-        self.lane_rates[lane].get(now, entry.cost).max(min_rate)
+        let rate = self.lane_rates[lane].get(now, entry.cost).max(min_rate);
+        // The measured rate is that of before a rate limit was named.
+        if self.is_rate_limited(now) {
+            rate.min(total)
+        } else {
+            rate
+        }
     }
 
+    /// Returns the slot-seconds of calls that can be served per second.
     fn service_rate(&self, now: Instant) -> f64 {
+        let rate = self.slot_rate(now);
+        self.limited_rate()
+            .map_or(rate, |limited| limited.min(rate))
+    }
+
+    /// Returns the slot-seconds per second that the slots can serve.
+    fn slot_rate(&self, now: Instant) -> f64 {
         self.limit.slots() * self.speed.get(now)
     }
 
+    /// Returns the slot-seconds per second of calls of average duration at the rate limit.
+    fn limited_rate(&self) -> Option<f64> {
+        let limit = self.rate_limit.as_ref()?;
+        Some(limit.rate() * self.durations.overall_mean())
+    }
+
+    /// Returns whether the rate limit allows fewer calls than the slots can serve.
+    fn is_rate_limited(&self, now: Instant) -> bool {
+        self.limited_rate()
+            .is_some_and(|limited| limited < self.slot_rate(now))
+    }
+
     /// Returns the longest predicted wait, in seconds, with which a call is still queued.
     fn max_wait(&mut self, now: Instant, entry: &Entry, has_target: bool) -> f64 {
         let tier = tier_index(entry.tier);
@@ -532,6 +613,11 @@
     where
         R: Rng,
     {
+        let reason = if self.is_rate_limited(now) {
+            Reason::RateLimit
+        } else {
+            reason
+        };
         let rate = self.lane_rate(now, entry);
         let deferred = &mut self.deferred_work[tier_index(entry.tier)];
         let wait = deferred.add(now, entry.cost, rate);
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -74,6 +74,10 @@
     pub warm_up: Option<Duration>,
     /// Which calls it takes during a roll-out.
     pub track: Track,
+    /// Whether its process has named a limit on the rate of its calls.
+    pub is_rate_limited: bool,
+    /// Whether its process has reported that it is leaving.
+    pub has_left: bool,
 }
 
 /// What a pick depends on besides the state of the backend servers.
@@ -128,6 +132,13 @@
 /// Load that a backend server is assumed to have after it refused a call as full.
 const FULL_LOAD: f64 = 1.5;
 
+/// Longest time for which a backend server whose rate limit is used up is not probed. Its limit may
+/// rise or end meanwhile.
+const MAX_WAIT_PAUSE: Duration = Duration::from_millis(500);
+
+/// Time for which a backend server with a rate limit is not probed after it refused a call.
+const REFUSED_PAUSE: Duration = Duration::from_millis(100);
+
 /// Load balancer of one service in one outbound proxy.
 #[derive(Debug)]
 pub struct Balancer {
@@ -143,6 +154,8 @@
     /// server.
     half_open_at: Option<Instant>,
     pub(crate) probe_trigger: ProbeTrigger,
+    /// Whether a backend server has named a limit on the rate of its calls.
+    pub(crate) has_rate_limits: bool,
 }
 
 impl Balancer {
@@ -158,6 +171,7 @@
             durations: duration::Estimator::new(duration::SERVICE_ROWS),
             half_open_at: None,
             probe_trigger: ProbeTrigger::default(),
+            has_rate_limits: false,
         }
     }
 
@@ -185,6 +199,8 @@
             server.distance = candidate.distance;
             server.track = candidate.track;
             server.slots = f64::from(candidate.slots.max(1));
+            server.is_rate_limited = candidate.is_rate_limited;
+            server.leaving = candidate.has_left;
         }
         self.rebuild_tiers();
     }
@@ -234,11 +250,17 @@
             .repeatable
             .then(|| self.find_half_open(now, args.tried))
             .flatten();
-        let index = half_open.or_else(|| self.select(&call, rng))?;
+        let index = half_open.or_else(|| self.select_unlimited_first(&call, rng))?;
         self.servers[index as usize].start_call(now);
         Some(self.key(index))
     }
 
+    /// Returns whether a backend server has named a limit on the rate of its calls.
+    #[must_use]
+    pub fn is_rate_limited(&self, key: Key) -> bool {
+        self.get(key).is_some_and(|server| server.is_rate_limited)
+    }
+
     /// Picks a backend server on the trial track and counts a call to it.
     pub fn pick_trial<R>(&mut self, now: Instant, args: &PickArgs<'_>, rng: &mut R) -> Option<Key>
     where
@@ -324,7 +346,12 @@
             }
             Outcome::Full => {
                 server.set_load(now, FULL_LOAD);
-                self.probe_trigger.record_load(FULL_LOAD);
+                if server.is_rate_limited {
+                    // The rate limit says nothing of the load of the service.
+                    server.pause_probes(now, REFUSED_PAUSE);
+                } else {
+                    self.probe_trigger.record_load(FULL_LOAD);
+                }
             }
             // A refusal after admission is a fault rather than load; a backend server that fails
             // while its peers do not is ejected.
@@ -349,6 +376,7 @@
             !tried.contains(&self.key(index))
                 && server.health.state(now) == EjectionState::Active
                 && server.load(now) < 1.0
+                && !server.is_rate_used_up(now)
         })
     }
 
@@ -371,10 +399,12 @@
     fn rebuild_tiers(&mut self) {
         self.tiers.iter_mut().for_each(Vec::clear);
         self.trial.clear();
+        self.has_rate_limits = false;
         for (index, server) in (0..).zip(&self.servers) {
             if !server.in_view || server.leaving {
                 continue;
             }
+            self.has_rate_limits |= server.is_rate_limited;
             match server.track {
                 Track::Stable => self.tiers[server.distance as usize].push(index),
                 Track::Trial => self.trial.push(index),
@@ -440,6 +470,12 @@
         }
     }
 
+    pub(crate) fn pause_probes(&mut self, now: Instant, key: Key, pause: Duration) {
+        if let Some(server) = self.get_mut(key) {
+            server.pause_probes(now, pause.min(MAX_WAIT_PAUSE));
+        }
+    }
+
     pub(crate) fn distance(&self, key: Key) -> Option<Distance> {
         self.get(key).map(|server| server.distance)
     }
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -5,6 +5,7 @@
 
 use crate::balance::{Balancer, Distance, Key, PickArgs};
 use crate::outlier::EjectionState;
+use crate::server::Server;
 use rand::Rng;
 use std::time::Instant;
 
@@ -29,6 +30,7 @@
 const MAX_DRAWS: usize = 8;
 
 /// What a selection depends on besides the state of the backend servers.
+#[derive(Clone, Copy)]
 pub(crate) struct PickContext<'a> {
     pub(crate) now: Instant,
     pub(crate) tried: &'a [Key],
@@ -36,6 +38,19 @@
     pub(crate) route: u64,
     /// Seconds until the call's target, if it has one.
     pub(crate) time_left: Option<f64>,
+    /// Which of the backend servers with a rate limit are considered.
+    pub(crate) rate_limited: RateLimited,
+}
+
+/// Which of the backend servers with a rate limit are considered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RateLimited {
+    /// All of them.
+    All,
+    /// Those that may take a call now.
+    Available,
+    /// None of them.
+    None,
 }
 
 impl<'a> PickContext<'a> {
@@ -47,11 +62,56 @@
             repeatable: args.repeatable,
             route: args.route,
             time_left: args.target.map(time_left),
+            rate_limited: RateLimited::All,
+        }
+    }
+
+    /// Returns the same context with other backend servers with a rate limit.
+    pub(crate) fn with(&self, rate_limited: RateLimited) -> Self {
+        Self {
+            rate_limited,
+            ..*self
+        }
+    }
+
+    fn considers(&self, server: &Server) -> bool {
+        match self.rate_limited {
+            RateLimited::All => true,
+            RateLimited::Available => !server.is_rate_used_up(self.now),
+            RateLimited::None => !server.is_rate_limited,
         }
     }
 }
 
 impl Balancer {
+    /// Selects a backend server without a rate limit, or any if there is no other.
+    pub(crate) fn select_unlimited_first<R>(
+        &self,
+        call: &PickContext<'_>,
+        rng: &mut R,
+    ) -> Option<u32>
+    where
+        R: Rng,
+    {
+        if !self.has_rate_limits {
+            return self.select(call, rng);
+        }
+        [RateLimited::None, RateLimited::Available, RateLimited::All]
+            .into_iter()
+            .find_map(|rate_limited| self.select(&call.with(rate_limited), rng))
+    }
+
+    /// Returns whether an active backend server without a rate limit has not been tried.
+    pub(crate) fn has_unlimited(&self, call: &PickContext<'_>) -> bool {
+        !self.has_rate_limits
+            || self.tier_members().any(|index| {
+                let server = &self.servers[index as usize];
+                !server.is_rate_limited
+                    && !call.tried.contains(&self.key(index))
+                    && server.health.state(call.now) == EjectionState::Active
+            })
+    }
+
     /// Selects a backend server for a call: the better of two from the nearest tier, or one further
     /// away as the near ones fill up.
     pub(crate) fn select<R>(&self, call: &PickContext<'_>, rng: &mut R) -> Option<u32>
@@ -95,6 +155,7 @@
         }
         self.tier_members()
             .filter(|index| !call.tried.contains(&self.key(*index)))
+            .filter(|index| call.considers(&self.servers[*index as usize]))
             .min_by_key(|index| health(*index).ejected_until())
     }
 
@@ -157,6 +218,7 @@
     {
         let usable = |index: u32| {
             Some(index) != except
+                && call.considers(&self.servers[index as usize])
                 && !call.tried.contains(&self.key(index))
                 && self.servers[index as usize].health.state(call.now) == EjectionState::Active
         };
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -53,6 +53,7 @@
 pub mod outlier;
 pub mod quarantine;
 pub mod queue;
+mod rate_limit;
 pub mod retry;
 pub mod retry_quota;
 pub mod rollout;
--- a/crates/policy/src/load_probe.rs
+++ b/crates/policy/src/load_probe.rs
@@ -15,7 +15,7 @@
 //! would be lost.
 
 use crate::balance::{Balancer, Distance, Key, PickArgs};
-use crate::choice::{FAR_SPEEDUP, PickContext, TARGET_MARGIN};
+use crate::choice::{FAR_SPEEDUP, PickContext, RateLimited, TARGET_MARGIN};
 use crate::outlier::EjectionState;
 use rand::Rng;
 use rand::seq::IndexedRandom;
@@ -107,9 +107,12 @@
     where
         R: Rng,
     {
-        if !self.probe_trigger.is_active(now) || self.len() < 2 {
+        if self.len() < 2 {
             return Vec::new();
         }
+        if !self.is_probing(now, args) {
+            return self.draw_rate_limited(now, args, rng).into_iter().collect();
+        }
         let mut keys = self.draw_targets(Distance::Vm, now, args, NEAR_PROBES, rng);
         for tier in [Distance::Zone, Distance::Region, Distance::Far] {
             let found = self.draw_targets(tier, now, args, NEAR_PROBES, rng);
@@ -121,6 +124,31 @@
         keys
     }
 
+    /// Returns whether calls are preceded by probes of several backend servers.
+    fn is_probing(&self, now: Instant, args: &PickArgs<'_>) -> bool {
+        self.probe_trigger.is_active(now) || !self.has_unlimited(&PickContext::new(now, args))
+    }
+
+    /// Selects a backend server as for a call without probes, and returns it if it has a rate limit:
+    /// whether the limit allows a call now is known only at the backend server.
+    pub fn draw_rate_limited<R>(
+        &self,
+        now: Instant,
+        args: &PickArgs<'_>,
+        rng: &mut R,
+    ) -> Option<Key>
+    where
+        R: Rng,
+    {
+        if !self.has_rate_limits {
+            return None;
+        }
+        let call = PickContext::new(now, args).with(RateLimited::Available);
+        let index = self.select(&call, rng)?;
+        let server = &self.servers[index as usize];
+        (server.is_rate_limited && server.may_probe(now)).then(|| self.key(index))
+    }
+
     /// Returns further backend servers to probe, from the next tier, if none of the `results` so
     /// far is good enough.
     pub fn further_probe_targets<R>(
@@ -134,6 +162,9 @@
         R: Rng,
     {
         let call = PickContext::new(now, args);
+        if !self.is_probing(now, args) {
+            return Vec::new();
+        }
         if self
             .find_best(results, &call)
             .is_some_and(|best| Self::suffices(&best, &call))
@@ -186,6 +217,15 @@
             }
             _ => best,
         };
+        let must_wait = !chosen.accepts || chosen.wait > 0.0 && !self.is_probing(now, args);
+        if self.is_rate_limited(chosen.key)
+            && must_wait
+            && let Some(index) = self.select(&call.with(RateLimited::None), rng)
+        {
+            let key = self.key(index);
+            self.start_call(now, key);
+            return Some(key);
+        }
         self.start_call(now, chosen.key);
         Some(chosen.key)
     }
@@ -195,7 +235,11 @@
             self.record_missed_probe(now, result.key);
             return;
         };
-        self.probe_trigger.record_load(estimate.load);
+        if !self.is_rate_limited(result.key) {
+            self.probe_trigger.record_load(estimate.load);
+        } else if !estimate.accepts || !estimate.wait.is_zero() {
+            self.pause_probes(now, result.key, estimate.wait);
+        }
         self.set_load(now, result.key, estimate.load);
     }
 
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -295,6 +295,30 @@
         Some((key, entry))
     }
 
+    /// Removes and returns a call that can't start in time if the queue is served from `from` on at
+    /// `rate` slot-seconds per second, if there is any.
+    pub fn pop_unservable(&mut self, from: Instant, rate: f64) -> Option<(Key, Entry)> {
+        for tier in TIERS {
+            for long in [false, true] {
+                let lane = &self.lanes[lane_index(tier, long)];
+                let mut waiting: Vec<_> = lane.heap.iter().map(|item| item.0).collect();
+                waiting.retain(|(_, key)| is_live(&self.slab, *key));
+                waiting.sort_unstable();
+                let lane_rate = rate * self.min_share(tier, long);
+                let mut work = 0.0;
+                for (start_by, key) in waiting {
+                    let left = start_by.saturating_duration_since(from).as_secs_f64();
+                    if start_by < from || work > left * lane_rate {
+                        return self.remove(key).map(|entry| (key, entry));
+                    }
+                    let entry = self.slab[key.index as usize].entry;
+                    work += entry.map_or(0.0, |entry| entry.cost);
+                }
+            }
+        }
+        None
+    }
+
     /// Returns when [`Queue::expire`] should next be called.
     pub fn wake_at(&mut self) -> Option<Instant> {
         self.earliest().map(|(at, _)| at)
--- a/crates/policy/src/server.rs
+++ b/crates/policy/src/server.rs
@@ -56,6 +56,9 @@
     process: u64,
     pub(crate) in_view: bool,
     pub(crate) leaving: bool,
+    /// Whether the backend server has named a limit on the rate of its calls. Calls are sent to it
+    /// only after a load probe: how many calls other proxies send to it is not known here.
+    pub(crate) is_rate_limited: bool,
     pub(crate) distance: Distance,
     pub(crate) track: Track,
     pub(crate) slots: f64,
@@ -89,6 +92,7 @@
             process: candidate.process,
             in_view: true,
             leaving: false,
+            is_rate_limited: false,
             distance: candidate.distance,
             track: candidate.track,
             slots: 1.0,
@@ -220,7 +224,17 @@
 
     /// Records that the backend server did not answer a load probe.
     pub(crate) fn record_missed_probe(&mut self, now: Instant) {
-        self.probes_paused_until = Some(now + PROBE_PAUSE);
+        self.pause_probes(now, PROBE_PAUSE);
+    }
+
+    /// Sends no load probes to the backend server for some time.
+    pub(crate) fn pause_probes(&mut self, now: Instant, pause: Duration) {
+        self.probes_paused_until = Some(now + pause);
+    }
+
+    /// Returns whether the backend server has recently used up its rate limit.
+    pub(crate) fn is_rate_used_up(&self, now: Instant) -> bool {
+        self.is_rate_limited && !self.may_probe(now)
     }
 
     /// Returns whether the backend server may be probed.
--- a/crates/policy/tests/balance.rs
+++ b/crates/policy/tests/balance.rs
@@ -35,6 +35,8 @@
         process: 1,
         warm_up: None,
         track: Track::Stable,
+        is_rate_limited: false,
+        has_left: false,
     };
     (0..count).map(make).collect()
 }
--- a/crates/policy/tests/first_calls.rs
+++ b/crates/policy/tests/first_calls.rs
@@ -45,7 +45,7 @@
         "a single long call keeps the others out"
     );
     if waiting > 0 {
-        let wake_at = admission.wake_at().unwrap();
+        let wake_at = admission.wake_at(clock.now()).unwrap();
         assert!(wake_at <= clock.now() + MAX_WAIT);
         clock.advance(wake_at - clock.now());
     }
--- a/crates/policy/tests/load/sim.rs
+++ b/crates/policy/tests/load/sim.rs
@@ -248,6 +248,8 @@
                     process: 0,
                     warm_up: None,
                     track: policy::balance::Track::Stable,
+                    is_rate_limited: false,
+                    has_left: false,
                 }),
             );
         }
@@ -581,7 +583,8 @@
     }
 
     fn set_wake(&mut self, server: usize) {
-        let wake_at = self.inbound[server].admission.wake_at();
+        let now = self.at(self.now);
+        let wake_at = self.inbound[server].admission.wake_at(now);
         if wake_at != self.inbound[server].wake_at {
             self.inbound[server].wake_at = wake_at;
             if let Some(at) = wake_at {
--- a/crates/policy/tests/load_probe.rs
+++ b/crates/policy/tests/load_probe.rs
@@ -30,6 +30,8 @@
         process: 1,
         warm_up: None,
         track: policy::balance::Track::Stable,
+        is_rate_limited: false,
+        has_left: false,
     };
     let mut balancer = Balancer::new();
     balancer.sync(clock.now(), (0..6).map(make));
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -43,6 +43,20 @@
     pub digest: Digest,
     /// Whether a backend server has ended while it ran this request, as far as the sender knows.
     pub is_suspect: bool,
+    /// What the receiver's backend server last reported to the sender, if that restricts its calls.
+    pub known_report: Option<ServerReport>,
+}
+
+/// What a backend server has reported about itself in its responses, if that restricts its calls.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerReport {
+    /// Identifies the backend server's process, as in its endpoint.
+    pub process: u64,
+    /// Rate that it takes from all nodes together, in thousandths of a request per second; `None`
+    /// if there is no limit.
+    pub rate_limit: Option<u32>,
+    /// Whether it is leaving.
+    pub leaving: bool,
 }
 
 /// The head of an answer.
@@ -61,6 +75,8 @@
     pub queue_wait_ms: u32,
     /// Whether no body follows.
     pub end: bool,
+    /// What the backend server reports about itself, if that restricts its calls.
+    pub report: Option<ServerReport>,
 }
 
 /// Why an attempt got no answer from the backend server.
@@ -94,6 +110,8 @@
     Unconfirmed,
     /// The team has used up its limit.
     OverLimit,
+    /// The call can't start in time at the rate that the backend server has named.
+    RateLimit,
 }
 
 /// The end of an attempt without a complete answer.
@@ -226,6 +244,8 @@
     pub timeout_ms: u32,
     /// Time left until the latency target, in milliseconds; an answer by then is worth most.
     pub target_ms: Option<u32>,
+    /// What the receiver's backend server last reported to the sender, if that restricts its calls.
+    pub known_report: Option<ServerReport>,
 }
 
 /// Reply to a load probe: what the inbound proxy expects of the call.
@@ -243,6 +263,8 @@
     pub run_ms: Option<u32>,
     /// Number of calls that run or wait at the inbound proxy, in percent of the proxy's slots.
     pub load_percent: u16,
+    /// What the backend server has reported about itself, if that restricts its calls.
+    pub report: Option<ServerReport>,
 }
 
 /// Maximum size of a request body, in bytes, that is sent right after the head. Nothing of a longer
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -60,6 +60,7 @@
             end,
             digest: call::Digest::of(&timeout_ms.to_string(), "mesh", "/", &[]),
             is_suspect: end,
+            known_report: None,
         },
     )
 }
