--- a/crates/node/src/inbound/run.rs
+++ b/crates/node/src/inbound/run.rs
@@ -265,9 +265,12 @@
             .map_err(|reason| Refused::not_run(reason, 0))
     };
     let counted = inner.shared.count(|shared| &shared.in_flight);
-    inner
-        .gate
-        .adopt_report(&find_backend()?, request.known_report.as_ref());
+    if request.known_report.is_some() {
+        let backend = find_backend()?;
+        inner
+            .gate
+            .adopt_report(&backend, request.known_report.as_ref());
+    }
     let suspect_permit = SuspectPermit::acquire(inner, &request).await?;
     let offered_at = inner.shared.clock.now();
     let mut permit = wait_admission(inner, &request, deadline, &find_backend()?).await?;
--- a/crates/node/tests/calls/main.rs
+++ b/crates/node/tests/calls/main.rs
@@ -1,6 +1,7 @@
 //! Calls through nodes in one process: complete answers, silent links, early ends.
 
 mod access;
+mod announced_times;
 mod connection_close;
 mod early_end;
 mod forward;
