--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -11,6 +11,9 @@
 //! of its tier, so a refusal costs no waiting time. The bound is smaller while a queue is standing,
 //! that is, has not been empty for some time (`CoDel`, Nichols and Jacobson 2012, applied to
 //! requests as in Facebook's "Fail at Scale", 2015), as a queue is meant to absorb bursts.
+//!
+//! A backend server may also name the rate of calls that it takes ([`Admission::set_rate_limit`]).
+//! Calls then wait for a token as well as for a slot, and waits are predicted by the lower rate.
 
 use crate::backoff;
 use crate::duration;
