A refusal because of a rate limit tells its sender the limit

At the size that is designed for, most nodes never get a response of a limited backend server, and each of their calls to it would bounce off its gate: they did not know that it had named a limit. The refusal now carries the report, and the next call asks first. calls self_report::refusal_tells_limit fails without.

--- a/crates/node/src/inbound/inbound_call.rs
+++ b/crates/node/src/inbound/inbound_call.rs
@@ -2,6 +2,7 @@
 
 use crate::forwarded_body::{self, ForwardedBody, Rest};
 use crate::inbound::response_stream::ResponseStream;
+use crate::inbound::run::Refused;
 use crate::link::Sender;
 use crate::link::wake;
 use bytes::Bytes;
@@ -14,7 +15,9 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::timeout;
-use wire::call::{Answer, Frame, INITIAL_WINDOW, MAX_EAGER_BODY_BYTES, Reason, Refusal};
+use wire::call::{
+    Answer, Frame, INITIAL_WINDOW, MAX_EAGER_BODY_BYTES, Reason, Refusal, ServerReport,
+};
 
 /// Interval at which the progress of a response's reader is checked.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_secs(1);
@@ -196,11 +199,22 @@
 
     /// Ends the call without a response, or without the rest of its response.
     pub(crate) fn refuse(&self, verdict: Verdict, reason: Reason, retry_after_ms: u32) {
-        self.response.lock().refuse(Refusal {
-            id: self.id,
+        let refused = Refused {
             verdict,
             reason,
             retry_after_ms,
+        };
+        self.refuse_with_report(refused, None);
+    }
+
+    /// Ends the call without a response because of what the backend server has reported.
+    pub(crate) fn refuse_with_report(&self, refused: Refused, report: Option<ServerReport>) {
+        self.response.lock().refuse(Refusal {
+            id: self.id,
+            verdict: refused.verdict,
+            reason: refused.reason,
+            retry_after_ms: refused.retry_after_ms,
+            report,
         });
     }
 
--- a/crates/node/src/inbound/link.rs
+++ b/crates/node/src/inbound/link.rs
@@ -226,6 +226,7 @@
             verdict,
             reason: Reason::Backend,
             retry_after_ms: 0,
+            report: None,
         };
         // If this link is closed as well, the peer repeats the query on its next link.
         drop(self.sender.send([Frame::Refusal(refusal)]));
--- a/crates/node/src/inbound/run.rs
+++ b/crates/node/src/inbound/run.rs
@@ -8,7 +8,7 @@
 use crate::inbound::crash::{InFlightCall, SuspectPermit, check_quarantine};
 use crate::inbound::deliver::{deliver, send_response};
 use crate::inbound::inbound_call::InboundCall;
-use crate::inbound::report::apply_response;
+use crate::inbound::report::{apply_response, current_report};
 use crate::inbound::running_calls::RunningCall;
 use crate::inbound::{Inner, body_receiver, crash};
 use crate::millis::whole_ms;
@@ -175,7 +175,7 @@
     let held = match receive_body(inner, call, &request, deadline).await {
         Ok(held) => held,
         Err(refused) => {
-            call.refuse(refused.verdict, refused.reason, refused.retry_after_ms);
+            refuse_call(inner, call, refused);
             return None;
         }
     };
@@ -190,7 +190,7 @@
     let read_ahead = match run(inner, request, body, deadline, received_at, start).await {
         Ok(response) => send_response(inner, call, response).await,
         Err(refused) => {
-            call.refuse(refused.verdict, refused.reason, refused.retry_after_ms);
+            refuse_call(inner, call, refused);
             None
         }
     };
@@ -198,6 +198,17 @@
     read_ahead
 }
 
+/// Refuses a call. The sender of a call that is refused because of the rate limit learns the limit,
+/// so that it asks before its next call.
+fn refuse_call<C>(inner: &Inner<C>, call: &InboundCall, refused: Refused)
+where
+    C: Clock,
+{
+    let is_limited = refused.reason == Reason::RateLimit;
+    let report = is_limited.then(|| current_report(inner)).flatten();
+    call.refuse_with_report(refused, report);
+}
+
 /// Maximum number of bytes of a body that are received before the call gets a slot.
 ///
 /// If the call got its slot earlier, the slot would be held while the body arrives: at 8 Mbit/s, a
--- a/crates/node/src/outbound/attempt.rs
+++ b/crates/node/src/outbound/attempt.rs
@@ -186,6 +186,7 @@
                 verdict,
                 reason,
                 retry_after_ms: 0,
+                report: None,
             });
         }
         wake(&mut state.response_waker);
--- a/crates/node/src/outbound/link.rs
+++ b/crates/node/src/outbound/link.rs
@@ -18,7 +18,9 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
-use wire::call::{Answer, Estimate, Frame, LoadProbe, Reason, Request, TokenGrant, TokenRequest};
+use wire::call::{
+    Answer, Estimate, Frame, LoadProbe, Reason, Refusal, Request, TokenGrant, TokenRequest,
+};
 use wire::{Hello, codec};
 
 /// Timeout for connecting to a peer and receiving its hello.
@@ -219,10 +221,15 @@
     /// attempt and cannot reach another caller.
     fn handle_frame(&self, frame: Frame) -> ControlFlow<()> {
         // Recorded even if no call waits for the frame any more.
-        if let Frame::Estimate(Estimate { report, .. }) | Frame::Answer(Answer { report, .. }) =
-            &frame
-        {
-            self.reports.record(&self.node, *report);
+        match &frame {
+            Frame::Estimate(Estimate { report, .. }) | Frame::Answer(Answer { report, .. }) => {
+                self.reports.record(&self.node, *report);
+            }
+            // Most refusals say nothing of the backend server.
+            Frame::Refusal(Refusal { report, .. }) if report.is_some() => {
+                self.reports.record(&self.node, *report);
+            }
+            _ => {}
         }
         if let Frame::Estimate(estimate) = frame {
             if let Some(sender) = self.pending_probes.lock().remove(&estimate.serial) {
--- a/crates/node/tests/calls/round_trip.rs
+++ b/crates/node/tests/calls/round_trip.rs
@@ -349,6 +349,7 @@
                         verdict: Verdict::NotRun,
                         reason: wire::call::Reason::Full,
                         retry_after_ms: 100,
+                        report: None,
                     };
                     let frame = wire::Frame::Call(Frame::Refusal(refusal));
                     codec::write(&mut stream, &frame).await.unwrap();
--- a/crates/node/tests/calls/self_report.rs
+++ b/crates/node/tests/calls/self_report.rs
@@ -1,15 +1,18 @@
 //! Backend servers that report a rate limit, or that they are leaving, in their responses.
 
 use crate::mesh::{Answer, Node, bind, call, spawn_node, spawn_server};
+use crate::raw_peer::{encode, make_request, open_link, read_frame};
 use bytes::Bytes;
-use config::{Endpoint, Repeat};
+use config::{Class, Endpoint, Repeat};
 use http::{Method, StatusCode};
 use standin::backend::Faults;
 use standin::record::RunLog;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use tokio::io::AsyncWriteExt;
 use tokio::task::JoinSet;
+use wire::call::{Frame, Reason};
 use yare::parameterized;
 
 /// Rate that the limited backend server names, in requests per second.
@@ -330,3 +333,24 @@
     }
     assert!(refused > 40, "{refused}");
 }
+
+// A node that gets no response of a limited backend server keeps sending calls that bounce off.
+#[tokio::test]
+async fn refusal_tells_limit() {
+    let vm = Vm::spawn("a", 11).await;
+    set_routes(&[&vm.node], std::slice::from_ref(&vm));
+    vm.set_headers(&[("bluebellpick-rate-limit", "0.5")]).await;
+    get(vm.node.outbound.address()).await;
+    let peer = spawn_node("b").await;
+    let mut stream = open_link(&peer, &vm.node).await;
+    let request = make_request(&peer, Class::Lookup, 0, 1_000);
+    stream
+        .write_all(&encode(Frame::Request(request)))
+        .await
+        .unwrap();
+    let Frame::Refusal(refusal) = read_frame(&mut stream).await else {
+        panic!("there is no token for two seconds");
+    };
+    assert_eq!(refusal.reason, Reason::RateLimit);
+    assert_eq!(refusal.report.unwrap().rate_limit, Some(500));
+}
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -125,6 +125,8 @@
     pub reason: Reason,
     /// Time after which the call may be retried, in milliseconds.
     pub retry_after_ms: u32,
+    /// What the backend server has reported about itself, if that is why the call is refused.
+    pub report: Option<ServerReport>,
 }
 
 /// Message about a call.
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -74,6 +74,7 @@
             verdict: Verdict::NotRun,
             reason: Reason::Full,
             retry_after_ms,
+            report: None,
         })
     });
     let credit =
@@ -257,5 +258,5 @@
     let (found, _) = decode::<Hello>(&buffer).unwrap().unwrap();
     assert_eq!(found.protocol, PROTOCOL_VERSION + 1);
     let error = Error::Protocol(found.protocol).to_string();
-    assert_eq!(error, "peer speaks protocol 7, this node speaks 6");
+    assert_eq!(error, "peer speaks protocol 8, this node speaks 7");
 }
