--- a/crates/node/tests/calls/announced_times.rs
+++ b/crates/node/tests/calls/announced_times.rs
@@ -29,7 +29,7 @@
                 while let Ok(Ok(1..)) = timeout(idle, stream.read(&mut request)).await {
                     stream.write_all(RESPONSE).await.unwrap();
                 }
-                // The next request finds nobody: the connection ends without a response.
+                // Closes the connection at the next request, without a response to it.
                 drop(stream.read(&mut request).await);
             });
         }
@@ -37,8 +37,8 @@
     address
 }
 
-// A booking is sent over a connection that has been idle for longer than its backend server keeps
-// it, and nobody can tell whether it ran.
+// A booking is sent over a connection after the idle time that its backend server announced, and
+// its caller is told that it may have run.
 #[tokio::test]
 async fn server_keep_alive() {
     let server = spawn_forgetful_server().await;
@@ -61,9 +61,7 @@
     let limits = "head_timeout = 200 ms";
     let node = spawn_node_with_limits("own", &MemoryStore::new(), limits).await;
     node.announce("jobs", server, 6);
-    let configuration = r#"{"version": "r1", "services": {"jobs": {}},
-        "routes": {"r": {"host": "mesh", "path_prefix": "/jobs/", "type": "idempotent", "service": "jobs"}},
-        "limits": {"idle_timeout": "2s"}}"#;
+    let configuration = include_str!("../../../../platform/tests/idle_timeout.json");
     let (version, mesh) = platform::mesh::parse(configuration).unwrap();
     let endpoint = node.endpoint("jobs", node.nodes_address);
     let view = View::build(version, &mesh, [endpoint]);
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -548,7 +548,8 @@
         let min_rate = total * self.queue.min_share(entry.tier, entry.long);
         let lane = queue::lane_index(entry.tier, entry.long);
         let rate = self.lane_rates[lane].get(now, entry.cost).max(min_rate);
-        // The measured rate is that of before a rate limit was named.
+        // The measured rate falls only as calls are served, and would promise waits that are too
+        // short after a rate limit was named.
         if self.is_rate_limited(now) {
             rate.min(total)
         } else {
