Failing tests: the retries of a fleet exceed its limit after restarts and in cuts

`bluebellpick-bench budget` does the same with real processes: backend servers reject a share of their requests in storms, while nodes are killed in series, lose their connections, and the platform goes away. Arrivals are counted at the backend servers' own records, rejected ones included.

--- a/crates/bench/src/faults.rs
+++ b/crates/bench/src/faults.rs
@@ -94,7 +94,7 @@
 ///
 /// When a program can't be started, or the fleet doesn't serve in time.
 pub async fn run(options: Options) -> Result<Report, Error> {
-    let mut target = spawn(1).await?;
+    let mut target = spawn(1, &[]).await?;
     let log = InvocationLog::default();
     let end = Instant::now() + options.duration;
     let addresses: Vec<_> = target
@@ -136,12 +136,13 @@
 }
 
 /// Starts a fleet with `per_zone` VMs of each service in each availability zone, and a
-/// forwarder in front of each node.
+/// forwarder in front of each node. `extra_settings` are further lines of the nodes' settings, as
+/// pairs of section and line.
 ///
 /// # Errors
 ///
 /// When a program can't be started, or the fleet doesn't serve in time.
-pub async fn spawn(per_zone: usize) -> Result<Target, Error> {
+pub async fn spawn(per_zone: usize, extra_settings: &[(String, String)]) -> Result<Target, Error> {
     let mut deployment = Deployment::spawn(Vec::new(), &[]).await?;
     let mut forwarders = Vec::new();
     let mut files = Vec::new();
@@ -151,6 +152,7 @@
         let front = SocketAddr::new(deployment.next_ip(), FORWARDER_PORT);
         let advertised = format!("advertised = {front}");
         spec.extra_settings.push(("listen".to_owned(), advertised));
+        spec.extra_settings.extend_from_slice(extra_settings);
         deployment.add(spec)?;
         let nodes = deployment.vms[index].nodes_address();
         forwarders.push(Forwarder::spawn(front, nodes).await?);
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,6 +5,8 @@
 //! latency from the scheduled time, so that a stall counts for every call that
 //! it delays (no coordinated omission).
 
+pub mod budget;
+pub mod budget_check;
 pub mod caller;
 pub mod converge;
 pub mod converge_fault;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -4,8 +4,8 @@
 
 use bench::error::Error;
 use bench::{
-    converge, deadly, demo, faults, overload, path, reports, rolling, soak, soak_repeat, state,
-    stops,
+    budget, converge, deadly, demo, faults, overload, path, reports, rolling, soak, soak_repeat,
+    state, stops,
 };
 use bpaf::{Parser, construct};
 use std::process::ExitCode;
@@ -14,6 +14,7 @@
 /// The experiment to run, with its options.
 #[derive(Debug, Clone)]
 enum Command {
+    Budget(budget::Options),
     Demo,
     Path(path::Options),
     Converge(converge::Options),
@@ -28,6 +29,11 @@
 }
 
 fn parse_command() -> impl Parser<Command> {
+    let budget = budget::parse()
+        .map(Command::Budget)
+        .to_options()
+        .descr("Checks the retries of a fleet whose nodes are killed and cut off")
+        .command("budget");
     let demo = bpaf::pure(Command::Demo)
         .to_options()
         .descr("Runs a demonstration on stand-ins: proposals, calls, a killed and a drained VM, reports")
@@ -83,7 +89,8 @@
         .descr("Checks that overlapping graceful stops leave no request without an answer")
         .command("stops");
     construct!([
-        demo, path, converge, deadly, faults, state, overload, reports, rolling, soak, stops
+        budget, demo, path, converge, deadly, faults, state, overload, reports, rolling, soak,
+        stops
     ])
 }
 
@@ -133,6 +140,10 @@
 /// Runs the experiment. Returns its report as JSON, and whether all its checks passed.
 async fn run(command: Command) -> Result<(String, bool), Error> {
     match command {
+        Command::Budget(options) => {
+            let report = budget::run(options).await?;
+            Ok((to_json(&report)?, report.is_clean()))
+        }
         Command::Demo => Ok((to_json(&demo::run().await?)?, true)),
         Command::Path(options) => {
             let report = match &options.against {
--- a/crates/bench/src/soak.rs
+++ b/crates/bench/src/soak.rs
@@ -220,7 +220,11 @@
     }
     let header = plan.as_ref().map(|plan| plan.header);
     let seed = header.map_or(options.seed, |header| header.seed);
-    let target = spawn(header.map_or(options.per_zone, |header| header.per_zone)).await?;
+    let target = spawn(
+        header.map_or(options.per_zone, |header| header.per_zone),
+        &[],
+    )
+    .await?;
     let log = InvocationLog::default();
     let end = Instant::now() + options.duration;
     let addresses: Vec<_> = target
--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -35,6 +35,9 @@
 /// Header with the remaining time of a call in milliseconds.
 pub const TIMEOUT_HEADER: &str = "bluebellpick-timeout-ms";
 
+/// Header with the identity of an attempt.
+const CALL_HEADER: &str = "bluebellpick-call";
+
 /// Maximum body size of a fault injection request, in bytes.
 const MAX_FAULT_BODY_BYTES: usize = 64 << 10;
 
@@ -101,6 +104,8 @@
     pub slow_factor: u32,
     /// Percentage of calls that fail immediately with status 500.
     pub fail_percent: u8,
+    /// Percentage of calls that are rejected before their work begins.
+    pub reject_percent: u8,
     /// Health that `/health` reports; without it, the server reports that it is healthy.
     pub health: Option<bool>,
     /// Number of calls in flight that `/load` reports instead of the actual number.
@@ -116,6 +121,7 @@
         Self {
             slow_factor: 1,
             fail_percent: 0,
+            reject_percent: 0,
             health: None,
             load: None,
             load_lag_ms: 0,
@@ -293,7 +299,11 @@
             shared.stage.send_replace(LifecycleStage::Crashed);
             return Err(Error::NoResponse);
         }
-        if self.sample_failure() {
+        if self.sample(|faults| faults.reject_percent) {
+            run.end(Outcome::Rejected);
+            return Ok(rejection(&head));
+        }
+        if self.sample(|faults| faults.fail_percent) {
             run.end(Outcome::Failed);
             return Ok(bytes_response(
                 StatusCode::INTERNAL_SERVER_ERROR,
@@ -313,8 +323,9 @@
         Ok(response)
     }
 
-    fn sample_failure(&self) -> bool {
-        let percent = self.0.faults.lock().fail_percent;
+    /// Decides whether a call is affected by a fault with a percentage.
+    fn sample(&self, percent: fn(&Faults) -> u8) -> bool {
+        let percent = percent(&self.0.faults.lock());
         self.0.rng.lock().random_range(0..100) < percent
     }
 
@@ -380,6 +391,18 @@
     }
 }
 
+/// Creates the response that says that the call was rejected and has not begun.
+fn rejection(head: &http::request::Parts) -> Response<Body> {
+    let mut response = bytes_response(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
+    let call = header_text(&head.headers, CALL_HEADER).to_owned();
+    let headers = [
+        (CALL_HEADER.to_owned(), call),
+        ("bluebellpick-verdict".to_owned(), "not-run".to_owned()),
+    ];
+    append_headers(response.headers_mut(), &headers);
+    response
+}
+
 /// Appends headers to a map. Names and values that are invalid in HTTP are left out.
 fn append_headers(map: &mut HeaderMap, headers: &[(String, String)]) {
     for (name, value) in headers {
@@ -407,7 +430,7 @@
         run: 0,
         key: header_text(&head.headers, "idempotency-key").into(),
         request: header_text(&head.headers, "x-request").into(),
-        call: header_text(&head.headers, "bluebellpick-call").into(),
+        call: header_text(&head.headers, CALL_HEADER).into(),
         method: head.method.as_str().into(),
         path: path_of(head).into(),
         start_us: 0,
--- a/crates/standin/src/record.rs
+++ b/crates/standin/src/record.rs
@@ -23,6 +23,8 @@
     Expired,
     /// The run failed because of an injected fault.
     Failed,
+    /// The call was rejected before its work began.
+    Rejected,
     /// The run crashed the process.
     Crashed,
 }
