--- a/crates/policy/tests/retry_fleet.rs
+++ b/crates/policy/tests/retry_fleet.rs
@@ -366,3 +366,34 @@
         })
         .unwrap();
 }
+
+// Guards against calls that are made while running retries: they count as retries of the service
+// that is called, which gets more of them than its own requests allow.
+#[test]
+fn unpaid_retries() {
+    let called = fleet(81, 202.0, 20.0);
+    let clock = Manual::new();
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut calling_nodes = vec![RetryQuota::new(called.limits); called.nodes];
+    let mut called_nodes = calling_nodes.clone();
+    let mut tally = Tally {
+        requests: vec![0; RUN_STEPS],
+        retries: vec![0; RUN_STEPS],
+        denied: 0,
+    };
+    for step in 0..RUN_STEPS {
+        called_nodes[rng.random_range(0..called.nodes)].record_request(clock.now());
+        tally.requests[step] += 1;
+        for _ in 0..40 {
+            let node = &mut calling_nodes[rng.random_range(0..called.nodes)];
+            node.record_request(clock.now());
+            if rng.random_bool(0.3) && node.spend(clock.now(), &mut rng) {
+                called_nodes[rng.random_range(0..called.nodes)].record_retry(clock.now());
+                tally.retries[step] += 1;
+            }
+        }
+        clock.advance(STEP);
+    }
+    let worst = worst_window(&called.limits, &tally);
+    assert!(worst <= 1.0, "{worst:.2} of what is allowed");
+}
