Counters of retries by service, with the other counters of the service

They had a label for each service of the configuration; beyond 820 services, counters of calls share one. Nested calls of a predecessor get a test, `retry_budget unknown_parent`: where they count as callers' requests, it sees 10 retries.

--- a/crates/cli/tests/docs.rs
+++ b/crates/cli/tests/docs.rs
@@ -2,7 +2,7 @@
 //! is up to date.
 
 use bpaf::doc::Section;
-use node::metrics::{Ending, GaugeValues, Metrics, Payment};
+use node::metrics::{Ending, GaugeValues, Metrics};
 use std::time::{Duration, Instant};
 
 const PAGE: &str = include_str!("../../../docs/OPERATIONS.md");
@@ -36,8 +36,6 @@
     metrics.bad_requests("backend").inc();
     metrics.failures.count_failed_attempt("full");
     metrics.failures.count_gate_refusal("full");
-    metrics.retries.count_sent("records", Payment::Budget);
-    metrics.retries.count_denied("records");
     metrics.access.count_denied("unauthorized");
     metrics.access.count_admitted(&"fitters".into());
     metrics.access.count_over_limit(&"fitters".into());
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -18,10 +18,10 @@
 pub use crate::metrics::failures::FailureMetrics;
 pub use crate::metrics::quarantine::QuarantineMetrics;
 pub use crate::metrics::reserve::ReserveMetrics;
-pub use crate::metrics::retries::{Payment, RetryMetrics};
 pub use crate::metrics::self_report::SelfReportMetrics;
 pub use crate::metrics::service::{Ending, ServiceMetrics};
 
+use crate::metrics::retries::RetryFamilies;
 use crate::metrics::service::ENDING_LABELS;
 use parking_lot::{Mutex, RwLock};
 use prometheus_client::encoding::{EncodeLabelSet, text};
@@ -122,6 +122,7 @@
     registry: Registry,
     calls: Family<CallLabel, Counter>,
     durations: Family<ServiceLabel, Histogram, fn() -> Histogram>,
+    retries: RetryFamilies,
     bad_requests: Family<ListenerLabel, Counter>,
     control_bytes: Family<DirectionLabel, Counter>,
     /// Counts of calls without an answer, and how long calls waited at the admission gate.
@@ -130,8 +131,6 @@
     pub control: ControlMetrics,
     /// Metrics of reservations of idempotency keys.
     pub reserve: ReserveMetrics,
-    /// Counters of repeated attempts.
-    pub retries: RetryMetrics,
     /// Counters of calls with keys.
     pub access: AccessMetrics,
     /// Metrics of requests that crash backend servers.
@@ -158,7 +157,7 @@
             failures: FailureMetrics::default(),
             control: ControlMetrics::default(),
             reserve: ReserveMetrics::default(),
-            retries: RetryMetrics::default(),
+            retries: RetryFamilies::default(),
             access: AccessMetrics::default(),
             quarantine: QuarantineMetrics::default(),
             self_report: SelfReportMetrics::default(),
@@ -276,7 +275,7 @@
         let durations = self
             .durations
             .get_or_create_owned(&ServiceLabel { service });
-        ServiceMetrics::new(self.start, endings, durations)
+        ServiceMetrics::new(self.start, endings, durations, self.retries.counters(name))
     }
 
     /// Returns the counter of bad requests of a listener.
--- a/crates/node/src/metrics/retries.rs
+++ b/crates/node/src/metrics/retries.rs
@@ -14,7 +14,7 @@
 
 /// What pays for a repeated attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Payment {
+pub(crate) enum Payment {
     /// The retry budget of this node.
     Budget,
     /// Nothing: no backend server has received the earlier attempt.
@@ -24,14 +24,24 @@
     Nested,
 }
 
-/// Counters of repeated attempts.
+/// Label values of the payments, in the order of [`Payment`].
+const PAYMENT_LABELS: [&str; 3] = ["budget", "not-needed", "nested"];
+
+/// The counters of repeated attempts of all services.
 #[derive(Debug, Default)]
-pub struct RetryMetrics {
+pub(crate) struct RetryFamilies {
     sent: Family<RetryLabel, Counter>,
     denied: Family<ServiceLabel, Counter>,
 }
 
-impl RetryMetrics {
+/// The counters of repeated attempts of one service.
+#[derive(Debug)]
+pub(crate) struct RetryCounters {
+    sent: [Counter; PAYMENT_LABELS.len()],
+    denied: Counter,
+}
+
+impl RetryFamilies {
     pub(crate) fn register(&self, registry: &mut Registry) {
         let help = "Repeated attempts and hedges, by service and what pays for them";
         registry.register("retries", help, self.sent.clone());
@@ -39,22 +49,28 @@
         registry.register("retries_denied", help, self.denied.clone());
     }
 
-    /// Counts a repeated attempt.
-    pub fn count_sent(&self, service: &str, payment: Payment) {
-        let payment = match payment {
-            Payment::Budget => "budget",
-            Payment::NotNeeded => "not-needed",
-            Payment::Nested => "nested",
-        };
+    /// Returns the counters of a service.
+    pub(crate) fn counters(&self, service: &str) -> RetryCounters {
         let service = service.to_owned();
-        self.sent
-            .get_or_create(&RetryLabel { service, payment })
-            .inc();
+        RetryCounters {
+            sent: PAYMENT_LABELS.map(|payment| {
+                let service = service.clone();
+                self.sent
+                    .get_or_create_owned(&RetryLabel { service, payment })
+            }),
+            denied: self.denied.get_or_create_owned(&ServiceLabel { service }),
+        }
+    }
+}
+
+impl RetryCounters {
+    /// Counts a repeated attempt.
+    pub(crate) fn count_sent(&self, payment: Payment) {
+        self.sent[payment as usize].inc();
     }
 
     /// Counts a retry or hedge that the budget did not allow.
-    pub fn count_denied(&self, service: &str) {
-        let service = service.to_owned();
-        self.denied.get_or_create(&ServiceLabel { service }).inc();
+    pub(crate) fn count_denied(&self) {
+        self.denied.inc();
     }
 }
--- a/crates/node/src/metrics/service.rs
+++ b/crates/node/src/metrics/service.rs
@@ -1,5 +1,6 @@
 //! Metrics of the calls of one service.
 
+use crate::metrics::retries::RetryCounters;
 use burn::{History, Outcome};
 use call::Verdict;
 use config::Objective;
@@ -70,6 +71,7 @@
     start: Instant,
     endings: [Counter; ENDING_LABELS.len()],
     durations: Histogram,
+    pub(crate) retries: RetryCounters,
     windows: Mutex<BurnWindows>,
 }
 
@@ -94,11 +96,13 @@
         start: Instant,
         endings: [Counter; ENDING_LABELS.len()],
         durations: Histogram,
+        retries: RetryCounters,
     ) -> Self {
         Self {
             start,
             endings,
             durations,
+            retries,
             windows: Mutex::default(),
         }
     }
--- a/crates/node/src/outbound/hedge.rs
+++ b/crates/node/src/outbound/hedge.rs
@@ -1,7 +1,7 @@
 //! Hedging: sends a call to a second backend server if the first attempt is slow.
 //! Runs `policy::hedge`.
 
-use crate::metrics::Payment;
+use crate::metrics::retries::Payment;
 use crate::outbound::Inner;
 use crate::outbound::pick::pick_without_probes;
 use crate::outbound::plan::Plan;
@@ -165,12 +165,12 @@
     if hedge.is_rate_limited {
         return None;
     }
-    let retries = &inner.shared.metrics.retries;
+    let service = inner.shared.metrics.service(&plan.service);
     if !plan.client.charge_hedge(inner.shared.clock.now()) {
-        retries.count_denied(&plan.service);
+        service.retries.count_denied();
         return None;
     }
-    retries.count_sent(&plan.service, Payment::Budget);
+    service.retries.count_sent(Payment::Budget);
     tried.add(hedge.key);
     Some(hedge)
 }
--- a/crates/node/src/outbound/plan.rs
+++ b/crates/node/src/outbound/plan.rs
@@ -2,7 +2,7 @@
 
 use crate::connection;
 use crate::inbound::run::TIMEOUT_HEADER;
-use crate::metrics::Payment;
+use crate::metrics::retries::Payment;
 use crate::outbound::access::{self, Denial};
 use crate::outbound::call_log::log_unpaid_retry;
 use crate::outbound::remote_attempt;
@@ -145,8 +145,8 @@
     if let Origin::Nested(parent) = origin
         && parent.is_retry
     {
-        let retries = &inner.shared.metrics.retries;
-        retries.count_sent(&target.name, Payment::Nested);
+        let service = inner.shared.metrics.service(&target.name);
+        service.retries.count_sent(Payment::Nested);
         log_unpaid_retry(inner, &caller, &target.name);
     }
     let hash = policy::hash(&route.prefix) ^ policy::hash(head.method.as_str());
--- a/crates/node/src/outbound/serve.rs
+++ b/crates/node/src/outbound/serve.rs
@@ -2,7 +2,8 @@
 
 use crate::connection::RequestBody;
 use crate::inbound::run::Refused;
-use crate::metrics::{Ending, Payment};
+use crate::metrics::Ending;
+use crate::metrics::retries::Payment;
 use crate::outbound::Inner;
 use crate::outbound::access::{Caller, Denial};
 use crate::outbound::call_log::{
@@ -303,14 +304,14 @@
 where
     C: Clock,
 {
-    let retries = &inner.shared.metrics.retries;
+    let service = inner.shared.metrics.service(&plan.service);
     match decision {
         Decision::Retry(_) if cause.may_have_arrived() => {
-            retries.count_sent(&plan.service, Payment::Budget);
+            service.retries.count_sent(Payment::Budget);
         }
-        Decision::Retry(_) => retries.count_sent(&plan.service, Payment::NotNeeded),
+        Decision::Retry(_) => service.retries.count_sent(Payment::NotNeeded),
         Decision::GiveUp(GiveUpReason::Budget) => {
-            retries.count_denied(&plan.service);
+            service.retries.count_denied();
             log_denied_retry(inner, plan, cause);
         }
         Decision::GiveUp(_) => {}
--- a/crates/node/tests/calls/main.rs
+++ b/crates/node/tests/calls/main.rs
@@ -12,6 +12,7 @@
 mod misbehaving_peer;
 mod quarantine;
 mod raw_peer;
+mod retry_budget;
 mod reuse;
 mod round_trip;
 mod self_report;
