--- a/crates/bench/src/budget.rs
+++ b/crates/bench/src/budget.rs
@@ -57,6 +57,9 @@
 /// Range of the time from the end of a node's process to its start, in milliseconds.
 const START_DELAY_MS: Range<u64> = 0..300;
 
+/// Whether a disturbance silences the connections of nodes, and whether it kills the nodes.
+const DISTURBANCES: [(bool, bool); 4] = [(false, true), (true, true), (false, true), (true, false)];
+
 /// Wait between the end of the callers and the reading of the records.
 const LATE_EFFECT_WAIT: Duration = Duration::from_secs(2);
 
@@ -268,8 +271,7 @@
     /// Kills nodes, or cuts off the connections of nodes, or both.
     async fn disturb(&mut self) -> Result<(), Error> {
         let share = self.rng.random_range(0.2..1.0);
-        let kind = self.rng.random_range(0..4);
-        let (silences, kills) = (kind % 2 == 1, kind < 3);
+        let (silences, kills) = DISTURBANCES[self.rng.random_range(0..DISTURBANCES.len())];
         eprintln!(
             "{} silences {silences}, kills {kills}, {share:.2}",
             now_us()
--- a/crates/policy/src/retry_quota.rs
+++ b/crates/policy/src/retry_quota.rs
@@ -43,11 +43,11 @@
 /// requests may be too old. The requests of a bucket that has begun within its length are recent.
 const BUCKETS_PER_WINDOW: u32 = 20;
 
-/// Tokens that a node may hold without requests.
-const FLOAT: f64 = 1.0;
+/// Tokens that a node may hold without recent requests.
+const BASE_CAPACITY: f64 = 1.0;
 
-/// Rounding error of sums of shares.
-const ROUNDING: f64 = 1e-9;
+/// Largest error of sums of shares.
+const ROUNDING_ERROR: f64 = 1e-9;
 
 /// Limits on the retries of the whole fleet.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -125,11 +125,11 @@
         R: Rng,
     {
         self.settle(now);
-        if self.tokens + ROUNDING >= 1.0 {
+        if self.tokens + ROUNDING_ERROR >= 1.0 {
             self.tokens -= 1.0;
             return true;
         }
-        if self.has_float() || self.tokens <= 0.0 {
+        if self.has_base_capacity() || self.tokens <= 0.0 {
             return false;
         }
         rng.random_bool(std::mem::take(&mut self.tokens))
@@ -151,16 +151,20 @@
             let is_recent = age(*since) < recent_since;
             f64::from(*requests) * if is_recent { EARNED_PART } else { HELD_PART }
         });
-        let float = if self.has_float() { FLOAT } else { 0.0 };
-        let capacity = float + self.limits.share * held.sum::<f64>();
+        let base = if self.has_base_capacity() {
+            BASE_CAPACITY
+        } else {
+            0.0
+        };
+        let capacity = base + self.limits.share * held.sum::<f64>();
         self.tokens = self.tokens.min(capacity);
         capacity
     }
 
     /// Returns whether the extra retries pay for a token of each node.
-    fn has_float(&self) -> bool {
+    fn has_base_capacity(&self) -> bool {
         let nodes = f64::from(u32::try_from(self.node_count).unwrap_or(u32::MAX));
-        FLOAT * nodes <= self.limits.extra
+        BASE_CAPACITY * nodes <= self.limits.extra
     }
 
     fn bucket_length(&self) -> Duration {
--- a/crates/policy/tests/retry_fleet.rs
+++ b/crates/policy/tests/retry_fleet.rs
@@ -61,10 +61,10 @@
     }
 }
 
-/// Returns a fleet whose nodes are told that there are at least `nodes` of them.
-fn of_at_least(nodes: usize, fleet: Fleet) -> Fleet {
+/// Returns a fleet whose settings give the number of its nodes.
+fn with_min_nodes(fleet: Fleet) -> Fleet {
     let limits = FleetLimits {
-        min_nodes: nodes,
+        min_nodes: fleet.nodes,
         ..fleet.limits
     };
     Fleet { limits, ..fleet }
@@ -279,7 +279,8 @@
 #[parameterized(
     grown = { fleet(81, 202.0, 280.0), 0.02 },
     large = { fleet(984, 1_040.0, 2_300.0), 0.2 },
-    designed_size = { of_at_least(14_000, fleet(14_000, 1_040.0, 2_700.0)), 0.066 },
+    designed_size = { with_min_nodes(fleet(14_000, 1_040.0, 2_700.0)), 0.066 },
+    min_nodes_unset = { fleet(14_000, 1_040.0, 2_700.0), 0.066 },
 )]
 fn islands(fleet: Fleet, seen: f64) {
     let fault = Fault {
