Farewells of backend servers outlive the node that acknowledged them

The node is killed and started again, a late report arrives, and from then on a third to a half of the calls go to that server; those that it has accepted when it exits are lost (502).

Cause: who has left was known only to the process that had acknowledged it. The next process took the late report for that of a server which serves, and its announcement outranked what others held. The state of their entry would not tell: it is `Leaving` too while a node stops whose server serves on.

Change: endpoints carry the farewells of the last eight processes; merging announcements joins them, and an endpoint whose process has said farewell is never `Serving`. A leave request, by either interface, is acknowledged once two other nodes hold it (`fleet::farewells`); a root that no other node is linked to writes it to the platform, and reads it at its start with its other first reads. A node that reaches none of them answers 503 and sends no calls all the same. A new process announces its backend server once it has exchanged endpoints, which it does before it serves anyway: nothing waits after a start. A new process of the backend server is taken at once.

--- a/crates/bench/src/state.rs
+++ b/crates/bench/src/state.rs
@@ -260,6 +260,7 @@
         process: 0,
         cold_ms: None,
         state: State::Serving,
+        farewells: Vec::new(),
     }
 }
 
--- a/crates/config/src/endpoint.rs
+++ b/crates/config/src/endpoint.rs
@@ -17,6 +17,20 @@
     Gone,
 }
 
+/// Maximum number of farewells that an endpoint keeps: the latest ones, enough for the restarts of
+/// a backend server within the time that its messages may be delayed.
+pub const MAX_FAREWELLS: usize = 8;
+
+/// The acknowledged leave of one process of a backend server. The process never takes calls again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Farewell {
+    /// When the leave was acknowledged, by the clock of the VM, in milliseconds since the Unix
+    /// epoch.
+    pub left_ms: u64,
+    /// Identifies the process, as [`Endpoint::process`] does.
+    pub process: u64,
+}
+
 /// A backend server and the node in front of it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Endpoint {
@@ -48,6 +62,10 @@
     pub cold_ms: Option<u32>,
     /// Whether the backend server accepts new calls, is leaving or is gone.
     pub state: State,
+    /// Processes of the backend server that have left, the latest first; also processes before the
+    /// current one, and those that left when another process of the node ran.
+    #[serde(default)]
+    pub farewells: Vec<Farewell>,
 }
 
 impl Endpoint {
@@ -61,6 +79,40 @@
     pub fn rank(&self) -> (u64, u64, u64, State) {
         (self.started_ms, self.incarnation, self.sequence, self.state)
     }
+
+    /// Adds farewells, and returns whether any of them is new. An endpoint whose current process
+    /// has left doesn't serve.
+    ///
+    /// The result depends neither on the order in which farewells are added nor on repetition.
+    pub fn add_farewells(&mut self, farewells: &[Farewell]) -> bool {
+        let has_grown = merge_farewells(&mut self.farewells, farewells);
+        let has_left = |farewell: &Farewell| farewell.process == self.process;
+        if self.farewells.iter().any(has_left) {
+            self.state = self.state.max(State::Leaving);
+        }
+        has_grown
+    }
+}
+
+/// Merges `new` into `known`, which stays sorted; returns whether `known` has changed.
+///
+/// One farewell a process is kept, the latest.
+pub fn merge_farewells(known: &mut Vec<Farewell>, new: &[Farewell]) -> bool {
+    if new.iter().all(|farewell| known.contains(farewell)) {
+        return false;
+    }
+    let mut merged: Vec<_> = known.iter().chain(new).copied().collect();
+    merged.sort_unstable_by(|one, other| other.cmp(one));
+    let mut processes = Vec::new();
+    merged.retain(|farewell| {
+        let is_first = !processes.contains(&farewell.process);
+        processes.push(farewell.process);
+        is_first
+    });
+    merged.truncate(MAX_FAREWELLS);
+    let has_changed = merged != *known;
+    *known = merged;
+    has_changed
 }
 
 impl From<&Endpoint> for Arc<Endpoint> {
--- a/crates/config/tests/view.rs
+++ b/crates/config/tests/view.rs
@@ -37,6 +37,7 @@
         process: 0,
         cold_ms: None,
         state,
+        farewells: Vec::new(),
     }
 }
 
--- a/crates/fleet/src/endpoints.rs
+++ b/crates/fleet/src/endpoints.rs
@@ -64,25 +64,34 @@
 impl EndpointTable {
     /// Merges an announcement; returns its effect.
     ///
+    /// Farewells are kept from older announcements too: the process that made the newer one may
+    /// not know of them yet.
+    ///
     /// A tombstone of an unknown node is ignored. Otherwise tombstones would circulate forever
     /// between nodes that drop tombstones at different times.
     pub fn merge(&mut self, endpoint: &Arc<Endpoint>, now: Instant) -> MergeOutcome {
-        let known = self.get(&endpoint.node);
-        let is_newer = match known {
-            Some(known) => endpoint.rank() > known.rank(),
-            None => endpoint.state != State::Gone && self.entries.len() < MAX_TABLE_SIZE,
+        let Some(known) = self.get(&endpoint.node) else {
+            if endpoint.state == State::Gone || self.entries.len() >= MAX_TABLE_SIZE {
+                return MergeOutcome::Ignored;
+            }
+            self.insert(Arc::clone(endpoint), now);
+            return MergeOutcome::Changed;
+        };
+        let is_newer = endpoint.rank() > known.rank();
+        let (newer, older) = if is_newer {
+            (endpoint, known)
+        } else {
+            (known, endpoint)
         };
-        if !is_newer {
+        let mut merged = Arc::clone(newer);
+        let lacks = |farewell| !newer.farewells.contains(farewell);
+        let has_grown = older.farewells.iter().any(lacks)
+            && Arc::make_mut(&mut merged).add_farewells(&older.farewells);
+        if !is_newer && !has_grown {
             return MergeOutcome::Ignored;
         }
-        let is_refresh = known.is_some_and(|known| is_refresh_of(known, endpoint));
-        let old = known.map_or(0, |known| contribution(known));
-        self.bucket_checksums[bucket_index(&endpoint.node)] ^= old ^ contribution(endpoint);
-        let entry = Entry {
-            endpoint: Arc::clone(endpoint),
-            updated_at: now,
-        };
-        self.entries.insert(endpoint.node.clone(), entry);
+        let is_refresh = is_refresh_of(known, &merged);
+        self.insert(merged, now);
         if is_refresh {
             MergeOutcome::Refreshed
         } else {
@@ -90,6 +99,17 @@
         }
     }
 
+    fn insert(&mut self, endpoint: Arc<Endpoint>, now: Instant) {
+        let old = self.get(&endpoint.node).map_or(0, |old| contribution(old));
+        self.bucket_checksums[bucket_index(&endpoint.node)] ^= old ^ contribution(&endpoint);
+        let node = endpoint.node.clone();
+        let entry = Entry {
+            endpoint,
+            updated_at: now,
+        };
+        self.entries.insert(node, entry);
+    }
+
     /// Returns the endpoint of a node, or its tombstone.
     #[must_use]
     pub fn get(&self, node: &str) -> Option<&Arc<Endpoint>> {
@@ -189,10 +209,13 @@
         return 0;
     }
     let (started, incarnation, sequence, state) = endpoint.rank();
+    let farewells = endpoint.farewells.iter();
+    let farewells = farewells.flat_map(|farewell| [farewell.process, farewell.left_ms]);
     [started, incarnation, sequence, state as u64]
-        .iter()
+        .into_iter()
+        .chain(farewells)
         .fold(stable_hash(endpoint.node.as_bytes()), |hash, field| {
-            mix(hash ^ mix(*field))
+            mix(hash ^ mix(field))
         })
 }
 
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -3,7 +3,7 @@
 use crate::{LinkKey, Peer};
 use call::Crash;
 use config::rollout::Tally;
-use config::{Digest, Mesh, Patch, Rollout, Version, View};
+use config::{Digest, Farewell, Mesh, Patch, Rollout, Version, View};
 use policy::rollout::StopReason;
 use smol_str::SmolStr;
 use std::net::SocketAddr;
@@ -63,6 +63,8 @@
     Crashes,
     /// List the roll-outs that operators have ordered.
     Rollouts,
+    /// Read the farewells that processes of this node have written.
+    Farewells,
 }
 
 /// The lease of a root, as last read from the platform.
@@ -131,6 +133,10 @@
     Restored,
     /// The state of roll-outs, sent when a watch starts and as they change.
     Rollouts(Vec<Rollout>),
+    /// The farewells that processes of this node have written.
+    Farewells(Vec<Farewell>),
+    /// These farewells are written.
+    FarewellsWritten(Vec<Farewell>),
 }
 
 /// This VM's backend server, as it announced itself.
@@ -176,6 +182,9 @@
     Platform(PlatformResponse),
     /// This VM's backend server announced itself.
     BackendAnnounced(Backend),
+    /// A process of this VM's backend server has left. Answered with [`Action::FarewellReceived`]
+    /// once other nodes, or the platform, hold the farewell.
+    BackendLeft(Farewell),
     /// Crashes of this VM's backend server, and those that an answer to the same request has
     /// cleared.
     LocalCrashes(Vec<Crash>),
@@ -228,6 +237,14 @@
         /// [`wire::control::MAX_CRASHES`], those of the requests with the most uncleared crashes.
         list: Vec<Crash>,
     },
+    /// Write the farewells of the local backend server to the platform, since no other node is
+    /// linked to this one.
+    WriteFarewells(Vec<Farewell>),
+    /// Other nodes, or the platform, hold the farewell of this process of the backend server.
+    FarewellReceived(u64),
+    /// Ignore announcements of the processes of the backend server that have left, also those that
+    /// have left before this process of the node started.
+    UpdateFarewells(Vec<Farewell>),
     /// Apply these roll-outs to calls from now on.
     ApplyRollouts(Vec<Rollout>),
     /// Write the stage of a roll-out to the platform.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -50,6 +50,7 @@
 mod crashes;
 mod event;
 mod fallback_poll;
+mod farewells;
 mod freshness;
 mod heartbeat;
 mod initial_reads;
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -6,6 +6,7 @@
 use crate::endpoints::EndpointTable;
 use crate::event::{Action, Event, PlatformRequest, PlatformResponse};
 use crate::fallback_poll::FallbackPoll;
+use crate::farewells::FarewellState;
 use crate::freshness::Freshness;
 use crate::initial_reads::InitialReads;
 use crate::leaky_bucket::LeakyBucket;
@@ -88,6 +89,7 @@
     pub(crate) crashes: CrashState,
     pub(crate) rollouts: RolloutState,
     pub(crate) initial_reads: InitialReads,
+    pub(crate) farewells: FarewellState,
     pub(crate) local_endpoint: Option<Endpoint>,
     pub(crate) has_synced_endpoints: bool,
     pub(crate) is_leaving: bool,
@@ -133,6 +135,7 @@
             crashes: CrashState::default(),
             rollouts: RolloutState::default(),
             initial_reads: InitialReads::default(),
+            farewells: FarewellState::default(),
             local_endpoint: None,
             has_synced_endpoints: false,
             is_leaving: false,
@@ -163,6 +166,7 @@
             Event::Frame { link, frame } => self.on_frame(now, link, frame),
             Event::Platform(response) => self.on_platform_response(now, response),
             Event::BackendAnnounced(backend) => self.announce(now, &backend),
+            Event::BackendLeft(farewell) => self.on_farewell(now, farewell),
             Event::LocalCrashes(list) => self.on_crashes(now, Origin::Local, &list),
             Event::LocalTallies(tallies) => self.on_local_tallies(tallies),
             Event::Suspended => self.on_suspended(now),
@@ -192,6 +196,7 @@
             self.crashes.deadline(),
             self.rollouts.deadline(),
             self.initial_reads.deadline(),
+            self.farewells.deadline(),
         ];
         let links = self.links.values().map(Link::deadline);
         let first = others.into_iter().flatten().chain(links).min();
@@ -262,6 +267,7 @@
         self.step_search(now);
         self.step_initial_reads(now);
         self.step_gate(now);
+        self.begin_announcing(now);
         self.step_fallback_poll(now);
         self.step_outage(now);
         if now >= self.heartbeat_at {
@@ -277,6 +283,7 @@
             self.reannounce(now);
         }
         self.step_sync(now);
+        self.step_farewells(now);
         self.step_freshness(now);
         self.step_crashes(now);
         self.step_rollouts(now);
@@ -336,6 +343,10 @@
                 age_ms,
             } => self.on_confirmed(key, serial, version, age_ms),
             Frame::Unconfirmed { serial } => self.on_unconfirmed(now, key, serial),
+            Frame::RequestReceipt { serial, copies } => {
+                self.on_request_receipt(key, serial, copies);
+            }
+            Frame::Receipt { serial } => self.on_receipt(serial),
             Frame::Leave { parents } => {
                 self.add_hints(now, parents);
                 self.drop_link(now, key, true);
@@ -385,6 +396,11 @@
                 self.finish_initial_read(PlatformRequest::Rollouts);
                 self.on_rollouts(now, rollouts::Origin::Platform, &list);
             }
+            PlatformResponse::Farewells(list) => {
+                self.finish_initial_read(PlatformRequest::Farewells);
+                self.learn_farewells(&list);
+            }
+            PlatformResponse::FarewellsWritten(list) => self.on_farewells_written(&list),
         }
     }
 
@@ -408,6 +424,7 @@
     pub(crate) fn close(&mut self, link: LinkKey) -> Option<Link> {
         let closed = self.links.remove(&link)?;
         self.drop_confirmations(link);
+        self.drop_receipt_requests(link);
         self.actions.push(Action::Close { link });
         Some(closed)
     }
--- a/crates/fleet/src/root_duties.rs
+++ b/crates/fleet/src/root_duties.rs
@@ -199,7 +199,9 @@
             | PlatformRequest::FetchLatest { .. }
             | PlatformRequest::Watch { .. }
             | PlatformRequest::Unwatch => {}
-            PlatformRequest::Crashes | PlatformRequest::Rollouts => self.retry_initial_reads(now),
+            PlatformRequest::Crashes | PlatformRequest::Rollouts | PlatformRequest::Farewells => {
+                self.retry_initial_reads(now);
+            }
         }
     }
 
--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -237,7 +237,12 @@
             if merged != MergeOutcome::Ignored && endpoint.state != State::Gone {
                 self.departure_guard.record_found(&endpoint.node);
             }
-            self.propagate_endpoint(now, &endpoint.node, merged, Some(key));
+            let held = self.endpoint_table.get(&endpoint.node);
+            // A sender that lacks a farewell gets it at once: it may be the restarted node, about to
+            // announce a process that has left.
+            let is_same = held.is_none_or(|held| held.farewells == endpoint.farewells);
+            let from = is_same.then_some(key);
+            self.propagate_endpoint(now, &endpoint.node, merged, from);
         }
     }
 
@@ -246,7 +251,7 @@
     ///
     /// A refresh without changes causes no new view: with 14,000 endpoints, refreshes arrive all
     /// the time, and a view takes milliseconds to build.
-    fn propagate_endpoint(
+    pub(crate) fn propagate_endpoint(
         &mut self,
         now: Instant,
         node: &SmolStr,
@@ -266,7 +271,9 @@
     /// Refutes an announcement about this node that was not made by this process and outranks its
     /// own.
     fn refute(&mut self, now: Instant, endpoint: &Endpoint) {
-        let Some(own) = &mut self.local_endpoint else {
+        self.learn_farewells(&endpoint.farewells);
+        let is_announcing = self.farewells.is_announcing();
+        let Some(own) = self.local_endpoint.as_mut().filter(|_| is_announcing) else {
             // This process has announced nothing yet, so a former process of this VM made the
             // announcement. That announcement is superseded once the backend server announces
             // itself to this process.
@@ -274,22 +281,30 @@
             self.propagate_endpoint(now, &endpoint.node, merged, None);
             return;
         };
-        if endpoint.rank() <= own.rank() {
-            return;
+        let lacks_farewells = own.add_farewells(&endpoint.farewells);
+        let is_outranked = endpoint.rank() > own.rank();
+        if is_outranked {
+            supersede(own, endpoint);
+        }
+        if is_outranked || lacks_farewells {
+            self.reannounce(now);
         }
-        supersede(own, endpoint);
-        self.reannounce(now);
     }
 
     pub(crate) fn announce(&mut self, now: Instant, backend: &Backend) {
+        self.local_endpoint = Some(self.describe_endpoint(backend));
+        self.reannounce(now);
+    }
+
+    /// Returns the announcement of `backend`, which outranks the last one that this node knows.
+    pub(crate) fn describe_endpoint(&self, backend: &Backend) -> Endpoint {
         let settings = &self.settings;
-        let sequence = self.local_endpoint.as_ref().map_or(0, |own| own.sequence);
-        let started_ms = self.local_endpoint.as_ref().map(|own| own.started_ms);
+        let former = self.local_endpoint.as_ref();
         let mut own = Endpoint {
             node: settings.local.node.clone(),
             incarnation: settings.incarnation,
-            started_ms: started_ms.unwrap_or(settings.started_ms),
-            sequence,
+            started_ms: former.map_or(settings.started_ms, |former| former.started_ms),
+            sequence: former.map_or(0, |former| former.sequence),
             service: backend.service.clone(),
             version: backend.version.clone(),
             zone: settings.local.zone.clone(),
@@ -299,20 +314,25 @@
             process: backend.process,
             cold_ms: backend.cold_ms,
             state: backend.state,
+            farewells: Vec::new(),
         };
         if let Some(known) = self.endpoint_table.get(&own.node) {
             supersede(&mut own, known);
         }
-        self.local_endpoint = Some(own);
-        self.reannounce(now);
+        own
     }
 
     /// Announces this node's endpoint again, under a new sequence number.
+    ///
+    /// A new process announces nothing before it knows what a former process announced: a late
+    /// report of the backend server could make a process that has left look ready.
     pub(crate) fn reannounce(&mut self, now: Instant) {
-        let Some(own) = &mut self.local_endpoint else {
+        let is_announcing = self.farewells.is_announcing();
+        let Some(own) = self.local_endpoint.as_mut().filter(|_| is_announcing) else {
             return;
         };
         own.sequence += 1;
+        own.add_farewells(self.farewells.known());
         let endpoint = Arc::new(own.clone());
         let merged = self.endpoint_table.merge(&endpoint, now);
         self.propagate_endpoint(now, &endpoint.node, merged, None);
@@ -361,6 +381,14 @@
         if checksums.len() != BUCKET_COUNT {
             return;
         }
+        // Tombstones are not part of the checksums, but a restarted node needs its farewells.
+        let peer = self.peer_name(key).unwrap_or_default();
+        let tombstone = self.endpoint_table.get(&peer);
+        let tombstone = tombstone
+            .filter(|endpoint| endpoint.state == State::Gone && !endpoint.farewells.is_empty());
+        if let Some(tombstone) = tombstone.cloned() {
+            self.send(key, Frame::Endpoints(vec![tombstone]));
+        }
         for list in self.endpoint_table.differing_endpoints(checksums) {
             self.send(key, Frame::Endpoints(list));
         }
@@ -376,6 +404,21 @@
         self.sync.endpoint_sync_deadline = None;
     }
 
+    /// Announces this node's endpoint for the first time, once it is known what former processes of
+    /// the node have announced.
+    pub(crate) fn begin_announcing(&mut self, now: Instant) {
+        let is_known = self.has_synced_endpoints && self.initial_reads.is_done();
+        if !is_known || !self.farewells.begin_announcing() {
+            return;
+        }
+        if let Some(own) = &mut self.local_endpoint
+            && let Some(known) = self.endpoint_table.get(&own.node)
+        {
+            supersede(own, known);
+        }
+        self.reannounce(now);
+    }
+
     /// Limits the wait for the endpoints that other roots know; ends it at once if no other root
     /// is known.
     ///
@@ -437,7 +480,7 @@
         }
     }
 
-    fn send_endpoint_updates(&mut self) {
+    pub(crate) fn send_endpoint_updates(&mut self) {
         let nodes = std::mem::take(&mut self.sync.changed_nodes);
         for key in self.find_links(Link::is_established) {
             let list: Vec<_> = nodes
--- a/crates/fleet/tests/endpoints.rs
+++ b/crates/fleet/tests/endpoints.rs
@@ -2,7 +2,7 @@
 
 mod world;
 
-use config::{Endpoint, State};
+use config::{Endpoint, Farewell, State};
 use fleet::departure::{DepartureGuard, REAPPEAR_TIMEOUT};
 use fleet::endpoints::{ENDPOINT_TTL, EndpointTable, MergeOutcome};
 use proptest::prelude::*;
@@ -11,6 +11,9 @@
 use std::time::{Duration, Instant};
 use world::{MS, NetworkFaults, S, World};
 
+/// Node, start, sequence number and state of an announcement, and a farewell that it carries.
+type Announcement = (usize, u64, u64, State, Option<(u64, u64)>);
+
 fn endpoint(node: usize, started_ms: u64, sequence: u64, state: State) -> Arc<Endpoint> {
     Arc::new(Endpoint {
         node: format!("vm-{node}").into(),
@@ -26,12 +29,14 @@
         process: 0,
         cold_ms: None,
         state,
+        farewells: Vec::new(),
     })
 }
 
 // Two nodes get the same announcements over different paths, in another order
 // and partly twice. Both must end up with the same table, and a late frame must
-// not bring back a backend server that has left.
+// not bring back a backend server that has left, nor may a newer announcement
+// that lacks its farewell.
 #[test]
 fn merge_order_irrelevant() {
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[5; 32]);
@@ -41,24 +46,35 @@
         Just(State::Leaving),
         Just(State::Gone)
     ];
-    let announcement = (0..4_usize, 1..3_u64, 1..4_u64, state);
+    let farewell = prop::option::of((0..3_u64, 0..3_u64));
+    let announcement = (0..4_usize, 1..3_u64, 1..4_u64, state, farewell);
     let all = prop::collection::vec(announcement, 1..24);
     let shuffled = all.prop_flat_map(|all| (Just(all.clone()), Just(all).prop_shuffle()));
     let result = runner.run(&shuffled, |(one, other)| {
         let now = Instant::now();
-        let fill = |announcements: &[(usize, u64, u64, State)]| {
+        let fill = |announcements: &[Announcement]| {
             let mut table = EndpointTable::default();
             // Both tables know all nodes, as a tombstone of an unknown node is dropped.
             for node in 0..4 {
                 table.merge(&endpoint(node, 0, 0, State::Serving), now);
             }
-            for (node, started_ms, sequence, state) in announcements {
-                table.merge(&endpoint(*node, *started_ms, *sequence, *state), now);
+            for (node, started_ms, sequence, state, farewell) in announcements {
+                let mut announced =
+                    Endpoint::clone(&endpoint(*node, *started_ms, *sequence, *state));
+                announced.process = (started_ms + sequence) % 3;
+                let farewell = farewell.map(|(left_ms, process)| Farewell { left_ms, process });
+                announced.add_farewells(farewell.as_slice());
+                table.merge(&Arc::new(announced), now);
             }
             table
         };
         let (one, other) = (fill(&one), fill(&other));
         prop_assert!(one.iter().eq(other.iter()));
+        for endpoint in one.iter() {
+            let mut farewells = endpoint.farewells.iter();
+            let has_left = farewells.any(|farewell| farewell.process == endpoint.process);
+            prop_assert!(!has_left || endpoint.state != State::Serving);
+        }
         prop_assert_eq!(one.checksum(), other.checksum());
         prop_assert!(one.differing_endpoints(other.bucket_checksums()).is_empty());
         Ok(())
--- a/crates/fleet/tests/joining.rs
+++ b/crates/fleet/tests/joining.rs
@@ -307,6 +307,7 @@
     answer(PlatformResponse::Leases(leases));
     answer(PlatformResponse::LeaseGranted { slot: 0 });
     answer(PlatformResponse::Crashes(Vec::new()));
+    answer(PlatformResponse::Farewells(Vec::new()));
     let actions = answer(PlatformResponse::LatestVersion(Version(0)));
     assert_eq!(installs(&actions), !is_other_known);
     let later = granted_at + 1_900 * MS;
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -8,7 +8,7 @@
 use call::{Crash, Digest};
 use config::Rollout;
 use config::rollout::{Stage, Tally};
-use config::{Change, Patch, Service, State, Version, View};
+use config::{Change, Farewell, Patch, Service, State, Version, View};
 use fleet::{
     Action, Backend, Event, LinkKey, Node, Peer, PlatformRequest, PlatformResponse, Settings,
 };
@@ -42,6 +42,7 @@
     RetryRolloutWrite(Rollout),
     Tally(SmolStr, Tally),
     BackendChanged,
+    BackendLeft(Farewell),
     Wake,
 }
 
@@ -91,6 +92,10 @@
     /// Roll-outs that its calls follow.
     pub rollouts: Vec<Rollout>,
     pub backend: State,
+    /// Process of the backend server that announces itself.
+    pub process: u64,
+    /// Processes of the backend server whose leave was acknowledged, by any process of the node.
+    pub acknowledged: BTreeSet<u64>,
     /// How far the VM's wall clock is behind.
     clock_offset: Duration,
     wake_at: Duration,
@@ -237,6 +242,8 @@
                 crash_history: CrashHistory::default(),
                 rollouts: Vec::new(),
                 backend: State::Serving,
+                process: 0,
+                acknowledged: BTreeSet::new(),
                 clock_offset: Duration::ZERO,
                 wake_at: Duration::MAX,
             });
@@ -353,6 +360,28 @@
         self.schedule(vm, Duration::ZERO, Input::BackendChanged);
     }
 
+    /// Has the current process of a VM's backend server leave.
+    pub fn leave_backend(&mut self, vm: usize) {
+        let left_ms = u64::try_from(self.now.as_millis()).unwrap();
+        let process = self.vms[vm].process;
+        self.vms[vm].backend = State::Leaving;
+        self.schedule(vm, Duration::ZERO, Input::BackendChanged);
+        let farewell = Farewell { left_ms, process };
+        self.schedule(vm, Duration::ZERO, Input::BackendLeft(farewell));
+    }
+
+    /// Returns whether any VM's view has a process of `vm`'s backend server that takes new work.
+    pub fn is_served(&self, vm: usize, process: u64) -> bool {
+        let node = &self.vms[vm].peer.node;
+        let is_process = |endpoint: &Arc<config::Endpoint>| {
+            let is_current = endpoint.node == *node && endpoint.process == process;
+            is_current && endpoint.state == State::Serving
+        };
+        let running = self.vms.iter().filter(|vm| vm.node.is_some());
+        let mut views = running.filter_map(|vm| vm.view.as_ref());
+        views.any(|view| view.endpoints().iter().any(is_process))
+    }
+
     /// Shuts a VM's process down gracefully.
     pub fn leave(&mut self, vm: usize) {
         let now = self.instant();
@@ -616,10 +645,11 @@
                 service: self.vms[vm].service.clone().into(),
                 version: "".into(),
                 slots: 6,
-                process: 0,
+                process: self.vms[vm].process,
                 cold_ms: None,
                 state: self.vms[vm].backend,
             }),
+            Input::BackendLeft(farewell) => Event::BackendLeft(farewell),
             Input::Wake => Event::Wake,
         };
         let Some(node) = &mut self.vms[vm].node else {
@@ -723,10 +753,23 @@
                 Action::ApplyRollouts(list) => self.apply_rollouts(vm, list),
                 Action::WriteRollout(rollout) => self.write_rollout(vm, rollout),
                 Action::RolloutStopped { .. } => self.stopped_rollouts += 1,
+                Action::FarewellReceived(process) => {
+                    self.vms[vm].acknowledged.insert(process);
+                }
+                Action::UpdateFarewells(_) => {}
+                Action::WriteFarewells(list) => self.write_farewells(vm, list),
             }
         }
     }
 
+    fn write_farewells(&mut self, vm: usize, list: Vec<Farewell>) {
+        let node = self.vms[vm].peer.clone();
+        if self.platform.write_farewells(&node, &list) {
+            let response = PlatformResponse::FarewellsWritten(list);
+            self.schedule(vm, 3 * MS, Input::Platform(response));
+        }
+    }
+
     fn apply_rollouts(&mut self, vm: usize, list: Vec<Rollout>) {
         for rollout in &list {
             let was_final = self.vms[vm].rollouts.iter().any(|known| {
--- a/crates/fleet/tests/world/platform.rs
+++ b/crates/fleet/tests/world/platform.rs
@@ -3,7 +3,7 @@
 
 use call::Crash;
 use config::rollout::{OrderRevision, Stage};
-use config::{Digest, Mesh, Patch, Rollout, Version, VersionedMesh};
+use config::{Digest, Farewell, Mesh, Patch, Rollout, Version, VersionedMesh, merge_farewells};
 use fleet::{Peer, PlatformRequest, PlatformResponse, RootLease};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -41,6 +41,7 @@
     written_crashes: BTreeMap<(String, u8), Vec<Crash>>,
     pub crash_writes: u64,
     rollouts: BTreeMap<String, Rollout>,
+    farewells: BTreeMap<String, Vec<Farewell>>,
     /// Number of outcomes of roll-outs (completed or rolled back) written.
     pub outcome_writes: u64,
     /// Watchers that also read crashes: one watcher in each zone.
@@ -99,6 +100,17 @@
             .collect()
     }
 
+    /// Stores farewells for a node; returns whether the platform can be reached.
+    pub fn write_farewells(&mut self, peer: &Peer, list: &[Farewell]) -> bool {
+        self.calls += 1;
+        let is_reachable = !self.is_down && !self.unreachable_zones.contains(peer.zone.as_str());
+        if is_reachable {
+            let stored = self.farewells.entry(peer.node.to_string()).or_default();
+            merge_farewells(stored, list);
+        }
+        is_reachable
+    }
+
     /// Stores a roll-out that an operator orders; returns the watchers to notify.
     pub fn order_rollout(&mut self, service: &str, target: &str, duration: Duration) -> Vec<usize> {
         self.writes += 1;
@@ -264,6 +276,10 @@
             }
             PlatformRequest::Crashes => PlatformResponse::Crashes(self.crashes()),
             PlatformRequest::Rollouts => PlatformResponse::Rollouts(self.rollouts()),
+            PlatformRequest::Farewells => {
+                let stored = self.farewells.get(peer.node.as_str());
+                PlatformResponse::Farewells(stored.cloned().unwrap_or_default())
+            }
             PlatformRequest::FetchLatest { after } => {
                 let steps = self.steps_after(after);
                 return steps.into_iter().map(|step| (3 * MS, step)).collect();
--- a/crates/node/benches/reserve.rs
+++ b/crates/node/benches/reserve.rs
@@ -167,6 +167,7 @@
         process: 0,
         cold_ms: None,
         state: State::Serving,
+        farewells: Vec::new(),
     }
 }
 
--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -8,10 +8,14 @@
 //! current ones. With `interface = platform` a backend server may also announce itself in the
 //! platform's format, which [`platform::announce`] decodes.
 //!
+//! A leave request is acknowledged once other nodes hold it, so that it outlives this process of
+//! the node. Until then the backend server gets no new calls either, and is told to repeat it.
+//!
 //! Missing heartbeats don't remove a backend server: one that is paused or partitioned for a moment
 //! would otherwise lose all its work at once. A backend server that is really gone refuses
 //! connections, which the inbound proxy notices at the next call.
 
+pub(crate) mod farewells;
 pub(crate) mod process;
 
 use crate::announce::process::{Message, Process};
@@ -20,6 +24,7 @@
 use crate::shared::{Backend, Shared};
 use crate::stop::log_backend_waits;
 use clock::Clock;
+use config::Farewell;
 use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
 use log::info;
@@ -29,6 +34,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::UNIX_EPOCH;
 use tokio::net::TcpListener;
 
 /// Path of announcements.
@@ -147,7 +153,12 @@
         Method::GET => json_response(StatusCode::OK, &status(state)),
         Method::DELETE => match read_leave_request(request, state.limits).await {
             Ok(leave_request) => {
-                json_response(StatusCode::OK, &apply_leave_request(state, leave_request))
+                let (status, farewell) = apply_leave_request(state, leave_request);
+                if shared.farewells.are_received(farewell).await {
+                    json_response(StatusCode::OK, &status)
+                } else {
+                    unrecorded_response()
+                }
             }
             Err(refusal) => refusal,
         },
@@ -168,6 +179,15 @@
     }
 }
 
+/// Returns the response to a leave request that no other node holds yet.
+fn unrecorded_response() -> HttpResponse {
+    error_response(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "the backend server gets no new calls, but no other node has recorded that it is leaving; \
+         repeat the request",
+    )
+}
+
 /// Handles an announcement or leave request in the platform's format. Every message that can be
 /// decoded is acknowledged, even if it is out of date.
 async fn handle_instance_update<C>(
@@ -185,14 +205,20 @@
     };
     match platform::announce::decode(&method, instance, &body) {
         Ok(update) => {
-            apply_instance_update(state, update);
+            let farewell = apply_instance_update(state, update);
+            if let Some(farewell) = farewell
+                && !state.shared.farewells.are_received(farewell).await
+            {
+                return unrecorded_response();
+            }
             json_response(StatusCode::OK, &serde_json::Map::new())
         }
         Err(error) => error_response(StatusCode::BAD_REQUEST, &error.to_string()),
     }
 }
 
-fn apply_instance_update<C>(state: &ListenerState<C>, update: InstanceUpdate)
+/// Applies an announcement or leave request; returns the farewell if it is a leave request.
+fn apply_instance_update<C>(state: &ListenerState<C>, update: InstanceUpdate) -> Option<Farewell>
 where
     C: Clock,
 {
@@ -208,11 +234,11 @@
     };
     let message = Message {
         sequence: announcement.map(|announcement| announcement.sequence),
-        is_leave,
-        received_at: state.shared.clock.now(),
+        ..new_message(&state.shared.clock, is_leave)
     };
+    let farewell = is_leave.then(|| process.farewell(message.wall_ms));
     if !processes.accept(&process, &message) {
-        return;
+        return farewell;
     }
     match update.announcement {
         Some(announcement) if !announcement.leaving => {
@@ -231,6 +257,28 @@
         }
         Some(_) | None => mark_leaving(&state.shared),
     }
+    farewell
+}
+
+/// Returns a message without a sequence number that has just been read.
+fn new_message<C>(clock: &C, is_leave: bool) -> Message
+where
+    C: Clock,
+{
+    Message {
+        sequence: None,
+        is_leave,
+        received_at: clock.now(),
+        wall_ms: wall_ms(clock),
+    }
+}
+
+fn wall_ms<C>(clock: &C) -> u64
+where
+    C: Clock,
+{
+    let since = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
 
 async fn read_leave_request(
@@ -281,8 +329,7 @@
 {
     let message = Message {
         sequence: announcement.sequence,
-        is_leave: false,
-        received_at: state.shared.clock.now(),
+        ..new_message(&state.shared.clock, false)
     };
     let mut processes = state.shared.processes.lock();
     if !processes.accept(
@@ -339,17 +386,16 @@
     }
 }
 
-/// Applies a leave request. The response always says that the sender is leaving, even if the
-/// request is ignored because another process is current.
-fn apply_leave_request<C>(state: &ListenerState<C>, leave_request: LeaveRequest) -> Status
+/// Applies a leave request; returns the response and the farewell. The response always says that
+/// the sender is leaving, even if the request is ignored because another process is current.
+fn apply_leave_request<C>(
+    state: &ListenerState<C>,
+    leave_request: LeaveRequest,
+) -> (Status, Farewell)
 where
     C: Clock,
 {
-    let message = Message {
-        sequence: None,
-        is_leave: true,
-        received_at: state.shared.clock.now(),
-    };
+    let message = new_message(&state.shared.clock, true);
     let mut processes = state.shared.processes.lock();
     let process = match leave_request.incarnation {
         Some(_) => Process::from_incarnation(leave_request.incarnation),
@@ -359,10 +405,11 @@
         mark_leaving(&state.shared);
     }
     drop(processes);
-    Status {
+    let status = Status {
         leaving: true,
         ..status(state)
-    }
+    };
+    (status, process.farewell(message.wall_ms))
 }
 
 /// Applies a response in which a process of the backend server reports that it is leaving, like a
@@ -371,17 +418,29 @@
 where
     C: Clock,
 {
-    let message = Message {
-        sequence: None,
-        is_leave: true,
-        received_at: shared.clock.now(),
-    };
+    let message = new_message(&shared.clock, true);
+    let process = Process::of_backend(backend);
     let mut processes = shared.processes.lock();
     let is_current = |current: &Backend| current.process() == backend.process();
     if shared.backend.borrow().as_ref().is_some_and(is_current)
-        && processes.accept(&Process::of_backend(backend), &message)
+        && processes.accept(&process, &message)
     {
         mark_leaving(shared);
+        // Nobody waits for an acknowledgement of a report.
+        drop(shared.farewells.pass_on(process.farewell(message.wall_ms)));
+    }
+}
+
+/// Takes over the farewells that other nodes hold.
+pub(crate) fn learn_farewells<C>(shared: &Shared<C>, farewells: &[Farewell])
+where
+    C: Clock,
+{
+    let (now, wall_ms) = (shared.clock.now(), wall_ms(&shared.clock));
+    let mut processes = shared.processes.lock();
+    if processes.learn(farewells, now, wall_ms) {
+        info!("leave_recalled");
+        mark_leaving(shared);
     }
 }
 
--- a/crates/node/src/announce/process.rs
+++ b/crates/node/src/announce/process.rs
@@ -6,6 +6,7 @@
 //! server got new calls for 25 s in this way, the whole time that it waited to exit.
 
 use crate::shared::Backend;
+use config::{Farewell, merge_farewells};
 use smol_str::{SmolStr, ToSmolStr};
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -37,14 +38,21 @@
     name: SmolStr,
     /// Start time of the process by the clock of its VM, if it is announced.
     started_ms: Option<u64>,
+    /// Identifies the process to other nodes.
+    number: u64,
 }
 
+/// Number of all processes that give no name.
+const UNNAMED: u64 = 0;
+
 impl Process {
     /// Identifies a process that announces itself in the platform's format.
     pub(crate) fn from_platform(instance: SmolStr, started_ms: Option<u64>) -> Self {
+        let number = identify(&instance, None, started_ms);
         Self {
             name: instance,
             started_ms,
+            number,
         }
     }
 
@@ -53,6 +61,7 @@
         Self {
             name: incarnation.map_or_else(SmolStr::default, |number| number.to_smolstr()),
             started_ms: None,
+            number: incarnation.map_or(UNNAMED, |_| identify("", incarnation, None)),
         }
     }
 
@@ -68,6 +77,24 @@
         self.name.is_empty()
     }
 
+    /// Returns the farewell of this process, which leaves now by the clock of the VM.
+    pub(crate) fn farewell(&self, wall_ms: u64) -> Farewell {
+        Farewell {
+            left_ms: wall_ms,
+            process: self.number,
+        }
+    }
+
+    /// Returns whether `farewell` is about this process.
+    ///
+    /// A leave request may name no start time. It is then about the process of that name that had
+    /// started by then.
+    fn is_subject_of(&self, farewell: &Farewell) -> bool {
+        let is_earlier =
+            |started: u64| farewell.process == self.number ^ started && started <= farewell.left_ms;
+        farewell.process == self.number || self.started_ms.is_some_and(is_earlier)
+    }
+
     /// Returns whether this process started before `other`; false if a start time is missing.
     ///
     /// The result is only a hint, since the clock may have been set back between the two starts.
@@ -79,6 +106,11 @@
     }
 }
 
+/// Returns the number by which other nodes identify a process.
+pub(crate) fn identify(instance: &str, incarnation: Option<u64>, started_ms: Option<u64>) -> u64 {
+    policy::hash(instance) ^ incarnation.unwrap_or_default() ^ started_ms.unwrap_or_default()
+}
+
 /// The parts of an announcement or leave request that decide whether the message is current.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Message {
@@ -88,6 +120,8 @@
     pub(crate) is_leave: bool,
     /// When the message was read.
     pub(crate) received_at: Instant,
+    /// The same moment by the clock of the VM, in milliseconds since the Unix epoch.
+    pub(crate) wall_ms: u64,
 }
 
 /// The current process of the backend server and its former processes.
@@ -99,6 +133,8 @@
     /// When the current process sent its leave request, if it did.
     left_at: Option<Instant>,
     former: VecDeque<Former>,
+    /// Processes that have left, also before this process of the node started.
+    farewells: Vec<Farewell>,
 }
 
 /// A process of the backend server that is considered gone.
@@ -115,6 +151,11 @@
     /// Records a message; returns whether to apply it, that is, whether it is up to date and its
     /// sender counts as the current process from now on.
     pub(crate) fn accept(&mut self, process: &Process, message: &Message) -> bool {
+        if message.is_leave {
+            merge_farewells(&mut self.farewells, &[process.farewell(message.wall_ms)]);
+        } else if self.time_since_farewell(process, message.wall_ms).is_some() {
+            return false;
+        }
         if self.seems_outdated(process) {
             self.add_former(process.clone(), message.is_leave, 1);
             return false;
@@ -137,9 +178,33 @@
         true
     }
 
-    /// Returns whether the current process has sent a leave request.
+    /// Takes over farewells that other nodes hold; returns whether the current process is among
+    /// those that have left, without having told this process of the node.
+    pub(crate) fn learn(&mut self, farewells: &[Farewell], now: Instant, wall_ms: u64) -> bool {
+        merge_farewells(&mut self.farewells, farewells);
+        let current = self.current.as_ref().filter(|_| self.left_at.is_none());
+        let Some(since) = current.and_then(|current| self.time_since_farewell(current, wall_ms))
+        else {
+            return false;
+        };
+        self.left_at = now.checked_sub(since).or(Some(now));
+        true
+    }
+
+    /// Returns how long ago a process left, by a leave request to this process of the node or to a
+    /// former one; `None` if it hasn't left, or if another unnamed process may be running by now.
+    fn time_since_farewell(&self, process: &Process, wall_ms: u64) -> Option<Duration> {
+        let mut farewells = self.farewells.iter();
+        let farewell = farewells.find(|farewell| process.is_subject_of(farewell))?;
+        let since = Duration::from_millis(wall_ms.saturating_sub(farewell.left_ms));
+        let is_binding = !process.is_unnamed() || since < UNNAMED_RETURN_DELAY;
+        is_binding.then_some(since)
+    }
+
+    /// Returns whether the current process has sent a leave request, or no process has announced
+    /// itself since the last one left.
     pub(crate) fn has_left(&self) -> bool {
-        self.left_at.is_some()
+        self.left_at.is_some() || (self.current.is_none() && !self.farewells.is_empty())
     }
 
     /// Returns the current process, or an unnamed one if none is known.
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -53,7 +53,14 @@
         }
         Distribution::Tree | Distribution::Full => {
             let (sender, receiver) = mpsc::channel(INBOX_CAPACITY);
-            let run = tree::run(Arc::clone(&shared), store, sender.clone(), receiver);
+            let farewells = shared.farewells.subscribe();
+            let run = tree::run(
+                Arc::clone(&shared),
+                store,
+                sender.clone(),
+                receiver,
+                farewells,
+            );
             (Some(sender), tokio::spawn(run))
         }
     };
--- a/crates/node/src/control/platform_worker.rs
+++ b/crates/node/src/control/platform_worker.rs
@@ -8,7 +8,7 @@
 use crate::shared::Shared;
 use call::Crash;
 use clock::Clock;
-use config::Rollout;
+use config::{Farewell, Rollout};
 use fleet::{Peer, PlatformRequest, PlatformResponse, RootLease};
 use log::warn;
 use platform::rollout;
@@ -22,7 +22,9 @@
 use store::follow::JournalUpdate;
 use store::lease::{self, LeaseRecord};
 use store::version::{self, JOURNAL};
-use store::{CrashStore, Error, Follower, Journal, Lease, Object, ObjectWatcher, Revision, Store};
+use store::{
+    CrashStore, Error, Follower, Journal, Lease, Object, ObjectWatcher, Revision, Store, farewells,
+};
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
@@ -57,6 +59,7 @@
         watch_task: None,
         crash_writer: None,
         rollout_writers: BTreeMap::new(),
+        farewell_writer: None,
     };
     let mut eras = worker.store.watch_era();
     let mut era = *eras.borrow_and_update();
@@ -84,6 +87,7 @@
             }
             Command::WriteCrashes { slot, list } => worker.write_crashes(slot, list),
             Command::WriteRollout(rollout) => worker.write_rollout(rollout),
+            Command::WriteFarewells(list) => worker.write_farewells(list),
         }
     }
 }
@@ -99,6 +103,9 @@
     /// Writes the progress of a roll-out; retries until this progress, a final stage or a newer
     /// order is stored.
     WriteRollout(Rollout),
+    /// Adds farewells of the local backend server to those that are stored for this node; retries
+    /// until the write succeeds.
+    WriteFarewells(Vec<Farewell>),
 }
 
 /// A task that is aborted when its handle is dropped.
@@ -136,6 +143,8 @@
     /// Tasks that write the progress of roll-outs, by service; a newer report on a service replaces
     /// the one that is still pending.
     rollout_writers: BTreeMap<SmolStr, Task>,
+    /// Task that writes farewells; a newer list contains one that could not be written yet.
+    farewell_writer: Option<Task>,
 }
 
 impl<C, S> PlatformWorker<C, S>
@@ -170,6 +179,9 @@
                 return None;
             }
             PlatformRequest::Rollouts => self.read_rollouts().await,
+            PlatformRequest::Farewells => farewells::read(&self.store, &self.shared.settings.name)
+                .await
+                .map(PlatformResponse::Farewells),
             PlatformRequest::Crashes => {
                 self.crash_store.list().await.map(PlatformResponse::Crashes)
             }
@@ -447,6 +459,21 @@
         self.rollout_writers.insert(service, Task(task));
     }
 
+    fn write_farewells(&mut self, list: Vec<Farewell>) {
+        let (shared, store) = (Arc::clone(&self.shared), self.store.clone());
+        let inbox = self.inbox.clone();
+        self.farewell_writer = Some(Task(tokio::spawn(async move {
+            let mut backoff = Backoff::new(BACKOFF_BASE, BACKOFF_CAP);
+            while let Err(error) = farewells::write(&store, &shared.settings.name, &list).await {
+                warn!(target: LOG_TARGET, error:%; "farewells_not_written");
+                let wait = backoff.next_delay(&mut rand::rng());
+                tokio::time::sleep(wait).await;
+            }
+            let response = PlatformResponse::FarewellsWritten(list);
+            drop(inbox.send(Input::Response(response)).await);
+        })));
+    }
+
     /// Writes crashes to the platform; retries until the write succeeds.
     fn write_crashes(&mut self, slot: u8, list: Vec<Crash>) {
         let crash_store = self.crash_store.clone();
--- a/crates/node/src/control/tree.rs
+++ b/crates/node/src/control/tree.rs
@@ -1,5 +1,6 @@
 //! Drives the distribution state machine: connects it to sockets, timers and the platform.
 
+use crate::announce::{self, farewells};
 use crate::control::link::{self, Sender};
 use crate::control::platform_worker::{self, Command};
 use crate::freshness::SuspensionDetector;
@@ -51,6 +52,7 @@
     store: S,
     sender: mpsc::Sender<Input>,
     mut inbox: mpsc::Receiver<Input>,
+    mut farewells: mpsc::UnboundedReceiver<farewells::Request>,
 ) where
     C: Clock,
     S: Store,
@@ -78,6 +80,7 @@
                 leaving.mark_unchanged();
                 driver.announce(&mut backend);
             },
+            Some(request) = farewells.recv() => driver.take_farewell(request),
             list = shared.quarantine.next_updates() => driver.handle(Event::LocalCrashes(list)),
             () = tokio::time::sleep(wait) => driver.wake(),
         }
@@ -126,6 +129,8 @@
     status_updated_at: Instant,
     suspension: SuspensionDetector,
     closing_writers: Vec<tokio::task::JoinHandle<()>>,
+    /// Requests that wait until other nodes hold their farewell.
+    unreceived: Vec<farewells::Request>,
 }
 
 impl<C> Driver<C>
@@ -166,6 +171,24 @@
             status_updated_at: now,
             suspension,
             closing_writers: Vec::new(),
+            unreceived: Vec::new(),
+        }
+    }
+
+    fn take_farewell(&mut self, request: farewells::Request) {
+        let farewell = request.farewell;
+        self.unreceived
+            .retain(|request| !request.received.is_closed());
+        self.unreceived.push(request);
+        self.handle(Event::BackendLeft(farewell));
+    }
+
+    /// Notifies the requests that waited for other nodes to hold the farewell of `process`.
+    fn finish_farewells(&mut self, process: u64) {
+        let is_received = |request: &mut farewells::Request| request.farewell.process == process;
+        for request in self.unreceived.extract_if(.., is_received) {
+            // An error means that the request has timed out.
+            let _sent = request.received.send(());
         }
     }
 
@@ -257,6 +280,11 @@
                     .quarantine
                     .merge(&shared.clock, &shared.metrics, &list);
             }
+            Action::WriteFarewells(list) => {
+                drop(self.commands.send(Command::WriteFarewells(list)));
+            }
+            Action::FarewellReceived(process) => self.finish_farewells(process),
+            Action::UpdateFarewells(list) => announce::learn_farewells(&self.shared, &list),
             Action::ApplyRollouts(list) => self.shared.rollouts.set(list),
             Action::WriteRollout(rollout) => {
                 drop(self.commands.send(Command::WriteRollout(rollout)));
--- a/crates/node/src/control/watch.rs
+++ b/crates/node/src/control/watch.rs
@@ -231,6 +231,7 @@
         } else {
             State::Serving
         },
+        farewells: Vec::new(),
     })
 }
 
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -1,6 +1,7 @@
 //! State that the components of a node share.
 
-use crate::announce::process::ProcessTracker;
+use crate::announce::farewells::Farewells;
+use crate::announce::process::{ProcessTracker, identify};
 use crate::freshness::Freshness;
 use crate::logs::RateLimiter;
 use crate::metrics::Metrics;
@@ -52,8 +53,7 @@
     #[must_use]
     pub fn process(&self) -> u64 {
         let instance = self.instance.as_deref().unwrap_or_default();
-        let start = self.process_started_ms.unwrap_or_default();
-        policy::hash(instance) ^ self.incarnation.unwrap_or_default() ^ start
+        identify(instance, self.incarnation, self.process_started_ms)
     }
 }
 
@@ -77,6 +77,8 @@
     pub backend: watch::Sender<Option<Backend>>,
     /// The processes of the local backend server, by their announcements and reports.
     pub(crate) processes: Mutex<ProcessTracker>,
+    /// Leave requests of the local backend server, on their way to the other nodes.
+    pub(crate) farewells: Farewells,
     /// Whether the node will leave soon, and therefore reports that it is not ready.
     pub stopping: AtomicBool,
     /// Whether the node itself (and not only its backend server) is leaving.
@@ -184,6 +186,7 @@
             freshness: Freshness::default(),
             backend: watch::Sender::new(None),
             processes: Mutex::default(),
+            farewells: Farewells::default(),
             stopping: AtomicBool::new(false),
             leaving: watch::Sender::new(false),
             in_flight: watch::Sender::new(0),
--- a/crates/node/tests/calls/mesh.rs
+++ b/crates/node/tests/calls/mesh.rs
@@ -139,6 +139,7 @@
             process: 0,
             cold_ms: None,
             state: State::Serving,
+            farewells: Vec::new(),
         }
     }
 
--- a/crates/node/tests/operate.rs
+++ b/crates/node/tests/operate.rs
@@ -38,6 +38,7 @@
         process: 0,
         cold_ms: None,
         state: State::Serving,
+        farewells: Vec::new(),
     };
     View::build(Version(3), &mesh, [endpoint])
 }
--- a/crates/node/tests/reserve.rs
+++ b/crates/node/tests/reserve.rs
@@ -98,6 +98,7 @@
             process: 0,
             cold_ms: None,
             state: State::Serving,
+            farewells: Vec::new(),
         }
     }
 
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -32,6 +32,7 @@
 
 mod envelope;
 mod error;
+pub mod farewells;
 mod store;
 
 pub use board::CrashStore;
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -225,6 +225,18 @@
         /// Number of the request.
         serial: u64,
     },
+    /// Requests a receipt for the endpoints that were sent over this link before.
+    RequestReceipt {
+        /// Number of the request on this link.
+        serial: u64,
+        /// Number of nodes, the receiver included, that must hold the endpoints before the reply.
+        copies: u8,
+    },
+    /// The reply to [`Frame::RequestReceipt`].
+    Receipt {
+        /// Number of the request.
+        serial: u64,
+    },
 }
 
 /// Maximum size of a full configuration before compression, in bytes.
