A stopping node takes only calls that can end, and answers those that don't

Cause: the parts of the stop that say until when requests are taken (handover, lame duck, close of connections) and when calls end (the limit less an eighth of the rest) divide the same time without comparing, nobody asks how long a request may take, and what is cut off gets no answer.

Change: the end of calls is set once at SIGTERM (`stop::CallEnd`). A call is taken only if it can end by then, before its body is read, before each attempt and after its wait at the gate; its length is what the calls of its route took of late (`policy::call_length`), or else its time limit. What still runs then is answered, "not run" if nothing was sent. The listener stays open for the nested calls of the own backend server. A second SIGTERM changes nothing.

With the four parts switched off, 10 of the 14 cases of `calls::stop_time` fail; the others guard against refusing too much.

Tests that changed: `second_signal` asked that a second SIGTERM end the process at once, which loses its calls; it now asks that it does not, and the same as before of SIGINT. `steps_within_limit` reads the plan's new times and asks for 15/16 of the limit for calls, 7/8 before. `stop_before_kill` asks for 550 ms of 600, 300 before.

Farewells that name no start time bind other processes of the name for a minute, since start times come from a clock that may be set back.

--- a/crates/node/src/announce/process.rs
+++ b/crates/node/src/announce/process.rs
@@ -26,6 +26,12 @@
 /// most 5 s for its head and 5 s for its body.
 const UNNAMED_RETURN_DELAY: Duration = Duration::from_secs(10);
 
+/// Time for which a leave request without a start time binds other processes of that name.
+///
+/// Messages are late by seconds, or by as long as a partition lasts. Start times come from a clock
+/// that may be set back, so that a new process may seem to have started before the leave request.
+const NAME_BINDING_TIME: Duration = Duration::from_mins(1);
+
 /// Identifies a process of the backend server.
 ///
 /// A backend server may restart under the same name, with sequence numbers that start over. If
@@ -85,14 +91,23 @@
         }
     }
 
-    /// Returns whether `farewell` is about this process.
+    /// Returns for how long `farewell` binds this process, from the leave request on; `None` if it
+    /// is about another process.
     ///
     /// A leave request may name no start time. It is then about the process of that name that had
     /// started by then.
-    fn is_subject_of(&self, farewell: &Farewell) -> bool {
-        let is_earlier =
-            |started: u64| farewell.process == self.number ^ started && started <= farewell.left_ms;
-        farewell.process == self.number || self.started_ms.is_some_and(is_earlier)
+    fn binding_time(&self, farewell: &Farewell) -> Option<Duration> {
+        if farewell.process == self.number {
+            let is_unnamed = self.is_unnamed();
+            return Some(if is_unnamed {
+                UNNAMED_RETURN_DELAY
+            } else {
+                Duration::MAX
+            });
+        }
+        let started = self.started_ms?;
+        let is_earlier = farewell.process == self.number ^ started && started <= farewell.left_ms;
+        is_earlier.then_some(NAME_BINDING_TIME)
     }
 
     /// Returns whether this process started before `other`; false if a start time is missing.
@@ -192,13 +207,13 @@
     }
 
     /// Returns how long ago a process left, by a leave request to this process of the node or to a
-    /// former one; `None` if it hasn't left, or if another unnamed process may be running by now.
+    /// former one; `None` if it hasn't left, or if another process may be running by now.
     fn time_since_farewell(&self, process: &Process, wall_ms: u64) -> Option<Duration> {
-        let mut farewells = self.farewells.iter();
-        let farewell = farewells.find(|farewell| process.is_subject_of(farewell))?;
-        let since = Duration::from_millis(wall_ms.saturating_sub(farewell.left_ms));
-        let is_binding = !process.is_unnamed() || since < UNNAMED_RETURN_DELAY;
-        is_binding.then_some(since)
+        self.farewells.iter().find_map(|farewell| {
+            let since = Duration::from_millis(wall_ms.saturating_sub(farewell.left_ms));
+            let binding_time = process.binding_time(farewell)?;
+            (since < binding_time).then_some(since)
+        })
     }
 
     /// Returns whether the current process has sent a leave request, or no process has announced
--- a/crates/node/src/inbound.rs
+++ b/crates/node/src/inbound.rs
@@ -17,6 +17,7 @@
 pub(crate) mod running_calls;
 
 use crate::backend::ConnectionPool;
+use crate::call_length::Lengths;
 use crate::forwarded_body::ForwardedBody;
 use crate::inbound::admission_gate::AdmissionGate;
 use crate::inbound::body_receiver::BodyReceiver;
@@ -75,6 +76,8 @@
 {
     pub(crate) shared: Arc<Shared<C>>,
     pub(crate) pool: Arc<ConnectionPool<C>>,
+    /// Lengths of the calls that the backend server runs, with the wait for their slots.
+    pub(crate) lengths: Arc<Lengths<C>>,
     attempt_tables: [Mutex<AttemptTable<Arc<InboundCall>>>; SHARD_COUNT],
     links: Mutex<Vec<OpenLink>>,
     pub(crate) gate: Arc<AdmissionGate<C>>,
@@ -114,6 +117,7 @@
             max_held,
             shared.incarnation,
         ),
+        lengths: Arc::new(Lengths::new(shared.clock.clone())),
         shared,
         attempt_tables: Default::default(),
         links: Mutex::default(),
--- a/crates/node/src/inbound/run.rs
+++ b/crates/node/src/inbound/run.rs
@@ -1,6 +1,7 @@
 //! Runs one call on the backend server of this node.
 
 use crate::backend::{Error, ResponseBody};
+use crate::call_length::Measurement;
 use crate::forwarded_body::{ForwardedBody, Rest};
 use crate::header::append_headers;
 use crate::inbound::admission_gate::{GateDecision, Permit};
@@ -63,6 +64,7 @@
     /// Keeps the call registered as in flight.
     in_flight: Box<InFlightCall<C>>,
     _counted: CountGuard<C>,
+    _measurement: Box<Measurement<C>>,
 }
 
 impl Refused {
@@ -112,6 +114,11 @@
                 abandon_call(&inner, &call, Reason::Deadline);
                 None
             }
+            () = inner.shared.call_end.reached(&inner.shared.clock) => {
+                inner.shared.call_end.count_cut_off();
+                abandon_call(&inner, &call, Reason::Leaving);
+                None
+            }
             read_ahead = serve(&inner, &call, request, deadline) => read_ahead,
         };
         call.discard_request_body();
@@ -172,6 +179,10 @@
     C: Clock,
 {
     let received_at = inner.shared.clock.now();
+    if !can_end(inner, &request, deadline) {
+        refuse_call(inner, call, Refused::not_run(Reason::Deadline, 0));
+        return None;
+    }
     let held = match receive_body(inner, call, &request, deadline).await {
         Ok(held) => held,
         Err(refused) => {
@@ -198,6 +209,17 @@
     read_ahead
 }
 
+/// Returns whether a call can end before this node stops. A call that can't is refused like one
+/// whose deadline would pass: this node may still serve shorter calls.
+fn can_end<C>(inner: &Inner<C>, request: &Request, deadline: Instant) -> bool
+where
+    C: Clock,
+{
+    inner
+        .lengths
+        .can_end(&inner.shared, request.route, deadline)
+}
+
 /// Refuses a call. The sender of a call that is refused because of the rate limit learns the limit,
 /// so that it asks before its next call.
 fn refuse_call<C>(inner: &Inner<C>, call: &InboundCall, refused: Refused)
@@ -282,6 +304,7 @@
             .gate
             .adopt_report(&backend, request.known_report.as_ref());
     }
+    let mut measurement = inner.lengths.begin(request.route);
     let suspect_permit = SuspectPermit::acquire(inner, &request).await?;
     let offered_at = inner.shared.clock.now();
     let mut permit = wait_admission(inner, &request, deadline, &find_backend()?).await?;
@@ -297,6 +320,9 @@
         is_retry: request.headers.iter().any(is_retry_header),
     };
     let backend = find_backend()?;
+    if !can_end(inner, &request, deadline) {
+        return Err(Refused::not_run(Reason::Deadline, 0));
+    }
     let suspect_permit = suspect_permit.recheck(inner, &request)?;
     let digest = request.digest;
     let mut in_flight = InFlightCall::new(inner, &backend, &request, suspect_permit);
@@ -310,6 +336,7 @@
     if !start() {
         return Err(Refused::not_run(Reason::Cancelled, 0));
     }
+    measurement.has_run = true;
     in_flight.mark_begun(inner.running_calls.register(parent_key, running_call));
     inner.shared.metrics.self_report.count_request();
     match inner.pool.exchange(backend.address, request).await {
@@ -341,6 +368,7 @@
                 },
                 in_flight: Box::new(in_flight),
                 _counted: counted,
+                _measurement: Box::new(measurement),
             }))
         }
         Err(Error::Connect) => {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod accept;
 mod backend;
+mod call_length;
 mod connection;
 mod forwarded_body;
 pub mod freshness;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -34,8 +34,8 @@
         .version(env!("CARGO_PKG_VERSION"))
         .descr("The proxy and relay that runs beside every backend server")
         .footer(
-            "SIGTERM stops it gracefully: no new work, and what is in flight ends first. A second \
-             one ends it at once. Exit codes: 0 stopped gracefully; 1 could not start, or ended \
+            "SIGTERM or SIGINT stops it gracefully: no new work, and what is in flight ends first. \
+             A SIGINT during the stop ends it at once. Exit codes: 0 stopped gracefully; 1 could not start, or ended \
              before what was in flight; 2 wrong command line or settings. The log goes to \
              standard output; BLUEBELLPICK_LOG sets its level.",
         )
@@ -116,13 +116,24 @@
     }
     tokio::select! {
         () = running.stop() => Ok(ExitCode::SUCCESS),
-        () = wait_any(&mut terminate, &mut interrupt) => {
+        () = wait_interrupt(&mut terminate, &mut interrupt) => {
             warn!("stopped_at_once");
             Ok(ExitCode::FAILURE)
         }
     }
 }
 
+/// Waits until someone interrupts a stop. Supervisors repeat SIGTERM, and calls would be lost if
+/// each of them ended the process.
+async fn wait_interrupt(terminate: &mut Signal, interrupt: &mut Signal) {
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => info!("already_stopping"),
+            _ = interrupt.recv() => return,
+        }
+    }
+}
+
 /// Reads the settings file again, and logs whether it is valid and has changed.
 ///
 /// Changes take effect only at the next start, because each setting is either an address or
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::runtime;
+use tokio::sync::oneshot;
 
 /// A running node.
 #[derive(Debug)]
@@ -105,12 +106,10 @@
     }
 
     /// Reports that the node is not ready and keeps serving until callers are routed elsewhere.
-    /// Returns the time that is left for the stop.
     ///
     /// A readiness check takes some seconds to notice that a node is leaving. If the node closed
     /// its listener at once, calls in that time would find a closed port.
-    async fn hand_over(&self) -> Duration {
-        let limit = self.shared.settings.stop_limit();
+    async fn hand_over(&self, limit: Duration) {
         let wait = self.shared.settings.handover.unwrap_or_default();
         let wait = wait.min(limit / 2);
         self.shared.stopping.store(true, Ordering::Release);
@@ -118,43 +117,61 @@
             info!(handover_s = wait.as_secs_f64(); "handing_over");
             tokio::time::sleep(wait).await;
         }
-        limit.saturating_sub(wait)
     }
 
-    /// Stops gracefully: accepts no new work after the handover, and lets calls in flight finish.
+    /// Stops gracefully: from now on takes only calls that can end in time, after the handover no
+    /// new work, and lets calls in flight finish.
     ///
     /// The drain timeout of the settings bounds the wait. The numbers of calls that this timeout
     /// cuts off are logged.
     pub async fn stop(self) {
-        let limit = self.hand_over().await;
-        info!(stop_limit_s = limit.as_secs_f64(); "leaving");
+        let limit = self.shared.settings.stop_limit();
+        let plan = StopPlan::new(self.shared.clock.now(), limit);
+        self.shared.call_end.set(plan.call_end());
+        self.hand_over(limit).await;
+        let time = plan.time_left(self.shared.clock.now());
+        info!(stop_limit_s = time.as_secs_f64(); "leaving");
         let shared = Arc::clone(&self.shared);
         tokio::select! {
             biased;
-            () = self.stop_components(limit) => {}
+            () = self.stop_components(plan) => {}
             never = log_waits(&shared) => match never {},
         }
         info!("stopped");
     }
 
-    /// Drains the calls and then stops the components, each step within its time limit.
-    async fn stop_components(self, limit: Duration) {
+    /// Drains the calls and stops the components, each step within its time limit. Calls that take
+    /// long go on while the components that they don't need are stopped.
+    async fn stop_components(self, plan: StopPlan) {
         let shared = Arc::clone(&self.shared);
         let now = || shared.clock.now();
-        let plan = StopPlan::new(now(), limit);
         let begin = |step| {
             *shared.stop_step.lock() = Some(step);
             plan.step_time(step, now())
         };
-        let time = plan.call_time(now());
-        let (callers, calls) = end_calls(&self.shared, &self.inbound, &self.outbound, time).await;
-        if callers + calls > 0 {
+        let (ended, calls_ended) = oneshot::channel();
+        let drain = async {
+            let time = plan.time_left(now());
+            let counts = end_calls(&self.shared, &self.inbound, &self.outbound, time).await;
+            // An error means that the cleanup has begun.
+            let _sent = ended.send(());
+            counts
+        };
+        let clean_up = async {
+            let wait = plan.cleanup_start().saturating_duration_since(now());
+            drop(tokio::time::timeout(wait, calls_ended).await);
+            self.reserve.flush(begin(StopStep::Outcomes)).await;
+            self.control.leave(begin(StopStep::Farewell)).await;
+        };
+        let ((callers, calls), ()) = tokio::join!(drain, clean_up);
+        let cut_off = shared.call_end.cut_off();
+        if callers + calls + cut_off > 0 {
             let waits = read_waits(&shared);
             let (answers, keyed) = (waits.answers, waits.keyed);
-            warn!(callers, calls, answers, keyed; "cut_off");
+            warn!(callers, calls, answers, keyed, answered = cut_off; "cut_off");
         }
+        // Outcomes of calls that have ended since.
         self.reserve.flush(begin(StopStep::Outcomes)).await;
-        self.control.leave(begin(StopStep::Farewell)).await;
         let time = begin(StopStep::Listeners);
         // Calls may still arrive over links that were opened since the calls were drained.
         let links = async {
--- a/crates/node/src/outbound.rs
+++ b/crates/node/src/outbound.rs
@@ -19,6 +19,7 @@
 pub(crate) mod tried;
 
 use crate::accept;
+use crate::call_length::Lengths;
 use crate::connection::{self, Closing};
 use crate::inbound;
 use crate::outbound::link::LinkPool;
@@ -97,6 +98,8 @@
     pub(crate) reports: Arc<ServerReports>,
     pub(crate) locality: Locality,
     pub(crate) reserve: reserve::Handle<C>,
+    /// Lengths of callers' calls.
+    pub(crate) lengths: Arc<Lengths<C>>,
     connection_permits: Arc<Semaphore>,
     /// One permit per running call with an idempotency key, whether its caller is still connected or not.
     keyed_permits: Arc<Semaphore>,
@@ -236,6 +239,7 @@
     let services = ServiceClients::new(&shared.settings);
     let reports = Arc::<ServerReports>::default();
     let inner = Arc::new(Inner {
+        lengths: Arc::new(Lengths::new(shared.clock.clone())),
         shared,
         services,
         locality,
@@ -269,6 +273,7 @@
         let max_connections = u32::from(self.inner.shared.settings.connections);
         let ended = async {
             tokio::time::sleep(lame_duck_duration(timeout)).await;
+            self.inner.wait_local_calls().await;
             self.inner.advance(ShutdownStage::Closing);
             let mut stage = self.inner.stage.subscribe();
             drop(
@@ -301,6 +306,18 @@
         })
     }
 
+    /// Waits until the local backend server runs no more calls, or until calls have to end.
+    ///
+    /// The backend server sends its nested calls here. If the listener were closed first, its
+    /// running calls would fail.
+    async fn wait_local_calls(&self) {
+        let mut calls = self.shared.in_flight.subscribe();
+        tokio::select! {
+            _ = calls.wait_for(|calls| *calls == 0) => {}
+            () = self.shared.call_end.reached(&self.shared.clock) => {}
+        }
+    }
+
     fn advance(&self, stage: ShutdownStage) {
         self.stage.send_modify(|now| *now = stage.max(*now));
     }
--- a/crates/node/src/outbound/keyed.rs
+++ b/crates/node/src/outbound/keyed.rs
@@ -17,6 +17,7 @@
 use http::{HeaderName, HeaderValue, Response, StatusCode, request};
 use http_body_util::BodyExt;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use tokio::sync::oneshot;
 use wire::call::Reason;
 
@@ -43,6 +44,8 @@
 {
     let (inner, plan) = (Arc::clone(inner), Arc::clone(plan));
     let counted = inner.begin_keyed();
+    // The call goes on without its caller, so it may run even if no attempt has been sent yet.
+    plan.is_dispatched.store(true, Ordering::Relaxed);
     let (sender, receiver) = oneshot::channel();
     tokio::spawn(async move {
         let (served, unresolved) = claim_and_run(&inner, &plan, key, &head, body).await;
--- a/crates/node/src/outbound/plan.rs
+++ b/crates/node/src/outbound/plan.rs
@@ -21,6 +21,7 @@
 use smol_str::SmolStr;
 use std::net::IpAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::{Duration, Instant};
 use wire::call::INITIAL_WINDOW;
 
@@ -78,6 +79,8 @@
     pub(crate) parent_class: Option<Class>,
     /// Whether the body is small or large; set once the start of the body has been read.
     pub(crate) body_size: BodySize,
+    /// Whether an attempt has been sent that may have run or may run yet.
+    pub(crate) is_dispatched: Arc<AtomicBool>,
     /// Identifies the request across its repeats; set once the start of the body has been read.
     pub(crate) digest: Digest,
 }
@@ -93,6 +96,11 @@
         self.repeatable && self.retry_rule.as_ref().is_some_and(|rule| rule.hedge)
     }
 
+    /// Returns what tells calls of similar length: the route, the method and the size of the body.
+    pub(crate) fn length_key(&self) -> u64 {
+        self.route ^ u64::from(self.body_size == BodySize::Large)
+    }
+
     /// Returns whether the call may be repeated after an attempt that may have run.
     pub(crate) fn may_repeat(&self) -> bool {
         let rule = self.retry_rule.as_ref();
@@ -176,6 +184,7 @@
         retried_by_caller: head.headers.contains_key(retry::HEADER),
         parent_class,
         body_size: BodySize::Small,
+        is_dispatched: Arc::default(),
         digest: Digest::default(),
     };
     Some(Ok((plan, target.service.objective)))
--- a/crates/node/src/outbound/response.rs
+++ b/crates/node/src/outbound/response.rs
@@ -1,6 +1,7 @@
 //! Responses to callers: those of backend servers, and refusals with their verdict.
 
 use crate::backend;
+use crate::call_length::Measurement;
 use crate::inbound::run::{BackendResponse, Refused};
 use crate::millis::whole_ms;
 use crate::outbound::remote_attempt::RemoteAttempt;
@@ -53,6 +54,34 @@
     Prefixed(Option<Bytes>, Box<Body<C>>),
     /// A body that the backend server on the same VM sends.
     Local(Local<C>),
+    /// A body with which the call ends.
+    Measured(Measured<C>),
+}
+
+/// The body of a response, with the measurement of its call.
+#[derive(Debug)]
+pub struct Measured<C>
+where
+    C: Clock,
+{
+    body: Box<Body<C>>,
+    _measurement: Measurement<C>,
+}
+
+impl<C> Body<C>
+where
+    C: Clock,
+{
+    /// Measures a call until the end of its response.
+    pub(crate) fn measured(self, measurement: Measurement<C>) -> Self {
+        match self {
+            Self::Full(_) => self,
+            body => Self::Measured(Measured {
+                body: Box::new(body),
+                _measurement: measurement,
+            }),
+        }
+    }
 }
 
 /// The body of a response that is received over a link.
@@ -82,6 +111,7 @@
                 Some(bytes) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
                 None => Pin::new(&mut **rest).poll_frame(cx),
             },
+            Self::Measured(Measured { body, .. }) => Pin::new(&mut **body).poll_frame(cx),
             Self::Remote(Remote(attempt)) => attempt.poll_chunk(cx).map(|chunk| {
                 chunk.map(|result| result.map(Frame::data).map_err(|_refusal| Error::Truncated))
             }),
@@ -98,6 +128,7 @@
         match self {
             Self::Full(bytes) => bytes.is_none(),
             Self::Prefixed(first, rest) => first.is_none() && rest.is_end_stream(),
+            Self::Measured(Measured { body, .. }) => body.is_end_stream(),
             Self::Remote(Remote(attempt)) => attempt.is_end(),
             Self::Local(Local(response)) => response.is_end(),
         }
@@ -106,6 +137,7 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Full(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
+            Self::Measured(Measured { body, .. }) => body.size_hint(),
             Self::Prefixed(..) | Self::Remote(_) | Self::Local(_) => SizeHint::default(),
         }
     }
--- a/crates/node/src/outbound/serve.rs
+++ b/crates/node/src/outbound/serve.rs
@@ -23,12 +23,13 @@
 use call::Verdict;
 use clock::Clock;
 use config::{Objective, Version, View};
-use http::{Request, Response, StatusCode, request};
+use http::{HeaderValue, Request, Response, StatusCode, header, request};
 use policy::balance::{LoadReport, Outcome};
 use policy::quarantine::RequestStatus;
 use policy::retry::{self, Cause, Decision, GiveUpReason};
 use std::net::IpAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 use wire::call::{MAX_EAGER_BODY_BYTES, Reason};
 
@@ -106,11 +107,49 @@
 }
 
 /// Serves one call and returns the response for the caller.
+///
+/// When the calls of a stopping node have to end, the caller is told whether the call may have run.
 pub(crate) async fn serve<C>(
     inner: &Arc<Inner<C>>,
     request: Request<RequestBody>,
     peer: IpAddr,
 ) -> Response<Body<C>>
+where
+    C: Clock,
+{
+    let is_dispatched = Arc::<AtomicBool>::default();
+    tokio::select! {
+        biased;
+        response = serve_to_end(inner, request, peer, &is_dispatched) => response,
+        () = inner.shared.call_end.reached(&inner.shared.clock) => {
+            if is_dispatched.load(Ordering::Relaxed) {
+                inner.shared.call_end.count_cut_off();
+                refuse(Refused::may_have_run(Reason::Leaving))
+            } else {
+                refuse_stopping()
+            }
+        }
+    }
+}
+
+/// Refuses a call that can't end before this node stops. The caller's next call goes over a new
+/// connection, to another node if there is one.
+fn refuse_stopping<C>() -> Response<Body<C>>
+where
+    C: Clock,
+{
+    let mut response = refuse(Refused::not_run(Reason::Leaving, 0));
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(header::CONNECTION, close);
+    response
+}
+
+async fn serve_to_end<C>(
+    inner: &Arc<Inner<C>>,
+    request: Request<RequestBody>,
+    peer: IpAddr,
+    is_dispatched: &Arc<AtomicBool>,
+) -> Response<Body<C>>
 where
     C: Clock,
 {
@@ -123,6 +162,7 @@
         None => return refuse_unrouted(inner, &view, &head),
     };
     drop(view);
+    plan.is_dispatched = Arc::clone(is_dispatched);
     let service = plan.service.clone();
     let mut record = CallRecord {
         inner,
@@ -131,6 +171,12 @@
         started,
         ending: Ending::Cancelled,
     };
+    if !can_end(inner, &plan) {
+        let refused = Refused::not_run(Reason::Leaving, 0);
+        log_refused_call(inner, &plan, refused, started, 0);
+        record.ending = Ending::Refused(Verdict::NotRun);
+        return refuse_stopping();
+    }
     let received =
         tokio::time::timeout(time_left(inner, plan.deadline), read_body_start(body)).await;
     let body = match received {
@@ -157,6 +203,7 @@
         return refuse(refused);
     }
     let plan = Arc::new(plan);
+    let mut measurement = inner.lengths.begin(plan.length_key());
     let served = match plan.key {
         Some(key) => serve_keyed(inner, &plan, key, head, body).await,
         None => serve_plan(inner, &plan, &head, body).await,
@@ -165,7 +212,21 @@
         inner.shared.team_limits.give_back(&team.name);
     }
     record.ending = served.ending;
-    served.response
+    measurement.has_run = !matches!(
+        served.ending,
+        Ending::Refused(Verdict::NotRun) | Ending::Cancelled
+    );
+    served.response.map(|body| body.measured(measurement))
+}
+
+/// Returns whether a call can end before this node stops.
+fn can_end<C>(inner: &Inner<C>, plan: &Plan) -> bool
+where
+    C: Clock,
+{
+    inner
+        .lengths
+        .can_end(&inner.shared, plan.length_key(), plan.deadline)
 }
 
 impl<C> From<Refused> for ServedCall<C>
@@ -220,6 +281,7 @@
             }
         };
         tried.add(picked.key);
+        let was_dispatched = plan.is_dispatched.swap(true, Ordering::Relaxed);
         let result = if attempts == 1 {
             let (first_result, winner) =
                 send_with_hedge(inner, plan, head, body, picked, &mut tried, history).await;
@@ -257,6 +319,8 @@
                 };
             }
         };
+        let has_run = was_dispatched || refused.verdict != Verdict::NotRun;
+        plan.is_dispatched.store(has_run, Ordering::Relaxed);
         let cause = cause_of(refused);
         history.record_failure(refused, cause);
         picked.outcome = outcome_of_cause(cause);
@@ -386,7 +450,8 @@
 /// failed for another reason than a full endpoint, the endpoints that were full earlier are
 /// considered again.
 ///
-/// Returns an error if the request is held in quarantine by now.
+/// Returns an error if the request is held in quarantine by now, or can't end before this node
+/// stops.
 async fn pick_next<C>(
     inner: &Arc<Inner<C>>,
     plan: &Plan,
@@ -397,6 +462,9 @@
 where
     C: Clock,
 {
+    if !can_end(inner, plan) {
+        return Err(Refused::not_run(Reason::Leaving, 0));
+    }
     match request_status(inner, plan) {
         RequestStatus::Clear => {}
         RequestStatus::Suspect => history.is_suspect = true,
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -91,6 +91,8 @@
     pub caller_connections: watch::Sender<usize>,
     /// Running calls with idempotency keys, also those whose callers have disconnected.
     pub keyed_calls: watch::Sender<usize>,
+    /// When the calls of a stopping node have to end.
+    pub call_end: stop::CallEnd,
     /// Current step of a stop; `None` until its calls have ended.
     pub stop_step: Mutex<Option<stop::StopStep>>,
     /// Whether the listener for callers, which opens last, is open.
@@ -193,6 +195,7 @@
             unread_answers: watch::Sender::new(0),
             caller_connections: watch::Sender::new(0),
             keyed_calls: watch::Sender::new(0),
+            call_end: stop::CallEnd::default(),
             stop_step: Mutex::default(),
             callers_listening: AtomicBool::new(false),
             distribution: ArcSwap::default(),
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -5,20 +5,85 @@
 use log::info;
 use status::StopWaits;
 use std::convert::Infallible;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
+use tokio::sync::watch;
 
 /// Interval between log lines about what a stop waits for.
 const LOG_INTERVAL: Duration = Duration::from_secs(3);
 
-/// The time reserved for the steps after the calls is the stop's limit divided by this number.
+/// The time reserved for the steps after the calls is the stop's limit divided by this number. Calls
+/// that are still running meanwhile go on.
 ///
-/// If the node is killed after 6 s, it has 3.3 s for its stop, of which 0.4 s are reserved.
-/// Sending outcomes and a farewell takes some milliseconds.
+/// If the node is killed after 6 s, 0.7 s are reserved. Sending outcomes and a farewell takes some
+/// milliseconds.
 const CLEANUP_DIVISOR: u32 = 8;
 
 /// Maximum time that is reserved for the steps after the calls.
 const MAX_CLEANUP_TIME: Duration = Duration::from_secs(2);
 
+/// The time reserved for the answers to calls that have to end is the stop's limit divided by this
+/// number.
+const ANSWER_DIVISOR: u32 = 16;
+
+/// Maximum time that is reserved for these answers: some hundred of them on a fifth of a core.
+const MAX_ANSWER_TIME: Duration = Duration::from_millis(250);
+
+/// The time at which the calls of a stopping node have to end.
+///
+/// A node that stops takes no call that can't end by then. Calls that are still running then are
+/// answered by the node.
+#[derive(Debug)]
+pub struct CallEnd {
+    at: watch::Sender<Option<Instant>>,
+    cut_off: AtomicUsize,
+}
+
+impl Default for CallEnd {
+    fn default() -> Self {
+        Self {
+            at: watch::Sender::new(None),
+            cut_off: AtomicUsize::new(0),
+        }
+    }
+}
+
+impl CallEnd {
+    /// Sets the time.
+    pub fn set(&self, at: Instant) {
+        self.at.send_replace(Some(at));
+    }
+
+    /// Returns the time; `None` while the node is not stopping.
+    #[must_use]
+    pub fn get(&self) -> Option<Instant> {
+        *self.at.borrow()
+    }
+
+    /// Completes at that time.
+    pub async fn reached<C>(&self, clock: &C)
+    where
+        C: Clock,
+    {
+        let mut at = self.at.subscribe();
+        // The sender lives as long as `self`, so `wait_for` doesn't fail.
+        drop(at.wait_for(Option::is_some).await);
+        let at = self.get().unwrap_or_else(|| clock.now());
+        tokio::time::sleep(at.saturating_duration_since(clock.now())).await;
+    }
+
+    /// Counts a call that was cut off.
+    pub(crate) fn count_cut_off(&self) {
+        self.cut_off.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Returns the number of calls that were cut off.
+    #[must_use]
+    pub fn cut_off(&self) -> usize {
+        self.cut_off.load(Ordering::Relaxed)
+    }
+}
+
 /// Steps of a stop after its calls have ended, in order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StopStep {
@@ -37,6 +102,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StopPlan {
     end: Instant,
+    call_end: Instant,
+    cleanup_start: Instant,
     cleanup_time: Duration,
 }
 
@@ -44,16 +111,32 @@
     /// Plans a stop that starts at `now` and may take `limit`.
     #[must_use]
     pub fn new(now: Instant, limit: Duration) -> Self {
+        let answer_time = MAX_ANSWER_TIME.min(limit / ANSWER_DIVISOR);
+        let cleanup_time = MAX_CLEANUP_TIME.min(limit / CLEANUP_DIVISOR);
         Self {
             end: now + limit,
-            cleanup_time: MAX_CLEANUP_TIME.min(limit / CLEANUP_DIVISOR),
+            call_end: now + limit.saturating_sub(answer_time),
+            cleanup_start: now + limit.saturating_sub(cleanup_time),
+            cleanup_time,
         }
     }
 
-    /// Returns how long the calls in flight may still take.
+    /// Returns when the last call has to end, so that there is time left to answer its caller.
+    #[must_use]
+    pub fn call_end(&self) -> Instant {
+        self.call_end
+    }
+
+    /// Returns when the steps after the calls begin at the latest, while calls may still run.
+    #[must_use]
+    pub fn cleanup_start(&self) -> Instant {
+        self.cleanup_start
+    }
+
+    /// Returns the time left for the whole stop.
     #[must_use]
-    pub fn call_time(&self, now: Instant) -> Duration {
-        self.end.saturating_duration_since(now + self.cleanup_time)
+    pub fn time_left(&self, now: Instant) -> Duration {
+        self.end.saturating_duration_since(now)
     }
 
     /// Returns how long a step may take.
--- a/crates/node/tests/calls/main.rs
+++ b/crates/node/tests/calls/main.rs
@@ -17,4 +17,5 @@
 mod round_trip;
 mod self_report;
 mod silent_link;
+mod stop_time;
 mod unread_answers;
--- a/crates/node/tests/program.rs
+++ b/crates/node/tests/program.rs
@@ -352,8 +352,9 @@
     assert!(node.get(OPERATORS_PORT, "/healthz").contains("alive"));
 }
 
-// A caller that never completes its request body keeps a node from stopping. A
-// second signal must end the node at once.
+// A caller that never completes its request body keeps a node from stopping. An
+// interrupt must end the node at once. A repeated SIGTERM must not: its calls
+// would be lost.
 #[test]
 fn second_signal() {
     let mut node = Node::spawn(3);
@@ -364,6 +365,11 @@
     node.signal(Signal::TERM);
     wait_until("leaving", || node.read_log().contains("leaving"));
     node.signal(Signal::TERM);
+    wait_until("told again", || {
+        node.read_log().contains("already_stopping")
+    });
+    assert_eq!(node.child.try_wait().unwrap(), None);
+    node.signal(Signal::INT);
     assert_eq!(node.wait_for_exit_code(), Some(1));
     assert!(node.read_log().contains("stopped_at_once"));
 }
--- a/crates/node/tests/stop.rs
+++ b/crates/node/tests/stop.rs
@@ -40,7 +40,7 @@
 // used up the whole time limit of the stop, and the steps after the calls had independent limits or
 // none.
 #[parameterized(
-    killed_after_6_s = { 3_300 },
+    killed_after_6_s = { 5_500 },
     default = { 30_000 },
     short = { 100 },
 )]
@@ -48,7 +48,7 @@
     let limit = Duration::from_millis(limit_ms);
     let start = Instant::now();
     let plan = StopPlan::new(start, limit);
-    let mut now = start + plan.call_time(start);
+    let mut now = plan.cleanup_start();
     for step in [StopStep::Outcomes, StopStep::Farewell, StopStep::Listeners] {
         let time = plan.step_time(step, now);
         assert!(time > Duration::ZERO, "{step:?} must have some time");
@@ -56,9 +56,13 @@
     }
     assert!(now <= start + limit);
     assert!(
-        plan.call_time(start) >= limit * 7 / 8,
+        plan.cleanup_start() >= start + limit * 7 / 8 && plan.call_end() >= start + limit * 15 / 16,
         "calls must have most of the time"
     );
+    assert!(
+        plan.call_end() < start + limit,
+        "answers must have some time"
+    );
 }
 
 #[tokio::test]
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod backoff;
 pub mod balance;
 pub mod body_scheduler;
+pub mod call_length;
 mod choice;
 pub mod duration;
 pub mod elapsed;
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -120,7 +120,7 @@
     pub fn stop_limit(&self) -> Duration {
         let before_kill = self
             .kill_timeout
-            .map(|kill| kill.saturating_sub(STOP_MARGIN).max(kill / 2));
+            .map(|kill| kill.saturating_sub(STOP_MARGIN.min(kill / STOP_MARGIN_DIVISOR)));
         before_kill.map_or(self.drain_timeout, |limit| limit.min(self.drain_timeout))
     }
 
@@ -186,10 +186,13 @@
     }
 }
 
-/// Time reserved before `kill_timeout` to send the last frames, because a process on a VM with a
-/// fifth of a core is scheduled late.
+/// Maximum time reserved before `kill_timeout` to send the last frames, because a process on a VM
+/// with a fifth of a core is scheduled late.
 const STOP_MARGIN: Duration = Duration::from_millis(500);
 
+/// The time reserved is `kill_timeout` divided by this number, if that is less.
+const STOP_MARGIN_DIVISOR: u32 = 12;
+
 /// Maximum number of threads of a node: more than the number of cores of any VM that nodes are
 /// meant for.
 const MAX_THREADS: u16 = 64;
--- a/crates/settings/tests/node.rs
+++ b/crates/settings/tests/node.rs
@@ -33,7 +33,8 @@
 
 #[parameterized(
     soon = { "6 s", 5_500 },
-    very_soon = { "600ms", 300 },
+    very_soon = { "600ms", 550 },
+    after_a_second = { "1200ms", 1_100 },
     late = { "2 min", 30_000 },
 )]
 fn stop_before_kill(kill: &str, limit_ms: u64) {
