--- a/crates/fleet/tests/farewells.rs
+++ b/crates/fleet/tests/farewells.rs
@@ -231,3 +231,14 @@
     world.restart(&[vm]);
     check_not_served(&mut world, vm, START_TIMEOUT);
 }
+
+/// All nodes are killed at once, while their backend servers run on.
+#[test]
+fn all_nodes_killed() {
+    let vm = 7;
+    let mut world = world_with_backend(3, vm);
+    leave(&mut world, vm);
+    let all: Vec<_> = (0..world.vms.len()).collect();
+    world.restart(&all);
+    check_not_served(&mut world, vm, START_TIMEOUT);
+}
--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -422,12 +422,15 @@
     let process = Process::of_backend(backend);
     let mut processes = shared.processes.lock();
     let is_current = |current: &Backend| current.process() == backend.process();
+    let is_known = processes.has_left();
     if shared.backend.borrow().as_ref().is_some_and(is_current)
         && processes.accept(&process, &message)
     {
         mark_leaving(shared);
-        // Nobody waits for an acknowledgement of a report.
-        drop(shared.farewells.pass_on(process.farewell(message.wall_ms)));
+        if !is_known {
+            // Nobody waits for an acknowledgement of a report.
+            drop(shared.farewells.pass_on(process.farewell(message.wall_ms)));
+        }
     }
 }
 
--- a/crates/node/tests/program.rs
+++ b/crates/node/tests/program.rs
@@ -67,6 +67,22 @@
         node
     }
 
+    fn restart(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+        self.child = Command::new(PROGRAM)
+            .arg("--settings")
+            .arg(self.folder.path().join("node.ini"))
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .spawn()
+            .unwrap();
+        wait_until("listening", || {
+            let ready = self.try_get(OPERATORS_PORT, "/readyz");
+            ready.is_some_and(|answer| !answer.contains("listeners do not run yet"))
+        });
+    }
+
     fn address(&self, port: u16) -> SocketAddr {
         format!("{}:{port}", self.ip).parse().unwrap()
     }
@@ -211,6 +227,26 @@
     assert_eq!(node.wait_for_exit_code(), Some(0));
 }
 
+/// An operator has drained a node. The node is killed and started again, and must not take calls.
+#[test]
+fn drained_then_killed() {
+    let mut node = Node::spawn(14);
+    let mut operator = node.connect(OPERATORS_PORT);
+    operator
+        .write_all(
+            b"POST /v1/drain HTTP/1.1\r\nhost: node\r\nconnection: close\r\n\
+              authorization: Bearer 0123456789abcdef\r\ncontent-length: 0\r\n\r\n",
+        )
+        .unwrap();
+    let mut answer = String::new();
+    operator.read_to_string(&mut answer).unwrap();
+    let is_leaving = |status: &str| status.contains("\"leaving\":true");
+    assert!(is_leaving(&answer), "{answer}");
+    node.restart();
+    let status = node.get(OPERATORS_PORT, "/v1/status");
+    assert!(is_leaving(&status), "{status}");
+}
+
 /// Opens the call link `number` of the process `origin`. Returns `None` if the node doesn't answer
 /// its hello.
 fn try_open_link(node: SocketAddr, origin: u64, number: u64) -> Option<Link> {
