Farewells from before the clock was set back bind no other process

An unnamed process, or one of a name that a leave request gave without a start time, would have been ignored until the clock had caught up with the farewell. Found by reading the diff; no case was run.

--- a/crates/node/src/announce/process.rs
+++ b/crates/node/src/announce/process.rs
@@ -92,18 +92,15 @@
     }
 
     /// Returns for how long `farewell` binds this process, from the leave request on; `None` if it
-    /// is about another process.
+    /// is about another process, and [`Duration::MAX`] if it binds the process for good.
     ///
     /// A leave request may name no start time. It is then about the process of that name that had
     /// started by then.
     fn binding_time(&self, farewell: &Farewell) -> Option<Duration> {
         if farewell.process == self.number {
             let is_unnamed = self.is_unnamed();
-            return Some(if is_unnamed {
-                UNNAMED_RETURN_DELAY
-            } else {
-                Duration::MAX
-            });
+            let limited = is_unnamed.then_some(UNNAMED_RETURN_DELAY);
+            return Some(limited.unwrap_or(Duration::MAX));
         }
         let started = self.started_ms?;
         let is_earlier = farewell.process == self.number ^ started && started <= farewell.left_ms;
@@ -210,9 +207,13 @@
     /// former one; `None` if it hasn't left, or if another process may be running by now.
     fn time_since_farewell(&self, process: &Process, wall_ms: u64) -> Option<Duration> {
         self.farewells.iter().find_map(|farewell| {
-            let since = Duration::from_millis(wall_ms.saturating_sub(farewell.left_ms));
-            let binding_time = process.binding_time(farewell)?;
-            (since < binding_time).then_some(since)
+            let since = wall_ms.checked_sub(farewell.left_ms);
+            let since = since.map(Duration::from_millis);
+            match process.binding_time(farewell)? {
+                Duration::MAX => Some(since.unwrap_or_default()),
+                // The age of a farewell is unknown if the clock was set back since.
+                binding_time => since.filter(|since| *since < binding_time),
+            }
         })
     }
 
