--- a/crates/node/src/outbound/keyed.rs
+++ b/crates/node/src/outbound/keyed.rs
@@ -18,6 +18,7 @@
 use http_body_util::BodyExt;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 use tokio::sync::oneshot;
 use wire::call::Reason;
 
@@ -72,19 +73,23 @@
     C: Clock,
 {
     match tokio::time::timeout(MAX_COMMIT_OVERRUN, pending.wait()).await {
-        Ok(Ok(response)) => drop(update_reservation(inner, grant, response).await),
+        Ok(Ok(response)) => {
+            drop(update_reservation(inner, grant, response, MAX_COMMIT_OVERRUN).await);
+        }
         Ok(Err(refused)) if refused.verdict == Verdict::NotRun => {
-            inner.reserve.release(grant).await;
+            inner.reserve.release(grant, MAX_COMMIT_OVERRUN).await;
         }
         Ok(Err(_)) | Err(_) => {}
     }
 }
 
-/// Updates the reservation of the key according to the response.
+/// Updates the reservation of the key according to the response; waits at most `limit` until a key
+/// that is free again is free for all nodes.
 async fn update_reservation<C>(
     inner: &Inner<C>,
     grant: Grant,
     response: Response<Body<C>>,
+    limit: Duration,
 ) -> Response<Body<C>>
 where
     C: Clock,
@@ -92,7 +97,7 @@
     match verdict_of(&response) {
         Some(Verdict::Ran) => store_response(inner, grant, response).await,
         Some(Verdict::NotRun) => {
-            inner.reserve.release(grant).await;
+            inner.reserve.release(grant, limit).await;
             response
         }
         // The outcome is unknown: the key stays reserved, and repeats are told "may have run".
@@ -138,7 +143,8 @@
     if let Some(pending) = served.pending.take() {
         return (served, Some((grant, pending)));
     }
-    served.response = update_reservation(inner, grant, served.response).await;
+    let limit = time_left(inner, plan.deadline);
+    served.response = update_reservation(inner, grant, served.response, limit).await;
     (served, None)
 }
 
--- a/crates/node/src/reserve.rs
+++ b/crates/node/src/reserve.rs
@@ -224,16 +224,16 @@
 
     /// Releases the key of a call that is certain not to have run and never will.
     ///
-    /// Waits until the key is free for all nodes, but not for long. A repeat of the call may go to
-    /// another owner of the key, which knows only what is on the platform.
-    pub async fn release(&self, grant: Grant) {
+    /// Waits until the key is free for all nodes, but at most `limit` and not for long. A repeat of
+    /// the call may go to another owner of the key, which knows only what is on the platform.
+    pub async fn release(&self, grant: Grant, limit: Duration) {
         let entry = Entry::Release {
             key: grant.key,
             holder: grant.holder,
         };
         let (outcome, receipt) = Outcome::awaited(entry);
         self.inner.send_outcome(outcome);
-        drop(timeout(RELEASE_TIMEOUT, receipt).await);
+        drop(timeout(limit.min(RELEASE_TIMEOUT), receipt).await);
     }
 
     /// Writes and sends pending outcomes, so that none are lost when the node stops.
--- a/crates/node/tests/reserve.rs
+++ b/crates/node/tests/reserve.rs
@@ -198,7 +198,7 @@
     let fleet = spawn_fleet(&MemoryStore::new()).await;
     for key in KEYS {
         let grant = expect_grant(fleet[0].claim(key).await);
-        fleet[0].reserve.release(grant).await;
+        fleet[0].reserve.release(grant, TIMEOUT).await;
         let _grant = expect_grant(fleet[1].claim(key).await);
     }
 }
@@ -218,7 +218,7 @@
     }
     for (_, released, completed) in &grants {
         fleet[0].reserve.complete(*completed, Some(stored_answer()));
-        fleet[0].reserve.release(*released).await;
+        fleet[0].reserve.release(*released, TIMEOUT).await;
     }
     tokio::time::sleep(TIMEOUT).await;
     for (key, ..) in grants {
@@ -504,7 +504,7 @@
         let pause = Duration::from_millis(rng.random_range(0..300));
         match node.claim(&key).await {
             ClaimResult::Granted(grant) if rng.random_bool(0.3) => {
-                node.reserve.release(grant).await;
+                node.reserve.release(grant, TIMEOUT).await;
             }
             ClaimResult::Granted(grant) => {
                 *runs.lock().unwrap().entry(key.clone()).or_default() += 1;
