--- a/crates/fleet/tests/farewells.rs
+++ b/crates/fleet/tests/farewells.rs
@@ -207,7 +207,7 @@
     check_not_served(&mut world, vm, START_TIMEOUT);
 }
 
-/// A fleet of one node has nobody to tell but the platform.
+/// The only node of a fleet acknowledges a leave and is killed: only the platform can remember it.
 #[test]
 fn single_node() {
     let mut world = World::new(1, 1, 3);
@@ -220,7 +220,7 @@
     check_not_served(&mut world, 0, START_TIMEOUT);
 }
 
-/// A leave request comes to a new process of the node before any report does.
+/// A restarted node gets a leave request before any report, and is killed again.
 #[test]
 fn leave_before_report() {
     let vm = 7;
--- a/crates/node/src/reserve/link.rs
+++ b/crates/node/src/reserve/link.rs
@@ -27,7 +27,7 @@
 const ACK_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Maximum time until an outcome that was sent to the owner is on the platform. The owner collects
-/// outcomes for half a second, and a platform that is away takes them from nobody.
+/// outcomes for half a second, and can write none while the platform is away.
 const WRITTEN_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Time without requests after which a link is closed.
--- a/crates/node/src/reserve/shard.rs
+++ b/crates/node/src/reserve/shard.rs
@@ -79,7 +79,7 @@
 }
 
 impl Outcome {
-    /// Creates an outcome that nobody waits for.
+    /// Creates an outcome that may be written with the next record.
     pub(crate) fn new(entry: Entry) -> Self {
         Self {
             entry,
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -26,7 +26,7 @@
 /// number.
 const ANSWER_DIVISOR: u32 = 16;
 
-/// Maximum time that is reserved for these answers: some hundred of them on a fifth of a core.
+/// Maximum time that is reserved for these answers.
 const MAX_ANSWER_TIME: Duration = Duration::from_millis(250);
 
 /// The time at which the calls of a stopping node have to end.
--- a/crates/node/tests/calls/stop_time.rs
+++ b/crates/node/tests/calls/stop_time.rs
@@ -47,7 +47,7 @@
         .unwrap()
 }
 
-/// Gives the calls of a node `left` until they have to end.
+/// Sets the end of the calls of a node to `left` from now.
 fn stop_within(node: &Node, left: Duration) {
     node.shared.call_end.set(Instant::now() + left);
 }
--- a/crates/policy/tests/call_length.rs
+++ b/crates/policy/tests/call_length.rs
@@ -77,7 +77,7 @@
         lengths.begin(route, now);
         lengths.finish(route, now, now + MS, true);
     }
-    // Routes that nobody calls any more make room for others.
+    // Routes without recent calls are dropped in favour of new ones.
     let now = run(&mut lengths, now + 60_000 * MS, 100, 10 * MS);
     assert_eq!(lengths.expect(ROUTE, now), Some(15 * MS));
     for route in 20_000..20_020 {
