--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -37,11 +37,6 @@
         /// Index of the lease among the leases of this node's zone.
         slot: u8,
     },
-    /// Get the latest version, as the steps that lead to it or as a full configuration.
-    FetchLatest {
-        /// The version held by this node.
-        after: Version,
-    },
     /// Get the number of the latest version, and the version itself if it is not held.
     ConfirmVersion {
         /// The version held by this node.
@@ -97,6 +92,11 @@
     Failed(PlatformRequest),
     /// The number of the latest version, sent when a watch starts and repeatedly after that.
     LatestVersion(Version),
+    /// A watch reports that it has sent all versions that there were at this moment.
+    Unchanged {
+        /// The moment.
+        at: Instant,
+    },
     /// The number of the version that was the latest at a moment after the request was made.
     Confirmed {
         /// Identifies the request.
--- a/crates/fleet/src/fallback_poll.rs
+++ b/crates/fleet/src/fallback_poll.rs
@@ -1,108 +1,180 @@
-//! Polling of the platform by a node that hears from no root.
+//! Polling of the platform by nodes whose last reading of it is too old.
 //!
-//! Load pattern: the parent of a node freezes, loses power or leaves together
-//! with all roots of its zone just when operators write a version. Detecting
-//! that the parent is silent takes 3.5 s and finding another root some seconds
-//! more, which is longer than a version may take to come into force. Without
-//! polling, such a node would serve the old version meanwhile, although the
-//! platform would answer within milliseconds.
+//! Load pattern: the platform refuses the root of a zone, or the root freezes, just when operators
+//! write a version. The nodes below hear nothing of it, although the platform would answer them
+//! within milliseconds. Each node therefore polls the platform by itself once no younger reading
+//! has reached it in time, and its neighbours get what it reads, so that one poll serves the tree.
+//!
+//! A poll that fails is repeated at a rate that the number of zones bounds, not the number of
+//! nodes: the platform may be out for all.
 
 use crate::event::{Action, PlatformRequest};
-use crate::link::{Link, Role};
 use crate::node::Node;
+use rand::Rng;
+use smol_str::SmolStr;
 use std::time::{Duration, Instant};
 
-/// Time without contact to a root after which a node polls the platform.
-///
-/// Heartbeats come every second, so at least one is missing after this time. A version then comes
-/// into force about 1.5 s after it was written; it may take 2 s at most.
-const MAX_SILENCE: Duration = Duration::from_millis(1_400);
+/// Age of a reading at which a node polls the platform. A version has to be in force 2 s after it
+/// was written, and takes some 100 ms from the poll.
+const MAX_READING_AGE: Duration = Duration::from_millis(1_500);
+
+/// Age of a reading at which a root reads the platform, early enough for the nodes below it.
+const MAX_ROOT_READING_AGE: Duration = Duration::from_millis(1_100);
+
+/// Further age at which the zone's next root reads the platform.
+const ROOT_SLOT_DELAY: Duration = Duration::from_millis(100);
+
+/// Maximum random delay between the primary roots of different zones, so that one reads for all.
+const ROOT_JITTER: Duration = Duration::from_millis(100);
 
-/// Minimum interval between two polls of a node, so that a node that polls gets a version within a
-/// second after it was written.
+/// Most first polls a second by the nodes of a zone that begin to poll together.
+const ZONE_POLL_RATE: u32 = 48;
+
+/// Most repeated polls a second by the nodes of a zone that the platform doesn't answer.
+const ZONE_RETRY_RATE: u32 = 16;
+
+/// Minimum time between two polls of a node.
 const MIN_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Maximum number of polls per second by all nodes of a zone together. 15 zones without any root
-/// then use 750 of the platform's 2,000 reads per second.
-const ZONE_POLL_RATE: u32 = 50;
+/// Minimum time from a poll that fails to the next one. A node that reaches the platform again has
+/// to notice within the 3 s after which it counts as connected.
+const MIN_RETRY_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Time without a reading by a root after which a node that reads the platform claims a lease.
+const ORPHAN_TIME: Duration = Duration::from_secs(5);
 
-/// When a node last heard from a root, and last polled the platform.
-#[derive(Debug, Clone, Copy)]
+/// Minimum time between two claims of a node, so that leases don't move between nodes that the
+/// platform refuses in turn.
+const CLAIM_INTERVAL: Duration = Duration::from_secs(10);
+
+/// When a node polls the platform next.
+#[derive(Debug)]
 pub(crate) struct FallbackPoll {
-    root_heard_at: Instant,
-    polled_at: Option<Instant>,
-    interval: Duration,
+    /// Start of the process, from which the age of a reading counts as long as there is none.
+    started_at: Instant,
+    not_before: Instant,
+    /// Random share of the longest delay of a poll.
+    delay_share: f64,
+    /// Number of nodes in this node's zone when a poll was last due.
+    zone_nodes: u32,
+    /// Number of the confirmation that the last poll has requested.
+    serial: Option<u64>,
+    claim_not_before: Instant,
+    /// The root that a claim is to replace, while the leases are being read for it.
+    pub(crate) replaced_root: Option<SmolStr>,
 }
 
 impl FallbackPoll {
-    pub(crate) fn new(now: Instant) -> Self {
+    pub(crate) fn new<R>(now: Instant, rng: &mut R) -> Self
+    where
+        R: Rng,
+    {
         Self {
-            root_heard_at: now,
-            polled_at: None,
-            interval: MIN_INTERVAL,
+            started_at: now,
+            not_before: now,
+            delay_share: rng.random(),
+            zone_nodes: 0,
+            serial: None,
+            claim_not_before: now,
+            replaced_root: None,
         }
     }
+}
 
-    /// Records that the path to a root was up at `at`.
-    fn record_root_contact(&mut self, at: Instant) {
-        self.root_heard_at = self.root_heard_at.max(at);
-    }
-
-    /// Returns when the next poll is due unless a root is heard from before.
-    fn due_at(&self) -> Instant {
-        let due_at = self.root_heard_at + MAX_SILENCE;
-        self.polled_at
-            .map_or(due_at, |polled_at| due_at.max(polled_at + self.interval))
-    }
+/// Returns the interval between a node's polls if all `nodes` nodes of its zone poll at `rate`.
+fn interval_at_rate(nodes: u32, rate: u32) -> Duration {
+    Duration::from_secs(1) * nodes / rate
 }
 
-/// Returns the interval between a node's polls if all `nodes` nodes of its zone poll.
-pub(crate) fn poll_interval(nodes: usize) -> Duration {
-    let nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
-    MIN_INTERVAL.max(Duration::from_secs(1) * nodes / ZONE_POLL_RATE)
+/// Returns the interval between a node's requests if all `nodes` nodes of its zone send them.
+pub(crate) fn poll_interval(nodes: u32) -> Duration {
+    MIN_INTERVAL.max(interval_at_rate(nodes, ZONE_POLL_RATE))
 }
 
 impl Node {
-    /// Returns when this node polls the platform next.
-    ///
-    /// `None` if this node does not serve yet, is shutting down, or is a root.
+    /// Returns when this node polls the platform next; `None` if it does not serve yet or is
+    /// shutting down.
     pub(crate) fn next_fallback_poll(&self) -> Option<Instant> {
-        let may_poll = self.readiness_gate.is_open() && !self.is_leaving && !self.lease.is_root();
-        may_poll.then(|| self.fallback_poll.due_at())
+        if !self.readiness_gate.is_open() || self.is_leaving {
+            return None;
+        }
+        let poll = &self.fallback_poll;
+        let fresh_at = self.fresh_at().unwrap_or(poll.started_at);
+        let age = if let Some(slot) = self.lease.slot() {
+            let jitter = ROOT_JITTER.mul_f64(poll.delay_share);
+            MAX_ROOT_READING_AGE + ROOT_SLOT_DELAY * u32::from(slot) + jitter
+        } else {
+            let spread = interval_at_rate(poll.zone_nodes, ZONE_POLL_RATE);
+            MAX_READING_AGE + spread.mul_f64(poll.delay_share)
+        };
+        Some((fresh_at + age).max(poll.not_before))
     }
 
-    /// Polls the platform if no root has been heard from for too long.
+    /// Polls the platform if the last reading of it is too old.
     pub(crate) fn step_fallback_poll(&mut self, now: Instant) {
-        if self.lease.is_root() {
-            self.fallback_poll.record_root_contact(now);
-        } else if self.has_root() {
-            let parents = self.links.values().filter(|link| link.role == Role::Parent);
-            if let Some(heard) = parents.map(Link::last_heard).max() {
-                self.fallback_poll.record_root_contact(heard);
-            }
+        let is_due = |node: &Self| node.next_fallback_poll().is_some_and(|due| now >= due);
+        if !is_due(self) {
+            return;
         }
-        if self.next_fallback_poll().is_none_or(|due| now < due) {
+        // Counted only when a poll is due, as it takes a pass over all endpoints.
+        self.fallback_poll.zone_nodes = self.count_zone_nodes();
+        if !is_due(self) {
             return;
         }
-        self.fallback_poll.polled_at = Some(now);
-        self.fallback_poll.interval = poll_interval(self.count_zone_nodes());
-        if self.renews_confirmations() {
-            self.request_from_platform(now);
-        } else {
-            let after = self.version();
-            self.actions
-                .push(Action::QueryPlatform(PlatformRequest::FetchLatest {
-                    after,
-                }));
+        self.fallback_poll.delay_share = self.rng.random();
+        self.fallback_poll.not_before = now + MIN_INTERVAL;
+        if self.waits_for_platform(now) {
+            return;
+        }
+        self.counters.fallback_polls += u64::from(self.lease.slot().is_none());
+        self.request_from_platform(now);
+        self.fallback_poll.serial = Some(self.freshness.serial);
+    }
+
+    /// Handles that the platform did not answer a request for a confirmation.
+    pub(crate) fn delay_fallback_poll(&mut self, now: Instant) {
+        let interval = interval_at_rate(self.fallback_poll.zone_nodes, ZONE_RETRY_RATE);
+        let interval = interval.max(MIN_RETRY_INTERVAL);
+        let wait = interval.mul_f64(0.75) + self.jitter(interval / 2);
+        self.fallback_poll.not_before = now + wait;
+    }
+
+    /// Handles the platform's answer to request `serial`. If it was a poll, the tree brings no
+    /// readings, and perhaps neither crashes nor roll-outs.
+    pub(crate) fn on_poll_answered(&mut self, now: Instant, serial: u64) {
+        if self.fallback_poll.serial != Some(serial) || self.lease.slot().is_some() {
+            return;
         }
         self.query_crashes();
         self.query_rollouts();
+        self.claim_lease(now);
+    }
+
+    /// Reads the leases, to claim one if no root has read the platform for some time.
+    fn claim_lease(&mut self, now: Instant) {
+        let poll = &self.fallback_poll;
+        let read_at = self.freshness.root_read_at.unwrap_or(poll.started_at);
+        if now < poll.claim_not_before || now < read_at + ORPHAN_TIME {
+            return;
+        }
+        // Without a path to a root, the search for a parent claims a lease.
+        let Some(root) = self.path.first().cloned() else {
+            return;
+        };
+        let wait = CLAIM_INTERVAL + self.jitter(CLAIM_INTERVAL / 2);
+        self.fallback_poll.claim_not_before = now + wait;
+        self.fallback_poll.replaced_root = Some(root);
+        self.actions
+            .push(Action::QueryPlatform(PlatformRequest::Leases {
+                is_exact: true,
+            }));
     }
 
     /// Returns the number of nodes in this node's zone, as far as known.
-    pub(crate) fn count_zone_nodes(&self) -> usize {
+    pub(crate) fn count_zone_nodes(&self) -> u32 {
         let zone = &self.settings.local.zone;
         let endpoints = self.endpoint_table.iter();
-        endpoints.filter(|endpoint| endpoint.zone == *zone).count()
+        let count = endpoints.filter(|endpoint| endpoint.zone == *zone).count();
+        u32::try_from(count).unwrap_or(u32::MAX)
     }
 }
--- a/crates/fleet/src/freshness.rs
+++ b/crates/fleet/src/freshness.rs
@@ -55,14 +55,13 @@
 /// Number of requests whose replies are still accepted.
 const MAX_REQUESTS: usize = 4;
 
-/// Minimum wait after a request that the platform did not answer.
-const RETRY_INTERVAL: Duration = Duration::from_secs(1);
-
 /// That a version was the newest at a moment.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Confirmation {
-    version: Version,
-    at: Instant,
+pub(crate) struct Confirmation {
+    pub(crate) version: Version,
+    pub(crate) at: Instant,
+    /// Whether a root with a lease has read it.
+    pub(crate) by_root: bool,
 }
 
 /// Order in which sources of confirmations are asked.
@@ -101,7 +100,11 @@
     started_at: Instant,
     /// Version by which this node serves calls.
     installed: Version,
-    latest: Option<Confirmation>,
+    pub(crate) latest: Option<Confirmation>,
+    /// Moment of the youngest reading of the platform by a root with a lease.
+    pub(crate) root_read_at: Option<Instant>,
+    /// Moment of the reading that was last sent to the neighbours.
+    pub(crate) sent_reading: Option<Instant>,
     /// Moment at which the installed version was the newest.
     confirmed_at: Option<Instant>,
     /// Whether this process waits for a confirmation of a moment after its start.
@@ -112,7 +115,7 @@
     /// Whether the latest request is still waited for.
     is_pending: bool,
     /// Number of the latest request of this node.
-    serial: u64,
+    pub(crate) serial: u64,
     /// Since when a request is needed that is not sent yet.
     needed_since: Option<Instant>,
     /// Number of sources that have not replied since the first one was asked last.
@@ -129,6 +132,8 @@
             started_at: now,
             installed: Version::ZERO,
             latest: None,
+            root_read_at: None,
+            sent_reading: None,
             confirmed_at: None,
             is_starting: false,
             waiters: BTreeMap::new(),
@@ -212,11 +217,6 @@
         (needs_keys && !self.is_leaving).then(|| max_age.mul_f64(share))
     }
 
-    /// Returns whether confirmations are renewed all the time.
-    pub(crate) fn renews_confirmations(&self) -> bool {
-        self.renewal_age().is_some()
-    }
-
     /// Returns when [`Node::step_freshness`] is due.
     pub(crate) fn next_freshness_step(&self, now: Instant) -> Option<Instant> {
         let freshness = &self.freshness;
@@ -361,13 +361,19 @@
         self.actions.push(Action::QueryPlatform(request));
     }
 
+    /// Returns whether a request to the platform has no answer yet.
+    pub(crate) fn waits_for_platform(&self, now: Instant) -> bool {
+        let mut requests = self.freshness.requests.values();
+        requests.any(|request| request.link.is_none() && now < request.sent_at + PLATFORM_TIMEOUT)
+    }
+
     /// Handles the platform's answer to request `serial`: the newest version is `version`.
-    pub(crate) fn on_version_confirmed(&mut self, serial: u64, version: Version) {
+    pub(crate) fn on_version_confirmed(&mut self, now: Instant, serial: u64, version: Version) {
         let Some(request) = self.take_request(serial, None) else {
             return;
         };
-        let at = request.sent_at;
-        self.record_confirmation(Confirmation { version, at });
+        self.record_own_reading(version, request.sent_at);
+        self.on_poll_answered(now, serial);
     }
 
     /// Handles that the platform did not answer request `serial`.
@@ -376,6 +382,7 @@
         if self.take_request(serial, None).is_none() {
             return;
         }
+        self.delay_fallback_poll(now);
         self.freshness.is_starting = false;
         self.readiness_gate.record_platform_failure(now);
         if !is_latest {
@@ -383,7 +390,7 @@
         }
         self.switch_source(now);
         if self.freshness.retries >= self.list_sources().len() {
-            let interval = RETRY_INTERVAL.max(poll_interval(self.count_zone_nodes()));
+            let interval = poll_interval(self.count_zone_nodes());
             self.freshness.not_before = now + interval / 2 + self.jitter(interval);
             for (link, waiter) in std::mem::take(&mut self.freshness.waiters) {
                 let serial = waiter.serial;
@@ -425,7 +432,13 @@
         };
         let age = Duration::from_millis(age_ms.into());
         if let Some(at) = request.sent_at.checked_sub(age) {
-            self.record_confirmation(Confirmation { version, at });
+            // Who has read it is not part of the reply.
+            let by_root = false;
+            self.record_confirmation(Confirmation {
+                version,
+                at,
+                by_root,
+            });
         }
     }
 
@@ -448,7 +461,10 @@
         freshness.requests.remove(&serial)
     }
 
-    fn record_confirmation(&mut self, new: Confirmation) {
+    pub(crate) fn record_confirmation(&mut self, new: Confirmation) {
+        if new.by_root {
+            self.freshness.root_read_at = self.freshness.root_read_at.max(Some(new.at));
+        }
         if !self.freshness.is_later_than_known(new.at) {
             return;
         }
@@ -494,6 +510,15 @@
         freshness.is_pending &= freshness.requests.contains_key(&freshness.serial);
     }
 
+    /// Returns the moment at which the version held was the newest; if this node can't apply the
+    /// newest version, that of the youngest reading.
+    pub(crate) fn fresh_at(&self) -> Option<Instant> {
+        let confirmed_at = self.freshness.confirmed_at;
+        let is_stuck = self.replica.refused().is_some();
+        let latest = self.freshness.latest.filter(|_| is_stuck);
+        confirmed_at.max(latest.map(|latest| latest.at))
+    }
+
     fn report_confirmation(&mut self) {
         let confirmed_at = self.freshness.confirmed_at;
         self.actions.push(Action::SetConfirmed(confirmed_at));
@@ -509,6 +534,9 @@
             installed: self.freshness.installed,
             ..Freshness::new(self.freshness.max_age, now)
         };
+        for link in self.links.values_mut() {
+            link.forget_readings();
+        }
         self.report_confirmation();
     }
 }
--- a/crates/fleet/src/heartbeat.rs
+++ b/crates/fleet/src/heartbeat.rs
@@ -14,13 +14,13 @@
 const MISMATCH_LIMIT: u8 = 3;
 
 impl Node {
-    pub(crate) fn send_heartbeats(&mut self) {
+    pub(crate) fn send_heartbeats(&mut self, now: Instant) {
         for key in self.find_links(Link::is_established) {
-            self.send_heartbeat(key);
+            self.send_heartbeat(now, key);
         }
     }
 
-    pub(crate) fn send_heartbeat(&mut self, key: LinkKey) {
+    pub(crate) fn send_heartbeat(&mut self, now: Instant, key: LinkKey) {
         let Some(status) = self.status_for(key) else {
             return;
         };
@@ -33,7 +33,7 @@
         let Some(link) = self.links.get_mut(&key) else {
             return;
         };
-        let (count, echo) = link.next_heartbeat_counts();
+        let (count, echo) = link.next_heartbeat_counts(now);
         let is_new = link.sent_status.as_ref() != Some(&status);
         if is_new {
             link.sent_status = Some(status.clone());
@@ -72,6 +72,7 @@
         }
         self.report_version_to_gate(key, beat.version, beat.is_ready);
         self.on_peer_version(now, key, beat.version);
+        self.send_first_reading(key);
     }
 
     /// Returns the status to send over a link, or `None` if the link is not established.
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -20,12 +20,16 @@
 pub const LEASE_DURATION: Duration = Duration::from_secs(10);
 
 /// Time between a root's renewals of its lease: two renewals in a row may fail before the lease
-/// expires. 45 roots together write 15 times a second.
-const RENEW_INTERVAL: Duration = Duration::from_secs(3);
+/// expires. 45 roots together write 14 times a second.
+const RENEW_INTERVAL: Duration = Duration::from_millis(3_300);
 
-/// Time between a root's reads of all leases: 45 roots together read 9 times a second.
+/// Time between reads of all leases by the root of a zone with the lowest slot, which links to other
+/// zones and nominates nodes for vacant leases.
 const READ_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Time between reads of all leases by the other roots of a zone.
+const RELAXED_READ_INTERVAL: Duration = Duration::from_secs(7);
+
 /// Time from the nomination of a child for a vacant lease to the next read of the leases.
 const NOMINATION_READ_DELAY: Duration = Duration::from_secs(1);
 
@@ -188,8 +192,19 @@
         self.leases = leases;
     }
 
-    /// Returns the requests to the platform that are due on a root with a lease.
-    pub fn due_requests(&mut self, now: Instant) -> Vec<PlatformRequest> {
+    fn read_interval(&self, zone: &str, slot: u8) -> Duration {
+        let mut leases = self.leases.iter();
+        let has_lower =
+            leases.any(|lease| lease.is_live && lease.slot < slot && lease.holder.zone == *zone);
+        if has_lower {
+            RELAXED_READ_INTERVAL
+        } else {
+            READ_INTERVAL
+        }
+    }
+
+    /// Returns the requests to the platform that are due on a root of `zone` with a lease.
+    pub fn due_requests(&mut self, zone: &str, now: Instant) -> Vec<PlatformRequest> {
         let mut requests = Vec::new();
         let State::Held { slot } = self.state else {
             return requests;
@@ -199,7 +214,7 @@
             requests.push(PlatformRequest::RenewLease { slot });
         }
         if now >= self.read_at {
-            self.read_at = now + READ_INTERVAL;
+            self.read_at = now + self.read_interval(zone, slot);
             let is_exact = std::mem::take(&mut self.wants_exact_read);
             requests.push(PlatformRequest::Leases { is_exact });
         }
@@ -279,6 +294,26 @@
         })
     }
 
+    /// Returns the slot that a node claims because the root `root` doesn't read the platform: one
+    /// that is vacant, or else that of `root`.
+    ///
+    /// # Errors
+    ///
+    /// If all slots are held by other nodes, one of them.
+    pub(crate) fn slot_beside(&self, zone: &str, root: &str) -> Result<u8, &Peer> {
+        let live = self.leases.iter();
+        let live = live.filter(|lease| lease.is_live && lease.holder.zone == zone);
+        let is_live = |slot: &u8| live.clone().any(|lease| lease.slot == *slot);
+        if let Some(vacant) = (0..ROOTS_PER_ZONE).find(|slot| !is_live(slot)) {
+            return Ok(vacant);
+        }
+        let held = live.clone().find(|lease| lease.holder.node == root);
+        match (held, live.clone().next()) {
+            (None, Some(other)) => Err(&other.holder),
+            (held, _) => Ok(held.map_or(PRIMARY_SLOT, |lease| lease.slot)),
+        }
+    }
+
     /// Returns whether no other root of this zone holds a lower slot.
     pub(crate) fn has_lowest_slot(&self, local: &Peer) -> bool {
         let slot = self.slot().unwrap_or(ROOTS_PER_ZONE);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -56,6 +56,7 @@
 mod initial_reads;
 mod node;
 mod outage;
+mod readings;
 mod rollouts;
 mod root_duties;
 mod search;
--- a/crates/fleet/src/link.rs
+++ b/crates/fleet/src/link.rs
@@ -1,6 +1,7 @@
 //! A link to another node and the detection of dead links.
 
 use config::Version;
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 use wire::control::{Heartbeat, Peer, RolloutTally, Status};
 
@@ -30,6 +31,9 @@
 /// answers within a fraction of this timeout.
 const SAME_ZONE_CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Number of heartbeats whose sending times are kept, to relate readings of the platform to them.
+const KEPT_HEARTBEATS: usize = 8;
+
 /// Identifies a link of this process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct LinkKey(pub u64);
@@ -82,10 +86,15 @@
     /// Number of consecutive heartbeats of the peer whose endpoint checksum differed from this
     /// node's.
     pub(crate) mismatches: u8,
+    /// Moment of the youngest reading of the platform that the peer is known to have.
+    pub(crate) reading_at: Option<Instant>,
+    /// The last heartbeats that were sent, by number, and when.
+    sent_at: VecDeque<(u32, Instant)>,
+    /// Number and arrival of the last heartbeat received.
+    last_received: Option<(u32, Instant)>,
     opened_at: Instant,
     last_heard: Instant,
     heartbeats_sent: u32,
-    last_received_count: u32,
     highest_echo: u32,
     echoed_at: Instant,
 }
@@ -102,10 +111,12 @@
             tallies: Vec::new(),
             sent_tallies: Vec::new(),
             mismatches: 0,
+            reading_at: None,
+            sent_at: VecDeque::new(),
+            last_received: None,
             opened_at: now,
             last_heard: now,
             heartbeats_sent: 0,
-            last_received_count: 0,
             highest_echo: 0,
             echoed_at: now,
         }
@@ -123,11 +134,6 @@
         matches!(self.role, Role::Parent | Role::Child | Role::RootPeer)
     }
 
-    /// Returns when the last frame arrived from the peer.
-    pub(crate) fn last_heard(&self) -> Instant {
-        self.last_heard
-    }
-
     /// Records that a frame arrived from the peer.
     pub(crate) fn mark_heard(&mut self, now: Instant) {
         self.last_heard = now;
@@ -135,7 +141,7 @@
 
     /// Records a heartbeat of the peer.
     pub(crate) fn record_heartbeat(&mut self, beat: &Heartbeat, now: Instant) {
-        self.last_received_count = beat.count;
+        self.last_received = Some((beat.count, now));
         self.child_capacity = beat.child_capacity;
         if beat.echo > self.highest_echo {
             self.highest_echo = beat.echo;
@@ -148,9 +154,32 @@
 
     /// Returns the `count` and the `echo` of the next heartbeat: the number of this heartbeat, and
     /// the number of the last heartbeat received from the peer.
-    pub(crate) fn next_heartbeat_counts(&mut self) -> (u32, u32) {
+    pub(crate) fn next_heartbeat_counts(&mut self, now: Instant) -> (u32, u32) {
         self.heartbeats_sent += 1;
-        (self.heartbeats_sent, self.last_received_count)
+        self.sent_at.push_back((self.heartbeats_sent, now));
+        if self.sent_at.len() > KEPT_HEARTBEATS {
+            self.sent_at.pop_front();
+        }
+        let echo = self.last_received.map_or(0, |(count, _)| count);
+        (self.heartbeats_sent, echo)
+    }
+
+    /// Returns when the heartbeat `count` was sent, if it is one of the last.
+    pub(crate) fn heartbeat_sent_at(&self, count: u32) -> Option<Instant> {
+        let mut sent = self.sent_at.iter();
+        sent.find(|(other, _)| *other == count).map(|(_, at)| *at)
+    }
+
+    /// Returns number and arrival of the last heartbeat received.
+    pub(crate) fn last_received(&self) -> Option<(u32, Instant)> {
+        self.last_received
+    }
+
+    /// Forgets all times that readings of the platform are related to.
+    pub(crate) fn forget_readings(&mut self) {
+        self.reading_at = None;
+        self.sent_at.clear();
+        self.last_received = None;
     }
 
     /// Returns when the link counts as dead unless the peer is heard from before.
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -64,6 +64,8 @@
     pub parent_joins: u64,
     /// Nodes that this node declared gone.
     pub departures: u64,
+    /// Polls of the platform because no reading of it had reached this node in time.
+    pub fallback_polls: u64,
 }
 
 /// The state machine of one node.
@@ -115,6 +117,7 @@
         let reannounce_at = now + crate::endpoints::REFRESH_INTERVAL.mul_f64(rng.random::<f64>());
         let search = search::ParentSearch::new(now, &mut rng);
         let freshness = Freshness::new(settings.max_config_age, now);
+        let fallback_poll = FallbackPoll::new(now, &mut rng);
         Self {
             settings,
             rng,
@@ -128,7 +131,7 @@
             path: Vec::new(),
             join_limiter: LeakyBucket::new(children::JOIN_BURST),
             search,
-            fallback_poll: FallbackPoll::new(now),
+            fallback_poll,
             freshness,
             outage: OutageState::default(),
             sync: sync::SyncState::default(),
@@ -192,6 +195,7 @@
             self.readiness_gate.deadline(),
             self.next_fallback_poll(),
             self.next_freshness_step(now),
+            self.next_reading_push(),
             self.outage.deadline(),
             self.crashes.deadline(),
             self.rollouts.deadline(),
@@ -272,7 +276,7 @@
         self.step_outage(now);
         if now >= self.heartbeat_at {
             self.heartbeat_at = now + HEARTBEAT_INTERVAL;
-            self.send_heartbeats();
+            self.send_heartbeats(now);
         }
         if now >= self.expire_at {
             self.expire_at = now + EXPIRY_INTERVAL;
@@ -285,6 +289,7 @@
         self.step_sync(now);
         self.step_farewells(now);
         self.step_freshness(now);
+        self.step_readings(now);
         self.step_crashes(now);
         self.step_rollouts(now);
     }
@@ -320,7 +325,7 @@
                 };
                 self.on_step(now, key, &step);
             }
-            Frame::RequestUpdates { after, full } => self.on_request_updates(key, after, full),
+            Frame::RequestUpdates { after, full } => self.on_request_updates(now, key, after, full),
             Frame::Chunk(chunk) => self.on_chunk(now, key, &chunk),
             Frame::Endpoints(list) => self.on_endpoints(now, key, &list),
             Frame::Checksums {
@@ -347,6 +352,7 @@
                 self.on_request_receipt(key, serial, copies);
             }
             Frame::Receipt { serial } => self.on_receipt(serial),
+            Frame::Reading(reading) => self.on_reading(now, key, &reading),
             Frame::Leave { parents } => {
                 self.add_hints(now, parents);
                 self.drop_link(now, key, true);
@@ -370,8 +376,9 @@
             PlatformResponse::LeaseLost { slot } => self.on_lease_lost(now, slot),
             PlatformResponse::Failed(request) => self.on_request_failed(now, request),
             PlatformResponse::LatestVersion(version) => self.on_latest_version(now, version),
+            PlatformResponse::Unchanged { at } => self.on_unchanged(at),
             PlatformResponse::Confirmed { serial, version } => {
-                self.on_version_confirmed(serial, version);
+                self.on_version_confirmed(now, serial, version);
             }
             PlatformResponse::Step {
                 version,
--- a/crates/fleet/src/root_duties.rs
+++ b/crates/fleet/src/root_duties.rs
@@ -17,7 +17,7 @@
 
 impl Node {
     pub(crate) fn send_due_lease_requests(&mut self, now: Instant) {
-        for request in self.lease.due_requests(now) {
+        for request in self.lease.due_requests(&self.settings.local.zone, now) {
             self.actions.push(Action::QueryPlatform(request));
         }
     }
@@ -33,6 +33,12 @@
             }
             return;
         }
+        if let Some(root) = self.fallback_poll.replaced_root.clone()
+            && self.has_root()
+        {
+            self.replace_root(now, &root);
+            return;
+        }
         let candidates = &self.candidates;
         let own = &self.settings.local;
         let free_slot = self
@@ -69,6 +75,21 @@
         }
     }
 
+    /// Claims a lease, because `root`, from which this node has its path, doesn't read the platform.
+    ///
+    /// That root may stay one: it gets the readings of this node over the link between roots.
+    fn replace_root(&mut self, now: Instant, root: &str) {
+        let zone = &self.settings.local.zone;
+        match self.lease.slot_beside(zone, root) {
+            Ok(slot) => self.request_lease(slot, true),
+            // The other root is not linked to this one, so it does not reach this node's tree.
+            Err(other) => {
+                self.fallback_poll.replaced_root = None;
+                self.change_parent(now, other.address);
+            }
+        }
+    }
+
     fn link_to_roots(&mut self, now: Instant) {
         let links = &self.links;
         let own_zone = &self.settings.local.zone;
@@ -135,6 +156,7 @@
             self.close(dialled);
         }
         self.propagate_path(vec![self.settings.local.node.clone()]);
+        self.meet_replaced_root(now);
         // A root that does not serve yet watches from version zero, because it also needs to learn
         // the latest version.
         let after = if self.is_ready() {
@@ -146,6 +168,16 @@
         self.watch(after);
     }
 
+    /// Dials the root that this node has replaced: unless it has a lease, no other root knows it.
+    fn meet_replaced_root(&mut self, now: Instant) {
+        let Some(root) = self.fallback_poll.replaced_root.take() else {
+            return;
+        };
+        if let Some(address) = self.endpoint_table.get(&root).map(|known| known.address) {
+            self.dial(address, Purpose::Meet, now);
+        }
+    }
+
     fn watch(&mut self, after: Version) {
         let is_primary = self.lease.is_primary();
         self.actions
@@ -196,7 +228,6 @@
             // These requests are retried later, and their failure is harmless until then.
             PlatformRequest::RenewLease { .. }
             | PlatformRequest::ReleaseLease { .. }
-            | PlatformRequest::FetchLatest { .. }
             | PlatformRequest::Watch { .. }
             | PlatformRequest::Unwatch => {}
             PlatformRequest::Crashes | PlatformRequest::Rollouts | PlatformRequest::Farewells => {
--- a/crates/fleet/src/search.rs
+++ b/crates/fleet/src/search.rs
@@ -218,13 +218,7 @@
         let wait = if is_answered {
             self.search.backoff.next_delay(&mut self.rng)
         } else {
-            let zone = &self.settings.local.zone;
-            let nodes = self
-                .endpoint_table
-                .iter()
-                .filter(|endpoint| endpoint.zone == *zone)
-                .count();
-            let longest = crate::fallback_poll::poll_interval(nodes);
+            let longest = crate::fallback_poll::poll_interval(self.count_zone_nodes());
             self.search
                 .read_backoff
                 .next_delay(&mut self.rng)
@@ -244,6 +238,13 @@
         address != self.settings.local.address && !is_child
     }
 
+    /// Leaves the parent for the node at `address`.
+    pub(crate) fn change_parent(&mut self, now: Instant, address: SocketAddr) {
+        self.leave_parent(now);
+        let link = self.dial(address, Purpose::Join, now);
+        self.search.pending_dial = Some((link, address));
+    }
+
     /// Leaves a parent that has had no path to a root for too long.
     fn leave_parent(&mut self, now: Instant) {
         self.search.leave_parent_at = None;
--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -100,7 +100,7 @@
             self.schedule_request(now);
         } else if link.version < held && link.role != Role::RootPeer {
             let after = std::mem::replace(&mut link.version, held);
-            self.send_updates_after(key, after, false);
+            self.send_updates_after(now, key, after, false);
         }
     }
 
@@ -122,25 +122,31 @@
         self.sync.request_at.get_or_insert(now + REQUEST_DELAY);
     }
 
-    fn send_updates_after(&mut self, key: LinkKey, after: Version, full: bool) {
+    fn send_updates_after(&mut self, now: Instant, key: LinkKey, after: Version, full: bool) {
         let full = full || self.settings.sends_full;
         let frames = self.replica.frames_after(after, full);
         if frames.len() > 1 {
             // The heartbeat announces the version after the last frame, so that the peer builds
             // only one view, at that version.
-            self.send_heartbeat(key);
+            self.send_heartbeat(now, key);
         }
         for frame in frames {
             self.send(key, frame);
         }
     }
 
-    pub(crate) fn on_request_updates(&mut self, key: LinkKey, after: Version, full: bool) {
+    pub(crate) fn on_request_updates(
+        &mut self,
+        now: Instant,
+        key: LinkKey,
+        after: Version,
+        full: bool,
+    ) {
         let held = self.version();
         if let Some(link) = self.links.get_mut(&key) {
             link.version = link.version.max(held);
         }
-        self.send_updates_after(key, after, full);
+        self.send_updates_after(now, key, after, full);
     }
 
     pub(crate) fn on_step(&mut self, now: Instant, key: LinkKey, step: &Step) {
@@ -197,7 +203,7 @@
             // The steps that follow go out together, so that neighbours build one view of them.
             self.sync.propagate_at.get_or_insert(now + VIEW_DELAY);
         } else {
-            self.send_version();
+            self.send_version(now);
         }
         let links = self.links.values().filter(|link| link.is_established());
         let highest = links.map(|link| link.version).max();
@@ -210,7 +216,7 @@
     }
 
     /// Sends the version held to the neighbours that lack it.
-    fn send_version(&mut self) {
+    fn send_version(&mut self, now: Instant) {
         self.sync.propagate_at = None;
         let held = self.version();
         let is_behind = |link: &Link| link.is_established() && link.version < held;
@@ -219,11 +225,11 @@
                 continue;
             };
             if link.role == Role::RootPeer {
-                self.send_heartbeat(key);
+                self.send_heartbeat(now, key);
                 continue;
             }
             let after = std::mem::replace(&mut link.version, held);
-            self.send_updates_after(key, after, false);
+            self.send_updates_after(now, key, after, false);
         }
     }
 
@@ -467,7 +473,7 @@
             self.request_missing(now);
         }
         if is_due(self.sync.propagate_at) {
-            self.send_version();
+            self.send_version(now);
         }
         if is_due(self.sync.view_at) && self.is_ready() {
             self.sync.view_at = None;
--- a/crates/fleet/src/tree.rs
+++ b/crates/fleet/src/tree.rs
@@ -52,6 +52,8 @@
         self.on_peer_version(now, key, version);
         self.send_crashes(now, key);
         self.send_rollouts(now, key);
+        // The peer relates its reading of the platform to a heartbeat.
+        self.send_heartbeat(now, key);
     }
 
     pub(crate) fn add_hints(&mut self, now: Instant, hints: Vec<Peer>) {
--- a/crates/fleet/tests/converge.rs
+++ b/crates/fleet/tests/converge.rs
@@ -80,10 +80,9 @@
 #[test]
 fn zone_partitioned() {
     let mut world = started(3, 10, 4);
-    let isolated_roots = roots(&world, 2);
     world.partition(2, 0);
     world.partition(2, 1);
-    world.platform.silent_watchers.extend(&isolated_roots);
+    world.platform.unreachable_zones.insert(zone_name(2));
     let mut version = world.propose();
     for _ in 0..99 {
         version = world.propose();
@@ -98,7 +97,7 @@
         assert_eq!(world.vms[vm].served < version, vm % 3 == 2);
     }
     world.partitions.clear();
-    world.platform.silent_watchers.clear();
+    world.platform.unreachable_zones.clear();
     let follow = world.propose();
     world.run_until(6 * S, "after the partition", |world| {
         world.all_serve(follow)
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -3,7 +3,7 @@
 
 mod platform;
 
-pub use platform::Platform;
+pub use platform::{Denial, Platform};
 
 use call::{Crash, Digest};
 use config::Rollout;
@@ -142,6 +142,8 @@
     /// Whether processes start with seeds in their settings.
     pub has_seeds: bool,
     start: Instant,
+    /// When to look for watches whose hold time is over.
+    next_hold_check: Duration,
     rng: SmallRng,
     queue: BinaryHeap<Reverse<ScheduledInput>>,
     sequence: u64,
@@ -215,6 +217,7 @@
             rollout_write_attempts: 0,
             has_seeds,
             start: Instant::now(),
+            next_hold_check: Duration::ZERO,
             rng: SmallRng::seed_from_u64(seed),
             queue: BinaryHeap::new(),
             sequence: 0,
@@ -315,6 +318,10 @@
         self.vms[vm].frozen_inputs = Some(VecDeque::new());
     }
 
+    pub fn is_awake(&self, vm: usize) -> bool {
+        self.vms[vm].frozen_inputs.is_none()
+    }
+
     pub fn unfreeze(&mut self, vm: usize) {
         let Some(inputs) = self.vms[vm].frozen_inputs.take() else {
             return;
@@ -459,19 +466,49 @@
 
     fn notify_watchers(&mut self) {
         for (vm, responses) in self.platform.take_updates() {
+            let wait = self.platform.delay(vm);
             for response in responses {
-                self.schedule(vm, MS, Input::Platform(response));
+                self.schedule(vm, wait, Input::Platform(response));
             }
         }
     }
 
+    /// Has the platform turn a VM away, or treat it as any other again.
+    pub fn set_denial(&mut self, vm: usize, denial: Option<Denial>) {
+        if let Some(denial) = denial {
+            self.platform.denials.insert(vm, denial);
+        } else {
+            self.platform.denials.remove(&vm);
+            self.notify_watchers();
+        }
+    }
+
+    /// Responds to the watches that have seen no change for their hold time.
+    fn respond_to_held_watches(&mut self, now: Duration) {
+        let at = self.start + now;
+        for vm in self.platform.take_held(now) {
+            let wait = self.platform.delay(vm) + now.saturating_sub(self.now);
+            self.schedule(
+                vm,
+                wait,
+                Input::Platform(PlatformResponse::Unchanged { at }),
+            );
+        }
+    }
+
     /// Runs the simulation for a duration.
     pub fn run(&mut self, time: Duration) {
         let end = self.now + time;
         while let Some(Reverse(due)) = self.queue.peek() {
-            if due.at > end {
+            if due.at.min(self.next_hold_check) > end {
                 break;
             }
+            if self.next_hold_check <= due.at {
+                let now = self.next_hold_check;
+                self.next_hold_check += 20 * MS;
+                self.respond_to_held_watches(now);
+                continue;
+            }
             let Some(Reverse(due)) = self.queue.pop() else {
                 break;
             };
--- a/crates/fleet/tests/world/platform.rs
+++ b/crates/fleet/tests/world/platform.rs
@@ -10,8 +10,14 @@
 use std::time::Duration;
 
 const MS: Duration = Duration::from_millis(1);
+/// How late the platform answers a VM for which it is slow.
+const SLOW_DELAY: Duration = Duration::from_secs(3);
+
 const TIMEOUT: Duration = Duration::from_secs(1);
 
+/// How long the platform holds the watch requests of a zone's primary root, and of the others.
+const HOLD_TIMES: (Duration, Duration) = (Duration::from_secs(3), Duration::from_secs(9));
+
 #[derive(Debug, Clone)]
 struct Lease {
     holder: Peer,
@@ -19,6 +25,28 @@
     revision: u64,
 }
 
+/// How the platform turns a VM away.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Denial {
+    /// It fails each request at once.
+    Refused,
+    /// It answers no request.
+    Silent,
+    /// It answers each request late.
+    Slow,
+}
+
+/// A node that watches the versions.
+#[derive(Debug, Clone)]
+struct Watcher {
+    zone: String,
+    /// The last version that was sent to it.
+    sent: Version,
+    /// How long the platform holds its requests.
+    hold_time: Duration,
+    respond_at: Duration,
+}
+
 #[derive(Debug, Default)]
 pub struct Platform {
     pub is_down: bool,
@@ -28,14 +56,19 @@
     pub unreachable_zones: BTreeSet<String>,
     /// Watchers that get no more updates, and no error either.
     pub silent_watchers: BTreeSet<usize>,
+    /// VMs that the platform turns away, and how.
+    pub denials: BTreeMap<usize, Denial>,
     pub calls: u64,
+    /// Number of times that a lease went to another node.
+    pub lease_changes: u64,
     /// Number of requests for a confirmation of the newest version.
     pub confirmations: u64,
     history: Vec<(Arc<Patch>, Arc<Mesh>, Digest)>,
     held: VersionedMesh,
     leases: BTreeMap<(String, u8), Lease>,
-    /// Watchers, each with its zone and the last version that was sent to it.
-    watchers: BTreeMap<usize, (String, Version)>,
+    /// Responses to watches that the platform has held.
+    pub held_responses: u64,
+    watchers: BTreeMap<usize, Watcher>,
     writes: u64,
     /// Crashes that each root wrote last, by the zone and slot of its lease.
     written_crashes: BTreeMap<(String, u8), Vec<Crash>>,
@@ -166,12 +199,41 @@
     /// Returns the watchers that the platform can reach.
     fn reachable_watchers(&self) -> impl Iterator<Item = usize> {
         let watchers = self.watchers.iter();
-        let reached = watchers.filter(|(vm, (zone, _))| {
-            !self.silent_watchers.contains(vm) && !self.unreachable_zones.contains(zone)
-        });
+        let reached = watchers.filter(|(vm, watcher)| self.reaches(**vm, &watcher.zone));
         reached.map(|(vm, _)| *vm)
     }
 
+    fn reaches(&self, vm: usize, zone: &str) -> bool {
+        !self.silent_watchers.contains(&vm) && self.answers(vm, zone)
+    }
+
+    fn answers(&self, vm: usize, zone: &str) -> bool {
+        !self.is_down
+            && !self.unreachable_zones.contains(zone)
+            && matches!(self.denials.get(&vm), None | Some(Denial::Slow))
+    }
+
+    /// Returns how late the platform's responses reach a VM.
+    pub fn delay(&self, vm: usize) -> Duration {
+        let is_slow = self.denials.get(&vm) == Some(&Denial::Slow);
+        if is_slow { SLOW_DELAY } else { 3 * MS }
+    }
+
+    /// Returns the watchers whose requests have been held without a change until `now`.
+    pub fn take_held(&mut self, now: Duration) -> Vec<usize> {
+        let reachable: Vec<_> = self.reachable_watchers().collect();
+        let mut due = Vec::new();
+        for vm in reachable {
+            let watcher = self.watchers.get_mut(&vm);
+            if let Some(watcher) = watcher.filter(|watcher| now >= watcher.respond_at) {
+                self.held_responses += 1;
+                watcher.respond_at = now + vary(watcher.hold_time, self.held_responses);
+                due.push(vm);
+            }
+        }
+        due
+    }
+
     /// Returns all crashes that were written.
     pub fn crashes(&self) -> Vec<Crash> {
         self.written_crashes.values().flatten().cloned().collect()
@@ -191,10 +253,10 @@
         let head = self.head();
         let mut all = Vec::new();
         let mut watchers = std::mem::take(&mut self.watchers);
-        for (vm, (zone, at)) in &mut watchers {
-            if !self.silent_watchers.contains(vm) && !self.unreachable_zones.contains(zone) {
-                all.push((*vm, self.steps_after(*at)));
-                *at = head;
+        for (vm, watcher) in &mut watchers {
+            if self.reaches(*vm, &watcher.zone) {
+                all.push((*vm, self.steps_after(watcher.sent)));
+                watcher.sent = head;
             }
         }
         self.watchers = watchers;
@@ -226,15 +288,31 @@
         let is_confirmation = matches!(request, PlatformRequest::ConfirmVersion { .. });
         self.confirmations += u64::from(is_confirmation);
         let zone = peer.zone.to_string();
-        if self.is_down || self.unreachable_zones.contains(&zone) {
+        let watcher = |sent: Version, is_primary: bool| {
+            let hold_time = if is_primary {
+                HOLD_TIMES.0
+            } else {
+                HOLD_TIMES.1
+            };
+            Watcher {
+                zone: zone.clone(),
+                sent,
+                hold_time,
+                respond_at: now + hold_time,
+            }
+        };
+        if !self.answers(vm, &zone) {
+            let is_refused = self.denials.get(&vm) == Some(&Denial::Refused);
+            let wait = if is_refused { 3 * MS } else { TIMEOUT };
             return match request {
-                PlatformRequest::Watch { after, .. } => {
-                    self.watchers.insert(vm, (zone, after));
+                PlatformRequest::Watch { after, is_primary } => {
+                    self.watchers.insert(vm, watcher(after, is_primary));
                     Vec::new()
                 }
-                _ => vec![(TIMEOUT, PlatformResponse::Failed(request))],
+                _ => vec![(wait, PlatformResponse::Failed(request))],
             };
         }
+        let wait = self.delay(vm);
         let response = match request {
             PlatformRequest::Leases { .. } => {
                 let revisions = self.leases.iter();
@@ -264,7 +342,7 @@
                 return Vec::new();
             }
             PlatformRequest::Watch { after, is_primary } => {
-                self.watchers.insert(vm, (zone, self.head()));
+                self.watchers.insert(vm, watcher(self.head(), is_primary));
                 self.silent_watchers.remove(&vm);
                 let mut steps = self.steps_after(after);
                 if is_primary {
@@ -272,7 +350,7 @@
                     steps.push(PlatformResponse::Crashes(self.crashes()));
                 }
                 steps.push(PlatformResponse::Rollouts(self.rollouts()));
-                return steps.into_iter().map(|step| (3 * MS, step)).collect();
+                return steps.into_iter().map(|step| (wait, step)).collect();
             }
             PlatformRequest::Crashes => PlatformResponse::Crashes(self.crashes()),
             PlatformRequest::Rollouts => PlatformResponse::Rollouts(self.rollouts()),
@@ -280,10 +358,6 @@
                 let stored = self.farewells.get(peer.node.as_str());
                 PlatformResponse::Farewells(stored.cloned().unwrap_or_default())
             }
-            PlatformRequest::FetchLatest { after } => {
-                let steps = self.steps_after(after);
-                return steps.into_iter().map(|step| (3 * MS, step)).collect();
-            }
             PlatformRequest::ConfirmVersion { after, serial } => {
                 let mut responses = self.steps_after(after);
                 responses.push(PlatformResponse::Confirmed {
@@ -291,7 +365,7 @@
                     version: self.head(),
                 });
                 let responses = responses.into_iter();
-                return responses.map(|response| (3 * MS, response)).collect();
+                return responses.map(|response| (wait, response)).collect();
             }
             PlatformRequest::Unwatch => {
                 self.unwatch(vm);
@@ -301,7 +375,7 @@
         if self.drops_responses && !matches!(request, PlatformRequest::Leases { .. }) {
             return vec![(TIMEOUT, PlatformResponse::Failed(request))];
         }
-        vec![(3 * MS, response)]
+        vec![(wait, response)]
     }
 
     fn list_leases(&self, now: Duration) -> Vec<RootLease> {
@@ -352,7 +426,16 @@
             expires_at: now + fleet::lease::LEASE_DURATION,
             revision: self.writes,
         };
-        self.leases.insert(key, lease);
+        let former = self.leases.insert(key, lease);
+        let is_change = former.is_none_or(|former| former.holder != *peer);
+        self.lease_changes += u64::from(is_change);
         PlatformResponse::LeaseGranted { slot }
     }
 }
+
+/// Varies a hold time by a fifth, as the platform's client does.
+fn vary(hold_time: Duration, count: u64) -> Duration {
+    let hash = count.wrapping_mul(6_364_136_223_846_793_005) >> 56;
+    let share = u8::try_from(hash).map_or(0.5, |hash| f64::from(hash) / 255.0);
+    hold_time.mul_f64(0.8 + 0.4 * share)
+}
--- a/crates/node/src/control/platform_worker.rs
+++ b/crates/node/src/control/platform_worker.rs
@@ -23,7 +23,8 @@
 use store::lease::{self, LeaseRecord};
 use store::version::{self, JOURNAL};
 use store::{
-    CrashStore, Error, Follower, Journal, Lease, Object, ObjectWatcher, Revision, Store, farewells,
+    CrashStore, Error, Follower, Journal, Lease, Notice, Object, ObjectWatcher, Revision, Store,
+    farewells,
 };
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
@@ -159,7 +160,6 @@
                 self.acquire_lease(slot, is_forced).await
             }
             PlatformRequest::RenewLease { slot } => self.renew_lease(slot).await,
-            PlatformRequest::FetchLatest { after } => self.fetch_latest(after).await,
             PlatformRequest::ConfirmVersion { after, serial } => {
                 self.confirm_version(after, serial).await
             }
@@ -215,25 +215,6 @@
         )))
     }
 
-    /// Reads the steps from `after` to the latest version, or the full configuration.
-    ///
-    /// Sends all responses but the last to the state machine, and returns the last.
-    async fn fetch_latest(&self, after: config::Version) -> Result<PlatformResponse, Error> {
-        let mut responses = if self.shared.uses_platform_interface() {
-            let text = self.read_configuration().await?;
-            let version = platform::mesh::parse_version(&text).map_err(as_invalid)?;
-            vec![self.parse_configuration(version, &text).await]
-        } else {
-            let journal = Journal::open(self.store.clone(), self.shared.clock.clone(), JOURNAL);
-            read_journal_after(&journal, after).await?
-        };
-        let last = responses.pop().ok_or(Error::NotFound)?;
-        for response in responses {
-            self.send_response(response).await;
-        }
-        Ok(last)
-    }
-
     /// Reads which version is the latest. If it is above `after`, it is sent to the state machine
     /// before the confirmation.
     async fn confirm_version(
@@ -560,15 +541,29 @@
 where
     S: Store,
 {
+    let mut is_readable = true;
     loop {
-        let object = watcher.next().await;
+        let object = match watcher.next_notice().await {
+            Notice::Update(object) => object,
+            Notice::Unchanged(at) => {
+                if forward_unchanged(&inbox, at, is_readable).await.is_err() {
+                    return;
+                }
+                continue;
+            }
+        };
         let responses = match decode_configuration(&object) {
             Ok(responses) => responses,
             Err(error) => {
                 warn!(target: LOG_TARGET, revision:% = object.revision, error:%; "version_unreadable");
+                is_readable = false;
                 continue;
             }
         };
+        let is_invalid = |response: &PlatformResponse| {
+            matches!(response, PlatformResponse::InvalidVersion { .. })
+        };
+        is_readable = !responses.iter().any(is_invalid);
         for response in responses {
             if inbox.send(Input::Response(response)).await.is_err() {
                 return;
@@ -577,14 +572,39 @@
     }
 }
 
+/// Forwards that the platform had no further version at `at`, unless its newest version can't be
+/// read: what this node has is then not the newest.
+async fn forward_unchanged(
+    inbox: &mpsc::Sender<Input>,
+    at: Instant,
+    is_readable: bool,
+) -> Result<(), mpsc::error::SendError<Input>> {
+    if is_readable {
+        let response = PlatformResponse::Unchanged { at };
+        inbox.send(Input::Response(response)).await?;
+    }
+    Ok(())
+}
+
 /// Forwards the versions that the journal receives until this future is dropped.
 async fn forward_versions<C, S>(mut follower: Follower<S, C>, inbox: mpsc::Sender<Input>)
 where
     C: Clock,
     S: Store,
 {
+    let mut is_readable = true;
     loop {
-        match decode_update(follower.next().await) {
+        let update = match follower.next_notice().await {
+            Notice::Update(update) => decode_update(update),
+            Notice::Unchanged(at) => {
+                if forward_unchanged(&inbox, at, is_readable).await.is_err() {
+                    return;
+                }
+                continue;
+            }
+        };
+        is_readable = update.is_ok();
+        match update {
             Ok(responses) => {
                 for response in responses {
                     if inbox.send(Input::Response(response)).await.is_err() {
--- a/crates/node/src/control/tree.rs
+++ b/crates/node/src/control/tree.rs
@@ -369,6 +369,9 @@
         control
             .parent_joins
             .inc_by(next.parent_joins - before.parent_joins);
+        control
+            .fallback_polls
+            .inc_by(next.fallback_polls - before.fallback_polls);
         control
             .departures
             .inc_by(next.departures - before.departures);
@@ -385,6 +388,10 @@
             let reason = refusal.map_or("", |refusal| refusal.reason.as_str());
             warn!(reason, held = next.held_version.0; "version_refused");
         }
+        if next.fallback_polls > before.fallback_polls {
+            let root = next.path.first().map_or("", |root| root.as_str());
+            info!(root, polls = next.fallback_polls; "reading_late");
+        }
         if next != **before {
             if next.path.first() != before.path.first() {
                 let root = next.path.first().map_or("", |root| root.as_str());
@@ -404,6 +411,7 @@
             applied_versions: counters.applied_versions,
             refused_versions: counters.refused_versions,
             parent_joins: counters.parent_joins,
+            fallback_polls: counters.fallback_polls,
             departures: counters.departures,
             built_views: counters.built_views,
             reverts: self.shared.metrics.control.reverts.get(),
--- a/crates/node/src/metrics/control.rs
+++ b/crates/node/src/metrics/control.rs
@@ -12,6 +12,8 @@
     pub refused_versions: Counter,
     /// Parents that accepted this node as a child.
     pub parent_joins: Counter,
+    /// Polls of the platform because no reading of it had arrived in time.
+    pub fallback_polls: Counter,
     /// Nodes declared departed.
     pub departures: Counter,
     /// Views that were discarded because they were older than the view in use.
@@ -42,6 +44,11 @@
             ),
             ("views", "Views made", &self.built_views),
             ("control_parents", "Parents taken", &self.parent_joins),
+            (
+                "control_polls",
+                "Polls of the platform because no reading of it had arrived in time",
+                &self.fallback_polls,
+            ),
             (
                 "control_departures",
                 "Nodes declared gone",
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -308,7 +308,7 @@
                 status: Value::Null,
             }),
         }),
-        Event::Bookmark(_) => None,
+        Event::Bookmark { .. } => None,
     }
 }
 
--- a/crates/standin/tests/object_api.rs
+++ b/crates/standin/tests/object_api.rs
@@ -73,7 +73,7 @@
 async fn next_change(watch: &mut Watch) -> Result<Event, Error> {
     loop {
         match watch.next().await {
-            Ok(Event::Bookmark(_)) => {}
+            Ok(Event::Bookmark { .. }) => {}
             other => return other,
         }
     }
--- a/crates/status/src/lib.rs
+++ b/crates/status/src/lib.rs
@@ -72,6 +72,10 @@
     /// Number of times that the node has joined a parent since its process started.
     #[serde(rename = "parents")]
     pub parent_joins: u64,
+    /// Number of times that the node has polled the platform since its process started, because no
+    /// reading of it had reached the node in time.
+    #[serde(default, rename = "polls")]
+    pub fallback_polls: u64,
     /// Number of other nodes that this node has declared departed since its process started.
     pub departures: u64,
     /// Number of views (configuration joined with endpoints) that the node has built after changes
--- a/crates/store/src/follow.rs
+++ b/crates/store/src/follow.rs
@@ -1,7 +1,7 @@
 //! Follows a journal and returns its records as they are written.
 
 use crate::journal::{LoadedJournal, Record};
-use crate::{Error, Event, Journal, Revision, Store, Watch};
+use crate::{Error, Event, Journal, Notice, Revision, Store, Watch};
 use clock::Clock;
 use policy::backoff::Backoff;
 use std::collections::VecDeque;
@@ -68,15 +68,24 @@
     /// and no record is skipped: a record that is not returned by itself is part of a
     /// [`JournalUpdate::Reset`].
     pub async fn next(&mut self) -> JournalUpdate {
+        loop {
+            if let Notice::Update(update) = self.next_notice().await {
+                return update;
+            }
+        }
+    }
+
+    /// As [`Follower::next`], and also returns each time that the platform reports no change.
+    pub async fn next_notice(&mut self) -> Notice<JournalUpdate> {
         loop {
             if let Some(record) = self.next_pending() {
-                return JournalUpdate::Record(record);
+                return Notice::Update(JournalUpdate::Record(record));
             }
             match self.advance().await {
                 Ok(None) => self.record_success(),
-                Ok(Some(loaded)) => {
+                Ok(Some(notice)) => {
                     self.record_success();
-                    return JournalUpdate::Reset(loaded);
+                    return notice;
                 }
                 // The events since the watch's revision are no longer available, but the records
                 // can be read again.
@@ -105,9 +114,10 @@
 
     /// Waits for the next event of the watch; without a watch, reads the missing records and opens
     /// a watch.
-    async fn advance(&mut self) -> Result<Option<LoadedJournal>, Error> {
+    async fn advance(&mut self) -> Result<Option<Notice<JournalUpdate>>, Error> {
         let Some(watch) = &mut self.watch else {
-            return self.catch_up().await;
+            let loaded = self.catch_up().await?;
+            return Ok(loaded.map(|loaded| Notice::Update(JournalUpdate::Reset(loaded))));
         };
         match watch.next().await? {
             Event::Put(object) => {
@@ -116,7 +126,11 @@
                 self.pending.extend(record);
                 self.revision = revision;
             }
-            Event::Deleted { revision, .. } | Event::Bookmark(revision) => self.revision = revision,
+            Event::Deleted { revision, .. } => self.revision = revision,
+            Event::Bookmark { revision, at } => {
+                self.revision = revision;
+                return Ok(Some(Notice::Unchanged(at)));
+            }
         }
         Ok(None)
     }
--- a/crates/store/src/latest.rs
+++ b/crates/store/src/latest.rs
@@ -1,10 +1,10 @@
 //! Watches objects that are replaced as a whole.
 
-use crate::{Error, Event, Object, Revision, Store, Watch};
+use crate::{Error, Event, Notice, Object, Revision, Store, Watch};
 use policy::backoff::Backoff;
 use smol_str::SmolStr;
 use std::collections::VecDeque;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Upper bound of the random delay before the platform is called again after a first failure.
 const BACKOFF_BASE: Duration = Duration::from_millis(100);
@@ -65,16 +65,28 @@
     /// Waits for the next state of an object, across outages; intermediate states may be skipped.
     pub async fn next(&mut self) -> Object {
         loop {
-            if let Some(object) = self.pending.pop_front() {
+            if let Notice::Update(object) = self.next_notice().await {
                 return object;
             }
+        }
+    }
+
+    /// As [`ObjectWatcher::next`], and also returns each time that the platform reports no change.
+    pub async fn next_notice(&mut self) -> Notice<Object> {
+        loop {
+            if let Some(object) = self.pending.pop_front() {
+                return Notice::Update(object);
+            }
             match self.advance().await {
-                Ok(()) => {
+                Ok(unchanged_at) => {
                     if !self.is_connected {
                         log::info!(object:% = self.target(); "platform_back");
                     }
                     self.is_connected = true;
                     self.backoff.reset();
+                    if let Some(at) = unchanged_at {
+                        return Notice::Unchanged(at);
+                    }
                 }
                 // The events since the watch's revision are no longer available, but the objects
                 // can be listed again.
@@ -85,15 +97,18 @@
     }
 
     /// Receives the next event of the watch. If no watch is open, lists the folder and opens a
-    /// watch.
-    async fn advance(&mut self) -> Result<(), Error> {
+    /// watch. Returns the moment of a bookmark.
+    async fn advance(&mut self) -> Result<Option<Instant>, Error> {
         let Some(watch) = &mut self.watch else {
-            return self.list_and_watch().await;
+            self.list_and_watch().await?;
+            return Ok(None);
         };
-        if let Event::Put(object) = watch.next().await? {
-            self.enqueue(object);
+        match watch.next().await? {
+            Event::Put(object) => self.enqueue(object),
+            Event::Deleted { .. } => {}
+            Event::Bookmark { at, .. } => return Ok(Some(at)),
         }
-        Ok(())
+        Ok(None)
     }
 
     /// Lists the folder and watches it from the list's revision.
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -42,4 +42,4 @@
 pub use latest::ObjectWatcher;
 pub use lease::Lease;
 pub use memory::MemoryStore;
-pub use store::{Event, List, MAX_VALUE_BYTES, Object, Revision, Store, Watch};
+pub use store::{Event, List, MAX_VALUE_BYTES, Notice, Object, Revision, Store, Watch};
--- a/crates/store/src/memory.rs
+++ b/crates/store/src/memory.rs
@@ -12,7 +12,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::ops::Bound;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::{mpsc, watch};
 
 /// Number of events kept for watches that start in the past; a watch that starts before the oldest
@@ -285,7 +285,7 @@
                 _ = changed.changed() => {}
                 () = sender.closed() => return,
                 _ = bookmarks.tick() => {
-                    let bookmark = self.lock().bookmark();
+                    let bookmark = self.lock().bookmark(position);
                     if let Some(bookmark) = bookmark
                         && sender.send(Ok(bookmark)).await.is_err()
                     {
@@ -319,8 +319,13 @@
         InjectedFault::None
     }
 
-    fn bookmark(&self) -> Option<Event> {
-        (!self.faults.silent_watches).then_some(Event::Bookmark(self.revision))
+    /// Returns a bookmark for a watch that has read all events up to `position`.
+    fn bookmark(&self, position: Revision) -> Option<Event> {
+        let is_current = position == self.revision && !self.faults.silent_watches;
+        is_current.then(|| Event::Bookmark {
+            revision: self.revision,
+            at: Instant::now(),
+        })
     }
 
     fn apply(&mut self, write: Write) -> Result<Revision, Error> {
@@ -404,7 +409,7 @@
             .filter(|event| match event {
                 Event::Put(object) => object.name.starts_with(prefix),
                 Event::Deleted { name, .. } => name.starts_with(prefix),
-                Event::Bookmark(_) => false,
+                Event::Bookmark { .. } => false,
             });
         Ok(matching.cloned().collect())
     }
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -5,6 +5,7 @@
 use serde_json::Value;
 use smol_str::SmolStr;
 use std::fmt;
+use std::time::Instant;
 use tokio::sync::{mpsc, watch};
 
 /// Maximum size of a value, in bytes of JSON (the platform's limit is a megabyte).
@@ -70,14 +71,19 @@
     },
     /// The watch has delivered all its events up to this revision. Bookmarks also show that the
     /// watch is alive.
-    Bookmark(Revision),
+    Bookmark {
+        /// Revision from which the watch may resume.
+        revision: Revision,
+        /// A moment at which the platform had no further events.
+        at: Instant,
+    },
 }
 
 impl Event {
     /// Returns whether the event is a change or deletion of an object, not a bookmark.
     #[must_use]
     pub fn is_change(&self) -> bool {
-        !matches!(self, Self::Bookmark(_))
+        !matches!(self, Self::Bookmark { .. })
     }
 
     /// Returns the revision from which a watch may resume after this event.
@@ -85,11 +91,20 @@
     pub fn revision(&self) -> Revision {
         match self {
             Self::Put(object) => object.revision,
-            Self::Deleted { revision, .. } | Self::Bookmark(revision) => *revision,
+            Self::Deleted { revision, .. } | Self::Bookmark { revision, .. } => *revision,
         }
     }
 }
 
+/// What the reader of a watch learns next.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Notice<T> {
+    /// Something has changed.
+    Update(T),
+    /// Nothing had changed at this moment.
+    Unchanged(Instant),
+}
+
 /// Number of events that are buffered for the reader of a watch before the sender has to wait.
 const WATCH_BUFFER: usize = 64;
 
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -91,6 +91,24 @@
     pub bytes: Bytes,
 }
 
+/// The youngest reading of the platform that the sender knows of.
+///
+/// The moment of the reading is given in relation to the arrival of a heartbeat of the receiver, so
+/// that no clocks are compared. The receiver counts from the moment at which it sent that heartbeat:
+/// a delay in either direction makes the reading look older than it is, never younger.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reading {
+    /// `count` of the receiver's heartbeat.
+    pub heartbeat: u32,
+    /// Time from the arrival of that heartbeat to the reading, in milliseconds, rounded down;
+    /// negative if the reading came first.
+    pub offset_ms: i32,
+    /// The version that was the newest.
+    pub version: Version,
+    /// Whether a root with a lease made the reading.
+    pub by_root: bool,
+}
+
 /// Call results of a roll-out, as counted by part of the fleet.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename = "Part")]
@@ -237,6 +255,8 @@
         /// Number of the request.
         serial: u64,
     },
+    /// Sent to all neighbours when the sender learns of a younger reading of the platform.
+    Reading(Reading),
 }
 
 /// Maximum size of a full configuration before compression, in bytes.
