Nodes whose tree is stale read roll-outs that they have not heard of

What callers would see: while the platform turns the roots of a zone away, a version that operators order to be tried by a share of the calls gets as many as any other from the nodes below.

Cause: these nodes poll the platform by themselves, but read the roll-outs only if they knew an active one already.

Where roll-outs are followed, each such poll costs one read more.

--- a/crates/fleet/src/rollouts.rs
+++ b/crates/fleet/src/rollouts.rs
@@ -238,10 +238,10 @@
         }
     }
 
-    /// Queries the platform for roll-outs if a known roll-out is active. Called on a node that
-    /// hears from no root.
+    /// Queries the platform for roll-outs, also for orders that this node has not heard of. Called
+    /// on a node that no reading of the platform has reached in time.
     pub(crate) fn query_rollouts(&mut self) {
-        if self.rollouts.known.values().any(KnownRollout::is_active) {
+        if self.settings.follows_rollouts {
             self.actions
                 .push(Action::QueryPlatform(PlatformRequest::Rollouts));
         }
--- a/crates/fleet/tests/rollouts.rs
+++ b/crates/fleet/tests/rollouts.rs
@@ -3,8 +3,9 @@
 mod world;
 
 use config::rollout::{Counts, Stage, Tally};
+use fleet::Node;
 use std::time::Duration;
-use world::{MS, S, World};
+use world::{Denial, MS, S, World};
 
 const SERVICE: &str = "s0";
 
@@ -222,3 +223,21 @@
     });
     assert_eq!(world.platform.outcome_writes, 1);
 }
+
+// The platform turns all roots away. The nodes below them did not know of an order that came
+// meanwhile, and would have sent the new version as many calls as any other.
+#[test]
+fn order_below_denied_roots() {
+    let mut world = World::serving_nodes(6);
+    let is_root = |vm: &usize| world.vms[*vm].node.as_ref().is_some_and(Node::is_root);
+    let roots: Vec<_> = (0..world.vms.len()).filter(is_root).collect();
+    for root in &roots {
+        world.set_denial(*root, Some(Denial::Refused));
+    }
+    world.run(2 * S);
+    world.order_rollout(SERVICE, "v2", 2 * DURATION);
+    world.run_until(2 * S, "to follow the order", |world| {
+        let mut others = (0..world.vms.len()).filter(|vm| !roots.contains(vm));
+        others.all(|vm| world.stage(vm, SERVICE) == Some(Stage::Canary))
+    });
+}
