A root doesn't confirm an older version than its watch has sent

A root that had only followed such a watch then passed on, with each reading, the last number that it had been told apart, so that a node that lacked the newest version took its own for the newest. Found by counting calls of `converge`, whose roots confirmed nothing at all.

--- a/crates/fleet/src/readings.rs
+++ b/crates/fleet/src/readings.rs
@@ -24,7 +24,8 @@
 impl Node {
     /// Handles a watch's report that there was no further version at `at`.
     pub(crate) fn on_unchanged(&mut self, at: Instant) {
-        let version = self.sync.platform_version;
+        // What the watch has sent before has arrived before, applied or not.
+        let version = self.sync.platform_version.max(self.version());
         if version > Version::ZERO {
             self.record_own_reading(version, at);
         }
--- a/crates/fleet/src/root_duties.rs
+++ b/crates/fleet/src/root_duties.rs
@@ -258,6 +258,7 @@
             patch,
             digest,
         };
+        self.sync.platform_version = self.sync.platform_version.max(version);
         let outcome = self.replica.apply_step(step.clone());
         if outcome == ApplyOutcome::Gap && self.lease.is_root() {
             let after = self.version();
--- a/crates/fleet/tests/freshness.rs
+++ b/crates/fleet/tests/freshness.rs
@@ -141,6 +141,21 @@
     run_checked(&mut world, 10 * S);
 }
 
+// A root whose watch sends versions alone, without the number of the latest one, passed on an older
+// number as the newest.
+#[test]
+fn steps_alone() {
+    let mut world = keyed_nodes(6);
+    world.platform.sends_steps_alone = true;
+    for _ in 0..3 {
+        world.network_faults.drop = 1.0;
+        world.propose();
+        run_checked(&mut world, 3 * S);
+        world.network_faults.drop = 0.0;
+        run_checked(&mut world, 3 * S);
+    }
+}
+
 // Partitions, freezes, kills and silent links overlap with versions: no process may take its
 // version for newer than it is.
 #[parameterized(
--- a/crates/fleet/tests/world/platform.rs
+++ b/crates/fleet/tests/world/platform.rs
@@ -56,6 +56,8 @@
     pub unreachable_zones: BTreeSet<String>,
     /// Watchers that get no more updates, and no error either.
     pub silent_watchers: BTreeSet<usize>,
+    /// Whether watches send the new versions without the number of the latest one before them.
+    pub sends_steps_alone: bool,
     /// VMs that the platform turns away, and how.
     pub denials: BTreeMap<usize, Denial>,
     pub calls: u64,
@@ -255,7 +257,11 @@
         let mut watchers = std::mem::take(&mut self.watchers);
         for (vm, watcher) in &mut watchers {
             if self.reaches(*vm, &watcher.zone) {
-                all.push((*vm, self.steps_after(watcher.sent)));
+                let mut steps = self.steps_after(watcher.sent);
+                if self.sends_steps_alone {
+                    steps.retain(|step| matches!(step, PlatformResponse::Step { .. }));
+                }
+                all.push((*vm, steps));
                 watcher.sent = head;
             }
         }
