--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -4,8 +4,8 @@
 
 use bench::error::Error;
 use bench::{
-    budget, converge, deadly, demo, faults, overload, path, reports, rolling, soak, soak_repeat,
-    state, stops,
+    budget, converge, deadly, demo, denials, faults, overload, path, reports, rolling, soak,
+    soak_repeat, state, stops,
 };
 use bpaf::{Parser, construct};
 use std::process::ExitCode;
@@ -16,6 +16,7 @@
 enum Command {
     Budget(budget::Options),
     Demo,
+    Denials(denials::Options),
     Path(path::Options),
     Converge(converge::Options),
     Deadly(deadly::Options),
@@ -38,6 +39,11 @@
         .to_options()
         .descr("Runs a demonstration on stand-ins: proposals, calls, a killed and a drained VM, reports")
         .command("demo");
+    let denials = denials::parse()
+        .map(Command::Denials)
+        .to_options()
+        .descr("Checks the versions of calls while the platform turns nodes away")
+        .command("denials");
     let path = path::parse()
         .map(Command::Path)
         .to_options()
@@ -89,8 +95,8 @@
         .descr("Checks that overlapping graceful stops leave no request without an answer")
         .command("stops");
     construct!([
-        budget, demo, path, converge, deadly, faults, state, overload, reports, rolling, soak,
-        stops
+        budget, demo, denials, path, converge, deadly, faults, state, overload, reports, rolling,
+        soak, stops
     ])
 }
 
@@ -144,6 +150,10 @@
             let report = budget::run(options).await?;
             Ok((to_json(&report)?, report.is_clean()))
         }
+        Command::Denials(options) => {
+            let report = denials::run(options).await?;
+            Ok((to_json(&report)?, report.is_clean()))
+        }
         Command::Demo => Ok((to_json(&demo::run().await?)?, true)),
         Command::Path(options) => {
             let report = match &options.against {
