--- a/crates/fleet/src/readings.rs
+++ b/crates/fleet/src/readings.rs
@@ -19,7 +19,7 @@
 /// How much younger than the last one a reading has to be for a node to send it at once; others
 /// wait until they are needed. Without a limit, the readings of 45 roots would cause some ten
 /// frames a second on each link.
-const MIN_GAIN: Duration = Duration::from_millis(400);
+const MIN_GAIN: Duration = Duration::from_millis(600);
 
 impl Node {
     /// Handles a watch's report that there was no further version at `at`.
