--- a/crates/fleet/tests/stale_tree.rs
+++ b/crates/fleet/tests/stale_tree.rs
@@ -193,6 +193,7 @@
     let before = world.platform.calls;
     world.run(S);
     let after = world.platform.calls - before;
+    println!("calls a second: {calls:?}, then {after}");
     assert!(
         after <= 300,
         "{after} calls in the first second, {calls:?} before"
