A claim of a lease ends with its outcome

A node that had lost its claim kept the root that it was to replace, and would have dialled it after any later grant.

--- a/crates/fleet/src/fallback_poll.rs
+++ b/crates/fleet/src/fallback_poll.rs
@@ -60,7 +60,7 @@
     /// Number of the confirmation that the last poll has requested.
     serial: Option<u64>,
     claim_not_before: Instant,
-    /// The root that a claim is to replace, while the leases are being read for it.
+    /// The root beside which this node claims a lease, from the read of the leases to the outcome.
     pub(crate) replaced_root: Option<SmolStr>,
 }
 
--- a/crates/fleet/src/root_duties.rs
+++ b/crates/fleet/src/root_duties.rs
@@ -33,10 +33,10 @@
             }
             return;
         }
-        if let Some(root) = self.fallback_poll.replaced_root.clone()
+        if let Some(root) = self.fallback_poll.replaced_root.take()
             && self.has_root()
         {
-            self.replace_root(now, &root);
+            self.replace_root(now, root);
             return;
         }
         let candidates = &self.candidates;
@@ -78,15 +78,15 @@
     /// Claims a lease, because `root`, from which this node has its path, doesn't read the platform.
     ///
     /// That root may stay one: it gets the readings of this node over the link between roots.
-    fn replace_root(&mut self, now: Instant, root: &str) {
+    fn replace_root(&mut self, now: Instant, root: SmolStr) {
         let zone = &self.settings.local.zone;
-        match self.lease.slot_beside(zone, root) {
-            Ok(slot) => self.request_lease(slot, true),
-            // The other root is not linked to this one, so it does not reach this node's tree.
-            Err(other) => {
-                self.fallback_poll.replaced_root = None;
-                self.change_parent(now, other.address);
+        match self.lease.slot_beside(zone, &root) {
+            Ok(slot) => {
+                self.fallback_poll.replaced_root = Some(root);
+                self.request_lease(slot, true);
             }
+            // The holder is not linked to that root, or its readings would reach this node.
+            Err(holder) => self.change_parent(now, holder.address),
         }
     }
 
@@ -191,6 +191,7 @@
     /// partitioned when the other node took it, and steps down. If this node only requested the
     /// lease, it backs off.
     pub(crate) fn on_lease_lost(&mut self, now: Instant, slot: u8) {
+        self.fallback_poll.replaced_root = None;
         if !self.lease.on_lost(slot) {
             if self.search.is_active() {
                 self.back_off_search(now);
@@ -216,9 +217,11 @@
         match request {
             PlatformRequest::AcquireLease { slot, .. } => {
                 self.lease.on_failed(slot);
+                self.fallback_poll.replaced_root = None;
                 self.search.retry_at(now);
             }
             PlatformRequest::Leases { .. } => {
+                self.fallback_poll.replaced_root = None;
                 let wait = self.jitter(SEARCH_DELAY_JITTER);
                 self.search.retry_at(now + wait);
             }
