Roots of different zones wait for each other before they read the platform

After a version all watches are new, so that for seconds no reading comes from one, and the primary roots of all zones read within the same 100 ms. Now the zones wait for each other in the order of their names, 120 ms each and three zones at most; the other roots of a zone wait as long as the last one.

--- a/crates/fleet/src/fallback_poll.rs
+++ b/crates/fleet/src/fallback_poll.rs
@@ -9,6 +9,7 @@
 //! nodes: the platform may be out for all.
 
 use crate::event::{Action, PlatformRequest};
+use crate::lease::PRIMARY_SLOT;
 use crate::node::Node;
 use rand::Rng;
 use smol_str::SmolStr;
@@ -18,14 +19,17 @@
 /// was written, and takes some 100 ms from the poll.
 const MAX_READING_AGE: Duration = Duration::from_millis(1_500);
 
-/// Age of a reading at which a root reads the platform, early enough for the nodes below it.
-const MAX_ROOT_READING_AGE: Duration = Duration::from_millis(1_100);
+/// Age of a reading at which the primary root of the first zone reads the platform, early enough for
+/// the nodes below it.
+const MAX_ROOT_READING_AGE: Duration = Duration::from_millis(1_050);
 
-/// Further age at which the zone's next root reads the platform.
-const ROOT_SLOT_DELAY: Duration = Duration::from_millis(100);
+/// Further age at which the primary root of the next zone reads it. After a change all watches are
+/// new, so that no reading comes for seconds, and the roots of all zones would read at once.
+const ZONE_DELAY: Duration = Duration::from_millis(120);
 
-/// Maximum random delay between the primary roots of different zones, so that one reads for all.
-const ROOT_JITTER: Duration = Duration::from_millis(100);
+/// Largest number of zones that a zone waits for, and the number that the other roots of a zone
+/// wait for.
+const MAX_ZONE_DELAYS: u32 = 3;
 
 /// Most first polls a second by the nodes of a zone that begin to poll together.
 const ZONE_POLL_RATE: u32 = 48;
@@ -57,6 +61,8 @@
     delay_share: f64,
     /// Number of nodes in this node's zone when a poll was last due.
     zone_nodes: u32,
+    /// Number of zones with roots whose names come before that of this node's zone.
+    pub(crate) zone_rank: u32,
     /// Number of the confirmation that the last poll has requested.
     serial: Option<u64>,
     claim_not_before: Instant,
@@ -74,6 +80,7 @@
             not_before: now,
             delay_share: rng.random(),
             zone_nodes: 0,
+            zone_rank: 0,
             serial: None,
             claim_not_before: now,
             replaced_root: None,
@@ -101,8 +108,9 @@
         let poll = &self.fallback_poll;
         let fresh_at = self.fresh_at().unwrap_or(poll.started_at);
         let age = if let Some(slot) = self.lease.slot() {
-            let jitter = ROOT_JITTER.mul_f64(poll.delay_share);
-            MAX_ROOT_READING_AGE + ROOT_SLOT_DELAY * u32::from(slot) + jitter
+            let is_primary = slot == PRIMARY_SLOT;
+            let rank = if is_primary { poll.zone_rank } else { u32::MAX };
+            MAX_ROOT_READING_AGE + ZONE_DELAY * rank.min(MAX_ZONE_DELAYS)
         } else {
             let spread = interval_at_rate(poll.zone_nodes, ZONE_POLL_RATE);
             MAX_READING_AGE + spread.mul_f64(poll.delay_share)
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -7,6 +7,7 @@
 
 use crate::event::{PlatformRequest, RootLease};
 use smol_str::SmolStr;
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 use wire::control::Peer;
 
@@ -14,7 +15,7 @@
 pub const ROOTS_PER_ZONE: u8 = 3;
 
 /// Slot of the root that reads the platform most often.
-const PRIMARY_SLOT: u8 = 0;
+pub(crate) const PRIMARY_SLOT: u8 = 0;
 
 /// Time after which a lease expires unless it is renewed.
 pub const LEASE_DURATION: Duration = Duration::from_secs(10);
@@ -294,6 +295,14 @@
         })
     }
 
+    /// Returns the number of zones with roots whose names come before `zone`.
+    pub(crate) fn zone_rank(&self, zone: &str) -> u32 {
+        let live = self.leases.iter().filter(|lease| lease.is_live);
+        let lower = live.map(|lease| lease.holder.zone.as_str());
+        let lower: BTreeSet<_> = lower.filter(|other| *other < zone).collect();
+        u32::try_from(lower.len()).unwrap_or(u32::MAX)
+    }
+
     /// Returns the slot that a node claims because the root `root` doesn't read the platform: one
     /// that is vacant, or else that of `root`.
     ///
--- a/crates/fleet/src/root_duties.rs
+++ b/crates/fleet/src/root_duties.rs
@@ -24,6 +24,7 @@
 
     pub(crate) fn on_leases(&mut self, now: Instant, leases: Vec<RootLease>) {
         self.lease.set_leases(leases);
+        self.fallback_poll.zone_rank = self.lease.zone_rank(&self.settings.local.zone);
         self.add_root_candidates(now);
         if self.lease.is_root() {
             self.link_to_roots(now);
