--- a/crates/fleet/src/freshness.rs
+++ b/crates/fleet/src/freshness.rs
@@ -12,7 +12,7 @@
 //! itself if need be. While a request is pending, further ones wait for the next, so that the
 //! number of reads of the platform depends on the number of zones and not on how many nodes start
 //! at once. A node whose parent does not reply asks the platform. A reading of the platform that
-//! reaches a node ([`crate::readings`]) is a confirmation that nobody has to request.
+//! reaches a node ([`crate::readings`]) is a confirmation without a request.
 //!
 //! No clocks are compared. A reply says how long before the *arrival* of the request the
 //! confirmation was made, and the requester counts that time back from the moment at which it
--- a/crates/fleet/tests/stale_tree.rs
+++ b/crates/fleet/tests/stale_tree.rs
@@ -187,6 +187,7 @@
     }
     // 15 zones may send 750 of the 2,000 reads a second that the platform takes.
     assert!(calls.iter().all(|calls| *calls <= 750), "{calls:?}");
+    // 15 zones may repeat 16 polls a second each; their 45 roots go on with their leases.
     let steady = calls[5..].iter().sum::<u64>() / 5;
     assert!(steady <= 300, "{calls:?}");
     world.restore_platform();
