--- a/crates/wire/src/hello.rs
+++ b/crates/wire/src/hello.rs
@@ -4,7 +4,7 @@
 use smol_str::SmolStr;
 
 /// Version of the protocol; peers with another version are refused.
-pub const PROTOCOL_VERSION: u16 = 9;
+pub const PROTOCOL_VERSION: u16 = 10;
 
 /// What a link is for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -258,5 +258,5 @@
     let (found, _) = decode::<Hello>(&buffer).unwrap().unwrap();
     assert_eq!(found.protocol, PROTOCOL_VERSION + 1);
     let error = Error::Protocol(found.protocol).to_string();
-    assert_eq!(error, "peer speaks protocol 10, this node speaks 9");
+    assert_eq!(error, "peer speaks protocol 11, this node speaks 10");
 }
