Idle connections to a backend server end when it announces

A booking sent after the idle time of the backend server's Keep-Alive met the close and was told that it may have run: idle connections were kept for 4 s whatever was announced.

--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -7,7 +7,7 @@
 use crate::forwarded_body::ForwardedBody;
 use bytes::Bytes;
 use clock::Clock;
-use http::{Request, Response};
+use http::{HeaderMap, HeaderName, Request, Response};
 use http_body::Body as _;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -23,12 +23,19 @@
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 
+/// Names the time after which the backend server closes an idle connection.
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
 /// How long a connection may be idle before it is closed.
 ///
 /// Servers close idle connections too; of the common servers, Node.js has the shortest timeout,
 /// 5 s. A request that is sent while the server closes the connection may or may not have run.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// How much earlier than announced by the backend server a connection counts as closed: a request may
+/// be on its way while the timeout passes, or the process may pause.
+const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(250);
+
 /// Maximum number of idle connections: over twice a backend server's usual 6 slots, and far
 /// below the 110 connections of a backend server.
 const MAX_IDLE_CONNECTIONS: usize = 16;
@@ -68,6 +75,8 @@
     sender: http1::SendRequest<ForwardedBody>,
     driver: http1::Connection<TokioIo<TcpStream>, ForwardedBody>,
     idle_since: Instant,
+    /// How long the connection may be idle, by the last response on it.
+    idle_timeout: Duration,
 }
 
 /// The body of a backend server's response.
@@ -100,7 +109,7 @@
         let mut idle = self.idle.lock();
         idle.retain(|connection| {
             connection.address == address
-                && now.saturating_duration_since(connection.idle_since) < IDLE_TIMEOUT
+                && now.saturating_duration_since(connection.idle_since) < connection.idle_timeout
         });
         idle.pop()
     }
@@ -142,7 +151,10 @@
                 continue;
             }
             match connection.exchange(request).await {
-                Ok(response) => return Ok(self.wrap_response(response, connection)),
+                Ok(response) => {
+                    connection.idle_timeout = read_idle_timeout(response.headers());
+                    return Ok(self.wrap_response(response, connection));
+                }
                 // The connection closed before any of the request was sent.
                 Err(Some(unsent)) if !is_new => request = unsent,
                 Err(Some(_)) => return Err(Error::Connect),
@@ -164,6 +176,7 @@
             sender,
             driver,
             idle_since: self.clock.now(),
+            idle_timeout: IDLE_TIMEOUT,
         }))
     }
 
@@ -187,6 +200,26 @@
     }
 }
 
+/// Returns how long the connection of a response may be idle before its next request.
+///
+/// The header `keep-alive` announces after how many seconds without a request the backend server
+/// closes the connection; of several values, the first valid one counts.
+fn read_idle_timeout(headers: &HeaderMap) -> Duration {
+    let values = headers.get_all(KEEP_ALIVE).iter();
+    let mut parameters = values
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','));
+    let announced = parameters.find_map(|parameter| {
+        let (name, value) = parameter.split_once('=')?;
+        let is_timeout = name.trim().eq_ignore_ascii_case("timeout");
+        is_timeout.then(|| value.trim().parse().ok())?
+    });
+    announced.map_or(IDLE_TIMEOUT, |seconds| {
+        let timeout = Duration::from_secs(seconds);
+        timeout.saturating_sub(KEEP_ALIVE_MARGIN).min(IDLE_TIMEOUT)
+    })
+}
+
 impl Connection {
     /// Polls the connection once and returns whether it is closed.
     async fn is_closed(&mut self) -> bool {
