--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod overload;
 pub mod overload_calls;
 pub mod path;
+pub(crate) mod pipelining_callers;
 pub mod process;
 pub mod proposer;
 pub mod relay;
--- a/crates/bench/src/soak.rs
+++ b/crates/bench/src/soak.rs
@@ -13,6 +13,7 @@
 use crate::faults_callers::{self, InvocationLog};
 use crate::faults_history::CheckResult;
 use crate::options;
+use crate::pipelining_callers;
 use crate::soak_plan::{Plan, PlanHeader};
 use crate::soak_runner::SoakRunner;
 use bpaf::{Parser, construct, long};
@@ -240,6 +241,12 @@
         move || !is_ending.load(Ordering::Relaxed) && (is_planned || Instant::now() < end)
     };
     let mut callers = faults_callers::spawn(seed, &addresses, keep_running.clone(), &log);
+    callers.extend(pipelining_callers::spawn(
+        seed,
+        &addresses,
+        &keep_running,
+        &log,
+    ));
     let mut runner = SoakRunner::new(seed, target);
     let ended = match &plan {
         Some(plan) => {
