--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -21,6 +21,7 @@
 mod status_report;
 mod table;
 mod team;
+mod team_usage;
 
 pub use error::Error;
 pub use exit::Exit;
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -113,6 +113,13 @@
         /// Name of the team.
         name: String,
     },
+    /// Shows how much of their limits teams use.
+    Usage {
+        /// Name of the team; all teams if absent.
+        name: Option<String>,
+        /// Time over which calls are counted.
+        span: Duration,
+    },
     /// Sets the limit on a team's calls.
     Limit {
         /// Name of the team.
@@ -170,6 +177,9 @@
 /// does not, the operator is better served by the report "not known yet" than by a longer wait.
 const DEFAULT_WAIT_S: u64 = 10;
 
+/// Default of `team usage --over`, in seconds: the default window of limits.
+const DEFAULT_USAGE_SPAN_S: u64 = 5;
+
 /// Default number of versions that `log` lists.
 const DEFAULT_LOG_LIMIT: u64 = 20;
 
@@ -396,6 +406,7 @@
     let action = construct!([
         parse_team_list(),
         parse_team_show(),
+        parse_team_usage(),
         parse_team_limit(),
         parse_team_key(),
     ]);
@@ -451,6 +462,22 @@
         .help("Shows a team")
 }
 
+fn parse_team_usage() -> impl Parser<Options> {
+    let span = parse_seconds("over", "Time over which calls are counted")
+        .fallback(Duration::from_secs(DEFAULT_USAGE_SPAN_S));
+    let name = parse_team_name().optional();
+    make_team_options(construct!(TeamAction::Usage { span, name }))
+        .to_options()
+        .descr("Shows the calls of teams beside their limits, as counted by the nodes")
+        .header(
+            "Reads the counts of the nodes that are asked twice; name every node to cover the \
+             whole fleet.",
+        )
+        .footer("Ends with 1 when a node that was asked did not answer.")
+        .command("usage")
+        .help("Shows how much of their limits teams use")
+}
+
 fn parse_team_limit() -> impl Parser<Options> {
     let per_minute = long("per-minute")
         .help("Calls a minute that the team may make, through all nodes together")
--- a/crates/cli/src/team.rs
+++ b/crates/cli/src/team.rs
@@ -10,6 +10,7 @@
 use crate::propose::propose_patch;
 use crate::session::{Session, to_json};
 use crate::table::render_table;
+use crate::team_usage::report_usage;
 use config::team::{KeyDigest, Limit};
 use config::{Change, Class, Patch};
 use serde::Serialize;
@@ -68,6 +69,9 @@
             print_reports(session, &[Report::new(name, team)]);
             return Ok(Exit::Done);
         }
+        TeamAction::Usage { name, span } => {
+            return report_usage(session, &teams, name.as_deref(), *span).await;
+        }
         TeamAction::Limit { name, limit } => (name, TeamChange::Limit(*limit)),
         TeamAction::AddKey { name, source, .. } => (name, TeamChange::Add(read_key(source)?)),
         TeamAction::RevokeKey { name, fingerprint } => (name, TeamChange::Revoke(fingerprint)),
--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -4,6 +4,7 @@
 
 use call::Verdict;
 use clock::System;
+use config::{Endpoint, Mesh, Team, Version, View};
 use node::metrics::Ending;
 use node::shared::Shared;
 use node::{listener, operate};
@@ -13,6 +14,7 @@
 use store::MemoryStore;
 use support::{Harness, run_program};
 use tokio::net::TcpListener;
+use wire::call::Reason;
 
 const TOKEN: &str = "0123456789abcdef";
 
@@ -164,3 +166,51 @@
     assert_eq!(json["services"][0]["availability"]["alert"], "page");
     assert_eq!(json["services"][0]["latency"]["alert"], "none");
 }
+
+/// Has the node count calls of `team` until the test ends.
+fn count_calls(node: &Node, team: &'static str) {
+    let mesh = Mesh {
+        teams: [(team.into(), Team::default())].into(),
+        ..Mesh::default()
+    };
+    let view = View::build(Version(1), &mesh, Vec::<Endpoint>::new());
+    node.shared.view.store(Arc::new(view));
+    let shared = Arc::downgrade(&node.shared);
+    tokio::spawn(async move {
+        while let Some(shared) = shared.upgrade() {
+            shared.team_usage.count_run(&team.into());
+            shared
+                .team_usage
+                .count_refused(&team.into(), Reason::OverLimit);
+            // A team that no configuration names.
+            shared.team_usage.count_run(&"strangers".into());
+            drop(shared);
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    });
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn team_usage() {
+    let harness = Harness::open(&MemoryStore::new()).await;
+    let file = harness.write("key", "s3cret");
+    harness.run(&["team", "key", "add", "fitters", "--file", &file]);
+    harness.run(&["team", "limit", "fitters", "--per-minute=600", "--burst=20"]);
+    let (one, two) = (Node::spawn("jobs-1").await, Node::spawn("jobs-2").await);
+    count_calls(&one, "fitters");
+    let (first, second) = (one.flag(), two.flag());
+    let arguments = ["team", "usage", "--over=1", &first, &second];
+    let shown = harness.run(&arguments);
+    assert_eq!(shown.code, 0, "{shown:?}");
+    let lines: Vec<_> = shown.output.lines().collect();
+    assert_eq!(lines.len(), 2, "{shown:?}");
+    assert!(lines[1].starts_with("fitters  10.0     20"), "{shown:?}");
+    assert!(lines[1].contains("over-limit"), "{shown:?}");
+    let report = harness.run(&[&arguments[..], &["--json"]].concat()).json();
+    let team = &report["teams"][0];
+    assert!(team["run"].as_f64().unwrap() > 10.0, "{report}");
+    assert!(team["nodes"]["jobs-1"]["refused"]["over-limit"].as_f64() > Some(10.0));
+    assert!(team["nodes"]["jobs-2"].is_null(), "{report}");
+    let unknown = harness.run(&["team", "usage", "clerks", &first]);
+    assert_eq!(unknown.code, 2, "{unknown:?}");
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -32,3 +32,4 @@
 pub mod shared;
 pub mod stop;
 pub mod team_limits;
+pub mod team_usage;
--- a/crates/node/src/operate.rs
+++ b/crates/node/src/operate.rs
@@ -1,7 +1,7 @@
 //! The listener for operators.
 //!
-//! `GET /metrics`, `/healthz`, `/readyz`, `/v1/status` and `/v1/burn` need no
-//! authorization. `POST /v1/drain` changes the node's state and requires the
+//! `GET /metrics`, `/healthz`, `/readyz`, `/v1/status`, `/v1/burn` and `/v1/teams`
+//! need no authorization. `POST /v1/drain` changes the node's state and requires the
 //! token.
 
 use crate::listener::{
@@ -16,7 +16,7 @@
 use http::{Method, Request, StatusCode, header};
 use hyper::body::Incoming;
 use log::{info, warn};
-use status::{Backend, Status};
+use status::{Backend, Status, TeamUsage};
 use std::io;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -73,7 +73,7 @@
     };
     let is_known = matches!(
         path,
-        "/metrics" | "/healthz" | "/readyz" | "/v1/status" | "/v1/burn" | "/v1/drain"
+        "/metrics" | "/healthz" | "/readyz" | "/v1/status" | "/v1/burn" | "/v1/teams" | "/v1/drain"
     );
     if is_known && *request.method() != expected {
         let message = format!("method not allowed; use {expected}");
@@ -88,6 +88,7 @@
         "/readyz" => respond_readiness(shared),
         "/v1/status" => json_response(StatusCode::OK, &read_status(shared)),
         "/v1/burn" => json_response(StatusCode::OK, &read_burn(shared)),
+        "/v1/teams" => json_response(StatusCode::OK, &read_team_usage(shared)),
         "/v1/drain" => drain(request, shared),
         _ => error_response(StatusCode::NOT_FOUND, "no such path"),
     }
@@ -246,3 +247,16 @@
         .and_then(|value| value.as_bytes().strip_prefix(b"Bearer "));
     given.is_some_and(|given| given.ct_eq(token.as_bytes()).into())
 }
+
+fn read_team_usage<C>(shared: &Shared<C>) -> TeamUsage
+where
+    C: Clock,
+{
+    let uptime = shared.metrics.elapsed(shared.clock.now());
+    TeamUsage {
+        node: shared.settings.name.clone(),
+        incarnation: shared.incarnation,
+        uptime_ms: u64::try_from(uptime.as_millis()).unwrap_or(u64::MAX),
+        teams: shared.team_usage.read(&shared.view.load()),
+    }
+}
--- a/crates/node/src/outbound/call_log.rs
+++ b/crates/node/src/outbound/call_log.rs
@@ -2,8 +2,10 @@
 
 use crate::inbound::run::Refused;
 use crate::outbound::Inner;
+use crate::outbound::access::Caller;
 use crate::outbound::plan::{Plan, caller_name, host_of, time_left};
 use crate::outbound::response::reason_name;
+use call::Verdict;
 use clock::Clock;
 use http::{StatusCode, request};
 use log::info;
@@ -76,7 +78,7 @@
     }
 }
 
-/// Logs the final refusal of a call that no backend server answered.
+/// Counts the final refusal of a call for its team, and logs it.
 pub(crate) fn log_refused_call<C>(
     inner: &Inner<C>,
     plan: &Plan,
@@ -87,6 +89,9 @@
     C: Clock,
 {
     let shared = &inner.shared;
+    if let (Caller::Team(team), Verdict::NotRun) = (&plan.team, refused.verdict) {
+        shared.team_usage.count_refused(&team.name, refused.reason);
+    }
     let now = shared.clock.now();
     let Some(left_out) = shared.log_limits.calls.admit(shared.metrics.elapsed(now)) else {
         return;
--- a/crates/node/src/outbound/serve.rs
+++ b/crates/node/src/outbound/serve.rs
@@ -208,8 +208,12 @@
         Some(key) => serve_keyed(inner, &plan, key, head, body).await,
         None => serve_plan(inner, &plan, &head, body).await,
     };
-    if let (Caller::Team(team), Ending::Refused(Verdict::NotRun)) = (&plan.team, served.ending) {
-        inner.shared.team_limits.give_back(&team.name);
+    if let Caller::Team(team) = &plan.team {
+        if served.ending == Ending::Refused(Verdict::NotRun) {
+            inner.shared.team_limits.give_back(&team.name);
+        } else {
+            inner.shared.team_usage.count_run(&team.name);
+        }
     }
     record.ending = served.ending;
     measurement.has_run = !matches!(
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -9,6 +9,7 @@
 use crate::rollout::Rollouts;
 use crate::stop;
 use crate::team_limits::TeamLimits;
+use crate::team_usage::TeamUsage;
 use arc_swap::ArcSwap;
 use clock::Clock;
 use config::View;
@@ -103,6 +104,8 @@
     pub quarantine: Quarantine,
     /// Limits on the calls of teams.
     pub team_limits: TeamLimits,
+    /// Calls of each team at this node.
+    pub team_usage: TeamUsage,
     /// Roll-outs known to this node.
     pub rollouts: Arc<Rollouts>,
     /// Metrics of the node.
@@ -201,6 +204,7 @@
             distribution: ArcSwap::default(),
             quarantine: Quarantine::default(),
             team_limits,
+            team_usage: TeamUsage::default(),
             rollouts,
             metrics,
             log_limits: LogLimits::default(),
--- a/crates/status/src/lib.rs
+++ b/crates/status/src/lib.rs
@@ -158,3 +158,25 @@
     #[serde(default)]
     pub distribution: Distribution,
 }
+
+/// Calls of one team at one node, since the node's process started.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TeamCalls {
+    /// Calls that ran, or may have run.
+    pub run: u64,
+    /// Calls that were refused and have not run, by reason.
+    pub refused: BTreeMap<SmolStr, u64>,
+}
+
+/// Calls of teams at one node.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TeamUsage {
+    /// Name of the node.
+    pub node: SmolStr,
+    /// Random number that identifies the process of the node.
+    pub incarnation: u64,
+    /// How long the process has run, in milliseconds.
+    pub uptime_ms: u64,
+    /// The teams that called the node and are in its configuration.
+    pub teams: BTreeMap<SmolStr, TeamCalls>,
+}
