Max-min shares between teams beside each backend server

One team that sends many times its usual made all others pay: fair shares knew callers and keys, and on the platform each attempt is a caller of its own. Calls without a team are treated as before.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -162,6 +162,9 @@
         (_, "not-run", "rate-limit") => format!(
             "the backend servers take no more calls: the one at {last_node} has named a rate limit"
         ),
+        (_, "not-run", "team-share") => format!(
+            "its team has used more than its share of the backend server at {last_node}, which others compete for"
+        ),
         (_, "not-run", "shed") => {
             format!(
                 "the backend server at {last_node} refused it for load, though its gate had let it in"
--- a/crates/node/src/inbound/load_probe.rs
+++ b/crates/node/src/inbound/load_probe.rs
@@ -51,6 +51,7 @@
         deadline: deadline_after(inner, probe.timeout_ms),
         target: probe.target_ms.map(|target| deadline_after(inner, target)),
         parent_class: probe.parent_class,
+        team: probe.team,
     };
     inner
         .gate
--- a/crates/node/src/inbound/run.rs
+++ b/crates/node/src/inbound/run.rs
@@ -491,6 +491,7 @@
         deadline,
         target,
         parent_class: request.parent_class,
+        team: request.team,
     }
 }
 
@@ -508,6 +509,7 @@
         admission::Reason::Full => Reason::Full,
         admission::Reason::Deadline => Reason::Deadline,
         admission::Reason::RateLimit => Reason::RateLimit,
+        admission::Reason::TeamShare => Reason::TeamShare,
     };
     let wait = whole_ms(refusal.retry_after);
     let refused = Refused::not_run(reason, wait.max(1));
--- a/crates/node/src/outbound/access.rs
+++ b/crates/node/src/outbound/access.rs
@@ -37,6 +37,14 @@
             Self::Team(team) => &team.name,
         }
     }
+
+    /// Returns the hash of the team's name, by which nodes tell teams apart.
+    pub(crate) fn hash(&self) -> Option<u64> {
+        match self {
+            Self::Anyone => None,
+            Self::Team(team) => Some(policy::hash(&team.name)),
+        }
+    }
 }
 
 /// Why a call is refused.
--- a/crates/node/src/outbound/pick.rs
+++ b/crates/node/src/outbound/pick.rs
@@ -155,6 +155,7 @@
         timeout_ms: whole_ms(time_left(inner, plan.deadline)),
         target_ms: plan.target.map(|target| whole_ms(time_left(inner, target))),
         known_report: inner.reports.find(&endpoint.node),
+        team: plan.team.hash(),
     };
     if endpoint.node == inner.shared.settings.name {
         return Some(inner.inbound.estimate(&request));
--- a/crates/node/src/outbound/response.rs
+++ b/crates/node/src/outbound/response.rs
@@ -244,5 +244,6 @@
         Reason::Unconfirmed => "unconfirmed",
         Reason::OverLimit => "over-limit",
         Reason::RateLimit => "rate-limit",
+        Reason::TeamShare => "team-share",
     }
 }
--- a/crates/node/src/outbound/send.rs
+++ b/crates/node/src/outbound/send.rs
@@ -42,6 +42,10 @@
 const MAX_CONNECT_WAIT: Duration = Duration::from_millis(150);
 
 /// The result of an attempt.
+#[expect(
+    clippy::large_enum_variant,
+    reason = "a result is moved once or twice, and a box would cost an allocation for each answer"
+)]
 pub(crate) enum AttemptResult<C>
 where
     C: Clock,
@@ -315,6 +319,7 @@
         digest: plan.digest,
         is_suspect: history.is_suspect,
         known_report: None,
+        team: plan.team.hash(),
     }
 }
 
--- a/crates/node/src/outbound/serve.rs
+++ b/crates/node/src/outbound/serve.rs
@@ -501,6 +501,7 @@
     match (refused.verdict, refused.reason) {
         (Verdict::NotRun, Reason::Leaving) => Cause::Leaving,
         (Verdict::NotRun, Reason::Full | Reason::Deadline | Reason::RateLimit) => Cause::Full,
+        (Verdict::NotRun, Reason::TeamShare) => Cause::TeamShare,
         (Verdict::NotRun, Reason::Shed) => Cause::Shed,
         (Verdict::NotRun, Reason::Unreached) => Cause::Unreached,
         (Verdict::NotRun, Reason::Held) => Cause::Held,
@@ -515,6 +516,6 @@
         Cause::Shed => Outcome::Shed,
         Cause::Unreached | Cause::Failed => Outcome::Failed,
         // The refusal says nothing about the backend server.
-        Cause::Held => Outcome::Cancelled,
+        Cause::Held | Cause::TeamShare => Outcome::Cancelled,
     }
 }
--- a/crates/node/tests/calls/load_probe.rs
+++ b/crates/node/tests/calls/load_probe.rs
@@ -21,6 +21,7 @@
         parent_class: None,
         timeout_ms: 2_000,
         known_report: None,
+        team: None,
         target_ms: None,
     };
     stream
--- a/crates/node/tests/calls/raw_peer.rs
+++ b/crates/node/tests/calls/raw_peer.rs
@@ -61,5 +61,6 @@
         digest: ::call::Digest::default(),
         is_suspect: false,
         known_report: None,
+        team: None,
     }
 }
--- a/crates/node/tests/program.rs
+++ b/crates/node/tests/program.rs
@@ -326,6 +326,7 @@
         digest: call::Digest::default(),
         is_suspect: false,
         known_report: None,
+        team: None,
     }
 }
 
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -23,6 +23,7 @@
 use crate::queue::{self, Entry, Queue, TIERS, Tier, tier_index};
 use crate::rate_limit::RateLimit;
 use crate::self_report::Rate;
+use crate::team_share::TeamShares;
 use crate::throughput::{DeferredWork, LaneRate, OfferedWork, SlotSpeed};
 use config::Class;
 use rand::Rng;
@@ -46,6 +47,8 @@
     /// Class of the parent call, if this call is nested: the parent holds a slot at another backend
     /// server until it has the answer to this call.
     pub parent_class: Option<Class>,
+    /// Team on whose behalf the call runs, as a [`crate::hash`] of its name, if it has one.
+    pub team: Option<u64>,
 }
 
 /// The right to run one call; must be handed back to [`Admission::finish`].
@@ -55,6 +58,7 @@
     tier: Tier,
     caller: Cells,
     key: Cells,
+    team: Option<queue::Team>,
     route: u64,
     long: bool,
     cost: f64,
@@ -72,6 +76,8 @@
     Deadline,
     /// The call can't start in time at the rate that the backend server has named.
     RateLimit,
+    /// The team of the call has used more than its share, and other teams compete for the rest.
+    TeamShare,
 }
 
 /// Refusal of a call, which has not run and will not.
@@ -156,6 +162,8 @@
     caller_usage: [fair_share::UsageSketch; TIERS.len()],
     /// Recent use of slots by calls about each key, per tier.
     key_usage: [fair_share::UsageSketch; TIERS.len()],
+    /// Work of the teams, per tier.
+    team_shares: [TeamShares; TIERS.len()],
     /// When each lane was last seen empty by an arriving call.
     last_empty_at: [Instant; queue::LANE_COUNT],
     /// Refused work of each tier, from which Retry-After is computed.
@@ -189,6 +197,7 @@
                 .map(|salt| fair_share::UsageSketch::new(now, seed.wrapping_add(salt))),
             key_usage: [7, 8, 9, 10, 11, 12]
                 .map(|salt| fair_share::UsageSketch::new(now, seed.wrapping_add(salt))),
+            team_shares: Default::default(),
             last_empty_at: [now; queue::LANE_COUNT],
             deferred_work: [DeferredWork::new(now); TIERS.len()],
             running: 0,
@@ -249,7 +258,7 @@
         let entry = self.record_entry(now, request);
         if self.can_run(now, request, &entry) {
             self.last_empty_at[queue::lane_index(entry.tier, entry.long)] = now;
-            self.charge(now, entry.tier, entry.caller, entry.key, entry.cost);
+            self.charge(now, &entry, entry.cost);
             return Decision::Run(self.start(now, &entry));
         }
         if let Some(reason) = self.refusal_reason(now, request, &entry) {
@@ -258,7 +267,7 @@
         let expires_at = now + duration_from_secs(max_queue_time(&entry));
         // Charged when the wait begins: otherwise a hot caller's burst would fill the queue before
         // any of it counts against the caller.
-        self.charge(now, entry.tier, entry.caller, entry.key, entry.cost);
+        self.charge(now, &entry, entry.cost);
         Decision::Wait(self.queue.push(Entry {
             start_by: entry.start_by.min(expires_at),
             ..entry
@@ -323,6 +332,9 @@
         ];
         let entry = self.make_entry(now, request, cells);
         self.offered_work.record(now, entry.cost);
+        if let Some(team) = entry.team {
+            self.team_shares[tier].record_offer(now, team.name, entry.cost);
+        }
         entry
     }
 
@@ -331,10 +343,27 @@
         let cost = self.durations.expected(request.route);
         let left = time_left(now, request);
         let [caller, key] = cells;
+        let tier = tier_of(now, request);
+        let team = request.team.map(|name| {
+            let (shares, rate) = (
+                &self.team_shares[tier_index(tier)],
+                self.tier_rate(now, tier, cost),
+            );
+            queue::Team {
+                name,
+                tier,
+                is_above_share: shares.is_above_level(now, name, cost, rate),
+            }
+        });
         let entry = Entry {
-            tier: tier_of(now, request),
+            tier: if team.is_some_and(|team| team.is_above_share) {
+                tier.above_share()
+            } else {
+                tier
+            },
             caller,
             key,
+            team,
             route: request.route,
             long: self.durations.is_long(request.route),
             cost,
@@ -383,6 +412,7 @@
             tier,
             caller,
             key,
+            team,
             route,
             long,
             cost,
@@ -402,7 +432,12 @@
         self.limit.record(now, running, outcome, slowdown);
         self.speed.finish(now, started, cost);
         // Replaces the expected duration, charged when the call was accepted, by the actual one.
-        self.charge(now, tier, caller, key, took.as_secs_f64() - cost);
+        let excess = took.as_secs_f64() - cost;
+        self.caller_usage[tier_index(tier)].charge(now, caller, excess);
+        self.key_usage[tier_index(tier)].charge(now, key, excess);
+        if let Some(team) = team {
+            self.team_shares[tier_index(team.tier)].charge(now, team.name, excess);
+        }
     }
 
     /// Returns the next waiting call that starts or is refused now. Call this after each
@@ -452,7 +487,7 @@
     where
         R: Rng,
     {
-        self.charge(now, entry.tier, entry.caller, entry.key, -entry.cost);
+        self.charge(now, entry, -entry.cost);
         Next::Refuse(key, self.refuse(now, entry, reason, rng))
     }
 
@@ -474,7 +509,7 @@
         let Some(entry) = self.queue.remove(key) else {
             return false;
         };
-        self.charge(now, entry.tier, entry.caller, entry.key, -entry.cost);
+        self.charge(now, &entry, -entry.cost);
         true
     }
 
@@ -518,6 +553,7 @@
             tier: entry.tier,
             caller: entry.caller,
             key: entry.key,
+            team: entry.team,
             route: entry.route,
             long: entry.long,
             cost: entry.cost,
@@ -598,14 +634,36 @@
         };
         let slack = entry.start_by.saturating_duration_since(now).as_secs_f64();
         let bound = if has_target { slack } else { bound };
-        let caller = self.caller_usage[tier].wait_factor(now, entry.caller, entry.cost);
         let key = self.key_usage[tier].wait_factor(now, entry.key, entry.cost);
+        // Callers compete within their team only: a caller of a large team may send more than all of
+        // a small one.
+        let is_within_share = entry.team.is_some_and(|team| !team.is_above_share);
+        let caller = if is_within_share {
+            1.0
+        } else {
+            self.caller_usage[tier].wait_factor(now, entry.caller, entry.cost)
+        };
         bound * caller.min(key)
     }
 
-    fn charge(&mut self, now: Instant, tier: Tier, caller: Cells, key: Cells, work: f64) {
-        self.caller_usage[tier_index(tier)].charge(now, caller, work);
-        self.key_usage[tier_index(tier)].charge(now, key, work);
+    /// Returns the slot-seconds per second that a tier gets, for calls of `cost`.
+    fn tier_rate(&self, now: Instant, tier: Tier, cost: f64) -> f64 {
+        let total = self.service_rate(now);
+        let rates = [false, true].map(|long| {
+            let min_rate = total * self.queue.min_share(tier, long);
+            let lane = queue::lane_index(tier, long);
+            self.lane_rates[lane].get(now, cost).max(min_rate)
+        });
+        rates.iter().sum::<f64>().min(total)
+    }
+
+    fn charge(&mut self, now: Instant, entry: &Entry, work: f64) {
+        let tier = tier_index(entry.tier);
+        self.caller_usage[tier].charge(now, entry.caller, work);
+        self.key_usage[tier].charge(now, entry.key, work);
+        if let Some(team) = entry.team {
+            self.team_shares[tier_index(team.tier)].charge(now, team.name, work);
+        }
     }
 
     /// Refuses a call, with a Retry-After from the measured service rate.
@@ -622,6 +680,18 @@
         } else {
             reason
         };
+        if let (Reason::Full, Some(team)) = (reason, entry.team)
+            && team.is_above_share
+        {
+            // The work of this team must not delay the return of callers of other teams.
+            let rate = self.tier_rate(now, team.tier, entry.cost);
+            let shares = &self.team_shares[tier_index(team.tier)];
+            let wait = shares.time_to_level(now, team.name, entry.cost, rate);
+            return Refusal {
+                reason: Reason::TeamShare,
+                retry_after: backoff::add_jitter(wait, rng),
+            };
+        }
         let rate = self.lane_rate(now, entry);
         let deferred = &mut self.deferred_work[tier_index(entry.tier)];
         let wait = deferred.add(now, entry.cost, rate);
--- a/crates/policy/src/body_scheduler.rs
+++ b/crates/policy/src/body_scheduler.rs
@@ -365,6 +365,7 @@
             tier,
             caller: Cells::default(),
             key: Cells::default(),
+            team: None,
             route: body_offer.call.route,
             long: false,
             cost,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -29,6 +29,7 @@
 //!     deadline: now + Duration::from_secs(1),
 //!     target: None,
 //!     parent_class: None,
+//!     team: None,
 //! };
 //! let Decision::Run(ticket) = admission.offer(now, &request, &mut rng) else {
 //!     panic!("an idle backend server admits the call");
@@ -61,6 +62,7 @@
 pub mod self_report;
 mod server;
 pub mod team_limit;
+pub mod team_share;
 mod throughput;
 
 /// Returns the 64-bit FNV-1a hash of the name of a caller, key or route.
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -27,15 +27,26 @@
     Nested,
     /// Calls, except commits, that a running refresh waits for.
     NestedRefresh,
-    /// Look-ups, and commits that are past their latency target.
+    /// Look-ups, and commits that are past their latency target or whose team has used more than its
+    /// share.
     Lookup,
     /// Refreshes.
     Refresh,
-    /// Look-ups and refreshes that are past their latency target.
+    /// Look-ups and refreshes that are past their latency target, or whose team has used more than
+    /// its share.
     Overdue,
 }
 
 impl Tier {
+    /// Returns the tier for a call of this tier whose team has used more than its share.
+    pub(crate) fn above_share(self) -> Self {
+        match self {
+            Self::Commit => Self::Lookup,
+            Self::Lookup | Self::Refresh | Self::Overdue => Self::Overdue,
+            Self::Nested | Self::NestedRefresh => self,
+        }
+    }
+
     /// Returns whether calls of the tier must start in time for their latency target; for calls of
     /// other tiers, a late answer is better than none.
     pub(crate) fn uses_target(self) -> bool {
@@ -86,6 +97,17 @@
     generation: u32,
 }
 
+/// The team of a call, and how the call counts for it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Team {
+    /// Name of the team, as a [`crate::hash`].
+    pub name: u64,
+    /// Tier in which the call counts for the team.
+    pub tier: Tier,
+    /// Whether the team has used more than its share of the tier.
+    pub is_above_share: bool,
+}
+
 /// A waiting call.
 #[derive(Debug, Clone, Copy)]
 pub struct Entry {
@@ -95,6 +117,8 @@
     pub caller: Cells,
     /// Cells of the call's key in the usage sketch.
     pub key: Cells,
+    /// Team of the call, if it has one.
+    pub team: Option<Team>,
     /// Route of the call, as a [`crate::hash`].
     pub route: u64,
     /// Whether the call is expected to take many times as long as the typical call.
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -36,6 +36,9 @@
     Failed,
     /// The request is quarantined because it crashes backend servers ([`crate::quarantine`]).
     Held,
+    /// The team of the call has used its share of the backend server ([`crate::team_share`]); its
+    /// share of the others is the same.
+    TeamShare,
 }
 
 impl Cause {
@@ -43,7 +46,10 @@
     /// arrival.
     #[must_use]
     pub fn may_have_arrived(self) -> bool {
-        !matches!(self, Self::Leaving | Self::Unreached | Self::Full)
+        !matches!(
+            self,
+            Self::Leaving | Self::Unreached | Self::Full | Self::TeamShare
+        )
     }
 }
 
@@ -196,7 +202,7 @@
         }
         let wait = match failed.cause {
             Cause::Leaving | Cause::Unreached | Cause::Full | Cause::Shed => Duration::ZERO,
-            Cause::Failed | Cause::Held => draw_backoff(failed.attempts, rng),
+            Cause::Failed | Cause::Held | Cause::TeamShare => draw_backoff(failed.attempts, rng),
         };
         if now + wait + failed.expected_duration > failed.deadline {
             return Decision::GiveUp(GiveUpReason::Deadline);
@@ -257,6 +263,7 @@
         // An attempt that is not admitted has cost no backend server any work.
         Cause::Full => failed.attempts >= MAX_ADMISSION_ATTEMPTS.max(failed.max_attempts),
         Cause::Shed | Cause::Failed | Cause::Held => failed.dispatched >= failed.max_attempts,
+        Cause::TeamShare => true,
     };
     if is_exhausted || !failed.has_alternative {
         return Some(GiveUpReason::Exhausted);
--- a/crates/policy/tests/body_scheduler.rs
+++ b/crates/policy/tests/body_scheduler.rs
@@ -215,6 +215,7 @@
             deadline: now + UPLOAD_TIMES.1,
             target: Some(now + UPLOAD_TIMES.0),
             parent_class: None,
+            team: None,
         },
         length,
         run: UPLOAD_RUN,
--- a/crates/policy/tests/first_calls.rs
+++ b/crates/policy/tests/first_calls.rs
@@ -33,6 +33,7 @@
             deadline: clock.now() + Duration::from_mins(1),
             target: None,
             parent_class: None,
+            team: None,
         };
         match admission.offer(clock.now(), &request, &mut rng) {
             Decision::Run(ticket) => tickets.push(ticket),
--- a/crates/policy/tests/load/main.rs
+++ b/crates/policy/tests/load/main.rs
@@ -1,6 +1,7 @@
 //! Load patterns simulated in virtual time and measured by what the callers receive.
 
 mod burst;
+mod competing_teams;
 mod gray_failure;
 mod herding;
 mod hot_caller;
--- a/crates/policy/tests/load/scenario.rs
+++ b/crates/policy/tests/load/scenario.rs
@@ -49,6 +49,8 @@
     /// Class of the parent calls, which run elsewhere and wait for these calls, if these are
     /// nested.
     pub parent_class: Option<Class>,
+    /// Team of the callers, if they have one.
+    pub team: Option<u64>,
 }
 
 impl Flow {
@@ -71,6 +73,7 @@
             timeout: 1.0,
             target: None,
             parent_class: None,
+            team: None,
         }
     }
 
--- a/crates/policy/tests/load/sim.rs
+++ b/crates/policy/tests/load/sim.rs
@@ -28,6 +28,17 @@
     Answered,
     Failed,
     Full,
+    /// The team of the call has used its share.
+    TeamShare,
+}
+
+impl AttemptResult {
+    fn of_refusal(reason: admission::Reason) -> Self {
+        match reason {
+            admission::Reason::TeamShare => Self::TeamShare,
+            _ => Self::Full,
+        }
+    }
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -462,6 +473,7 @@
             deadline: self.at(call.deadline),
             target,
             parent_class: flow.parent_class,
+            team: flow.team,
         }
     }
 
@@ -490,7 +502,7 @@
                 let wait = refusal.retry_after.as_secs_f64();
                 self.schedule(
                     self.now + NETWORK_DELAY,
-                    Event::Reply(attempt, AttemptResult::Full, wait),
+                    Event::Reply(attempt, AttemptResult::of_refusal(refusal.reason), wait),
                 );
             }
         }
@@ -546,7 +558,9 @@
         if let Some(ticket) = self.attempts[attempt].ticket.take() {
             let outcome = match result {
                 AttemptResult::Answered => limit::Outcome::Done,
-                AttemptResult::Failed | AttemptResult::Full => limit::Outcome::Failed,
+                AttemptResult::Failed | AttemptResult::Full | AttemptResult::TeamShare => {
+                    limit::Outcome::Failed
+                }
             };
             let admission = &mut self.inbound[server].admission;
             admission.finish(now, ticket, outcome);
@@ -574,7 +588,7 @@
                     let wait = refusal.retry_after.as_secs_f64();
                     self.schedule(
                         self.now + NETWORK_DELAY,
-                        Event::Reply(attempt, AttemptResult::Full, wait),
+                        Event::Reply(attempt, AttemptResult::of_refusal(refusal.reason), wait),
                     );
                 }
             }
@@ -619,6 +633,7 @@
                 AttemptResult::Failed if !is_open => balance::Outcome::Cancelled,
                 AttemptResult::Failed => balance::Outcome::Failed,
                 AttemptResult::Full => balance::Outcome::Full,
+                AttemptResult::TeamShare => balance::Outcome::Cancelled,
             };
             outbound
                 .balancer
@@ -718,6 +733,7 @@
         let route = policy::hash(&format!("route-{}", self.scenario.flows[flow].route));
         let (verdict, cause) = match result {
             AttemptResult::Full => (call::Verdict::NotRun, Cause::Full),
+            AttemptResult::TeamShare => (call::Verdict::NotRun, Cause::TeamShare),
             AttemptResult::Failed | AttemptResult::Answered => {
                 (call::Verdict::MayHaveRun, Cause::Failed)
             }
--- a/crates/policy/tests/rate_limit.rs
+++ b/crates/policy/tests/rate_limit.rs
@@ -76,6 +76,7 @@
             deadline: now + Duration::from_secs(2),
             target: None,
             parent_class: None,
+            team: None,
         };
         match self.admission.offer(now, &request, &mut self.rng) {
             Decision::Run(ticket) => self.start(ticket),
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -45,6 +45,8 @@
     pub is_suspect: bool,
     /// What the receiver's backend server last reported to the sender, if that restricts its calls.
     pub known_report: Option<ServerReport>,
+    /// Hash of the name of the team on whose behalf the call runs, if it has one.
+    pub team: Option<u64>,
 }
 
 /// What a backend server has reported about itself in its responses, if that restricts its calls.
@@ -112,6 +114,8 @@
     OverLimit,
     /// The call can't start in time at the rate that the backend server has named.
     RateLimit,
+    /// The team of the call has used more than its share of the backend server.
+    TeamShare,
 }
 
 /// The end of an attempt without a complete answer.
@@ -248,6 +252,8 @@
     pub target_ms: Option<u32>,
     /// What the receiver's backend server last reported to the sender, if that restricts its calls.
     pub known_report: Option<ServerReport>,
+    /// Hash of the name of the team on whose behalf the call would run, if it has one.
+    pub team: Option<u64>,
 }
 
 /// Reply to a load probe: what the inbound proxy expects of the call.
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -61,6 +61,7 @@
             digest: call::Digest::of(&timeout_ms.to_string(), "mesh", "/", &[]),
             is_suspect: end,
             known_report: None,
+            team: None,
         },
     )
 }
