Start pipelined calls side by side, behind [limits] pipelined_calls

hyper stays the only judge of framing: the stream gives it one head at a time, keeps what arrives while a request runs, and the calls of complete heads behind it start in tasks of their own. The response of an early call is used if hyper's parse of its request is equal.

--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -13,8 +13,12 @@
 //!    its side (RFC 9112, section 9.6). Closing a socket with unread bytes would reset the
 //!    connection, and a reset can destroy a response that the peer has not read yet.
 
+mod pipeline;
 mod stream;
 
+pub(crate) use crate::connection::pipeline::{Starter, Target};
+
+use crate::connection::pipeline::Pipeline;
 use crate::connection::stream::{Progress, Stream};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Version, header};
@@ -27,6 +31,7 @@
 use prometheus_client::metrics::counter::Counter;
 use std::convert::Infallible;
 use std::error::Error;
+use std::future::poll_fn;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
@@ -215,11 +220,12 @@
 
 /// Serves one connection until its peer closes it, it times out, or `closing` has started.
 ///
-/// `bad_requests` counts a connection that ends because of a malformed or incomplete request.
-pub(crate) async fn serve<H, F, B, A, S>(
+/// With a `starter`, calls may start before those ahead of them have been answered. `bad_requests` counts a connection that ends because of a malformed or incomplete request.
+pub(crate) async fn serve<H, F, B, E, A, S>(
     tcp: TcpStream,
     limits: Limits,
     handler: H,
+    starter: Option<E>,
     closing: Closing<A, S>,
     bad_requests: &Counter,
 ) where
@@ -227,6 +233,7 @@
     F: Future<Output = Response<B>>,
     B: Body + Unpin + 'static,
     B::Error: Error + Send + Sync + 'static,
+    E: Starter<B>,
     A: Fn() -> bool,
     S: Future<Output = ()>,
 {
@@ -235,17 +242,29 @@
     }
     let exchange = SharedExchange::default();
     let is_close_announced = &closing.is_announced;
+    let pipeline = &Pipeline::new(starter);
+    let handler = &handler;
     let service = service_fn(|request: Request<Incoming>| {
         let exchange = Arc::clone(&exchange);
         exchange.lock().phase = Phase::Running;
         let peer = PeerRequest::new(&request);
-        let response = handler(request.map(|body| RequestBody::new(body, &exchange)));
+        let early_call = pipeline.begin(&request);
+        let request = request.map(|body| RequestBody::new(body, &exchange));
         async move {
-            let mut response = response.await;
+            let early_response = match early_call {
+                Some(call) => call.await,
+                None => None,
+            };
+            let mut response = match early_response {
+                Some(response) => response,
+                None => handler(request).await,
+            };
+            // Early calls that are under way are answered before the connection closes.
+            let is_closing = is_close_announced() && pipeline.is_empty();
             let mut state = exchange.lock();
             // The HTTP server closes a connection whose request body is not read to its end.
             let is_body_abandoned = state.request_body == BodyProgress::Abandoned;
-            if is_close_announced() || state.closes_after_response || is_body_abandoned {
+            if is_closing || state.closes_after_response || is_body_abandoned {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
@@ -254,11 +273,23 @@
             Ok::<_, Infallible>(response.map(|body| ResponseBody { body, exchange }))
         }
     });
-    let stream = Stream::new(tcp, limits.write_timeout);
+    let mut stream = Stream::new(tcp, limits.write_timeout);
+    if let Some(ahead) = pipeline.read_ahead() {
+        stream.set_read_ahead(ahead, Arc::clone(&exchange));
+    }
     let progress = stream.progress();
-    let mut connection = build_server(limits).serve_connection(TokioIo::new(stream), &service);
-    let (result, was_idle) = run(&mut connection, &exchange, &progress, closing.started).await;
-    let mut socket = OpenSocket::new(result, connection.into_parts());
+    let mut connection = Server {
+        connection: build_server(limits).serve_connection(TokioIo::new(stream), &service),
+        pipeline,
+        exchange: &exchange,
+        progress,
+    };
+    let (result, was_idle) = run(&mut connection, closing.started).await;
+    if pipeline.cancel() {
+        // Requests that follow have run, and must not be told otherwise.
+        exchange.lock().is_last = true;
+    }
+    let mut socket = OpenSocket::new(result, connection.connection.into_parts());
     if was_idle && socket.take_arrived_request(&exchange.lock()) {
         exchange.lock().closes_after_response = true;
         let (result, parts) = serve_last(socket.stream, limits, &service).await;
@@ -270,19 +301,87 @@
     socket.close(&exchange).await;
 }
 
+/// The HTTP server of a connection, and the early calls behind the request that it is serving.
+struct Server<'a, S, E, C, B>
+where
+    S: HttpService<Incoming, ResBody = ResponseBody<B>>,
+{
+    connection: http1::Connection<TokioIo<Stream>, S>,
+    pipeline: &'a Pipeline<E, C>,
+    exchange: &'a Mutex<Exchange>,
+    progress: Progress,
+}
+
+impl<S, E, C, B> Server<'_, S, E, C, B>
+where
+    S: HttpService<Incoming, ResBody = ResponseBody<B>>,
+{
+    /// Returns whether the HTTP server can be given the next head that was read ahead.
+    fn can_go_on(&self) -> bool {
+        let phase = self.exchange.lock().phase;
+        phase == Phase::Answered && self.progress.is_flushed()
+    }
+
+    /// Serves the connection until no early call waits. Returns the result if the connection ends
+    /// before.
+    async fn answer_early_calls(&mut self) -> Option<Result<(), hyper::Error>>
+    where
+        S::Error: Error + Send + Sync + 'static,
+        B: Body + Unpin + 'static,
+        B::Error: Error + Send + Sync + 'static,
+        E: Starter<B, Call = C>,
+    {
+        poll_fn(|cx| {
+            let polled = Pin::new(&mut *self).poll(cx).map(Some);
+            if polled.is_pending() && self.pipeline.is_empty() {
+                return Poll::Ready(None);
+            }
+            polled
+        })
+        .await
+    }
+}
+
+impl<S, E, C, B> Future for Server<'_, S, E, C, B>
+where
+    S: HttpService<Incoming, ResBody = ResponseBody<B>>,
+    S::Error: Error + Send + Sync + 'static,
+    B: Body + Unpin + 'static,
+    B::Error: Error + Send + Sync + 'static,
+    E: Starter<B, Call = C>,
+{
+    type Output = Result<(), hyper::Error>;
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Self::Output> {
+        let mut last_taken = None;
+        loop {
+            let polled = Pin::new(&mut self.connection).poll(cx);
+            if polled.is_ready() {
+                return polled;
+            }
+            self.pipeline.start_calls(self.exchange);
+            // The HTTP server waits for the socket, although the next head has been read from it.
+            let taken = self.pipeline.bytes_taken();
+            if taken == last_taken || !self.can_go_on() {
+                return Poll::Pending;
+            }
+            last_taken = taken;
+        }
+    }
+}
+
 /// Runs the HTTP server of a connection until it ends, or until the connection is to be closed and
 /// no request is running. Returns the result, and whether the connection was idle.
-async fn run<S, B, F>(
-    connection: &mut http1::Connection<TokioIo<Stream>, S>,
-    exchange: &Mutex<Exchange>,
-    progress: &Progress,
+async fn run<S, E, C, B, F>(
+    connection: &mut Server<'_, S, E, C, B>,
     close_started: F,
 ) -> (Result<(), hyper::Error>, bool)
 where
-    S: HttpService<Incoming, ResBody = B>,
+    S: HttpService<Incoming, ResBody = ResponseBody<B>>,
     S::Error: Error + Send + Sync + 'static,
-    B: Body + 'static,
+    B: Body + Unpin + 'static,
     B::Error: Error + Send + Sync + 'static,
+    E: Starter<B, Call = C>,
     F: Future<Output = ()>,
 {
     let mut ended = tokio::select! {
@@ -291,22 +390,25 @@
         () = close_started => None,
     };
     // The first request of a connection that was just accepted is usually already on the way.
-    if ended.is_none() && exchange.lock().phase == Phase::New {
+    if ended.is_none() && connection.exchange.lock().phase == Phase::New {
         let first = tokio::time::timeout(CLOSE_TIMEOUT, &mut *connection);
         ended = first.await.ok();
     }
+    if ended.is_none() && !connection.pipeline.is_empty() {
+        ended = connection.answer_early_calls().await;
+    }
     if let Some(result) = ended {
         // The timer runs only while the HTTP server waits for a request head.
         let is_idle_timeout = result.as_ref().is_err_and(hyper::Error::is_timeout);
         return (result, is_idle_timeout);
     }
-    let phase = exchange.lock().phase;
+    let phase = connection.exchange.lock().phase;
     if phase == Phase::New {
         // The HTTP server would wait for the rest of a first head.
         return (Ok(()), true);
     }
-    let is_idle = phase == Phase::Answered && progress.is_flushed();
-    Pin::new(&mut *connection).graceful_shutdown();
+    let is_idle = phase == Phase::Answered && connection.progress.is_flushed();
+    Pin::new(&mut connection.connection).graceful_shutdown();
     (connection.await, is_idle)
 }
 
@@ -381,7 +483,7 @@
 impl OpenSocket {
     fn new<S>(result: Result<(), hyper::Error>, parts: http1::Parts<TokioIo<Stream>, S>) -> Self {
         let mut stream = parts.io.into_inner();
-        let has_unhandled_bytes = !parts.read_buf.is_empty();
+        let has_unhandled_bytes = !parts.read_buf.is_empty() || stream.has_read_ahead();
         stream.put_back(parts.read_buf);
         Self {
             stream,
--- a/crates/node/src/connection/stream.rs
+++ b/crates/node/src/connection/stream.rs
@@ -1,6 +1,9 @@
 //! The socket of a connection, with what must be known of it for its close.
 
+use crate::connection::pipeline::{MAX_AHEAD_BYTES, ReadAhead, SharedReadAhead, find_head_end};
+use crate::connection::{BodyProgress, Phase, SharedExchange};
 use bytes::{Buf, Bytes, BytesMut};
+use parking_lot::Mutex;
 use socket2::SockRef;
 use std::io::{self, IoSlice, Read};
 use std::pin::Pin;
@@ -37,11 +40,15 @@
     }
 }
 
-/// A TCP stream that can take back bytes that were read from it.
+/// A TCP stream that can take back bytes that were read from it, and can read ahead of the HTTP
+/// server.
 #[derive(Debug)]
 pub(super) struct Stream {
     tcp: Pin<Box<TimeoutStream<TcpStream>>>,
     returned: Bytes,
+    /// Bytes read ahead, and the exchange that tells what the HTTP server reads; `None` if it reads
+    /// the socket itself.
+    ahead: Option<(SharedReadAhead, SharedExchange)>,
     progress: Progress,
 }
 
@@ -52,10 +59,22 @@
         Self {
             tcp: Box::pin(tcp),
             returned: Bytes::new(),
+            ahead: None,
             progress: Progress::default(),
         }
     }
 
+    /// Reads ahead of the HTTP server while it waits for a response.
+    pub(super) fn set_read_ahead(&mut self, ahead: SharedReadAhead, exchange: SharedExchange) {
+        self.ahead = Some((ahead, exchange));
+    }
+
+    /// Returns whether bytes have been read that the HTTP server has not been given.
+    pub(super) fn has_read_ahead(&self) -> bool {
+        let ahead = self.ahead.as_ref();
+        ahead.is_some_and(|(ahead, _)| !ahead.lock().is_empty())
+    }
+
     pub(super) fn progress(&self) -> Progress {
         self.progress.clone()
     }
@@ -70,6 +89,9 @@
     /// The socket is read directly: the runtime learns of bytes in its buffer only when it polls
     /// for events.
     pub(super) fn take_arrived(&mut self) -> bool {
+        if self.has_read_ahead() {
+            return true;
+        }
         if self.returned.is_empty() {
             let mut buffer = BytesMut::zeroed(CLOSE_BUFFER_BYTES);
             let socket = SockRef::from(self.tcp.get_ref());
@@ -107,6 +129,66 @@
     }
 }
 
+impl Stream {
+    fn poll_socket(&mut self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        ready!(self.tcp.as_mut().poll_read(cx, buf))?;
+        if buf.filled().len() == before && buf.remaining() > 0 {
+            self.set_peer_closed();
+        }
+        Poll::Ready(Ok(()))
+    }
+
+    /// Reads a request head. What arrives behind it is kept.
+    fn poll_head(
+        &mut self,
+        ahead: &Mutex<ReadAhead>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if !ahead.lock().is_empty() {
+            // The responses to requests that follow would wait in memory without bound.
+            if !self.progress.is_flushed() {
+                return Poll::Pending;
+            }
+            ahead.lock().take_head(buf);
+            return Poll::Ready(Ok(()));
+        }
+        let before = buf.filled().len();
+        ready!(self.poll_socket(cx, buf))?;
+        let arrived = &buf.filled()[before..];
+        if let Some(length) = find_head_end(arrived)
+            && length < arrived.len()
+        {
+            ahead.lock().keep(&arrived[length..]);
+            buf.set_filled(before + length);
+        }
+        Poll::Ready(Ok(()))
+    }
+
+    /// Keeps what arrives while the HTTP server waits for a response. Completes only when the peer
+    /// has closed its side or the connection has failed.
+    fn poll_end(
+        &mut self,
+        ahead: &Mutex<ReadAhead>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        ahead.lock().set_at_boundary();
+        while ahead.lock().len() < MAX_AHEAD_BYTES {
+            ready!(self.poll_socket(cx, buf))?;
+            let arrived = &buf.filled()[before..];
+            if arrived.is_empty() {
+                return Poll::Ready(Ok(()));
+            }
+            ahead.lock().keep(arrived);
+            buf.set_filled(before);
+        }
+        Poll::Pending
+    }
+}
+
 impl AsyncRead for Stream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -119,12 +201,22 @@
             self.returned.advance(length);
             return Poll::Ready(Ok(()));
         }
-        let before = buf.filled().len();
-        ready!(self.tcp.as_mut().poll_read(cx, buf))?;
-        if buf.filled().len() == before && buf.remaining() > 0 {
-            self.set_peer_closed();
+        let Some((ahead, exchange)) = self.ahead.clone() else {
+            return self.poll_socket(cx, buf);
+        };
+        let (phase, request_body) = {
+            let exchange = exchange.lock();
+            (exchange.phase, exchange.request_body)
+        };
+        match (phase, request_body) {
+            (Phase::Running, BodyProgress::Complete) => self.poll_end(&ahead, cx, buf),
+            (Phase::Running, _) if !ahead.lock().is_empty() => {
+                ahead.lock().take_all(buf);
+                Poll::Ready(Ok(()))
+            }
+            (Phase::Running, _) => self.poll_socket(cx, buf),
+            (Phase::New | Phase::Answered, _) => self.poll_head(&ahead, cx, buf),
         }
-        Poll::Ready(Ok(()))
     }
 }
 
--- a/crates/node/src/header.rs
+++ b/crates/node/src/header.rs
@@ -5,6 +5,9 @@
 use smol_str::SmolStr;
 use wire::call::Header;
 
+/// Header that identifies a request across its repeats (IETF draft `idempotency-key-header`).
+pub(crate) const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
 /// Headers that apply to a single connection and are not forwarded (RFC 9110, section 7.6.1).
 const HOP_BY_HOP: [HeaderName; 6] = [
     header::CONNECTION,
--- a/crates/node/src/listener.rs
+++ b/crates/node/src/listener.rs
@@ -177,7 +177,7 @@
         started: wait_stop(&mut stopped),
     };
     let handler = |request: Request<RequestBody>| handler(request.map(RequestBody::into_untracked));
-    connection::serve(tcp, limits, handler, closing, bad_requests).await;
+    connection::serve(tcp, limits, handler, None::<()>, closing, bad_requests).await;
 }
 
 async fn wait_stop(stopping: &mut watch::Receiver<bool>) {
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -7,6 +7,7 @@
 pub(crate) mod access;
 pub(crate) mod control;
 pub(crate) mod failures;
+pub(crate) mod pipeline;
 pub(crate) mod quarantine;
 pub(crate) mod reserve;
 pub(crate) mod retries;
@@ -16,6 +17,7 @@
 pub use crate::metrics::access::AccessMetrics;
 pub use crate::metrics::control::ControlMetrics;
 pub use crate::metrics::failures::FailureMetrics;
+pub use crate::metrics::pipeline::PipelineMetrics;
 pub use crate::metrics::quarantine::QuarantineMetrics;
 pub use crate::metrics::reserve::ReserveMetrics;
 pub use crate::metrics::self_report::SelfReportMetrics;
@@ -133,6 +135,8 @@
     pub reserve: ReserveMetrics,
     /// Counters of calls with keys.
     pub access: AccessMetrics,
+    /// Counters of calls that start early on their connection.
+    pub pipeline: PipelineMetrics,
     /// Metrics of requests that crash backend servers.
     pub quarantine: QuarantineMetrics,
     /// Metrics of what the local backend server reports about itself.
@@ -159,6 +163,7 @@
             reserve: ReserveMetrics::default(),
             retries: RetryFamilies::default(),
             access: AccessMetrics::default(),
+            pipeline: PipelineMetrics::default(),
             quarantine: QuarantineMetrics::default(),
             self_report: SelfReportMetrics::default(),
             gauges: Gauges::default(),
@@ -187,6 +192,7 @@
         self.reserve.register(&mut self.registry);
         self.retries.register(&mut self.registry);
         self.access.register(&mut self.registry);
+        self.pipeline.register(&mut self.registry);
         self.quarantine.register(&mut self.registry);
         self.self_report.register(&mut self.registry);
     }
--- a/crates/node/src/outbound.rs
+++ b/crates/node/src/outbound.rs
@@ -8,6 +8,7 @@
 pub(crate) mod link;
 pub(crate) mod peer;
 pub(crate) mod pick;
+pub(crate) mod pipeline;
 pub(crate) mod plan;
 pub(crate) mod remote_attempt;
 pub(crate) mod reports;
@@ -20,9 +21,10 @@
 
 use crate::accept;
 use crate::call_length::Lengths;
-use crate::connection::{self, Closing};
+use crate::connection::{self, Closing, RequestBody};
 use crate::inbound;
 use crate::outbound::link::LinkPool;
+use crate::outbound::pipeline::{EarlyCalls, Starter};
 use crate::outbound::reports::ServerReports;
 use crate::outbound::response::{Body, RETRY_AFTER_HEADER};
 use crate::outbound::service::{Locality, ServiceClients};
@@ -30,10 +32,11 @@
 use crate::shared::{CountGuard, Shared};
 use clock::Clock;
 use config::{ServiceKey, Version};
+use http::{Request, Response};
 use rand::Rng;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
@@ -100,6 +103,7 @@
     pub(crate) reserve: reserve::Handle<C>,
     /// Lengths of callers' calls.
     pub(crate) lengths: Arc<Lengths<C>>,
+    early_calls: EarlyCalls,
     connection_permits: Arc<Semaphore>,
     /// One permit per running call with an idempotency key, whether its caller is still connected or not.
     keyed_permits: Arc<Semaphore>,
@@ -237,6 +241,7 @@
         region: shared.settings.region.clone(),
     };
     let services = ServiceClients::new(&shared.settings);
+    let early_calls = EarlyCalls::new(&shared.settings);
     let reports = Arc::<ServerReports>::default();
     let inner = Arc::new(Inner {
         lengths: Arc::new(Lengths::new(shared.clock.clone())),
@@ -247,6 +252,7 @@
         links: LinkPool::spawn(hello, Arc::clone(&reports)),
         reports,
         reserve,
+        early_calls,
         connection_permits: Arc::new(Semaphore::new(connections)),
         keyed_permits: Arc::new(Semaphore::new(connections)),
         stage: watch::Sender::new(ShutdownStage::Serving),
@@ -388,22 +394,34 @@
         write_timeout: Some(CALLER_WRITE_TIMEOUT),
     };
     let mut stage = inner.stage.subscribe();
-    let handler = |request| {
+    let handler = |request: Request<RequestBody>| {
         let inner = Arc::clone(&inner);
-        async move {
-            let mut response = serve::serve(&inner, request, peer.ip()).await;
-            if inner.shared.uses_platform_interface() {
-                set_platform_retry_after(&mut response);
-            }
-            response
-        }
+        async move { respond(&inner, request.map(Some), peer.ip(), &Arc::default()).await }
     };
+    let starter = Starter::new(&inner, peer.ip());
     let closing = Closing {
         is_announced: || *inner.stage.borrow() >= ShutdownStage::LameDuck,
         started: wait_for_closing(&mut stage),
     };
     let bad_requests = inner.shared.metrics.bad_requests(LISTENER);
-    connection::serve(tcp, limits, handler, closing, &bad_requests).await;
+    connection::serve(tcp, limits, handler, starter, closing, &bad_requests).await;
+}
+
+/// Serves one call, and completes the response for the caller's interface.
+async fn respond<C>(
+    inner: &Arc<Inner<C>>,
+    request: Request<Option<RequestBody>>,
+    peer: IpAddr,
+    is_dispatched: &Arc<AtomicBool>,
+) -> Response<Body<C>>
+where
+    C: Clock,
+{
+    let mut response = serve::serve(inner, request, peer, is_dispatched).await;
+    if inner.shared.uses_platform_interface() {
+        set_platform_retry_after(&mut response);
+    }
+    response
 }
 
 async fn wait_for_closing(stage: &mut watch::Receiver<ShutdownStage>) {
@@ -416,7 +434,7 @@
 }
 
 /// Adds the platform's retry-after header, which has a resolution below one second.
-fn set_platform_retry_after<C>(response: &mut http::Response<Body<C>>)
+fn set_platform_retry_after<C>(response: &mut Response<Body<C>>)
 where
     C: Clock,
 {
--- a/crates/node/src/outbound/plan.rs
+++ b/crates/node/src/outbound/plan.rs
@@ -1,6 +1,7 @@
 //! What is known of a call before its first attempt: route settings, deadline, target and identity.
 
 use crate::connection;
+use crate::header::IDEMPOTENCY_KEY;
 use crate::inbound::run::TIMEOUT_HEADER;
 use crate::metrics::retries::Payment;
 use crate::outbound::access::{self, Denial};
@@ -14,9 +15,10 @@
 use clock::Clock;
 use config::rollout::kind_of;
 use config::{Class, Objective, Repeat, Retry, RouteEntry, View};
-use http::{HeaderMap, Method, header, request};
+use http::{HeaderMap, HeaderValue, Method, Uri, header, request};
 use http_body::Body as _;
 use http_body_util::BodyExt;
+use policy::pipeline::Kind;
 use policy::retry;
 use smol_str::SmolStr;
 use std::net::IpAddr;
@@ -32,9 +34,6 @@
 /// of the request for which it makes a nested call.
 const PARENT_HEADER: &str = "bluebellpick-parent";
 
-/// Header that identifies a request across its repeats (IETF draft `idempotency-key-header`).
-const KEY_HEADER: &str = "idempotency-key";
-
 /// Longest timeout of a call. The inbound proxy remembers a peer's links for longer than this.
 const MAX_TIMEOUT: Duration = Duration::from_mins(5);
 
@@ -213,11 +212,24 @@
 
 /// Returns the host that a request is for; empty when it names none.
 pub(crate) fn host_of(head: &request::Parts) -> &str {
-    let host_header = || head.headers.get(header::HOST)?.to_str().ok();
-    let authority = head.uri.authority().map(http::uri::Authority::as_str);
+    host_from(&head.uri, head.headers.get(header::HOST))
+}
+
+fn host_from<'a>(uri: &'a Uri, header: Option<&'a HeaderValue>) -> &'a str {
+    let host_header = || header?.to_str().ok();
+    let authority = uri.authority().map(http::uri::Authority::as_str);
     authority.or_else(host_header).unwrap_or_default()
 }
 
+/// Returns the kind of requests for `target` that have no body.
+pub(crate) fn kind_of_target(view: &View, target: &connection::Target) -> Kind {
+    let host = host_from(&target.uri, target.host.as_ref());
+    match view.find_route(host, target.uri.path()) {
+        Some(route) if is_repeatable(view.route(route).repeat, &target.method) => Kind::Overlapping,
+        _ => Kind::Alone,
+    }
+}
+
 /// Computes the digest that identifies a request across its repeats, from its head and the start of its body.
 pub(crate) fn digest_of(
     plan: &Plan,
@@ -265,7 +277,7 @@
 }
 
 fn key_of(headers: &HeaderMap, service: &str) -> Option<Key> {
-    let value = headers.get(KEY_HEADER)?.to_str().ok()?;
+    let value = headers.get(IDEMPOTENCY_KEY)?.to_str().ok()?;
     Some(Key::of(service, value))
 }
 
@@ -281,8 +293,11 @@
 /// A call with a short body can then be retried, and if a caller disconnects while it sends a short
 /// body, its call never reaches a backend server.
 pub(crate) async fn read_body_start(
-    mut body: connection::RequestBody,
+    body: Option<connection::RequestBody>,
 ) -> Result<remote_attempt::RequestBody, hyper::Error> {
+    let Some(mut body) = body else {
+        return Ok(remote_attempt::RequestBody::default());
+    };
     let mut prefix = Bytes::new();
     while !body.is_end_stream() {
         if prefix.len() >= INITIAL_WINDOW {
--- a/crates/node/src/outbound/response.rs
+++ b/crates/node/src/outbound/response.rs
@@ -56,6 +56,8 @@
     Local(Local<C>),
     /// A body with which the call ends.
     Measured(Measured<C>),
+    /// A body whose rest is unavailable.
+    Truncated,
 }
 
 /// The body of a response, with the measurement of its call.
@@ -112,6 +114,7 @@
                 None => Pin::new(&mut **rest).poll_frame(cx),
             },
             Self::Measured(Measured { body, .. }) => Pin::new(&mut **body).poll_frame(cx),
+            Self::Truncated => Poll::Ready(Some(Err(Error::Truncated))),
             Self::Remote(Remote(attempt)) => attempt.poll_chunk(cx).map(|chunk| {
                 chunk.map(|result| result.map(Frame::data).map_err(|_refusal| Error::Truncated))
             }),
@@ -129,6 +132,7 @@
             Self::Full(bytes) => bytes.is_none(),
             Self::Prefixed(first, rest) => first.is_none() && rest.is_end_stream(),
             Self::Measured(Measured { body, .. }) => body.is_end_stream(),
+            Self::Truncated => false,
             Self::Remote(Remote(attempt)) => attempt.is_end(),
             Self::Local(Local(response)) => response.is_end(),
         }
@@ -138,7 +142,9 @@
         match self {
             Self::Full(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
             Self::Measured(Measured { body, .. }) => body.size_hint(),
-            Self::Prefixed(..) | Self::Remote(_) | Self::Local(_) => SizeHint::default(),
+            Self::Prefixed(..) | Self::Remote(_) | Self::Local(_) | Self::Truncated => {
+                SizeHint::default()
+            }
         }
     }
 }
--- a/crates/node/src/outbound/serve.rs
+++ b/crates/node/src/outbound/serve.rs
@@ -109,18 +109,19 @@
 /// Serves one call and returns the response for the caller.
 ///
 /// When the calls of a stopping node have to end, the caller is told whether the call may have run.
+/// `is_dispatched` is set while an attempt may have run or may run yet.
 pub(crate) async fn serve<C>(
     inner: &Arc<Inner<C>>,
-    request: Request<RequestBody>,
+    request: Request<Option<RequestBody>>,
     peer: IpAddr,
+    is_dispatched: &Arc<AtomicBool>,
 ) -> Response<Body<C>>
 where
     C: Clock,
 {
-    let is_dispatched = Arc::<AtomicBool>::default();
     tokio::select! {
         biased;
-        response = serve_to_end(inner, request, peer, &is_dispatched) => response,
+        response = serve_to_end(inner, request, peer, is_dispatched) => response,
         () = inner.shared.call_end.reached(&inner.shared.clock) => {
             if is_dispatched.load(Ordering::Relaxed) {
                 inner.shared.call_end.count_cut_off();
@@ -146,7 +147,7 @@
 
 async fn serve_to_end<C>(
     inner: &Arc<Inner<C>>,
-    request: Request<RequestBody>,
+    request: Request<Option<RequestBody>>,
     peer: IpAddr,
     is_dispatched: &Arc<AtomicBool>,
 ) -> Response<Body<C>>
--- a/crates/node/tests/calls/main.rs
+++ b/crates/node/tests/calls/main.rs
@@ -10,6 +10,7 @@
 mod load_probe;
 mod mesh;
 mod misbehaving_peer;
+mod pipeline;
 mod quarantine;
 mod raw_peer;
 mod retry_budget;
--- a/crates/policy/src/pipeline.rs
+++ b/crates/policy/src/pipeline.rs
@@ -31,6 +31,17 @@
     pub total: usize,
 }
 
+/// Position of a request on its connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Position {
+    /// Kind of the request before it.
+    pub before: Kind,
+    /// Kind of the request.
+    pub kind: Kind,
+    /// Early calls of the connection.
+    pub own: usize,
+}
+
 /// Whether the next request of a connection starts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Decision {
@@ -58,12 +69,13 @@
     }
 }
 
-/// Decides whether a request starts while those before it are running, the last of which is of the
-/// kind `before`.
+/// Decides whether the request at `position` starts while the process has `all` early calls.
 #[must_use]
-pub fn decide(limits: Limits, before: Kind, next: Kind, own: usize, all: usize) -> Decision {
-    match (before, next) {
-        (Kind::Overlapping, Kind::Overlapping) if limits.admit(own, all) => Decision::Start,
+pub fn decide(limits: Limits, position: Position, all: usize) -> Decision {
+    match (position.before, position.kind) {
+        (Kind::Overlapping, Kind::Overlapping) if limits.admit(position.own, all) => {
+            Decision::Start
+        }
         (Kind::Overlapping, Kind::Overlapping) => Decision::Wait,
         _ => Decision::InTurn,
     }
--- a/crates/policy/tests/pipeline.rs
+++ b/crates/policy/tests/pipeline.rs
@@ -1,6 +1,6 @@
 //! Early calls on many connections, in virtual time.
 
-use policy::pipeline::{Decision, Kind, Limits, decide};
+use policy::pipeline::{Decision, Kind, Limits, Position, decide};
 use rand::rngs::SmallRng;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
@@ -48,8 +48,12 @@
         };
         first.1.get_or_insert_with(&mut work);
         for index in self.early() + 1..self.requests.len() {
-            let (before, next) = (self.requests[index - 1].0, self.requests[index].0);
-            if decide(limits, before, next, self.early(), all) != Decision::Start {
+            let position = Position {
+                before: self.requests[index - 1].0,
+                kind: self.requests[index].0,
+                own: self.early(),
+            };
+            if decide(limits, position, all) != Decision::Start {
                 break;
             }
             self.requests[index].1 = Some(work());
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -46,6 +46,10 @@
         [limits] kill_timeout: Option<Duration> = "";
         /// Maximum number of callers' connections, some 20 kB each when idle; further ones wait in the system's accept queue.
         [limits] connections: u16 = "4096";
+        /// Calls of one connection that may start before those ahead of them have been answered, if they may be repeated and have no body. Empty for one call after the other.
+        [limits] pipelined_calls: Option<u16> = "";
+        /// The same for all connections of the process; each such call holds at most some 120 kB. Empty for one call after the other.
+        [limits] pipelined_calls_total: Option<u16> = "";
         /// Longest wait for the head of a caller's request, against callers that never end theirs.
         [limits] head_timeout: Duration = "30 s";
         /// How long a new process accepts no connections of callers while it has no routes yet, so that callers go to other nodes; after that it accepts them and tells callers to come back later.
