Answers that never end are cut off

A backend server that sends bytes without end, before its answer's head, in a chunk's size line or in its trailers, held a call's slot until the deadline, and a fast one beyond it: the reads used up the task's budget, so that the timer of a call on the same VM never ran. The connection now reads at most 64 kB before the head or the next part of the body is complete; what goes beyond is a 502 `malformed` or a body that is broken off, and its connection is closed. A body on the same VM ends with its call, as it does between VMs. A server that speaks before it is asked is no longer connected to again and again within one call. A body that its backend server breaks off counts as a failure for the balancer.

--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -16,7 +16,7 @@
 use std::time::{Duration, Instant, SystemTime};
 
 /// A source of time.
-pub trait Clock: Clone + Send + Sync + 'static {
+pub trait Clock: Clone + Unpin + Send + Sync + 'static {
     /// Returns the monotonic time, for deadlines and measured durations.
     fn now(&self) -> Instant;
 
--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -4,6 +4,9 @@
 //! never waits for another task, and dropping the call closes its connection,
 //! which tells the backend server that nobody waits for the answer any more.
 
+mod metered_stream;
+
+use crate::backend::metered_stream::{Allowance, MAX_BYTES_WITHOUT_PROGRESS, MeteredStream};
 use crate::forwarded_body::ForwardedBody;
 use bytes::Bytes;
 use clock::Clock;
@@ -14,6 +17,7 @@
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use quick_error::quick_error;
+use std::error::Error as _;
 use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
@@ -48,6 +52,29 @@
         Broken {
             display("the backend server broke off")
         }
+        /// What the backend server sent can't be used, and its connection is closed.
+        Rejected(flaw: Flaw) {
+            display("the backend server sent what is no answer: {}", flaw.name())
+        }
+    }
+}
+
+/// Why an answer is rejected.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Flaw {
+    /// It exceeds a limit on what is no part of its body, such as its head or a chunk's size line.
+    TooLong,
+    /// It violates the syntax of HTTP/1.
+    Malformed,
+}
+
+impl Flaw {
+    /// Returns the flaw's name in log lines and metrics.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::TooLong => "too-long",
+            Self::Malformed => "malformed",
+        }
     }
 }
 
@@ -66,7 +93,8 @@
 struct Connection {
     address: SocketAddr,
     sender: http1::SendRequest<ForwardedBody>,
-    driver: http1::Connection<TokioIo<TcpStream>, ForwardedBody>,
+    driver: http1::Connection<TokioIo<MeteredStream>, ForwardedBody>,
+    allowance: Arc<Allowance>,
     idle_since: Instant,
 }
 
@@ -83,6 +111,15 @@
     pool: Arc<ConnectionPool<C>>,
 }
 
+/// Why an exchange has no response.
+#[derive(Debug)]
+enum Failure {
+    /// The connection closed before any of the request was sent.
+    Unsent(Box<Request<ForwardedBody>>),
+    /// The request may have been sent.
+    Sent(Error),
+}
+
 impl<C> ConnectionPool<C>
 where
     C: Clock,
@@ -138,15 +175,19 @@
                 None => self.connect(address).await?,
             };
             if connection.is_closed().await {
+                // A backend server that sends before it is asked would be connected to without end.
+                if is_new {
+                    return Err(Error::Connect);
+                }
                 self.remove_closed();
                 continue;
             }
             match connection.exchange(request).await {
                 Ok(response) => return Ok(self.wrap_response(response, connection)),
                 // The connection closed before any of the request was sent.
-                Err(Some(unsent)) if !is_new => request = unsent,
-                Err(Some(_)) => return Err(Error::Connect),
-                Err(None) => return Err(Error::Broken),
+                Err(Failure::Unsent(unsent)) if !is_new => request = *unsent,
+                Err(Failure::Unsent(_)) => return Err(Error::Connect),
+                Err(Failure::Sent(error)) => return Err(error),
             }
         }
     }
@@ -155,14 +196,19 @@
         let connecting = async {
             let stream = TcpStream::connect(address).await.ok()?;
             stream.set_nodelay(true).ok()?;
-            http1::handshake(TokioIo::new(stream)).await.ok()
+            let (stream, allowance) = MeteredStream::new(stream);
+            let mut builder = http1::Builder::new();
+            builder.max_buf_size(MAX_BYTES_WITHOUT_PROGRESS);
+            let (sender, driver) = builder.handshake(TokioIo::new(stream)).await.ok()?;
+            Some((sender, driver, allowance))
         };
         let made = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
-        let (sender, driver) = made.ok().flatten().ok_or(Error::Connect)?;
+        let (sender, driver, allowance) = made.ok().flatten().ok_or(Error::Connect)?;
         Ok(Box::new(Connection {
             address,
             sender,
             driver,
+            allowance,
             idle_since: self.clock.now(),
         }))
     }
@@ -193,22 +239,36 @@
         poll_fn(|cx| Poll::Ready(Pin::new(&mut self.driver).poll(cx).is_ready())).await
     }
 
-    /// Sends a request. The error contains the request if none of it was sent.
+    /// Sends a request and waits for the head of the response.
     async fn exchange(
         &mut self,
         request: Request<ForwardedBody>,
-    ) -> Result<Response<Incoming>, Option<Request<ForwardedBody>>> {
+    ) -> Result<Response<Incoming>, Failure> {
         let mut answer = pin!(self.sender.try_send_request(request));
         let driver = &mut self.driver;
+        let allowance = &self.allowance;
+        allowance.renew();
         let mut driving = true;
         poll_fn(|cx| {
             if driving {
                 driving = Pin::new(&mut *driver).poll(cx).is_pending();
             }
-            answer.as_mut().poll(cx)
+            match answer.as_mut().poll(cx) {
+                Poll::Pending if allowance.is_used_up() => {
+                    Poll::Ready(Err(Failure::Sent(Error::Rejected(Flaw::TooLong))))
+                }
+                Poll::Pending => Poll::Pending,
+                Poll::Ready(Ok(response)) => {
+                    allowance.renew();
+                    Poll::Ready(Ok(response))
+                }
+                Poll::Ready(Err(mut error)) => Poll::Ready(Err(match error.take_message() {
+                    Some(unsent) => Failure::Unsent(Box::new(unsent)),
+                    None => Failure::Sent(classify(error.error())),
+                })),
+            }
         })
         .await
-        .map_err(|mut error| error.take_message())
     }
 
     /// Drives the connection past the end of a response, and returns whether it can take another
@@ -232,10 +292,15 @@
             if next.is_pending()
                 && let Some(connection) = &mut self.connection
             {
-                if Pin::new(&mut connection.driver).poll(cx).is_ready() {
+                let is_closed = Pin::new(&mut connection.driver).poll(cx).is_ready();
+                next = Pin::new(&mut self.incoming).poll_frame(cx);
+                if next.is_pending() && connection.allowance.is_used_up() {
+                    self.connection = None;
+                    return Poll::Ready(Some(Err(Error::Rejected(Flaw::TooLong))));
+                }
+                if is_closed {
                     self.connection = None;
                 }
-                next = Pin::new(&mut self.incoming).poll_frame(cx);
             }
             match next {
                 Poll::Pending if self.connection.is_none() => {
@@ -246,8 +311,13 @@
                     self.release(cx);
                     return Poll::Ready(None);
                 }
-                Poll::Ready(Some(Err(_))) => return Poll::Ready(Some(Err(Error::Broken))),
+                Poll::Ready(Some(Err(error))) => {
+                    return Poll::Ready(Some(Err(classify(&error))));
+                }
                 Poll::Ready(Some(Ok(frame))) => {
+                    if let Some(connection) = &self.connection {
+                        connection.allowance.renew();
+                    }
                     if let Ok(bytes) = frame.into_data() {
                         return Poll::Ready(Some(Ok(bytes)));
                     }
@@ -266,6 +336,11 @@
         self.incoming.is_end_stream()
     }
 
+    /// Returns whether the head gives the length of the body.
+    pub(crate) fn has_known_length(&self) -> bool {
+        self.incoming.size_hint().exact().is_some()
+    }
+
     /// Returns the connection to the pool for another call.
     fn release(&mut self, cx: &mut Context<'_>) {
         if let Some(mut connection) = self.connection.take()
@@ -292,3 +367,20 @@
         }
     }
 }
+
+/// Maps an error of the HTTP client, after at least part of the request was sent.
+fn classify(error: &hyper::Error) -> Error {
+    if error.is_parse_too_large() {
+        return Error::Rejected(Flaw::TooLong);
+    }
+    if error.is_parse() {
+        return Error::Rejected(Flaw::Malformed);
+    }
+    let cause = error.source().and_then(|source| source.downcast_ref());
+    match cause.map(io::Error::kind) {
+        // The limits on chunk extensions and trailers.
+        Some(io::ErrorKind::InvalidData) => Error::Rejected(Flaw::TooLong),
+        Some(io::ErrorKind::InvalidInput) => Error::Rejected(Flaw::Malformed),
+        _ => Error::Broken,
+    }
+}
--- a/crates/node/src/inbound.rs
+++ b/crates/node/src/inbound.rs
@@ -11,6 +11,7 @@
 pub(crate) mod inbound_call;
 pub(crate) mod link;
 pub(crate) mod load_probe;
+pub(crate) mod rejected;
 pub(crate) mod report;
 pub(crate) mod response_stream;
 pub(crate) mod run;
--- a/crates/node/src/inbound/crash.rs
+++ b/crates/node/src/inbound/crash.rs
@@ -1,7 +1,9 @@
 //! Detects that the process of the backend server has ended with calls in flight: runs
 //! `policy::in_flight`.
 
+use crate::backend::Flaw;
 use crate::inbound::Inner;
+use crate::inbound::rejected::record_rejected;
 use crate::inbound::run::Refused;
 use crate::inbound::running_calls::RunningCallGuard;
 use crate::shared::Backend;
@@ -178,6 +180,11 @@
         has_ended
     }
 
+    /// Records that the answer to the call was rejected.
+    pub(crate) fn record_rejected(&self, flaw: Flaw) {
+        record_rejected(&self.inner, &self.backend, self.digest, flaw);
+    }
+
     /// Schedules a check whether the process has ended, after it broke off in the middle of a
     /// response.
     pub(crate) fn detect_crash_later(&self) {
--- a/crates/node/src/inbound/deliver.rs
+++ b/crates/node/src/inbound/deliver.rs
@@ -26,7 +26,7 @@
 /// Without reading ahead, each such response over 64 kB holds a slot of the backend server until
 /// its reader is given up: with six slots, six callers of one dead node block a backend server
 /// for 5 s. Responses of up to 320 kB, such as pages and lists, are buffered in full.
-const MAX_READ_AHEAD_BYTES: usize = 256 << 10;
+pub(crate) const MAX_READ_AHEAD_BYTES: usize = 256 << 10;
 
 /// Number of responses that may be read ahead at the same time. Their buffers take up to 4 MB of a
 /// node's 32 MB.
@@ -75,8 +75,12 @@
         };
         match chunk {
             Some(Ok(bytes)) => call.add_chunk(bytes),
-            Some(Err(_)) => {
-                call.refuse(Verdict::Ran, Reason::Backend, 0);
+            Some(Err(error)) => {
+                let reason = match error {
+                    Error::Rejected(_) => Reason::Malformed,
+                    Error::Connect | Error::Broken => Reason::Backend,
+                };
+                call.refuse(Verdict::Ran, reason, 0);
                 return read_ahead;
             }
             None => {
--- a/crates/node/src/inbound/run.rs
+++ b/crates/node/src/inbound/run.rs
@@ -377,19 +377,27 @@
             crash::detect_crash(inner, &backend).await;
             Err(Refused::not_run(Reason::Backend, 0))
         }
+        Err(Error::Rejected(flaw)) => {
+            in_flight.record_rejected(flaw);
+            Err(Refused::may_have_run(Reason::Malformed))
+        }
         Err(Error::Broken) => {
             let has_ended = in_flight.finish_broken().await;
             log_broken_connection(inner, &backend, digest, has_ended);
-            let reason = if has_ended {
-                Reason::Crashed
-            } else {
-                Reason::Backend
-            };
-            Err(Refused::may_have_run(reason))
+            Err(Refused::may_have_run(broken_reason(has_ended)))
         }
     }
 }
 
+/// Returns why the backend server broke off a call.
+fn broken_reason(has_ended: bool) -> Reason {
+    if has_ended {
+        Reason::Crashed
+    } else {
+        Reason::Backend
+    }
+}
+
 /// Logs that the backend server broke off a call, and whether its process has ended.
 fn log_broken_connection<C>(inner: &Inner<C>, backend: &Backend, request: Digest, has_ended: bool)
 where
@@ -559,7 +567,10 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Bytes, Error>>> {
         let chunk = self.body.poll_chunk(cx);
-        if matches!(chunk, Poll::Ready(Some(Err(_)))) {
+        if let Poll::Ready(Some(Err(error))) = &chunk {
+            if let Error::Rejected(flaw) = error {
+                self.in_flight.record_rejected(*flaw);
+            }
             self.permit.outcome = Outcome::Failed;
             self.in_flight.detect_crash_later();
         }
@@ -571,6 +582,11 @@
         self.body.is_end()
     }
 
+    /// Returns whether the head gives the length of the body.
+    pub(crate) fn has_known_length(&self) -> bool {
+        self.body.has_known_length()
+    }
+
     /// Returns the load figures that the outbound proxy receives with the response.
     pub(crate) fn load_report(&self) -> LoadReport {
         LoadReport {
--- a/crates/node/src/metrics/failures.rs
+++ b/crates/node/src/metrics/failures.rs
@@ -13,6 +13,11 @@
     reason: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct FlawLabel {
+    flaw: &'static str,
+}
+
 /// Counts of calls without an answer, and how long calls waited at the admission gate.
 #[derive(Debug)]
 pub struct FailureMetrics {
@@ -20,6 +25,7 @@
     turned_away: Family<ReasonLabel, Counter>,
     gate_wait: Histogram,
     stalled_readers: Counter,
+    rejected_answers: Family<FlawLabel, Counter>,
 }
 
 impl Default for FailureMetrics {
@@ -29,6 +35,7 @@
             turned_away: Family::default(),
             gate_wait: Histogram::new(DURATION_BOUNDS),
             stalled_readers: Counter::default(),
+            rejected_answers: Family::default(),
         }
     }
 }
@@ -44,6 +51,8 @@
         registry.register_with_unit("gate_wait", help, Unit::Seconds, wait);
         let help = "Answers given up because their readers took nothing for 5 s";
         registry.register("answers_untaken", help, self.stalled_readers.clone());
+        let help = "Answers of the own backend server that were rejected, by flaw";
+        registry.register("answers_rejected", help, self.rejected_answers.clone());
     }
 
     /// Counts an attempt that got no answer.
@@ -65,6 +74,13 @@
         self.stalled_readers.inc();
     }
 
+    /// Counts an answer of the backend server that was rejected.
+    pub(crate) fn count_rejected_answer(&self, flaw: &'static str) {
+        self.rejected_answers
+            .get_or_create(&FlawLabel { flaw })
+            .inc();
+    }
+
     /// Records how long a call waited at the admission gate.
     pub(crate) fn record_gate_wait(&self, waited: Duration) {
         self.gate_wait.observe(waited.as_secs_f64());
--- a/crates/node/src/outbound/response.rs
+++ b/crates/node/src/outbound/response.rs
@@ -1,9 +1,10 @@
 //! Responses to callers: those of backend servers, and refusals with their verdict.
 
-use crate::backend;
 use crate::call_length::Measurement;
-use crate::inbound::run::{BackendResponse, Refused};
+use crate::inbound::run::Refused;
 use crate::millis::whole_ms;
+use crate::outbound::judge::Judge;
+use crate::outbound::local_body::Local;
 use crate::outbound::remote_attempt::RemoteAttempt;
 use bytes::Bytes;
 use call::Verdict;
@@ -37,6 +38,10 @@
         Truncated {
             display("the response body ended before it was complete")
         }
+        /// The backend server broke off the body, or sent what is none.
+        Broken {
+            display("the backend server broke off the response body")
+        }
     }
 }
 
@@ -53,7 +58,9 @@
     /// A body whose start has already been read.
     Prefixed(Option<Bytes>, Box<Body<C>>),
     /// A body that the backend server on the same VM sends.
-    Local(Local<C>),
+    Local(Box<Local<C>>),
+    /// A body whose failure counts against its backend server.
+    Judged(Box<Body<C>>, Option<Judge<C>>),
     /// A body with which the call ends.
     Measured(Measured<C>),
 }
@@ -82,18 +89,20 @@
             }),
         }
     }
+
+    /// Reports a failure of the body to `judge`.
+    pub(crate) fn judged(self, judge: Judge<C>) -> Self {
+        match self {
+            Self::Full(_) => self,
+            body => Self::Judged(Box::new(body), Some(judge)),
+        }
+    }
 }
 
 /// The body of a response that is received over a link.
 #[derive(Debug)]
 pub struct Remote(pub(crate) RemoteAttempt);
 
-/// The body of a response from the backend server on the same VM.
-#[derive(Debug)]
-pub struct Local<C>(pub(crate) BackendResponse<C>)
-where
-    C: Clock;
-
 impl<C> http_body::Body for Body<C>
 where
     C: Clock,
@@ -112,15 +121,25 @@
                 None => Pin::new(&mut **rest).poll_frame(cx),
             },
             Self::Measured(Measured { body, .. }) => Pin::new(&mut **body).poll_frame(cx),
+            Self::Judged(body, judge) => {
+                let frame = Pin::new(&mut **body).poll_frame(cx);
+                if matches!(frame, Poll::Ready(Some(Err(Error::Broken))))
+                    && let Some(judge) = judge.take()
+                {
+                    judge.record_failure();
+                }
+                frame
+            }
             Self::Remote(Remote(attempt)) => attempt.poll_chunk(cx).map(|chunk| {
-                chunk.map(|result| result.map(Frame::data).map_err(|_refusal| Error::Truncated))
-            }),
-            Self::Local(Local(response)) => response.poll_chunk(cx).map(|chunk| {
-                chunk.map(|result| match result {
-                    Ok(bytes) => Ok(Frame::data(bytes)),
-                    Err(backend::Error::Connect | backend::Error::Broken) => Err(Error::Truncated),
+                chunk.map(|result| {
+                    result
+                        .map(Frame::data)
+                        .map_err(|refusal| Error::from(refusal.reason))
                 })
             }),
+            Self::Local(local) => local
+                .poll_chunk(cx)
+                .map(|chunk| chunk.map(|result| result.map(Frame::data))),
         }
     }
 
@@ -128,21 +147,31 @@
         match self {
             Self::Full(bytes) => bytes.is_none(),
             Self::Prefixed(first, rest) => first.is_none() && rest.is_end_stream(),
-            Self::Measured(Measured { body, .. }) => body.is_end_stream(),
+            Self::Measured(Measured { body, .. }) | Self::Judged(body, _) => body.is_end_stream(),
             Self::Remote(Remote(attempt)) => attempt.is_end(),
-            Self::Local(Local(response)) => response.is_end(),
+            Self::Local(local) => local.is_end(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Full(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
-            Self::Measured(Measured { body, .. }) => body.size_hint(),
+            Self::Measured(Measured { body, .. }) | Self::Judged(body, _) => body.size_hint(),
             Self::Prefixed(..) | Self::Remote(_) | Self::Local(_) => SizeHint::default(),
         }
     }
 }
 
+impl From<Reason> for Error {
+    /// Maps the reason why another node ended a body.
+    fn from(reason: Reason) -> Self {
+        match reason {
+            Reason::Backend | Reason::Crashed | Reason::Malformed => Self::Broken,
+            _ => Self::Truncated,
+        }
+    }
+}
+
 impl From<Refusal> for Refused {
     fn from(refusal: Refusal) -> Self {
         Self {
@@ -244,5 +273,6 @@
         Reason::Unconfirmed => "unconfirmed",
         Reason::OverLimit => "over-limit",
         Reason::RateLimit => "rate-limit",
+        Reason::Malformed => "malformed",
     }
 }
--- a/crates/node/src/outbound/send.rs
+++ b/crates/node/src/outbound/send.rs
@@ -7,9 +7,10 @@
 use crate::millis::whole_ms;
 use crate::outbound::Inner;
 use crate::outbound::access::set_team_header;
+use crate::outbound::local_body::{Local, LocalLimit};
 use crate::outbound::plan::{Plan, time_left};
 use crate::outbound::remote_attempt::{self, RemoteAttempt};
-use crate::outbound::response::{Body, Local, Remote, VERDICT_HEADER};
+use crate::outbound::response::{Body, Remote, VERDICT_HEADER};
 use bytes::Bytes;
 use call::{Id, Verdict};
 use clock::Clock;
@@ -60,7 +61,10 @@
     C: Clock,
 {
     Remote(RemoteAttempt),
-    Local(oneshot::Receiver<Result<Response<BackendResponse<C>>, Refused>>),
+    Local(
+        oneshot::Receiver<Result<Response<BackendResponse<C>>, Refused>>,
+        LocalLimit<C>,
+    ),
 }
 
 impl<C> PendingAttempt<C>
@@ -74,8 +78,8 @@
                 Ok(answer) => Ok(remote_response(response_head(answer), remote)),
                 Err(refusal) => Err(refusal.into()),
             },
-            Self::Local(receiver) => match receiver.await {
-                Ok(result) => result.map(local_response),
+            Self::Local(receiver, limit) => match receiver.await {
+                Ok(result) => result.map(|response| local_response(response, limit)),
                 Err(_dropped) => Err(Refused::may_have_run(Reason::Backend)),
             },
         }
@@ -131,12 +135,13 @@
     };
     let id = inner.links.next_id();
     set_attempt_id(&mut request, id);
+    let limit = LocalLimit::new(&inner.shared.clock, plan.class, plan.deadline);
     let result = if plan.key.is_some() {
         let mut call = inner.inbound.spawn_local(request, forwarded, plan.deadline);
         match tokio::time::timeout(time_left(inner, plan.deadline), &mut call).await {
             Ok(Ok(result)) => result,
             Ok(Err(_dropped)) => Err(Refused::may_have_run(Reason::Backend)),
-            Err(_) => return AttemptResult::TimedOut(PendingAttempt::Local(call)),
+            Err(_) => return AttemptResult::TimedOut(PendingAttempt::Local(call, limit)),
         }
     } else {
         let call = inner.inbound.call_local(request, forwarded, plan.deadline);
@@ -151,7 +156,7 @@
             let report = response.body().load_report();
             match shed_refusal(&response, id) {
                 Some(refused) => AttemptResult::Refused(refused, returned),
-                None => AttemptResult::Answered(local_response(response), Some(report)),
+                None => AttemptResult::Answered(local_response(response, limit), Some(report)),
             }
         }
         Err(refused) => AttemptResult::Refused(refused, returned),
@@ -261,11 +266,14 @@
     set_verdict(head.map(|()| Body::Remote(Remote(remote))))
 }
 
-fn local_response<C>(response: Response<BackendResponse<C>>) -> Response<Body<C>>
+fn local_response<C>(
+    response: Response<BackendResponse<C>>,
+    limit: LocalLimit<C>,
+) -> Response<Body<C>>
 where
     C: Clock,
 {
-    set_verdict(response.map(|body| Body::Local(Local(body))))
+    set_verdict(response.map(|body| Body::Local(Box::new(Local::new(body, limit)))))
 }
 
 /// Creates the request of an attempt, except for its ID and body. Each attempt gets its own timeout.
--- a/crates/node/src/outbound/serve.rs
+++ b/crates/node/src/outbound/serve.rs
@@ -306,7 +306,8 @@
                 if attempts == 1 {
                     plan.client.record_success(plan.retry_rule.as_ref());
                 }
-                return response.into();
+                let judge = picked.judge();
+                return response.map(|body| body.judged(judge)).into();
             }
             AttemptResult::Refused(refused, returned) => (refused, returned),
             AttemptResult::TimedOut(pending) => {
@@ -385,8 +386,8 @@
 /// Records the result of an attempt for a roll-out of the service, if there is one.
 ///
 /// Of the refused attempts, only those count whose verdict is not `NotRun` and whose reason is
-/// `Deadline` or `Backend`. All others, such as failures to connect and refusals due to load, are
-/// left out, because they say nothing about the version of the backend server.
+/// `Deadline`, `Backend` or `Malformed`. All others, such as failures to connect and refusals due to
+/// load, are left out, because they say nothing about the version of the backend server.
 fn record_for_rollout<C>(
     inner: &Inner<C>,
     plan: &Plan,
@@ -410,7 +411,9 @@
         AttemptResult::Refused(refused, _) if refused.verdict != Verdict::NotRun => {
             match refused.reason {
                 Reason::Deadline => picked.record_rollout_result(plan.kind, false, None),
-                Reason::Backend => picked.record_rollout_result(plan.kind, true, None),
+                Reason::Backend | Reason::Malformed => {
+                    picked.record_rollout_result(plan.kind, true, None);
+                }
                 _ => {}
             }
         }
--- a/crates/node/src/outbound/service.rs
+++ b/crates/node/src/outbound/service.rs
@@ -2,6 +2,7 @@
 //! `policy::balance`, `policy::retry` and `policy::hedge`.
 
 use crate::inbound::running_calls::RunningCall;
+use crate::outbound::judge::Judge;
 use crate::outbound::reports::ServerReports;
 use crate::rollout::{CallResult, RolloutCall, Rollouts, TrafficSplit};
 use call::Digest;
@@ -372,6 +373,13 @@
         state.budget.record_success();
     }
 
+    /// Records that a backend server failed after its call was counted as answered.
+    pub(crate) fn record_failure(&self, now: Instant, key: Key, body_size: BodySize) {
+        let mut state = self.state.lock();
+        let state = &mut *state;
+        state.balancers[body_size as usize].record_failure(now, key, &mut state.rng);
+    }
+
     /// Returns the delay after which a hedge may be sent; `None` if none may be. `allowed` is whether
     /// the plan of the call permits hedges.
     pub(crate) fn hedge_delay(&self, now: Instant, allowed: bool) -> Option<Duration> {
@@ -423,6 +431,16 @@
 where
     C: Clock,
 {
+    /// Returns a judge of the body of the response.
+    pub(crate) fn judge(&self) -> Judge<C> {
+        Judge {
+            client: Arc::clone(&self.client),
+            clock: self.clock.clone(),
+            key: self.key,
+            body_size: self.body_size,
+        }
+    }
+
     /// Reports the result of a call of `kind` to the roll-out of the service, if there is one.
     ///
     /// `run_time` is the time that the backend server took, if it has answered; without an answer,
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -299,6 +299,18 @@
         Some(self.key(index))
     }
 
+    /// Records that a backend server failed a call whose end was recorded as an answer: the rest of
+    /// the answer didn't come.
+    pub fn record_failure<R>(&mut self, now: Instant, key: Key, rng: &mut R)
+    where
+        R: Rng,
+    {
+        self.probe_trigger.record_failure(now);
+        if self.get_mut(key).is_some() {
+            self.observe(now, key.index, Sample::Failed, rng);
+        }
+    }
+
     /// Records how a call picked by [`Balancer::pick`] ended.
     pub fn finish<R>(
         &mut self,
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -112,6 +112,8 @@
     OverLimit,
     /// The call can't start in time at the rate that the backend server has named.
     RateLimit,
+    /// What the backend server sent is no valid answer.
+    Malformed,
 }
 
 /// The end of an attempt without a complete answer.
