--- a/crates/node/tests/calls/unending_answers.rs
+++ b/crates/node/tests/calls/unending_answers.rs
@@ -246,6 +246,7 @@
 #[parameterized(
     no_head = { "HTTP/1.1 200 OK\r\nx: ", ZEROS },
     no_body_end = { CHUNKED_HEAD, ZEROS },
+    not_chunked = { "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\nx", "" },
 )]
 #[test_macro(tokio::test(flavor = "multi_thread", worker_threads = 2))]
 async fn ejected(start: &'static str, endless: &'static str) {
--- a/crates/policy/tests/balance.rs
+++ b/crates/policy/tests/balance.rs
@@ -125,6 +125,29 @@
     assert!(slow_calls * 100 < CALLS, "{slow_calls} calls");
 }
 
+// One of four backend servers sends the heads of its answers at once and breaks off their bodies.
+// Each of its calls counts as answered, and quickly, before it fails.
+#[test]
+fn broken_bodies() {
+    let clock = Manual::new();
+    let mut rng = SmallRng::seed_from_u64(11);
+    let mut balancer = Balancer::new();
+    balancer.sync(clock.now(), list_candidates(4));
+    let mut broken = 0;
+    for call in 0..CALLS {
+        clock.advance(Duration::from_millis(6));
+        let now = clock.now();
+        let key = balancer.pick(now, &pick_args(&[], true), &mut rng).unwrap();
+        let answered = Outcome::Answered(None);
+        balancer.finish(now, key, 1, NORMAL_DURATION, answered, &mut rng);
+        if balancer.identity(key).unwrap().incarnation == 0 {
+            balancer.record_failure(now, key, &mut rng);
+            broken += u32::from(call >= CALLS / 10);
+        }
+    }
+    assert!(broken * 50 < CALLS, "{broken} calls");
+}
+
 // One of two backend servers has been ejected for its errors when the other one is drained. Calls
 // must go to the ejected one, which still answers most of them, instead of failing at once for lack
 // of a backend server. The limit on ejections does not prevent this case, as it is checked only
