The framing of messages is checked before they are forwarded

An answer with a length of 5 and chunks was passed on cut to 5 bytes, whole to look at; one with another transfer coding was passed on still coded, without the header that says so. Such answers are 502 `malformed` now, their connections closed, and the flaw is named in the log and metrics (RFC 9112, 6.3). Repeated lengths that agree are passed on as one; lengths beside 204 are dropped. Requests with other codings than `chunked` are 501. After a request with a length and chunks, the HTTP server closes the connection by itself; no 408 follows its answer any more.

--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -8,6 +8,7 @@
 
 use crate::backend::metered_stream::{Allowance, MAX_BYTES_WITHOUT_PROGRESS, MeteredStream};
 use crate::forwarded_body::ForwardedBody;
+use crate::framing::{Flaw, check_answer};
 use bytes::Bytes;
 use clock::Clock;
 use http::{Request, Response};
@@ -59,25 +60,6 @@
     }
 }
 
-/// Why an answer is rejected.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Flaw {
-    /// It exceeds a limit on what is no part of its body, such as its head or a chunk's size line.
-    TooLong,
-    /// It violates the syntax of HTTP/1.
-    Malformed,
-}
-
-impl Flaw {
-    /// Returns the flaw's name in log lines and metrics.
-    pub(crate) fn name(self) -> &'static str {
-        match self {
-            Self::TooLong => "too-long",
-            Self::Malformed => "malformed",
-        }
-    }
-}
-
 /// Idle connections to the local backend server, ready to be reused.
 #[derive(Debug)]
 pub(crate) struct ConnectionPool<C> {
@@ -167,6 +149,7 @@
         address: SocketAddr,
         mut request: Request<ForwardedBody>,
     ) -> Result<Response<ResponseBody<C>>, Error> {
+        let method = request.method().clone();
         loop {
             let idle = self.take_idle(address);
             let is_new = idle.is_none();
@@ -183,7 +166,10 @@
                 continue;
             }
             match connection.exchange(request).await {
-                Ok(response) => return Ok(self.wrap_response(response, connection)),
+                Ok(mut response) => {
+                    check_answer(&method, &mut response).map_err(Error::Rejected)?;
+                    return Ok(self.wrap_response(response, connection));
+                }
                 // The connection closed before any of the request was sent.
                 Err(Failure::Unsent(unsent)) if !is_new => request = *unsent,
                 Err(Failure::Unsent(_)) => return Err(Error::Connect),
--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -297,6 +297,11 @@
     }
     if let Some(result) = ended {
         // The timer runs only while the HTTP server waits for a request head.
+        // The HTTP server has ended the connection by itself and announced that in its response, as
+        // after a request that has both a length and a transfer coding.
+        let mut exchange = exchange.lock();
+        exchange.is_last |= result.is_ok() && exchange.request_body == BodyProgress::Complete;
+        drop(exchange);
         let is_idle_timeout = result.as_ref().is_err_and(hyper::Error::is_timeout);
         return (result, is_idle_timeout);
     }
--- a/crates/node/src/header.rs
+++ b/crates/node/src/header.rs
@@ -17,9 +17,12 @@
 
 /// Collects the headers that are forwarded to the other end.
 pub(crate) fn collect_end_to_end(headers: &HeaderMap) -> Vec<Header> {
+    // The length of a message in chunks is that of its chunks (RFC 9112, section 6.3).
+    let is_coded = headers.contains_key(header::TRANSFER_ENCODING);
     headers
         .iter()
         .filter(|(name, _)| !HOP_BY_HOP.contains(name) && !is_connection_option(headers, name))
+        .filter(|(name, _)| *name != header::CONTENT_LENGTH || !is_coded)
         .map(|(name, value)| Header {
             name: SmolStr::new(name.as_str()),
             value: Bytes::copy_from_slice(value.as_bytes()),
--- a/crates/node/src/inbound/crash.rs
+++ b/crates/node/src/inbound/crash.rs
@@ -1,7 +1,7 @@
 //! Detects that the process of the backend server has ended with calls in flight: runs
 //! `policy::in_flight`.
 
-use crate::backend::Flaw;
+use crate::framing::Flaw;
 use crate::inbound::Inner;
 use crate::inbound::rejected::record_rejected;
 use crate::inbound::run::Refused;
--- a/crates/node/src/inbound/rejected.rs
+++ b/crates/node/src/inbound/rejected.rs
@@ -1,6 +1,6 @@
 //! Counts and logs answers of the backend server that can't be used.
 
-use crate::backend::Flaw;
+use crate::framing::Flaw;
 use crate::inbound::Inner;
 use crate::shared::Backend;
 use call::Digest;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 mod call_length;
 mod connection;
 mod forwarded_body;
+mod framing;
 pub mod freshness;
 mod header;
 mod millis;
--- a/crates/node/src/outbound/serve.rs
+++ b/crates/node/src/outbound/serve.rs
@@ -1,6 +1,7 @@
 //! Serves one call: plans it, sends attempts and responds to the caller.
 
 use crate::connection::RequestBody;
+use crate::framing::is_decoded;
 use crate::inbound::run::Refused;
 use crate::metrics::Ending;
 use crate::metrics::retries::Payment;
@@ -154,6 +155,9 @@
     C: Clock,
 {
     let (head, body) = request.into_parts();
+    if !is_decoded(&head.headers) {
+        return reject(StatusCode::NOT_IMPLEMENTED, "unknown-coding");
+    }
     let started = inner.shared.clock.now();
     let view = inner.shared.view.load_full();
     let (mut plan, objective) = match make_plan(inner, &view, &head, peer) {
--- a/crates/node/tests/calls/main.rs
+++ b/crates/node/tests/calls/main.rs
@@ -5,6 +5,7 @@
 mod connection_close;
 mod early_end;
 mod forward;
+mod framing;
 mod hedge;
 mod keyed;
 mod load_probe;
