--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -398,6 +398,11 @@
         ended = connection.answer_early_calls().await;
     }
     if let Some(result) = ended {
+        // The HTTP server has ended the connection by itself and announced that in its response, as
+        // after a request that has both a length and a transfer coding.
+        let mut exchange = connection.exchange.lock();
+        exchange.is_last |= result.is_ok() && exchange.request_body == BodyProgress::Complete;
+        drop(exchange);
         // The timer runs only while the HTTP server waits for a request head.
         let is_idle_timeout = result.as_ref().is_err_and(hyper::Error::is_timeout);
         return (result, is_idle_timeout);
--- a/crates/node/src/outbound/serve.rs
+++ b/crates/node/src/outbound/serve.rs
@@ -1,6 +1,7 @@
 //! Serves one call: plans it, sends attempts and responds to the caller.
 
 use crate::connection::RequestBody;
+use crate::framing::is_decoded;
 use crate::inbound::run::Refused;
 use crate::metrics::Ending;
 use crate::metrics::retries::Payment;
@@ -155,6 +156,9 @@
     C: Clock,
 {
     let (head, body) = request.into_parts();
+    if !is_decoded(&head.headers) {
+        return reject(StatusCode::NOT_IMPLEMENTED, "unknown-coding");
+    }
     let started = inner.shared.clock.now();
     let view = inner.shared.view.load_full();
     let (mut plan, objective) = match make_plan(inner, &view, &head, peer) {
@@ -311,7 +315,8 @@
                 if attempts == 1 {
                     plan.client.record_success(plan.retry_rule.as_ref());
                 }
-                return response.into();
+                let judge = picked.judge();
+                return response.map(|body| body.judged(judge)).into();
             }
             AttemptResult::Refused(refused, returned) => (refused, returned),
             AttemptResult::TimedOut(pending) => {
@@ -390,8 +395,8 @@
 /// Records the result of an attempt for a roll-out of the service, if there is one.
 ///
 /// Of the refused attempts, only those count whose verdict is not `NotRun` and whose reason is
-/// `Deadline` or `Backend`. All others, such as failures to connect and refusals due to load, are
-/// left out, because they say nothing about the version of the backend server.
+/// `Deadline`, `Backend` or `Malformed`. All others, such as failures to connect and refusals due to
+/// load, are left out, because they say nothing about the version of the backend server.
 fn record_for_rollout<C>(
     inner: &Inner<C>,
     plan: &Plan,
@@ -415,7 +420,9 @@
         AttemptResult::Refused(refused, _) if refused.verdict != Verdict::NotRun => {
             match refused.reason {
                 Reason::Deadline => picked.record_rollout_result(plan.kind, false, None),
-                Reason::Backend => picked.record_rollout_result(plan.kind, true, None),
+                Reason::Backend | Reason::Malformed => {
+                    picked.record_rollout_result(plan.kind, true, None);
+                }
                 _ => {}
             }
         }
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -116,6 +116,8 @@
     RateLimit,
     /// The team of the call has used more than its share of the backend server.
     TeamShare,
+    /// What the backend server sent is no valid answer.
+    Malformed,
 }
 
 /// The end of an attempt without a complete answer.
