--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -321,25 +321,6 @@
         let phase = self.exchange.lock().phase;
         phase == Phase::Answered && self.progress.is_flushed()
     }
-
-    /// Serves the connection until no early call waits. Returns the result if the connection ends
-    /// before.
-    async fn answer_early_calls(&mut self) -> Option<Result<(), hyper::Error>>
-    where
-        S::Error: Error + Send + Sync + 'static,
-        B: Body + Unpin + 'static,
-        B::Error: Error + Send + Sync + 'static,
-        E: Starter<B, Call = C>,
-    {
-        poll_fn(|cx| {
-            let polled = Pin::new(&mut *self).poll(cx).map(Some);
-            if polled.is_pending() && self.pipeline.is_empty() {
-                return Poll::Ready(None);
-            }
-            polled
-        })
-        .await
-    }
 }
 
 impl<S, E, C, B> Future for Server<'_, S, E, C, B>
@@ -395,7 +376,8 @@
         ended = first.await.ok();
     }
     if ended.is_none() && !connection.pipeline.is_empty() {
-        ended = connection.answer_early_calls().await;
+        let pipeline = connection.pipeline;
+        ended = poll_until(&mut *connection, || pipeline.is_empty()).await;
     }
     if let Some(result) = ended {
         // The timer runs only while the HTTP server waits for a request head.
@@ -412,6 +394,20 @@
     (connection.await, is_idle)
 }
 
+/// Polls a future until `is_done` after a poll. Returns the output if the future completes before.
+async fn poll_until<F, D>(future: &mut F, is_done: D) -> Option<F::Output>
+where
+    F: Future + Unpin,
+    D: Fn() -> bool,
+{
+    poll_fn(|cx| match Pin::new(&mut *future).poll(cx) {
+        Poll::Ready(output) => Poll::Ready(Some(output)),
+        Poll::Pending if is_done() => Poll::Ready(None),
+        Poll::Pending => Poll::Pending,
+    })
+    .await
+}
+
 /// What a request says about the end of its connection.
 #[derive(Debug, Clone, Copy)]
 struct PeerRequest {
