--- a/crates/node/src/framing.rs
+++ b/crates/node/src/framing.rs
@@ -17,8 +17,6 @@
     TwoLengths,
     /// Its body has a transfer coding other than `chunked`.
     UnknownCoding,
-    /// It changes the protocol of the connection, which no request asks for.
-    Upgrade,
 }
 
 impl Flaw {
@@ -29,7 +27,6 @@
             Self::Malformed => "malformed",
             Self::TwoLengths => "two-lengths",
             Self::UnknownCoding => "unknown-coding",
-            Self::Upgrade => "upgrade",
         }
     }
 }
@@ -38,12 +35,8 @@
 /// length, which is valid.
 pub(crate) fn check_answer<B>(method: &Method, response: &mut Response<B>) -> Result<(), Flaw> {
     let status = response.status();
-    if status == StatusCode::SWITCHING_PROTOCOLS
-        || (method == Method::CONNECT && status.is_success())
-    {
-        return Err(Flaw::Upgrade);
-    }
     let has_body = method != Method::HEAD
+        && status != StatusCode::SWITCHING_PROTOCOLS
         && status != StatusCode::NO_CONTENT
         && status != StatusCode::NOT_MODIFIED;
     let headers = response.headers_mut();
