The steps of a node's start are logged with their times

What a start after a loss of power waits for wasn't visible. A line each for the first configuration, the callers' listener, the first endpoint and the first answered call.

--- a/crates/node/src/control/tree.rs
+++ b/crates/node/src/control/tree.rs
@@ -329,6 +329,7 @@
             info!(version = view.version().0; "version_installed");
         }
         self.shared.view.store(view);
+        self.shared.reach_view_steps();
     }
 
     fn announce(&mut self, backend: &mut watch::Receiver<Option<crate::shared::Backend>>) {
--- a/crates/node/src/control/watch.rs
+++ b/crates/node/src/control/watch.rs
@@ -77,6 +77,7 @@
         info!(version = view.version().0; "version_installed");
     }
     shared.view.store(Arc::new(view));
+    shared.reach_view_steps();
 }
 
 /// Adds an endpoint, unless an announcement of the same node that is as new or newer is known.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -31,5 +31,6 @@
 pub mod reserve;
 pub mod rollout;
 pub mod shared;
+pub mod start_steps;
 pub mod stop;
 pub mod team_limits;
--- a/crates/node/src/outbound.rs
+++ b/crates/node/src/outbound.rs
@@ -30,6 +30,7 @@
 use crate::outbound::service::{Locality, ServiceClients};
 use crate::reserve;
 use crate::shared::{CountGuard, Shared};
+use crate::start_steps::StartStep;
 use clock::Clock;
 use config::{ServiceKey, Version};
 use rand::Rng;
@@ -197,6 +198,7 @@
                 .shared
                 .callers_listening
                 .store(true, Ordering::Release);
+            inner.shared.reach(StartStep::Listener);
             accept_all(listener, inner).await;
         }
         Err(error) => log::error!(error:%; "listen_failed"),
--- a/crates/node/src/outbound/serve.rs
+++ b/crates/node/src/outbound/serve.rs
@@ -20,6 +20,7 @@
 use crate::outbound::send::{AttemptHistory, AttemptResult, PendingAttempt, send_attempt};
 use crate::outbound::service::{BodySize, PickedEndpoint};
 use crate::outbound::tried::TriedEndpoints;
+use crate::start_steps::StartStep;
 use crate::team_limits;
 use call::Verdict;
 use clock::Clock;
@@ -65,6 +66,9 @@
     fn drop(&mut self) {
         let now = self.inner.shared.clock.now();
         let elapsed = now.saturating_duration_since(self.started);
+        if matches!(self.ending, Ending::Answered(status) if status < 500) {
+            self.inner.shared.reach(StartStep::Call);
+        }
         let service = self.inner.shared.metrics.service(self.service);
         service.record(now, self.ending, elapsed, self.objective.as_ref());
     }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -7,11 +7,12 @@
 use crate::metrics::Metrics;
 use crate::quarantine::Quarantine;
 use crate::rollout::Rollouts;
+use crate::start_steps::{StartStep, StartSteps};
 use crate::stop;
 use crate::team_limits::TeamLimits;
 use arc_swap::ArcSwap;
 use clock::Clock;
-use config::View;
+use config::{Version, View};
 use parking_lot::Mutex;
 use settings::node::{ApiKind, Settings, Share};
 use std::sync::Arc;
@@ -97,6 +98,8 @@
     pub stop_step: Mutex<Option<stop::StopStep>>,
     /// Whether the listener for callers, which opens last, is open.
     pub callers_listening: AtomicBool,
+    /// The steps of the start that the node has reached.
+    pub start_steps: StartSteps,
     /// State of this node in configuration distribution.
     pub distribution: ArcSwap<status::Distribution>,
     /// Requests that crash backend servers.
@@ -167,6 +170,23 @@
         }
     }
 
+    /// Logs a step of the start the first time that it is reached.
+    pub(crate) fn reach(&self, step: StartStep) {
+        let elapsed = || self.metrics.elapsed(self.clock.now());
+        self.start_steps.reach(step, elapsed);
+    }
+
+    /// Logs the steps of the start that a new view means.
+    pub(crate) fn reach_view_steps(&self) {
+        let view = self.view.load();
+        if view.version() > Version::ZERO {
+            self.reach(StartStep::Configuration);
+        }
+        if !view.endpoints().is_empty() {
+            self.reach(StartStep::Endpoint);
+        }
+    }
+
     /// Returns whether callers and backend servers use the platform's headers and messages.
     #[must_use]
     pub fn uses_platform_interface(&self) -> bool {
@@ -198,6 +218,7 @@
             call_end: stop::CallEnd::default(),
             stop_step: Mutex::default(),
             callers_listening: AtomicBool::new(false),
+            start_steps: StartSteps::default(),
             distribution: ArcSwap::default(),
             quarantine: Quarantine::default(),
             team_limits,
