--- a/crates/cli/tests/docs.rs
+++ b/crates/cli/tests/docs.rs
@@ -36,6 +36,7 @@
     metrics.bad_requests("backend").inc();
     metrics.failures.count_failed_attempt("full");
     metrics.failures.count_gate_refusal("full");
+    metrics.failures.count_rejected_answer("too-long");
     metrics.access.count_denied("unauthorized");
     metrics.access.count_admitted(&"fitters".into());
     metrics.access.count_over_limit(&"fitters".into());
--- a/crates/node/src/metrics/failures.rs
+++ b/crates/node/src/metrics/failures.rs
@@ -75,7 +75,7 @@
     }
 
     /// Counts an answer of the backend server that was rejected.
-    pub(crate) fn count_rejected_answer(&self, flaw: &'static str) {
+    pub fn count_rejected_answer(&self, flaw: &'static str) {
         self.rejected_answers
             .get_or_create(&FlawLabel { flaw })
             .inc();
