--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod reserve;
 pub mod rollout;
 pub mod shared;
+pub mod start_steps;
 pub mod stop;
 pub mod team_limits;
 pub mod team_usage;
