--- a/crates/node/src/inbound.rs
+++ b/crates/node/src/inbound.rs
@@ -110,7 +110,11 @@
     let max_held = u64::from(shared.settings.body_kb) << 10;
     let inner = Arc::new(Inner {
         pool: ConnectionPool::new(shared.clock.clone()),
-        gate: AdmissionGate::spawn(shared.clock.clone(), shared.incarnation),
+        gate: AdmissionGate::spawn(
+            shared.clock.clone(),
+            shared.incarnation,
+            shared.settings.nested_calls,
+        ),
         body_receiver: BodyReceiver::spawn(
             shared.clock.clone(),
             rate,
--- a/crates/node/src/inbound/admission_gate.rs
+++ b/crates/node/src/inbound/admission_gate.rs
@@ -11,6 +11,7 @@
 use policy::self_report::{Rate, RateReading, Reading};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use settings::node::NestedCalls;
 use std::collections::HashMap;
 use std::fmt;
 use std::sync::{Arc, Weak};
@@ -152,12 +153,16 @@
 where
     C: Clock,
 {
-    pub(crate) fn spawn(clock: C, seed: u64) -> Arc<Self> {
+    pub(crate) fn spawn(clock: C, seed: u64, nested_calls: NestedCalls) -> Arc<Self> {
         let now = clock.now();
+        let admission = Admission::new(now, 0, seed);
         let gate = Arc::new(Self {
             clock,
             state: Mutex::new(State {
-                admission: Admission::new(now, 0, seed),
+                admission: match nested_calls {
+                    NestedCalls::Weighted => admission,
+                    NestedCalls::First => admission.with_nested_first(),
+                },
                 slots: 0,
                 report: ReportState::default(),
                 waiting: HashMap::new(),
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -209,6 +209,13 @@
         self.must_recheck_queue = self.rate_limit.is_some();
     }
 
+    /// Lets nested calls start before direct calls that can still wait ([`crate::precedence`]).
+    #[must_use]
+    pub fn with_nested_first(mut self) -> Self {
+        self.queue.set_nested_first();
+        self
+    }
+
     /// Updates the number of slots that the backend server advertises.
     pub fn set_advertised_slots(&mut self, slots: u16) {
         self.limit.set_advertised(slots);
@@ -424,7 +431,7 @@
         if !self.has_free_slot(now, false) || !self.token_wait(now).is_zero() {
             return None;
         }
-        let (key, entry) = self.queue.pop(self.has_free_slot(now, true))?;
+        let (key, entry) = self.queue.pop(now, self.has_free_slot(now, true))?;
         self.lane_rates[queue::lane_index(entry.tier, entry.long)].record_served(now, entry.cost);
         Some(Next::Run(key, self.start(now, &entry)))
     }
--- a/crates/policy/src/body_scheduler.rs
+++ b/crates/policy/src/body_scheduler.rs
@@ -412,7 +412,7 @@
         if self.held_bytes > 0 && self.held_bytes + longest.unwrap_or(0) > self.max_held_bytes {
             return false;
         }
-        let Some((queue_key, _)) = self.queue.pop(false) else {
+        let Some((queue_key, _)) = self.queue.pop(now, false) else {
             return false;
         };
         let Some(body) = self.waiting.remove(&queue_key) else {
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -13,6 +13,7 @@
 //! first.
 
 use crate::fair_share::Cells;
+use crate::precedence;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::time::{Duration, Instant};
@@ -117,6 +118,8 @@
     /// Pass of the tier that was served last, before that call.
     virtual_time: u64,
     waiting: usize,
+    /// Whether nested calls may take the turns of direct calls ([`crate::precedence`]).
+    nested_first: bool,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -143,6 +146,11 @@
         Self::default()
     }
 
+    /// Lets nested calls take the turns of direct calls that can still wait.
+    pub(crate) fn set_nested_first(&mut self) {
+        self.nested_first = true;
+    }
+
     /// Returns the number of waiting calls.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -254,14 +262,21 @@
     }
 
     /// Removes and returns the call that is next; long calls are considered only if `long` is set.
-    pub fn pop(&mut self, long: bool) -> Option<(Key, Entry)> {
-        let (tier, long) = self.choose_lane(long)?;
-        let index = tier_index(tier);
-        let (_, key) = self.first_live(lane_index(tier, long))?;
+    ///
+    /// A turn that a nested call takes is charged to its own tier. The tier whose turn it was so
+    /// makes up for it when its calls are due, and the virtual time stays that tier's: a tier that
+    /// becomes active doesn't start behind it.
+    pub fn pop(&mut self, now: Instant, long: bool) -> Option<(Key, Entry)> {
+        let (turn, is_long) = self.choose_lane(long)?;
+        let (tier, is_long) = self
+            .choose_nested(now, turn, is_long, long)
+            .unwrap_or((turn, is_long));
+        let (_, key) = self.first_live(lane_index(tier, is_long))?;
         let entry = self.remove(key)?;
-        self.virtual_time = self.passes[index];
+        let index = tier_index(tier);
+        self.virtual_time = self.passes[tier_index(turn)];
         self.passes[index] += nanos(entry.cost / WEIGHTS[index]);
-        self.lanes[lane_index(tier, long)].pass += nanos(entry.cost);
+        self.lanes[lane_index(tier, is_long)].pass += nanos(entry.cost);
         Some((key, entry))
     }
 
@@ -372,6 +387,34 @@
         best.map(|(_, tier, is_long)| (tier, is_long))
     }
 
+    /// Returns the lane of the nested call that takes the turn of the lane (`turn`, `is_long`), if
+    /// there is one.
+    fn choose_nested(
+        &mut self,
+        now: Instant,
+        turn: Tier,
+        is_long: bool,
+        long: bool,
+    ) -> Option<(Tier, bool)> {
+        if !self.nested_first || !turn.uses_target() {
+            return None;
+        }
+        let direct = self.first_entry(lane_index(turn, is_long))?;
+        let nested = [Tier::Nested, Tier::NestedRefresh].map(|tier| {
+            let is_long = self.choose_long(tier, long)?;
+            let entry = self.first_entry(lane_index(tier, is_long))?;
+            Some((entry.start_by, tier, is_long))
+        });
+        let (start_by, tier, is_long) = nested.into_iter().flatten().min_by_key(|first| first.0)?;
+        precedence::is_nested_first(now, &direct, start_by).then_some((tier, is_long))
+    }
+
+    /// Returns the call of a lane that must start first.
+    fn first_entry(&mut self, lane: usize) -> Option<Entry> {
+        let (_, key) = self.first_live(lane)?;
+        self.slab[key.index as usize].entry
+    }
+
     fn choose_long(&self, tier: Tier, long: bool) -> Option<bool> {
         let short_lane = &self.lanes[lane_index(tier, false)];
         let long_lane = &self.lanes[lane_index(tier, true)];
--- a/crates/policy/tests/load/nested.rs
+++ b/crates/policy/tests/load/nested.rs
@@ -83,3 +83,60 @@
     let direct = lookup.answered(1..100, MEASURED_SPAN) / (CAPACITY * 8.0);
     assert!(direct > 0.15, "{direct}");
 }
+
+/// Describes a service whose uploads take a quarter of the capacity, and which also receives nested
+/// calls with a short deadline that take the share `checks`.
+fn upload_scenario(checks: f64, nested_first: bool) -> Scenario {
+    let mut nested = Flow::new(Class::Refresh, CAPACITY * checks);
+    nested.timeout = 0.4;
+    nested.parent_class = Some(Class::Refresh);
+    let mut uploads = Flow::new(Class::Lookup, 0.0);
+    uploads.service_time = 0.130;
+    uploads.rate = 24.0 * 0.25 / uploads.service_time;
+    uploads.target = Some(0.8);
+    uploads.timeout = 1.5;
+    let mut flows = vec![nested];
+    flows.extend(uploads.split(1..100));
+    Scenario {
+        flows,
+        nested_first,
+        ..Scenario::default()
+    }
+}
+
+// Uploads that could wait went first, and nested calls waited behind them until their deadlines:
+// their parents kept slots of the other service occupied, and failed.
+#[test]
+fn uploads_wait() {
+    // At 0.95 and 1.15 of the capacity.
+    for (checks, least_soon) in [(0.7, 0.85), (0.9, 0.3)] {
+        let [weighted, first] =
+            [false, true].map(|first| run(&upload_scenario(checks, first), System::Policy));
+        let asked = CAPACITY * checks * 8.0;
+        let soon = |report: &Report| report.answered_within(0..1, MEASURED_SPAN, 0.12) / asked;
+        let in_time =
+            first.answered_within(1..100, MEASURED_SPAN, 0.8) / (24.0 * 0.25 / 0.13 * 8.0);
+        println!(
+            "checks {checks} of the capacity, soon {:.3}, before uploads {:.3}; uploads in time {in_time:.3}",
+            soon(&weighted),
+            soon(&first),
+        );
+        assert!(soon(&first) > soon(&weighted) && soon(&first) > least_soon);
+        assert!(in_time > 0.95, "{in_time}");
+    }
+}
+
+// Direct calls that give their turns away must not be starved by nested calls that alone exceed
+// the capacity.
+#[test]
+fn turns_made_up() {
+    let scenario = Scenario {
+        nested_first: true,
+        ..mixed_scenario(Some(Class::Refresh), 1.2)
+    };
+    let crowded = run(&scenario, System::Policy);
+    let direct = crowded.answered(1..100, MEASURED_SPAN) / (CAPACITY * 8.0);
+    let checks = crowded.answered(0..1, MEASURED_SPAN) / (CAPACITY * 8.0);
+    println!("checks {checks:.3} of the capacity, direct calls {direct:.3}");
+    assert!(direct > 0.35 && checks > 0.35);
+}
--- a/crates/policy/tests/load/scenario.rs
+++ b/crates/policy/tests/load/scenario.rs
@@ -139,6 +139,8 @@
     pub hedge: bool,
     /// Whether load probes are sent to backend servers before a call.
     pub probes: bool,
+    /// Whether nested calls start before direct calls that can still wait.
+    pub nested_first: bool,
     /// Whether service times are uniform within half of their mean, instead of exponential.
     pub uniform_service_times: bool,
 }
@@ -156,6 +158,7 @@
             attempt_timeout: f64::MAX,
             hedge: false,
             probes: true,
+            nested_first: false,
             uniform_service_times: false,
         }
     }
--- a/crates/policy/tests/load/sim.rs
+++ b/crates/policy/tests/load/sim.rs
@@ -146,8 +146,13 @@
         report: Report::new(scenario.flows.len(), scenario.servers.len()),
     };
     for (index, server) in (0..).zip(&scenario.servers) {
+        let admission = Admission::new(start, server.advertised_slots, scenario.seed + index);
         sim.inbound.push(Inbound {
-            admission: Admission::new(start, server.advertised_slots, scenario.seed + index),
+            admission: if scenario.nested_first {
+                admission.with_nested_first()
+            } else {
+                admission
+            },
             waiting: HashMap::new(),
             server_queue: VecDeque::new(),
             running: 0,
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -1,6 +1,6 @@
 //! Settings of `bluebellpick-node`.
 
-pub use crate::value::{ApiKind, Distribution, LinkRate, Quota, Share, Token};
+pub use crate::value::{ApiKind, Distribution, LinkRate, NestedCalls, Quota, Share, Token};
 
 use crate::document::{Document, read_file};
 use crate::error::Error;
@@ -70,6 +70,8 @@
         [limits] team_slack: Option<Quota> = "";
         /// Capacity of the VM's network link, in Mbit/s; request bodies are received no faster, so that small calls are not held up. Empty for an estimate from observed traffic.
         [limits] link_mbps: Option<LinkRate> = "";
+        /// Where nested calls and direct calls wait for the backend server: `weighted` gives each kind its share of the slots, `first` starts nested calls while the direct calls can still wait.
+        [limits] nested_calls: NestedCalls = "weighted";
         /// Memory for the request bodies of calls that wait for a slot, in kilobytes; no further bytes are requested from the sending nodes.
         [limits] body_kb: u32 = "8192";
         /// Threads that serve calls, in addition to the one for configuration distribution; one is enough for some thousand calls a second.
--- a/crates/settings/src/value.rs
+++ b/crates/settings/src/value.rs
@@ -141,6 +141,27 @@
     }
 }
 
+/// Which calls start first where nested calls and direct calls wait for the same backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NestedCalls {
+    /// Each kind gets its share of the slots.
+    Weighted,
+    /// Nested calls, while the direct calls can still wait.
+    First,
+}
+
+impl Value for NestedCalls {
+    const EXPECTED: &str = "weighted or first";
+
+    fn parse(text: &str) -> Result<Self, ParseError> {
+        match text {
+            "weighted" => Ok(Self::Weighted),
+            "first" => Ok(Self::First),
+            _ => Err(ParseError::Malformed),
+        }
+    }
+}
+
 impl<T> Value for Option<T>
 where
     T: Value,
