--- a/crates/settings/tests/node.rs
+++ b/crates/settings/tests/node.rs
@@ -1,6 +1,6 @@
 //! Settings of a node: every error is reported with its line and a description of a valid value.
 
-use settings::node::{Settings, Share};
+use settings::node::{NestedCalls, Settings, Share};
 use std::time::Duration;
 use yare::parameterized;
 
@@ -101,6 +101,17 @@
     assert!((found - bytes).abs() < 1e-6, "{found}");
 }
 
+#[parameterized(
+    unset = { "", NestedCalls::Weighted },
+    weighted = { "nested_calls = weighted", NestedCalls::Weighted },
+    first = { "nested_calls = first", NestedCalls::First },
+)]
+fn nested_precedence(line: &str, expected: NestedCalls) {
+    let text = format!("{VALID}[limits]\n{line}\n");
+    let settings = Settings::parse(&text, "node.ini").unwrap();
+    assert_eq!(settings.nested_calls, expected);
+}
+
 #[parameterized(
     negative_budget = { "repeat_extra = -1", "\"-1\" is not a number from 0" },
     not_a_number = { "repeat_extra = NaN", "\"NaN\" is not a number from 0" },
@@ -132,6 +143,7 @@
     negative_limit = { "[fleet]", "[limits]\ndrain_timeout = -1 s\n[fleet]", 12, "\"-1 s\" is not a number above zero" },
     limit_without_unit = { "[fleet]", "[limits]\ndrain_timeout = 30\n[fleet]", 12, "with a unit (ms, s, min or h)" },
     huge_limit = { "[fleet]", "[limits]\ndrain_timeout = 18446744073709551615 h\n[fleet]", 12, "is not a number above zero" },
+    unknown_precedence = { "[fleet]", "[limits]\nnested_calls = last\n[fleet]", 12, "\"last\" is not weighted or first" },
     unknown_interface = { "[fleet]", "[fleet]\ninterface = theirs", 12, "\"theirs\" is not own or platform" },
     interface_without_service = { "[fleet]", "[fleet]\ninterface = platform", 2, "[node] service: missing" },
     port_zero = { "127.0.0.1:7001", "127.0.0.1:0", 7, "is zero" },
