--- a/crates/policy/tests/load/nested.rs
+++ b/crates/policy/tests/load/nested.rs
@@ -1,5 +1,5 @@
 use crate::report::Report;
-use crate::scenario::{CAPACITY, Flow, Scenario, System};
+use crate::scenario::{CAPACITY, Flow, NestedCalls, Scenario, System};
 use crate::sim::run;
 use config::Class;
 
@@ -86,7 +86,7 @@
 
 /// Describes a service whose uploads take a quarter of the capacity, and which also receives nested
 /// calls with a short deadline that take the share `checks`.
-fn upload_scenario(checks: f64, nested_first: bool) -> Scenario {
+fn upload_scenario(checks: f64, nested_calls: NestedCalls) -> Scenario {
     let mut nested = Flow::new(Class::Refresh, CAPACITY * checks);
     nested.timeout = 0.4;
     nested.parent_class = Some(Class::Refresh);
@@ -99,7 +99,7 @@
     flows.extend(uploads.split(1..100));
     Scenario {
         flows,
-        nested_first,
+        nested_calls,
         ..Scenario::default()
     }
 }
@@ -110,8 +110,8 @@
 fn uploads_wait() {
     // At 0.95 and 1.15 of the capacity.
     for (checks, least_soon) in [(0.7, 0.85), (0.9, 0.3)] {
-        let [weighted, first] =
-            [false, true].map(|first| run(&upload_scenario(checks, first), System::Policy));
+        let [weighted, first] = [NestedCalls::Weighted, NestedCalls::First]
+            .map(|order| run(&upload_scenario(checks, order), System::Policy));
         let asked = CAPACITY * checks * 8.0;
         let soon = |report: &Report| report.answered_within(0..1, MEASURED_SPAN, 0.12) / asked;
         let uploads =
@@ -131,7 +131,7 @@
 #[test]
 fn turns_made_up() {
     let scenario = Scenario {
-        nested_first: true,
+        nested_calls: NestedCalls::First,
         ..mixed_scenario(Some(Class::Refresh), 1.2)
     };
     let crowded = run(&scenario, System::Policy);
--- a/crates/policy/tests/load/scenario.rs
+++ b/crates/policy/tests/load/scenario.rs
@@ -29,6 +29,15 @@
     Marked,
 }
 
+/// Which calls start first where nested calls and direct calls wait for a backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NestedCalls {
+    /// Each kind gets its share of the slots.
+    Weighted,
+    /// Nested calls, while the direct calls can still wait.
+    First,
+}
+
 /// Calls of one caller to one route.
 #[derive(Debug, Clone)]
 pub struct Flow {
@@ -139,8 +148,8 @@
     pub hedge: bool,
     /// Whether load probes are sent to backend servers before a call.
     pub probes: bool,
-    /// Whether nested calls start before direct calls that can still wait.
-    pub nested_first: bool,
+    /// Which calls start first where nested calls and direct calls wait.
+    pub nested_calls: NestedCalls,
     /// Whether service times are uniform within half of their mean, instead of exponential.
     pub uniform_service_times: bool,
 }
@@ -158,7 +167,7 @@
             attempt_timeout: f64::MAX,
             hedge: false,
             probes: true,
-            nested_first: false,
+            nested_calls: NestedCalls::Weighted,
             uniform_service_times: false,
         }
     }
--- a/crates/policy/tests/load/sim.rs
+++ b/crates/policy/tests/load/sim.rs
@@ -2,7 +2,7 @@
 //! their backend servers, in virtual time and determined by one seed.
 
 use crate::report::Report;
-use crate::scenario::{CallerRetry, Scenario, Server, System};
+use crate::scenario::{CallerRetry, NestedCalls, Scenario, Server, System};
 use config::Class;
 use policy::admission::{self, Admission};
 use policy::balance::{self, Balancer, Candidate, Distance, Identity};
@@ -148,10 +148,9 @@
     for (index, server) in (0..).zip(&scenario.servers) {
         let admission = Admission::new(start, server.advertised_slots, scenario.seed + index);
         sim.inbound.push(Inbound {
-            admission: if scenario.nested_first {
-                admission.with_nested_first()
-            } else {
-                admission
+            admission: match scenario.nested_calls {
+                NestedCalls::Weighted => admission,
+                NestedCalls::First => admission.with_nested_first(),
             },
             waiting: HashMap::new(),
             server_queue: VecDeque::new(),
