--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -54,6 +54,7 @@
 pub mod load_probe;
 pub mod outlier;
 pub mod pipeline;
+mod precedence;
 pub mod quarantine;
 pub mod queue;
 mod rate_limit;
