Pace that backend servers report: policy and replay

Backend servers on shared machines are slowed down for some tenths of a second at a time. Durations show it only when the calls have ended, so calls keep going to slow servers, and the concurrency limit is cut for others' work.

policy::pace learns durations at the usual pace and multiplies predictions by the reported one, as far as durations confirm it. Nothing reports it yet.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -20,9 +20,10 @@
 use crate::fair_share::{self, Cells};
 use crate::limit::{ConcurrencyLimit, Outcome};
 use crate::load_probe::Estimate;
+use crate::pace;
 use crate::queue::{self, Entry, Queue, TIERS, Tier, tier_index};
 use crate::rate_limit::RateLimit;
-use crate::self_report::Rate;
+use crate::self_report::{Percent, Rate};
 use crate::throughput::{DeferredWork, LaneRate, OfferedWork, SlotSpeed};
 use config::Class;
 use rand::Rng;
@@ -59,6 +60,7 @@
     long: bool,
     cost: f64,
     started: Instant,
+    pace: pace::Start,
     /// Number of running calls once this call had started, including it.
     running: u32,
 }
@@ -150,7 +152,9 @@
 #[derive(Debug)]
 pub struct Admission {
     limit: ConcurrencyLimit,
+    /// Durations at the usual pace.
     durations: duration::Estimator,
+    pace: pace::Tracker,
     queue: Queue,
     /// Recent use of slots by each caller, per tier.
     caller_usage: [fair_share::UsageSketch; TIERS.len()],
@@ -184,6 +188,7 @@
             lane_rates: [LaneRate::new(now, limit.slots()); queue::LANE_COUNT],
             limit,
             durations: duration::Estimator::new(duration::LOCAL_ROWS),
+            pace: pace::Tracker::new(),
             queue: Queue::new(),
             caller_usage: [1, 2, 3, 4, 5, 6]
                 .map(|salt| fair_share::UsageSketch::new(now, seed.wrapping_add(salt))),
@@ -214,6 +219,23 @@
         self.limit.set_advertised(slots);
     }
 
+    /// Records the pace that the backend server reports.
+    pub fn record_pace(&mut self, now: Instant, pace: Percent) {
+        self.pace.record(now, pace);
+    }
+
+    /// Forgets the pace, which is that of a former process.
+    pub fn reset_pace(&mut self) {
+        self.pace = pace::Tracker::new();
+    }
+
+    /// Returns how long calls take now, in multiples of their usual duration; `None` if the backend
+    /// server has not reported it lately.
+    #[must_use]
+    pub fn pace(&self, now: Instant) -> Option<f64> {
+        self.pace.known(now)
+    }
+
     /// Returns the number of running calls.
     #[must_use]
     pub fn running(&self) -> u32 {
@@ -302,8 +324,9 @@
             run: self
                 .durations
                 .route_mean(request.route)
-                .map(duration_from_secs),
+                .map(|mean| duration_from_secs(mean * self.pace.get(now))),
             load: self.load(),
+            pace: self.pace.known(now),
         }
     }
 
@@ -328,7 +351,7 @@
 
     /// Describes a call as a queue entry, with the latest time at which it may start.
     fn make_entry(&self, now: Instant, request: &Request, cells: [Cells; 2]) -> Entry {
-        let cost = self.durations.expected(request.route);
+        let cost = self.durations.expected(request.route) * self.pace.get(now);
         let left = time_left(now, request);
         let [caller, key] = cells;
         let entry = Entry {
@@ -387,6 +410,7 @@
             long,
             cost,
             started,
+            pace,
             running,
         } = ticket;
         self.running -= 1;
@@ -395,7 +419,11 @@
         let slowdown = match outcome {
             Outcome::Done => {
                 let light = self.limit.is_light(running);
-                self.durations.record(route, took, light)
+                let usual = self.pace.at_usual_pace(now, pace, took);
+                if let Some(mean) = self.durations.route_mean(route) {
+                    self.pace.learn(now, pace, usual, mean);
+                }
+                self.durations.record(route, usual, light)
             }
             Outcome::Shed | Outcome::Failed => None,
         };
@@ -522,6 +550,7 @@
             long: entry.long,
             cost: entry.cost,
             started: now,
+            pace: self.pace.start(now),
             running: self.running,
         }
     }
@@ -534,7 +563,8 @@
             .queue
             .work_ahead(entry.tier, entry.long, entry.start_by);
         // The call whose slot becomes free next is on average half finished.
-        let slot = self.durations.overall_mean() / 2.0 / self.slot_rate(now);
+        let mean = self.durations.overall_mean() * self.pace.get(now);
+        let slot = mean / 2.0 / self.slot_rate(now);
         let start = if self.rate_limit.is_some() && self.has_free_slot(now, entry.long) {
             self.token_wait(now).as_secs_f64()
         } else {
@@ -560,7 +590,7 @@
     /// Returns the slot-seconds of calls that can be served per second.
     fn service_rate(&self, now: Instant) -> f64 {
         let rate = self.slot_rate(now);
-        self.limited_rate()
+        self.limited_rate(now)
             .map_or(rate, |limited| limited.min(rate))
     }
 
@@ -570,14 +600,14 @@
     }
 
     /// Returns the slot-seconds per second of calls of average duration at the rate limit.
-    fn limited_rate(&self) -> Option<f64> {
+    fn limited_rate(&self, now: Instant) -> Option<f64> {
         let limit = self.rate_limit.as_ref()?;
-        Some(limit.rate() * self.durations.overall_mean())
+        Some(limit.rate() * self.durations.overall_mean() * self.pace.get(now))
     }
 
     /// Returns whether the rate limit allows fewer calls than the slots can serve.
     fn is_rate_limited(&self, now: Instant) -> bool {
-        self.limited_rate()
+        self.limited_rate(now)
             .is_some_and(|limited| limited < self.slot_rate(now))
     }
 
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -18,6 +18,7 @@
 use crate::duration;
 use crate::load_probe::ProbeTrigger;
 use crate::outlier::{self, EjectionState, PeerAverages, Sample};
+use crate::pace::Slowness;
 use crate::server::Server;
 use call::{Digest, owner};
 use rand::Rng;
@@ -108,6 +109,9 @@
     pub load: f64,
     /// How long the call waited for a slot at the inbound proxy.
     pub queue_wait: Duration,
+    /// How long calls take now, in multiples of their usual duration, if the backend server reports
+    /// it.
+    pub pace: Option<f64>,
 }
 
 /// How a call ended.
@@ -320,8 +324,12 @@
         server.end_call(now.checked_sub(took).unwrap_or(now));
         match outcome {
             Outcome::Answered(report) => {
+                let pace = report
+                    .and_then(|report| report.pace)
+                    .map_or(1.0, |pace| Slowness::new(now, pace).get(now));
                 if let Some(report) = report {
                     server.set_load(now, report.load);
+                    server.set_pace(now, report.pace);
                     self.probe_trigger.record_load(report.load);
                 }
                 // The queue wait is already part of the reported load. If the queue wait also
@@ -329,6 +337,9 @@
                 // gone.
                 let took =
                     took.saturating_sub(report.map_or(Duration::ZERO, |report| report.queue_wait));
+                // Work of others on the machine doesn't make a backend server bad: durations at the
+                // usual pace decide.
+                let took = took.div_f64(pace);
                 let expected = self.durations.expected(route);
                 self.durations.record(route, took, false);
                 let slowdown = took.as_secs_f64() / expected.max(1e-6);
@@ -457,9 +468,10 @@
         }
     }
 
-    pub(crate) fn set_load(&mut self, now: Instant, key: Key, load: f64) {
+    pub(crate) fn set_load(&mut self, now: Instant, key: Key, load: f64, pace: Option<f64>) {
         if let Some(server) = self.get_mut(key) {
             server.set_load(now, load);
+            server.set_pace(now, pace);
         }
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -52,6 +52,7 @@
 pub mod limit;
 pub mod load_probe;
 pub mod outlier;
+pub mod pace;
 pub mod quarantine;
 pub mod queue;
 mod rate_limit;
--- a/crates/policy/src/load_probe.rs
+++ b/crates/policy/src/load_probe.rs
@@ -32,6 +32,9 @@
     pub run: Option<Duration>,
     /// Running and waiting calls, divided by the slots.
     pub load: f64,
+    /// How long calls take now, in multiples of their usual duration, if the backend server reports
+    /// it; `wait` and `run` take it into account.
+    pub pace: Option<f64>,
 }
 
 /// A probed backend server and its reply, if it answered.
@@ -240,7 +243,7 @@
         } else if !estimate.accepts || !estimate.wait.is_zero() {
             self.pause_probes(now, result.key, estimate.wait);
         }
-        self.set_load(now, result.key, estimate.load);
+        self.set_load(now, result.key, estimate.load, estimate.pace);
     }
 
     /// Returns the prediction with the lowest cost, preferring backend servers that would admit the
--- a/crates/policy/src/self_report.rs
+++ b/crates/policy/src/self_report.rs
@@ -1,7 +1,8 @@
 //! What a backend server reports about itself in its responses: the rate of requests that it takes,
-//! and that it is leaving.
+//! its load, and that it is leaving.
 
 use std::fmt;
+use std::num::NonZeroU16;
 
 /// Rate of requests, in thousandths of a request per second.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -66,6 +67,53 @@
     Unreadable,
 }
 
+/// How long work takes on the machine of a backend server, in percent of the usual.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Percent(NonZeroU16);
+
+impl Percent {
+    /// Returns the duration of work in multiples of the usual.
+    #[must_use]
+    pub fn ratio(self) -> f64 {
+        f64::from(self.0.get()) / 100.0
+    }
+}
+
+/// Load that a backend server reports.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Load {
+    /// Number of calls that run.
+    pub running: u32,
+    /// Number of calls that wait.
+    pub waiting: u32,
+    /// Number of calls that it runs at once.
+    pub slots: u32,
+    /// How long work takes on its machine at this moment; `None` from backend servers that report
+    /// only the numbers of calls.
+    pub pace: Option<Percent>,
+}
+
+impl Load {
+    /// Reads a load: the running and the waiting calls, the slots and possibly the pace, as whole
+    /// numbers with commas between them.
+    #[must_use]
+    pub fn parse(text: &str) -> Option<Self> {
+        let mut figures = text.split(',').map(str::trim_ascii);
+        let mut next = || figures.next()?.parse().ok();
+        let (running, waiting, slots) = (next()?, next()?, next()?);
+        let pace = match figures.next() {
+            Some(pace) => Some(Percent(pace.parse().ok()?)),
+            None => None,
+        };
+        figures.next().is_none().then_some(Self {
+            running,
+            waiting,
+            slots,
+            pace,
+        })
+    }
+}
+
 /// What one response reports about its backend server.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Reading {
@@ -73,6 +121,8 @@
     pub rate: RateReading,
     /// Whether it is leaving and must get no new calls.
     pub leaving: bool,
+    /// Its load, unless the response names none or contradicts itself.
+    pub load: Option<Load>,
     /// Number of values that could not be read, or that contradict each other.
     pub invalid: u32,
 }
@@ -109,4 +159,18 @@
             _ => self.invalid += 1,
         }
     }
+
+    /// Adds the values of a header for the load.
+    pub fn add_loads<'a, I>(&mut self, texts: I)
+    where
+        I: IntoIterator<Item = &'a str>,
+    {
+        let mut loads = texts.into_iter().map(Load::parse);
+        let Some(first) = loads.next() else {
+            return;
+        };
+        // Of different values, none is known to be the current one.
+        self.load = first.filter(|_| loads.all(|load| load == first));
+        self.invalid += u32::from(self.load.is_none());
+    }
 }
--- a/crates/policy/src/server.rs
+++ b/crates/policy/src/server.rs
@@ -2,6 +2,7 @@
 
 use crate::balance::{Candidate, Distance, Identity, Track};
 use crate::outlier::Health;
+use crate::pace::Slowness;
 use std::time::{Duration, Instant};
 
 /// Slow-start period of a backend server that does not advertise one, or that returns from an
@@ -73,6 +74,8 @@
     /// Load that was last reported, or assumed after a refusal.
     load: f64,
     load_reported_at: Instant,
+    /// Pace that was last reported.
+    pace: Option<Slowness>,
     pub(crate) slow_start_from: Option<Instant>,
     /// Length of the slow start that began at `slow_start_from`.
     slow_start_duration: Duration,
@@ -104,6 +107,7 @@
             answered_at: now,
             load: 0.0,
             load_reported_at: now,
+            pace: None,
             // When the proxy itself starts, all backend servers are new to the proxy; that does not
             // make them cold.
             slow_start_from: (!is_initial).then_some(now),
@@ -124,6 +128,7 @@
             return;
         }
         self.process = candidate.process;
+        self.pace = None;
         self.health = Health::new(now);
         self.restart_slow_start(now);
         self.slow_start_duration = candidate.warm_up.unwrap_or(SLOW_START);
@@ -162,9 +167,8 @@
     /// Returns the factor by which slowness and failures of the backend server raise the cost of a
     /// call.
     fn cost_factor(&self, now: Instant, mean_duration: f64, repeatable: bool) -> f64 {
-        let slowdown = self
-            .slowdown(now)
-            .max(self.mean_call_age(now) / mean_duration);
+        let slowdown =
+            (self.slowdown(now) * self.pace(now)).max(self.mean_call_age(now) / mean_duration);
         slowdown * self.failure_factor(repeatable)
     }
 
@@ -222,6 +226,17 @@
         self.load_reported_at = now;
     }
 
+    /// Sets the reported pace; without a report, the last one fades.
+    pub(crate) fn set_pace(&mut self, now: Instant, pace: Option<f64>) {
+        if let Some(pace) = pace {
+            self.pace = Some(Slowness::new(now, pace));
+        }
+    }
+
+    fn pace(&self, now: Instant) -> f64 {
+        self.pace.map_or(1.0, |pace| pace.get(now))
+    }
+
     /// Records that the backend server did not answer a load probe.
     pub(crate) fn record_missed_probe(&mut self, now: Instant) {
         self.pause_probes(now, PROBE_PAUSE);
--- a/crates/policy/tests/balance.rs
+++ b/crates/policy/tests/balance.rs
@@ -111,6 +111,7 @@
                 Outcome::Answered(Some(LoadReport {
                     load: 0.5,
                     queue_wait: Duration::ZERO,
+                    pace: None,
                 })),
             )
         };
--- a/crates/policy/tests/limited_server.rs
+++ b/crates/policy/tests/limited_server.rs
@@ -48,6 +48,7 @@
             wait: Duration::from_millis(wait_ms),
             run: None,
             load: 0.0,
+            pace: None,
         }),
     }
 }
--- a/crates/policy/tests/load/main.rs
+++ b/crates/policy/tests/load/main.rs
@@ -13,6 +13,7 @@
 mod report;
 mod retry_storm;
 mod scenario;
+mod shared_machine;
 mod sim;
 mod slow_server;
 mod sustained_overload;
--- a/crates/policy/tests/load/report.rs
+++ b/crates/policy/tests/load/report.rs
@@ -135,10 +135,15 @@
         count(&self.durations(&flows, &span, Kind::Answered))
     }
 
+    /// Returns the number of calls of `flows` in `span`.
+    pub fn offered(&self, flows: Range<usize>, span: Range<f64>) -> f64 {
+        count(&self.durations(&flows, &span, Kind::Offered))
+    }
+
     /// Returns the share of the calls of `flows`, started in `span`, that were answered before
     /// their deadline.
     pub fn answered_share(&self, flows: Range<usize>, span: Range<f64>) -> f64 {
-        let offered = count(&self.durations(&flows, &span, Kind::Offered));
+        let offered = self.offered(flows.clone(), span.clone());
         self.answered(flows, span) / offered.max(1.0)
     }
 
--- a/crates/policy/tests/load/scenario.rs
+++ b/crates/policy/tests/load/scenario.rs
@@ -97,6 +97,10 @@
     pub slots: usize,
     /// Factor on the service time of a call that starts at the given second.
     pub slowdown: fn(f64) -> f64,
+    /// Like `slowdown`, but by others' work on the machine of the server with the given index.
+    pub neighbour: fn(usize, f64) -> f64,
+    /// What the server with the given index reports as its pace, in percent.
+    pub reported_pace: fn(usize, f64) -> Option<u32>,
     /// Whether a call that starts at the given second fails at once.
     pub is_failing: fn(f64) -> bool,
     /// Whether the backend server has no power at the given second, so that anything sent to it is
@@ -113,6 +117,8 @@
             advertised_slots: 6,
             slots: 6,
             slowdown: |_| 1.0,
+            neighbour: |_, _| 1.0,
+            reported_pace: |_, _| None,
             is_failing: |_| false,
             is_dead: |_| false,
             in_view_span_s: (0.0, f64::MAX),
--- a/crates/policy/tests/load/sim.rs
+++ b/crates/policy/tests/load/sim.rs
@@ -11,6 +11,7 @@
 use policy::load_probe::ProbeResult;
 use policy::queue;
 use policy::retry::{Cause, Decision, FailedAttempt, RetryBudget};
+use policy::self_report::Load;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::cmp::Reverse;
@@ -74,6 +75,8 @@
     sent_at: f64,
     ticket: Option<admission::Ticket>,
     is_first: bool,
+    /// Pace that the answer carries.
+    pace: Option<f64>,
 }
 
 /// Arguments for picking a backend server for a call, without the backend servers already tried.
@@ -380,6 +383,7 @@
             sent_at: self.now,
             ticket: None,
             is_first,
+            pace: None,
         });
         let attempt = self.attempts.len() - 1;
         let zones = [
@@ -515,7 +519,7 @@
         } else {
             self.exponential(mean)
         };
-        let duration = work * (spec.slowdown)(self.now);
+        let duration = work * (spec.slowdown)(self.now) * (spec.neighbour)(server, self.now);
         let end = self.now + duration;
         // The policy propagates deadlines, which end the work; the baseline does not.
         let end = match self.system {
@@ -549,8 +553,14 @@
                 AttemptResult::Failed | AttemptResult::Full => limit::Outcome::Failed,
             };
             let admission = &mut self.inbound[server].admission;
+            let reported = (self.scenario.servers[server].reported_pace)(server, self.now);
+            if let Some(percent) = reported {
+                let report = Load::parse(&format!("0,0,6,{percent}"));
+                admission.record_pace(now, report.and_then(|load| load.pace).expect("a pace"));
+            }
             admission.finish(now, ticket, outcome);
             load = admission.load();
+            self.attempts[attempt].pace = admission.pace(now);
             self.poll_admission(server);
         }
         self.schedule(
@@ -601,6 +611,7 @@
             key,
             sent_at,
             is_first,
+            pace,
             ..
         } = self.attempts[attempt];
         let is_open = self.calls[call].is_open;
@@ -615,6 +626,7 @@
                 AttemptResult::Answered => balance::Outcome::Answered(Some(balance::LoadReport {
                     load: value,
                     queue_wait: Duration::ZERO,
+                    pace,
                 })),
                 AttemptResult::Failed if !is_open => balance::Outcome::Cancelled,
                 AttemptResult::Failed => balance::Outcome::Failed,
--- a/crates/policy/tests/load_probe.rs
+++ b/crates/policy/tests/load_probe.rs
@@ -42,6 +42,7 @@
         let report = LoadReport {
             load,
             queue_wait: Duration::ZERO,
+            pace: None,
         };
         let done = Outcome::Answered(Some(report));
         balancer.finish(clock.now(), key, 1, NORMAL_DURATION, done, rng);
@@ -64,6 +65,7 @@
         wait: Duration::from_millis(wait_ms),
         run: Some(Duration::from_millis(run_ms)),
         load: 0.9,
+        pace: None,
     }
 }
 
--- a/crates/policy/tests/self_report.rs
+++ b/crates/policy/tests/self_report.rs
@@ -1,6 +1,6 @@
 //! What a response reports about its backend server, also in values that make no sense.
 
-use policy::self_report::{Rate, RateReading, Reading};
+use policy::self_report::{Load, Percent, Rate, RateReading, Reading};
 use yare::parameterized;
 
 fn named(millis: u32) -> RateReading {
@@ -53,3 +53,35 @@
     }
     assert_eq!((reading.leaving, reading.invalid), (expected, invalid));
 }
+
+#[parameterized(
+    absent = { &[], None, 0 },
+    three = { &["3,0,8"], Some((3, 0, 8, None)), 0 },
+    four = { &["3,1,8,250"], Some((3, 1, 8, Some(2.5))), 0 },
+    spaces = { &[" 3, 0 ,8, 100 "], Some((3, 0, 8, Some(1.0))), 0 },
+    twice = { &["3,0,8,100", "3,0,8,100"], Some((3, 0, 8, Some(1.0))), 0 },
+    twice_differing = { &["3,0,8,100", "3,0,8,90"], None, 1 },
+    one_readable = { &["3,0,8,100", "x"], None, 1 },
+    two_figures = { &["3,0"], None, 1 },
+    five_figures = { &["3,0,8,100,7"], None, 1 },
+    negative = { &["3,0,8,-100"], None, 1 },
+    negative_calls = { &["-3,0,8,100"], None, 1 },
+    zero_pace = { &["3,0,8,0"], None, 1 },
+    huge_pace = { &["3,0,8,65536"], None, 1 },
+    huge_calls = { &["99999999999,0,8,100"], None, 1 },
+    not_a_number = { &["3,0,8,NaN"], None, 1 },
+    decimal = { &["3,0,8,100.5"], None, 1 },
+    empty = { &[""], None, 1 },
+)]
+fn loads(values: &[&str], expected: Option<(u32, u32, u32, Option<f64>)>, invalid: u32) {
+    let mut reading = Reading::default();
+    reading.add_loads(values.iter().copied());
+    let figures = |load: Load| {
+        let pace = load.pace.map(Percent::ratio);
+        (load.running, load.waiting, load.slots, pace)
+    };
+    assert_eq!(
+        (reading.load.map(figures), reading.invalid),
+        (expected, invalid)
+    );
+}
