Read the load that backend servers report, and use it in predictions

[limits] server_load = use reads bluebellpick-load and the platform's header, corrects predicted waits and durations beside the backend server, and sends the pace with answers and load replies. The default ignores both headers.

--- a/crates/node/src/inbound/admission_gate.rs
+++ b/crates/node/src/inbound/admission_gate.rs
@@ -103,6 +103,7 @@
                 process: backend.process(),
                 ..ReportState::default()
             };
+            self.admission.reset_pace();
             self.set_rate_limit(now, None);
         }
     }
@@ -220,6 +221,9 @@
         if state.report.process != process {
             return None;
         }
+        if let Some(pace) = reading.load.and_then(|load| load.pace) {
+            state.admission.record_pace(now, pace);
+        }
         let previous = state.report;
         let rate_limit = match reading.rate {
             RateReading::Absent => None,
@@ -265,6 +269,13 @@
         self.state.lock().admission.load()
     }
 
+    /// Returns how long calls take now, in multiples of their usual duration, if the backend server
+    /// reports it.
+    pub(crate) fn pace(&self) -> Option<f64> {
+        let now = self.clock.now();
+        self.state.lock().admission.pace(now)
+    }
+
     fn permit(self: &Arc<Self>, ticket: Ticket) -> Permit<C> {
         Permit {
             gate: Arc::clone(self),
@@ -319,6 +330,12 @@
     pub(crate) fn load(&self) -> f64 {
         self.gate.load()
     }
+
+    /// Returns how long calls take now, in multiples of their usual duration, if the backend server
+    /// reports it.
+    pub(crate) fn pace(&self) -> Option<f64> {
+        self.gate.pace()
+    }
 }
 
 impl<C> Drop for Permit<C>
--- a/crates/node/src/inbound/deliver.rs
+++ b/crates/node/src/inbound/deliver.rs
@@ -62,6 +62,7 @@
         queue_wait_ms: whole_ms(load_report.queue_wait),
         end: end && first.is_none(),
         report: current_report(inner),
+        pace_percent: load_report.pace.map(percent_of),
     };
     call.send_head(head, first, end);
     if end {
--- a/crates/node/src/inbound/load_probe.rs
+++ b/crates/node/src/inbound/load_probe.rs
@@ -23,6 +23,7 @@
         run_ms: estimate.run.map(whole_ms),
         load_percent: percent_of(estimate.load),
         report: current_report(inner),
+        pace_percent: estimate.pace.map(percent_of),
     }
 }
 
@@ -40,6 +41,7 @@
             // Full load, because a node that reports itself as idle would attract the calls that
             // are sent without a probe.
             load: 1.0,
+            pace: None,
         };
     };
     let request = admission::Request {
--- a/crates/node/src/inbound/report.rs
+++ b/crates/node/src/inbound/report.rs
@@ -11,13 +11,14 @@
 use policy::self_report::Rate;
 use wire::call::ServerReport;
 
-/// Applies what a response of `backend` reports: the rate limit, and that the process leaves.
+/// Applies what a response of `backend` reports: the rate limit, the load, and that the process
+/// leaves.
 pub(super) fn apply_response<C>(inner: &Inner<C>, backend: &Backend, headers: &HeaderMap)
 where
     C: Clock,
 {
     let shared = &inner.shared;
-    let reading = self_report::read(headers);
+    let reading = self_report::read(headers, shared.settings.server_load);
     let elapsed = shared.metrics.elapsed(shared.clock.now());
     if reading.invalid > 0 {
         shared.metrics.self_report.count_invalid(reading.invalid);
@@ -38,6 +39,10 @@
         return;
     };
     shared.metrics.self_report.set_limit(report.rate_limit);
+    if let Some(load) = reading.load {
+        let pace = inner.gate.pace().unwrap_or(1.0);
+        shared.metrics.self_report.set_load(&load, pace);
+    }
     if has_changed && let Some(left_out) = shared.log_limits.reports.admit(elapsed) {
         info!(
             service = backend.service.as_str(),
--- a/crates/node/src/inbound/run.rs
+++ b/crates/node/src/inbound/run.rs
@@ -576,6 +576,7 @@
         LoadReport {
             load: self.permit.load().max(f64::from(self.link_percent) / 100.0),
             queue_wait: Duration::from_millis(self.queue_wait_ms.into()),
+            pace: self.permit.pace(),
         }
     }
 }
--- a/crates/node/src/outbound/pick.rs
+++ b/crates/node/src/outbound/pick.rs
@@ -177,5 +177,6 @@
         wait: Duration::from_millis(reply.wait_ms.into()),
         run: reply.run_ms.map(|run| Duration::from_millis(run.into())),
         load: f64::from(reply.load_percent) / 100.0,
+        pace: reply.pace_percent.map(|pace| f64::from(pace) / 100.0),
     })
 }
--- a/crates/node/src/outbound/send.rs
+++ b/crates/node/src/outbound/send.rs
@@ -234,6 +234,7 @@
             let report = LoadReport {
                 load: f64::from(answer.load_percent) / 100.0,
                 queue_wait: Duration::from_millis(answer.queue_wait_ms.into()),
+                pace: answer.pace_percent.map(|pace| f64::from(pace) / 100.0),
             };
             let id = answer.id;
             let head = response_head(answer);
--- a/crates/node/tests/calls/round_trip.rs
+++ b/crates/node/tests/calls/round_trip.rs
@@ -140,6 +140,7 @@
             headers: Vec::new(),
             load_percent: 0,
             report: None,
+            pace_percent: None,
             queue_wait_ms: 0,
             end: false,
         })
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -1,6 +1,6 @@
 //! Settings of `bluebellpick-node`.
 
-pub use crate::value::{ApiKind, Distribution, LinkRate, Quota, Share, Token};
+pub use crate::value::{ApiKind, Distribution, LinkRate, Quota, ServerLoad, Share, Token};
 
 use crate::document::{Document, read_file};
 use crate::error::Error;
@@ -68,6 +68,8 @@
         [limits] team_overage: Option<Share> = "";
         /// Calls in a window by which a team may exceed its limit besides; empty for none.
         [limits] team_slack: Option<Quota> = "";
+        /// Whether predictions follow the load that backend servers report in their responses: `use` or `ignore`.
+        [limits] server_load: ServerLoad = "ignore";
         /// Capacity of the VM's network link, in Mbit/s; request bodies are received no faster, so that small calls are not held up. Empty for an estimate from observed traffic.
         [limits] link_mbps: Option<LinkRate> = "";
         /// Memory for the request bodies of calls that wait for a slot, in kilobytes; no further bytes are requested from the sending nodes.
--- a/crates/settings/src/value.rs
+++ b/crates/settings/src/value.rs
@@ -141,6 +141,27 @@
     }
 }
 
+/// Whether the load that backend servers report in their responses is used.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ServerLoad {
+    /// It corrects the predicted duration of calls.
+    Use,
+    /// It is not read.
+    Ignore,
+}
+
+impl Value for ServerLoad {
+    const EXPECTED: &str = "use or ignore";
+
+    fn parse(text: &str) -> Result<Self, ParseError> {
+        match text {
+            "use" => Ok(Self::Use),
+            "ignore" => Ok(Self::Ignore),
+            _ => Err(ParseError::Malformed),
+        }
+    }
+}
+
 impl<T> Value for Option<T>
 where
     T: Value,
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -77,6 +77,9 @@
     pub end: bool,
     /// What the backend server reports about itself, if that restricts its calls.
     pub report: Option<ServerReport>,
+    /// How long calls take there now, in percent of their usual duration, if the backend server
+    /// reports it. It approaches 100 with the age of the report, also at the receiver.
+    pub pace_percent: Option<u16>,
 }
 
 /// Why an attempt got no answer from the backend server.
@@ -267,6 +270,9 @@
     pub load_percent: u16,
     /// What the backend server has reported about itself, if that restricts its calls.
     pub report: Option<ServerReport>,
+    /// How long calls take there now, as in [`Answer::pace_percent`]; `wait_ms` and `run_ms` take it
+    /// into account.
+    pub pace_percent: Option<u16>,
 }
 
 /// Maximum size of a request body, in bytes, that is sent right after the head. Nothing of a longer
