--- a/crates/node/tests/calls/main.rs
+++ b/crates/node/tests/calls/main.rs
@@ -16,6 +16,7 @@
 mod reuse;
 mod round_trip;
 mod self_report;
+mod server_load;
 mod silent_link;
 mod stop_time;
 mod unread_answers;
