--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -419,9 +419,9 @@
         let slowdown = match outcome {
             Outcome::Done => {
                 let light = self.limit.is_light(running);
-                let usual = self.pace.at_usual_pace(now, pace, took);
+                let usual = self.pace.at_usual_pace(pace, took);
                 if let Some(mean) = self.durations.route_mean(route) {
-                    self.pace.learn(now, pace, usual, mean);
+                    self.pace.learn(pace, usual, mean);
                 }
                 self.durations.record(route, usual, light)
             }
--- a/crates/policy/src/pace.rs
+++ b/crates/policy/src/pace.rs
@@ -150,19 +150,19 @@
         }
     }
 
-    /// Returns how long a call that took `took` until now would have taken at the usual pace.
+    /// Returns how long a call that took `took` would have taken at the usual pace.
     #[must_use]
-    pub fn at_usual_pace(&self, now: Instant, start: Start, took: Duration) -> Duration {
-        took.div_f64((self.confirmed() * self.mean_log(now, start)).exp())
+    pub fn at_usual_pace(&self, start: Start, took: Duration) -> Duration {
+        took.div_f64((self.confirmed() * start.log).exp())
     }
 
-    /// Compares the readings with a call that ended now. `usual` is its duration as returned by
+    /// Compares the readings with a call that has ended. `usual` is its duration as returned by
     /// [`Self::at_usual_pace`], and `expected` the mean of earlier calls of its route, in seconds.
-    pub fn learn(&mut self, now: Instant, start: Start, usual: Duration, expected: f64) {
+    pub fn learn(&mut self, start: Start, usual: Duration, expected: f64) {
         let error = (usual.as_secs_f64() / expected).max(MIN_RATIO).ln();
         let error = error.clamp(-MAX_ERROR, MAX_ERROR);
         let variance = self.variance.get().unwrap_or(0.0) + MIN_VARIANCE;
-        let step = WEIGHT_STEP * error * self.mean_log(now, start) / variance;
+        let step = WEIGHT_STEP * error * start.log / variance;
         self.weight = (self.weight + step).clamp(0.0, 1.0);
     }
 
@@ -174,11 +174,6 @@
     fn last_log(&self, now: Instant) -> f64 {
         self.last.map_or(0.0, |last| last.faded_log(now))
     }
-
-    /// Returns the mean of the readings at the start and at the end of a call.
-    fn mean_log(&self, now: Instant, start: Start) -> f64 {
-        f64::midpoint(start.log, self.last_log(now))
-    }
 }
 
 impl Default for Tracker {
