--- a/crates/node/tests/calls/server_load.rs
+++ b/crates/node/tests/calls/server_load.rs
@@ -31,8 +31,8 @@
         Self { node, server }
     }
 
-    /// Runs a few calls of 10 ms at once at the backend server, which is `slow_factor` times as slow
-    /// and reports `load`.
+    /// Runs a call of 10 ms, and then four at once, at the backend server, which is `slow_factor`
+    /// times as slow and reports `load`.
     async fn run_calls(&self, slow_factor: u32, header: &str, load: &str) {
         let faults = Faults {
             slow_factor,
@@ -42,16 +42,18 @@
         let body = serde_json::to_vec(&faults).unwrap();
         let answer = call(self.server, Method::POST, "/fault", &[], body.into()).await;
         assert_eq!(answer.unwrap().status, StatusCode::OK);
-        let mut calls = JoinSet::new();
-        for _ in 0..4 {
-            let address = self.node.outbound.address();
-            let headers = [("x-work-ms", "10")];
-            calls.spawn(async move {
-                let answer = call(address, Method::GET, "/jobs/1", &headers, Bytes::new());
-                assert_eq!(answer.await.unwrap().status, StatusCode::OK);
-            });
+        for count in [1, 4] {
+            let mut calls = JoinSet::new();
+            for _ in 0..count {
+                let address = self.node.outbound.address();
+                let headers = [("x-work-ms", "10")];
+                calls.spawn(async move {
+                    let answer = call(address, Method::GET, "/jobs/1", &headers, Bytes::new());
+                    assert_eq!(answer.await.unwrap().status, StatusCode::OK);
+                });
+            }
+            calls.join_all().await;
         }
-        calls.join_all().await;
     }
 
     /// Probes the node as another node does.
@@ -108,9 +110,9 @@
 // A load that makes no sense, or is not to be used, changes what other nodes expect.
 #[parameterized(
     three_figures = { "use", "1,0,6", 0 },
-    negative = { "use", "1,0,6,-100", 4 },
-    not_a_number = { "use", "1,0,6,NaN", 4 },
-    huge = { "use", "1,0,6,99999999", 4 },
+    negative = { "use", "1,0,6,-100", 5 },
+    not_a_number = { "use", "1,0,6,NaN", 5 },
+    huge = { "use", "1,0,6,99999999", 5 },
     ignored = { "ignore", "1,0,6,400", 0 },
     ignored_nonsense = { "ignore", "x", 0 },
 )]
