--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -53,6 +53,7 @@
 pub mod limit;
 pub mod load_probe;
 pub mod outlier;
+pub mod pace;
 pub mod pipeline;
 mod precedence;
 pub mod quarantine;
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -1,6 +1,8 @@
 //! Settings of `bluebellpick-node`.
 
-pub use crate::value::{ApiKind, Distribution, LinkRate, NestedCalls, Quota, Share, Token};
+pub use crate::value::{
+    ApiKind, Distribution, LinkRate, NestedCalls, Quota, ServerLoad, Share, Token,
+};
 
 use crate::document::{Document, read_file};
 use crate::error::Error;
@@ -72,6 +74,8 @@
         [limits] team_overage: Option<Share> = "";
         /// Calls in a window by which a team may exceed its limit besides; empty for none.
         [limits] team_slack: Option<Quota> = "";
+        /// Whether predictions follow the load that backend servers report in their responses: `use` or `ignore`.
+        [limits] server_load: ServerLoad = "ignore";
         /// Capacity of the VM's network link, in Mbit/s; request bodies are received no faster, so that small calls are not held up. Empty for an estimate from observed traffic.
         [limits] link_mbps: Option<LinkRate> = "";
         /// Where nested calls and direct calls wait for the backend server: `weighted` gives each kind its share of the slots, `first` starts nested calls while the direct calls can still wait.
