--- a/crates/node/tests/calls/server_load.rs
+++ b/crates/node/tests/calls/server_load.rs
@@ -68,6 +68,7 @@
             parent_class: None,
             timeout_ms: 2_000,
             known_report: None,
+            team: None,
             target_ms: None,
         };
         let probe = encode(Frame::LoadProbe(request));
