--- a/crates/bench/src/soak.rs
+++ b/crates/bench/src/soak.rs
@@ -7,7 +7,7 @@
 //! started in overlapping sequences. Such a period is a storm. After a storm comes a calm, a period
 //! without faults: every node must then serve, and must put a newly proposed version into force.
 
-use crate::deployment::Vm;
+use crate::deployment::{Vm, send_fault};
 use crate::error::Error;
 use crate::faults::{LATE_EFFECT_WAIT, spawn};
 use crate::faults_callers::{self, InvocationLog};
@@ -18,6 +18,7 @@
 use crate::soak_runner::SoakRunner;
 use bpaf::{Parser, construct, long};
 use serde::Serialize;
+use serde_json::json;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -27,6 +28,24 @@
 /// 12 s for the storm, and the rest for the calm.
 const STORM_AND_CALM_DURATION: Duration = Duration::from_secs(20);
 
+/// Settings of the nodes, in the section `limits`: decisions that are off by default.
+const SETTINGS: [&str; 4] = [
+    "pipelined_calls = 8",
+    "pipelined_calls_total = 64",
+    "nested_calls = first",
+    "server_load = use",
+];
+
+/// Loads that the backend servers report in turn, until their processes are replaced: none that is
+/// true, and some that can't be read.
+const REPORTED_LOADS: [&str; 5] = [
+    "0,0,6,100",
+    "6,24,6,250",
+    "0,0,6,1",
+    "-1,nan,6,",
+    "4294967296,0,6,9999999",
+];
+
 /// Options of the soak test.
 #[derive(Debug, Clone)]
 #[expect(
@@ -221,11 +240,17 @@
     }
     let header = plan.as_ref().map(|plan| plan.header);
     let seed = header.map_or(options.seed, |header| header.seed);
+    let settings = SETTINGS.map(|line| ("limits".to_owned(), line.to_owned()));
     let target = spawn(
         header.map_or(options.per_zone, |header| header.per_zone),
-        &[],
+        &settings,
     )
     .await?;
+    for (index, vm) in target.deployment.vms.iter().enumerate() {
+        let load = REPORTED_LOADS[index % REPORTED_LOADS.len()];
+        let body = json!({ "headers": [["bluebellpick-load", load]] }).to_string();
+        send_fault(vm.backend_address(), &body).await?;
+    }
     let log = InvocationLog::default();
     let end = Instant::now() + options.duration;
     let addresses: Vec<_> = target
