--- a/crates/policy/tests/team_limit.rs
+++ b/crates/policy/tests/team_limit.rs
@@ -103,19 +103,62 @@
 fn run_load(limit: Limit, nodes: usize, spread: usize, calls: u32, delay: Duration) -> Fleet {
     let start = Instant::now();
     let mut fleet = Fleet::new(start, limit, nodes, delay);
-    let mut state = 7_u64;
-    for step in 0..10_000 {
-        let now = start + Duration::from_millis(step);
-        fleet.step(now);
-        let before = step * u64::from(calls) / 1_000;
-        for _ in before..(step + 1) * u64::from(calls) / 1_000 {
-            state = state
-                .wrapping_mul(6_364_136_223_846_793_005)
-                .wrapping_add(1);
-            fleet.call(now, (state >> 33) as usize % spread);
+    let mut load = Load::new(start, spread, calls);
+    load.run(&mut fleet, 10_000);
+    fleet
+}
+
+/// Calls through random nodes.
+struct Load {
+    start: Instant,
+    step: u64,
+    /// Number of nodes with callers.
+    spread: usize,
+    /// Calls a second.
+    calls: u32,
+    state: u64,
+}
+
+impl Load {
+    fn new(start: Instant, spread: usize, calls: u32) -> Self {
+        Self {
+            start,
+            step: 0,
+            spread,
+            calls,
+            state: 7,
         }
     }
-    fleet
+
+    /// Goes on until so many milliseconds after the start.
+    fn run(&mut self, fleet: &mut Fleet, until: u64) {
+        for step in self.step..until {
+            let now = self.start + Duration::from_millis(step);
+            fleet.step(now);
+            let before = step * u64::from(self.calls) / 1_000;
+            for _ in before..(step + 1) * u64::from(self.calls) / 1_000 {
+                self.state = self.state.wrapping_mul(6_364_136_223_846_793_005);
+                self.state = self.state.wrapping_add(1);
+                fleet.call(now, (self.state >> 33) as usize % self.spread);
+            }
+        }
+        self.step = until;
+    }
+}
+
+// The owner of a hot team's limit is replaced by a node that has run since the start: both must not
+// lend the tokens of the same window.
+#[test]
+fn owner_change() {
+    let limit = limit(100.0, 100.0);
+    let start = Instant::now();
+    let mut fleet = Fleet::new(start, limit, 85, Duration::from_millis(5));
+    let mut load = Load::new(start, 85, 1_000);
+    load.run(&mut fleet, 8_000);
+    fleet.ledger = Ledger::new(start, limit, 85);
+    load.run(&mut fleet, 16_000);
+    let most = fleet.most_in(WINDOW);
+    assert!(most <= 660 + 20, "{most} calls in 5 s");
 }
 
 // A team sends ten times its limit through all nodes, or through one: in no window may more calls
