--- a/crates/node/src/metrics/access.rs
+++ b/crates/node/src/metrics/access.rs
@@ -3,6 +3,7 @@
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use policy::team_limit::Cause;
 use prometheus_client::registry::Registry;
 use smol_str::SmolStr;
 
@@ -16,12 +17,19 @@
     team: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CauseLabel {
+    cause: &'static str,
+    asked: &'static str,
+}
+
 /// Counters of calls with keys.
 #[derive(Debug, Default)]
 pub struct AccessMetrics {
     denied: Family<ReasonLabel, Counter>,
     admitted: Family<TeamLabel, Counter>,
     over_limit: Family<TeamLabel, Counter>,
+    refused: Family<CauseLabel, Counter>,
     tokens_lent: Counter,
     owners_lost: Counter,
 }
@@ -34,6 +42,8 @@
         registry.register("team_calls", help, self.admitted.clone());
         let help = "Calls refused because their team is over its limit";
         registry.register("team_calls_over_limit", help, self.over_limit.clone());
+        let help = "Calls refused because of their team's limit, by cause, and whether a lender was asked";
+        registry.register("team_calls_refused", help, self.refused.clone());
         let help = "Calls that this node, as the owner of teams' limits, has lent to nodes";
         registry.register("team_calls_lent", help, self.tokens_lent.clone());
         let help = "Requests to owners of teams' limits without a reply";
@@ -50,9 +60,20 @@
         count(&self.admitted, team);
     }
 
-    /// Counts a call that was refused because its team is over its limit.
-    pub fn count_over_limit(&self, team: &SmolStr) {
+    /// Counts a call that was refused because its team is over its limit, for a cause, with or
+    /// without a request to a lender.
+    pub fn count_over_limit(&self, team: &SmolStr, cause: Cause, was_asked: bool) {
         count(&self.over_limit, team);
+        let label = CauseLabel {
+            cause: match cause {
+                Cause::Window => "window",
+                Cause::Spread => "spread",
+                Cause::Share => "share",
+                Cause::Unavailable => "unavailable",
+            },
+            asked: if was_asked { "yes" } else { "no" },
+        };
+        self.refused.get_or_create(&label).inc();
     }
 
     pub(crate) fn count_lent(&self, tokens: u32) {
--- a/crates/node/src/team_limits.rs
+++ b/crates/node/src/team_limits.rs
@@ -15,7 +15,7 @@
 use config::{State, View, team};
 use ledgers::Ledgers;
 use parking_lot::Mutex;
-use policy::team_limit::{Decision, Grant, Limit, Request, Wallet};
+use policy::team_limit::{Cause, Decision, Grant, Limit, Request, Wallet};
 use settings::node::{Quota, Settings, Share};
 use smol_str::SmolStr;
 use std::collections::{HashMap, VecDeque};
@@ -23,7 +23,7 @@
 use std::sync::{Arc, Weak};
 use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
-use wire::call::{Reason, TokenGrant, TokenRequest};
+use wire::call::{Reason, Shortage, TokenGrant, TokenRequest};
 
 /// Longest wait for the reply of a team's owner, including the connection to it. Within a region
 /// the reply takes some milliseconds, and tens of them from a VM with a tenth of a core.
@@ -94,6 +94,13 @@
         known.0
     }
 
+    /// Returns why a team's owner last had too few tokens.
+    fn shortage(&self, team: &str) -> Cause {
+        let accounts = self.accounts.lock();
+        let account = accounts.get(team);
+        account.map_or(Cause::Window, |account| account.wallet.cause())
+    }
+
     /// Takes back the token of a call that has not run and never will.
     pub(crate) fn give_back(&self, team: &str) {
         if let Some(account) = self.accounts.lock().get_mut(team) {
@@ -190,7 +197,10 @@
     match &outcome {
         Ok(()) => shared.metrics.access.count_admitted(&team.name),
         Err(refused) if refused.reason == Reason::OverLimit => {
-            shared.metrics.access.count_over_limit(&team.name);
+            let cause = limits.shortage(&team.name);
+            let was_asked = decision == Decision::Wait;
+            let access = &shared.metrics.access;
+            access.count_over_limit(&team.name, cause, was_asked);
         }
         Err(_) => {}
     }
@@ -328,6 +338,12 @@
                 tokens: grant.tokens,
                 wait: Duration::from_millis(grant.wait_ms.into()),
                 lender: grant.lender,
+                cause: match grant.shortage {
+                    Shortage::Window => Cause::Window,
+                    Shortage::Spread => Cause::Spread,
+                    Shortage::Share => Cause::Share,
+                    Shortage::Unavailable => Cause::Unavailable,
+                },
             });
         }
         shared.metrics.access.count_owner_lost();
--- a/crates/node/src/team_limits/ledgers.rs
+++ b/crates/node/src/team_limits/ledgers.rs
@@ -18,14 +18,14 @@
 use config::View;
 use parking_lot::Mutex;
 use policy::lending::Report;
-use policy::team_limit::{Grant, Ledger, Lender, Limit, Request};
+use policy::team_limit::{Cause, Grant, Ledger, Lender, Limit, Request};
 use smol_str::SmolStr;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Weak};
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
-use wire::call::{LenderReport, TokenGrant, TokenRequest};
+use wire::call::{LenderReport, Shortage, TokenGrant, TokenRequest};
 
 /// Interval between two exchanges of reports about a team: what a lender does not know of another
 /// is what is lent in this time.
@@ -91,6 +91,7 @@
             tokens: 0,
             wait: UNAVAILABLE_WAIT,
             lender: self.id,
+            cause: Cause::Unavailable,
         }
     }
 
@@ -109,6 +110,7 @@
                 tokens: request.needed,
                 wait: Duration::ZERO,
                 lender: self.id,
+                cause: Cause::Window,
             };
         };
         let nodes = shared.team_limits.count_nodes(now, &view);
@@ -238,6 +240,7 @@
                 wait_ms: 0,
                 lender: self.id,
                 reports: self.take_reports(shared, &request.team, reports),
+                shortage: Shortage::Window,
             };
         }
         let lender = request.lender.map(|(id, age_ms)| Lender {
@@ -256,6 +259,12 @@
             wait_ms: whole_ms(grant.wait),
             lender: grant.lender,
             reports: Vec::new(),
+            shortage: match grant.cause {
+                Cause::Window => Shortage::Window,
+                Cause::Spread => Shortage::Spread,
+                Cause::Share => Shortage::Share,
+                Cause::Unavailable => Shortage::Unavailable,
+            },
         }
     }
 }
--- a/crates/policy/src/team_limit.rs
+++ b/crates/policy/src/team_limit.rs
@@ -112,6 +112,20 @@
     pub lender: Option<Lender>,
 }
 
+/// Why fewer tokens are lent than are needed.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Cause {
+    /// What the limit and its tolerance allow in a window is lent: the team is over its limit.
+    #[default]
+    Window,
+    /// The window has room; the bucket spreads it.
+    Spread,
+    /// The window has room, and this lender has lent its part of it.
+    Share,
+    /// The lender does not know yet what others have lent, or can't lend.
+    Unavailable,
+}
+
 /// The reply to a request for tokens.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Grant {
@@ -121,6 +135,8 @@
     pub wait: Duration,
     /// The process that lends.
     pub lender: u64,
+    /// Why these are less than needed, if they are.
+    pub cause: Cause,
 }
 
 /// What a lender of a team's tokens has lent, and what others have.
@@ -261,9 +277,18 @@
                     Duration::ZERO
                 },
                 lender: self.id,
+                cause: Cause::Unavailable,
             };
         }
-        let available = self.room(now).min(self.tokens);
+        let (room, part) = self.room(now);
+        let available = room.min(part).min(self.tokens);
+        let cause = if available >= room {
+            Cause::Window
+        } else if available >= part {
+            Cause::Share
+        } else {
+            Cause::Spread
+        };
         let tokens = request.needed.min(to_count(available));
         let is_enough = tokens == request.needed;
         let advance = if is_enough {
@@ -283,16 +308,20 @@
             tokens,
             wait,
             lender: self.id,
+            cause,
         }
     }
 
-    /// Returns how much may still be lent in the window.
-    fn room(&self, now: Instant) -> f64 {
+    /// Returns how much may still be lent in the window, by all and by this lender.
+    fn room(&self, now: Instant) -> (f64, f64) {
         let own: u32 = self.lent.iter().map(|(_, lent)| lent).sum();
         let others = self.book.in_window(now, self.limit.window);
         let others = f64::from(u32::try_from(others).unwrap_or(u32::MAX));
         let own = f64::from(own);
-        (self.per_window - others - own).min(self.share * self.per_window - own)
+        (
+            self.per_window - others - own,
+            self.share * self.per_window - own,
+        )
     }
 
     /// Takes a lender that has reported nothing to have lent all that it might.
@@ -383,6 +412,8 @@
     waiting: u32,
     is_requesting: bool,
     empty_until: Option<Instant>,
+    /// Why the owner had too few tokens.
+    cause: Cause,
     /// Until when calls are held that the last grants were not enough for.
     held_until: Option<Instant>,
     /// The process that last lent tokens, and when.
@@ -456,6 +487,7 @@
         }
         if !grant.wait.is_zero() {
             self.empty_until = Some(now + grant.wait);
+            self.cause = grant.cause;
         }
         let held_until = *self.held_until.get_or_insert(now + MAX_HOLD);
         if !grant.wait.is_zero() && now + grant.wait > held_until {
@@ -467,6 +499,12 @@
         admitted
     }
 
+    /// Returns why the owner last had too few tokens.
+    #[must_use]
+    pub fn cause(&self) -> Cause {
+        self.cause
+    }
+
     /// Returns the number of calls that wait.
     #[must_use]
     pub fn waiting(&self) -> u32 {
--- a/crates/policy/tests/team_limit.rs
+++ b/crates/policy/tests/team_limit.rs
@@ -1,6 +1,6 @@
 //! Limits on the calls of a team over many nodes.
 
-use policy::team_limit::{Decision, Grant, Ledger, Limit, Request, Wallet};
+use policy::team_limit::{Cause, Decision, Grant, Ledger, Limit, Request, Wallet};
 use proptest::prelude::*;
 use std::time::{Duration, Instant};
 
@@ -122,6 +122,7 @@
         tokens,
         wait,
         lender: 0,
+        cause: Cause::Window,
     }
 }
 
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -244,6 +244,22 @@
     pub lender: u64,
     /// Reply to reports.
     pub reports: Vec<LenderReport>,
+    /// Why fewer tokens than needed are granted.
+    pub shortage: Shortage,
+}
+
+/// Why a lender grants fewer tokens than needed.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Shortage {
+    /// The team is over its limit.
+    #[default]
+    Window,
+    /// The limit is spread over the window.
+    Spread,
+    /// The lender has lent its part of the limit.
+    Share,
+    /// The lender can't lend.
+    Unavailable,
 }
 
 /// Load probe: a query about a call that has not been sent yet.
