Tokens of calls that have not run go back to the owner of the limit

Cause: a node that may keep no tokens in advance dropped the token of a call that was refused for another reason, so the team was refused below its limit.

Change: such tokens go back with the node's next request, out of the window where they were lent. The deputy is of another zone than the owner, so that the loss of a zone leaves a lender.

--- a/crates/cli/tests/docs.rs
+++ b/crates/cli/tests/docs.rs
@@ -39,6 +39,7 @@
     metrics.access.count_denied("unauthorized");
     metrics.access.count_admitted(&"fitters".into());
     metrics.access.count_over_limit(&"fitters".into());
+    metrics.access.count_cause("window", true);
     metrics.control_sent().inc();
     let text = metrics.render(&GaugeValues::default());
     let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
--- a/crates/node/src/metrics/access.rs
+++ b/crates/node/src/metrics/access.rs
@@ -3,7 +3,6 @@
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
-use policy::team_limit::Cause;
 use prometheus_client::registry::Registry;
 use smol_str::SmolStr;
 
@@ -42,7 +41,8 @@
         registry.register("team_calls", help, self.admitted.clone());
         let help = "Calls refused because their team is over its limit";
         registry.register("team_calls_over_limit", help, self.over_limit.clone());
-        let help = "Calls refused because of their team's limit, by cause, and whether a lender was asked";
+        let help =
+            "Calls refused because of their team's limit, by cause, and whether a lender was asked";
         registry.register("team_calls_refused", help, self.refused.clone());
         let help = "Calls that this node, as the owner of teams' limits, has lent to nodes";
         registry.register("team_calls_lent", help, self.tokens_lent.clone());
@@ -60,17 +60,15 @@
         count(&self.admitted, team);
     }
 
-    /// Counts a call that was refused because its team is over its limit, for a cause, with or
-    /// without a request to a lender.
-    pub fn count_over_limit(&self, team: &SmolStr, cause: Cause, was_asked: bool) {
+    /// Counts a call that was refused because its team is over its limit.
+    pub fn count_over_limit(&self, team: &SmolStr) {
         count(&self.over_limit, team);
+    }
+
+    /// Counts the cause of such a refusal, and whether a lender was asked for the call.
+    pub fn count_cause(&self, cause: &'static str, was_asked: bool) {
         let label = CauseLabel {
-            cause: match cause {
-                Cause::Window => "window",
-                Cause::Spread => "spread",
-                Cause::Share => "share",
-                Cause::Unavailable => "unavailable",
-            },
+            cause,
             asked: if was_asked { "yes" } else { "no" },
         };
         self.refused.get_or_create(&label).inc();
--- a/crates/node/src/outbound/serve.rs
+++ b/crates/node/src/outbound/serve.rs
@@ -209,7 +209,7 @@
         None => serve_plan(inner, &plan, &head, body).await,
     };
     if let (Caller::Team(team), Ending::Refused(Verdict::NotRun)) = (&plan.team, served.ending) {
-        inner.shared.team_limits.give_back(&team.name);
+        team_limits::give_back(inner, team, started);
     }
     record.ending = served.ending;
     measurement.has_run = !matches!(
--- a/crates/node/src/team_limits.rs
+++ b/crates/node/src/team_limits.rs
@@ -12,7 +12,7 @@
 use crate::shared::Shared;
 use call::owner::pick_owners;
 use clock::Clock;
-use config::{State, View, team};
+use config::{Endpoint, State, View, team};
 use ledgers::Ledgers;
 use parking_lot::Mutex;
 use policy::team_limit::{Cause, Decision, Grant, Limit, Request, Wallet};
@@ -100,13 +100,6 @@
         let account = accounts.get(team);
         account.map_or(Cause::Window, |account| account.wallet.cause())
     }
-
-    /// Takes back the token of a call that has not run and never will.
-    pub(crate) fn give_back(&self, team: &str) {
-        if let Some(account) = self.accounts.lock().get_mut(team) {
-            account.wallet.give_back();
-        }
-    }
 }
 
 fn limit_of(team: &team::Entry, settings: &Settings) -> Option<Limit> {
@@ -140,6 +133,8 @@
     }
 }
 
+/// Finds the owner of a team's limit, and its deputy: the node of another zone that is next in
+/// rank, as the loss of a zone must not stop all calls of a team.
 fn find_owners(view: &View, team: &str) -> [Option<(SmolStr, SocketAddr)>; 2] {
     let serving = view.endpoints().iter();
     let serving: Vec<_> = serving
@@ -150,9 +145,22 @@
         reason = "a part of the hash is enough to spread the teams"
     )]
     let shard = policy::hash(team) as u16;
-    let names = serving.iter().map(|endpoint| endpoint.node.as_str());
-    pick_owners(shard, names).map(|index| {
-        let endpoint = serving[index?];
+    let pick = |endpoints: &[&Arc<Endpoint>]| {
+        let names = endpoints.iter().map(|endpoint| endpoint.node.as_str());
+        pick_owners(shard, names)
+    };
+    let [owner, second] = pick(&serving);
+    let Some(owner) = owner.map(|index| serving[index]) else {
+        return [None, None];
+    };
+    let elsewhere = serving.iter().copied();
+    let elsewhere: Vec<_> = elsewhere
+        .filter(|endpoint| endpoint.zone != owner.zone)
+        .collect();
+    let deputy = pick(&elsewhere)[0].map(|index| elsewhere[index]);
+    let deputy = deputy.or(second.map(|index| serving[index]));
+    [Some(owner), deputy].map(|lender| {
+        let endpoint = lender?;
         Some((endpoint.node.clone(), endpoint.address))
     })
 }
@@ -200,13 +208,23 @@
             let cause = limits.shortage(&team.name);
             let was_asked = decision == Decision::Wait;
             let access = &shared.metrics.access;
-            access.count_over_limit(&team.name, cause, was_asked);
+            access.count_over_limit(&team.name);
+            access.count_cause(cause_name(cause), was_asked);
         }
         Err(_) => {}
     }
     outcome
 }
 
+fn cause_name(cause: Cause) -> &'static str {
+    match cause {
+        Cause::Window => "window",
+        Cause::Spread => "spread",
+        Cause::Share => "share",
+        Cause::Unavailable => "unavailable",
+    }
+}
+
 fn over_limit(wait: Duration) -> Refused {
     Refused::not_run(Reason::OverLimit, whole_ms(wait).max(1))
 }
@@ -252,6 +270,24 @@
     }
 }
 
+/// Gives back the token of a call that has not run and never will; it began at `lent_at`.
+pub(crate) fn give_back<C>(inner: &Arc<Inner<C>>, team: &team::Entry, lent_at: Instant)
+where
+    C: Clock,
+{
+    let now = inner.shared.clock.now();
+    let request = {
+        let mut accounts = inner.shared.team_limits.accounts.lock();
+        accounts.get_mut(&team.name).and_then(|account| {
+            account.wallet.give_back(lent_at);
+            account.wallet.next_request(now)
+        })
+    };
+    if let Some(request) = request {
+        tokio::spawn(borrow(Arc::clone(inner), team.name.clone(), request));
+    }
+}
+
 /// Returns when to request tokens for calls that wait out a pause.
 fn resume_at<C>(shared: &Shared<C>, team: &str) -> Option<Instant>
 where
@@ -275,7 +311,7 @@
             }
         }
         for _ in 0..admitted {
-            self.wallet.give_back();
+            self.wallet.give_back(now);
         }
         if self.wallet.waiting() == 0 {
             self.refuse_waiting(over_limit(grant.wait));
@@ -323,7 +359,7 @@
         if node == shared.settings.name {
             return Some(shared.team_limits.ledgers.lend(shared, team, request));
         }
-        let lender = request.lender;
+        let (lender, returned) = (request.lender, request.returned);
         let request = TokenRequest {
             serial: 0,
             team: team.clone(),
@@ -331,6 +367,7 @@
             advance: request.advance,
             lender: lender.map(|lender| (lender.id, whole_ms(lender.age))),
             reports: None,
+            returned: (returned.tokens, whole_ms(returned.age) + 1),
         };
         let reply = request_remotely(&inner.links, address, request);
         if let Ok(Some(grant)) = tokio::time::timeout(OWNER_TIMEOUT, reply).await {
--- a/crates/node/src/team_limits/ledgers.rs
+++ b/crates/node/src/team_limits/ledgers.rs
@@ -18,7 +18,7 @@
 use config::View;
 use parking_lot::Mutex;
 use policy::lending::Report;
-use policy::team_limit::{Cause, Grant, Ledger, Lender, Limit, Request};
+use policy::team_limit::{Cause, Grant, Ledger, Lender, Limit, Request, Returned};
 use smol_str::SmolStr;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -45,8 +45,8 @@
 const SHARE_IN_CUT: f64 = 0.5;
 
 /// Wait after which a node asks again whose owner can't lend: it does not know the team, or takes
-/// another node for the owner.
-const UNAVAILABLE_WAIT: Duration = Duration::from_millis(200);
+/// another node for the owner. Calls are held for as long, and views hardly differ for longer.
+const UNAVAILABLE_WAIT: Duration = Duration::from_millis(50);
 
 /// The ledgers of the teams that this node lends tokens of.
 #[derive(Debug)]
@@ -251,6 +251,10 @@
             needed: request.needed,
             advance: request.advance,
             lender,
+            returned: Returned {
+                tokens: request.returned.0,
+                age: Duration::from_millis(request.returned.1.into()),
+            },
         };
         let grant = self.lend(shared, &request.team, wanted);
         TokenGrant {
@@ -375,6 +379,7 @@
                 advance: 0,
                 lender: None,
                 reports: Some(self.reports.clone()),
+                returned: (0, 0),
             };
             let reply = request_remotely(&inner.links, address, request);
             let reply = tokio::time::timeout(EXCHANGE_TIMEOUT, reply).await;
--- a/crates/node/tests/calls/access.rs
+++ b/crates/node/tests/calls/access.rs
@@ -1,6 +1,7 @@
 //! Keys and limits of teams: who may call, what backend servers see of it, and what must not leak.
 
 use crate::mesh::{Answer, Node, bind, call, spawn_node_with_limits};
+use ::call::owner::pick_owners;
 use bytes::Bytes;
 use clock::System;
 use config::team::{KeyDigest, Limit};
@@ -240,6 +241,84 @@
     );
 }
 
+// The owner of a team's limit leaves right after it lent a whole window: the next one must not lend
+// the same tokens, though its process has run for as long.
+#[tokio::test]
+async fn owner_leaves() {
+    let limit = Limit {
+        per_minute: 60,
+        burst: 20,
+    };
+    let settings = "team_slack = 4";
+    let allowed = 5 + 20 + 4;
+    let mesh = keyed_mesh(Some(limit));
+    let one = Setup::open(settings, &mesh).await;
+    let (server, received) = spawn_recorder().await;
+    let other = spawn_node_with_limits("other", &MemoryStore::new(), settings).await;
+    other.announce("jobs", server, 6);
+    let endpoints = [
+        one.node.endpoint("jobs", one.node.nodes_address),
+        other.endpoint("jobs", other.nodes_address),
+    ];
+    // A bucket that fills from the start of the process would hold ten tokens by now.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let started = Instant::now();
+    for owners in [&endpoints[..], &endpoints[..1], &endpoints[1..]] {
+        for node in [&one.node, &other] {
+            install(node, &mesh, owners);
+        }
+        for _ in 0..40 {
+            let headers = [("bluebellpick-key", KEY)];
+            let address = other.outbound.address();
+            call(address, Method::POST, "/jobs/1", &headers, Bytes::new())
+                .await
+                .unwrap();
+        }
+        // Lenders report to each other within 100 ms.
+        tokio::time::sleep(Duration::from_millis(400)).await;
+    }
+    assert!(started.elapsed() < Duration::from_secs(5));
+    let run = one.run_count() + received.lock().unwrap().len();
+    assert!((20..=allowed).contains(&run), "{run} of {allowed} have run");
+}
+
+// The owner is out of reach, and the node next in rank has no sign that it is in touch itself: both
+// may be on two sides of a cut.
+#[yare::parameterized(
+    no_bound = { "", None, false },
+    never_confirmed = { "team_window = 5 s", None, false },
+    too_old = { "team_window = 5 s", Some(3), false },
+    in_touch = { "team_window = 5 s", Some(0), true },
+)]
+#[test_macro(tokio::test)]
+async fn deputy_out_of_touch(settings: &str, age: Option<u64>, lends: bool) {
+    let limit = Limit {
+        per_minute: 60_000,
+        burst: 1_000,
+    };
+    let mesh = keyed_mesh(Some(limit));
+    let setup = Setup::open(settings, &mesh).await;
+    let (listener, address) = bind().await;
+    drop(listener);
+    #[expect(clippy::cast_possible_truncation, reason = "as the node does")]
+    let shard = policy::hash("fitters") as u16;
+    let is_owner = |name: &String| pick_owners(shard, ["own", name.as_str()])[0] == Some(1);
+    let mut names = (0..).map(|number| format!("gone-{number}"));
+    let mut owner = setup.node.endpoint("other", address);
+    owner.node = names.find(is_owner).unwrap().into();
+    let own = setup.node.endpoint("jobs", setup.node.nodes_address);
+    install(&setup.node, &mesh, &[own, owner]);
+    let confirmed = age.and_then(|age| Instant::now().checked_sub(Duration::from_secs(age)));
+    setup.node.shared.freshness.set(&System, confirmed);
+    // The deputy asks the owner what it has lent before it lends itself.
+    let mut is_served = false;
+    for _ in 0..20 {
+        let answer = setup.call("/jobs/1", &[("bluebellpick-key", KEY)]).await;
+        is_served |= answer.status == StatusCode::OK;
+    }
+    assert_eq!(is_served, lends);
+}
+
 // A key reaches the metrics, or the `Debug` output of a view or of the node's state.
 #[tokio::test]
 async fn no_leak() {
--- a/crates/policy/src/lending.rs
+++ b/crates/policy/src/lending.rs
@@ -46,12 +46,12 @@
     #[must_use]
     pub fn worst(lender: u64, per_window: u32, burst: u32) -> Self {
         let part = per_window.div_ceil(SLOTS);
-        let mut left = per_window;
+        let mut rest = per_window;
         let mut slots = Vec::new();
-        while left > 0 {
+        while rest > 0 {
             let most = if slots.is_empty() { part + burst } else { part };
-            let lent = left.min(most);
-            left -= lent;
+            let lent = rest.min(most);
+            rest -= lent;
             slots.push(lent);
         }
         Self {
@@ -78,7 +78,10 @@
         let slots = self.report.slots.iter().copied().zip(first_ages);
         slots
             .filter(move |(_, first_age)| *first_age <= window)
-            .map(move |(tokens, first_age)| (slot_of(window, first_age), tokens))
+            .map(move |(tokens, first_age)| {
+                let slot = slot_of(window, first_age).min(SLOTS as usize);
+                (slot, tokens)
+            })
     }
 }
 
@@ -98,11 +101,13 @@
             self.entries.push(Entry { report, at: now });
             return None;
         };
-        let lent = report.total.saturating_sub(entry.report.total);
+        let known = entry.report.total;
+        let lent = report.total.saturating_sub(known);
         if lent > 0 {
             *entry = Entry { report, at: now };
         }
-        Some(lent)
+        // Nothing is known of a lender that was taken to have lent all.
+        (known > 0 || lent == 0).then_some(lent)
     }
 
     /// Returns whether a report of a lender is held.
@@ -129,7 +134,7 @@
         }
         let earned = rate * (window / SLOTS).as_secs_f64();
         lent.iter().rev().fold(capacity, |level, lent| {
-            (level + earned - lent).clamp(0.0, capacity)
+            ((level + earned).min(capacity) - lent).max(0.0)
         })
     }
 
--- a/crates/policy/src/team_limit.rs
+++ b/crates/policy/src/team_limit.rs
@@ -43,6 +43,9 @@
 /// Time after which a node asks a lender again that is asking others what they have lent.
 const OPENING_WAIT: Duration = Duration::from_millis(10);
 
+/// Minimum time between two requests that only give tokens back.
+const RETURN_PAUSE: Duration = Duration::from_millis(100);
+
 /// Shortest wait until a node may ask for tokens again.
 const MIN_WAIT: Duration = Duration::from_millis(5);
 
@@ -101,6 +104,15 @@
     pub age: Duration,
 }
 
+/// Tokens of calls that have not run and never will.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Returned {
+    /// Number of tokens.
+    pub tokens: u32,
+    /// Time since the first of them was lent.
+    pub age: Duration,
+}
+
 /// A request for tokens.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Request {
@@ -110,6 +122,8 @@
     pub advance: u32,
     /// The process that last lent tokens to this node.
     pub lender: Option<Lender>,
+    /// Tokens of that lender that are given back.
+    pub returned: Returned,
 }
 
 /// Why fewer tokens are lent than are needed.
@@ -265,9 +279,6 @@
     /// Lends the tokens that are needed, as far as there are any, and some in advance.
     pub fn lend(&mut self, now: Instant, request: Request) -> Grant {
         self.refill(now);
-        if let Some(lender) = request.lender {
-            self.notice(now, lender);
-        }
         if !self.is_open {
             return Grant {
                 tokens: 0,
@@ -280,6 +291,12 @@
                 cause: Cause::Unavailable,
             };
         }
+        if let Some(lender) = request.lender {
+            self.notice(now, lender);
+            if lender.id == self.id {
+                self.take_back(now, request.returned);
+            }
+        }
         let (room, part) = self.room(now);
         let available = room.min(part).min(self.tokens);
         let cause = if available >= room {
@@ -324,6 +341,22 @@
         )
     }
 
+    /// Lets tokens that were given back be lent again, where they were lent or earlier.
+    ///
+    /// In a later slot they would be missing from the window for longer than they were in it.
+    fn take_back(&mut self, now: Instant, returned: Returned) {
+        let mut left = returned.tokens;
+        for (since, lent) in self.lent.iter_mut().rev() {
+            if now.saturating_duration_since(*since) >= returned.age {
+                let taken = left.min(*lent);
+                *lent -= taken;
+                left -= taken;
+            }
+        }
+        let taken = f64::from(returned.tokens - left);
+        self.tokens = (self.tokens + taken).min(self.limit.capacity());
+    }
+
     /// Takes a lender that has reported nothing to have lent all that it might.
     fn notice(&mut self, now: Instant, lender: Lender) {
         let window = self.limit.window;
@@ -418,6 +451,10 @@
     held_until: Option<Instant>,
     /// The process that last lent tokens, and when.
     lender: Option<(u64, Instant)>,
+    /// Tokens to give back to it, and when the first of them was lent.
+    returned: Option<(u32, Instant)>,
+    /// When to give tokens back again.
+    return_at: Option<Instant>,
     /// When to request tokens in advance again, after the owner had too few.
     advance_at: Option<Instant>,
 }
@@ -442,9 +479,16 @@
         Decision::Wait
     }
 
-    /// Takes back the token of a call that has not run.
-    pub fn give_back(&mut self) {
-        self.tokens = (self.tokens + 1).min(self.advance);
+    /// Takes back the token, lent at `lent_at` or later, of a call that has not run.
+    ///
+    /// What can't be kept in advance goes back to the owner, so that another call runs for it.
+    pub fn give_back(&mut self, lent_at: Instant) {
+        if self.tokens < self.advance {
+            self.tokens += 1;
+            return;
+        }
+        let (tokens, first) = self.returned.unwrap_or((0, lent_at));
+        self.returned = Some((tokens + 1, first.min(lent_at)));
     }
 
     /// Records that a waiting call has gone away.
@@ -456,16 +500,31 @@
     ///
     /// More tokens are requested in advance once half of those kept are used.
     pub fn next_request(&mut self, now: Instant) -> Option<Request> {
-        let is_short = self.tokens <= self.advance / 2 && self.advance > 0;
-        let is_low = is_short && self.advance_at.is_none_or(|at| now >= at);
+        let is_half_used = self.tokens <= self.advance / 2 && self.advance > 0;
+        let is_low = is_half_used && self.advance_at.is_none_or(|at| now >= at);
         let is_paused = self.empty_until.is_some_and(|until| now < until);
-        if self.is_requesting || is_paused || (self.waiting == 0 && !is_low) {
+        let returns = self.returned.is_some() && self.return_at.is_none_or(|at| now >= at);
+        let is_short = !is_paused && (self.waiting > 0 || is_low);
+        if self.is_requesting || !(is_short || returns) {
             return None;
         }
         self.is_requesting = true;
+        let returned = self.returned.take();
+        if returned.is_some() {
+            self.return_at = Some(now + RETURN_PAUSE);
+        }
+        let returned = returned.map(|(tokens, first)| Returned {
+            tokens,
+            age: now.saturating_duration_since(first),
+        });
         Some(Request {
-            needed: self.waiting,
-            advance: self.advance - self.tokens,
+            needed: if is_paused { 0 } else { self.waiting },
+            advance: if is_paused {
+                0
+            } else {
+                self.advance - self.tokens
+            },
+            returned: returned.unwrap_or_default(),
             lender: self.lender.map(|(id, at)| Lender {
                 id,
                 age: now.saturating_duration_since(at),
@@ -483,6 +542,10 @@
         // Without the pause, a node would ask an owner that has no tokens left again and again.
         self.advance_at = Some(now + ADVANCE_PAUSE);
         if grant.tokens > 0 {
+            // Tokens of another lender are not in the ledger of this one.
+            if self.lender.is_some_and(|(id, _)| id != grant.lender) {
+                self.returned = None;
+            }
             self.lender = Some((grant.lender, now));
         }
         if !grant.wait.is_zero() {
--- a/crates/policy/tests/team_limit.rs
+++ b/crates/policy/tests/team_limit.rs
@@ -1,6 +1,8 @@
 //! Limits on the calls of a team over many nodes.
 
-use policy::team_limit::{Cause, Decision, Grant, Ledger, Limit, Request, Wallet};
+use policy::team_limit::{
+    Cause, Decision, Grant, Ledger, Lender, Limit, Request, Returned, Wallet,
+};
 use proptest::prelude::*;
 use std::time::{Duration, Instant};
 
@@ -19,6 +21,9 @@
     /// Calls that wait, by node.
     waiting: Vec<u32>,
     refused: usize,
+    /// Part of the calls that have got a token and are refused for another reason.
+    unserved_share: f64,
+    unserved: f64,
     delay: Duration,
 }
 
@@ -38,13 +43,15 @@
             admitted: Vec::new(),
             waiting: vec![0; nodes],
             refused: 0,
+            unserved_share: 0.0,
+            unserved: 0.0,
             delay,
         }
     }
 
     fn call(&mut self, now: Instant, node: usize) {
         match self.wallets[node].take(now) {
-            Decision::Admit => self.admitted.push(now),
+            Decision::Admit => self.run(now, 1, node),
             Decision::Wait => self.waiting[node] += 1,
             Decision::Refuse(wait) => {
                 assert!(!wait.is_zero(), "a refusal tells when to come back");
@@ -54,6 +61,19 @@
         self.request(now, node);
     }
 
+    /// Runs calls, or gives their tokens back.
+    fn run(&mut self, now: Instant, calls: u32, node: usize) {
+        for _ in 0..calls {
+            self.unserved += self.unserved_share;
+            if self.unserved >= 1.0 {
+                self.unserved -= 1.0;
+                self.wallets[node].give_back(now);
+            } else {
+                self.admitted.push(now);
+            }
+        }
+    }
+
     fn request(&mut self, now: Instant, node: usize) {
         if let Some(request) = self.wallets[node].next_request(now) {
             self.requests.push((now + self.delay, node, request));
@@ -69,8 +89,7 @@
             let grant = self.ledgers[self.lenders[node]].lend(now, wanted);
             assert!(grant.tokens <= wanted.needed + wanted.advance, "{grant:?}");
             let admitted = self.wallets[node].on_grant(now, grant);
-            self.admitted
-                .extend(std::iter::repeat_n(now, admitted as usize));
+            self.run(now, admitted, node);
             let answered = self.waiting[node] - self.wallets[node].waiting();
             self.refused += (answered - admitted) as usize;
             self.waiting[node] -= answered;
@@ -114,6 +133,7 @@
         needed,
         advance,
         lender: None,
+        returned: Returned::default(),
     }
 }
 
@@ -166,6 +186,7 @@
     step: u64,
     /// Number of nodes with callers.
     spread: usize,
+    first_node: usize,
     /// Calls a second.
     calls: u32,
     state: u64,
@@ -177,6 +198,7 @@
             start,
             step: 0,
             spread,
+            first_node: 0,
             calls,
             state: 7,
         }
@@ -191,7 +213,8 @@
             for _ in before..(step + 1) * u64::from(self.calls) / 1_000 {
                 self.state = self.state.wrapping_mul(6_364_136_223_846_793_005);
                 self.state = self.state.wrapping_add(1);
-                fleet.call(now, (self.state >> 33) as usize % self.spread);
+                let node = (self.state >> 33) as usize % self.spread;
+                fleet.call(now, (self.first_node + node) % fleet.wallets.len());
             }
         }
         self.step = until;
@@ -322,6 +345,67 @@
     );
 }
 
+// Backend servers refuse half of a hot team's calls: others have to run for their tokens.
+#[yare::parameterized(
+    all_nodes = { 85, 85 },
+    few_nodes = { 85, 5 },
+    one_node = { 85, 1 },
+)]
+fn unserved_calls(nodes: usize, spread: usize) {
+    let limit = limit(100.0, 100.0);
+    let start = Instant::now();
+    let mut fleet = Fleet::new(start, limit, nodes, Duration::from_millis(5));
+    fleet.unserved_share = 0.5;
+    Load::new(start, spread, 1_000).run(&mut fleet, 20_000);
+    let most = fleet.most_in(WINDOW);
+    assert!(most <= 660 + 20, "{most} calls in 5 s");
+    let admitted = fleet.admitted.len();
+    assert!(admitted * 100 >= 97 * 2_100, "{admitted} of 2100 have run");
+}
+
+// A hot team's callers move to other nodes each half second.
+#[test]
+fn moving_callers() {
+    let limit = limit(100.0, 100.0);
+    let start = Instant::now();
+    let mut fleet = Fleet::new(start, limit, 85, Duration::from_millis(5));
+    let mut load = Load::new(start, 5, 1_000);
+    for step in 1..=40 {
+        load.run(&mut fleet, step * 500);
+        load.first_node += 5;
+    }
+    let most = fleet.most_in(WINDOW);
+    assert!(most <= 660 + 20, "{most} calls in 5 s");
+    let admitted = fleet.admitted.len();
+    assert!(admitted * 100 >= 97 * 2_100, "{admitted} of 2100 have run");
+}
+
+// An operator lowers a hot team's limit and raises it again: the higher one must not count twice.
+#[test]
+fn changed_limit() {
+    let start = Instant::now();
+    let high = limit(100.0, 100.0);
+    let mut fleet = Fleet::new(start, high, 85, Duration::from_millis(5));
+    let mut load = Load::new(start, 85, 1_000);
+    load.run(&mut fleet, 8_000);
+    let before = fleet.admitted.len();
+    let lowered = start + Duration::from_secs(8);
+    fleet.ledgers[0].set_limit(lowered, limit(10.0, 10.0), 85);
+    load.run(&mut fleet, 13_000);
+    let within = fleet.admitted.len() - before;
+    assert!(
+        within <= 66 + 20,
+        "{within} calls in the window after the change"
+    );
+    let raised = start + Duration::from_secs(13);
+    fleet.ledgers[0].set_limit(raised, high, 85);
+    load.run(&mut fleet, 20_000);
+    let most = fleet.most_in(WINDOW);
+    assert!(most <= 660 + 20, "{most} calls in 5 s");
+    let again = fleet.admitted.len() - before - within;
+    assert!(again * 100 >= 97 * 700, "{again} of 700 have run");
+}
+
 // Each of many nodes is refused and asks again at once: the owner would serve nothing else.
 #[test]
 fn bounded_requests() {
@@ -344,6 +428,28 @@
     assert!(requests <= 5 * 200 + 200, "{requests} requests in 5 s");
 }
 
+// A new owner is asked before it knows what the former one has lent: it must lend nothing yet, and
+// what that has left afterwards.
+#[test]
+fn unopened_ledger() {
+    let now = Instant::now();
+    let limit = limit(100.0, 100.0);
+    let mut former = open_ledger(now, 7, limit, 85);
+    assert_eq!(former.lend(now, request(40, 0)).tokens, 40);
+    let mut ledger = Ledger::new(now, 8, limit, 85);
+    let mut wanted = request(100, 0);
+    wanted.lender = Some(Lender {
+        id: 7,
+        age: Duration::ZERO,
+    });
+    let grant = ledger.lend(now, wanted);
+    assert_eq!((grant.tokens, grant.cause), (0, Cause::Unavailable));
+    ledger.merge(now, former.reports(now));
+    ledger.open();
+    let grant = ledger.lend(now, wanted);
+    assert_eq!((grant.tokens, grant.cause), (60, Cause::Spread));
+}
+
 #[test]
 fn lower_limit() {
     let start = Instant::now();
@@ -364,7 +470,7 @@
     assert_eq!(wallet.next_request(now), Some(request(0, 1)));
     assert_eq!(wallet.on_grant(now, grant(1, Duration::ZERO)), 0);
     assert_eq!(wallet.take(now), Decision::Admit);
-    wallet.give_back();
+    wallet.give_back(now);
     assert_eq!(wallet.take(now), Decision::Admit);
     assert_eq!(wallet.take(now), Decision::Wait);
 }
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -218,6 +218,9 @@
     /// From one lender to another: what is known to have been lent. The reply has the same of the
     /// receiver.
     pub reports: Option<Vec<LenderReport>>,
+    /// Number of that process's tokens that are given back, and the time since the first of them
+    /// was lent, in milliseconds.
+    pub returned: (u32, u32),
 }
 
 /// What one process has lent of a team's tokens.
