Calls that arrive in a short pause are resumed after it

Cause: a call that came while its node paused for up to 50 ms waited for a task that only a request starts, and without a further call for ever. access::owner_leaves and deputy_out_of_touch did not end in a run of all calls tests.

Change: such a call starts the task that waits out the pause, one for each team.

Measured: access:: 15 of 15 pass.

--- a/crates/node/src/team_limits.rs
+++ b/crates/node/src/team_limits.rs
@@ -55,6 +55,8 @@
     waiting: VecDeque<oneshot::Sender<Result<(), Refused>>>,
     owners: Owners,
     owner_failed_at: Option<Instant>,
+    /// Whether a task waits for the end of a pause, to request tokens for calls that wait.
+    is_pausing: bool,
 }
 
 /// The nodes that lend tokens of a team, the owner first, as found in a view.
@@ -193,7 +195,8 @@
         });
         (decision, receiver, account.wallet.next_request(now))
     };
-    if let Some(request) = request {
+    // Without a request, the call may wait out a pause.
+    if request.is_some() || decision == Decision::Wait {
         tokio::spawn(borrow(Arc::clone(inner), team.name.clone(), request));
     }
     let outcome = match (decision, receiver) {
@@ -235,14 +238,14 @@
 }
 
 /// Borrows tokens of a team from its owner, for as long as calls wait or few are left.
-async fn borrow<C>(inner: Arc<Inner<C>>, team: SmolStr, request: Request)
+async fn borrow<C>(inner: Arc<Inner<C>>, team: SmolStr, request: Option<Request>)
 where
     C: Clock,
 {
-    let mut next = Some(request);
+    let mut next = request;
     loop {
         let Some(request) = next else {
-            let Some(at) = resume_at(&inner.shared, &team) else {
+            let Some(at) = start_pause(&inner.shared, &team) else {
                 return;
             };
             tokio::time::sleep_until(at.into()).await;
@@ -250,10 +253,8 @@
             let Some(account) = accounts.get_mut(&team) else {
                 return;
             };
+            account.is_pausing = false;
             next = account.wallet.next_request(inner.shared.clock.now());
-            if next.is_none() {
-                return;
-            }
             continue;
         };
         let grant = request_tokens(&inner, &team, request).await;
@@ -283,18 +284,20 @@
             account.wallet.next_request(now)
         })
     };
-    if let Some(request) = request {
+    if request.is_some() {
         tokio::spawn(borrow(Arc::clone(inner), team.name.clone(), request));
     }
 }
 
-/// Returns when to request tokens for calls that wait out a pause.
-fn resume_at<C>(shared: &Shared<C>, team: &str) -> Option<Instant>
+/// Returns when to request tokens for calls that wait out a pause, unless another task does.
+fn start_pause<C>(shared: &Shared<C>, team: &str) -> Option<Instant>
 where
     C: Clock,
 {
-    let accounts = shared.team_limits.accounts.lock();
-    accounts.get(team)?.wallet.resume_at()
+    let mut accounts = shared.team_limits.accounts.lock();
+    let account = accounts.get_mut(team)?;
+    let at = account.wallet.resume_at()?;
+    (!std::mem::replace(&mut account.is_pausing, true)).then_some(at)
 }
 
 impl Account {
