--- a/crates/node/src/metrics/access.rs
+++ b/crates/node/src/metrics/access.rs
@@ -16,12 +16,19 @@
     team: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CauseLabel {
+    cause: &'static str,
+    asked: &'static str,
+}
+
 /// Counters of calls with keys.
 #[derive(Debug, Default)]
 pub struct AccessMetrics {
     denied: Family<ReasonLabel, Counter>,
     admitted: Family<TeamLabel, Counter>,
     over_limit: Family<TeamLabel, Counter>,
+    refused: Family<CauseLabel, Counter>,
     tokens_lent: Counter,
     owners_lost: Counter,
 }
@@ -34,6 +41,9 @@
         registry.register("team_calls", help, self.admitted.clone());
         let help = "Calls refused because their team is over its limit";
         registry.register("team_calls_over_limit", help, self.over_limit.clone());
+        let help =
+            "Calls refused because of their team's limit, by cause, and whether a lender was asked";
+        registry.register("team_calls_refused", help, self.refused.clone());
         let help = "Calls that this node, as the owner of teams' limits, has lent to nodes";
         registry.register("team_calls_lent", help, self.tokens_lent.clone());
         let help = "Requests to owners of teams' limits without a reply";
@@ -55,6 +65,15 @@
         count(&self.over_limit, team);
     }
 
+    /// Counts the cause of such a refusal, and whether a lender was asked for the call.
+    pub fn count_cause(&self, cause: &'static str, was_asked: bool) {
+        let label = CauseLabel {
+            cause,
+            asked: if was_asked { "yes" } else { "no" },
+        };
+        self.refused.get_or_create(&label).inc();
+    }
+
     pub(crate) fn count_lent(&self, tokens: u32) {
         self.tokens_lent.inc_by(tokens.into());
     }
--- a/crates/node/src/outbound.rs
+++ b/crates/node/src/outbound.rs
@@ -33,6 +33,7 @@
 use crate::reserve;
 use crate::shared::{CountGuard, Shared};
 use crate::start_steps::StartStep;
+use crate::team_limits;
 use clock::Clock;
 use config::{ServiceKey, Version};
 use http::{Request, Response};
@@ -151,6 +152,7 @@
 {
     let handle = new_handle(listener.local_addr()?, shared, inbound, reserve);
     let inner = Arc::clone(&handle.inner);
+    tokio::spawn(team_limits::exchange(Arc::downgrade(&inner)));
     tokio::spawn(async move {
         accept_all(listener, &inner).await;
         inner.advance(ShutdownStage::Closed);
@@ -180,6 +182,7 @@
 {
     let handle = new_handle(socket.local_addr()?, shared, inbound, reserve);
     let inner = Arc::clone(&handle.inner);
+    tokio::spawn(team_limits::exchange(Arc::downgrade(&inner)));
     tokio::spawn(async move {
         accept_after_routes(socket, &inner).await;
         inner.advance(ShutdownStage::Closed);
--- a/crates/node/src/outbound/serve.rs
+++ b/crates/node/src/outbound/serve.rs
@@ -219,7 +219,7 @@
     };
     if let Caller::Team(team) = &plan.team {
         if served.ending == Ending::Refused(Verdict::NotRun) {
-            inner.shared.team_limits.give_back(&team.name);
+            team_limits::give_back(inner, team, started);
         } else {
             inner.shared.team_usage.count_run(&team.name);
         }
--- a/crates/node/src/team_limits.rs
+++ b/crates/node/src/team_limits.rs
@@ -1,9 +1,9 @@
-//! Limits on the calls of teams: this node's tokens, and those that it lends as an owner
-//! (`policy::team_limit`).
-//!
-//! The owner of a team is found by rendezvous hashing over the serving endpoints. While it does not
-//! reply, the next node lends in its place, at a part of the rate, and only while it is in touch
-//! with the platform: on both sides of a cut there may be a node that takes itself for the owner.
+//! Limits on the calls of teams: the tokens of this node, and those that it lends to others
+//! ([`ledgers`]).
+
+mod ledgers;
+
+pub(crate) use ledgers::exchange;
 
 use crate::inbound::run::Refused;
 use crate::millis::whole_ms;
@@ -12,9 +12,10 @@
 use crate::shared::Shared;
 use call::owner::pick_owners;
 use clock::Clock;
-use config::{State, View, team};
+use config::{Endpoint, State, View, team};
+use ledgers::Ledgers;
 use parking_lot::Mutex;
-use policy::team_limit::{Decision, Grant, Ledger, Limit, Request, Wallet};
+use policy::team_limit::{Cause, Decision, Grant, Limit, Request, Wallet};
 use settings::node::{Quota, Settings, Share};
 use smol_str::SmolStr;
 use std::collections::{HashMap, VecDeque};
@@ -22,7 +23,7 @@
 use std::sync::{Arc, Weak};
 use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
-use wire::call::Reason;
+use wire::call::{Reason, Shortage, TokenGrant, TokenRequest};
 
 /// Longest wait for the reply of a team's owner, including the connection to it. Within a region
 /// the reply takes some milliseconds, and tens of them from a VM with a tenth of a core.
@@ -34,12 +35,6 @@
 /// Window in which calls are counted if the settings name none.
 const DEFAULT_WINDOW: Duration = Duration::from_secs(5);
 
-/// Part of a team's limit that a node lends in place of the owner.
-const DEPUTY_SHARE: f64 = 0.5;
-
-/// Wait after which a node asks again whose owner does not know the team yet.
-const UNKNOWN_TEAM_WAIT: Duration = Duration::from_millis(200);
-
 /// Time for which the highest number of nodes is used after it was last seen. A node that is cut
 /// off sees few others and would otherwise take too large a part of the burst.
 const NODE_COUNT_MEMORY: Duration = Duration::from_mins(1);
@@ -47,9 +42,8 @@
 /// Tokens of teams on this node, and the ledgers of the teams that it owns.
 #[derive(Debug)]
 pub struct TeamLimits {
-    started: Instant,
     accounts: Mutex<HashMap<SmolStr, Account>>,
-    ledgers: Mutex<HashMap<SmolStr, Ledger>>,
+    ledgers: Ledgers,
     node_count: Mutex<(usize, Instant)>,
 }
 
@@ -61,6 +55,8 @@
     waiting: VecDeque<oneshot::Sender<Result<(), Refused>>>,
     owners: Owners,
     owner_failed_at: Option<Instant>,
+    /// Whether a task waits for the end of a pause, to request tokens for calls that wait.
+    is_pausing: bool,
 }
 
 /// The nodes that lend tokens of a team, the owner first, as found in a view.
@@ -71,57 +67,22 @@
 }
 
 impl TeamLimits {
-    /// Creates the limits of a process that starts at `now`.
+    /// Creates the limits of the process `id`, which starts at `now`.
     #[must_use]
-    pub fn new(now: Instant) -> Self {
+    pub fn new(id: u64, now: Instant) -> Self {
         Self {
-            started: now,
             accounts: Mutex::default(),
-            ledgers: Mutex::default(),
+            ledgers: Ledgers::new(id),
             node_count: Mutex::new((1, now)),
         }
     }
 
-    /// Lends tokens of a team to a node.
-    pub(crate) fn lend<C>(&self, shared: &Shared<C>, name: &str, request: Request) -> Grant
+    /// Answers another node's request for tokens, or another lender's reports.
+    pub(crate) fn answer<C>(&self, shared: &Shared<C>, request: TokenRequest) -> TokenGrant
     where
         C: Clock,
     {
-        let now = shared.clock.now();
-        let view = shared.view.load();
-        let refused = Grant {
-            tokens: 0,
-            wait: UNKNOWN_TEAM_WAIT,
-        };
-        let Some(entry) = view.teams().find_by_name(name) else {
-            return refused;
-        };
-        let Some(limit) = limit_of(entry, &shared.settings) else {
-            return Grant {
-                tokens: request.needed,
-                wait: Duration::ZERO,
-            };
-        };
-        let owner = find_owners(&view, name).into_iter().next().flatten();
-        let is_owner = owner.is_some_and(|(node, _)| node == shared.settings.name);
-        if !is_owner && !is_in_touch(shared) {
-            return refused;
-        }
-        let share = if is_owner { 1.0 } else { DEPUTY_SHARE };
-        let limit = Limit {
-            rate: limit.rate * share,
-            burst: limit.burst * share,
-            ..limit
-        };
-        let nodes = self.count_nodes(now, &view);
-        let mut ledgers = self.ledgers.lock();
-        let ledger = ledgers
-            .entry(name.into())
-            .or_insert_with(|| Ledger::new(self.started, limit, nodes));
-        ledger.set_limit(now, limit, nodes);
-        let grant = ledger.lend(now, request);
-        shared.metrics.access.count_lent(grant.tokens);
-        grant
+        self.ledgers.answer(shared, request)
     }
 
     /// Returns the highest number of nodes seen lately.
@@ -135,26 +96,14 @@
         known.0
     }
 
-    /// Takes back the token of a call that has not run and never will.
-    pub(crate) fn give_back(&self, team: &str) {
-        if let Some(account) = self.accounts.lock().get_mut(team) {
-            account.wallet.give_back();
-        }
+    /// Returns why a team's owner last had too few tokens.
+    fn shortage(&self, team: &str) -> Cause {
+        let accounts = self.accounts.lock();
+        let account = accounts.get(team);
+        account.map_or(Cause::Window, |account| account.wallet.cause())
     }
 }
 
-/// Returns whether this node had its configuration confirmed lately, if a bound on its age is set.
-fn is_in_touch<C>(shared: &Shared<C>) -> bool
-where
-    C: Clock,
-{
-    let Some(max_age) = shared.settings.revoke else {
-        return true;
-    };
-    let age = shared.freshness.age(&shared.clock);
-    age.is_some_and(|age| age < max_age / 2)
-}
-
 fn limit_of(team: &team::Entry, settings: &Settings) -> Option<Limit> {
     let limit = team.limit?;
     let (rate, burst) = (limit.per_second(), f64::from(limit.burst));
@@ -170,6 +119,24 @@
     })
 }
 
+impl Owners {
+    /// Finds the owners anew if the view has changed; returns whether they are others then.
+    fn update(&mut self, view: &Arc<View>, team: &str) -> bool {
+        if std::ptr::eq(self.view.as_ptr(), Arc::as_ptr(view)) {
+            return false;
+        }
+        let nodes = find_owners(view, team);
+        let has_changed = nodes != self.nodes;
+        *self = Self {
+            view: Arc::downgrade(view),
+            nodes,
+        };
+        has_changed
+    }
+}
+
+/// Finds the owner of a team's limit, and its deputy: the node of another zone that is next in
+/// rank, as the loss of a zone must not stop all calls of a team.
 fn find_owners(view: &View, team: &str) -> [Option<(SmolStr, SocketAddr)>; 2] {
     let serving = view.endpoints().iter();
     let serving: Vec<_> = serving
@@ -180,9 +147,22 @@
         reason = "a part of the hash is enough to spread the teams"
     )]
     let shard = policy::hash(team) as u16;
-    let names = serving.iter().map(|endpoint| endpoint.node.as_str());
-    pick_owners(shard, names).map(|index| {
-        let endpoint = serving[index?];
+    let pick = |endpoints: &[&Arc<Endpoint>]| {
+        let names = endpoints.iter().map(|endpoint| endpoint.node.as_str());
+        pick_owners(shard, names)
+    };
+    let [owner, second] = pick(&serving);
+    let Some(owner) = owner.map(|index| serving[index]) else {
+        return [None, None];
+    };
+    let elsewhere = serving.iter().copied();
+    let elsewhere: Vec<_> = elsewhere
+        .filter(|endpoint| endpoint.zone != owner.zone)
+        .collect();
+    let deputy = pick(&elsewhere)[0].map(|index| elsewhere[index]);
+    let deputy = deputy.or(second.map(|index| serving[index]));
+    [Some(owner), deputy].map(|lender| {
+        let endpoint = lender?;
         Some((endpoint.node.clone(), endpoint.address))
     })
 }
@@ -215,7 +195,8 @@
         });
         (decision, receiver, account.wallet.next_request(now))
     };
-    if let Some(request) = request {
+    // Without a request, the call may wait out a pause.
+    if request.is_some() || decision == Decision::Wait {
         tokio::spawn(borrow(Arc::clone(inner), team.name.clone(), request));
     }
     let outcome = match (decision, receiver) {
@@ -227,13 +208,26 @@
     match &outcome {
         Ok(()) => shared.metrics.access.count_admitted(&team.name),
         Err(refused) if refused.reason == Reason::OverLimit => {
-            shared.metrics.access.count_over_limit(&team.name);
+            let cause = limits.shortage(&team.name);
+            let was_asked = decision == Decision::Wait;
+            let access = &shared.metrics.access;
+            access.count_over_limit(&team.name);
+            access.count_cause(cause_name(cause), was_asked);
         }
         Err(_) => {}
     }
     outcome
 }
 
+fn cause_name(cause: Cause) -> &'static str {
+    match cause {
+        Cause::Window => "window",
+        Cause::Spread => "spread",
+        Cause::Share => "share",
+        Cause::Unavailable => "unavailable",
+    }
+}
+
 fn over_limit(wait: Duration) -> Refused {
     Refused::not_run(Reason::OverLimit, whole_ms(wait).max(1))
 }
@@ -244,12 +238,25 @@
 }
 
 /// Borrows tokens of a team from its owner, for as long as calls wait or few are left.
-async fn borrow<C>(inner: Arc<Inner<C>>, team: SmolStr, request: Request)
+async fn borrow<C>(inner: Arc<Inner<C>>, team: SmolStr, request: Option<Request>)
 where
     C: Clock,
 {
-    let mut next = Some(request);
-    while let Some(request) = next {
+    let mut next = request;
+    loop {
+        let Some(request) = next else {
+            let Some(at) = start_pause(&inner.shared, &team) else {
+                return;
+            };
+            tokio::time::sleep_until(at.into()).await;
+            let mut accounts = inner.shared.team_limits.accounts.lock();
+            let Some(account) = accounts.get_mut(&team) else {
+                return;
+            };
+            account.is_pausing = false;
+            next = account.wallet.next_request(inner.shared.clock.now());
+            continue;
+        };
         let grant = request_tokens(&inner, &team, request).await;
         let now = inner.shared.clock.now();
         let mut accounts = inner.shared.team_limits.accounts.lock();
@@ -264,6 +271,35 @@
     }
 }
 
+/// Gives back the token of a call that has not run and never will; it began at `lent_at`.
+pub(crate) fn give_back<C>(inner: &Arc<Inner<C>>, team: &team::Entry, lent_at: Instant)
+where
+    C: Clock,
+{
+    let now = inner.shared.clock.now();
+    let request = {
+        let mut accounts = inner.shared.team_limits.accounts.lock();
+        accounts.get_mut(&team.name).and_then(|account| {
+            account.wallet.give_back(lent_at);
+            account.wallet.next_request(now)
+        })
+    };
+    if request.is_some() {
+        tokio::spawn(borrow(Arc::clone(inner), team.name.clone(), request));
+    }
+}
+
+/// Returns when to request tokens for calls that wait out a pause, unless another task does.
+fn start_pause<C>(shared: &Shared<C>, team: &str) -> Option<Instant>
+where
+    C: Clock,
+{
+    let mut accounts = shared.team_limits.accounts.lock();
+    let account = accounts.get_mut(team)?;
+    let at = account.wallet.resume_at()?;
+    (!std::mem::replace(&mut account.is_pausing, true)).then_some(at)
+}
+
 impl Account {
     /// Admits calls that wait, and refuses the others if the team is over its limit.
     fn settle(&mut self, now: Instant, grant: Grant) {
@@ -278,11 +314,15 @@
             }
         }
         for _ in 0..admitted {
-            self.wallet.give_back();
+            self.wallet.give_back(now);
         }
-        if !grant.wait.is_zero() {
+        if self.wallet.waiting() == 0 {
             self.refuse_waiting(over_limit(grant.wait));
         }
+        // Callers that have gone need no tokens.
+        while self.wallet.waiting() as usize > self.waiting.len() {
+            self.wallet.cancel();
+        }
     }
 
     fn fail(&mut self, now: Instant) {
@@ -309,12 +349,7 @@
         let view = shared.view.load_full();
         let mut accounts = shared.team_limits.accounts.lock();
         let account = accounts.get_mut(team)?;
-        if !std::ptr::eq(account.owners.view.as_ptr(), Arc::as_ptr(&view)) {
-            account.owners = Owners {
-                view: Arc::downgrade(&view),
-                nodes: find_owners(&view, team),
-            };
-        }
+        account.owners.update(&view, team);
         let failed_at = account.owner_failed_at;
         let has_failed =
             failed_at.is_some_and(|at| now.saturating_duration_since(at) < FAILED_OWNER_PAUSE);
@@ -325,11 +360,31 @@
             continue;
         }
         if node == shared.settings.name {
-            return Some(shared.team_limits.lend(shared, team, request));
+            return Some(shared.team_limits.ledgers.lend(shared, team, request));
         }
-        let reply = request_remotely(&inner.links, address, team, request);
+        let (lender, returned) = (request.lender, request.returned);
+        let request = TokenRequest {
+            serial: 0,
+            team: team.clone(),
+            needed: request.needed,
+            advance: request.advance,
+            lender: lender.map(|lender| (lender.id, whole_ms(lender.age))),
+            reports: None,
+            returned: (returned.tokens, whole_ms(returned.age) + 1),
+        };
+        let reply = request_remotely(&inner.links, address, request);
         if let Ok(Some(grant)) = tokio::time::timeout(OWNER_TIMEOUT, reply).await {
-            return Some(grant);
+            return Some(Grant {
+                tokens: grant.tokens,
+                wait: Duration::from_millis(grant.wait_ms.into()),
+                lender: grant.lender,
+                cause: match grant.shortage {
+                    Shortage::Window => Cause::Window,
+                    Shortage::Spread => Cause::Spread,
+                    Shortage::Share => Cause::Share,
+                    Shortage::Unavailable => Cause::Unavailable,
+                },
+            });
         }
         shared.metrics.access.count_owner_lost();
         if index == 0
@@ -344,13 +399,8 @@
 async fn request_remotely(
     links: &Arc<LinkPool>,
     address: SocketAddr,
-    team: &SmolStr,
-    request: Request,
-) -> Option<Grant> {
+    request: TokenRequest,
+) -> Option<TokenGrant> {
     let link = links.get_or_connect(address).await.ok()?;
-    let reply = link.request_tokens(team.clone(), request)?.reply().await?;
-    Some(Grant {
-        tokens: reply.tokens,
-        wait: Duration::from_millis(reply.wait_ms.into()),
-    })
+    link.request_tokens(request)?.reply().await
 }
--- a/crates/policy/src/team_limit.rs
+++ b/crates/policy/src/team_limit.rs
@@ -12,10 +12,16 @@
 //! network do, as long as there is one owner. A token bucket spreads the calls over the window:
 //! without it, a hot team would use up its window at once and overload backend servers.
 //!
+//! While owners change, several nodes may lend. Each counts what the others have reported
+//! ([`crate::lending`]) against its window and its bucket. A lender that can't report to the next in
+//! rank, and one that lends in place of the owner, keep to a part of the window, so that on both
+//! sides of a cut they do not lend more than a window together.
+//!
 //! While a team is over its limit, nodes wait before they ask again, each for as long as it takes
 //! to earn one token for every node that was refused lately. The owner's load is thus bounded by
 //! the number of nodes, not by the callers' impatience.
 
+use crate::lending::{Book, Report};
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
@@ -34,12 +40,22 @@
 /// Minimum time between two requests for tokens in advance.
 const ADVANCE_PAUSE: Duration = Duration::from_millis(100);
 
+/// Time after which a node asks a lender again that is asking others what they have lent.
+const OPENING_WAIT: Duration = Duration::from_millis(10);
+
+/// Minimum time between two requests that only give tokens back.
+const RETURN_PAUSE: Duration = Duration::from_millis(100);
+
 /// Shortest wait until a node may ask for tokens again.
 const MIN_WAIT: Duration = Duration::from_millis(5);
 
 /// Longest wait until a node may ask for tokens again.
 const MAX_WAIT: Duration = Duration::from_secs(1);
 
+/// Longest wait for tokens for which calls are held instead of refused. It is some round trips, and
+/// short against the latency targets of callers.
+const MAX_HOLD: Duration = Duration::from_millis(50);
+
 /// Time in which refused requests for tokens are counted.
 const REFUSAL_WINDOW: Duration = Duration::from_secs(1);
 
@@ -79,6 +95,24 @@
     }
 }
 
+/// The process that last lent tokens to a node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Lender {
+    /// Identifies the process.
+    pub id: u64,
+    /// Time since its grant arrived.
+    pub age: Duration,
+}
+
+/// Tokens of calls that have not run and never will.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Returned {
+    /// Number of tokens.
+    pub tokens: u32,
+    /// Time since the first of them was lent.
+    pub age: Duration,
+}
+
 /// A request for tokens.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Request {
@@ -86,6 +120,24 @@
     pub needed: u32,
     /// Number of tokens to keep in advance.
     pub advance: u32,
+    /// The process that last lent tokens to this node.
+    pub lender: Option<Lender>,
+    /// Tokens of that lender that are given back.
+    pub returned: Returned,
+}
+
+/// Why fewer tokens are lent than are needed.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Cause {
+    /// What the limit and its tolerance allow in a window is lent: the team is over its limit.
+    #[default]
+    Window,
+    /// The window has room; the bucket spreads it.
+    Spread,
+    /// The window has room, and this lender has lent its part of it.
+    Share,
+    /// The lender does not know yet what others have lent, or can't lend.
+    Unavailable,
 }
 
 /// The reply to a request for tokens.
@@ -95,12 +147,24 @@
     pub tokens: u32,
     /// Time after which to ask again, if these are less than needed; zero otherwise.
     pub wait: Duration,
+    /// The process that lends.
+    pub lender: u64,
+    /// Why these are less than needed, if they are.
+    pub cause: Cause,
 }
 
-/// What the owner of a team has lent.
+/// What a lender of a team's tokens has lent, and what others have.
 #[derive(Debug, Clone)]
 pub struct Ledger {
+    id: u64,
     limit: Limit,
+    /// Part of the window that this lender may lend.
+    share: f64,
+    /// Whether this lender has asked the next in rank for what others have lent.
+    is_open: bool,
+    /// Number of tokens lent since the start.
+    total: u64,
+    book: Book,
     /// Number of tokens that may be lent in a window.
     per_window: f64,
     /// Tokens of the bucket that spreads calls over the window.
@@ -114,23 +178,93 @@
 }
 
 impl Ledger {
-    /// Creates the ledger of an owner in a fleet of `nodes` nodes, whose process started at
-    /// `start`.
+    /// Creates the ledger of the lender `id` in a fleet of `nodes` nodes.
     ///
-    /// Nobody knows what an earlier owner has lent, so the bucket is empty at the start.
+    /// It lends nothing until it is opened.
     #[must_use]
-    pub fn new(start: Instant, limit: Limit, nodes: usize) -> Self {
+    pub fn new(now: Instant, id: u64, limit: Limit, nodes: usize) -> Self {
         Self {
+            id,
             limit,
+            share: 1.0,
+            is_open: false,
+            total: 0,
+            book: Book::default(),
             per_window: limit.per_window(nodes),
-            tokens: 0.0,
-            updated_at: start,
+            tokens: limit.capacity(),
+            updated_at: now,
             lent: VecDeque::new(),
             refusals: [0; 2],
-            refusals_since: start,
+            refusals_since: now,
+        }
+    }
+
+    /// Returns whether this lender lends.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        self.is_open
+    }
+
+    /// Lends from now on: what others have lent was asked for, or can't be found out.
+    pub fn open(&mut self) {
+        self.is_open = true;
+    }
+
+    /// Sets the part of the window that this lender may lend.
+    pub fn set_share(&mut self, now: Instant, share: f64) {
+        if share.to_bits() != self.share.to_bits() {
+            self.refill(now);
+            self.share = share;
+        }
+    }
+
+    /// Takes reports of lenders.
+    pub fn merge<I>(&mut self, now: Instant, reports: I)
+    where
+        I: IntoIterator<Item = Report>,
+    {
+        self.refill(now);
+        let window = self.limit.window;
+        let mut is_level_known = true;
+        for report in reports {
+            if report.lender == self.id {
+                continue;
+            }
+            match self.book.merge(now, window, report) {
+                Some(lent) => {
+                    let lent = u32::try_from(lent).unwrap_or(u32::MAX);
+                    self.tokens = (self.tokens - f64::from(lent)).max(0.0);
+                }
+                None => is_level_known = false,
+            }
+        }
+        if !is_level_known {
+            let (rate, capacity) = (self.sustained_rate(), self.limit.capacity());
+            let level = self.book.bucket_level(now, window, rate, capacity);
+            self.tokens = self.tokens.min(level);
         }
     }
 
+    /// Returns what this lender has lent, and what it knows of others.
+    #[must_use]
+    pub fn reports(&self, now: Instant) -> Vec<Report> {
+        let window = self.limit.window;
+        let mut own = Report {
+            lender: self.id,
+            total: self.total,
+            slots: Vec::new(),
+        };
+        for (since, lent) in &self.lent {
+            let age = now.saturating_duration_since(*since);
+            let last_age = age.saturating_sub(window / SLOTS_PER_WINDOW);
+            own.add(window, last_age, *lent);
+        }
+        let own = (!own.slots.is_empty()).then_some(own);
+        own.into_iter()
+            .chain(self.book.reports(now, window))
+            .collect()
+    }
+
     /// Sets the limit and the number of nodes from `now` on.
     pub fn set_limit(&mut self, now: Instant, limit: Limit, nodes: usize) {
         let per_window = limit.per_window(nodes);
@@ -145,8 +279,33 @@
     /// Lends the tokens that are needed, as far as there are any, and some in advance.
     pub fn lend(&mut self, now: Instant, request: Request) -> Grant {
         self.refill(now);
-        let in_window: u32 = self.lent.iter().map(|(_, lent)| lent).sum();
-        let available = (self.per_window - f64::from(in_window)).min(self.tokens);
+        if !self.is_open {
+            return Grant {
+                tokens: 0,
+                wait: if request.needed > 0 {
+                    OPENING_WAIT
+                } else {
+                    Duration::ZERO
+                },
+                lender: self.id,
+                cause: Cause::Unavailable,
+            };
+        }
+        if let Some(lender) = request.lender {
+            self.notice(now, lender);
+            if lender.id == self.id {
+                self.take_back(now, request.returned);
+            }
+        }
+        let (room, part) = self.room(now);
+        let available = room.min(part).min(self.tokens);
+        let cause = if available >= room {
+            Cause::Window
+        } else if available >= part {
+            Cause::Share
+        } else {
+            Cause::Spread
+        };
         let tokens = request.needed.min(to_count(available));
         let is_enough = tokens == request.needed;
         let advance = if is_enough {
@@ -162,7 +321,53 @@
         } else {
             self.record_refusal(now)
         };
-        Grant { tokens, wait }
+        Grant {
+            tokens,
+            wait,
+            lender: self.id,
+            cause,
+        }
+    }
+
+    /// Returns how much may still be lent in the window, by all and by this lender.
+    fn room(&self, now: Instant) -> (f64, f64) {
+        let own: u32 = self.lent.iter().map(|(_, lent)| lent).sum();
+        let others = self.book.in_window(now, self.limit.window);
+        let others = f64::from(u32::try_from(others).unwrap_or(u32::MAX));
+        let own = f64::from(own);
+        (
+            self.per_window - others - own,
+            self.share * self.per_window - own,
+        )
+    }
+
+    /// Lets tokens that were given back be lent again, where they were lent or earlier.
+    ///
+    /// In a later slot they would be missing from the window for longer than they were in it.
+    fn take_back(&mut self, now: Instant, returned: Returned) {
+        let mut left = returned.tokens;
+        for (since, lent) in self.lent.iter_mut().rev() {
+            if now.saturating_duration_since(*since) >= returned.age {
+                let taken = left.min(*lent);
+                *lent -= taken;
+                left -= taken;
+            }
+        }
+        let taken = f64::from(returned.tokens - left);
+        self.tokens = (self.tokens + taken).min(self.limit.capacity());
+    }
+
+    /// Takes a lender that has reported nothing to have lent all that it might.
+    fn notice(&mut self, now: Instant, lender: Lender) {
+        let window = self.limit.window;
+        if lender.id == self.id || lender.age > window || self.book.contains(lender.id) {
+            return;
+        }
+        let (per_window, burst) = (self.per_window.ceil(), self.limit.capacity().ceil());
+        let report = Report::worst(lender.id, to_count(per_window), to_count(burst));
+        // The book counts ages from the arrival; without the age of the grant, what was lent before
+        // it only stays in the window for longer.
+        self.merge(now, [report]);
     }
 
     fn record(&mut self, now: Instant, tokens: u32) {
@@ -170,6 +375,7 @@
             return;
         }
         self.tokens -= f64::from(tokens);
+        self.total += u64::from(tokens);
         let length = self.limit.window / SLOTS_PER_WINDOW;
         match self.lent.back_mut() {
             Some((since, lent)) if now.saturating_duration_since(*since) < length => {
@@ -197,7 +403,7 @@
         self.refusals[0] += 1;
         let refused = f64::from(self.refusals[0].max(self.refusals[1]));
         let missing = (1.0 - self.tokens).max(refused);
-        let wait = Duration::try_from_secs_f64(missing / self.sustained_rate());
+        let wait = Duration::try_from_secs_f64(missing / (self.share * self.sustained_rate()));
         wait.map_or(MAX_WAIT, |wait| wait.clamp(MIN_WAIT, MAX_WAIT))
     }
 
@@ -209,7 +415,7 @@
     fn refill(&mut self, now: Instant) {
         let elapsed = now.saturating_duration_since(self.updated_at);
         self.updated_at = self.updated_at.max(now);
-        let earned = self.sustained_rate() * elapsed.as_secs_f64();
+        let earned = self.share * self.sustained_rate() * elapsed.as_secs_f64();
         self.tokens = (self.tokens + earned).min(self.limit.capacity());
         let window = self.limit.window + self.limit.window / SLOTS_PER_WINDOW;
         let is_over = |since: Instant| now.saturating_duration_since(since) > window;
@@ -239,6 +445,16 @@
     waiting: u32,
     is_requesting: bool,
     empty_until: Option<Instant>,
+    /// Why the owner had too few tokens.
+    cause: Cause,
+    /// Until when calls are held that the last grants were not enough for.
+    held_until: Option<Instant>,
+    /// The process that last lent tokens, and when.
+    lender: Option<(u64, Instant)>,
+    /// Tokens to give back to it, and when the first of them was lent.
+    returned: Option<(u32, Instant)>,
+    /// When to give tokens back again.
+    return_at: Option<Instant>,
     /// When to request tokens in advance again, after the owner had too few.
     advance_at: Option<Instant>,
 }
@@ -256,16 +472,23 @@
             self.tokens -= 1;
             return Decision::Admit;
         }
-        if let Some(until) = self.empty_until.filter(|until| now < *until) {
+        if let Some(until) = self.empty_until.filter(|until| now + MAX_HOLD < *until) {
             return Decision::Refuse(until - now);
         }
         self.waiting += 1;
         Decision::Wait
     }
 
-    /// Takes back the token of a call that has not run.
-    pub fn give_back(&mut self) {
-        self.tokens = (self.tokens + 1).min(self.advance);
+    /// Takes back the token, lent at `lent_at` or later, of a call that has not run.
+    ///
+    /// What can't be kept in advance goes back to the owner, so that another call runs for it.
+    pub fn give_back(&mut self, lent_at: Instant) {
+        if self.tokens < self.advance {
+            self.tokens += 1;
+            return;
+        }
+        let (tokens, first) = self.returned.unwrap_or((0, lent_at));
+        self.returned = Some((tokens + 1, first.min(lent_at)));
     }
 
     /// Records that a waiting call has gone away.
@@ -277,21 +500,40 @@
     ///
     /// More tokens are requested in advance once half of those kept are used.
     pub fn next_request(&mut self, now: Instant) -> Option<Request> {
-        let is_short = self.tokens <= self.advance / 2 && self.advance > 0;
-        let is_low = is_short && self.advance_at.is_none_or(|at| now >= at);
+        let is_half_used = self.tokens <= self.advance / 2 && self.advance > 0;
+        let is_low = is_half_used && self.advance_at.is_none_or(|at| now >= at);
         let is_paused = self.empty_until.is_some_and(|until| now < until);
-        if self.is_requesting || is_paused || (self.waiting == 0 && !is_low) {
+        let returns = self.returned.is_some() && self.return_at.is_none_or(|at| now >= at);
+        let is_short = !is_paused && (self.waiting > 0 || is_low);
+        if self.is_requesting || !(is_short || returns) {
             return None;
         }
         self.is_requesting = true;
+        let returned = self.returned.take();
+        if returned.is_some() {
+            self.return_at = Some(now + RETURN_PAUSE);
+        }
+        let returned = returned.map(|(tokens, first)| Returned {
+            tokens,
+            age: now.saturating_duration_since(first),
+        });
         Some(Request {
-            needed: self.waiting,
-            advance: self.advance - self.tokens,
+            needed: if is_paused { 0 } else { self.waiting },
+            advance: if is_paused {
+                0
+            } else {
+                self.advance - self.tokens
+            },
+            returned: returned.unwrap_or_default(),
+            lender: self.lender.map(|(id, at)| Lender {
+                id,
+                age: now.saturating_duration_since(at),
+            }),
         })
     }
 
     /// Handles the owner's reply. Returns how many waiting calls are admitted, in the order in
-    /// which they came; if the grant has a wait, all others are refused.
+    /// which they came; if the grant has a long wait, all others are refused.
     pub fn on_grant(&mut self, now: Instant, grant: Grant) -> u32 {
         self.is_requesting = false;
         let admitted = (self.tokens + grant.tokens).min(self.waiting);
@@ -299,17 +541,52 @@
         self.waiting -= admitted;
         // Without the pause, a node would ask an owner that has no tokens left again and again.
         self.advance_at = Some(now + ADVANCE_PAUSE);
+        if grant.tokens > 0 {
+            // Tokens of another lender are not in the ledger of this one.
+            if self.lender.is_some_and(|(id, _)| id != grant.lender) {
+                self.returned = None;
+            }
+            self.lender = Some((grant.lender, now));
+        }
         if !grant.wait.is_zero() {
-            self.waiting = 0;
             self.empty_until = Some(now + grant.wait);
+            self.cause = grant.cause;
+        }
+        let held_until = *self.held_until.get_or_insert(now + MAX_HOLD);
+        if !grant.wait.is_zero() && now + grant.wait > held_until {
+            self.waiting = 0;
+        }
+        if self.waiting == 0 || grant.wait.is_zero() {
+            self.held_until = None;
         }
         admitted
     }
 
+    /// Returns why the owner last had too few tokens.
+    #[must_use]
+    pub fn cause(&self) -> Cause {
+        self.cause
+    }
+
+    /// Returns the number of calls that wait.
+    #[must_use]
+    pub fn waiting(&self) -> u32 {
+        self.waiting
+    }
+
+    /// Returns when to request tokens for the calls that wait out a pause, if any do.
+    #[must_use]
+    pub fn resume_at(&self) -> Option<Instant> {
+        (self.waiting > 0 && !self.is_requesting)
+            .then_some(self.empty_until)
+            .flatten()
+    }
+
     /// Handles that no owner replied; all waiting calls are refused.
     pub fn on_failure(&mut self, now: Instant) {
         self.is_requesting = false;
         self.waiting = 0;
+        self.held_until = None;
         self.advance_at = Some(now + ADVANCE_PAUSE);
     }
 }
