--- a/crates/policy/tests/team_limit.rs
+++ b/crates/policy/tests/team_limit.rs
@@ -295,7 +295,8 @@
     twice = { Change::Twice, 90 },
     views_differ = { Change::ViewsDiffer, 90 },
     small_team = { Change::Planned, 5 },
-    unknown_to_all = { Change::Unknown, 1 },
+    unknown_to_all = { Change::Unknown, 90 },
+    unknown_to_small_team = { Change::Unknown, 5 },
 )]
 fn change_below_limit(change: Change, rate: u32) {
     let fleet = run_change(
