--- a/crates/node/src/team_limits.rs
+++ b/crates/node/src/team_limits.rs
@@ -271,7 +271,7 @@
     }
 }
 
-/// Gives back the token of a call that has not run and never will; it began at `lent_at`.
+/// Returns the token of a call that has not run and never will; the call began at `lent_at`.
 pub(crate) fn give_back<C>(inner: &Arc<Inner<C>>, team: &team::Entry, lent_at: Instant)
 where
     C: Clock,
--- a/crates/policy/src/team_share.rs
+++ b/crates/policy/src/team_share.rs
@@ -17,8 +17,8 @@
 
 use std::time::{Duration, Instant};
 
-/// Number of teams that are tracked. With the capacity shared by so many, each has a slot for some
-/// hundredths of the time, and a team below that is counted as small.
+/// Number of teams that are tracked. At equal shares, each of 64 teams has a slot for a tenth of the
+/// time at a backend server of six slots; a team with less work on offer is small.
 const TEAM_COUNT: usize = 64;
 
 /// Time constant with which work on offer and use decay: several calls of a team that sends few a
--- a/crates/policy/tests/lending.rs
+++ b/crates/policy/tests/lending.rs
@@ -43,7 +43,7 @@
     assert!(report.slots.len() <= SLOTS as usize + 1);
 }
 
-// A lender reports after all that was taken to have lent the worst.
+// A lender that was assumed to have lent its worst case reports what it has lent.
 #[test]
 fn late_report() {
     let now = Instant::now();
