--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -220,7 +220,8 @@
 
 /// Serves one connection until its peer closes it, it times out, or `closing` has started.
 ///
-/// With a `starter`, calls may start before those ahead of them have been answered. `bad_requests` counts a connection that ends because of a malformed or incomplete request.
+/// With a `starter`, calls may start before those ahead of them have been answered. `bad_requests`
+/// counts a connection that ends because of a malformed or incomplete request.
 pub(crate) async fn serve<H, F, B, E, A, S>(
     tcp: TcpStream,
     limits: Limits,
--- a/crates/policy/tests/team_limit.rs
+++ b/crates/policy/tests/team_limit.rs
@@ -204,7 +204,7 @@
         }
     }
 
-    /// Runs until `ms` milliseconds after the start.
+    /// Runs to the time `until`, in milliseconds after the start.
     fn run(&mut self, fleet: &mut Fleet, until: u64) {
         for step in self.step..until {
             let now = self.start + Duration::from_millis(step);
