Polls of the platform without an answer are counted, and logged with the age of the version

A node that holds an old version logged that it had polled, but neither whether the platform had answered nor how old its version was, so that a poll that waited could not be told from one that brought nothing. control_failed_polls counts polls without an answer; reading_late names them, the version held and how long ago it was the newest for certain.

--- a/crates/fleet/src/fallback_poll.rs
+++ b/crates/fleet/src/fallback_poll.rs
@@ -147,10 +147,15 @@
         self.fallback_poll.not_before = now + wait;
     }
 
+    /// Returns whether request `serial` is the latest poll.
+    pub(crate) fn is_fallback_poll(&self, serial: u64) -> bool {
+        self.fallback_poll.serial == Some(serial)
+    }
+
     /// Handles the platform's answer to request `serial`. If it was a poll, the tree brings no
     /// readings, and perhaps neither crashes nor roll-outs.
     pub(crate) fn on_poll_answered(&mut self, now: Instant, serial: u64) {
-        if self.fallback_poll.serial != Some(serial) || self.lease.slot().is_some() {
+        if !self.is_fallback_poll(serial) || self.lease.slot().is_some() {
             return;
         }
         self.query_crashes();
--- a/crates/fleet/src/freshness.rs
+++ b/crates/fleet/src/freshness.rs
@@ -383,6 +383,7 @@
         if self.take_request(serial, None).is_none() {
             return;
         }
+        self.counters.failed_polls += u64::from(self.is_fallback_poll(serial));
         self.delay_fallback_poll(now);
         self.freshness.is_starting = false;
         self.readiness_gate.record_platform_failure(now);
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -66,6 +66,8 @@
     pub departures: u64,
     /// Polls of the platform because no reading of it had reached this node in time.
     pub fallback_polls: u64,
+    /// Such polls, and those of roots, that the platform did not answer.
+    pub failed_polls: u64,
 }
 
 /// The state machine of one node.
--- a/crates/node/src/control/tree.rs
+++ b/crates/node/src/control/tree.rs
@@ -12,6 +12,7 @@
 use log::{error, info, warn};
 use policy::rollout::StopReason;
 use settings::node::Distribution;
+use smol_str::ToSmolStr;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant, UNIX_EPOCH};
@@ -374,6 +375,9 @@
         control
             .fallback_polls
             .inc_by(next.fallback_polls - before.fallback_polls);
+        control
+            .failed_polls
+            .inc_by(next.failed_polls - before.failed_polls);
         control
             .departures
             .inc_by(next.departures - before.departures);
@@ -390,9 +394,18 @@
             let reason = refusal.map_or("", |refusal| refusal.reason.as_str());
             warn!(reason, held = next.held_version.0; "version_refused");
         }
-        if next.fallback_polls > before.fallback_polls {
+        if next.fallback_polls > before.fallback_polls || next.failed_polls > before.failed_polls {
             let root = next.path.first().map_or("", |root| root.as_str());
-            info!(root, polls = next.fallback_polls; "reading_late");
+            let age = self.shared.freshness.age(&self.shared.clock);
+            let age_ms = age.map(|age| age.as_millis().to_smolstr());
+            info!(
+                root,
+                polls = next.fallback_polls,
+                failed = next.failed_polls,
+                held = next.held_version.0,
+                age_ms:% = age_ms.unwrap_or_default();
+                "reading_late"
+            );
         }
         if next != **before {
             if next.path.first() != before.path.first() {
@@ -414,6 +427,7 @@
             refused_versions: counters.refused_versions,
             parent_joins: counters.parent_joins,
             fallback_polls: counters.fallback_polls,
+            failed_polls: counters.failed_polls,
             departures: counters.departures,
             built_views: counters.built_views,
             reverts: self.shared.metrics.control.reverts.get(),
--- a/crates/node/src/metrics/control.rs
+++ b/crates/node/src/metrics/control.rs
@@ -14,6 +14,8 @@
     pub parent_joins: Counter,
     /// Polls of the platform because no reading of it had arrived in time.
     pub fallback_polls: Counter,
+    /// Such polls, and those of roots, that the platform did not answer.
+    pub failed_polls: Counter,
     /// Nodes declared departed.
     pub departures: Counter,
     /// Views that were discarded because they were older than the view in use.
@@ -49,6 +51,11 @@
                 "Polls of the platform because no reading of it had arrived in time",
                 &self.fallback_polls,
             ),
+            (
+                "control_failed_polls",
+                "Polls that the platform did not answer, those of root relays included",
+                &self.failed_polls,
+            ),
             (
                 "control_departures",
                 "Nodes declared gone",
--- a/crates/status/src/lib.rs
+++ b/crates/status/src/lib.rs
@@ -76,6 +76,9 @@
     /// reading of it had reached the node in time.
     #[serde(default, rename = "polls")]
     pub fallback_polls: u64,
+    /// Number of such polls, also by a root, that the platform did not answer.
+    #[serde(default)]
+    pub failed_polls: u64,
     /// Number of other nodes that this node has declared departed since its process started.
     pub departures: u64,
     /// Number of views (configuration joined with endpoints) that the node has built after changes
