--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -26,17 +26,37 @@
 pub const MS: Duration = Duration::from_millis(1);
 pub const S: Duration = Duration::from_secs(1);
 
+/// Timeout of a platform call, which doubles while the platform doesn't answer.
+const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+const MAX_DOUBLINGS: u32 = 2;
+
+/// How long after a cut an end learns that the other one has closed the connection meanwhile.
+const CLOSE_DELAY: Duration = Duration::from_millis(200);
+
 /// How old the configuration may be where calls need keys.
 pub const MAX_CONFIG_AGE: Duration = Duration::from_secs(5);
 
 /// An input to the process of a VM.
 #[derive(Debug)]
 enum Input {
-    Dialled { from: usize, from_key: LinkKey },
-    Connected { key: LinkKey, to: usize },
-    Refused { key: LinkKey },
-    Closed { conn: usize },
-    Frame { conn: usize, frame: Box<Frame> },
+    Dialled {
+        from: usize,
+        from_key: LinkKey,
+    },
+    Connected {
+        key: LinkKey,
+        to: usize,
+    },
+    Refused {
+        key: LinkKey,
+    },
+    Closed {
+        conn: usize,
+    },
+    Frame {
+        conn: usize,
+        frame: Box<Frame>,
+    },
     Platform(PlatformResponse),
     Crashes(Vec<Crash>),
     RetryRolloutWrite(Rollout),
@@ -44,6 +64,10 @@
     BackendChanged,
     BackendLeft(Farewell),
     Wake,
+    /// A call of the platform worker has ended.
+    WorkerFree,
+    /// A watch that hung while the platform did not answer is opened again.
+    WatchReopened,
 }
 
 #[derive(Debug)]
@@ -99,6 +123,16 @@
     /// How far the VM's wall clock is behind.
     clock_offset: Duration,
     wake_at: Duration,
+    worker: Worker,
+}
+
+/// Runs the platform calls of a process one after the other, as its client does.
+#[derive(Debug, Default)]
+struct Worker {
+    queue: VecDeque<PlatformRequest>,
+    is_busy: bool,
+    /// Number of times that the timeout of a call has doubled.
+    doublings: u32,
 }
 
 #[derive(Debug)]
@@ -111,6 +145,17 @@
     /// Whether neither end learns that the other has closed the connection.
     drops_close: bool,
     is_open: bool,
+    /// Frames towards each end that the network holds back until a cut ends.
+    held: [Vec<HeldFrame>; 2],
+    /// End that has not learned yet, because of a cut, that the other one has closed.
+    unnoticed_end: Option<usize>,
+}
+
+/// A frame that could not be delivered, and since when.
+#[derive(Debug)]
+struct HeldFrame {
+    frame: Box<Frame>,
+    since: Duration,
 }
 
 /// Probabilities of network faults that hit updates of configuration and endpoints.
@@ -126,6 +171,10 @@
     pub platform: Platform,
     pub now: Duration,
     pub network_faults: NetworkFaults,
+    /// Whether calls to the platform run one after the other and time out as those of its client.
+    pub has_worker: bool,
+    /// VMs that reach no other VM for now; what is sent meanwhile arrives after the cut.
+    pub isolated: BTreeSet<usize>,
     /// Pairs of zones that can't reach each other.
     pub partitions: BTreeSet<(String, String)>,
     /// When each version was published, the first version first.
@@ -208,6 +257,8 @@
             platform: Platform::default(),
             now: Duration::ZERO,
             network_faults: NetworkFaults::default(),
+            has_worker: false,
+            isolated: BTreeSet::new(),
             partitions: BTreeSet::new(),
             published_at: Vec::new(),
             sent_bytes: 0,
@@ -249,6 +300,7 @@
                 acknowledged: BTreeSet::new(),
                 clock_offset: Duration::ZERO,
                 wake_at: Duration::MAX,
+                worker: Worker::default(),
             });
         }
         for vm in 0..world.vms.len() {
@@ -294,6 +346,7 @@
         vm_state.rollouts.clear();
         vm_state.backend = State::Serving;
         vm_state.wake_at = Duration::MAX;
+        vm_state.worker = Worker::default();
         self.schedule(vm, Duration::ZERO, Input::BackendChanged);
     }
 
@@ -688,6 +741,16 @@
             }),
             Input::BackendLeft(farewell) => Event::BackendLeft(farewell),
             Input::Wake => Event::Wake,
+            Input::WorkerFree => {
+                self.vms[vm].worker.is_busy = false;
+                self.start_platform_call(vm);
+                return;
+            }
+            Input::WatchReopened => {
+                self.platform.silent_watchers.remove(&vm);
+                self.notify_watchers();
+                return;
+            }
         };
         let Some(node) = &mut self.vms[vm].node else {
             return;
@@ -734,6 +797,8 @@
             is_silent: [false; 2],
             drops_close: false,
             is_open: true,
+            held: [Vec::new(), Vec::new()],
+            unnoticed_end: None,
         });
         let wait = self.latency();
         self.schedule(
@@ -759,6 +824,11 @@
         if self.connections[conn].is_silent[side] || self.connections[conn].drops_close {
             return;
         }
+        self.connections[conn].held = [Vec::new(), Vec::new()];
+        if self.is_isolated(conn) {
+            self.connections[conn].unnoticed_end = Some(side);
+            return;
+        }
         let wait = self.latency();
         let at = (self.now + wait).max(self.connections[conn].last_arrival[side]);
         self.schedule_for(
@@ -928,7 +998,8 @@
         let Some(to) = self.vm_by_address.get(&address).copied() else {
             return;
         };
-        if self.is_partitioned(vm, to) {
+        if self.is_partitioned(vm, to) || self.isolated.contains(&vm) || self.isolated.contains(&to)
+        {
             return;
         }
         let wait = self.latency();
@@ -964,6 +1035,11 @@
         if !self.connections[conn].is_open || self.connections[conn].is_silent[side] {
             return;
         }
+        if self.is_isolated(conn) {
+            let (frame, since) = (Box::new(frame.clone()), self.now);
+            self.connections[conn].held[side].push(HeldFrame { frame, since });
+            return;
+        }
         let is_update = matches!(
             frame,
             Frame::Step { .. } | Frame::Endpoints(_) | Frame::Chunk(_)
@@ -1001,7 +1077,100 @@
         }
     }
 
+    /// Cuts a VM off from all other VMs.
+    pub fn isolate(&mut self, vm: usize) {
+        self.isolated.insert(vm);
+    }
+
+    /// Ends a VM's isolation; what was sent meanwhile is sent again.
+    pub fn end_isolation(&mut self, vm: usize) {
+        self.isolated.remove(&vm);
+        for conn in 0..self.connections.len() {
+            let connection = &mut self.connections[conn];
+            let ends = connection.ends.map(|end| end.0);
+            if !ends.contains(&vm) || ends.iter().any(|end| self.isolated.contains(end)) {
+                continue;
+            }
+            if let Some(side) = connection.unnoticed_end.take() {
+                let (to, incarnation, _) = connection.ends[side];
+                self.schedule_for(to, incarnation, CLOSE_DELAY, Input::Closed { conn });
+                continue;
+            }
+            for side in 0..2 {
+                self.resend_held(conn, side);
+            }
+        }
+    }
+
+    /// Sends the frames again that a cut has held back.
+    fn resend_held(&mut self, conn: usize, side: usize) {
+        let connection = &mut self.connections[conn];
+        let held = std::mem::take(&mut connection.held[side]);
+        let Some(first) = held.first() else {
+            return;
+        };
+        let at = self.now + retransmission_delay(self.now.saturating_sub(first.since));
+        connection.last_arrival[side] = at;
+        let (to, incarnation, _) = connection.ends[side];
+        for HeldFrame { frame, .. } in held {
+            let input = Input::Frame { conn, frame };
+            self.schedule_for(to, incarnation, at.saturating_sub(self.now), input);
+        }
+    }
+
+    /// Returns whether a cut VM is at either end of a connection.
+    fn is_isolated(&self, conn: usize) -> bool {
+        let ends = &self.connections[conn].ends;
+        ends.iter().any(|end| self.isolated.contains(&end.0))
+    }
+
+    /// Has the platform answer a VM again whose watch opens again after `wait`.
+    pub fn end_denial(&mut self, vm: usize, wait: Duration) {
+        if self.platform.denials.remove(&vm).is_some() {
+            self.platform.silent_watchers.insert(vm);
+            self.schedule(vm, wait, Input::WatchReopened);
+        }
+    }
+
+    /// Starts the next platform call of a VM, unless one is under way.
+    fn start_platform_call(&mut self, vm: usize) {
+        while !self.vms[vm].worker.is_busy {
+            let Some(request) = self.vms[vm].worker.queue.pop_front() else {
+                return;
+            };
+            let peer = self.vms[vm].peer.clone();
+            let is_watch = matches!(
+                request,
+                PlatformRequest::Watch { .. } | PlatformRequest::Unwatch
+            );
+            let silence = self.platform.is_silent(vm, &peer.zone);
+            let responses = self.platform.handle(vm, &peer, request, self.now);
+            let timeout = CALL_TIMEOUT * (1 << self.vms[vm].worker.doublings);
+            let mut duration = Duration::ZERO;
+            for (wait, response) in responses {
+                let wait = if silence { timeout } else { wait };
+                duration = duration.max(wait);
+                self.schedule(vm, wait, Input::Platform(response));
+            }
+            let worker = &mut self.vms[vm].worker;
+            if !is_watch {
+                worker.doublings = if silence {
+                    (worker.doublings + 1).min(MAX_DOUBLINGS)
+                } else {
+                    0
+                };
+                worker.is_busy = true;
+                self.schedule(vm, duration, Input::WorkerFree);
+            }
+        }
+    }
+
     fn query_platform(&mut self, vm: usize, request: PlatformRequest) {
+        if self.has_worker {
+            self.vms[vm].worker.queue.push_back(request);
+            self.start_platform_call(vm);
+            return;
+        }
         let peer = self.vms[vm].peer.clone();
         let responses = self.platform.handle(vm, &peer, request, self.now);
         for (wait, response) in responses {
@@ -1032,6 +1201,17 @@
     }
 }
 
+/// Returns how long after the end of a cut TCP sends again what it first sent `age` ago.
+fn retransmission_delay(age: Duration) -> Duration {
+    let mut next = 200 * MS;
+    let mut interval = 400 * MS;
+    while next < age {
+        next += interval;
+        interval *= 2;
+    }
+    next.saturating_sub(age)
+}
+
 pub fn zone_name(index: usize) -> String {
     format!("zone-{index}")
 }
--- a/crates/fleet/tests/world/platform.rs
+++ b/crates/fleet/tests/world/platform.rs
@@ -215,6 +215,11 @@
             && matches!(self.denials.get(&vm), None | Some(Denial::Slow))
     }
 
+    /// Returns whether a VM's requests get no response at all.
+    pub fn is_silent(&self, vm: usize, zone: &str) -> bool {
+        !self.answers(vm, zone) && self.denials.get(&vm) != Some(&Denial::Refused)
+    }
+
     /// Returns how late the platform's responses reach a VM.
     pub fn delay(&self, vm: usize) -> Duration {
         let is_slow = self.denials.get(&vm) == Some(&Denial::Slow);
