A poll without an answer no longer delays the next one by its own timeout

Callers on nodes without a fault were served by a version older than the one acknowledged 2.5 s before, with the platform back for 3 s and more.

Cause: three waits added up. A poll sent just before the platform answered again got no answer for up to 2 s (the timeout of calls doubles twice in an outage); no other poll was sent for as long, or for 3 s if the worker had not replied; and the next one came 1.5 to 2.5 s after the failure. A node whose parent was cut off meanwhile had no other source until its link to the parent was given up, 3.5 to 4.5 s after the cut.

Change: the wait for the next poll counts from when the last one was sent, 1.7 to 2.3 s, and an answer shortens it. A poll that is still open does not hold back the next one, so a node sends one within 2.3 s of the platform's return.

--- a/crates/fleet/src/fallback_poll.rs
+++ b/crates/fleet/src/fallback_poll.rs
@@ -40,10 +40,17 @@
 /// Minimum time between two polls of a node.
 const MIN_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Minimum time from a poll that fails to the next one. A node that reaches the platform again has
-/// to notice within the 3 s after which it counts as connected.
+/// Minimum time from a poll without an answer to the next one, on average.
+///
+/// It counts from when the poll was sent and not from when it is given up: a platform that is back
+/// still leaves the polls of before without an answer, and a node has to read it within the 3 s
+/// after which the node counts as connected.
 const MIN_RETRY_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Share of the interval by which a repeated poll is early or late, so that nodes that began to
+/// poll together don't go on together.
+const RETRY_JITTER: f64 = 0.15;
+
 /// Time without a reading by a root after which a node that reads the platform claims a lease.
 const ORPHAN_TIME: Duration = Duration::from_secs(5);
 
@@ -130,21 +137,23 @@
             return;
         }
         self.fallback_poll.delay_share = self.rng.random();
-        self.fallback_poll.not_before = now + MIN_INTERVAL;
-        if self.waits_for_platform(now) {
-            return;
-        }
         self.counters.fallback_polls += u64::from(self.lease.slot().is_none());
         self.request_from_platform(now);
         self.fallback_poll.serial = Some(self.freshness.serial);
     }
 
-    /// Handles that the platform did not answer a request for a confirmation.
+    /// Delays the next poll after a request for a confirmation, as if it will get no answer.
     pub(crate) fn delay_fallback_poll(&mut self, now: Instant) {
-        let interval = interval_at_rate(self.fallback_poll.zone_nodes, ZONE_RETRY_RATE);
+        let interval = interval_at_rate(self.count_zone_nodes(), ZONE_RETRY_RATE);
         let interval = interval.max(MIN_RETRY_INTERVAL);
-        let wait = interval.mul_f64(0.75) + self.jitter(interval / 2);
-        self.fallback_poll.not_before = now + wait;
+        let share = 1.0 + RETRY_JITTER * self.rng.random_range(-1.0..1.0);
+        self.fallback_poll.not_before = now + interval.mul_f64(share);
+    }
+
+    /// Handles that the latest request for a confirmation, sent at `sent_at`, was answered.
+    pub(crate) fn allow_fallback_poll(&mut self, sent_at: Instant) {
+        let not_before = &mut self.fallback_poll.not_before;
+        *not_before = (sent_at + MIN_INTERVAL).min(*not_before);
     }
 
     /// Returns whether request `serial` is the latest poll.
--- a/crates/fleet/src/freshness.rs
+++ b/crates/fleet/src/freshness.rs
@@ -357,22 +357,20 @@
     /// Requests that the platform confirm the newest version, and send it if it isn't held.
     pub(crate) fn request_from_platform(&mut self, now: Instant) {
         let serial = self.begin_request(now, None);
+        self.delay_fallback_poll(now);
         let after = self.version();
         let request = PlatformRequest::ConfirmVersion { after, serial };
         self.actions.push(Action::QueryPlatform(request));
     }
 
-    /// Returns whether a request to the platform has no answer yet.
-    pub(crate) fn waits_for_platform(&self, now: Instant) -> bool {
-        let mut requests = self.freshness.requests.values();
-        requests.any(|request| request.link.is_none() && now < request.sent_at + PLATFORM_TIMEOUT)
-    }
-
     /// Handles the platform's answer to request `serial`: the newest version is `version`.
     pub(crate) fn on_version_confirmed(&mut self, now: Instant, serial: u64, version: Version) {
         let Some(request) = self.take_request(serial, None) else {
             return;
         };
+        if serial == self.freshness.serial {
+            self.allow_fallback_poll(request.sent_at);
+        }
         self.record_own_reading(version, request.sent_at);
         self.on_poll_answered(now, serial);
     }
@@ -384,7 +382,6 @@
             return;
         }
         self.counters.failed_polls += u64::from(self.is_fallback_poll(serial));
-        self.delay_fallback_poll(now);
         self.freshness.is_starting = false;
         self.readiness_gate.record_platform_failure(now);
         if !is_latest {
