A poll on a connection that has gone silent is repeated at once

If all open connections go silent for good, most nodes served an old version for over 3 s after it: the links are given up after 3.5 s, the first poll is due when the last reading is 1.5 s old and finds its own connection dead, and the next one came 1.7 to 2.3 s later, as in an outage.

The first poll that fails after an answer shows no more than that its connection is dead. It is now repeated on a new one, as soon as it has failed and the zone's first polls are over (nodes / 40 s); further ones wait as before. An outage costs one more call a node.

The simulated platform worker has a connection that may be dead.

--- a/crates/fleet/src/fallback_poll.rs
+++ b/crates/fleet/src/fallback_poll.rs
@@ -34,7 +34,11 @@
 /// Most first polls a second by the nodes of a zone that begin to poll together.
 const ZONE_POLL_RATE: u32 = 48;
 
-/// Most repeated polls a second by the nodes of a zone that the platform doesn't answer.
+/// Most polls a second by such nodes that are repeated for the first time. It is below
+/// [`ZONE_POLL_RATE`], so that the zone's first polls are over before.
+const ZONE_FIRST_RETRY_RATE: u32 = 40;
+
+/// Most further polls a second by the nodes of a zone that the platform doesn't answer.
 const ZONE_RETRY_RATE: u32 = 16;
 
 /// Minimum time between two polls of a node.
@@ -72,6 +76,8 @@
     pub(crate) zone_rank: u32,
     /// Number of the confirmation that the last poll has requested.
     serial: Option<u64>,
+    /// Whether a request for a confirmation has failed since the platform's last answer to one.
+    has_failed: bool,
     claim_not_before: Instant,
     /// The root beside which this node claims a lease, from the read of the leases to the outcome.
     pub(crate) replaced_root: Option<SmolStr>,
@@ -89,6 +95,7 @@
             zone_nodes: 0,
             zone_rank: 0,
             serial: None,
+            has_failed: false,
             claim_not_before: now,
             replaced_root: None,
         }
@@ -150,8 +157,20 @@
         self.fallback_poll.not_before = now + interval.mul_f64(share);
     }
 
+    /// Handles that the latest request for a confirmation, sent at `sent_at`, has failed.
+    ///
+    /// The first one may only show that an idle connection had gone silent. The next poll uses a new
+    /// connection, and must not wait as long as in an outage: all links may be in the same state.
+    pub(crate) fn on_poll_failed(&mut self, now: Instant, sent_at: Instant) {
+        if !std::mem::replace(&mut self.fallback_poll.has_failed, true) {
+            let interval = interval_at_rate(self.count_zone_nodes(), ZONE_FIRST_RETRY_RATE);
+            self.fallback_poll.not_before = now.max(sent_at + interval);
+        }
+    }
+
     /// Handles that the latest request for a confirmation, sent at `sent_at`, was answered.
     pub(crate) fn allow_fallback_poll(&mut self, sent_at: Instant) {
+        self.fallback_poll.has_failed = false;
         let not_before = &mut self.fallback_poll.not_before;
         *not_before = (sent_at + MIN_INTERVAL).min(*not_before);
     }
--- a/crates/fleet/src/freshness.rs
+++ b/crates/fleet/src/freshness.rs
@@ -378,8 +378,11 @@
     /// Handles that the platform did not answer request `serial`.
     pub(crate) fn on_confirmation_failed(&mut self, now: Instant, serial: u64) {
         let is_latest = serial == self.freshness.serial;
-        if self.take_request(serial, None).is_none() {
+        let Some(request) = self.take_request(serial, None) else {
             return;
+        };
+        if is_latest {
+            self.on_poll_failed(now, request.sent_at);
         }
         self.counters.failed_polls += u64::from(self.is_fallback_poll(serial));
         self.freshness.is_starting = false;
--- a/crates/fleet/tests/overlapping_faults.rs
+++ b/crates/fleet/tests/overlapping_faults.rs
@@ -301,6 +301,22 @@
     }
 }
 
+// All connections go silent at once: the poll that finds its own dead must not be the last one for
+// seconds.
+#[test]
+fn connections_silent() {
+    for seed in 1..=12 {
+        let mut day = Day::begin(seed);
+        let until = day.world.now;
+        for vm in 0..NODES {
+            let wait = Duration::from_millis(day.rng.random_range(500..4_100));
+            day.world.silence_connections(vm, wait);
+            day.disturbed_until[vm] = until;
+        }
+        day.play(&[], 300 * MS);
+    }
+}
+
 #[parameterized(
     first = { 1082 }, second = { 1519 }, third = { 1602 }, fourth = { 1615 },
     fifth = { 1638 }, sixth = { 1642 }, seventh = { 1847 }, eighth = { 1868 },
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -133,6 +133,8 @@
     is_busy: bool,
     /// Number of times that the timeout of a call has doubled.
     doublings: u32,
+    /// Whether the connection of the next call has gone silent.
+    has_dead_connection: bool,
 }
 
 #[derive(Debug)]
@@ -1132,6 +1134,16 @@
         }
     }
 
+    /// Has all open connections of a VM go silent for good; new ones work. Its watch opens again
+    /// after `wait`.
+    pub fn silence_connections(&mut self, vm: usize, wait: Duration) {
+        self.drop_incoming(vm);
+        self.drop_outgoing(vm);
+        self.vms[vm].worker.has_dead_connection = true;
+        self.platform.silent_watchers.insert(vm);
+        self.schedule(vm, wait, Input::WatchReopened);
+    }
+
     /// Starts the next platform call of a VM, unless one is under way.
     fn start_platform_call(&mut self, vm: usize) {
         while !self.vms[vm].worker.is_busy {
@@ -1143,8 +1155,14 @@
                 request,
                 PlatformRequest::Watch { .. } | PlatformRequest::Unwatch
             );
-            let silence = self.platform.is_silent(vm, &peer.zone);
-            let responses = self.platform.handle(vm, &peer, request, self.now);
+            let is_dead = !is_watch && self.vms[vm].worker.has_dead_connection;
+            let silence = is_dead || self.platform.is_silent(vm, &peer.zone);
+            let responses = if is_dead {
+                self.vms[vm].worker.has_dead_connection = false;
+                vec![(Duration::ZERO, PlatformResponse::Failed(request))]
+            } else {
+                self.platform.handle(vm, &peer, request, self.now)
+            };
             let timeout = CALL_TIMEOUT * (1 << self.vms[vm].worker.doublings);
             let mut duration = Duration::ZERO;
             for (wait, response) in responses {
