--- a/crates/fleet/tests/overlapping_faults.rs
+++ b/crates/fleet/tests/overlapping_faults.rs
@@ -320,6 +320,7 @@
 #[parameterized(
     first = { 1082 }, second = { 1519 }, third = { 1602 }, fourth = { 1615 },
     fifth = { 1638 }, sixth = { 1642 }, seventh = { 1847 }, eighth = { 1868 },
+    restarted_in_outage = { 5099 },
 )]
 fn drawn_days(seed: u64) {
     let mut day = Day::begin(seed);
