A late answer to a poll counts as one, also when the next poll is open

Polls may overlap now. Only an answer to the latest one made the node read crashes and roll-outs, and claim a lease if no root reads the platform; with a platform that takes longer than 1.7 s for each answer that never happened. Failed polls that a later one had followed were not counted either. Whether a request is a poll is now noted with the request.

--- a/crates/fleet/src/fallback_poll.rs
+++ b/crates/fleet/src/fallback_poll.rs
@@ -74,8 +74,6 @@
     zone_nodes: u32,
     /// Number of zones with roots whose names come before that of this node's zone.
     pub(crate) zone_rank: u32,
-    /// Number of the confirmation that the last poll has requested.
-    serial: Option<u64>,
     /// Whether a request for a confirmation has failed since the platform's last answer to one.
     has_failed: bool,
     claim_not_before: Instant,
@@ -94,7 +92,6 @@
             delay_share: rng.random(),
             zone_nodes: 0,
             zone_rank: 0,
-            serial: None,
             has_failed: false,
             claim_not_before: now,
             replaced_root: None,
@@ -145,8 +142,7 @@
         }
         self.fallback_poll.delay_share = self.rng.random();
         self.counters.fallback_polls += u64::from(self.lease.slot().is_none());
-        self.request_from_platform(now);
-        self.fallback_poll.serial = Some(self.freshness.serial);
+        self.poll_platform(now);
     }
 
     /// Delays the next poll after a request for a confirmation, as if it will get no answer.
@@ -175,15 +171,10 @@
         *not_before = (sent_at + MIN_INTERVAL).min(*not_before);
     }
 
-    /// Returns whether request `serial` is the latest poll.
-    pub(crate) fn is_fallback_poll(&self, serial: u64) -> bool {
-        self.fallback_poll.serial == Some(serial)
-    }
-
-    /// Handles the platform's answer to request `serial`. If it was a poll, the tree brings no
-    /// readings, and perhaps neither crashes nor roll-outs.
-    pub(crate) fn on_poll_answered(&mut self, now: Instant, serial: u64) {
-        if !self.is_fallback_poll(serial) || self.lease.slot().is_some() {
+    /// Handles the platform's answer to a poll: the tree brings no readings, and perhaps neither
+    /// crashes nor roll-outs.
+    pub(crate) fn on_poll_answered(&mut self, now: Instant) {
+        if self.lease.slot().is_some() {
             return;
         }
         self.query_crashes();
--- a/crates/fleet/src/freshness.rs
+++ b/crates/fleet/src/freshness.rs
@@ -90,6 +90,8 @@
     sent_at: Instant,
     /// Link to the node that is asked; `None` for the platform.
     link: Option<LinkKey>,
+    /// Whether it is a poll of the platform, sent because no reading had arrived in time.
+    is_poll: bool,
 }
 
 /// What a node knows about the age of its configuration, and who wants to know it.
@@ -330,7 +332,12 @@
         self.freshness.is_pending = true;
         let serial = self.freshness.serial;
         let requests = &mut self.freshness.requests;
-        requests.insert(serial, Request { sent_at: now, link });
+        let request = Request {
+            sent_at: now,
+            link,
+            is_poll: false,
+        };
+        requests.insert(serial, request);
         if requests.len() > MAX_REQUESTS {
             requests.pop_first();
         }
@@ -354,8 +361,17 @@
         self.send(link, frame);
     }
 
+    /// Polls the platform for the newest version.
+    pub(crate) fn poll_platform(&mut self, now: Instant) {
+        self.request_from_platform(now);
+        let serial = self.freshness.serial;
+        if let Some(request) = self.freshness.requests.get_mut(&serial) {
+            request.is_poll = true;
+        }
+    }
+
     /// Requests that the platform confirm the newest version, and send it if it isn't held.
-    pub(crate) fn request_from_platform(&mut self, now: Instant) {
+    fn request_from_platform(&mut self, now: Instant) {
         let serial = self.begin_request(now, None);
         self.delay_fallback_poll(now);
         let after = self.version();
@@ -372,7 +388,9 @@
             self.allow_fallback_poll(request.sent_at);
         }
         self.record_own_reading(version, request.sent_at);
-        self.on_poll_answered(now, serial);
+        if request.is_poll {
+            self.on_poll_answered(now);
+        }
     }
 
     /// Handles that the platform did not answer request `serial`.
@@ -384,7 +402,7 @@
         if is_latest {
             self.on_poll_failed(now, request.sent_at);
         }
-        self.counters.failed_polls += u64::from(self.is_fallback_poll(serial));
+        self.counters.failed_polls += u64::from(request.is_poll);
         self.freshness.is_starting = false;
         self.readiness_gate.record_platform_failure(now);
         if !is_latest {
