--- a/crates/fleet/tests/overlapping_faults.rs
+++ b/crates/fleet/tests/overlapping_faults.rs
@@ -35,7 +35,7 @@
     Denied(Denial),
     /// A zone reaches no other zone.
     ZoneCut,
-    /// The platform answers nobody.
+    /// The platform answers no node.
     Outage,
     Frozen,
     Killed,
@@ -317,6 +317,8 @@
     }
 }
 
+// Drawn days on which nodes without a fault served a version that was too old; on the last one, a
+// restarted node went back.
 #[parameterized(
     first = { 1082 }, second = { 1519 }, third = { 1602 }, fourth = { 1615 },
     fifth = { 1638 }, sixth = { 1642 }, seventh = { 1847 }, eighth = { 1868 },
