A leave is on the platform before it is acknowledged

Cause: a leave was acknowledged once two other nodes held it. Only a root that no node was linked to wrote it to the platform, so that it was forgotten with the nodes.

Change: each node writes a leave to its object on the platform before it acknowledges it, and still has two other nodes hold it; while the platform is away it isn't acknowledged, and the backend server gets no calls either. A new process reads the object before it announces its backend server (fleet::recall). While the platform doesn't answer, a node that holds the former process's announcement suffices; after a loss of all nodes none does, and the process waits. An acknowledgement waits 120 ms, in which all linked nodes get the leave. Tombstones of a node go to its next process also without farewells. After a restore from a backup the node and the roots of its zone write again.

The example in fleet's documentation expects the read beside that of the leases.

--- a/crates/config/src/endpoint.rs
+++ b/crates/config/src/endpoint.rs
@@ -21,7 +21,16 @@
 /// a backend server within the time that its messages may be delayed.
 pub const MAX_FAREWELLS: usize = 8;
 
+/// Process number of a drain by an operator, which takes out whatever process runs on the VM.
+const DRAINED: u64 = u64::MAX;
+
+/// Process number of the end of a drain.
+const DRAIN_ENDED: u64 = u64::MAX - 1;
+
 /// The acknowledged leave of one process of a backend server. The process never takes calls again.
+///
+/// Two process numbers are reserved for drains by operators, so that these are kept and passed on as
+/// leaves are, also by nodes that know nothing of drains.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Farewell {
     /// When the leave was acknowledged, by the clock of the VM, in milliseconds since the Unix
@@ -31,6 +40,52 @@
     pub process: u64,
 }
 
+impl Farewell {
+    /// Returns the record of a drain at `wall_ms`, by the clock of the VM.
+    #[must_use]
+    pub fn drain(wall_ms: u64) -> Self {
+        Self {
+            left_ms: wall_ms,
+            process: DRAINED,
+        }
+    }
+
+    /// Returns the record of the end of a drain at `wall_ms`, by the clock of the VM.
+    #[must_use]
+    pub fn drain_end(wall_ms: u64) -> Self {
+        Self {
+            left_ms: wall_ms,
+            process: DRAIN_ENDED,
+        }
+    }
+
+    /// Returns whether this is the record of a drain or of its end.
+    #[must_use]
+    pub fn is_by_operator(&self) -> bool {
+        matches!(self.process, DRAINED | DRAIN_ENDED)
+    }
+
+    /// Returns whether `known` says what this farewell says: that its process has left, or that
+    /// the VM is drained or its drain has ended.
+    #[must_use]
+    pub fn is_in_effect(&self, known: &[Self]) -> bool {
+        let is_known = known.iter().any(|other| other.process == self.process);
+        match self.process {
+            DRAINED => is_drained(known),
+            DRAIN_ENDED => is_known && !is_drained(known),
+            _ => is_known,
+        }
+    }
+}
+
+/// Returns whether an operator has drained the VM and has not ended the drain since.
+#[must_use]
+pub fn is_drained(farewells: &[Farewell]) -> bool {
+    let find = |process| farewells.iter().find(|known| known.process == process);
+    let ended = find(DRAIN_ENDED).map(|end| end.left_ms);
+    find(DRAINED).is_some_and(|drain| ended.is_none_or(|ended| drain.left_ms > ended))
+}
+
 /// A backend server and the node in front of it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Endpoint {
@@ -80,14 +135,14 @@
         (self.started_ms, self.incarnation, self.sequence, self.state)
     }
 
-    /// Adds farewells, and returns whether any of them is new. An endpoint whose current process
-    /// has left doesn't serve.
+    /// Adds farewells, and returns whether any of them is new. An endpoint doesn't serve if its
+    /// current process has left or its VM is drained.
     ///
     /// The result depends neither on the order in which farewells are added nor on repetition.
     pub fn add_farewells(&mut self, farewells: &[Farewell]) -> bool {
         let has_grown = merge_farewells(&mut self.farewells, farewells);
         let has_left = |farewell: &Farewell| farewell.process == self.process;
-        if self.farewells.iter().any(has_left) {
+        if self.farewells.iter().any(has_left) || is_drained(&self.farewells) {
             self.state = self.state.max(State::Leaving);
         }
         has_grown
@@ -96,7 +151,8 @@
 
 /// Merges `new` into `known`, which stays sorted; returns whether `known` has changed.
 ///
-/// One farewell a process is kept, the latest.
+/// One farewell a process is kept, the latest. If there are too many, the earliest are dropped; a drain
+/// holds until it is ended, and is never dropped.
 pub fn merge_farewells(known: &mut Vec<Farewell>, new: &[Farewell]) -> bool {
     if new.iter().all(|farewell| known.contains(farewell)) {
         return false;
@@ -109,7 +165,11 @@
         processes.push(farewell.process);
         is_first
     });
-    merged.truncate(MAX_FAREWELLS);
+    while merged.len() > MAX_FAREWELLS
+        && let Some(earliest) = merged.iter().rposition(|known| !known.is_by_operator())
+    {
+        merged.remove(earliest);
+    }
     let has_changed = merged != *known;
     *known = merged;
     has_changed
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -19,7 +19,7 @@
 
 pub use diff::diff;
 pub use digest::Digest;
-pub use endpoint::{Endpoint, Farewell, MAX_FAREWELLS, State, merge_farewells};
+pub use endpoint::{Endpoint, Farewell, MAX_FAREWELLS, State, is_drained, merge_farewells};
 pub use error::{Error, Violation};
 pub use mesh::{Class, Mesh, Objective, Repeat, Retry, Route, Service, Target};
 pub use patch::{Change, Patch};
--- a/crates/config/tests/farewells.rs
+++ b/crates/config/tests/farewells.rs
@@ -1,6 +1,6 @@
 //! Farewells of the processes of a backend server, as endpoints carry them.
 
-use config::{Farewell, MAX_FAREWELLS, merge_farewells};
+use config::{Farewell, MAX_FAREWELLS, is_drained, merge_farewells};
 
 fn farewell(left_ms: u64, process: u64) -> Farewell {
     Farewell { left_ms, process }
@@ -30,3 +30,28 @@
     assert_eq!(known, [farewell(3, 8), farewell(1, 7)]);
     assert!(!merge_farewells(&mut known, &[farewell(2, 8)]));
 }
+
+/// A drain holds until it is ended, whatever processes leave meanwhile and in whichever order the
+/// records arrive.
+#[test]
+fn drain_outlasts_leaves() {
+    let leaves: Vec<_> = (0..20)
+        .map(|number| farewell(100 + number, number))
+        .collect();
+    let (drain, end) = (Farewell::drain(50), Farewell::drain_end(60));
+    for is_first in [true, false] {
+        let mut known = Vec::new();
+        let mut records = leaves.clone();
+        records.insert(if is_first { 0 } else { 20 }, drain);
+        for record in &records {
+            merge_farewells(&mut known, &[*record]);
+        }
+        assert_eq!(known.len(), MAX_FAREWELLS);
+        assert!(is_drained(&known) && drain.is_in_effect(&known));
+        assert!(!end.is_in_effect(&known));
+        merge_farewells(&mut known, &[end]);
+        assert!(!is_drained(&known) && end.is_in_effect(&known));
+        merge_farewells(&mut known, &[drain, Farewell::drain(70)]);
+        assert!(is_drained(&known));
+    }
+}
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -58,7 +58,7 @@
     Crashes,
     /// List the roll-outs that operators have ordered.
     Rollouts,
-    /// Read the farewells that processes of this node have written.
+    /// Read the farewells that are written for this node.
     Farewells,
 }
 
@@ -133,9 +133,9 @@
     Restored,
     /// The state of roll-outs, sent when a watch starts and as they change.
     Rollouts(Vec<Rollout>),
-    /// The farewells that processes of this node have written.
+    /// The farewells that are written for this node.
     Farewells(Vec<Farewell>),
-    /// These farewells are written.
+    /// These farewells of this node are written.
     FarewellsWritten(Vec<Farewell>),
 }
 
@@ -182,8 +182,9 @@
     Platform(PlatformResponse),
     /// This VM's backend server announced itself.
     BackendAnnounced(Backend),
-    /// A process of this VM's backend server has left. Answered with [`Action::FarewellReceived`]
-    /// once other nodes, or the platform, hold the farewell.
+    /// A process of this VM's backend server has left, or an operator has drained the VM or ended its
+    /// drain. Answered with [`Action::FarewellReceived`] once the platform and other nodes hold the
+    /// farewell.
     BackendLeft(Farewell),
     /// Crashes of this VM's backend server, and those that an answer to the same request has
     /// cleared.
@@ -237,13 +238,14 @@
         /// [`wire::control::MAX_CRASHES`], those of the requests with the most uncleared crashes.
         list: Vec<Crash>,
     },
-    /// Write the farewells of the local backend server to the platform, since no other node is
-    /// linked to this one.
+    /// Write the farewells of this node to the platform, and report once they are written.
     WriteFarewells(Vec<Farewell>),
-    /// Other nodes, or the platform, hold the farewell of this process of the backend server.
+    /// Write the farewells of these nodes to the platform again, which may have lost them.
+    RewriteFarewells(Vec<(SmolStr, Vec<Farewell>)>),
+    /// The platform and other nodes hold the farewell of this process of the backend server.
     FarewellReceived(u64),
     /// Ignore announcements of the processes of the backend server that have left, also those that
-    /// have left before this process of the node started.
+    /// have left before this process of the node started, and take no calls if the VM is drained.
     UpdateFarewells(Vec<Farewell>),
     /// Apply these roll-outs to calls from now on.
     ApplyRollouts(Vec<Rollout>),
--- a/crates/fleet/src/farewells.rs
+++ b/crates/fleet/src/farewells.rs
@@ -1,12 +1,14 @@
 //! Farewells of the local backend server, and where they are kept.
 //!
-//! A farewell says that a process of the backend server has left for good. It is part of the
-//! node's endpoint, so that all nodes get it, and a restarted node gets it back from the first node
-//! that it exchanges endpoints with. The node that takes a leave request may be killed as soon as it
-//! has acknowledged the request. It therefore acknowledges only once other nodes hold the farewell:
-//! it requests a receipt over one link, and the node there requests one from the next node before
-//! it replies. Until then the request is repeated, each time over another link. A root that no other
-//! node is linked to writes its farewells to the platform.
+//! A farewell says that a process of the backend server has left for good, or that an operator has
+//! drained the VM. It is part of the node's endpoint, so that all nodes get it. All nodes may be killed
+//! as soon as one of them has acknowledged a leave, so a farewell is acknowledged only once it is
+//! written to the platform, where the next process of the node reads it (`recall`).
+//!
+//! While the platform is away, a restarted node gets its farewells from the first node that it
+//! exchanges endpoints with. Other nodes therefore hold the farewell before it is acknowledged: the
+//! node requests a receipt over one link, and the node there requests one from the next node before
+//! it replies. Until then the request is repeated, each time over another link.
 
 use crate::event::{Action, Backend};
 use crate::link::{Link, LinkKey, Role};
@@ -24,17 +26,28 @@
 /// Time after which a receipt is requested again, over another link.
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Number of requests without a receipt after which a root writes its farewells to the platform.
+/// Number of requests without a receipt after which the platform alone suffices: the nodes at the
+/// other ends of the links may be paused or cut off.
 const MAX_ATTEMPTS: usize = 3;
 
 /// Maximum number of requests for receipts that a node passes on at the same time.
 const MAX_RELAYED: usize = 1_024;
 
-/// A farewell for which no receipt has arrived yet.
+/// Time in which a farewell reaches all nodes over the links, six hops of 20 ms each. If the holders of
+/// the copies were killed sooner, nodes that keep running would not know it.
+const SPREAD_TIME: Duration = Duration::from_millis(120);
+
+/// A farewell that can't be acknowledged yet.
 #[derive(Debug, Clone, Copy)]
 struct Pending {
     farewell: Farewell,
     attempts: usize,
+    /// When all linked nodes hold the farewell, if it was sent.
+    spread_at: Option<Instant>,
+    /// Whether other nodes hold the farewell.
+    has_copies: bool,
+    /// Whether the platform holds the farewell.
+    is_written: bool,
 }
 
 /// A request for a receipt that was passed on.
@@ -54,10 +67,10 @@
     /// Whether what former processes of the node announced is known, so that this one may announce
     /// an endpoint.
     is_announcing: bool,
-    /// Processes whose farewells other nodes, or the platform, hold.
+    /// Processes whose farewells were acknowledged.
     received: Vec<u64>,
-    /// Farewells that the platform was last asked to hold.
-    written: Vec<Farewell>,
+    /// Farewells that are being written to the platform.
+    writing: Option<Vec<Farewell>>,
     pending: Vec<Pending>,
     /// Processes whose farewells a request asks about, by its serial number.
     requested: BTreeMap<u64, u64>,
@@ -91,35 +104,48 @@
 }
 
 impl Node {
-    /// Records that a process of the local backend server has left.
+    /// Records that a process of the local backend server has left, or that an operator has drained
+    /// the VM or ended its drain.
     pub(crate) fn on_farewell(&mut self, now: Instant, farewell: Farewell) {
         let state = &mut self.farewells;
-        if state.received.contains(&farewell.process) {
-            self.actions
-                .push(Action::FarewellReceived(farewell.process));
-            return;
-        }
-        let is_same = |pending: &Pending| pending.farewell.process == farewell.process;
-        if state.pending.iter().any(is_same) {
-            return;
+        if farewell.is_in_effect(&state.known) {
+            if state.received.contains(&farewell.process) {
+                self.actions
+                    .push(Action::FarewellReceived(farewell.process));
+                return;
+            }
+            let is_same = |pending: &Pending| pending.farewell.process == farewell.process;
+            if state.pending.iter().any(is_same) {
+                return;
+            }
+        } else {
+            merge_farewells(&mut state.known, &[farewell]);
+            // Each drain and each end of a drain is acknowledged on its own.
+            state
+                .received
+                .retain(|process| *process != farewell.process);
+            let known = &state.known;
+            state
+                .pending
+                .retain(|pending| pending.farewell.is_in_effect(known));
+            self.publish_farewells(now);
         }
-        state.pending.push(Pending {
+        self.farewells.pending.push(Pending {
             farewell,
             attempts: 0,
+            spread_at: None,
+            has_copies: false,
+            is_written: false,
         });
-        state.retry_at = Some(now);
-        let is_known = |known: &Farewell| known.process == farewell.process;
-        if !state.known.iter().any(is_known) {
-            merge_farewells(&mut state.known, &[farewell]);
-            self.publish_farewells(now);
-        }
+        self.farewells.retry_at = Some(now);
     }
 
     /// Takes over farewells that a former process of this node has passed on.
-    pub(crate) fn learn_farewells(&mut self, farewells: &[Farewell]) {
+    pub(crate) fn learn_farewells(&mut self, now: Instant, farewells: &[Farewell]) {
         if merge_farewells(&mut self.farewells.known, farewells) {
             let known = self.farewells.known.clone();
             self.actions.push(Action::UpdateFarewells(known));
+            self.publish_farewells(now);
         }
     }
 
@@ -166,36 +192,99 @@
             return;
         }
         self.farewells.retry_at = Some(now + RETRY_INTERVAL);
+        self.write_farewells();
         if !self.farewells.is_announcing {
             return;
         }
         self.publish_farewells(now);
         self.send_endpoint_updates();
         let links = self.links_for_receipt(None);
-        let mut pending = self.farewells.pending.iter();
-        let is_unheard = links.is_empty() || pending.any(|one| one.attempts >= MAX_ATTEMPTS);
-        if is_unheard && self.lease.is_root() && self.farewells.written != self.farewells.known {
-            let known = self.farewells.known.clone();
-            self.farewells.written.clone_from(&known);
-            self.actions.push(Action::WriteFarewells(known));
-        }
         for index in 0..self.farewells.pending.len() {
             let pending = &mut self.farewells.pending[index];
             let Some(link) = links.get(pending.attempts % links.len().max(1)) else {
                 continue;
             };
+            if pending.has_copies {
+                continue;
+            }
             pending.attempts += 1;
+            pending.spread_at.get_or_insert(now + SPREAD_TIME);
             let process = pending.farewell.process;
             let serial = self.farewells.next_serial();
             self.farewells.requested.insert(serial, process);
             let copies = COPIES;
             self.send(*link, Frame::RequestReceipt { serial, copies });
         }
+        let spreading = self.farewells.pending.iter();
+        let spread_at = spreading.filter_map(|pending| pending.spread_at);
+        let next = spread_at.filter(|at| *at > now).min();
+        self.farewells.retry_at = self
+            .farewells
+            .retry_at
+            .min(next)
+            .or(self.farewells.retry_at);
+        self.acknowledge_farewells(now);
+    }
+
+    /// Writes the known farewells to the platform, unless all are written or just these are being
+    /// written.
+    fn write_farewells(&mut self) {
+        let state = &mut self.farewells;
+        let is_due = state.pending.iter().any(|pending| !pending.is_written);
+        if is_due && state.writing.as_ref() != Some(&state.known) {
+            state.writing = Some(state.known.clone());
+            self.actions
+                .push(Action::WriteFarewells(state.known.clone()));
+        }
+    }
+
+    pub(crate) fn on_farewells_written(&mut self, now: Instant, written: &[Farewell]) {
+        let state = &mut self.farewells;
+        state.writing.take_if(|writing| writing == written);
+        for pending in &mut state.pending {
+            pending.is_written |= pending.farewell.is_in_effect(written);
+        }
+        self.acknowledge_farewells(now);
+    }
+
+    /// Acknowledges the farewells that are written to the platform and held by other nodes.
+    fn acknowledge_farewells(&mut self, now: Instant) {
+        let has_links = !self.links_for_receipt(None).is_empty();
+        let is_announcing = self.farewells.is_announcing;
+        let is_recorded = |pending: &mut Pending| {
+            let is_unheard = is_announcing && !has_links || pending.attempts > MAX_ATTEMPTS;
+            let is_spread = pending.spread_at.is_some_and(|at| now >= at);
+            pending.is_written && (pending.has_copies && is_spread || is_unheard)
+        };
+        let state = &mut self.farewells;
+        let recorded: Vec<_> = state.pending.extract_if(.., is_recorded).collect();
+        for Pending { farewell, .. } in recorded {
+            let process = farewell.process;
+            state.requested.retain(|_, requested| *requested != process);
+            state.received.push(process);
+            let surplus = state.received.len().saturating_sub(MAX_FAREWELLS);
+            state.received.drain(..surplus);
+            self.actions.push(Action::FarewellReceived(process));
+        }
     }
 
-    pub(crate) fn on_farewells_written(&mut self, written: &[Farewell]) {
-        for farewell in written {
-            self.mark_received(farewell.process);
+    /// Writes farewells again that a platform which was restored from a backup may have lost: those of
+    /// this node, and a root writes those of its zone, as other nodes may not notice the restore.
+    pub(crate) fn rewrite_farewells(&mut self) {
+        for pending in &mut self.farewells.pending {
+            pending.is_written = false;
+        }
+        self.farewells.writing = None;
+        let (own, is_root) = (&self.settings.local, self.lease.is_root());
+        let mut list = vec![(own.node.clone(), self.farewells.known.clone())];
+        let others = self
+            .endpoint_table
+            .iter()
+            .filter(|endpoint| is_root && endpoint.zone == own.zone && endpoint.node != own.node);
+        list.extend(others.map(|other| (other.node.clone(), other.farewells.clone())));
+        list.retain(|(_, farewells)| !farewells.is_empty());
+        if !list.is_empty() {
+            self.actions.push(Action::RewriteFarewells(list));
         }
     }
 
@@ -240,26 +329,20 @@
         }
     }
 
-    pub(crate) fn on_receipt(&mut self, serial: u64) {
+    pub(crate) fn on_receipt(&mut self, now: Instant, serial: u64) {
         if let Some(Relayed { from, serial, .. }) = self.farewells.relayed.remove(&serial) {
             self.send(from, Frame::Receipt { serial });
         } else if let Some(process) = self.farewells.requested.remove(&serial) {
-            self.mark_received(process);
+            self.mark_held(now, process);
         }
     }
 
-    fn mark_received(&mut self, process: u64) {
-        let state = &mut self.farewells;
-        state
-            .pending
-            .retain(|pending| pending.farewell.process != process);
-        state.requested.retain(|_, requested| *requested != process);
-        if !state.received.contains(&process) {
-            state.received.push(process);
-            let surplus = state.received.len().saturating_sub(MAX_FAREWELLS);
-            state.received.drain(..surplus);
+    fn mark_held(&mut self, now: Instant, process: u64) {
+        let pending = self.farewells.pending.iter_mut();
+        for pending in pending.filter(|pending| pending.farewell.process == process) {
+            pending.has_copies = true;
         }
-        self.actions.push(Action::FarewellReceived(process));
+        self.acknowledge_farewells(now);
     }
 
     /// Drops the requests for receipts that came or went over a link which is closed. The node that
--- a/crates/fleet/src/initial_reads.rs
+++ b/crates/fleet/src/initial_reads.rs
@@ -1,8 +1,7 @@
 //! Data that a new root reads from the platform before it serves.
 //!
 //! A node that is not a root learns from its parent which requests are held in quarantine and which
-//! versions are being rolled out, and which processes of its backend server have left. If all nodes
-//! restart at once, no node knows this. Without these reads, each node would then run a held request
+//! versions are being rolled out. If all nodes restart at once, no node knows this. Without these reads, each node would then run a held request
 //! again, and a bad version would get its full share of calls.
 
 use crate::event::{Action, PlatformRequest};
@@ -42,11 +41,7 @@
             .settings
             .follows_rollouts
             .then_some(PlatformRequest::Rollouts);
-        let wanted = [
-            Some(PlatformRequest::Crashes),
-            Some(PlatformRequest::Farewells),
-            rollouts,
-        ];
+        let wanted = [Some(PlatformRequest::Crashes), rollouts];
         self.initial_reads = InitialReads {
             missing: wanted.into_iter().flatten().collect(),
             send_at: Some(now),
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -33,7 +33,9 @@
 //! let start = Instant::now();
 //! let mut node = Node::new(settings, 42, start);
 //! let actions = node.handle(start + Duration::from_secs(1), Event::Wake);
-//! assert!(matches!(actions[..], [Action::QueryPlatform(PlatformRequest::Leases { .. })]));
+//! let [Action::QueryPlatform(first), Action::QueryPlatform(second)] = actions[..] else { panic!() };
+//! assert!(matches!(first, PlatformRequest::Leases { .. }));
+//! assert_eq!(second, PlatformRequest::Farewells);
 //! ```
 
 pub mod bootstrap;
@@ -57,6 +59,7 @@
 mod node;
 mod outage;
 mod readings;
+mod recall;
 mod rollouts;
 mod root_duties;
 mod search;
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -14,6 +14,7 @@
 use crate::link::{HEARTBEAT_INTERVAL, Link, LinkKey, Purpose, Role};
 use crate::outage::OutageState;
 use crate::parent::{Candidates, Source};
+use crate::recall::Recall;
 use crate::replica::{Replica, Step};
 use crate::rollouts::{self, RolloutState};
 use crate::{children, search, sync};
@@ -94,6 +95,7 @@
     pub(crate) rollouts: RolloutState,
     pub(crate) initial_reads: InitialReads,
     pub(crate) farewells: FarewellState,
+    pub(crate) recall: Recall,
     pub(crate) local_endpoint: Option<Endpoint>,
     pub(crate) has_synced_endpoints: bool,
     pub(crate) is_leaving: bool,
@@ -141,6 +143,7 @@
             rollouts: RolloutState::default(),
             initial_reads: InitialReads::default(),
             farewells: FarewellState::default(),
+            recall: Recall::new(now),
             local_endpoint: None,
             has_synced_endpoints: false,
             is_leaving: false,
@@ -203,6 +206,7 @@
             self.rollouts.deadline(),
             self.initial_reads.deadline(),
             self.farewells.deadline(),
+            self.recall.deadline(now),
         ];
         let links = self.links.values().map(Link::deadline);
         let first = others.into_iter().flatten().chain(links).min();
@@ -272,6 +276,7 @@
         self.send_due_lease_requests(now);
         self.step_search(now);
         self.step_initial_reads(now);
+        self.step_recall(now);
         self.step_gate(now);
         self.begin_announcing(now);
         self.step_fallback_poll(now);
@@ -353,7 +358,7 @@
             Frame::RequestReceipt { serial, copies } => {
                 self.on_request_receipt(key, serial, copies);
             }
-            Frame::Receipt { serial } => self.on_receipt(serial),
+            Frame::Receipt { serial } => self.on_receipt(now, serial),
             Frame::Reading(reading) => self.on_reading(now, key, &reading),
             Frame::Leave { parents } => {
                 self.add_hints(now, parents);
@@ -400,16 +405,14 @@
             PlatformResponse::Restored => {
                 self.schedule_crash_write(now);
                 self.rewrite_outcomes(now);
+                self.rewrite_farewells();
             }
             PlatformResponse::Rollouts(list) => {
                 self.finish_initial_read(PlatformRequest::Rollouts);
                 self.on_rollouts(now, rollouts::Origin::Platform, &list);
             }
-            PlatformResponse::Farewells(list) => {
-                self.finish_initial_read(PlatformRequest::Farewells);
-                self.learn_farewells(&list);
-            }
-            PlatformResponse::FarewellsWritten(list) => self.on_farewells_written(&list),
+            PlatformResponse::Farewells(list) => self.on_farewells(now, &list),
+            PlatformResponse::FarewellsWritten(list) => self.on_farewells_written(now, &list),
         }
     }
 
--- a/crates/fleet/src/root_duties.rs
+++ b/crates/fleet/src/root_duties.rs
@@ -234,9 +234,8 @@
             | PlatformRequest::ReleaseLease { .. }
             | PlatformRequest::Watch { .. }
             | PlatformRequest::Unwatch => {}
-            PlatformRequest::Crashes | PlatformRequest::Rollouts | PlatformRequest::Farewells => {
-                self.retry_initial_reads(now);
-            }
+            PlatformRequest::Crashes | PlatformRequest::Rollouts => self.retry_initial_reads(now),
+            PlatformRequest::Farewells => self.on_recall_failed(now),
         }
     }
 
--- a/crates/fleet/src/sync.rs
+++ b/crates/fleet/src/sync.rs
@@ -277,7 +277,7 @@
     /// Refutes an announcement about this node that was not made by this process and outranks its
     /// own.
     fn refute(&mut self, now: Instant, endpoint: &Endpoint) {
-        self.learn_farewells(&endpoint.farewells);
+        self.recall_from(now, endpoint);
         let is_announcing = self.farewells.is_announcing();
         let Some(own) = self.local_endpoint.as_mut().filter(|_| is_announcing) else {
             // This process has announced nothing yet, so a former process of this VM made the
@@ -387,11 +387,11 @@
         if checksums.len() != BUCKET_COUNT {
             return;
         }
-        // Tombstones are not part of the checksums, but a restarted node needs its farewells.
+        // Tombstones are not part of the checksums, but a restarted node needs what its former process
+        // announced (`recall`).
         let peer = self.peer_name(key).unwrap_or_default();
         let tombstone = self.endpoint_table.get(&peer);
-        let tombstone = tombstone
-            .filter(|endpoint| endpoint.state == State::Gone && !endpoint.farewells.is_empty());
+        let tombstone = tombstone.filter(|endpoint| endpoint.state == State::Gone);
         if let Some(tombstone) = tombstone.cloned() {
             self.send(key, Frame::Endpoints(vec![tombstone]));
         }
@@ -413,8 +413,8 @@
     /// Announces this node's endpoint for the first time, once it is known what former processes of
     /// the node have announced.
     pub(crate) fn begin_announcing(&mut self, now: Instant) {
-        let is_known = self.has_synced_endpoints && self.initial_reads.is_done();
-        if !is_known || !self.farewells.begin_announcing() {
+        let is_ready = self.has_synced_endpoints && self.initial_reads.is_done();
+        if !is_ready || !self.recall.is_done(now) || !self.farewells.begin_announcing() {
             return;
         }
         if let Some(own) = &mut self.local_endpoint
--- a/crates/fleet/tests/farewells.rs
+++ b/crates/fleet/tests/farewells.rs
@@ -2,8 +2,9 @@
 
 mod world;
 
+use config::Farewell;
 use std::time::Duration;
-use world::{MS, S, World};
+use world::{Denial, MS, S, World};
 
 /// The process of the backend server that leaves, and the one that takes its place.
 const FORMER: u64 = 11;
@@ -232,13 +233,153 @@
     check_not_served(&mut world, vm, START_TIMEOUT);
 }
 
+fn restart_all(world: &mut World) {
+    let all: Vec<_> = (0..world.vms.len()).collect();
+    world.restart(&all);
+}
+
 /// All nodes are killed at once, while their backend servers run on.
 #[test]
 fn all_nodes_killed() {
     let vm = 7;
     let mut world = world_with_backend(3, vm);
     leave(&mut world, vm);
-    let all: Vec<_> = (0..world.vms.len()).collect();
-    world.restart(&all);
+    restart_all(&mut world);
     check_not_served(&mut world, vm, START_TIMEOUT);
 }
+
+/// All nodes are killed at any moment around the acknowledgement, and again before further late
+/// reports: what was acknowledged by then holds.
+#[yare::parameterized(
+    before = { -50 },
+    just_before = { -1 },
+    at_once = { 0 },
+    while_flooded = { 5 },
+    while_batched = { 20 },
+    later = { 4_000 },
+)]
+fn all_killed_around(moment_ms: i64) {
+    let vm = 7;
+    let mut world = world_with_backend(3, vm);
+    let started = world.now;
+    leave(&mut world, vm);
+    let duration = world.now.saturating_sub(started);
+    let mut world = world_with_backend(3, vm);
+    world.leave_backend(vm);
+    let wait_ms = i64::try_from(duration.as_millis()).unwrap() + moment_ms;
+    world.run(Duration::from_millis(wait_ms.try_into().unwrap()));
+    let was_acknowledged = is_acknowledged(&world, vm, FORMER);
+    assert_eq!(was_acknowledged, moment_ms >= 0);
+    for _ in 0..2 {
+        restart_all(&mut world);
+        for _ in 0..4 {
+            announce(&mut world, vm, FORMER);
+            if was_acknowledged {
+                check_not_served(&mut world, vm, S);
+            }
+            world.run(S);
+        }
+    }
+    announce(&mut world, vm, NEXT);
+    world.run_until(START_TIMEOUT, "to be served", |world| {
+        world.is_served(vm, NEXT)
+    });
+}
+
+/// A part of the nodes or all are killed as a leave is acknowledged, and the platform turns away only
+/// the node whose backend server has left.
+#[yare::parameterized(
+    not_denied = { None },
+    silent = { Some(Denial::Silent) },
+    refused = { Some(Denial::Refused) },
+)]
+fn part_killed(denial: Option<Denial>) {
+    for count in 1..9 {
+        let vm = 7;
+        let mut world = world_with_backend(3, vm);
+        leave(&mut world, vm);
+        let others = (0..9).cycle().skip(count).filter(|other| *other != vm);
+        world.set_denial(vm, denial);
+        world.restart(
+            &[vm]
+                .into_iter()
+                .chain(others.take(count))
+                .collect::<Vec<_>>(),
+        );
+        check_not_served(&mut world, vm, 2 * START_TIMEOUT);
+        world.set_denial(vm, None);
+        check_not_served(&mut world, vm, 2 * START_TIMEOUT);
+        announce(&mut world, vm, NEXT);
+        world.run_until(S, "to be served", |world| world.is_served(vm, NEXT));
+    }
+}
+
+/// A backend server leaves while the platform is away: that is acknowledged only once the platform
+/// holds it, and until then the backend server gets no calls either.
+#[test]
+fn left_in_outage() {
+    let vm = 7;
+    let mut world = world_with_backend(3, vm);
+    world.platform.is_down = true;
+    world.run(S);
+    world.leave_backend(vm);
+    world.run(100 * MS);
+    check_not_served(&mut world, vm, 10 * S);
+    assert!(!is_acknowledged(&world, vm, FORMER));
+    world.restore_platform();
+    world.run_until(S, "to be acknowledged", |world| {
+        is_acknowledged(world, vm, FORMER)
+    });
+    restart_all(&mut world);
+    check_not_served(&mut world, vm, START_TIMEOUT);
+}
+
+/// Nodes are killed in an outage of the platform: a backend server that has not left must not be out of
+/// service until the platform is back.
+#[yare::parameterized(one = { 1 }, several = { 5 })]
+fn served_in_outage(killed: usize) {
+    let vm = 4;
+    let mut world = world_with_backend(3, vm);
+    world.platform.is_down = true;
+    world.run(2 * S);
+    world.restart(&(vm..vm + killed).collect::<Vec<_>>());
+    announce(&mut world, vm, NEXT);
+    world.run_until(START_TIMEOUT, "to be served", |world| {
+        world.is_served(vm, NEXT)
+    });
+}
+
+/// The platform comes back from a backup without the leave, and all nodes are killed.
+#[test]
+fn restored_then_killed() {
+    for vm in [0, 7] {
+        let mut world = world_with_backend(3, vm);
+        leave(&mut world, vm);
+        world.restore_from_backup();
+        world.run(S);
+        restart_all(&mut world);
+        check_not_served(&mut world, vm, START_TIMEOUT);
+    }
+}
+
+/// An operator's drain holds after all nodes were killed, for each process of the backend server, until
+/// it is ended; its end holds too.
+#[test]
+fn drained() {
+    let vm = 7;
+    let mut world = world_with_backend(3, vm);
+    for (round, process) in [(1, NEXT), (2, NEXT + 1)] {
+        for record in [Farewell::drain(round), Farewell::drain_end(round)] {
+            world.vms[vm].acknowledged.clear();
+            world.record_farewell(vm, record);
+            world.run_until(S, "to be acknowledged", |world| {
+                is_acknowledged(world, vm, record.process)
+            });
+            restart_all(&mut world);
+            announce(&mut world, vm, process);
+            world.run(START_TIMEOUT);
+            let is_drain = record == Farewell::drain(round);
+            assert_eq!(world.is_served(vm, process), !is_drain);
+        }
+    }
+}
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -60,6 +60,7 @@
     Platform(PlatformResponse),
     Crashes(Vec<Crash>),
     RetryRolloutWrite(Rollout),
+    RetryFarewellWrite(Vec<Farewell>),
     Tally(SmolStr, Tally),
     BackendChanged,
     BackendLeft(Farewell),
@@ -428,7 +429,10 @@
         let process = self.vms[vm].process;
         self.vms[vm].backend = State::Leaving;
         self.schedule(vm, Duration::ZERO, Input::BackendChanged);
-        let farewell = Farewell { left_ms, process };
+        self.record_farewell(vm, Farewell { left_ms, process });
+    }
+
+    pub fn record_farewell(&mut self, vm: usize, farewell: Farewell) {
         self.schedule(vm, Duration::ZERO, Input::BackendLeft(farewell));
     }
 
@@ -733,6 +737,10 @@
                 self.write_rollout(vm, rollout);
                 return;
             }
+            Input::RetryFarewellWrite(list) => {
+                self.write_farewells(vm, list);
+                return;
+            }
             Input::BackendChanged => Event::BackendAnnounced(Backend {
                 service: self.vms[vm].service.clone().into(),
                 version: "".into(),
@@ -867,15 +875,25 @@
                 }
                 Action::UpdateFarewells(_) => {}
                 Action::WriteFarewells(list) => self.write_farewells(vm, list),
+                Action::RewriteFarewells(list) => {
+                    let writer = self.vms[vm].peer.clone();
+                    for (node, farewells) in list {
+                        self.platform
+                            .write_farewells(vm, &writer, &node, &farewells);
+                    }
+                }
             }
         }
     }
 
     fn write_farewells(&mut self, vm: usize, list: Vec<Farewell>) {
-        let node = self.vms[vm].peer.clone();
-        if self.platform.write_farewells(&node, &list) {
+        let peer = self.vms[vm].peer.clone();
+        if self.platform.write_farewells(vm, &peer, &peer.node, &list) {
             let response = PlatformResponse::FarewellsWritten(list);
             self.schedule(vm, 3 * MS, Input::Platform(response));
+        } else {
+            // The write is retried until it succeeds.
+            self.schedule(vm, 300 * MS, Input::RetryFarewellWrite(list));
         }
     }
 
--- a/crates/fleet/tests/world/platform.rs
+++ b/crates/fleet/tests/world/platform.rs
@@ -135,12 +135,18 @@
             .collect()
     }
 
-    /// Stores farewells for a node; returns whether the platform can be reached.
-    pub fn write_farewells(&mut self, peer: &Peer, list: &[Farewell]) -> bool {
+    /// Stores farewells for a node; returns whether the writing VM reaches the platform.
+    pub fn write_farewells(
+        &mut self,
+        vm: usize,
+        writer: &Peer,
+        node: &str,
+        list: &[Farewell],
+    ) -> bool {
         self.calls += 1;
-        let is_reachable = !self.is_down && !self.unreachable_zones.contains(peer.zone.as_str());
+        let is_reachable = self.answers(vm, &writer.zone);
         if is_reachable {
-            let stored = self.farewells.entry(peer.node.to_string()).or_default();
+            let stored = self.farewells.entry(node.to_owned()).or_default();
             merge_farewells(stored, list);
         }
         is_reachable
@@ -184,13 +190,15 @@
         Some((current, self.reachable_watchers().collect()))
     }
 
-    /// Removes all outcomes of roll-outs and all crashes, as a restore from an older backup does.
+    /// Removes all outcomes of roll-outs, all crashes and all farewells, as a restore from an older
+    /// backup does.
     pub fn lose_recent_writes(&mut self) -> Vec<usize> {
         for rollout in self.rollouts.values_mut() {
             rollout.stage = Stage::Canary;
             rollout.order.era += 1;
         }
         self.written_crashes.clear();
+        self.farewells.clear();
         self.reachable_watchers().collect()
     }
 
--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -8,8 +8,8 @@
 //! current ones. With `interface = platform` a backend server may also announce itself in the
 //! platform's format, which [`platform::announce`] decodes.
 //!
-//! A leave request is acknowledged once other nodes hold it, so that it outlives this process of
-//! the node. Until then the backend server gets no new calls either, and is told to repeat it.
+//! A leave request is acknowledged once it is recorded on the platform, so that it outlives all nodes.
+//! Until then the backend server gets no new calls either, and is told to repeat it.
 //!
 //! Missing heartbeats don't remove a backend server: one that is paused or partitioned for a moment
 //! would otherwise lose all its work at once. A backend server that is really gone refuses
@@ -24,7 +24,7 @@
 use crate::shared::{Backend, Shared};
 use crate::stop::log_backend_waits;
 use clock::Clock;
-use config::Farewell;
+use config::{Farewell, is_drained};
 use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
 use log::info;
@@ -179,12 +179,12 @@
     }
 }
 
-/// Returns the response to a leave request that no other node holds yet.
+/// Returns the response to a leave request that isn't recorded yet.
 fn unrecorded_response() -> HttpResponse {
     error_response(
         StatusCode::SERVICE_UNAVAILABLE,
-        "the backend server gets no new calls, but no other node has recorded that it is leaving; \
-         repeat the request",
+        "the backend server gets no new calls, but it is not recorded yet that it is leaving; repeat \
+         the request",
     )
 }
 
@@ -273,7 +273,8 @@
     }
 }
 
-fn wall_ms<C>(clock: &C) -> u64
+/// Returns the time by the clock of the VM, in milliseconds since the Unix epoch.
+pub(crate) fn wall_ms<C>(clock: &C) -> u64
 where
     C: Clock,
 {
@@ -434,7 +435,7 @@
     }
 }
 
-/// Takes over the farewells that other nodes hold.
+/// Takes over the farewells that the platform or other nodes hold.
 pub(crate) fn learn_farewells<C>(shared: &Shared<C>, farewells: &[Farewell])
 where
     C: Clock,
@@ -445,6 +446,10 @@
         info!("leave_recalled");
         mark_leaving(shared);
     }
+    drop(processes);
+    if is_drained(farewells) && !shared.leaving.send_replace(true) {
+        info!("drain_recalled");
+    }
 }
 
 fn mark_leaving<C>(shared: &Shared<C>)
--- a/crates/node/src/announce/farewells.rs
+++ b/crates/node/src/announce/farewells.rs
@@ -1,4 +1,4 @@
-//! Leave requests on their way to the other nodes.
+//! Leave requests and drains on their way to the platform and the other nodes.
 
 use config::Farewell;
 use std::sync::OnceLock;
@@ -6,19 +6,19 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
 
-/// Maximum wait for other nodes to hold a farewell. Backend servers wait about a second for the
-/// response to a leave request.
+/// Maximum wait until a farewell is recorded. Backend servers wait about a second for the response to
+/// a leave request.
 const RECEIPT_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// A farewell that other nodes have to hold.
+/// A farewell that has to be recorded.
 #[derive(Debug)]
 pub(crate) struct Request {
     pub(crate) farewell: Farewell,
-    /// Notified once other nodes hold it.
+    /// Notified once the platform and other nodes hold it.
     pub(crate) received: oneshot::Sender<()>,
 }
 
-/// Passes the farewells of the backend server to the component that tells other nodes.
+/// Passes farewells to the component that records them.
 #[derive(Debug, Default)]
 pub(crate) struct Farewells {
     requests: OnceLock<mpsc::UnboundedSender<Request>>,
@@ -48,7 +48,7 @@
         Some(receipt)
     }
 
-    /// Passes on a farewell, and returns whether other nodes hold it.
+    /// Passes on a farewell, and returns whether it is recorded.
     ///
     /// Guards against a node that is killed as soon as it has acknowledged a leave request: its next
     /// process took a late report of the process that had left for one of a process that serves.
--- a/crates/node/src/control/platform_worker.rs
+++ b/crates/node/src/control/platform_worker.rs
@@ -1,7 +1,7 @@
 //! Executes the platform operations that the state machine requests.
 //!
-//! Reads and lease operations run one after the other. Watches, and the writes of crashes and
-//! roll-outs, run in tasks of their own.
+//! Reads and lease operations run one after the other. Watches, the read of farewells, and the writes
+//! of crashes, farewells and roll-outs run in tasks of their own.
 
 use crate::control::tree::Input;
 use crate::control::{removal, rollout as rollout_store};
@@ -10,14 +10,14 @@
 use clock::Clock;
 use config::{Farewell, Rollout};
 use fleet::{Peer, PlatformRequest, PlatformResponse, RootLease};
-use log::warn;
+use log::{info, warn};
 use platform::rollout;
 use policy::backoff::Backoff;
 use smol_str::{SmolStr, ToSmolStr, format_smolstr};
 use std::collections::BTreeMap;
 use std::future::pending;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, UNIX_EPOCH};
 use store::board;
 use store::follow::JournalUpdate;
 use store::lease::{self, LeaseRecord};
@@ -40,6 +40,9 @@
 const BACKOFF_BASE: Duration = Duration::from_millis(100);
 const BACKOFF_CAP: Duration = Duration::from_millis(800);
 
+/// Interval at which farewells of nodes that are gone are removed from the platform.
+const CLEANUP_INTERVAL: Duration = Duration::from_hours(1);
+
 /// Executes commands until their sender is dropped.
 pub(crate) async fn run<C, S>(
     shared: Arc<Shared<C>>,
@@ -61,6 +64,7 @@
         crash_writer: None,
         rollout_writers: BTreeMap::new(),
         farewell_writer: None,
+        farewell_rewriter: None,
     };
     let mut eras = worker.store.watch_era();
     let mut era = *eras.borrow_and_update();
@@ -89,6 +93,7 @@
             Command::WriteCrashes { slot, list } => worker.write_crashes(slot, list),
             Command::WriteRollout(rollout) => worker.write_rollout(rollout),
             Command::WriteFarewells(list) => worker.write_farewells(list),
+            Command::RewriteFarewells(list) => worker.rewrite_farewells(list),
         }
     }
 }
@@ -104,9 +109,11 @@
     /// Writes the progress of a roll-out; retries until this progress, a final stage or a newer
     /// order is stored.
     WriteRollout(Rollout),
-    /// Adds farewells of the local backend server to those that are stored for this node; retries
-    /// until the write succeeds.
+    /// Adds farewells to those that are stored for this node; retries until the write succeeds, and
+    /// reports that to the state machine.
     WriteFarewells(Vec<Farewell>),
+    /// Adds farewells to those that are stored for some nodes; retries until the writes succeed.
+    RewriteFarewells(Vec<(SmolStr, Vec<Farewell>)>),
 }
 
 /// A task that is aborted when its handle is dropped.
@@ -146,6 +153,8 @@
     rollout_writers: BTreeMap<SmolStr, Task>,
     /// Task that writes farewells; a newer list contains one that could not be written yet.
     farewell_writer: Option<Task>,
+    /// Task that writes farewells which a restored platform may have lost.
+    farewell_rewriter: Option<Task>,
 }
 
 impl<C, S> PlatformWorker<C, S>
@@ -179,9 +188,10 @@
                 return None;
             }
             PlatformRequest::Rollouts => self.read_rollouts().await,
-            PlatformRequest::Farewells => farewells::read(&self.store, &self.shared.settings.name)
-                .await
-                .map(PlatformResponse::Farewells),
+            PlatformRequest::Farewells => {
+                self.read_farewells();
+                return None;
+            }
             PlatformRequest::Crashes => {
                 self.crash_store.list().await.map(PlatformResponse::Crashes)
             }
@@ -341,8 +351,9 @@
             let configurations = forward_configurations(watcher, self.inbox.clone());
             let crashes = self.watch_crashes(is_primary);
             let rollouts = self.watch_rollouts(is_primary);
+            let clean_up = self.clean_up_farewells(is_primary);
             self.watch_task = Some(Task(tokio::spawn(async move {
-                tokio::join!(configurations, crashes, rollouts);
+                tokio::join!(configurations, crashes, rollouts, clean_up);
             })));
             return;
         }
@@ -352,11 +363,12 @@
         let inbox = self.inbox.clone();
         let crashes = self.watch_crashes(is_primary);
         let rollouts = self.watch_rollouts(is_primary);
+        let clean_up = self.clean_up_farewells(is_primary);
         self.watch_task = Some(Task(tokio::spawn(async move {
             tokio::select! {
                 () = forward_versions(follower, inbox) => {}
                 () = removal::run(journal) => {}
-                () = async { tokio::join!(crashes, rollouts); pending().await } => {}
+                () = async { tokio::join!(crashes, rollouts, clean_up); pending().await } => {}
             }
         })));
     }
@@ -440,21 +452,63 @@
         self.rollout_writers.insert(service, Task(task));
     }
 
+    /// Reads the farewells of this node, beside the calls that queue up at the start of a process: the
+    /// backend server gets no calls before they are known.
+    fn read_farewells(&self) {
+        let (shared, store) = (Arc::clone(&self.shared), self.store.clone());
+        let inbox = self.inbox.clone();
+        tokio::spawn(async move {
+            let read = farewells::read(&store, &shared.settings.name).await;
+            let response = match read {
+                Ok(list) => PlatformResponse::Farewells(list),
+                Err(error) => {
+                    info!(target: LOG_TARGET, error:%; "farewells_not_read");
+                    PlatformResponse::Failed(PlatformRequest::Farewells)
+                }
+            };
+            // An error means that the node is leaving.
+            drop(inbox.send(Input::Response(response)).await);
+        });
+    }
+
     fn write_farewells(&mut self, list: Vec<Farewell>) {
         let (shared, store) = (Arc::clone(&self.shared), self.store.clone());
         let inbox = self.inbox.clone();
         self.farewell_writer = Some(Task(tokio::spawn(async move {
-            let mut backoff = Backoff::new(BACKOFF_BASE, BACKOFF_CAP);
-            while let Err(error) = farewells::write(&store, &shared.settings.name, &list).await {
-                warn!(target: LOG_TARGET, error:%; "farewells_not_written");
-                let wait = backoff.next_delay(&mut rand::rng());
-                tokio::time::sleep(wait).await;
-            }
+            write_farewells_with_retries(&store, &shared.settings.name, &list).await;
             let response = PlatformResponse::FarewellsWritten(list);
             drop(inbox.send(Input::Response(response)).await);
         })));
     }
 
+    fn rewrite_farewells(&mut self, list: Vec<(SmolStr, Vec<Farewell>)>) {
+        let store = self.store.clone();
+        self.farewell_rewriter = Some(Task(tokio::spawn(async move {
+            for (node, farewells) in list {
+                write_farewells_with_retries(&store, &node, &farewells).await;
+            }
+        })));
+    }
+
+    /// Removes the farewells of nodes that are gone for long, at intervals.
+    fn clean_up_farewells(&self, is_primary: bool) -> impl Future<Output = ()> + use<C, S> {
+        let (shared, store) = (Arc::clone(&self.shared), self.store.clone());
+        async move {
+            if !is_primary {
+                return;
+            }
+            loop {
+                tokio::time::sleep(CLEANUP_INTERVAL).await;
+                let since = shared.clock.wall().duration_since(UNIX_EPOCH);
+                let wall_ms = since.unwrap_or_default().as_millis();
+                let wall_ms = u64::try_from(wall_ms).unwrap_or_default();
+                if let Err(error) = farewells::remove_expired(&store, wall_ms).await {
+                    info!(target: LOG_TARGET, error:%; "farewells_not_removed");
+                }
+            }
+        }
+    }
+
     /// Writes crashes to the platform; retries until the write succeeds.
     fn write_crashes(&mut self, slot: u8, list: Vec<Crash>) {
         let crash_store = self.crash_store.clone();
@@ -470,6 +524,19 @@
     }
 }
 
+/// Adds farewells to those that are stored for `node`; retries until the write succeeds.
+async fn write_farewells_with_retries<S>(store: &S, node: &str, list: &[Farewell])
+where
+    S: Store,
+{
+    let mut backoff = Backoff::new(BACKOFF_BASE, BACKOFF_CAP);
+    while let Err(error) = farewells::write(store, node, list).await {
+        warn!(target: LOG_TARGET, node, error:%; "farewells_not_written");
+        let wait = backoff.next_delay(&mut rand::rng());
+        tokio::time::sleep(wait).await;
+    }
+}
+
 /// Decodes a configuration written by operators into responses for the state machine.
 ///
 /// # Errors
--- a/crates/node/src/control/tree.rs
+++ b/crates/node/src/control/tree.rs
@@ -130,7 +130,7 @@
     status_updated_at: Instant,
     suspension: SuspensionDetector,
     closing_writers: Vec<tokio::task::JoinHandle<()>>,
-    /// Requests that wait until other nodes hold their farewell.
+    /// Requests that wait until their farewell is recorded.
     unreceived: Vec<farewells::Request>,
 }
 
@@ -185,7 +185,7 @@
         self.handle(Event::BackendLeft(farewell));
     }
 
-    /// Notifies the requests that waited for other nodes to hold the farewell of `process`.
+    /// Notifies the requests that waited for the farewell of `process` to be recorded.
     fn finish_farewells(&mut self, process: u64) {
         let is_received = |request: &mut farewells::Request| request.farewell.process == process;
         for request in self.unreceived.extract_if(.., is_received) {
@@ -285,6 +285,9 @@
             Action::WriteFarewells(list) => {
                 drop(self.commands.send(Command::WriteFarewells(list)));
             }
+            Action::RewriteFarewells(list) => {
+                drop(self.commands.send(Command::RewriteFarewells(list)));
+            }
             Action::FarewellReceived(process) => self.finish_farewells(process),
             Action::UpdateFarewells(list) => announce::learn_farewells(&self.shared, &list),
             Action::ApplyRollouts(list) => self.shared.rollouts.set(list),
--- a/crates/node/tests/farewells.rs
+++ b/crates/node/tests/farewells.rs
@@ -166,27 +166,39 @@
     }
 }
 
-/// A node is killed as soon as it has acknowledged that its backend server leaves, and once more
-/// before the late reports of that process, which must not make the backend server ready again.
+/// A node, or each node, is killed as soon as one has acknowledged that its backend server leaves, and
+/// once more before the late reports of that process, which must not make the backend server ready
+/// again.
 #[parameterized(
-    own_interface = { Interface::Own, 10 },
-    platform_interface = { Interface::Platform, 20 },
+    own_interface = { Interface::Own, 10, false },
+    platform_interface = { Interface::Platform, 20, false },
+    all_killed_own = { Interface::Own, 30, true },
+    all_killed_platform = { Interface::Platform, 40, true },
 )]
 #[test_macro(tokio::test(flavor = "multi_thread"))]
-async fn late_reports(interface: Interface, number: u8) {
+async fn late_reports(interface: Interface, number: u8, kills_all: bool) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let platform = listener.local_addr().unwrap();
     tokio::spawn(serve(listener, MemoryStore::new(), RateLimits::default()));
     tokio::task::block_in_place(|| {
-        let _other = Node::spawn(number, interface, platform);
+        let mut other = Node::spawn(number, interface, platform);
         let mut node = Node::spawn(number + 1, interface, platform);
+        let mut restart = |node: &mut Node| {
+            if kills_all {
+                other.kill();
+                node.restart();
+                other.restart();
+            } else {
+                node.restart();
+            }
+        };
         wait_until("listening", || node.is_leaving().is_some());
         node.report(interface, 1, 1);
         node.leave(interface, 1);
-        node.restart();
+        restart(&mut node);
         node.report(interface, 1, 2);
         wait_until("told of the leave", || node.is_leaving() == Some(true));
-        node.restart();
+        restart(&mut node);
         for sequence in 3..6 {
             node.report(interface, 1, sequence);
         }
