An operator's drain outlives the node

Operators saw: a VM that was drained (`POST /v1/drain`, answered 200) took calls again after its node had been killed and started, though nobody had ended the drain.

Cause: only the process that answered knew of it.

Change: a drain is recorded as a leave of whatever runs on the VM, and acknowledged once it is recorded, else answered 503.

drained_then_killed expected the next process to know of the drain where there is neither a platform nor another node.

--- a/crates/cli/src/drain.rs
+++ b/crates/cli/src/drain.rs
@@ -1,4 +1,4 @@
-//! `drain`: takes a VM out of service.
+//! `drain`: takes a VM out of service, or back into service.
 
 use crate::error::Error;
 use crate::exit::Exit;
@@ -12,6 +12,20 @@
 /// Interval at which the number of calls in flight is read while waiting for these calls to end.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Ends the drain of a VM.
+pub(crate) async fn end_drain(session: &Session, vm: &str) -> Result<Exit, Error> {
+    let address = find_address(session, vm).await?;
+    let token = session.read_token()?;
+    let request = make_request(address, Method::DELETE, "/v1/drain", Some(&token))?;
+    let status = fetch::<Status>(address, request, session.timeout).await?;
+    if session.json {
+        session.print_json(&status);
+    } else {
+        println!("{} is drained no longer", status.node);
+    }
+    Ok(Exit::Done)
+}
+
 pub(crate) async fn drain_vm(session: &Session, vm: &str, wait: Duration) -> Result<Exit, Error> {
     let address = find_address(session, vm).await?;
     let token = session.read_token()?;
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -50,8 +50,10 @@
         /// The newer version.
         new: Version,
     },
-    /// Takes a VM out of service.
+    /// Takes a VM out of service, or back into service.
     Drain {
+        /// Whether to end the drain.
+        end: bool,
         /// Maximum wait for the end of the calls in flight at the VM.
         wait: Duration,
         /// Name of the VM's node, or the address of that node's operators' listener.
@@ -375,13 +377,16 @@
         "Longest wait until its calls in flight have ended; 0 unless set",
     )
     .fallback(Duration::ZERO);
+    let end = long("end")
+        .help("Ends the drain: the VM comes back into service")
+        .switch();
     let vm =
         positional("VM").help("Name of its node, or address of the node's operators' listener");
-    let verb = construct!(Verb::Drain { wait, vm });
+    let verb = construct!(Verb::Drain { end, wait, vm });
     make_options(verb)
         .to_options()
         .descr("Takes a VM out of service: no new calls, and those in flight end")
-        .header("Needs the token. The VM comes back into service when its node is started anew.")
+        .header("Needs the token. The drain outlives the node's process, until `--end` ends it.")
         .command("drain")
         .help("Takes a VM out of service")
 }
--- a/crates/node/src/operate.rs
+++ b/crates/node/src/operate.rs
@@ -1,9 +1,10 @@
 //! The listener for operators.
 //!
 //! `GET /metrics`, `/healthz`, `/readyz`, `/v1/status`, `/v1/burn` and `/v1/teams`
-//! need no authorization. `POST /v1/drain` changes the node's state and requires the
-//! token.
+//! need no authorization. `POST /v1/drain` takes the VM out of service and `DELETE /v1/drain` brings it
+//! back; both require the token. A drain outlives the node's process: it holds until it is ended.
 
+use crate::announce::wall_ms;
 use crate::listener::{
     self, Handle, HttpResponse, Limits, build_response, error_response, json_response,
 };
@@ -12,7 +13,7 @@
 use crate::shared::Shared;
 use crate::stop::read_waits;
 use clock::Clock;
-use config::Version;
+use config::{Farewell, Version};
 use http::{Method, Request, StatusCode, header};
 use hyper::body::Incoming;
 use log::{info, warn};
@@ -57,25 +58,26 @@
     let bad_requests = shared.metrics.bad_requests(LISTENER);
     listener::spawn(tcp, limits, bad_requests, move |request| {
         let shared = Arc::clone(&shared);
-        async move { handle(&request, &shared) }
+        async move { handle(&request, &shared).await }
     })
 }
 
-fn handle<C>(request: &Request<Incoming>, shared: &Shared<C>) -> HttpResponse
+async fn handle<C>(request: &Request<Incoming>, shared: &Shared<C>) -> HttpResponse
 where
     C: Clock,
 {
     let path = request.uri().path();
-    let expected = if path == "/v1/drain" {
-        Method::POST
+    let (is_expected, expected) = if path == "/v1/drain" {
+        let is_expected = [Method::POST, Method::DELETE].contains(request.method());
+        (is_expected, "POST or DELETE")
     } else {
-        Method::GET
+        (*request.method() == Method::GET, "GET")
     };
     let is_known = matches!(
         path,
         "/metrics" | "/healthz" | "/readyz" | "/v1/status" | "/v1/burn" | "/v1/teams" | "/v1/drain"
     );
-    if is_known && *request.method() != expected {
+    if is_known && !is_expected {
         let message = format!("method not allowed; use {expected}");
         return error_response(StatusCode::METHOD_NOT_ALLOWED, &message);
     }
@@ -89,7 +91,7 @@
         "/v1/status" => json_response(StatusCode::OK, &read_status(shared)),
         "/v1/burn" => json_response(StatusCode::OK, &read_burn(shared)),
         "/v1/teams" => json_response(StatusCode::OK, &read_team_usage(shared)),
-        "/v1/drain" => drain(request, shared),
+        "/v1/drain" => change_drain(request, shared).await,
         _ => error_response(StatusCode::NOT_FOUND, "no such path"),
     }
 }
@@ -215,7 +217,11 @@
     }
 }
 
-fn drain<C>(request: &Request<Incoming>, shared: &Shared<C>) -> HttpResponse
+/// Drains the VM or ends its drain, and responds once this is recorded.
+///
+/// A drained VM gets no calls as soon as the request has arrived, while the end of a drain takes effect
+/// only when it is recorded: without the record, the next process would be drained again.
+async fn change_drain<C>(request: &Request<Incoming>, shared: &Shared<C>) -> HttpResponse
 where
     C: Clock,
 {
@@ -226,9 +232,25 @@
             "unauthorized; use the header Authorization: Bearer TOKEN",
         );
     }
-    let changed = !shared.leaving.send_replace(true);
-    if changed {
-        info!("drain_asked");
+    let now_ms = wall_ms(&shared.clock);
+    let is_end = *request.method() == Method::DELETE;
+    let record = if is_end {
+        Farewell::drain_end(now_ms)
+    } else {
+        if !shared.leaving.send_replace(true) {
+            info!("drain_asked");
+        }
+        Farewell::drain(now_ms)
+    };
+    if !shared.farewells.are_received(record).await {
+        return error_response(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the platform has not recorded the drain or its end; repeat the request",
+        );
+    }
+    let is_stopping = shared.stopping.load(Ordering::Acquire);
+    if is_end && !is_stopping && shared.leaving.send_replace(false) {
+        info!("drain_ended");
     }
     json_response(StatusCode::OK, &read_status(shared))
 }
--- a/crates/node/tests/operate.rs
+++ b/crates/node/tests/operate.rs
@@ -139,6 +139,7 @@
 #[parameterized(
     unknown_path = { "GET /v1/secret", 404 },
     wrong_method = { "GET /v1/drain", 405 },
+    end_without_token = { "DELETE /v1/drain", 401 },
     write_to_metrics = { "POST /metrics", 405 },
 )]
 #[test_macro(tokio::test)]
--- a/crates/node/tests/program.rs
+++ b/crates/node/tests/program.rs
@@ -3,13 +3,16 @@
 
 use rustix::process::{Pid, Signal, kill_process};
 use serde::de::DeserializeOwned;
+use standin::platform::{RateLimits, serve};
 use std::fs;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
+use store::MemoryStore;
 use tempfile::TempDir;
+use tokio::net::TcpListener;
 use wire::call::Frame;
 use wire::{Hello, LinkKind, PROTOCOL_VERSION, codec};
 use yare::parameterized;
@@ -23,6 +26,7 @@
 const BACKEND_PORT: u16 = 7002;
 const NODES_PORT: u16 = 7003;
 const OPERATORS_PORT: u16 = 7004;
+const PLATFORM_PORT: u16 = 7100;
 
 /// A node that runs as a child process on its own loopback address.
 struct Node {
@@ -47,7 +51,7 @@
             "[node]\nname = records-1\nzone = kl-a\nregion = kl\n\
              [listen]\ncallers = {ip}:{CALLERS_PORT}\nbackend = {ip}:{BACKEND_PORT}\n\
              nodes = {ip}:{NODES_PORT}\noperators = {ip}:{OPERATORS_PORT}\n\
-             [fleet]\nplatform = {ip}:7100\n\
+             [fleet]\nplatform = {ip}:{PLATFORM_PORT}\n\
              [limits]\ndrain_timeout = 1 min\nroutes_wait = 1 ms\n{limits}[operators]\ntoken = 0123456789abcdef\n"
         );
         fs::write(&settings, text).unwrap();
@@ -107,6 +111,19 @@
         self.try_get(port, path).unwrap()
     }
 
+    /// Drains the node with `POST`, or ends its drain with `DELETE`; returns the answer.
+    fn change_drain(&self, method: &str) -> String {
+        let mut operator = self.connect(OPERATORS_PORT);
+        let text = format!(
+            "{method} /v1/drain HTTP/1.1\r\nhost: node\r\nconnection: close\r\n\
+             authorization: Bearer 0123456789abcdef\r\ncontent-length: 0\r\n\r\n"
+        );
+        operator.write_all(text.as_bytes()).unwrap();
+        let mut answer = String::new();
+        operator.read_to_string(&mut answer).unwrap();
+        answer
+    }
+
     fn read_metric(&self, name: &str) -> f64 {
         let answer = self.get(OPERATORS_PORT, "/metrics");
         let line = answer.lines().find(|line| line.starts_with(name)).unwrap();
@@ -227,24 +244,36 @@
     assert_eq!(node.wait_for_exit_code(), Some(0));
 }
 
-/// An operator has drained a node. The node is killed and started again, and must not take calls.
+/// An operator has drained a node. The node is killed and started again, and must not take calls
+/// until the operator ends the drain. A drain that would not outlive the node is not acknowledged.
 #[test]
 fn drained_then_killed() {
     let mut node = Node::spawn(14);
-    let mut operator = node.connect(OPERATORS_PORT);
-    operator
-        .write_all(
-            b"POST /v1/drain HTTP/1.1\r\nhost: node\r\nconnection: close\r\n\
-              authorization: Bearer 0123456789abcdef\r\ncontent-length: 0\r\n\r\n",
-        )
-        .unwrap();
-    let mut answer = String::new();
-    operator.read_to_string(&mut answer).unwrap();
-    let is_leaving = |status: &str| status.contains("\"leaving\":true");
-    assert!(is_leaving(&answer), "{answer}");
-    node.restart();
-    let status = node.get(OPERATORS_PORT, "/v1/status");
-    assert!(is_leaving(&status), "{status}");
+    let is_leaving = |answer: &str| answer.contains("\"leaving\":true");
+    let answer = node.change_drain("POST");
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(is_leaving(&node.get(OPERATORS_PORT, "/v1/status")));
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    let platform = runtime.block_on(TcpListener::bind(node.address(PLATFORM_PORT)));
+    runtime.spawn(serve(
+        platform.unwrap(),
+        MemoryStore::new(),
+        RateLimits::default(),
+    ));
+    wait_until("drained", || {
+        let answer = node.change_drain("POST");
+        answer.starts_with("HTTP/1.1 200") && is_leaving(&answer)
+    });
+    for _ in 0..2 {
+        node.restart();
+        wait_until("drained", || {
+            is_leaving(&node.get(OPERATORS_PORT, "/v1/status"))
+        });
+    }
+    wait_until("back in service", || {
+        let answer = node.change_drain("DELETE");
+        answer.starts_with("HTTP/1.1 200") && !is_leaving(&answer)
+    });
 }
 
 /// Opens the call link `number` of the process `origin`. Returns `None` if the node doesn't answer
