A hold tells callers apart

Cause: the digest that names a request left the caller out. An answer to the other caller cleared the crashes of the same digest (the nodes log request_cleared with it), and for 10 s after an answer the request wasn't even suspected. A hold would have held both.

Change: the service of the VM at which a request began is part of the digest. The crashes, the clearing, recent answers, the turn of suspects, the owner and the hold all go by it.

--- a/crates/call/src/digest.rs
+++ b/crates/call/src/digest.rs
@@ -14,21 +14,26 @@
 /// how the body is split, so that every node computes the same digest.
 pub const MAX_DIGEST_BODY_BYTES: usize = 64 << 10;
 
-/// Identifies a request by what its caller chose: method, host, path with query, and body.
+/// Identifies a request by its caller and by what the caller chose: method, host, path with query, and
+/// body.
 ///
-/// Headers are left out, because a caller that repeats a request changes some of them. The host
-/// is that of the matching route, and empty for a route that applies to all hosts, because
-/// callers may address each node by its own address.
+/// The caller is the service of the VM at which the request began, which the node there sets. Without
+/// it, answers to one caller would clear the crashes of another, and a hold of one caller's request
+/// would also hold the other's. Headers are left out, because a caller that repeats a request changes
+/// some of them. The host is that of the matching route, and empty for a route that applies to all
+/// hosts, because callers may address each node by its own address.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Digest([u8; 16]);
 
 impl Digest {
-    /// Computes the digest of a request, using the first [`MAX_DIGEST_BODY_BYTES`] bytes of its body.
+    /// Computes the digest of a request of the service `caller`, using the first
+    /// [`MAX_DIGEST_BODY_BYTES`] bytes of its body.
     #[must_use]
-    pub fn of(method: &str, host: &str, path: &str, body: &[u8]) -> Self {
+    pub fn of(caller: &str, method: &str, host: &str, path: &str, body: &[u8]) -> Self {
         let body = &body[..body.len().min(MAX_DIGEST_BODY_BYTES)];
         let mut digest = Sha256::new();
-        for part in [method.as_bytes(), host.as_bytes(), path.as_bytes(), body] {
+        let texts = [caller, method, host, path].map(str::as_bytes);
+        for part in texts.into_iter().chain([body]) {
             // The length prefix distinguishes "ab" + "c" from "a" + "bc".
             digest.update((part.len() as u64).to_le_bytes());
             digest.update(part);
--- a/crates/call/tests/digest.rs
+++ b/crates/call/tests/digest.rs
@@ -5,15 +5,17 @@
 /// Moving bytes from one part of a request to the next must change its digest.
 #[test]
 fn parts_are_delimited() {
-    let digest = Digest::of("GET", "mesh", "/a", b"");
+    let digest = Digest::of("desk", "GET", "mesh", "/a", b"");
     let others = [
-        Digest::of("GE", "Tmesh", "/a", b""),
-        Digest::of("GET", "mesh/", "a", b""),
-        Digest::of("GET", "mesh", "/", b"a"),
-        Digest::of("GET", "mesh", "/a?b", b""),
+        Digest::of("board", "GET", "mesh", "/a", b""),
+        Digest::of("des", "kGET", "mesh", "/a", b""),
+        Digest::of("desk", "GE", "Tmesh", "/a", b""),
+        Digest::of("desk", "GET", "mesh/", "a", b""),
+        Digest::of("desk", "GET", "mesh", "/", b"a"),
+        Digest::of("desk", "GET", "mesh", "/a?b", b""),
     ];
     assert!(others.iter().all(|other| *other != digest));
-    assert_eq!(digest, Digest::of("GET", "mesh", "/a", b""));
+    assert_eq!(digest, Digest::of("desk", "GET", "mesh", "/a", b""));
     assert_eq!(digest.to_string().len(), 32);
 }
 
@@ -21,10 +23,10 @@
 #[test]
 fn long_body_prefix() {
     let body = vec![7; MAX_DIGEST_BODY_BYTES + 1];
-    let full = Digest::of("POST", "mesh", "/a", &body);
+    let full = Digest::of("desk", "POST", "mesh", "/a", &body);
     assert_eq!(
         full,
-        Digest::of("POST", "mesh", "/a", &body[..MAX_DIGEST_BODY_BYTES])
+        Digest::of("desk", "POST", "mesh", "/a", &body[..MAX_DIGEST_BODY_BYTES])
     );
-    assert_ne!(full, Digest::of("POST", "mesh", "/a", &body[..8]));
+    assert_ne!(full, Digest::of("desk", "POST", "mesh", "/a", &body[..8]));
 }
--- a/crates/fleet/tests/crashes.rs
+++ b/crates/fleet/tests/crashes.rs
@@ -11,7 +11,7 @@
 const HOLD_DEADLINE: Duration = Duration::from_secs(3);
 
 fn crashing_request() -> Digest {
-    Digest::of("GET", "", "/s0/deadly", b"")
+    Digest::of("", "GET", "", "/s0/deadly", b"")
 }
 
 fn is_held(status: RequestStatus) -> bool {
--- a/crates/node/src/outbound/plan.rs
+++ b/crates/node/src/outbound/plan.rs
@@ -230,14 +230,20 @@
     }
 }
 
-/// Computes the digest that identifies a request across its repeats, from its head and the start of its body.
-pub(crate) fn digest_of(
+/// Computes the digest that identifies a request across its repeats, from the service of this VM and
+/// from the head and the start of the body of the request.
+pub(crate) fn digest_of<C>(
+    inner: &Inner<C>,
     plan: &Plan,
     head: &request::Parts,
     body: &remote_attempt::RequestBody,
-) -> Digest {
+) -> Digest
+where
+    C: Clock,
+{
+    let caller = inner.shared.settings.service.as_deref().unwrap_or_default();
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
-    Digest::of(head.method.as_str(), &plan.host, path, &body.prefix)
+    Digest::of(caller, head.method.as_str(), &plan.host, path, &body.prefix)
 }
 
 /// Returns whether a call may run more than once; by default only if its method is safe (RFC 9110).
--- a/crates/node/src/outbound/serve.rs
+++ b/crates/node/src/outbound/serve.rs
@@ -196,7 +196,7 @@
     if body.length() > MAX_EAGER_BODY_BYTES as u64 {
         plan.body_size = BodySize::Large;
     }
-    plan.digest = digest_of(&plan, &head, &body);
+    plan.digest = digest_of(inner, &plan, &head, &body);
     if let RequestStatus::Held { wait } = request_status(inner, &plan) {
         let refused = Refused::held(wait);
         inner.shared.metrics.quarantine.count_refused();
--- a/crates/node/tests/calls/quarantine.rs
+++ b/crates/node/tests/calls/quarantine.rs
@@ -1,6 +1,6 @@
 //! Quarantine of requests that crash the backend servers that run them.
 
-use crate::mesh::{Answer, Node, bind, call, spawn_node, wait_for_run};
+use crate::mesh::{Answer, Node, bind, call, spawn_node, spawn_node_with_limits, wait_for_run};
 use bytes::Bytes;
 use config::Repeat;
 use http::{Method, StatusCode};
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use store::MemoryStore;
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -208,6 +209,34 @@
     assert_eq!((answer.status, answer.verdict()), (StatusCode::OK, "ran"));
 }
 
+/// A deadly request must be held although another caller's requests for the same path are answered, and
+/// the other caller's must not be held.
+#[yare::parameterized(repeated = { Method::GET }, never_repeated = { Method::POST })]
+#[test_macro(tokio::test)]
+async fn other_caller(method: Method) {
+    let spawn = async |service: &str| {
+        let line = format!("\n[node]\nservice = {service}\n");
+        Arc::new(spawn_node_with_limits(service, &MemoryStore::new(), &line).await)
+    };
+    let (desk, board) = (spawn("desk").await, spawn("board").await);
+    let server = spawn_supervised(&board, RequestPattern::Header("deadly".to_owned())).await;
+    let endpoint = board.endpoint("records", board.nodes_address);
+    for node in [&desk, &board] {
+        node.set_route("records", Repeat::ByMethod, std::slice::from_ref(&endpoint));
+    }
+    let innocent = Call::new(method, "/records/1");
+    let mut deadly = innocent.clone();
+    deadly.headers = vec![("deadly", "1")];
+    let mut is_refused = false;
+    for _ in 0..20 {
+        server.wait_listening().await;
+        assert_eq!(innocent.send(&board).await.status, StatusCode::OK);
+        is_refused |= is_held(&deadly.send(&desk).await);
+    }
+    assert!(is_refused);
+    assert_eq!(server.count_crashes(), 3);
+}
+
 /// A caller must not evade the quarantine by changing its headers and keys.
 #[tokio::test]
 async fn changed_headers() {
--- a/crates/policy/tests/balance.rs
+++ b/crates/policy/tests/balance.rs
@@ -265,7 +265,7 @@
 #[test]
 fn same_owner_everywhere() {
     let now = Manual::new().now();
-    let request = |number: usize| Digest::of("GET", "", &format!("/records/{number}"), b"");
+    let request = |number: usize| Digest::of("", "GET", "", &format!("/records/{number}"), b"");
     let mut balancers: Vec<Balancer> = Vec::new();
     for turn in 0..5 {
         let mut balancer = Balancer::new();
--- a/crates/policy/tests/in_flight.rs
+++ b/crates/policy/tests/in_flight.rs
@@ -7,7 +7,7 @@
 
 fn request(path: &str, is_suspect: bool) -> Request {
     Request {
-        digest: Digest::of("GET", "", path, b""),
+        digest: Digest::of("", "GET", "", path, b""),
         method: "GET".into(),
         path: path.into(),
         is_suspect,
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 fn request(number: usize) -> Digest {
-    Digest::of("GET", "", &format!("/records/{number}"), b"")
+    Digest::of("", "GET", "", &format!("/records/{number}"), b"")
 }
 
 fn crash(id: u64, number: usize, is_alone: bool) -> Crash {
--- a/crates/store/tests/board.rs
+++ b/crates/store/tests/board.rs
@@ -11,7 +11,7 @@
 fn crash(id: u64, age_ms: u32) -> Crash {
     Crash {
         id,
-        request: Digest::of("GET", "", "/records/1", b""),
+        request: Digest::of("", "GET", "", "/records/1", b""),
         node: "vm-1".into(),
         service: "records".into(),
         method: "GET".into(),
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -58,7 +58,7 @@
             route,
             length: route >> 32,
             end,
-            digest: call::Digest::of(&timeout_ms.to_string(), "mesh", "/", &[]),
+            digest: call::Digest::of("", &timeout_ms.to_string(), "mesh", "/", &[]),
             is_suspect: end,
             known_report: None,
             team: None,
