A drain takes effect after the clock was set back

Operators would have seen: a drain that follows the end of another one is never acknowledged while the VM's clock is behind the time of that end.

Cause: of the records of a drain and of its end the later one counts, by the clock of the VM.

--- a/crates/config/src/endpoint.rs
+++ b/crates/config/src/endpoint.rs
@@ -65,6 +65,20 @@
         matches!(self.process, DRAINED | DRAIN_ENDED)
     }
 
+    /// Returns this record with a time after those of the operator's records in `known`, so that it takes
+    /// effect also if the clock was set back since; other farewells are returned as they are.
+    #[must_use]
+    pub fn dated_after(self, known: &[Self]) -> Self {
+        let by_operator = known.iter().filter(|known| known.is_by_operator());
+        let latest = by_operator.map(|known| known.left_ms).max();
+        let earliest = latest.map_or(0, |latest| latest.saturating_add(1));
+        let is_dated = !self.is_by_operator() || self.left_ms >= earliest;
+        Self {
+            left_ms: if is_dated { self.left_ms } else { earliest },
+            ..self
+        }
+    }
+
     /// Returns whether `known` says what this farewell says: that its process has left, or that
     /// the VM is drained or its drain has ended.
     #[must_use]
--- a/crates/fleet/src/farewells.rs
+++ b/crates/fleet/src/farewells.rs
@@ -108,6 +108,7 @@
     /// the VM or ended its drain.
     pub(crate) fn on_farewell(&mut self, now: Instant, farewell: Farewell) {
         let state = &mut self.farewells;
+        let farewell = farewell.dated_after(&state.known);
         if farewell.is_in_effect(&state.known) {
             if state.received.contains(&farewell.process) {
                 self.actions
@@ -218,11 +219,8 @@
         let spreading = self.farewells.pending.iter();
         let spread_at = spreading.filter_map(|pending| pending.spread_at);
         let next = spread_at.filter(|at| *at > now).min();
-        self.farewells.retry_at = self
-            .farewells
-            .retry_at
-            .min(next)
-            .or(self.farewells.retry_at);
+        let retry_at = now + RETRY_INTERVAL;
+        self.farewells.retry_at = Some(next.map_or(retry_at, |at| at.min(retry_at)));
         self.acknowledge_farewells(now);
     }
 
--- a/crates/fleet/src/initial_reads.rs
+++ b/crates/fleet/src/initial_reads.rs
@@ -1,8 +1,9 @@
 //! Data that a new root reads from the platform before it serves.
 //!
 //! A node that is not a root learns from its parent which requests are held in quarantine and which
-//! versions are being rolled out. If all nodes restart at once, no node knows this. Without these reads, each node would then run a held request
-//! again, and a bad version would get its full share of calls.
+//! versions are being rolled out. If all nodes restart at once, no node knows this. Without these
+//! reads, each node would then run a held request again, and a bad version would get its full share
+//! of calls.
 
 use crate::event::{Action, PlatformRequest};
 use crate::node::Node;
--- a/crates/fleet/tests/farewells.rs
+++ b/crates/fleet/tests/farewells.rs
@@ -363,13 +363,13 @@
 }
 
 /// An operator's drain holds after all nodes were killed, for each process of the backend server, until
-/// it is ended; its end holds too.
+/// it is ended, and its end holds too, also where the clock was set back.
 #[test]
 fn drained() {
     let vm = 7;
     let mut world = world_with_backend(3, vm);
-    for (round, process) in [(1, NEXT), (2, NEXT + 1)] {
-        for record in [Farewell::drain(round), Farewell::drain_end(round)] {
+    for (wall_ms, process) in [(9, NEXT), (1, NEXT + 1)] {
+        for record in [Farewell::drain(wall_ms), Farewell::drain_end(wall_ms)] {
             world.vms[vm].acknowledged.clear();
             world.record_farewell(vm, record);
             world.run_until(S, "to be acknowledged", |world| {
@@ -378,7 +378,7 @@
             restart_all(&mut world);
             announce(&mut world, vm, process);
             world.run(START_TIMEOUT);
-            let is_drain = record == Farewell::drain(round);
+            let is_drain = record == Farewell::drain(wall_ms);
             assert_eq!(world.is_served(vm, process), !is_drain);
         }
     }
