A backend server ends without an acknowledgement that can't be given

Cause: since a leave is acknowledged only once the platform holds it, the stand-in repeated its request for as long as it may drain, though the node sent it nothing any more.

--- a/crates/standin/src/announce.rs
+++ b/crates/standin/src/announce.rs
@@ -87,7 +87,8 @@
     ///
     /// The node may be killed after it has acknowledged the request. The node process that replaces
     /// it then reports that the backend server is not leaving, and this function sends the request
-    /// again.
+    /// again. A node may take the request without an acknowledgement, because it can't record it:
+    /// there is nothing left to wait for then once no calls are in flight.
     ///
     /// `on_acknowledged` is called each time that a node acknowledges the request.
     pub async fn leave<F>(&self, request: LeaveRequest, limit: Duration, mut on_acknowledged: F)
@@ -107,6 +108,8 @@
                 acknowledged = self.call(Method::DELETE, encode(&request)).await.is_some();
                 if acknowledged {
                     on_acknowledged();
+                } else if self.read_status().await.is_some_and(is_done) {
+                    return;
                 }
             }
             sleep(LEAVE_POLL_INTERVAL).await;
