--- a/crates/fleet/tests/farewells.rs
+++ b/crates/fleet/tests/farewells.rs
@@ -248,8 +248,7 @@
     check_not_served(&mut world, vm, START_TIMEOUT);
 }
 
-/// All nodes are killed at any moment after the leave request, and again before further late reports: what
-/// was acknowledged by then holds.
+/// All nodes are killed twice, from any moment after the leave request on, between late reports.
 #[yare::parameterized(
     unwritten = { 1 },
     written = { 5 },
@@ -280,8 +279,7 @@
     });
 }
 
-/// A part of the nodes or all are killed as a leave is acknowledged, and the platform turns away only
-/// the node whose backend server has left.
+/// Nodes are killed as a leave is acknowledged, and the platform turns away the node that did so.
 #[yare::parameterized(
     not_denied = { None },
     silent = { Some(Denial::Silent) },
@@ -308,8 +306,7 @@
     }
 }
 
-/// A backend server leaves while the platform is away: that is acknowledged only once the platform
-/// holds it, and until then the backend server gets no calls either.
+/// A leave is acknowledged while the platform is away, or the backend server gets calls meanwhile.
 #[test]
 fn left_in_outage() {
     let vm = 7;
@@ -328,8 +325,7 @@
     check_not_served(&mut world, vm, START_TIMEOUT);
 }
 
-/// Nodes are killed in an outage of the platform: a backend server that has not left must not be out of
-/// service until the platform is back.
+/// A live backend server is out of service for a whole outage, because its node was killed in it.
 #[yare::parameterized(one = { 1 }, several = { 5 })]
 fn served_in_outage(killed: usize) {
     let vm = 4;
@@ -356,8 +352,7 @@
     }
 }
 
-/// An operator's drain holds after all nodes were killed, for each process of the backend server, until
-/// it is ended, and its end holds too, also where the clock was set back.
+/// All nodes forget an operator's drain or its end, or the clock was set back between two drains.
 #[test]
 fn drained() {
     let vm = 7;
--- a/crates/node/tests/farewells.rs
+++ b/crates/node/tests/farewells.rs
@@ -166,9 +166,7 @@
     }
 }
 
-/// A node, or each node, is killed as soon as one has acknowledged that its backend server leaves, and
-/// once more before the late reports of that process, which must not make the backend server ready
-/// again.
+/// Late reports make a backend server ready again whose node, or all nodes, were killed after its leave.
 #[parameterized(
     own_interface = { Interface::Own, 10, false },
     platform_interface = { Interface::Platform, 20, false },
